--- /dev/null
+++ b/Makefile
@@ -0,0 +1,22 @@
+# Targets: build, test, demo, lint, fmt. `make test` is the whole verdict on the code.
+MODULES := core instance operator proof
+LINT    := go run github.com/golangci/golangci-lint/v2/cmd/golangci-lint@v2.15.0
+
+.PHONY: build test race vet lint fmt demo
+
+build:
+	go build -o bin/comfreyladderd ./instance/cmd/comfreyladderd
+	go build -o bin/comfreyladder ./operator/cmd/comfreyladder
+
+test: build
+	go vet $(MODULES:%=./%/...)
+	go test -race -count=1 -timeout 8m $(MODULES:%=./%/...)
+
+lint:
+	set -e; for m in $(MODULES); do (cd $$m && $(LINT) run --config ../.golangci.yml ./...); done
+
+fmt:
+	gofmt -l -w $(MODULES)
+
+demo: build
+	bin/comfreyladder demo
--- /dev/null
+++ b/core/intent/diff.go
@@ -0,0 +1,121 @@
+package intent
+
+import (
+	"cmp"
+	"reflect"
+	"slices"
+)
+
+// Verb says what a change does to one entry.
+type Verb string
+
+// The verbs of a Change.
+const (
+	Added   Verb = "added"
+	Removed Verb = "removed"
+	Changed Verb = "changed"
+)
+
+// Change is one line of a plan.
+type Change struct {
+	Verb Verb `json:"verb" codec:"verb"`
+	// Path names the entry, such as "class.nurse-review".
+	Path string `json:"path" codec:"path"`
+	// Fields lists the fields that differ; it is empty for added and removed.
+	Fields []FieldChange `json:"fields,omitempty" codec:"fields"`
+}
+
+// FieldChange is one field of a changed entry.
+type FieldChange struct {
+	Field string `json:"field" codec:"field"`
+	From  any    `json:"from" codec:"from"`
+	To    any    `json:"to" codec:"to"`
+}
+
+// Normalize sorts all lists by name.
+func (d *Document) Normalize() {
+	byName(d.Classes, func(v Class) string { return v.Name })
+	byName(d.Organisations, func(v Organisation) string { return v.Name })
+	byName(d.Upstreams, func(v Upstream) string { return v.Name })
+	byName(d.Models, func(v Model) string { return v.Name })
+	byName(d.Services, func(v Service) string { return v.Name })
+	byName(d.Operators, func(v Operator) string { return v.Name })
+}
+
+// Diff returns what changes from one document to the next, in a stable order.
+func Diff(from, to *Document) []Change {
+	var out []Change
+	out = append(out, diffList("class", from.Classes, to.Classes, func(v Class) string { return v.Name })...)
+	out = append(out, diffList("organisation", from.Organisations, to.Organisations, func(v Organisation) string { return v.Name })...)
+	out = append(out, diffList("upstream", from.Upstreams, to.Upstreams, func(v Upstream) string { return v.Name })...)
+	out = append(out, diffList("model", from.Models, to.Models, func(v Model) string { return v.Name })...)
+	out = append(out, diffList("service", from.Services, to.Services, func(v Service) string { return v.Name })...)
+	out = append(out, diffList("operator", from.Operators, to.Operators, func(v Operator) string { return v.Name })...)
+	return out
+}
+
+func byName[T any](list []T, name func(T) string) {
+	slices.SortStableFunc(list, func(a, b T) int { return cmp.Compare(name(a), name(b)) })
+}
+
+func diffList[T any](kind string, from, to []T, name func(T) string) []Change {
+	old := index(from, name)
+	next := index(to, name)
+	var out []Change
+	for _, n := range sortedKeys(old, next) {
+		path := kind + "." + n
+		was, had := old[n]
+		is, has := next[n]
+		switch {
+		case !had:
+			out = append(out, Change{Verb: Added, Path: path})
+		case !has:
+			out = append(out, Change{Verb: Removed, Path: path})
+		default:
+			if fields := diffFields(was, is); len(fields) > 0 {
+				out = append(out, Change{Verb: Changed, Path: path, Fields: fields})
+			}
+		}
+	}
+	return out
+}
+
+func diffFields[T any](from, to T) []FieldChange {
+	a, b := reflect.ValueOf(from), reflect.ValueOf(to)
+	var out []FieldChange
+	for i := range a.NumField() {
+		x, y := a.Field(i), b.Field(i)
+		if reflect.DeepEqual(x.Interface(), y.Interface()) || emptySlices(x, y) {
+			continue
+		}
+		out = append(out, FieldChange{Field: a.Type().Field(i).Tag.Get("json"), From: x.Interface(), To: y.Interface()})
+	}
+	return out
+}
+
+// emptySlices makes a nil and an empty list equal: codecs do not keep them apart.
+func emptySlices(x, y reflect.Value) bool {
+	return x.Kind() == reflect.Slice && x.Len() == 0 && y.Len() == 0
+}
+
+func index[T any](list []T, name func(T) string) map[string]T {
+	m := make(map[string]T, len(list))
+	for _, v := range list {
+		m[name(v)] = v
+	}
+	return m
+}
+
+func sortedKeys[T any](a, b map[string]T) []string {
+	keys := make([]string, 0, len(a)+len(b))
+	for k := range a {
+		keys = append(keys, k)
+	}
+	for k := range b {
+		if _, both := a[k]; !both {
+			keys = append(keys, k)
+		}
+	}
+	slices.Sort(keys)
+	return keys
+}
