--- a/Makefile
+++ b/Makefile
@@ -13,7 +13,7 @@
 	go test -race -count=1 -timeout 8m $(MODULES:%=./%/...)
 
 lint:
-	set -e; for m in $(MODULES); do (cd $$m && $(LINT) run --config ../.golangci.yml ./...); done
+	set -e; for m in $(MODULES); do (cd $$m && $(LINT) run --allow-parallel-runners --config ../.golangci.yml ./...); done
 
 fmt:
 	gofmt -l -w $(MODULES)
