--- a/core/intent/intent.go
+++ b/core/intent/intent.go
@@ -46,7 +46,8 @@
 // Organisation is one customer that sends requests.
 type Organisation struct {
 	Name string `json:"name" codec:"name"`
-	// KeyHashes are hex SHA-256 digests of the organisation's API keys.
+	// KeyHashes are hex SHA-256 digests of the organisation's API keys, each
+	// optionally with its last day of use: "digest@2027-01-31".
 	KeyHashes []string `json:"key_hashes" codec:"key_hashes"`
 	// Classes lists the classes that the organisation may use.
 	Classes []string `json:"classes" codec:"classes"`
--- a/core/intent/lookup.go
+++ b/core/intent/lookup.go
@@ -1,6 +1,9 @@
 package intent
 
-import "strings"
+import (
+	"strings"
+	"time"
+)
 
 // Class returns the class with the given name, or nil.
 func (d *Document) Class(name string) *Class {
@@ -50,3 +53,17 @@
 	}
 	return nil
 }
+
+// SplitKeyHash splits "digest@2027-01-31" into the digest and the end of the
+// day (UTC) until which the key is valid. Without a date the time is zero.
+func SplitKeyHash(text string) (digest string, expires time.Time) {
+	digest, date, dated := strings.Cut(text, "@")
+	if !dated {
+		return digest, time.Time{}
+	}
+	day, err := time.Parse(time.DateOnly, date)
+	if err != nil {
+		return digest, time.Unix(0, 1)
+	}
+	return digest, day.AddDate(0, 0, 1)
+}
--- a/core/intent/validate.go
+++ b/core/intent/validate.go
@@ -7,6 +7,7 @@
 	"regexp"
 	"slices"
 	"strings"
+	"time"
 
 	"github.com/comfreyladder/comfreyladder/core/fault"
 )
@@ -179,15 +180,25 @@
 			}
 		}
 		for _, h := range o.KeyHashes {
-			c.keyHash(path+".key_hashes", h)
-			if other, dup := keys[h]; dup {
-				c.add(path+".key_hashes", "the same key belongs to %q", other)
-			}
-			keys[h] = o.Name
+			c.orgKey(path+".key_hashes", h, o.Name, keys)
 		}
 	}
 }
 
+// orgKey checks one "digest" or "digest@date" and that no other organisation
+// has the same key: requests would be charged to whichever came last.
+func (c *checker) orgKey(path, text, org string, owners map[string]string) {
+	digest, date, dated := strings.Cut(text, "@")
+	c.keyHash(path, digest)
+	if _, err := time.Parse(time.DateOnly, date); dated && err != nil {
+		c.add(path, "%q: the last day of a key is written as 2027-01-31", date)
+	}
+	if other, dup := owners[digest]; dup {
+		c.add(path, "the same key belongs to %q", other)
+	}
+	owners[digest] = org
+}
+
 func (c *checker) knownClasses(path string, o Organisation) {
 	for _, name := range o.Classes {
 		if c.doc.Class(name) == nil {
--- /dev/null
+++ b/instance/chat/request.go
@@ -0,0 +1,156 @@
+// Package chat reads and writes the published chat completions format: the
+// caller's request, the chunks of an engine's stream, and the whole answer that
+// is put together from them.
+package chat
+
+import (
+	"encoding/json"
+	"strings"
+
+	"github.com/comfreyladder/comfreyladder/core/fault"
+)
+
+const (
+	// bytesPerToken estimates the prompt's tokens; engines count exactly.
+	bytesPerToken = 4
+	maxMessages   = 4096
+	maxModelName  = 128
+)
+
+// Request is a caller's request with the fields that the router needs. All
+// other fields are passed on as they came.
+type Request struct {
+	Model        string
+	ServiceTier  string
+	Stream       bool
+	IncludeUsage bool
+	// MaxTokens is 0 when the caller set no bound.
+	MaxTokens int
+	// Prompt is the text of all messages, for prefix hashes and the estimate.
+	Prompt []byte
+	fields map[string]json.RawMessage
+}
+
+type message struct {
+	Role    string          `json:"role"`
+	Content json.RawMessage `json:"content"`
+}
+
+type contentPart struct {
+	Type string `json:"type"`
+	Text string `json:"text"`
+}
+
+type streamOptions struct {
+	IncludeUsage bool `json:"include_usage"`
+}
+
+// ParseRequest checks a request body. Failures have code Invalid and name the
+// field.
+func ParseRequest(body []byte) (*Request, error) {
+	r := &Request{}
+	if err := json.Unmarshal(body, &r.fields); err != nil {
+		return nil, fault.Wrap(err, fault.Invalid, "the body is not a JSON object")
+	}
+	if err := r.scalars(); err != nil {
+		return nil, err
+	}
+	return r, r.messages()
+}
+
+func (r *Request) scalars() error {
+	var options streamOptions
+	var completion int
+	var choices int
+	for _, f := range []struct {
+		name string
+		into any
+	}{
+		{"model", &r.Model}, {"service_tier", &r.ServiceTier}, {"stream", &r.Stream},
+		{"max_tokens", &r.MaxTokens}, {"max_completion_tokens", &completion},
+		{"stream_options", &options}, {"n", &choices},
+	} {
+		raw, ok := r.fields[f.name]
+		if !ok {
+			continue
+		}
+		if err := json.Unmarshal(raw, f.into); err != nil {
+			return fault.Wrap(err, fault.Invalid, "%s has the wrong type", f.name)
+		}
+	}
+	r.IncludeUsage = options.IncludeUsage
+	r.MaxTokens = max(r.MaxTokens, completion)
+	switch {
+	case r.Model == "" || len(r.Model) > maxModelName:
+		return fault.New(fault.Invalid, "model: 1 to %d characters are needed", maxModelName)
+	case r.MaxTokens < 0:
+		return fault.New(fault.Invalid, "max_tokens: %d is negative", r.MaxTokens)
+	case choices > 1:
+		return fault.New(fault.Invalid, "n: one choice per request is served")
+	}
+	return nil
+}
+
+func (r *Request) messages() error {
+	var list []message
+	raw, ok := r.fields["messages"]
+	if !ok || json.Unmarshal(raw, &list) != nil || len(list) == 0 || len(list) > maxMessages {
+		return fault.New(fault.Invalid, "messages: a list of 1 to %d messages is needed", maxMessages)
+	}
+	var text strings.Builder
+	for i, m := range list {
+		if m.Role == "" {
+			return fault.New(fault.Invalid, "messages[%d].role is needed", i)
+		}
+		if err := appendContent(&text, m.Content); err != nil {
+			return fault.Wrap(err, fault.Invalid, "messages[%d].content is neither text nor a list of parts", i)
+		}
+		text.WriteByte('\n')
+	}
+	r.Prompt = []byte(text.String())
+	return nil
+}
+
+func appendContent(text *strings.Builder, raw json.RawMessage) error {
+	if len(raw) == 0 || string(raw) == "null" {
+		return nil
+	}
+	var s string
+	if json.Unmarshal(raw, &s) == nil {
+		text.WriteString(s)
+		return nil
+	}
+	var parts []contentPart
+	if err := json.Unmarshal(raw, &parts); err != nil {
+		return fault.Wrap(err, fault.Invalid, "content")
+	}
+	for _, p := range parts {
+		text.WriteString(p.Text)
+	}
+	return nil
+}
+
+// PromptTokens estimates the prompt's length in tokens.
+func (r *Request) PromptTokens() int { return len(r.Prompt)/bytesPerToken + 1 }
+
+// Upstream returns the body for an engine: always streamed, with usage, the
+// scheduler's priority and a bound on the answer.
+func (r *Request) Upstream(priority, maxTokens int) ([]byte, error) {
+	out := make(map[string]any, len(r.fields)+4)
+	for k, v := range r.fields {
+		out[k] = v
+	}
+	delete(out, "service_tier")
+	delete(out, "max_completion_tokens")
+	out["stream"] = true
+	out["stream_options"] = streamOptions{IncludeUsage: true}
+	out["priority"] = priority
+	if maxTokens > 0 {
+		out["max_tokens"] = maxTokens
+	}
+	body, err := json.Marshal(out)
+	if err != nil {
+		return nil, fault.Wrap(err, fault.Internal, "encode the upstream request")
+	}
+	return body, nil
+}
--- /dev/null
+++ b/instance/intentfile/intentfile.go
@@ -0,0 +1,67 @@
+// Package intentfile reads an intent from an INI file: one section per entry,
+// such as [class.nurse-review] or [organisation.ward-3].
+package intentfile
+
+import (
+	"github.com/comfreyladder/comfreyladder/core/intent"
+	"github.com/comfreyladder/comfreyladder/instance/inifile"
+)
+
+// Load reads and validates an intent file. It returns *inifile.FaultsError for
+// faults of form and *intent.ProblemsError for faults of content.
+func Load(path string) (*intent.Document, error) {
+	f, err := inifile.Load(path)
+	if err != nil {
+		return nil, err
+	}
+	return decode(f)
+}
+
+// Parse is Load for data that is already read.
+func Parse(name string, data []byte) (*intent.Document, error) {
+	f, err := inifile.Parse(name, data)
+	if err != nil {
+		return nil, err
+	}
+	return decode(f)
+}
+
+func decode(f *inifile.File) (*intent.Document, error) {
+	d := &intent.Document{}
+	d.Classes = entries(f, "class", func(v *intent.Class, name string) {
+		v.Name = name
+		v.Attainment = defaultAttainment
+	})
+	d.Organisations = entries(f, "organisation", func(v *intent.Organisation, name string) {
+		v.Name = name
+		v.Weight = 1
+		v.ServeWhenCutOff = true
+	})
+	d.Upstreams = entries(f, "upstream", func(v *intent.Upstream, name string) { v.Name = name })
+	d.Models = entries(f, "model", func(v *intent.Model, name string) { v.Name = name })
+	d.Services = entries(f, "service", func(v *intent.Service, name string) { v.Name = name })
+	d.Operators = entries(f, "operator", func(v *intent.Operator, name string) { v.Name = name })
+	if err := f.Err(); err != nil {
+		return nil, err
+	}
+	d.Normalize()
+	if err := d.Validate(); err != nil {
+		return nil, err
+	}
+	return d, nil
+}
+
+// defaultAttainment is the share of requests that must meet their targets when
+// a class does not say: the 95 in 100 that the sizes to design for ask.
+const defaultAttainment = 0.95
+
+func entries[T any](f *inifile.File, kind string, defaults func(*T, string)) []T {
+	var list []T
+	for _, name := range f.Names(kind) {
+		var v T
+		defaults(&v, name)
+		f.Decode(kind+"."+name, &v)
+		list = append(list, v)
+	}
+	return list
+}
