--- /dev/null
+++ b/core/pick/pick.go
@@ -0,0 +1,176 @@
+// Package pick chooses an upstream for one request. The choice is a chain of
+// small parts: filters drop candidates, scorers rate what is left in [0,1], and
+// a picker takes one. The package is pure: randomness is passed in.
+package pick
+
+import (
+	"math/rand"
+	"time"
+)
+
+// Candidate is what is known about one upstream at the moment of a choice.
+type Candidate struct {
+	Name string
+	// Holds says that the upstream holds the request's model.
+	Holds bool
+	// Excluded says that the request was tried there before.
+	Excluded bool
+	Draining bool
+	// Slots is how many requests the upstream runs side by side; InFlight how
+	// many it runs by the best estimate; Free how many of the rest are open to
+	// the request's class.
+	Slots, InFlight, Free int
+	// Unstarted counts requests that were sent and have no first token yet.
+	Unstarted int
+	// Prefix is the share of the prompt, in [0,1], that the upstream's prefix
+	// cache is believed to hold.
+	Prefix float64
+	// FirstToken is the smoothed time to the first token; 0 means unknown.
+	FirstToken time.Duration
+	// TokenRate is the smoothed rate of one stream in tokens a second; 0 means
+	// unknown.
+	TokenRate float64
+	// Aside says that the upstream is a straggler; ProbeDue that one request
+	// may be sent to it to see whether it recovered.
+	Aside, ProbeDue bool
+}
+
+// Request is what the choice depends on besides the candidates.
+type Request struct {
+	// Protected requests are not used to probe stragglers.
+	Protected bool
+}
+
+// Domain sums up all candidates, for scores relative to the others.
+type Domain struct {
+	MedianFirstToken time.Duration
+	MedianTokenRate  float64
+	// MeanLoad is the mean of InFlight/Slots.
+	MeanLoad float64
+}
+
+// Filter drops candidates.
+type Filter interface {
+	Keep(r *Request, c *Candidate) bool
+}
+
+// Scorer rates a candidate from 0 (worst) to 1 (best).
+type Scorer interface {
+	Score(r *Request, d *Domain, c *Candidate) float64
+}
+
+// Picker takes one of the kept candidates; both slices have equal lengths above
+// zero. It returns a position in them.
+type Picker interface {
+	Pick(scores []float64, rnd *rand.Rand) int
+}
+
+// Weighted is a scorer with its weight in the sum of scores.
+type Weighted struct {
+	Scorer Scorer
+	Weight float64
+}
+
+// Chain is a whole choice. It reuses its buffers, so that it must be used by
+// one goroutine at a time.
+type Chain struct {
+	// Required filters always hold.
+	Required []Filter
+	// Preferred filters are dropped, one and all, for a choice in which they
+	// would leave no candidate.
+	Preferred []Filter
+	Scorers   []Weighted
+	Picker    Picker
+
+	kept   []int
+	scores []float64
+}
+
+// Choice is the result of a Chain.
+type Choice struct {
+	// Index is the position of the chosen candidate in the slice given to Pick.
+	Index int
+	// Kept is how many candidates passed the filters.
+	Kept int
+	// Score is the chosen candidate's weighted mean score, in [0,1].
+	Score float64
+}
+
+// Default returns the chain that the scheduler uses. The weights come from the
+// package's reasoning, not from a measurement: load and expected wait count
+// most, because they apply to each request.
+func Default(p Picker) *Chain {
+	return &Chain{
+		Required:  []Filter{HoldsModel{}, NotExcluded{}, NotDraining{}, HasRoom{}},
+		Preferred: []Filter{NoStraggler{}},
+		Scorers: []Weighted{
+			{Scorer: LeastLoad{}, Weight: 2},
+			{Scorer: ShortWait{}, Weight: 2},
+			{Scorer: PrefixAffinity{}, Weight: 1.5},
+			{Scorer: TokenRate{}, Weight: 1},
+		},
+		Picker: p,
+	}
+}
+
+// Pick chooses among the candidates; ok is false when a required filter leaves
+// none.
+func (h *Chain) Pick(r *Request, candidates []Candidate, rnd *rand.Rand) (choice Choice, ok bool) {
+	h.filter(r, candidates)
+	if len(h.kept) == 0 {
+		return Choice{}, false
+	}
+	d := Summarise(candidates)
+	h.scores = h.scores[:0]
+	for _, i := range h.kept {
+		h.scores = append(h.scores, h.score(r, &d, &candidates[i]))
+	}
+	at := h.Picker.Pick(h.scores, rnd)
+	return Choice{Index: h.kept[at], Kept: len(h.kept), Score: h.scores[at]}, true
+}
+
+func (h *Chain) filter(r *Request, candidates []Candidate) {
+	h.kept = h.kept[:0]
+	for i := range candidates {
+		if keeps(h.Required, r, &candidates[i]) {
+			h.kept = append(h.kept, i)
+		}
+	}
+	preferred := 0
+	for _, i := range h.kept {
+		if keeps(h.Preferred, r, &candidates[i]) {
+			preferred++
+		}
+	}
+	if preferred == 0 {
+		return
+	}
+	all := h.kept
+	h.kept = h.kept[:0]
+	for _, i := range all {
+		if keeps(h.Preferred, r, &candidates[i]) {
+			h.kept = append(h.kept, i)
+		}
+	}
+}
+
+func keeps(filters []Filter, r *Request, c *Candidate) bool {
+	for _, f := range filters {
+		if !f.Keep(r, c) {
+			return false
+		}
+	}
+	return true
+}
+
+func (h *Chain) score(r *Request, d *Domain, c *Candidate) float64 {
+	sum, weights := 0.0, 0.0
+	for _, s := range h.Scorers {
+		sum += s.Weight * s.Scorer.Score(r, d, c)
+		weights += s.Weight
+	}
+	if weights == 0 {
+		return 0
+	}
+	return sum / weights
+}
