Add the scheduler of one failure domain as a pure state machine

Tickets in, grants and sheds out. Floors by credit, tiers, fair shares by virtual token counts, earliest target inside a share; refusal at arrival from the backlog and learned slot rates; bounds on queues where protected work displaces lower work; load reports corrected by what was sent since; stragglers set aside and probed. Load and floor constants are reasoned, not measured yet.

--- a/core/pick/pick.go
+++ b/core/pick/pick.go
@@ -120,6 +120,9 @@
 	if len(h.kept) == 0 {
 		return Choice{}, false
 	}
+	if i := probe(r, candidates, h.kept); i >= 0 {
+		return Choice{Index: i, Kept: len(h.kept)}, true
+	}
 	d := Summarise(candidates)
 	h.scores = h.scores[:0]
 	for _, i := range h.kept {
@@ -129,6 +132,17 @@
 	return Choice{Index: h.kept[at], Kept: len(h.kept), Score: h.scores[at]}, true
 }
 
+// probe returns a kept straggler that is due for a probe, or -1. By its scores
+// it would never be chosen, and its recovery never seen.
+func probe(r *Request, candidates []Candidate, kept []int) int {
+	for _, i := range kept {
+		if c := &candidates[i]; c.Aside && c.ProbeDue && !r.Protected {
+			return i
+		}
+	}
+	return -1
+}
+
 func (h *Chain) filter(r *Request, candidates []Candidate) {
 	h.kept = h.kept[:0]
 	for i := range candidates {
--- /dev/null
+++ b/core/sched/types.go
@@ -0,0 +1,193 @@
+// Package sched decides which waiting model request goes next and to which
+// upstream. A Scheduler is a state machine for one failure domain: calls put
+// events in and give effects back; time and randomness are passed in. It is not
+// safe for concurrent use; one goroutine of a service owns it.
+//
+// Order of service: classes below their floor first, then tiers, the most urgent
+// first. Inside a class, organisations share by token counts and weights; inside
+// an organisation the earliest target goes first. Work that can't meet its level
+// is refused at once, never queued only to be dropped late.
+package sched
+
+import (
+	"time"
+
+	"github.com/comfreyladder/comfreyladder/core/announce"
+)
+
+// Ticket stands for one waiting request; the request's body stays where it is.
+type Ticket struct {
+	// ID is unique for each attempt.
+	ID string `codec:"id"`
+	// Instance is where the request waits.
+	Instance     string `codec:"instance"`
+	Organisation string `codec:"organisation"`
+	Class        string `codec:"class"`
+	Model        string `codec:"model"`
+	// PromptTokens is the estimated length of the prompt.
+	PromptTokens int `codec:"prompt_tokens"`
+	// PrefixHashes are hashes of the prompt's prefixes, the longest first.
+	PrefixHashes []uint64 `codec:"prefix_hashes"`
+	// MaxTokens bounds the answer; 0 means the class's bound.
+	MaxTokens int       `codec:"max_tokens"`
+	Arrived   time.Time `codec:"arrived"`
+	// Deadline is when the answer becomes worthless; zero takes the class's.
+	Deadline time.Time `codec:"deadline"`
+	// Excluded names upstreams at which the request was tried before.
+	Excluded []string `codec:"excluded"`
+}
+
+// Upstream is one model engine of the domain.
+type Upstream struct {
+	Name    string
+	Address string
+	// Models lists what it holds, as "model" or "model:adapter".
+	Models []string
+	Slots  int
+	// Draining upstreams get no new work.
+	Draining bool
+	// Load is the latest report, or nil; LoadAt is when its figures were true.
+	Load   *announce.Load
+	LoadAt time.Time
+	// Prefixes is what its cache is known to hold. The scheduler only reads it;
+	// the caller must not change it after the call.
+	Prefixes map[uint64]struct{}
+}
+
+// Outcome says how a grant ended.
+type Outcome struct {
+	// Tokens is how many tokens were generated.
+	Tokens int `codec:"tokens"`
+	// Complete says that the whole answer arrived; only then is its length
+	// learned from.
+	Complete bool `codec:"complete"`
+	// Failed says that the upstream is to blame: refused, broke off or silent.
+	Failed bool `codec:"failed"`
+	// Unused says that nothing was sent to the upstream.
+	Unused bool `codec:"unused"`
+}
+
+// Reason says why a ticket was shed.
+type Reason string
+
+// The reasons of a Shed.
+const (
+	// ReasonLate means that the backlog leaves no chance to meet the level.
+	ReasonLate Reason = "backlog"
+	// ReasonExpired means that the deadline passed in the queue.
+	ReasonExpired Reason = "deadline"
+	// ReasonFull means that a bound on queued work was reached.
+	ReasonFull Reason = "queue_full"
+	// ReasonDisplaced means that the place went to a more urgent ticket.
+	ReasonDisplaced Reason = "displaced"
+	// ReasonNoUpstream means that no upstream holds the model, or that all that
+	// do were tried.
+	ReasonNoUpstream Reason = "no_upstream"
+	// ReasonUnknownClass means that the intent in force has no such class.
+	ReasonUnknownClass Reason = "unknown_class"
+	// ReasonTooLate means that the request's deadline had passed on arrival.
+	ReasonTooLate Reason = "too_late"
+)
+
+// Effect is what the caller must do: a Grant or a Shed.
+type Effect interface{ TicketID() string }
+
+// Explain tells why a grant went where it went.
+type Explain struct {
+	// Waited is the time in the queue.
+	Waited time.Duration `codec:"waited"`
+	// Expected is the wait that was estimated at arrival.
+	Expected time.Duration `codec:"expected"`
+	// Floor says that the class went first because it was below its floor.
+	Floor bool `codec:"floor"`
+	// Candidates is how many upstreams were open to it; Score is the chosen
+	// one's, in [0,1].
+	Candidates int     `codec:"candidates"`
+	Score      float64 `codec:"score"`
+	// Prefix is the share of the prompt believed to be cached there.
+	Prefix float64 `codec:"prefix"`
+	// InFlight and Slots are the chosen upstream's, with this grant.
+	InFlight int `codec:"in_flight"`
+	Slots    int `codec:"slots"`
+}
+
+// Grant lets a ticket's request be sent to an upstream.
+type Grant struct {
+	ID       string `codec:"id"`
+	Instance string `codec:"instance"`
+	Upstream string `codec:"upstream"`
+	Address  string `codec:"address"`
+	// Priority is the class's tier, for the engine's own queue.
+	Priority int     `codec:"priority"`
+	Explain  Explain `codec:"explain"`
+}
+
+// TicketID implements Effect.
+func (g Grant) TicketID() string { return g.ID }
+
+// Shed refuses a ticket; its request was not run.
+type Shed struct {
+	ID       string `codec:"id"`
+	Instance string `codec:"instance"`
+	Reason   Reason `codec:"reason"`
+	// RetryAfter is above zero: when the backlog should have drained enough.
+	RetryAfter time.Duration `codec:"retry_after"`
+}
+
+// TicketID implements Effect.
+func (s Shed) TicketID() string { return s.ID }
+
+// Config bounds and tunes a scheduler. Zero fields take the defaults below.
+type Config struct {
+	// MaxQueued bounds the queued tickets of the domain.
+	MaxQueued int
+	// MaxQueuedClass bounds those of one unprotected class, MaxQueuedShare those
+	// of one organisation in one class.
+	MaxQueuedClass int
+	MaxQueuedShare int
+	// MaxQueuedTokens bounds the queued work of one unprotected class.
+	MaxQueuedTokens float64
+	// Headroom is the share of each upstream's slots that unprotected classes
+	// may not fill.
+	Headroom float64
+	// PromptWeight is the work of one prompt token relative to a generated one.
+	PromptWeight float64
+	// PriorTokenRate is assumed for one stream of an unknown engine, in tokens a
+	// second; PriorTokens for the length of an unknown class's answer.
+	PriorTokenRate float64
+	PriorTokens    float64
+	// Apart says that other schedulers send to the same upstreams unseen, so
+	// that choices must be spread (see pick.TwoChoices).
+	Apart bool
+}
+
+// Defaults of Config. They are starting points that were reasoned, not measured,
+// unless docs say otherwise.
+const (
+	DefaultMaxQueued       = 8192
+	DefaultMaxQueuedClass  = 2048
+	DefaultMaxQueuedShare  = 512
+	DefaultMaxQueuedTokens = 4e6
+	DefaultHeadroom        = 0.1
+	DefaultPromptWeight    = 0.05
+	DefaultPriorTokenRate  = 30
+	DefaultPriorTokens     = 200
+)
+
+func (c Config) withDefaults() Config {
+	defaultTo(&c.MaxQueued, DefaultMaxQueued)
+	defaultTo(&c.MaxQueuedClass, DefaultMaxQueuedClass)
+	defaultTo(&c.MaxQueuedShare, DefaultMaxQueuedShare)
+	defaultTo(&c.MaxQueuedTokens, DefaultMaxQueuedTokens)
+	defaultTo(&c.Headroom, DefaultHeadroom)
+	defaultTo(&c.PromptWeight, DefaultPromptWeight)
+	defaultTo(&c.PriorTokenRate, DefaultPriorTokenRate)
+	defaultTo(&c.PriorTokens, DefaultPriorTokens)
+	return c
+}
+
+func defaultTo[T int | float64](v *T, def T) {
+	if *v == 0 {
+		*v = def
+	}
+}
