Thin whole path: daemon, gateway, dispatch, administration API, command, demo

One instance holds the intent here; the registry and queue are this process's own until the services for links and scheduling take their place.

--- /dev/null
+++ b/instance/admin/types.go
@@ -0,0 +1,109 @@
+// Package admin serves the administration API: plan, confirm, status, explain
+// and metrics. Operators reach it with a credential of their own.
+package admin
+
+import (
+	"time"
+
+	"github.com/comfreyladder/comfreyladder/core/intent"
+	"github.com/comfreyladder/comfreyladder/instance/trace"
+)
+
+// The paths of the administration API.
+const (
+	PathPlan     = "/v1/operator/plan"
+	PathConfirm  = "/v1/operator/confirm"
+	PathIntent   = "/v1/operator/intent"
+	PathStatus   = "/v1/operator/status"
+	PathRequests = "/v1/operator/requests/"
+	PathMetrics  = "/metrics"
+)
+
+// PlanRequest asks what a document would change.
+type PlanRequest struct {
+	Document *intent.Document `json:"document"`
+}
+
+// Plan says what a document would change, seen from one revision.
+type Plan struct {
+	// Base is the revision that the plan was made from; a confirm must name it.
+	Base    uint64          `json:"base"`
+	Changes []intent.Change `json:"changes"`
+}
+
+// ConfirmRequest asks for a document to become the next revision.
+type ConfirmRequest struct {
+	// Number is the operator's own number of the intent. Resending the same
+	// number with the same content gets the first answer again.
+	Number uint64 `json:"number"`
+	// Base is the revision that the plan was made from.
+	Base     uint64           `json:"base"`
+	Document *intent.Document `json:"document"`
+}
+
+// Confirmation says what was accepted.
+type Confirmation struct {
+	Revision uint64    `json:"revision"`
+	Number   uint64    `json:"number"`
+	Operator string    `json:"operator"`
+	At       time.Time `json:"at"`
+}
+
+// Intent is the document in force at the instance that was asked.
+type Intent struct {
+	Revision uint64           `json:"revision"`
+	Document *intent.Document `json:"document"`
+}
+
+// Status is what one instance knows about the system.
+type Status struct {
+	Instance string `json:"instance"`
+	Domain   string `json:"domain"`
+	// Revision is what this instance acts on.
+	Revision uint64 `json:"revision"`
+	// Leader is the instance that leads the control group, empty if unknown.
+	Leader string `json:"leader"`
+	// LeaseValid says whether the revision is known to be the newest.
+	LeaseValid bool             `json:"lease_valid"`
+	Draining   bool             `json:"draining"`
+	InFlight   int64            `json:"in_flight"`
+	Domains    []DomainStatus   `json:"domains"`
+	Instances  []InstanceStatus `json:"instances"`
+	Upstreams  []UpstreamStatus `json:"upstreams"`
+}
+
+// DomainStatus is the digest of one failure domain.
+type DomainStatus struct {
+	Name string `json:"name"`
+	Live int    `json:"live"`
+	// Revision is the oldest that a live instance there acts on; Lag is how
+	// many revisions that is behind.
+	Revision uint64 `json:"revision"`
+	Lag      uint64 `json:"lag"`
+	// SilentSince is set while nothing is heard from the domain.
+	SilentSince *time.Time `json:"silent_since,omitempty"`
+}
+
+// InstanceStatus is one instance of this failure domain or control group.
+type InstanceStatus struct {
+	Name     string `json:"name"`
+	Domain   string `json:"domain"`
+	State    string `json:"state"`
+	Role     string `json:"role"`
+	Revision uint64 `json:"revision"`
+}
+
+// UpstreamStatus is one upstream of this failure domain.
+type UpstreamStatus struct {
+	Name     string   `json:"name"`
+	Kind     string   `json:"kind"`
+	State    string   `json:"state"`
+	Address  string   `json:"address"`
+	Models   []string `json:"models"`
+	Slots    int      `json:"slots"`
+	InFlight int      `json:"in_flight"`
+	AgeMS    int64    `json:"age_ms"`
+}
+
+// Explanation tells what became of one request.
+type Explanation = trace.Record
--- a/instance/chat/request.go
+++ b/instance/chat/request.go
@@ -26,9 +26,9 @@
 	IncludeUsage bool
 	// MaxTokens is 0 when the caller set no bound.
 	MaxTokens int
-	// Prompt is the text of all messages, for prefix hashes and the estimate.
-	Prompt []byte
-	fields map[string]json.RawMessage
+	// Contents holds the text of each message, for prefix hashes and the estimate.
+	Contents []string
+	fields   map[string]json.RawMessage
 }
 
 type message struct {
@@ -97,41 +97,46 @@
 	if !ok || json.Unmarshal(raw, &list) != nil || len(list) == 0 || len(list) > maxMessages {
 		return fault.New(fault.Invalid, "messages: a list of 1 to %d messages is needed", maxMessages)
 	}
-	var text strings.Builder
 	for i, m := range list {
 		if m.Role == "" {
 			return fault.New(fault.Invalid, "messages[%d].role is needed", i)
 		}
-		if err := appendContent(&text, m.Content); err != nil {
+		text, err := contentText(m.Content)
+		if err != nil {
 			return fault.Wrap(err, fault.Invalid, "messages[%d].content is neither text nor a list of parts", i)
 		}
-		text.WriteByte('\n')
+		r.Contents = append(r.Contents, text)
 	}
-	r.Prompt = []byte(text.String())
 	return nil
 }
 
-func appendContent(text *strings.Builder, raw json.RawMessage) error {
+func contentText(raw json.RawMessage) (string, error) {
 	if len(raw) == 0 || string(raw) == "null" {
-		return nil
+		return "", nil
 	}
 	var s string
 	if json.Unmarshal(raw, &s) == nil {
-		text.WriteString(s)
-		return nil
+		return s, nil
 	}
 	var parts []contentPart
 	if err := json.Unmarshal(raw, &parts); err != nil {
-		return fault.Wrap(err, fault.Invalid, "content")
+		return "", fault.Wrap(err, fault.Invalid, "content")
 	}
+	var text strings.Builder
 	for _, p := range parts {
 		text.WriteString(p.Text)
 	}
-	return nil
+	return text.String(), nil
 }
 
 // PromptTokens estimates the prompt's length in tokens.
-func (r *Request) PromptTokens() int { return len(r.Prompt)/bytesPerToken + 1 }
+func (r *Request) PromptTokens() int {
+	n := 0
+	for _, text := range r.Contents {
+		n += len(text)
+	}
+	return n/bytesPerToken + 1
+}
 
 // Upstream returns the body for an engine: always streamed, with usage, the
 // scheduler's priority and a bound on the answer.
--- a/instance/cmd/comfreyladderd/main.go
+++ b/instance/cmd/comfreyladderd/main.go
@@ -2,8 +2,70 @@
 package main
 
 import (
+	"context"
 	"fmt"
-	"net"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/jessevdk/go-flags"
+
+	"github.com/comfreyladder/comfreyladder/instance/daemon"
+	"github.com/comfreyladder/comfreyladder/instance/logline"
+	"github.com/comfreyladder/comfreyladder/instance/settings"
+)
+
+type options struct {
+	Settings string `short:"s" long:"settings" value-name:"FILE" description:"the settings file (INI)" required:"true"`
+	Check    bool   `long:"check" description:"check the settings and exit"`
+}
+
+const (
+	exitFailure = 1
+	exitUsage   = 2
 )
 
-func main() { fmt.Println(net.IPv4(127, 0, 0, 1)) }
+func main() {
+	var opts options
+	p := flags.NewParser(&opts, flags.Default)
+	p.LongDescription = "Runs one entry instance of the router until it gets SIGTERM or SIGINT, then drains and stops.\n" +
+		"A second signal stops at once. Example:\n  comfreyladderd --settings operator/samples/bagmati/lalitpur-hall-1.ini"
+	if _, err := p.Parse(); err != nil {
+		if flags.WroteHelp(err) {
+			return
+		}
+		os.Exit(exitUsage)
+	}
+	if err := run(opts); err != nil {
+		fmt.Fprintln(os.Stderr, "comfreyladderd:", err)
+		os.Exit(exitFailure)
+	}
+}
+
+func run(opts options) error {
+	cfg, err := settings.Load(opts.Settings)
+	if err != nil || opts.Check {
+		return err
+	}
+	log, err := logline.New(os.Stderr, cfg.Log.Level)
+	if err != nil {
+		return err
+	}
+	d, err := daemon.New(cfg, log.With().Str("instance", cfg.Instance.Name).Logger())
+	if err != nil {
+		return err
+	}
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	if err := d.Start(context.Background()); err != nil {
+		return err
+	}
+	<-signals
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() {
+		<-signals
+		cancel()
+	}()
+	defer cancel()
+	return d.Stop(ctx)
+}
--- /dev/null
+++ b/instance/gateway/chat.go
@@ -0,0 +1,259 @@
+package gateway
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/valyala/fasthttp"
+
+	"github.com/comfreyladder/comfreyladder/core/fault"
+	"github.com/comfreyladder/comfreyladder/core/intent"
+	"github.com/comfreyladder/comfreyladder/core/prefix"
+	"github.com/comfreyladder/comfreyladder/core/sched"
+	"github.com/comfreyladder/comfreyladder/instance/chat"
+	"github.com/comfreyladder/comfreyladder/instance/config"
+	"github.com/comfreyladder/comfreyladder/instance/dispatch"
+	"github.com/comfreyladder/comfreyladder/instance/httpapi"
+	"github.com/comfreyladder/comfreyladder/instance/telemetry"
+	"github.com/comfreyladder/comfreyladder/instance/trace"
+)
+
+const answerIDPrefix = "chatcmpl-"
+
+// hangUpNotifier is a connection that knows at once when the peer goes away.
+type hangUpNotifier interface{ HangUp() <-chan struct{} }
+
+// exchange is one model request with what is measured of it.
+type exchange struct {
+	g      *Gateway
+	id     string
+	org    *intent.Organisation
+	class  *intent.Class
+	req    *chat.Request
+	run    *dispatch.Run
+	cancel context.CancelFunc
+	start  time.Time
+	first  time.Duration
+	tokens int
+	// sent is the ID of the attempt whose chunks are being sent.
+	sent string
+}
+
+func (g *Gateway) chat(ctx *fasthttp.RequestCtx, view *config.View, org *intent.Organisation, id string) (streaming bool, err error) {
+	start := time.Now()
+	req, err := chat.ParseRequest(ctx.PostBody())
+	if err != nil {
+		return false, err
+	}
+	class, err := classOf(view.Document, org, req)
+	if err != nil {
+		return false, err
+	}
+	if view.Document.Model(req.Model) == nil {
+		return false, fault.New(fault.NotFound, "model %q is not declared", req.Model)
+	}
+	x := &exchange{g: g, id: id, org: org, class: class, req: req, start: start}
+	x.begin(ctx.Conn())
+	if req.Stream {
+		return x.serveStream(ctx)
+	}
+	return false, x.serveWhole(ctx)
+}
+
+func classOf(doc *intent.Document, org *intent.Organisation, req *chat.Request) (*intent.Class, error) {
+	name := req.ServiceTier
+	if name == "" || name == "auto" || name == "default" {
+		name = org.DefaultClass
+	}
+	if !contains(org.Classes, name) {
+		return nil, fault.New(fault.Forbidden, "service_tier: organisation %q may not use class %q", org.Name, name)
+	}
+	class := doc.Class(name)
+	if class == nil {
+		return nil, fault.New(fault.Internal, "class %q is not in its own revision", name)
+	}
+	return class, nil
+}
+
+// begin starts the run under a context that ends at the class's deadline and as
+// soon as the caller hangs up: engine work for nobody is wasted.
+func (x *exchange) begin(conn net.Conn) {
+	ctx, cancel := context.WithCancel(context.Background())
+	var deadline time.Time
+	if x.class.Deadline > 0 {
+		deadline = x.start.Add(x.class.Deadline)
+		ctx, cancel = context.WithDeadline(ctx, deadline)
+	}
+	x.cancel = cancel
+	if h, ok := conn.(hangUpNotifier); ok {
+		go watchHangUp(ctx, h, cancel)
+	}
+	x.g.cfg.Trace.Begin(trace.Record{ID: x.id, Organisation: x.org.Name, Class: x.class.Name, Model: x.req.Model, Arrived: x.start})
+	maxTokens := smallerBound(x.req.MaxTokens, x.class.MaxTokens)
+	x.run = x.g.cfg.Dispatcher.Start(ctx, &dispatch.Job{
+		ID:          x.id,
+		Class:       x.class,
+		Restartable: !x.req.Stream,
+		Ticket: sched.Ticket{
+			Instance:     x.g.cfg.Instance,
+			Organisation: x.org.Name,
+			Class:        x.class.Name,
+			Model:        x.req.Model,
+			PromptTokens: x.req.PromptTokens(),
+			PrefixHashes: prefix.Hashes(x.req.Contents),
+			MaxTokens:    maxTokens,
+			Arrived:      x.start,
+			Deadline:     deadline,
+		},
+		Body: func(priority int) ([]byte, error) { return x.req.Upstream(priority, maxTokens) },
+	})
+}
+
+func watchHangUp(ctx context.Context, h hangUpNotifier, cancel context.CancelFunc) {
+	select {
+	case <-h.HangUp():
+		cancel()
+	case <-ctx.Done():
+	}
+}
+
+// smallerBound returns the smaller of two bounds, of which 0 means none.
+func smallerBound(a, b int) int {
+	if a == 0 || (b > 0 && b < a) {
+		return b
+	}
+	return a
+}
+
+// next returns the next chunk, under the ID that the caller knows.
+func (x *exchange) next() (data []byte, c *chat.Chunk, err error) {
+	ev, err := x.run.Next()
+	if err != nil {
+		return nil, nil, err
+	}
+	if x.sent != ev.AttemptID {
+		x.sent = ev.AttemptID
+		x.tokens = 0
+	}
+	c, err = chat.ParseChunk(ev.Data)
+	if err != nil {
+		return nil, nil, err
+	}
+	if x.first == 0 {
+		x.first = time.Since(x.start)
+	}
+	x.tokens += c.Tokens()
+	return bytes.Replace(ev.Data, []byte(ev.AttemptID), []byte(x.id), 1), c, nil
+}
+
+func (x *exchange) serveWhole(ctx *fasthttp.RequestCtx) error {
+	answer, err := x.assemble()
+	x.end(err, telemetry.CauseDeadline)
+	if err != nil {
+		return err
+	}
+	httpapi.WriteJSON(ctx, fasthttp.StatusOK, answer)
+	return nil
+}
+
+func (x *exchange) assemble() (*chat.Completion, error) {
+	asm := &chat.Assembler{}
+	attempt := ""
+	for {
+		_, c, err := x.next()
+		if errors.Is(err, io.EOF) {
+			return asm.Whole(answerIDPrefix + x.id), nil
+		}
+		if err != nil {
+			return nil, err
+		}
+		if attempt != x.sent {
+			attempt = x.sent
+			asm = &chat.Assembler{}
+		}
+		asm.Add(c)
+	}
+}
+
+// serveStream waits for the first chunk, so that a request that was not run is
+// answered with a status of its own, and streams from then on.
+func (x *exchange) serveStream(ctx *fasthttp.RequestCtx) (streaming bool, err error) {
+	data, c, err := x.next()
+	if err != nil && !errors.Is(err, io.EOF) {
+		x.end(err, telemetry.CauseBroken)
+		return false, err
+	}
+	ctx.SetContentType("text/event-stream")
+	ctx.Response.Header.Set(fasthttp.HeaderCacheControl, "no-cache")
+	ctx.SetBodyStreamWriter(func(w *bufio.Writer) {
+		defer x.g.inFlight.Add(-1)
+		err := x.pump(w, data, c, err)
+		x.end(err, telemetry.CauseHangUp)
+	})
+	return true, nil
+}
+
+// pump writes chunks until the end marker. A stream that fails ends in an error
+// event and without the marker, so that nobody takes a part for the whole.
+func (x *exchange) pump(w *bufio.Writer, data []byte, c *chat.Chunk, err error) error {
+	for err == nil {
+		if !c.UsageOnly() || x.req.IncludeUsage {
+			if err := writeEvent(w, data); err != nil {
+				return fault.Wrap(err, fault.Canceled, "the caller hung up")
+			}
+		}
+		data, c, err = x.next()
+	}
+	if errors.Is(err, io.EOF) {
+		return writeEvent(w, []byte("[DONE]"))
+	}
+	body, marshalErr := json.Marshal(httpapi.Body(err, x.id))
+	if marshalErr == nil {
+		_ = writeEvent(w, body)
+	}
+	return err
+}
+
+func writeEvent(w *bufio.Writer, data []byte) error {
+	for _, part := range [][]byte{[]byte("data: "), data, []byte("\n\n")} {
+		if _, err := w.Write(part); err != nil {
+			return fault.Wrap(err, fault.Canceled, "write to the caller")
+		}
+	}
+	if err := w.Flush(); err != nil {
+		return fault.Wrap(err, fault.Canceled, "write to the caller")
+	}
+	return nil
+}
+
+// end closes the run and records what became of the request.
+func (x *exchange) end(err error, cause telemetry.Cause) {
+	if fault.CodeOf(err) == fault.DeadlineExceeded {
+		cause = telemetry.CauseDeadline
+	}
+	x.run.Close(cause)
+	x.cancel()
+	code := string(fault.CodeOf(err))
+	total := time.Since(x.start)
+	x.g.cfg.Telemetry.Observe(&telemetry.Observation{
+		Organisation: x.org.Name, Class: x.class, Code: code,
+		Queue: x.run.Queued(), FirstToken: x.first, Total: total, Tokens: x.tokens,
+	})
+	outcome := code
+	if outcome == "" {
+		outcome = "done"
+	}
+	x.g.cfg.Trace.End(x.id, outcome, x.tokens)
+	ev := x.g.cfg.Log.Info()
+	if err != nil {
+		ev = x.g.cfg.Log.Warn().Err(err)
+	}
+	ev.Str("request", x.id).Str("organisation", x.org.Name).Str("class", x.class.Name).Str("outcome", outcome).
+		Int("tokens", x.tokens).Dur("queue", x.run.Queued()).Dur("first_token", x.first).Dur("total", total).Msg("request ended")
+}
--- /dev/null
+++ b/instance/gateway/gateway.go
@@ -0,0 +1,258 @@
+// Package gateway serves callers: model requests in the published chat
+// completions format, the list of models, plain services under a path prefix,
+// announcements of upstreams, and the balancer's questions about readiness.
+package gateway
+
+import (
+	"crypto/rand"
+	"encoding/hex"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/valyala/fasthttp"
+
+	"github.com/comfreyladder/comfreyladder/core/announce"
+	"github.com/comfreyladder/comfreyladder/core/fault"
+	"github.com/comfreyladder/comfreyladder/core/intent"
+	"github.com/comfreyladder/comfreyladder/instance/config"
+	"github.com/comfreyladder/comfreyladder/instance/dispatch"
+	"github.com/comfreyladder/comfreyladder/instance/httpapi"
+	"github.com/comfreyladder/comfreyladder/instance/telemetry"
+	"github.com/comfreyladder/comfreyladder/instance/trace"
+)
+
+// The paths of the callers' API.
+const (
+	PathChat     = "/v1/chat/completions"
+	PathModels   = "/v1/models"
+	PathAnnounce = "/v1/upstreams/announce"
+	PathReady    = "/readyz"
+	PathLive     = "/livez"
+	PathServices = "/services/"
+)
+
+// Registry takes announcements and knows which models are there.
+type Registry interface {
+	Announce(now time.Time, b *announce.Beat) error
+	// Models returns the sorted names of models that live upstreams hold.
+	Models() []string
+}
+
+// Plain runs calls of plain services.
+type Plain interface {
+	Serve(ctx *fasthttp.RequestCtx, call PlainCall)
+}
+
+// PlainCall is a checked call of a plain service.
+type PlainCall struct {
+	RequestID    string
+	Organisation *intent.Organisation
+	Service      *intent.Service
+	// Path is the rest of the path after the service's prefix, with the query.
+	Path string
+}
+
+// Config holds what a Gateway needs.
+type Config struct {
+	// Instance names this instance; it stands at the head of request IDs.
+	Instance   string
+	Config     *config.Service
+	Dispatcher *dispatch.Dispatcher
+	Registry   Registry
+	Plain      Plain
+	Telemetry  *telemetry.Service
+	Trace      *trace.Log
+	Log        zerolog.Logger
+	// CutOff reports whether the configuration lease has run out here.
+	CutOff func() bool
+}
+
+// Gateway is the HTTP handler of the callers' listener.
+type Gateway struct {
+	cfg      Config
+	notReady atomic.Bool
+	inFlight atomic.Int64
+}
+
+// New returns a Gateway.
+func New(cfg Config) *Gateway { return &Gateway{cfg: cfg} }
+
+// SetReady says whether the balancer should send requests here. A gateway that
+// is not ready still serves what arrives: the balancer notices late.
+func (g *Gateway) SetReady(ready bool) { g.notReady.Store(!ready) }
+
+// InFlight returns how many requests are being served, queued ones included.
+func (g *Gateway) InFlight() int64 { return g.inFlight.Load() }
+
+// Handle serves one request.
+func (g *Gateway) Handle(ctx *fasthttp.RequestCtx) {
+	path := string(ctx.Path())
+	switch path {
+	case PathReady:
+		g.ready(ctx)
+	case PathLive:
+		ctx.SetBodyString("live\n")
+	case PathAnnounce:
+		g.announce(ctx)
+	default:
+		g.serveCaller(ctx, path)
+	}
+}
+
+func (g *Gateway) ready(ctx *fasthttp.RequestCtx) {
+	if _, err := g.cfg.Config.Current(); err != nil || g.notReady.Load() {
+		ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
+		ctx.SetBodyString("not ready\n")
+		return
+	}
+	ctx.SetBodyString("ready\n")
+}
+
+// serveCaller counts the request as in flight until its answer is written; for
+// a stream, that is long after this function returns.
+func (g *Gateway) serveCaller(ctx *fasthttp.RequestCtx, path string) {
+	id := g.requestID()
+	ctx.Response.Header.Set(httpapi.HeaderRequestID, id)
+	g.inFlight.Add(1)
+	streaming, err := g.route(ctx, path, id)
+	if err != nil {
+		g.cfg.Telemetry.Refused(string(fault.CodeOf(err)))
+		httpapi.WriteError(ctx, err, id)
+	}
+	if !streaming {
+		g.inFlight.Add(-1)
+	}
+}
+
+func (g *Gateway) route(ctx *fasthttp.RequestCtx, path, id string) (streaming bool, err error) {
+	view, err := g.cfg.Config.Current()
+	if err != nil {
+		return false, err
+	}
+	org, err := g.authenticate(ctx, view)
+	if err != nil {
+		return false, err
+	}
+	switch {
+	case path == PathChat && ctx.IsPost():
+		return g.chat(ctx, view, org, id)
+	case path == PathModels && ctx.IsGet():
+		g.models(ctx)
+		return false, nil
+	case strings.HasPrefix(path, PathServices):
+		return false, g.plain(ctx, view, org, path, id)
+	}
+	return false, fault.New(fault.NotFound, "%s %s is not part of this API", ctx.Method(), path)
+}
+
+func (g *Gateway) authenticate(ctx *fasthttp.RequestCtx, view *config.View) (*intent.Organisation, error) {
+	key, err := config.Bearer(string(ctx.Request.Header.Peek(fasthttp.HeaderAuthorization)))
+	if err != nil {
+		return nil, err
+	}
+	org, err := view.Organisation(key, time.Now())
+	if err != nil {
+		return nil, err
+	}
+	if g.cfg.CutOff != nil && g.cfg.CutOff() && !org.ServeWhenCutOff {
+		return nil, fault.New(fault.NotRun, "this failure domain is cut off and does not serve organisation %q meanwhile", org.Name).After(cutOffRetry)
+	}
+	return org, nil
+}
+
+// cutOffRetry is the hint to callers that a cut-off failure domain refuses; a
+// retry reaches another instance through the balancer, maybe in another domain.
+const cutOffRetry = 2 * time.Second
+
+func (g *Gateway) announce(ctx *fasthttp.RequestCtx) {
+	if err := g.takeBeat(ctx); err != nil {
+		httpapi.WriteError(ctx, err, "")
+		return
+	}
+	ctx.SetStatusCode(fasthttp.StatusNoContent)
+}
+
+func (g *Gateway) takeBeat(ctx *fasthttp.RequestCtx) error {
+	view, err := g.cfg.Config.Current()
+	if err != nil {
+		return err
+	}
+	key, err := config.Bearer(string(ctx.Request.Header.Peek(fasthttp.HeaderAuthorization)))
+	if err != nil {
+		return err
+	}
+	beat := &announce.Beat{}
+	if err := httpapi.ReadJSON(ctx, beat); err != nil {
+		return err
+	}
+	if err := beat.Validate(); err != nil {
+		return err
+	}
+	rule, err := view.Upstream(beat.Name, key)
+	if err != nil {
+		return err
+	}
+	if rule.Kind != beat.Kind {
+		return fault.New(fault.Forbidden, "upstream %q is trusted as %s, not as %s", beat.Name, rule.Kind, beat.Kind)
+	}
+	return g.cfg.Registry.Announce(time.Now(), beat)
+}
+
+type modelList struct {
+	Object string      `json:"object"`
+	Data   []modelItem `json:"data"`
+}
+
+type modelItem struct {
+	ID     string `json:"id"`
+	Object string `json:"object"`
+}
+
+func (g *Gateway) models(ctx *fasthttp.RequestCtx) {
+	list := modelList{Object: "list", Data: []modelItem{}}
+	for _, name := range g.cfg.Registry.Models() {
+		list.Data = append(list.Data, modelItem{ID: name, Object: "model"})
+	}
+	httpapi.WriteJSON(ctx, fasthttp.StatusOK, list)
+}
+
+func (g *Gateway) plain(ctx *fasthttp.RequestCtx, view *config.View, org *intent.Organisation, path, id string) error {
+	name, rest, _ := strings.Cut(strings.TrimPrefix(path, PathServices), "/")
+	service := view.Document.Service(name)
+	if service == nil {
+		return fault.New(fault.NotFound, "service %q is not declared", name)
+	}
+	if !contains(org.Services, name) {
+		return fault.New(fault.Forbidden, "organisation %q may not call service %q", org.Name, name)
+	}
+	target := "/" + rest
+	if query := ctx.URI().QueryString(); len(query) > 0 {
+		target += "?" + string(query)
+	}
+	if g.cfg.Plain == nil {
+		return fault.New(fault.NotRun, "plain services are not served here")
+	}
+	g.cfg.Plain.Serve(ctx, PlainCall{RequestID: id, Organisation: org, Service: service, Path: target})
+	return nil
+}
+
+const requestIDBytes = 10
+
+// requestID makes an ID that no caller can choose: two callers with the same ID
+// could otherwise be mixed up at an engine.
+func (g *Gateway) requestID() string {
+	var b [requestIDBytes]byte
+	_, _ = rand.Read(b[:])
+	return g.cfg.Instance + "-" + hex.EncodeToString(b[:])
+}
+
+func contains(list []string, s string) bool {
+	for _, e := range list {
+		if e == s {
+			return true
+		}
+	}
+	return false
+}
--- a/instance/settings/settings_test.go
+++ b/instance/settings/settings_test.go
@@ -14,7 +14,7 @@
 	"github.com/comfreyladder/comfreyladder/instance/settings"
 )
 
-const samples = "../../samples"
+const samples = "../../operator/samples"
 
 func TestSettings(t *testing.T) {
 	RegisterFailHandler(Fail)
--- /dev/null
+++ b/operator/client/client.go
@@ -0,0 +1,102 @@
+// Package client talks to the administration API of an instance.
+package client
+
+import (
+	"encoding/json"
+	"strings"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/comfreyladder/comfreyladder/core/fault"
+	"github.com/comfreyladder/comfreyladder/core/intent"
+	"github.com/comfreyladder/comfreyladder/instance/admin"
+	"github.com/comfreyladder/comfreyladder/instance/httpapi"
+)
+
+const (
+	timeout     = 15 * time.Second
+	maxResponse = 64 << 20
+)
+
+// Client calls one instance. It never resends: an operator who lost an answer
+// sends the same confirm again, which gets the first answer.
+type Client struct {
+	// Address is host:port, or a URL with http or https.
+	Address string
+	Key     string
+}
+
+// Plan asks what a document would change.
+func (c *Client) Plan(doc *intent.Document) (*admin.Plan, error) {
+	out := &admin.Plan{}
+	return out, c.do(fasthttp.MethodPost, admin.PathPlan, admin.PlanRequest{Document: doc}, out)
+}
+
+// Confirm makes a document the next revision.
+func (c *Client) Confirm(req *admin.ConfirmRequest) (*admin.Confirmation, error) {
+	out := &admin.Confirmation{}
+	return out, c.do(fasthttp.MethodPost, admin.PathConfirm, req, out)
+}
+
+// Status asks what the instance knows of the system.
+func (c *Client) Status() (*admin.Status, error) {
+	out := &admin.Status{}
+	return out, c.do(fasthttp.MethodGet, admin.PathStatus, nil, out)
+}
+
+// Intent returns the document in force.
+func (c *Client) Intent() (*admin.Intent, error) {
+	out := &admin.Intent{}
+	return out, c.do(fasthttp.MethodGet, admin.PathIntent, nil, out)
+}
+
+// Explain asks what became of a request.
+func (c *Client) Explain(id string) (*admin.Explanation, error) {
+	out := &admin.Explanation{}
+	return out, c.do(fasthttp.MethodGet, admin.PathRequests+id, nil, out)
+}
+
+func (c *Client) do(method, path string, body, into any) error {
+	var req fasthttp.Request
+	var resp fasthttp.Response
+	base := c.Address
+	if !strings.Contains(base, "://") {
+		base = "http://" + base
+	}
+	req.SetRequestURI(base + path)
+	req.Header.SetMethod(method)
+	req.Header.Set(fasthttp.HeaderAuthorization, "Bearer "+c.Key)
+	if body != nil {
+		data, err := json.Marshal(body)
+		if err != nil {
+			return fault.Wrap(err, fault.Internal, "encode the request")
+		}
+		req.Header.SetContentType("application/json")
+		req.SetBodyRaw(data)
+	}
+	h := fasthttp.Client{MaxIdemponentCallAttempts: 1, MaxResponseBodySize: maxResponse, ReadTimeout: timeout, WriteTimeout: timeout}
+	defer h.CloseIdleConnections()
+	if err := h.DoTimeout(&req, &resp, timeout); err != nil {
+		return fault.Wrap(err, fault.Unavailable, "no answer from %s", base)
+	}
+	return decode(&resp, into)
+}
+
+func decode(resp *fasthttp.Response, into any) error {
+	if resp.StatusCode() != fasthttp.StatusOK {
+		var e httpapi.ErrorBody
+		if json.Unmarshal(resp.Body(), &e) != nil || e.Error.Code == "" {
+			return fault.New(fault.Internal, "answer %d: %.200s", resp.StatusCode(), resp.Body())
+		}
+		detail := e.Error.Message
+		if len(e.Error.Problems) > 0 {
+			detail += "\n  " + strings.Join(e.Error.Problems, "\n  ")
+		}
+		return fault.New(fault.Code(e.Error.Code), "%s", detail)
+	}
+	if err := json.Unmarshal(resp.Body(), into); err != nil {
+		return fault.Wrap(err, fault.Corrupt, "the answer is not what is expected")
+	}
+	return nil
+}
--- a/operator/cmd/comfreyladder/main.go
+++ b/operator/cmd/comfreyladder/main.go
@@ -3,7 +3,33 @@
 
 import (
 	"fmt"
-	"net"
+	"os"
+
+	"github.com/jessevdk/go-flags"
+
+	"github.com/comfreyladder/comfreyladder/operator/commands"
+	"github.com/comfreyladder/comfreyladder/operator/standin/cli"
 )
 
-func main() { fmt.Println(net.IPv4(127, 0, 0, 1)) }
+func main() {
+	p := flags.NewNamedParser("comfreyladder", flags.HelpFlag|flags.PassDoubleDash)
+	p.LongDescription = "Plans and confirms intents, shows status, and tries the router out.\n" +
+		"Shell completion: complete -C 'GO_FLAGS_COMPLETION=1 comfreyladder' comfreyladder"
+	for _, add := range []func(*flags.Parser) error{commands.Add, cli.AddCommands} {
+		if err := add(p); err != nil {
+			fail(err)
+		}
+	}
+	if _, err := p.Parse(); err != nil {
+		fail(err)
+	}
+}
+
+func fail(err error) {
+	if flags.WroteHelp(err) {
+		fmt.Println(err)
+		return
+	}
+	fmt.Fprintln(os.Stderr, "comfreyladder:", err)
+	os.Exit(1)
+}
--- /dev/null
+++ b/operator/commands/commands.go
@@ -0,0 +1,114 @@
+// Package commands holds the subcommands of comfreyladder.
+package commands
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"strings"
+
+	"github.com/jessevdk/go-flags"
+
+	"github.com/comfreyladder/comfreyladder/core/fault"
+	"github.com/comfreyladder/comfreyladder/instance/config"
+	"github.com/comfreyladder/comfreyladder/instance/intentfile"
+	"github.com/comfreyladder/comfreyladder/instance/settings"
+	"github.com/comfreyladder/comfreyladder/operator/client"
+	"github.com/comfreyladder/comfreyladder/operator/tryout"
+)
+
+// Connection holds the options by which a command reaches an instance.
+type Connection struct {
+	Address string `short:"a" long:"address" env:"COMFREYLADDER_ADDRESS" default:"127.0.0.1:8081" description:"operators' address of any instance"`
+	KeyFile string `short:"k" long:"key-file" env:"COMFREYLADDER_KEY_FILE" required:"yes" description:"file with the operator's key"`
+	JSON    bool   `long:"json" description:"print JSON"`
+}
+
+func (c *Connection) client() (*client.Client, error) {
+	key, err := settings.ReadKey(c.KeyFile)
+	if err != nil {
+		return nil, err
+	}
+	return &client.Client{Address: c.Address, Key: key}, nil
+}
+
+func (c *Connection) print(out io.Writer, v any, text func(io.Writer)) error {
+	if !c.JSON {
+		text(out)
+		return nil
+	}
+	enc := json.NewEncoder(out)
+	enc.SetIndent("", "  ")
+	if err := enc.Encode(v); err != nil {
+		return fault.Wrap(err, fault.Internal, "print JSON")
+	}
+	return nil
+}
+
+type command struct {
+	name, short, long string
+	data              any
+}
+
+// Add adds all subcommands to p.
+func Add(p *flags.Parser) error {
+	for _, c := range []command{
+		{"plan", "show what an intent file would change", "Example:\n  comfreyladder plan --key-file ops.key intent.ini", &Plan{}},
+		{"confirm", "put an intent file in force", "Example:\n  comfreyladder confirm --key-file ops.key --number 42 --base 7 intent.ini", &Confirm{}},
+		{"status", "show revisions, failure domains, instances and upstreams", "Example:\n  comfreyladder status --key-file ops.key", &Status{}},
+		{"explain", "tell what became of a request and why", "Example:\n  comfreyladder explain --key-file ops.key REQUEST-ID", &Explain{}},
+		{"check", "check a settings file or an intent file", "Example:\n  comfreyladder check instance.ini\n  comfreyladder check --intent intent.ini", &Check{}},
+		{"hash-key", "print the digest of a key that is read from standard input", "Example:\n  comfreyladder hash-key < ward.key", &HashKey{}},
+		{"demo", "run an instance with stand-ins in this process and show what it does", "", &Demo{}},
+	} {
+		if _, err := p.AddCommand(c.name, c.short, c.long, c.data); err != nil {
+			return fault.Wrap(err, fault.Internal, "add command %s", c.name)
+		}
+	}
+	return nil
+}
+
+type fileArg struct {
+	File string `positional-arg-name:"FILE" required:"yes"`
+}
+
+// Check is the subcommand "check".
+type Check struct {
+	Intent bool    `long:"intent" description:"the file is an intent"`
+	Args   fileArg `positional-args:"yes"`
+}
+
+// Execute implements flags.Commander.
+func (c *Check) Execute([]string) error {
+	var err error
+	if c.Intent {
+		_, err = intentfile.Load(c.Args.File)
+	} else {
+		_, err = settings.Load(c.Args.File)
+	}
+	if err != nil {
+		return err
+	}
+	fmt.Printf("%s: no faults\n", c.Args.File)
+	return nil
+}
+
+// HashKey is the subcommand "hash-key".
+type HashKey struct{}
+
+// Execute implements flags.Commander.
+func (*HashKey) Execute([]string) error {
+	data, err := io.ReadAll(os.Stdin)
+	if err != nil {
+		return fault.Wrap(err, fault.Invalid, "read the key")
+	}
+	fmt.Println(config.HashKey(strings.TrimSpace(string(data))))
+	return nil
+}
+
+// Demo is the subcommand "demo".
+type Demo struct{}
+
+// Execute implements flags.Commander.
+func (*Demo) Execute([]string) error { return tryout.Run(os.Stdout) }
--- /dev/null
+++ b/operator/commands/status.go
@@ -0,0 +1,45 @@
+package commands
+
+import (
+	"io"
+	"os"
+
+	"github.com/comfreyladder/comfreyladder/operator/commands/show"
+)
+
+// Status is the subcommand "status".
+type Status struct{ Connection }
+
+// Execute implements flags.Commander.
+func (c *Status) Execute([]string) error {
+	cl, err := c.client()
+	if err != nil {
+		return err
+	}
+	s, err := cl.Status()
+	if err != nil {
+		return err
+	}
+	return c.print(os.Stdout, s, func(w io.Writer) { show.Status(w, s) })
+}
+
+// Explain is the subcommand "explain".
+type Explain struct {
+	Connection
+	Args struct {
+		ID string `positional-arg-name:"REQUEST-ID" required:"yes"`
+	} `positional-args:"yes"`
+}
+
+// Execute implements flags.Commander.
+func (c *Explain) Execute([]string) error {
+	cl, err := c.client()
+	if err != nil {
+		return err
+	}
+	e, err := cl.Explain(c.Args.ID)
+	if err != nil {
+		return err
+	}
+	return c.print(os.Stdout, e, func(w io.Writer) { show.Explanation(w, e) })
+}
