Client towards upstreams: one attempt at a time, with evidence

General clients resend by themselves, and so decide for the caller that repeating is safe. Here each call is one attempt on one connection; a failed one says whether it is proved that the request was not run. IDs are compared, so an answer that came late or crossed reaches nobody.

--- /dev/null
+++ b/instance/upstream/pool.go
@@ -0,0 +1,189 @@
+package upstream
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/comfreyladder/comfreyladder/core/fault"
+)
+
+// pool keeps idle connections by address and counts the open ones.
+type pool struct {
+	cfg    Config
+	dialer net.Dialer
+
+	mu     sync.Mutex
+	closed bool
+	hosts  map[string]*host
+}
+
+type host struct {
+	open int
+	idle []*conn // the last one was used last
+}
+
+func newPool(cfg Config) *pool {
+	return &pool{cfg: cfg, hosts: map[string]*host{}, dialer: net.Dialer{Timeout: cfg.DialTimeout}}
+}
+
+// get returns a usable pooled connection, or dials one; fresh always dials. No
+// byte of a request has left when it fails.
+func (p *pool) get(ctx context.Context, t Target, fresh bool) (*conn, *AttemptError) {
+	if err := ctx.Err(); err != nil {
+		return nil, notSent(t, err, "the request ended before it was sent")
+	}
+	if !fresh {
+		if c := p.takeIdle(t.Address); c != nil {
+			return c, nil
+		}
+	}
+	if !p.reserve(t.Address) {
+		return nil, notSent(t, fault.New(fault.Overloaded, "%d connections are open", p.cfg.MaxConns), "no connection is free")
+	}
+	c, err := p.dial(ctx, t)
+	if err != nil {
+		p.release(t.Address)
+		return nil, notSent(t, err, "cannot connect")
+	}
+	return c, nil
+}
+
+func (p *pool) dial(ctx context.Context, t Target) (*conn, error) {
+	raw, err := p.dialer.DialContext(ctx, "tcp", t.Address)
+	if err != nil {
+		return nil, err
+	}
+	c := newConn(raw, p, t.Address)
+	if p.cfg.TLS == nil {
+		return c, nil
+	}
+	if err := c.startTLS(ctx, p.cfg.TLS, p.cfg.DialTimeout); err != nil {
+		_ = raw.Close()
+		return nil, err
+	}
+	return c, nil
+}
+
+// takeIdle returns the connection that was used last, closing on its way those
+// that are too old, closed by the far end, or hold bytes nobody asked for.
+func (p *pool) takeIdle(address string) *conn {
+	for {
+		c := p.popIdle(address)
+		if c == nil {
+			return nil
+		}
+		if time.Since(c.idleSince) < p.cfg.MaxIdle && c.quiet() {
+			return c
+		}
+		c.drop()
+	}
+}
+
+func (p *pool) popIdle(address string) *conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	h := p.hosts[address]
+	if h == nil || len(h.idle) == 0 {
+		return nil
+	}
+	last := len(h.idle) - 1
+	c := h.idle[last]
+	h.idle[last] = nil
+	h.idle = h.idle[:last]
+	return c
+}
+
+// reserve counts one more open connection. At the limit it makes room by
+// closing the longest idle one, or reports false when all are in use.
+func (p *pool) reserve(address string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	h := p.hosts[address]
+	if h == nil {
+		h = &host{}
+		p.hosts[address] = h
+	}
+	if h.open < p.cfg.MaxConns {
+		h.open++
+		return true
+	}
+	if len(h.idle) == 0 {
+		return false
+	}
+	oldest := h.idle[0]
+	h.idle = h.idle[1:]
+	_ = oldest.raw.Close()
+	return true
+}
+
+func (p *pool) release(address string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	h := p.hosts[address]
+	if h == nil {
+		return
+	}
+	h.open--
+	if h.open <= 0 && len(h.idle) == 0 {
+		delete(p.hosts, address)
+	}
+}
+
+func (p *pool) put(c *conn) {
+	c.idleSince = time.Now()
+	p.mu.Lock()
+	h := p.hosts[c.address]
+	keep := !p.closed && h != nil
+	if keep {
+		h.idle = append(h.idle, c)
+	}
+	p.mu.Unlock()
+	if !keep {
+		c.drop()
+	}
+}
+
+// reap closes connections that have been idle too long, until ctx ends.
+func (p *pool) reap(ctx context.Context) {
+	tick := time.NewTicker(p.cfg.MaxIdle)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-tick.C:
+			for _, c := range p.expired(now) {
+				c.drop()
+			}
+		}
+	}
+}
+
+func (p *pool) expired(now time.Time) []*conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var out []*conn
+	for _, h := range p.hosts {
+		for len(h.idle) > 0 && now.Sub(h.idle[0].idleSince) >= p.cfg.MaxIdle {
+			out = append(out, h.idle[0])
+			h.idle = h.idle[1:]
+		}
+	}
+	return out
+}
+
+func (p *pool) close() {
+	p.mu.Lock()
+	p.closed = true
+	var all []*conn
+	for _, h := range p.hosts {
+		all = append(all, h.idle...)
+		h.idle = nil
+	}
+	p.mu.Unlock()
+	for _, c := range all {
+		c.drop()
+	}
+}
--- /dev/null
+++ b/instance/upstream/sse.go
@@ -0,0 +1,105 @@
+package upstream
+
+import (
+	"bufio"
+	"bytes"
+	"io"
+	"strconv"
+
+	"github.com/pkg/errors"
+
+	"github.com/comfreyladder/comfreyladder/core/fault"
+)
+
+// rawEvent is one server-sent event: its id and its joined data lines.
+type rawEvent struct {
+	id    uint64
+	hasID bool
+	data  []byte
+}
+
+// eventReader splits a body into server-sent events, within a limit of bytes
+// for the whole body.
+type eventReader struct {
+	br    *bufio.Reader
+	room  int
+	limit int
+}
+
+func newEventReader(r io.Reader, limit int) *eventReader {
+	return &eventReader{br: bufio.NewReader(r), room: limit, limit: limit}
+}
+
+// next returns the next event that has data. The end of the body is never a
+// clean end here: only the caller knows the end marker.
+func (e *eventReader) next() (rawEvent, error) {
+	var ev rawEvent
+	hasData := false
+	for {
+		line, err := e.line()
+		if err != nil {
+			return rawEvent{}, err
+		}
+		if len(line) == 0 {
+			if hasData {
+				return ev, nil
+			}
+			ev = rawEvent{}
+			continue
+		}
+		name, value, _ := bytes.Cut(line, []byte(":"))
+		value = bytes.TrimPrefix(value, []byte(" "))
+		switch string(name) {
+		case "id":
+			if ev.id, err = strconv.ParseUint(string(value), 10, 64); err != nil {
+				return rawEvent{}, fault.New(fault.StreamBroken, "the event number %q is no number", value)
+			}
+			ev.hasID = true
+		case "data":
+			if hasData {
+				ev.data = append(ev.data, '\n')
+			}
+			ev.data = append(ev.data, value...)
+			hasData = true
+		}
+	}
+}
+
+// line returns the next line without its end, valid until the next call.
+func (e *eventReader) line() ([]byte, error) {
+	var long []byte
+	for {
+		part, err := e.br.ReadSlice('\n')
+		e.room -= len(part)
+		if e.room < 0 {
+			return nil, fault.New(fault.TooLarge, "the stream is larger than %d bytes", e.limit)
+		}
+		if errors.Is(err, bufio.ErrBufferFull) {
+			long = append(long, part...)
+			continue
+		}
+		if errors.Is(err, io.EOF) {
+			return nil, fault.New(fault.StreamBroken, "the stream ended before its end marker")
+		}
+		if err != nil {
+			return nil, err
+		}
+		if long != nil {
+			part = append(long, part...)
+		}
+		return bytes.TrimRight(part, "\r\n"), nil
+	}
+}
+
+// drain reads to the end of the body; more than a few bytes are a failure.
+func (e *eventReader) drain() error {
+	var b [64]byte
+	n, err := io.ReadFull(e.br, b[:])
+	if errors.Is(err, io.EOF) || (errors.Is(err, io.ErrUnexpectedEOF) && len(bytes.TrimSpace(b[:n])) == 0) {
+		return nil
+	}
+	if err == nil {
+		err = fault.New(fault.StreamBroken, "bytes follow the end marker")
+	}
+	return err
+}
--- /dev/null
+++ b/instance/upstream/stream.go
@@ -0,0 +1,236 @@
+package upstream
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http/httputil"
+	"strconv"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/valyala/fasthttp"
+
+	"github.com/comfreyladder/comfreyladder/core/fault"
+)
+
+const (
+	generatePath = "/v1/chat/completions"
+	streamsPath  = "/v1/streams/"
+	chunkPrefix  = "chatcmpl-"
+	endMarker    = "[DONE]"
+	// tailWait is how long the end of the body may follow the end marker for
+	// the connection to be kept.
+	tailWait = 20 * time.Millisecond
+)
+
+// Event is one event of a stream.
+type Event struct {
+	// Seq numbers the events of a stream from 1 on, without a gap.
+	Seq uint64
+	// Data is one JSON chunk of the answer.
+	Data []byte
+}
+
+// Option changes how a stream is asked for.
+type Option func(*options)
+
+// Fresh asks for a new connection, as a retry should: the pooled ones may have
+// been lost by something between the two ends.
+func Fresh() Option { return func(o *options) { o.fresh = true } }
+
+// Stream is the answer to one generation. It is for one goroutine.
+type Stream struct {
+	a      *attempt
+	events *eventReader
+	last   uint64
+	state  streamState
+	err    error
+}
+
+type streamState int
+
+const (
+	streamOpen streamState = iota
+	streamDone
+	streamFailed
+	streamClosed
+)
+
+// Generate starts a generation. The body asks for a stream ("stream": true). An
+// error is an *AttemptError; after Unknown the engine may be running the
+// request: a time limit that ran out sends a Cancel by itself.
+func (c *Client) Generate(ctx context.Context, t Target, requestID string, body []byte, opts ...Option) (*Stream, error) {
+	req := &fasthttp.Request{}
+	req.Header.SetMethod(fasthttp.MethodPost)
+	req.Header.SetContentType("application/json")
+	req.SetRequestURI(generatePath)
+	req.SetBodyRaw(body)
+	return c.stream(ctx, t, requestID, req, 0, opts)
+}
+
+// Resume continues a broken stream after the event with number after, on a
+// fresh connection. The failure is NotFound when the engine no longer keeps it.
+func (c *Client) Resume(ctx context.Context, t Target, requestID string, after uint64) (*Stream, error) {
+	req := &fasthttp.Request{}
+	req.Header.SetMethod(fasthttp.MethodGet)
+	req.SetRequestURI(streamsPath + requestID)
+	req.Header.Set(headerLastEventID, strconv.FormatUint(after, 10))
+	return c.stream(ctx, t, requestID, req, after, []Option{Fresh()})
+}
+
+// Cancel tells the engine that nobody wants the answer. An engine that doesn't
+// know the request counts as told.
+func (c *Client) Cancel(ctx context.Context, t Target, requestID string) error {
+	call := Call{RequestID: requestID, Method: fasthttp.MethodDelete, Path: streamsPath + requestID, AllowNoID: true}
+	answer, err := c.Do(ctx, t, call)
+	if err != nil {
+		return err
+	}
+	if answer.Status >= 400 && answer.Status != fasthttp.StatusNotFound {
+		return unknown(t, fault.New(fault.OutcomeUnknown, "the cancellation was answered with %d", answer.Status))
+	}
+	return nil
+}
+
+func (c *Client) stream(ctx context.Context, t Target, id string, req *fasthttp.Request, after uint64, opts []Option) (*Stream, error) {
+	var o options
+	for _, opt := range opts {
+		opt(&o)
+	}
+	a, failed := c.start(ctx, t, id, req, o)
+	if failed != nil {
+		if code := failed.fault.Code; code == fault.DeadlineExceeded || code == fault.Canceled {
+			c.cancelLater(t, id)
+		}
+		return nil, failed
+	}
+	if a.resp.StatusCode() != fasthttp.StatusOK {
+		return nil, a.refusal()
+	}
+	if !bytes.HasPrefix(a.resp.Header.ContentType(), []byte("text/event-stream")) {
+		a.abandon()
+		return nil, unknown(t, fault.New(fault.OutcomeUnknown, "the answer is %q and no event stream", a.resp.Header.ContentType()))
+	}
+	return &Stream{a: a, last: after, events: newEventReader(a.body(), c.cfg.MaxAnswer)}, nil
+}
+
+// body returns the body as it comes, without its transfer coding.
+func (a *attempt) body() io.Reader {
+	switch n := a.resp.Header.ContentLength(); {
+	case n == -1:
+		return httputil.NewChunkedReader(a.conn.br)
+	case n >= 0:
+		return io.LimitReader(a.conn.br, int64(n))
+	}
+	return a.conn.br
+}
+
+// Next returns the next event. It returns io.EOF only after the end marker; a
+// stream that ends before it, falls silent, skips an event or carries another
+// request's ID fails as an *AttemptError, and goes on failing.
+func (s *Stream) Next() (Event, error) {
+	if s.err != nil {
+		return Event{}, s.err
+	}
+	for {
+		raw, err := s.events.next()
+		if err != nil {
+			return Event{}, s.fail(err)
+		}
+		if raw.hasID && raw.id <= s.last {
+			continue // a resumed stream may repeat what was read before
+		}
+		ev, err := s.check(raw)
+		if errors.Is(err, io.EOF) {
+			s.state, s.err = streamDone, io.EOF
+			return Event{}, io.EOF
+		}
+		if err != nil {
+			return Event{}, s.fail(err)
+		}
+		s.last = ev.Seq
+		return ev, nil
+	}
+}
+
+// check admits an event of this request that follows the last one; io.EOF
+// stands for the end marker.
+func (s *Stream) check(raw rawEvent) (Event, error) {
+	done := string(raw.data) == endMarker
+	if done && !raw.hasID {
+		return Event{}, io.EOF
+	}
+	if !raw.hasID || raw.id != s.last+1 {
+		return Event{}, fault.New(fault.StreamBroken, "event %d follows event %d: a part of the answer is missing", raw.id, s.last)
+	}
+	if done {
+		return Event{}, io.EOF
+	}
+	return Event{Seq: raw.id, Data: raw.data}, s.checkChunk(raw.data)
+}
+
+func (s *Stream) checkChunk(data []byte) error {
+	var chunk struct {
+		ID    string          `json:"id"`
+		Error json.RawMessage `json:"error"`
+	}
+	if err := json.Unmarshal(data, &chunk); err != nil {
+		return fault.Wrap(err, fault.StreamBroken, "an event is no JSON")
+	}
+	if len(chunk.Error) > 0 && string(chunk.Error) != "null" {
+		return fault.New(fault.StreamBroken, "the engine reported a failure in the stream")
+	}
+	if chunk.ID != chunkPrefix+s.a.id {
+		return fault.New(fault.StreamBroken, "a chunk carries the ID %q, not %q", chunk.ID, chunkPrefix+s.a.id)
+	}
+	return nil
+}
+
+func (s *Stream) fail(err error) error {
+	f := ioFault(s.a.ctx, err, fault.StreamBroken, "reading the stream")
+	s.state, s.err = streamFailed, unknown(s.a.target, f)
+	s.a.abandon()
+	if f.Code == fault.Canceled || s.a.ctx.Err() != nil {
+		s.a.client.cancelLater(s.a.target, s.a.id)
+	}
+	return s.err
+}
+
+// Last returns the number of the last event that Next returned: where Resume
+// goes on.
+func (s *Stream) Last() uint64 { return s.last }
+
+// Close ends the use of the stream. Before the end it drops the connection for
+// good and sends a Cancel. After a failure it sends none, so that the caller may
+// Resume; call Cancel when nobody will.
+func (s *Stream) Close() error {
+	was := s.state
+	s.state = streamClosed
+	switch was {
+	case streamDone:
+		s.finish()
+	case streamOpen:
+		s.a.abandon()
+		s.err = unknown(s.a.target, fault.New(fault.Canceled, "the stream was closed"))
+		s.a.client.cancelLater(s.a.target, s.a.id)
+	}
+	return nil
+}
+
+// finish keeps the connection if the body ends right after the end marker.
+func (s *Stream) finish() {
+	s.a.conn.until = time.Now().Add(tailWait)
+	if s.a.resp.Header.ContentLength() < -1 || s.events.drain() != nil {
+		s.a.abandon()
+		return
+	}
+	if s.a.resp.Header.ContentLength() == -1 {
+		if err := s.a.resp.Header.ReadTrailer(s.a.conn.br); err != nil {
+			s.a.abandon()
+			return
+		}
+	}
+	s.a.finish()
+}
