--- a/instance/upstream/errors.go
+++ b/instance/upstream/errors.go
@@ -5,6 +5,7 @@
 	"net"
 
 	"github.com/pkg/errors"
+	"github.com/valyala/fasthttp"
 
 	"github.com/comfreyladder/comfreyladder/core/fault"
 )
@@ -81,7 +82,7 @@
 		return fault.Wrap(ctx.Err(), fault.DeadlineExceeded, "%s: the request's time limit ran out", doing)
 	case ctx.Err() != nil:
 		return fault.Wrap(ctx.Err(), fault.Canceled, "%s: canceled", doing)
-	case errors.As(err, &n) && n.Timeout():
+	case errors.Is(err, fasthttp.ErrTimeout), errors.As(err, &n) && n.Timeout():
 		return fault.Wrap(err, fault.DeadlineExceeded, "%s: the upstream was silent too long", doing)
 	}
 	return fault.Wrap(err, code, "%s: the connection failed", doing)
