--- a/core/sched/engine.go
+++ b/core/sched/engine.go
@@ -15,6 +15,10 @@
 	probeLearnRate = 0.6
 	// reportLife is the age from which a load report says nothing any more.
 	reportLife = 10 * time.Second
+	// figureLife is the time without an answer after which an engine's figures
+	// count as unknown. A slow engine that is never chosen would otherwise keep
+	// its bad figures, and never be chosen, for ever.
+	figureLife = 5 * time.Second
 	// recentPrefixes is how many prefixes that were sent to an engine are
 	// remembered until its own cache events tell of them.
 	recentPrefixes = 256
@@ -36,11 +40,13 @@
 	// slotRate in work a second of one slot; 0 means unknown.
 	firstToken, tokenRate, slotRate float64
 	samples, failures               int
-	aside                           bool
-	asideSince, nextProbe           time.Time
-	sent                            map[uint64]struct{}
-	sentOrder                       []uint64
-	gone                            bool
+	// observed is when the figures were last confirmed.
+	observed              time.Time
+	aside                 bool
+	asideSince, nextProbe time.Time
+	sent                  map[uint64]struct{}
+	sentOrder             []uint64
+	gone                  bool
 }
 
 type flightCount struct {
@@ -112,6 +118,10 @@
 }
 
 func (e *engine) candidate(now time.Time, i *item, headroom float64) pick.Candidate {
+	first, rate := e.firstToken, e.tokenRate
+	if e.stale(now) {
+		first, rate = 0, 0
+	}
 	return pick.Candidate{
 		Name:       e.Name,
 		Holds:      e.holds[i.Model],
@@ -122,8 +132,8 @@
 		Free:       e.free(now, i.class.Protected, headroom),
 		Unstarted:  len(e.unstarted),
 		Prefix:     e.prefix(i.PrefixHashes),
-		FirstToken: time.Duration(e.firstToken * float64(time.Second)),
-		TokenRate:  e.tokenRate,
+		FirstToken: seconds(first),
+		TokenRate:  rate,
 		Aside:      e.aside,
 		ProbeDue:   e.aside && !now.Before(e.nextProbe),
 	}
@@ -167,10 +177,8 @@
 	if i.startedAt.IsZero() {
 		return
 	}
-	alpha := learnRate
-	if e.aside {
-		alpha = probeLearnRate
-	}
+	alpha := e.alpha(now)
+	e.observed = now
 	e.failures = 0
 	e.samples++
 	if generating := now.Sub(i.startedAt).Seconds(); o.Tokens > 1 && generating > 0 {
@@ -183,13 +191,27 @@
 
 func (e *engine) started(now time.Time, i *item) {
 	delete(e.unstarted, i.ID)
-	alpha := learnRate
-	if e.aside {
-		alpha = probeLearnRate
-	}
+	alpha := e.alpha(now)
 	e.firstToken = smooth(e.firstToken, math.Max(now.Sub(i.grantedAt).Seconds(), 1e-6), alpha)
 }
 
+// stale reports whether nothing was learned of the engine for long.
+func (e *engine) stale(now time.Time) bool {
+	return now.Sub(e.observed) > figureLife
+}
+
+// alpha is the weight of the next observation: large for a straggler, and all
+// of it when the figures are old.
+func (e *engine) alpha(now time.Time) float64 {
+	switch {
+	case e.stale(now):
+		return 1
+	case e.aside:
+		return probeLearnRate
+	}
+	return learnRate
+}
+
 // slowest returns the time that the oldest grant waits for its first token.
 func (e *engine) slowest(now time.Time) time.Duration {
 	longest := time.Duration(0)
--- /dev/null
+++ b/core/sched/fault_test.go
@@ -0,0 +1,264 @@
+package sched_test
+
+import (
+	"fmt"
+	"maps"
+	"math/rand"
+	"slices"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/comfreyladder/comfreyladder/core/announce"
+	"github.com/comfreyladder/comfreyladder/core/sched"
+)
+
+func sortedKeys[V any](m map[string]V) []string {
+	return slices.Sorted(maps.Keys(m))
+}
+
+// First tokens come late from one engine while seven idle.
+// First the link to the domain's scheduler goes silent, so that four instances
+// schedule for themselves; all hold the same report, two seconds old, by which
+// one engine is idle, and all send to that one. The cause: the same best choice
+// made from the same stale figures.
+func TestInstancesApartDoNotHerd(t *testing.T) {
+	g := NewWithT(t)
+	ups := engines(8, 32)
+	for n := range ups {
+		ups[n].Load = &announce.Load{Running: 8}
+		ups[n].LoadAt = start.Add(-2 * time.Second)
+	}
+	ups[5].Load = &announce.Load{}
+	count := map[string]int{}
+	for part := range 4 {
+		s := sched.New(sched.Config{Apart: true, Headroom: 0.01}, rand.New(rand.NewSource(int64(part))))
+		s.SetClasses(document())
+		s.SetShare(part, 4)
+		s.SetUpstreams(start, ups)
+		for n := range 12 {
+			for _, gr := range grants(s.Submit(start, ticket(fmt.Sprint(n), "draft", "big", start))) {
+				count[gr.Upstream]++
+			}
+		}
+	}
+	total := 0
+	for _, n := range count {
+		total += n
+	}
+	g.Expect(total).To(Equal(48))
+	g.Expect(count["e5"]).To(BeNumerically("<=", 48/3), "%v", count)
+	g.Expect(count).To(HaveLen(8))
+}
+
+// Slots of an engine are lost for good after a crash.
+// First it dies with four grants in flight and leaves the list, then the ends of
+// the grants arrive one by one, then it comes back under the same name.
+func TestEngineDiesWithGrantsInFlight(t *testing.T) {
+	g := NewWithT(t)
+	ups := engines(2, 2)
+	s := newScheduler(sched.Config{}, ups)
+	for n := range 6 {
+		s.Submit(start, ticket(fmt.Sprint(n), "draft", "big", start))
+	}
+	g.Expect(s.SetUpstreams(start, ups[1:])).To(BeEmpty())
+	flying := s.InFlight()
+	g.Expect(flying["e0"]).To(Equal(2))
+	now := start.Add(time.Second)
+	for n := range 4 {
+		for _, gr := range grants(s.Finish(now, fmt.Sprint(n), sched.Outcome{Failed: true})) {
+			g.Expect(gr.Upstream).To(Equal("e1"))
+		}
+	}
+	g.Expect(s.InFlight()).To(Equal(map[string]int{"e1": 2}))
+	s.SetUpstreams(now, ups)
+	g.Expect(grants(s.Submit(now, ticket("again", "draft", "big", now)))).To(HaveLen(1))
+}
+
+// bench places requests on chosen engines by excluding the others.
+type bench struct {
+	*GomegaWithT
+	s    *sched.Scheduler
+	now  time.Time
+	next int
+}
+
+func (b *bench) place(engine int) string {
+	t := ticket(fmt.Sprint(b.next), "draft", "big", b.now)
+	b.next++
+	for n := range 4 {
+		if n != engine {
+			t.Excluded = append(t.Excluded, fmt.Sprint("e", n))
+		}
+	}
+	b.Expect(grants(b.s.Submit(b.now, t))).To(HaveLen(1))
+	return t.ID
+}
+
+func (b *bench) answer(id string, first time.Duration) {
+	b.s.Started(b.now.Add(first), id)
+	b.s.Finish(b.now.Add(10*first), id, sched.Outcome{Tokens: 100, Complete: true})
+}
+
+// warm lets all engines answer; then all but e1 become three quarters full.
+func (b *bench) warm(e1 time.Duration) {
+	for range 8 {
+		for n := range 4 {
+			first := 100 * time.Millisecond
+			if n == 1 {
+				first = e1
+			}
+			b.answer(b.place(n), first)
+		}
+	}
+	for range 6 {
+		for _, n := range []int{0, 2, 3} {
+			b.s.Started(b.now.Add(100*time.Millisecond), b.place(n))
+		}
+	}
+}
+
+func (b *bench) send(class string) string {
+	b.s.Tick(b.now)
+	id := fmt.Sprint(b.next)
+	b.next++
+	got := grants(b.s.Submit(b.now, ticket(id, class, "small", b.now)))
+	b.Expect(got).To(HaveLen(1))
+	return got[0].Upstream
+}
+
+func newBench(t *testing.T) *bench {
+	return &bench{GomegaWithT: NewWithT(t), s: newScheduler(sched.Config{}, engines(4, 8)), now: start}
+}
+
+// Half of the technicians' answers crawl although most engines are fast.
+// One engine slows to a tenth; it finishes little, so it has free slots and looks
+// the least loaded. The cause: load alone says nothing about speed.
+func TestStragglerIsSetAsideAndProbedBack(t *testing.T) {
+	b := newBench(t)
+	b.warm(time.Second)
+	for range 3 {
+		b.Expect(b.send("review")).NotTo(Equal("e1"))
+		b.s.Started(b.now.Add(100*time.Millisecond), fmt.Sprint(b.next-1))
+	}
+	b.now = b.now.Add(1500 * time.Millisecond)
+	b.Expect(b.send("draft")).To(Equal("e1"), "the probe")
+	probe := fmt.Sprint(b.next - 1)
+	b.Expect(b.send("draft")).NotTo(Equal("e1"))
+	b.s.Started(b.now.Add(100*time.Millisecond), fmt.Sprint(b.next-1))
+	b.answer(probe, 100*time.Millisecond)
+	for range 2 {
+		b.now = b.now.Add(1100 * time.Millisecond)
+		b.Expect(b.send("draft")).To(Equal("e1"))
+		b.answer(fmt.Sprint(b.next-1), 100*time.Millisecond)
+	}
+	b.Expect(b.send("review")).To(Equal("e1"), "recovered")
+}
+
+// An engine that slowed down once is never used again, while others queue.
+// Its figures are bad, so that it is not chosen, so that its figures stay bad.
+func TestFiguresOfAnUnusedEngineGrowOld(t *testing.T) {
+	b := newBench(t)
+	for n := range 4 {
+		b.answer(b.place(n), time.Duration(1+9*(n%2))*100*time.Millisecond)
+	}
+	count := map[string]int{}
+	for range 100 {
+		b.now = b.now.Add(200 * time.Millisecond)
+		count[b.send("draft")]++
+		b.answer(fmt.Sprint(b.next-1), 100*time.Millisecond)
+	}
+	b.Expect(count["e1"]).To(BeNumerically(">=", 3), "%v", count)
+}
+
+// Requests hang at an engine that froze; new ones follow them there.
+// It finishes nothing, so no figure of it gets worse. The cause: only finished
+// answers are measured.
+func TestFrozenEngineIsSetAside(t *testing.T) {
+	b := newBench(t)
+	b.warm(100 * time.Millisecond)
+	b.place(1)
+	b.now = b.now.Add(2 * time.Second)
+	for range 3 {
+		b.Expect(b.send("review")).NotTo(Equal("e1"))
+	}
+}
+
+// An engine refuses each request at once and so always has free slots: it draws
+// all requests of the domain and fails them.
+func TestFailingEngineIsSetAside(t *testing.T) {
+	b := newBench(t)
+	b.warm(100 * time.Millisecond)
+	for range 3 {
+		b.s.Finish(b.now, b.place(1), sched.Outcome{Failed: true})
+	}
+	b.Expect(b.send("review")).NotTo(Equal("e1"))
+}
+
+// An instance dies; its own queued request is granted the slot that its death
+// frees, and the slot stays taken until a lease ends.
+func TestDeadInstanceGetsNoGrant(t *testing.T) {
+	g := NewWithT(t)
+	s := newScheduler(sched.Config{}, engines(1, 1))
+	for n, instance := range []string{"dead", "dead", "alive"} {
+		tk := ticket(fmt.Sprint(n), "draft", "big", start)
+		tk.Instance = instance
+		s.Submit(start, tk)
+	}
+	got := grants(s.DropInstance(start, "dead"))
+	g.Expect(got).To(HaveLen(1))
+	g.Expect(got[0].Instance).To(Equal("alive"))
+}
+
+// A technician's answer is dropped from the queue for a nurse's review.
+// Both are protected; when only protected work is queued the newcomer waits for
+// a free place outside, whatever its tier.
+func TestProtectedWorkIsNeverDisplaced(t *testing.T) {
+	g := NewWithT(t)
+	doc := document()
+	doc.Classes[1].Protected = true
+	s := sched.New(sched.Config{MaxQueued: 2}, rand.New(rand.NewSource(1)))
+	s.SetClasses(doc)
+	s.SetUpstreams(start, engines(1, 1))
+	s.Submit(start, ticket("0", "question", "big", start))
+	s.Submit(start, ticket("1", "question", "big", start))
+	s.Submit(start, ticket("2", "question", "big", start))
+	got := sheds(s.Submit(start, ticket("3", "review", "big", start)))
+	g.Expect(got).To(HaveLen(1))
+	g.Expect(got[0].ID).To(Equal("3"))
+	g.Expect(got[0].Reason).To(Equal(sched.ReasonFull))
+}
+
+// A slot stays taken for good when the scheduler's instance dies.
+// The successor learns of grants in flight from their instances, may learn of
+// one twice, and must grant nothing before it has heard them.
+func TestSuccessorTakesOverGrantsInFlight(t *testing.T) {
+	g := NewWithT(t)
+	s := newScheduler(sched.Config{}, engines(1, 2))
+	s.Hold(start.Add(500 * time.Millisecond))
+	g.Expect(s.Submit(start, ticket("new", "draft", "big", start))).To(BeEmpty())
+	s.Restore(start, ticket("old1", "draft", "big", start), "e0", 10)
+	s.Restore(start, ticket("old1", "draft", "big", start), "e0", 10)
+	s.Restore(start, ticket("old2", "draft", "big", start), "e0", 10)
+	g.Expect(s.InFlight()).To(Equal(map[string]int{"e0": 2}))
+	g.Expect(s.Tick(start.Add(time.Second))).To(BeEmpty())
+	got := grants(s.Finish(start.Add(time.Second), "old1", sched.Outcome{Tokens: 20, Complete: true}))
+	g.Expect(got).To(HaveLen(1))
+	g.Expect(s.DropInstance(start.Add(time.Second), "i")).To(BeEmpty())
+	g.Expect(s.InFlight()).To(BeEmpty())
+}
+
+// Parts of a divided engine add up to the whole, and each part differs.
+func TestSharesAddUpToAllSlots(t *testing.T) {
+	g := NewWithT(t)
+	total := 0
+	for part := range 3 {
+		s := newScheduler(sched.Config{Headroom: 0.001}, engines(5, 4))
+		s.SetShare(part, 3)
+		for n := range 40 {
+			total += len(grants(s.Submit(start, ticket(fmt.Sprint(n), "review", "big", start))))
+		}
+	}
+	g.Expect(total).To(Equal(20))
+}
--- a/core/sched/health.go
+++ b/core/sched/health.go
@@ -107,6 +107,7 @@
 	e.aside = false
 	e.failures = 0
 	e.samples = min(e.samples, 1)
+	e.observed = time.Time{}
 }
 
 // judgeProbe acts on the end of a probe at once.
--- a/core/sched/sched_test.go
+++ b/core/sched/sched_test.go
@@ -171,3 +171,61 @@
 	g.Expect(count["e2"]).To(BeNumerically(">=", 8))
 	g.Expect(count).To(HaveLen(4))
 }
+
+// A review waits for the end of a ten minute draft on every engine.
+// First drafts fill all slots, then a review arrives while none of them ends.
+func TestDraftsLeaveHeadroomForProtectedWork(t *testing.T) {
+	g := NewWithT(t)
+	s := newScheduler(sched.Config{}, engines(2, 10))
+	granted := 0
+	for n := range 30 {
+		granted += len(grants(s.Submit(start, ticket(fmt.Sprint("d", n), "draft", "big", start))))
+	}
+	g.Expect(granted).To(Equal(18))
+	g.Expect(grants(s.Submit(start, ticket("r1", "review", "big", start)))).To(HaveLen(1))
+	g.Expect(grants(s.Submit(start, ticket("r2", "review", "big", start)))).To(HaveLen(1))
+}
+
+// A small firm is refused with "overloaded" all morning.
+// First a large firm queues as much as the class can serve within its level,
+// then the small one asks once; by its fair share it would be next.
+func TestSmallOrganisationIsNotRefusedForALargeOnesBacklog(t *testing.T) {
+	g := NewWithT(t)
+	s := newScheduler(sched.Config{}, engines(1, 10))
+	refused := 0
+	for n := range 300 {
+		refused += len(sheds(s.Submit(start, ticket(fmt.Sprint("b", n), "status", "big", start))))
+	}
+	g.Expect(refused).To(BeNumerically(">", 0))
+	g.Expect(sheds(s.Submit(start, ticket("s", "status", "small", start)))).To(BeEmpty())
+}
+
+// Every question of a firm is answered just too late during an overload.
+// Tickets wait until their level is missed and go, by earliest target, before
+// those that could still meet theirs, which are thereby missed as well.
+func TestLateTicketsDoNotMakeOthersLate(t *testing.T) {
+	g := NewWithT(t)
+	s := newScheduler(sched.Config{}, engines(1, 1))
+	s.Submit(start, ticket("r", "review", "big", start))
+	s.Submit(start, ticket("old", "review", "big", start))
+	now := start.Add(3 * time.Second)
+	s.Submit(now, ticket("new", "review", "big", now))
+	got := grants(s.Finish(now, "r", sched.Outcome{Tokens: 10, Complete: true}))
+	g.Expect(got[0].ID).To(Equal("new"))
+	got = grants(s.Finish(now, "new", sched.Outcome{Tokens: 10, Complete: true}))
+	g.Expect(got[0].ID).To(Equal("old"))
+}
+
+// A caller that waits in the queue past its deadline learns it at the next tick,
+// not when its turn would have come.
+func TestExpiredTicketIsAnsweredAtOnce(t *testing.T) {
+	g := NewWithT(t)
+	s := newScheduler(sched.Config{}, engines(1, 1))
+	s.Submit(start, ticket("r", "review", "big", start))
+	s.Submit(start, ticket("q", "review", "big", start))
+	g.Expect(s.Tick(start.Add(29 * time.Second))).To(BeEmpty())
+	got := sheds(s.Tick(start.Add(30 * time.Second)))
+	g.Expect(got).To(HaveLen(1))
+	g.Expect(got[0].Reason).To(Equal(sched.ReasonExpired))
+	g.Expect(got[0].RetryAfter).To(BeNumerically(">", 0))
+}
--- /dev/null
+++ b/core/sched/status.go
@@ -0,0 +1,98 @@
+package sched
+
+import (
+	"slices"
+	"time"
+)
+
+// InFlight returns the count of grants for each upstream that has any.
+func (s *Scheduler) InFlight() map[string]int {
+	out := map[string]int{}
+	for _, e := range s.engines {
+		if e.inFlight > 0 {
+			out[e.Name] = e.inFlight
+		}
+	}
+	return out
+}
+
+// ClassStatus is a class's backlog, for metrics and the operators' status.
+type ClassStatus struct {
+	Class  string `codec:"class" json:"class"`
+	Queued int    `codec:"queued" json:"queued"`
+	// Work is the queued work in weighted tokens.
+	Work float64 `codec:"work" json:"work"`
+}
+
+// UpstreamStatus is what the scheduler holds of one upstream.
+type UpstreamStatus struct {
+	Name string `codec:"name" json:"name"`
+	// Slots is this scheduler's part of the upstream's slots.
+	Slots    int  `codec:"slots" json:"slots"`
+	InFlight int  `codec:"in_flight" json:"in_flight"`
+	Used     int  `codec:"used" json:"used"`
+	Aside    bool `codec:"aside" json:"aside"`
+	Draining bool `codec:"draining" json:"draining"`
+	// FirstToken is the smoothed time to the first token; TokenRate the smoothed
+	// rate of one stream in tokens a second; 0 means unknown.
+	FirstToken time.Duration `codec:"first_token" json:"first_token"`
+	TokenRate  float64       `codec:"token_rate" json:"token_rate"`
+}
+
+// Status is a snapshot of the scheduler.
+type Status struct {
+	Classes   []ClassStatus    `codec:"classes" json:"classes"`
+	Upstreams []UpstreamStatus `codec:"upstreams" json:"upstreams"`
+}
+
+// Status returns a snapshot, classes by tier.
+func (s *Scheduler) Status(now time.Time) Status {
+	var out Status
+	for _, c := range s.order {
+		out.Classes = append(out.Classes, ClassStatus{Class: c.Name, Queued: c.queued, Work: c.work})
+	}
+	for _, e := range s.engines {
+		out.Upstreams = append(out.Upstreams, UpstreamStatus{
+			Name: e.Name, Slots: e.slots, InFlight: e.inFlight, Used: e.used(now), Aside: e.aside,
+			Draining: e.Draining || e.gone, FirstToken: seconds(e.firstToken), TokenRate: e.tokenRate,
+		})
+	}
+	return out
+}
+
+// Known reports whether the ticket is queued or granted here.
+func (s *Scheduler) Known(id string) bool { return s.items[id] != nil }
+
+// Grants returns the IDs of an instance's grants that were given before the
+// given time.
+func (s *Scheduler) Grants(instance string, before time.Time) []string {
+	var out []string
+	for id, i := range s.items {
+		if i.Instance == instance && i.engine != nil && i.grantedAt.Before(before) {
+			out = append(out, id)
+		}
+	}
+	return out
+}
+
+// DropInstance forgets an instance that died: its queued tickets, and its grants,
+// whose upstreams cancel streams that nobody reads. The queued ones go first, so
+// that no slot that becomes free is granted to the dead.
+func (s *Scheduler) DropInstance(now time.Time, instance string) []Effect {
+	var queued, granted []string
+	for id, i := range s.items {
+		switch {
+		case i.Instance != instance:
+		case i.engine == nil:
+			queued = append(queued, id)
+		default:
+			granted = append(granted, id)
+		}
+	}
+	slices.Sort(granted)
+	var out []Effect
+	for _, id := range append(queued, granted...) {
+		out = append(out, s.Cancel(now, id)...)
+	}
+	return out
+}
