--- a/core/sched/dispatch.go
+++ b/core/sched/dispatch.go
@@ -177,14 +177,15 @@
 	s.account(now, i, floor)
 	s.dequeue(i)
 	s.send(now, i, e)
-	s.out = append(s.out, Grant{
+	i.grant = Grant{
 		ID: i.ID, Instance: i.Instance, Upstream: e.Name, Address: e.Address, Priority: i.class.Tier,
 		Explain: Explain{
 			Waited: now.Sub(i.Arrived), Expected: i.expected, Floor: floor,
 			Candidates: choice.Kept, Score: choice.Score, Prefix: prefix,
 			InFlight: e.inFlight, Slots: e.Slots,
 		},
-	})
+	}
+	s.out = append(s.out, i.grant)
 	return true
 }
 
--- a/core/sched/fault_test.go
+++ b/core/sched/fault_test.go
@@ -211,6 +211,21 @@
 	g.Expect(got[0].Instance).To(Equal("alive"))
 }
 
+// A nurse's review is refused because drafts fill the queue.
+// First drafts reach the bound on queued tickets, then the review arrives.
+func TestProtectedWorkDisplacesTheLowestTier(t *testing.T) {
+	g := NewWithT(t)
+	s := newScheduler(sched.Config{MaxQueued: 2}, engines(1, 1))
+	for n, class := range []string{"draft", "draft", "status"} {
+		s.Submit(start, ticket(fmt.Sprint(n), class, "big", start))
+	}
+	got := sheds(s.Submit(start, ticket("r", "review", "big", start)))
+	g.Expect(got).To(HaveLen(1))
+	g.Expect(got[0].ID).To(Equal("1"))
+	g.Expect(got[0].Reason).To(Equal(sched.ReasonDisplaced))
+	g.Expect(got[0].RetryAfter).To(BeNumerically(">", 0))
+}
+
 // A technician's answer is dropped from the queue for a nurse's review.
 // Both are protected; when only protected work is queued the newcomer waits for
 // a free place outside, whatever its tier.
--- a/core/sched/queue.go
+++ b/core/sched/queue.go
@@ -25,6 +25,7 @@
 	atShare, atExpiry int
 
 	engine    *engine
+	grant     Grant
 	grantedAt time.Time
 	startedAt time.Time
 	charged   float64
--- a/core/sched/status.go
+++ b/core/sched/status.go
@@ -60,26 +60,8 @@
 	return out
 }
 
-// Known reports whether the ticket is queued or granted here.
-func (s *Scheduler) Known(id string) bool { return s.items[id] != nil }
-
-// Grants returns the IDs of an instance's grants that were given before the
-// given time.
-func (s *Scheduler) Grants(instance string, before time.Time) []string {
-	var out []string
-	for id, i := range s.items {
-		if i.Instance == instance && i.engine != nil && i.grantedAt.Before(before) {
-			out = append(out, id)
-		}
-	}
-	return out
-}
-
-// DropInstance forgets an instance that died: its queued tickets, and its grants,
-// whose upstreams cancel streams that nobody reads. The queued ones go first, so
-// that no slot that becomes free is granted to the dead.
-func (s *Scheduler) DropInstance(now time.Time, instance string) []Effect {
-	var queued, granted []string
+// Of returns the IDs of an instance's tickets: those queued and those granted.
+func (s *Scheduler) Of(instance string) (queued, granted []string) {
 	for id, i := range s.items {
 		switch {
 		case i.Instance != instance:
@@ -89,6 +71,24 @@
 			granted = append(granted, id)
 		}
 	}
+	return queued, granted
+}
+
+// GrantOf returns the grant of a ticket that was granted here and has not ended,
+// to repeat it when its message was lost.
+func (s *Scheduler) GrantOf(id string) (Grant, bool) {
+	i := s.items[id]
+	if i == nil || i.engine == nil || i.grant.ID == "" {
+		return Grant{}, false
+	}
+	return i.grant, true
+}
+
+// DropInstance forgets an instance that died: its queued tickets, and its grants,
+// whose upstreams cancel streams that nobody reads. The queued ones go first, so
+// that no slot that becomes free is granted to the dead.
+func (s *Scheduler) DropInstance(now time.Time, instance string) []Effect {
+	queued, granted := s.Of(instance)
 	slices.Sort(granted)
 	var out []Effect
 	for _, id := range append(queued, granted...) {
