Raft as a pure step function, explored under faults

The control group needs consensus of its own. One goroutine per member with I/O inside was ruled out: its runs can't be repeated from a seed. The step function takes messages and times and returns records to persist and messages to send, in that order. The exploration drops, delays, doubles and reorders messages, cuts links one way, crashes before and after the sync, freezes members, loses disks and changes members, and checks election safety, log matching, leader completeness, equal states and linearizable reads.

--- /dev/null
+++ b/core/raft/doc.go
@@ -0,0 +1,81 @@
+// Package raft is the consensus protocol of the control group as a pure step
+// function: messages and times go in, messages and records to persist come out.
+// It does no I/O, starts no goroutine and draws randomness from a source that is
+// passed in, so that every run can be repeated from its seed.
+//
+// It has pre-vote, check-quorum, a leader lease and ReadIndex for reads, learners,
+// changes of one member at a time, leadership transfer, snapshots and flow control.
+package raft
+
+import (
+	"math/rand"
+	"time"
+
+	"github.com/comfreyladder/comfreyladder/core/fault"
+)
+
+// MemberID names one initialised disk. It is drawn at random when the disk is
+// initialised, so that a wiped disk is a new member: were it to keep its ID, it
+// could vote twice in a term whose vote it forgot, and elect a leader that lacks
+// committed entries. Zero means nobody.
+type MemberID uint64
+
+// ClusterID names one history. It is drawn at random at the founding, and
+// messages of another cluster are dropped.
+type ClusterID string
+
+// Defaults of a Config. They suit one-way times of a few milliseconds: the
+// heartbeat is some twenty round trips, and an election starts after ten lost
+// heartbeats, so that a pause of a busy instance deposes nobody.
+const (
+	DefaultHeartbeat       = 100 * time.Millisecond
+	DefaultElectionTimeout = time.Second
+	DefaultMaxBatch        = 256
+	DefaultMaxWindow       = 2048
+	DefaultMaxUncommitted  = 8192
+	// leaseShare is the share of the election timeout that a lease lasts. The
+	// rest covers clocks that run at different rates, up to a tenth apart.
+	leaseShare = 0.9
+)
+
+// Config holds what a Node needs to know at its start.
+type Config struct {
+	ID      MemberID
+	Cluster ClusterID
+	// Heartbeat is the time between two heartbeats of the leader.
+	Heartbeat time.Duration
+	// ElectionTimeout is the least silence after which a member campaigns; the
+	// actual one is drawn between it and twice it.
+	ElectionTimeout time.Duration
+	// MaxBatch bounds the entries of one append.
+	MaxBatch int
+	// MaxWindow bounds the entries that are sent to a member but unacknowledged.
+	MaxWindow uint64
+	// MaxUncommitted bounds the leader's uncommitted entries; proposals above
+	// it are refused.
+	MaxUncommitted uint64
+	// Rand spreads the election timeouts.
+	Rand *rand.Rand
+}
+
+func (c *Config) validate() error {
+	if c.ID == 0 || c.Cluster == "" || c.Rand == nil {
+		return fault.New(fault.Invalid, "a member needs an ID, a cluster and a source of randomness")
+	}
+	setDefault(&c.Heartbeat, DefaultHeartbeat)
+	setDefault(&c.ElectionTimeout, DefaultElectionTimeout)
+	setDefault(&c.MaxBatch, DefaultMaxBatch)
+	setDefault(&c.MaxWindow, DefaultMaxWindow)
+	setDefault(&c.MaxUncommitted, DefaultMaxUncommitted)
+	if c.ElectionTimeout < 2*c.Heartbeat {
+		return fault.New(fault.Invalid, "election timeout %v is below two heartbeats of %v", c.ElectionTimeout, c.Heartbeat)
+	}
+	return nil
+}
+
+func setDefault[T comparable](v *T, d T) {
+	var zero T
+	if *v == zero {
+		*v = d
+	}
+}
--- /dev/null
+++ b/core/raft/explore_test.go
@@ -0,0 +1,210 @@
+package raft_test
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/comfreyladder/comfreyladder/core/raft"
+)
+
+const seeds = 150
+
+// What a user would see: a confirmed change is gone, or two instances act on
+// different configurations. What happens: messages are lost, late, doubled and
+// crossed, members crash between any two steps, freeze, are cut off in one
+// direction, lose their disks and are replaced, while members are added, promoted
+// and removed. Cause, if it fails: one of the protocol's rules does not hold.
+func TestNothingCommittedIsLostUnderFaults(t *testing.T) {
+	var commits, reads, leaders int
+	for seed := range int64(seeds) {
+		s := newSim(seed, 3+2*int(seed%2))
+		s.drop, s.crash, s.compact = 0.05, 0.0005, 0.02
+		for range 4000 {
+			s.disturb()
+			s.step()
+			if len(s.bad) > 0 {
+				break
+			}
+		}
+		s.calm()
+		recovered := s.propose("last")
+		s.until(500, func() bool { return s.level() })
+		s.checkLogs()
+		if len(s.bad) > 0 {
+			t.Fatalf("seed %d: %s", seed, strings.Join(s.bad, "\n"))
+		}
+		if !recovered || !s.level() {
+			t.Fatalf("seed %d: the group does not recover: %s", seed, s.describe())
+		}
+		commits += len(s.commits)
+		reads += s.served
+		leaders += len(s.leaders)
+	}
+	t.Logf("%d seeds: %d entries, %d reads, %d leaders", seeds, commits, reads, leaders)
+	NewWithT(t).Expect(min(commits/100, reads/100, leaders/10)).To(BeNumerically(">", seeds/100), "the faults must leave room for work")
+}
+
+// disturb makes at most one thing happen.
+func (s *sim) disturb() {
+	h := s.hosts[s.order[s.rnd.Intn(len(s.order))]]
+	other := s.order[s.rnd.Intn(len(s.order))]
+	switch p := s.rnd.Float64(); {
+	case p < 0.20:
+		s.load(h, p < 0.10)
+	case p < 0.206:
+		s.cuts[[2]raft.MemberID{h.id, other}] = true
+	case p < 0.216:
+		clear(s.cuts)
+	case p < 0.219:
+		s.stop(h)
+	case p < 0.25 && h.node == nil && !h.gone:
+		s.start(h)
+	case p < 0.254 && s.running(h):
+		h.thaw = s.now.Add(time.Duration(s.rnd.Int63n(int64(4 * election))))
+	case p < 0.256:
+		s.loseDisk(h)
+	case p < 0.28:
+		s.repair()
+	case p < 0.283:
+		if l := s.leader(); l != nil {
+			_ = l.node.Transfer(s.clock(l), other)
+			s.drain(l)
+		}
+	}
+}
+
+func (s *sim) load(h *host, write bool) {
+	if !s.running(h) {
+		return
+	}
+	if write {
+		_, _, _ = h.node.Propose(s.clock(h), fmt.Appendf(nil, "%d", s.rnd.Int31()))
+		s.drain(h)
+		return
+	}
+	s.read(h)
+}
+
+// loseDisk replaces one disk at a time: the old member is gone for good and the
+// newcomer under its name has another ID and an empty disk.
+func (s *sim) loseDisk(h *host) {
+	if h.gone {
+		return
+	}
+	for _, x := range s.hosts {
+		if x.gone || !x.joined {
+			return
+		}
+	}
+	s.stop(h)
+	h.gone = true
+	s.add(s.nextID, disk{})
+	s.nextID++
+}
+
+// repair does the next step of replacing a lost member.
+func (s *sim) repair() {
+	l := s.leader()
+	if l == nil {
+		return
+	}
+	now := s.clock(l)
+	for _, id := range s.order {
+		h := s.hosts[id]
+		m, known := l.node.Status(now).Members.Get(id)
+		switch {
+		case h.gone && known:
+			_, _ = l.node.Remove(now, id)
+		case h.gone:
+			s.forget(id)
+			s.drain(l)
+			return
+		case !known && !h.joined:
+			_, _ = l.node.AddLearner(now, id, fmt.Sprint("m", id))
+		case known && !m.Voter:
+			_, _ = l.node.Promote(now, id)
+		}
+		if m, in := s.committedMembers().Get(id); in && m.Voter {
+			h.joined = true
+		}
+	}
+	s.drain(l)
+}
+
+// forget drops a removed member from the observer's books once its removal is
+// committed, so that the next disk may be lost.
+func (s *sim) forget(id raft.MemberID) {
+	if _, in := s.committedMembers().Get(id); in {
+		return
+	}
+	delete(s.hosts, id)
+	s.order = slices.DeleteFunc(s.order, func(x raft.MemberID) bool { return x == id })
+}
+
+// committedMembers returns the newest membership that was seen committed.
+func (s *sim) committedMembers() raft.Members {
+	members := s.founders
+	var newest uint64
+	for _, e := range s.commits {
+		if e.Kind == raft.EntryMembers && e.Index > newest {
+			newest, members = e.Index, e.Members
+		}
+	}
+	return members
+}
+
+// level reports whether all members of the group have applied everything.
+func (s *sim) level() bool {
+	l := s.leader()
+	if l == nil {
+		return false
+	}
+	for _, m := range l.node.Status(s.clock(l)).Members {
+		if h := s.hosts[m.ID]; h != nil && !h.gone && h.last != s.top {
+			return false
+		}
+	}
+	return true
+}
+
+// checkLogs checks log matching: where two logs agree on an entry's term, they
+// agree on all before it.
+func (s *sim) checkLogs() {
+	for _, a := range s.hosts {
+		for _, b := range s.hosts {
+			at := map[uint64]raft.Entry{}
+			for _, e := range b.disk.entries {
+				at[e.Index] = e
+			}
+			agree := false
+			for i := len(a.disk.entries) - 1; i >= 0; i-- {
+				e := a.disk.entries[i]
+				o, ok := at[e.Index]
+				if !ok {
+					continue
+				}
+				if agree && (o.Term != e.Term || string(o.Data) != string(e.Data)) {
+					s.fail("logs of %d and %d differ at %d below an equal entry", a.id, b.id, e.Index)
+				}
+				agree = agree || o.Term == e.Term
+			}
+		}
+	}
+}
+
+func (s *sim) describe() string {
+	var b strings.Builder
+	for _, id := range s.order {
+		h := s.hosts[id]
+		fmt.Fprintf(&b, "\n%d gone=%v applied=%d of %d", id, h.gone, h.last, s.top)
+		if h.node != nil {
+			fmt.Fprintf(&b, " %+v", h.node.Status(s.clock(h)))
+		}
+	}
+	return b.String()
+}
--- /dev/null
+++ b/core/raft/ready.go
@@ -0,0 +1,78 @@
+package raft
+
+import (
+	"time"
+
+	"github.com/comfreyladder/comfreyladder/core/fault"
+)
+
+// Ready returns what is to be done now; see the type. The caller carries it out
+// and calls Advance before it steps the node again.
+func (n *Node) Ready(now time.Time) Ready {
+	n.startReads(now)
+	if n.commitMoved && n.role == Leader {
+		n.sendHeartbeats()
+	}
+	n.commitMoved = false
+	r := Ready{
+		HardState: HardState{Term: n.term, Vote: n.vote},
+		Snapshot:  n.snapshot,
+		Entries:   n.log.slice(n.log.stable+1, n.log.last()),
+		Messages:  n.messages,
+		Committed: n.log.slice(n.applied+1, n.commit),
+		Reads:     n.due,
+	}
+	r.HardChanged = r.HardState != n.saved
+	n.snapshot, n.messages, n.due = nil, nil, nil
+	return r
+}
+
+// Advance tells the node that a Ready was carried out. It may make more ready.
+func (n *Node) Advance(now time.Time, r Ready) {
+	n.saved = r.HardState
+	if k := len(r.Entries); k > 0 {
+		n.log.stable = r.Entries[k-1].Index
+	}
+	if k := len(r.Committed); k > 0 {
+		n.applied = r.Committed[k-1].Index
+	}
+	if n.role == Leader {
+		n.advanceCommit()
+		n.retireIfRemoved(now)
+	}
+}
+
+// Compact truncates the log up to a snapshot at index that the caller has
+// synced, keeping up to tail entries before it for followers that lag a little.
+// It returns the first index that is kept.
+func (n *Node) Compact(index, tail uint64) (uint64, error) {
+	if index > n.applied {
+		return 0, fault.New(fault.Invalid, "snapshot at %d is beyond the applied %d", index, n.applied)
+	}
+	upTo := index - min(tail, index)
+	if upTo <= n.log.snapIndex {
+		return n.log.snapIndex + 1, nil
+	}
+	members := n.membersFor(upTo)
+	n.log.compact(upTo)
+	kept := []membersAt{{index: upTo, members: members}}
+	for _, c := range n.changes {
+		if c.index > upTo {
+			kept = append(kept, c)
+		}
+	}
+	n.changes = kept
+	return upTo + 1, nil
+}
+
+// SnapshotAt describes a snapshot of the state at an applied index.
+func (n *Node) SnapshotAt(index uint64) (Snapshot, error) {
+	if index > n.applied || index < n.log.snapIndex {
+		return Snapshot{}, fault.New(fault.Invalid, "no snapshot at %d: applied %d, log from %d", index, n.applied, n.log.snapIndex)
+	}
+	s := Snapshot{Index: index, Term: n.log.term(index), At: n.log.snapAt, Members: n.membersFor(index)}
+	if e := n.log.slice(index, index); len(e) == 1 {
+		s.At = e[0].At
+	}
+	return s, nil
+}
--- /dev/null
+++ b/core/raft/sim_test.go
@@ -0,0 +1,393 @@
+package raft_test
+
+import (
+	"fmt"
+	"math/rand"
+	"slices"
+	"time"
+
+	"github.com/comfreyladder/comfreyladder/core/raft"
+)
+
+const (
+	heartbeat = 10 * time.Millisecond
+	election  = 100 * time.Millisecond
+	tick      = 3 * time.Millisecond
+)
+
+// disk is what a member has synced.
+type disk struct {
+	hard    raft.HardState
+	snap    raft.Snapshot
+	entries []raft.Entry
+}
+
+// host runs one member, which may be down, frozen or cut off.
+type host struct {
+	id     raft.MemberID
+	node   *raft.Node
+	disk   disk
+	thaw   time.Time
+	rate   float64
+	joined bool
+	gone   bool
+	inbox  []raft.Message
+	state  uint64 // digest of all applied commands
+	last   uint64 // index of the last applied entry
+	role   raft.Role
+}
+
+type packet struct {
+	at  time.Time
+	msg raft.Message
+}
+
+type readKey struct{ index uint64 }
+
+// sim is a group of members under faults, with the checks of an omniscient
+// observer. A violated check is kept in bad.
+type sim struct {
+	rnd     *rand.Rand
+	now     time.Time
+	hosts   map[raft.MemberID]*host
+	order   []raft.MemberID
+	net     []packet
+	cuts    map[[2]raft.MemberID]bool
+	drop    float64
+	nextID  raft.MemberID
+	leaders map[uint64]raft.MemberID
+	commits map[uint64]raft.Entry
+	seenAt  map[uint64]uint64 // index -> lowest term in which its commit was seen
+	states  map[uint64]uint64 // index -> digest after it
+	top     uint64
+	reads   map[uint64]readKey
+	served  int
+	context uint64
+	bad     []string
+	// founders is the membership at the start.
+	founders raft.Members
+	crash    float64 // chance of a crash inside the handling of a Ready
+	compact  float64
+}
+
+func newSim(seed int64, voters int) *sim {
+	s := &sim{rnd: rand.New(rand.NewSource(seed)), now: time.Unix(1_000_000, 0), hosts: map[raft.MemberID]*host{},
+		cuts: map[[2]raft.MemberID]bool{}, leaders: map[uint64]raft.MemberID{}, commits: map[uint64]raft.Entry{},
+		seenAt: map[uint64]uint64{}, states: map[uint64]uint64{1: 0}, reads: map[uint64]readKey{}}
+	var members raft.Members
+	for i := range voters {
+		members = append(members, raft.Member{ID: raft.MemberID(i + 1), Name: fmt.Sprint("m", i+1), Voter: true})
+	}
+	s.founders = members
+	for _, m := range members {
+		s.add(m.ID, disk{hard: raft.HardState{Term: 1}, snap: raft.Snapshot{Index: 1, Term: 1, Members: members}})
+	}
+	s.nextID = raft.MemberID(voters + 1)
+	return s
+}
+
+func (s *sim) add(id raft.MemberID, d disk) *host {
+	h := &host{id: id, disk: d, rate: 0.97 + 0.06*s.rnd.Float64(), joined: len(d.snap.Members) > 0}
+	s.hosts[id] = h
+	s.order = append(s.order, id)
+	s.start(h)
+	return h
+}
+
+func (s *sim) fail(format string, args ...any) { s.bad = append(s.bad, fmt.Sprintf(format, args...)) }
+
+// clock returns a host's own clock, which runs up to 3% fast or slow.
+func (s *sim) clock(h *host) time.Time {
+	base := time.Unix(1_000_000, 0)
+	return base.Add(time.Duration(float64(s.now.Sub(base)) * h.rate))
+}
+
+func (s *sim) start(h *host) {
+	node, err := raft.New(s.clock(h), raft.Config{ID: h.id, Cluster: "c", Heartbeat: heartbeat, ElectionTimeout: election,
+		MaxBatch: 4, MaxWindow: 16, Rand: rand.New(rand.NewSource(s.rnd.Int63()))}, h.disk.hard, h.disk.snap, slices.Clone(h.disk.entries))
+	if err != nil {
+		s.fail("start of %d: %v", h.id, err)
+		return
+	}
+	h.node, h.inbox, h.role = node, nil, raft.Follower
+	h.last = h.disk.snap.Index
+	h.state = digestOf(h.disk.snap)
+}
+
+func digestOf(snap raft.Snapshot) uint64 {
+	var d uint64
+	_, _ = fmt.Sscan(string(snap.Data), &d)
+	return d
+}
+
+func (s *sim) stop(h *host) { h.node = nil }
+
+func (s *sim) running(h *host) bool { return h.node != nil && !h.gone && !s.now.Before(h.thaw) }
+
+// persist mirrors what a write-ahead log would hold after a sync.
+func (h *host) persist(r raft.Ready) {
+	h.disk.hard = r.HardState
+	if r.Snapshot != nil {
+		h.disk.snap, h.disk.entries = *r.Snapshot, nil
+	}
+	for _, e := range r.Entries {
+		h.disk.entries = slices.DeleteFunc(h.disk.entries, func(x raft.Entry) bool { return x.Index >= e.Index })
+		h.disk.entries = append(h.disk.entries, e)
+	}
+}
+
+func (s *sim) drain(h *host) {
+	for range 100 {
+		if h.node == nil {
+			return
+		}
+		r := h.node.Ready(s.clock(h))
+		if r.Empty() {
+			s.watchRole(h)
+			return
+		}
+		if s.rnd.Float64() < s.crash {
+			s.stop(h) // before the sync: all of it is lost
+			return
+		}
+		h.persist(r)
+		if s.rnd.Float64() < s.crash {
+			s.stop(h)
+			return
+		}
+		for _, m := range r.Messages {
+			s.transmit(h, m)
+			if s.rnd.Float64() < s.crash/10 {
+				s.stop(h)
+				return
+			}
+		}
+		s.apply(h, r)
+		h.node.Advance(s.clock(h), r)
+		s.watchRole(h)
+		s.maybeCompact(h)
+	}
+	s.fail("member %d is never done", h.id)
+}
+
+func (s *sim) transmit(h *host, m raft.Message) {
+	if m.Kind == raft.MsgSnapshot {
+		snap := h.disk.snap
+		m.Snapshot = &snap
+	}
+	copies := 1
+	if s.rnd.Float64() < s.drop {
+		copies = 0
+	} else if s.rnd.Float64() < s.drop {
+		copies = 2
+	}
+	for range copies {
+		delay := time.Duration(s.rnd.Int63n(int64(2 * time.Millisecond)))
+		if s.rnd.Float64() < s.drop {
+			delay = time.Duration(s.rnd.Int63n(int64(3 * election)))
+		}
+		s.net = append(s.net, packet{at: s.now.Add(delay), msg: m})
+	}
+}
+
+func (s *sim) apply(h *host, r raft.Ready) {
+	if r.Snapshot != nil {
+		h.state, h.last = digestOf(*r.Snapshot), r.Snapshot.Index
+		s.checkState(h, h.last)
+	}
+	for _, e := range r.Committed {
+		if e.Index != h.last+1 {
+			s.fail("member %d applies %d after %d", h.id, e.Index, h.last)
+		}
+		h.last = e.Index
+		if e.Kind == raft.EntryCommand {
+			for _, b := range e.Data {
+				h.state = h.state*1099511628211 + uint64(b) + 1
+			}
+		}
+		s.checkCommit(h, e)
+	}
+	for _, rd := range r.Reads {
+		if want, ok := s.reads[rd.Context]; ok {
+			s.served++
+			if rd.Index < want.index {
+				s.fail("read %d by %d sees %d, but %d was committed before it began", rd.Context, h.id, rd.Index, want.index)
+			}
+		}
+	}
+}
+
+func (s *sim) checkCommit(h *host, e raft.Entry) {
+	first, seen := s.commits[e.Index]
+	if seen && (first.Term != e.Term || string(first.Data) != string(e.Data)) {
+		s.fail("entry %d was committed as %d/%q, member %d has %d/%q", e.Index, first.Term, first.Data, h.id, e.Term, e.Data)
+	}
+	term := h.node.Status(s.clock(h)).Term
+	if !seen {
+		s.commits[e.Index], s.seenAt[e.Index] = e, term
+		s.top = max(s.top, e.Index)
+		if prev, ok := s.commits[e.Index-1]; ok && prev.At > e.At {
+			s.fail("the time stamp of %d goes back", e.Index)
+		}
+	}
+	s.seenAt[e.Index] = min(s.seenAt[e.Index], term)
+	s.checkState(h, e.Index)
+}
+
+func (s *sim) checkState(h *host, index uint64) {
+	if want, ok := s.states[index]; ok && want != h.state {
+		s.fail("member %d has another state at %d", h.id, index)
+	}
+	s.states[index] = h.state
+}
+
+// watchRole checks election safety and leader completeness.
+func (s *sim) watchRole(h *host) {
+	st := h.node.Status(s.clock(h))
+	if st.Role != raft.Leader || h.role == raft.Leader {
+		h.role = st.Role
+		return
+	}
+	h.role = st.Role
+	if other, ok := s.leaders[st.Term]; ok && other != h.id {
+		s.fail("%d and %d lead term %d", other, h.id, st.Term)
+	}
+	s.leaders[st.Term] = h.id
+	for index, e := range s.commits {
+		if s.seenAt[index] < st.Term && !h.has(e) {
+			s.fail("leader %d of term %d lacks committed entry %d/%d", h.id, st.Term, index, e.Term)
+		}
+	}
+}
+
+func (h *host) has(e raft.Entry) bool {
+	if e.Index <= h.disk.snap.Index {
+		return true
+	}
+	return slices.ContainsFunc(h.disk.entries, func(x raft.Entry) bool { return x.Index == e.Index && x.Term == e.Term })
+}
+
+func (s *sim) maybeCompact(h *host) {
+	if s.rnd.Float64() >= s.compact || h.last <= h.disk.snap.Index+5 {
+		return
+	}
+	snap, err := h.node.SnapshotAt(h.last)
+	if err != nil {
+		s.fail("snapshot: %v", err)
+		return
+	}
+	snap.Data = []byte(fmt.Sprint(h.state))
+	first, err := h.node.Compact(h.last, uint64(s.rnd.Intn(4)))
+	if err != nil {
+		s.fail("compact: %v", err)
+	}
+	h.disk.snap = snap
+	h.disk.entries = slices.DeleteFunc(h.disk.entries, func(e raft.Entry) bool { return e.Index < first })
+}
+
+// step lets one tick of time pass everywhere.
+func (s *sim) step() {
+	s.now = s.now.Add(tick)
+	due := s.net
+	s.net = nil
+	for _, p := range due {
+		if p.at.After(s.now) {
+			s.net = append(s.net, p)
+			continue
+		}
+		h := s.hosts[p.msg.To]
+		if h != nil && h.node != nil && !h.gone && !s.cuts[[2]raft.MemberID{p.msg.From, p.msg.To}] {
+			h.inbox = append(h.inbox, p.msg)
+		}
+	}
+	for _, id := range s.order {
+		h := s.hosts[id]
+		if !s.running(h) {
+			continue
+		}
+		inbox := h.inbox
+		h.inbox = nil
+		for _, m := range inbox {
+			if h.node == nil {
+				break
+			}
+			if err := h.node.Step(s.clock(h), m); err != nil {
+				s.fail("member %d: %v", id, err)
+				return
+			}
+			s.drain(h)
+		}
+		if h.node != nil {
+			h.node.Tick(s.clock(h))
+			s.drain(h)
+		}
+	}
+}
+
+// leader returns the running leader with the highest term, or nil.
+func (s *sim) leader() *host {
+	var best *host
+	var term uint64
+	for _, id := range s.order {
+		h := s.hosts[id]
+		if !s.running(h) {
+			continue
+		}
+		if st := h.node.Status(s.clock(h)); st.Role == raft.Leader && st.Term > term {
+			best, term = h, st.Term
+		}
+	}
+	return best
+}
+
+func (s *sim) until(limit int, ok func() bool) bool {
+	for range limit {
+		if len(s.bad) > 0 {
+			return false
+		}
+		if ok() {
+			return true
+		}
+		s.step()
+	}
+	return ok()
+}
+
+// propose proposes at the leader and waits until the entry is applied there.
+func (s *sim) propose(data string) bool {
+	done := false
+	return s.until(5000, func() bool {
+		l := s.leader()
+		if l == nil || done {
+			return done
+		}
+		index, term, err := l.node.Propose(s.clock(l), []byte(data))
+		if err != nil {
+			return false
+		}
+		s.drain(l)
+		s.until(400, func() bool { return s.top >= index })
+		e, ok := s.commits[index]
+		done = ok && e.Term == term
+		return done
+	})
+}
+
+func (s *sim) read(h *host) {
+	s.context++
+	s.reads[s.context] = readKey{index: s.top}
+	_ = h.node.ReadIndex(s.clock(h), s.context)
+	s.drain(h)
+}
+
+func (s *sim) calm() {
+	s.drop, s.crash = 0, 0
+	clear(s.cuts)
+	for _, id := range s.order {
+		h := s.hosts[id]
+		h.thaw = time.Time{}
+		if h.node == nil && !h.gone {
+			s.start(h)
+		}
+	}
+}
