--- /dev/null
+++ b/instance/wal/wal_test.go
@@ -0,0 +1,205 @@
+package wal_test
+
+import (
+	"bytes"
+	"fmt"
+	"testing"
+
+	. "github.com/onsi/gomega"
+	"github.com/pkg/errors"
+
+	"github.com/comfreyladder/comfreyladder/core/fault"
+	"github.com/comfreyladder/comfreyladder/instance/disk"
+	"github.com/comfreyladder/comfreyladder/instance/disk/disktest"
+	"github.com/comfreyladder/comfreyladder/instance/wal"
+)
+
+const firstSegment = "d/0000000000000000.wal"
+
+func open(fs disk.FS, segment int64) (*wal.Log, []string, error) {
+	var got []string
+	l, err := wal.Open(fs, "d", segment, func(seq uint64, p []byte) error {
+		got = append(got, fmt.Sprintf("%d:%s", seq, p))
+		return nil
+	})
+	return l, got, err
+}
+
+func must(t *testing.T, fs disk.FS, segment int64) (*wal.Log, []string) {
+	t.Helper()
+	l, got, err := open(fs, segment)
+	NewWithT(t).Expect(err).NotTo(HaveOccurred())
+	return l, got
+}
+
+func add(t *testing.T, l *wal.Log, records ...string) {
+	t.Helper()
+	var payloads [][]byte
+	for _, r := range records {
+		payloads = append(payloads, []byte(r))
+	}
+	_, err := l.Append(payloads...)
+	NewWithT(t).Expect(err).NotTo(HaveOccurred())
+}
+
+func TestRecordsComeBackAcrossSegmentsOnRealFiles(t *testing.T) {
+	g := NewWithT(t)
+	dir := t.TempDir() + "/a/b"
+	for round := range 3 {
+		seen := 0
+		l, err := wal.Open(disk.OS{}, dir, 50, func(seq uint64, p []byte) error {
+			g.Expect(string(p)).To(Equal(fmt.Sprintf("record %d", seq)))
+			seen++
+			return nil
+		})
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(seen).To(Equal(round * 20))
+		for i := range 20 {
+			add(t, l, fmt.Sprintf("record %d", round*20+i))
+		}
+		g.Expect(l.Close()).To(Succeed())
+	}
+}
+
+// What a user would see: an instance that lost power does not start again. What
+// happens: power fails while the last batch is written, after any number of its
+// bytes. Cause: a torn end that was never acknowledged is taken for damage, or
+// new records are written behind it.
+func TestTornEndIsCutAtEveryOffset(t *testing.T) {
+	g := NewWithT(t)
+	for torn := range 60 {
+		fs := disktest.NewMemory()
+		l, _ := must(t, fs, 0)
+		add(t, l, "one")
+		add(t, l, "two", "three")
+		fs.SyncFails = func(string) error { return fault.New(fault.Unavailable, "power failed") }
+		_, err := l.Append([]byte("lost"), bytes.Repeat([]byte("x"), 20))
+		g.Expect(err).To(HaveOccurred())
+		fs.SyncFails = nil
+		fs.Crash(torn)
+		l, got := must(t, fs, 0)
+		g.Expect(got[:3]).To(Equal([]string{"0:one", "1:two", "2:three"}))
+		g.Expect(len(got)).To(BeElementOf(3, 5), "a batch counts whole or not at all")
+		add(t, l, "next")
+		fs.Crash(0)
+		_, again := must(t, fs, 0)
+		g.Expect(again).To(HaveLen(len(got) + 1))
+	}
+}
+
+// What a user would see: a confirmed change is gone after a restart, without any
+// error. What happens: a bit of an old record flips on the disk, then the
+// instance restarts. Cause: the bad record is taken for a torn end, and all
+// acknowledged records from there on are cut off.
+func TestDamageInTheMiddleStopsTheOpen(t *testing.T) {
+	g := NewWithT(t)
+	build := func() (*disktest.Memory, int) {
+		fs := disktest.NewMemory()
+		l, _ := must(t, fs, 0)
+		add(t, l, "one")
+		size := len(mustRead(t, fs))
+		add(t, l, "two")
+		add(t, l, "three")
+		return fs, size
+	}
+	_, secondAt := build()
+	content, _ := build()
+	thirdAt := len(mustRead(t, content)) - (8 + 4 + len("three"))
+	for offset := range thirdAt {
+		for bit := range 8 {
+			fs, _ := build()
+			fs.Patch(firstSegment, func(b []byte) []byte { b[offset] ^= 1 << bit; return b })
+			_, _, err := open(fs, 0)
+			var d *wal.DamageError
+			g.Expect(errors.As(err, &d)).To(BeTrue(), "offset %d bit %d: %v", offset, bit, err)
+			g.Expect(fault.CodeOf(err)).To(Equal(fault.Corrupt))
+			want := int64(0)
+			if offset >= secondAt {
+				want = int64(secondAt)
+			}
+			g.Expect(*d).To(And(HaveField("File", firstSegment), HaveField("Offset", want)))
+		}
+	}
+}
+
+func mustRead(t *testing.T, fs *disktest.Memory) []byte {
+	t.Helper()
+	b, err := fs.ReadFile(firstSegment)
+	NewWithT(t).Expect(err).NotTo(HaveOccurred())
+	return b
+}
+
+func TestDamageBeforeTheLastSegmentStopsTheOpen(t *testing.T) {
+	g := NewWithT(t)
+	fs := disktest.NewMemory()
+	l, _ := must(t, fs, 1)
+	add(t, l, "one")
+	add(t, l, "two")
+	add(t, l, "three")
+	whole := mustRead(t, fs)
+	fs.Patch(firstSegment, func(b []byte) []byte { return b[:len(b)-1] })
+	_, _, err := open(fs, 1)
+	g.Expect(fault.CodeOf(err)).To(Equal(fault.Corrupt))
+	fs.Patch(firstSegment, func([]byte) []byte { return whole })
+	g.Expect(fs.Remove("d/0000000000000001.wal")).To(Succeed())
+	_, _, err = open(fs, 1)
+	g.Expect(err).To(MatchError(ContainSubstring("should begin with record 1")))
+}
+
+// What a user would see: a confirmed change is gone after a power failure. What
+// happens: a sync fails, it is tried again and succeeds, then power fails. Cause:
+// after a failed sync the system may drop the data and report success.
+func TestFailedSyncIsFinal(t *testing.T) {
+	g := NewWithT(t)
+	fs := disktest.NewMemory()
+	l, _ := must(t, fs, 0)
+	fs.SyncFails = func(string) error { return fault.New(fault.Unavailable, "input/output error") }
+	_, err := l.Append([]byte("a"))
+	g.Expect(err).To(MatchError(ContainSubstring("input/output error")))
+	fs.SyncFails = nil
+	syncs := fs.Syncs
+	_, again := l.Append([]byte("b"))
+	g.Expect(again).To(Equal(err))
+	g.Expect(l.TruncateHead(1)).To(Equal(err))
+	g.Expect(fs.Syncs).To(Equal(syncs), "the sync must not be tried again")
+}
+
+// What a user would see: an instance that ran well for days has lost its last
+// hours after a power failure. What happens: a new segment is begun, records in
+// it are synced, power fails. Cause: the file's name in its folder was not synced.
+func TestNewSegmentSurvivesACrash(t *testing.T) {
+	g := NewWithT(t)
+	fs := disktest.NewMemory()
+	l, _ := must(t, fs, 1)
+	for i := range 5 {
+		add(t, l, fmt.Sprint(i))
+		fs.Crash(0)
+		var got []string
+		l, got = must(t, fs, 1)
+		g.Expect(got).To(HaveLen(i + 1))
+	}
+}
+
+func TestHeadIsTruncatedInWholeSegments(t *testing.T) {
+	g := NewWithT(t)
+	fs := disktest.NewMemory()
+	l, _ := must(t, fs, 40)
+	for i := range 10 {
+		add(t, l, fmt.Sprintf("record %d", i))
+	}
+	g.Expect(l.TruncateHead(6)).To(Succeed())
+	fs.Crash(0)
+	l, got := must(t, fs, 40)
+	g.Expect(got[0]).To(Or(HavePrefix("5:"), HavePrefix("6:"), HavePrefix("4:")))
+	g.Expect(got[len(got)-1]).To(Equal("9:record 9"))
+	g.Expect(l.Next()).To(Equal(uint64(10)))
+}
+
+func TestManyRecordsShareOneSync(t *testing.T) {
+	g := NewWithT(t)
+	fs := disktest.NewMemory()
+	l, _ := must(t, fs, 0)
+	before := fs.Syncs
+	add(t, l, "a", "b", "c", "d")
+	g.Expect(fs.Syncs).To(Equal(before + 1))
+}
