--- a/core/control/machine.go
+++ b/core/control/machine.go
@@ -21,16 +21,23 @@
 	Restore(snapshot []byte) error
 }
 
-// Entry is one command of the log.
-type Entry struct {
+// Command is what a log entry carries.
+type Command struct {
 	// Machine names the sub-machine that the command is for.
 	Machine string `codec:"m"`
-	// At is stamped by the leader, in nanoseconds since the Unix epoch. It
-	// never decreases along the log.
-	At int64 `codec:"t"`
-	// Request identifies the proposal so that its proposer finds the result.
-	// It is unique among proposals; a resend after a restart has another one.
+	// Request identifies the proposal so that its proposer finds the result. It
+	// is unique among proposals; it does not make a command idempotent, which is
+	// for each sub-machine to do by keys of its own.
 	Request string `codec:"r"`
 	// Data is the command in the sub-machine's own encoding.
 	Data []byte `codec:"d"`
 }
+
+// Entry is one committed command.
+type Entry struct {
+	Command
+	// Index is the command's place in the log.
+	Index uint64
+	// At is stamped by the leader and never decreases along the log.
+	At time.Time
+}
--- /dev/null
+++ b/core/control/revision/machine.go
@@ -0,0 +1,190 @@
+package revision
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/comfreyladder/comfreyladder/core/control"
+	"github.com/comfreyladder/comfreyladder/core/intent"
+)
+
+// Limits of the history that explains what moved.
+const (
+	// MaxHistory is how many revisions are kept with their changes.
+	MaxHistory = 256
+	// MaxHistoryBytes bounds their encoded size, so that some large intents
+	// do not fill the memory of every member.
+	MaxHistoryBytes = 4 << 20
+)
+
+// Machine holds the current document, the history, and a record of every number
+// that was ever accepted: some 200 bytes each, which a resend finds again after
+// any time. It is not safe for concurrent use.
+type Machine struct {
+	s       state
+	numbers map[uint64]Record
+}
+
+type state struct {
+	Revision uint64          `codec:"r"`
+	Document intent.Document `codec:"d"`
+	History  []Moved         `codec:"h"`
+	Records  []Record        `codec:"n"`
+}
+
+var _ control.Machine = (*Machine)(nil)
+
+// New returns a machine at revision 0, the empty document.
+func New() *Machine { return &Machine{numbers: map[uint64]Record{}} }
+
+// Current returns the revision in force and its document, which must not be
+// changed. Revision 0 is the empty document before the first intent.
+func (m *Machine) Current() (uint64, *intent.Document) { return m.s.Revision, &m.s.Document }
+
+// ByNumber returns the accepted intent with a number.
+func (m *Machine) ByNumber(number uint64) (Record, bool) {
+	r, ok := m.numbers[number]
+	return r, ok
+}
+
+// Since returns the known revisions after base, oldest first, and the first one
+// that is still known.
+func (m *Machine) Since(base uint64) (moved []Moved, from uint64) {
+	from = m.s.Revision + 1
+	if len(m.s.History) > 0 {
+		from = m.s.History[0].Record.Revision
+	}
+	i := slices.IndexFunc(m.s.History, func(x Moved) bool { return x.Record.Revision > base })
+	if i < 0 {
+		return nil, from
+	}
+	return slices.Clone(m.s.History[i:]), from
+}
+
+// Apply implements control.Machine.
+func (m *Machine) Apply(_ uint64, at time.Time, data []byte) []byte {
+	var c Confirm
+	answer := Answer{Outcome: Refused, Detail: "the confirm does not decode"}
+	if control.Unmarshal(data, &c) == nil {
+		answer = m.confirm(c, at)
+	}
+	answer.Current = m.s.Revision
+	b, err := control.Marshal(&answer)
+	if err != nil {
+		return nil
+	}
+	return b
+}
+
+func (m *Machine) confirm(c Confirm, at time.Time) Answer {
+	digest, err := DigestOf(&c.Document)
+	if err != nil {
+		return Answer{Outcome: Refused, Detail: err.Error()}
+	}
+	if r, taken := m.numbers[c.Number]; taken {
+		return m.again(c, digest, r)
+	}
+	if refusal := m.refuse(c); refusal != nil {
+		return *refusal
+	}
+	r := Record{Revision: m.s.Revision + 1, Operator: c.Operator, Number: c.Number, Digest: digest, At: at.UnixNano()}
+	m.accept(r, c.Document)
+	return Answer{Outcome: Accepted, Record: r}
+}
+
+// again answers a confirm whose number was accepted before. It comes first, even
+// before the check of the base: after its answer was lost, the sender of the
+// accepted confirm must not be told that the base moved, by itself, and plan the
+// same change twice. The base is not part of the content: the operator may have
+// planned anew before sending again.
+func (m *Machine) again(c Confirm, digest Digest, r Record) Answer {
+	switch {
+	case r.Operator == c.Operator && r.Digest == digest:
+		return Answer{Outcome: Accepted, Record: r}
+	case r.Operator == c.Operator:
+		return Answer{Outcome: ContentDiffers, Record: r,
+			Detail: fmt.Sprintf("your intent %d with other content is revision %d already; choose another number", c.Number, r.Revision)}
+	}
+	a := Answer{Outcome: NumberTaken, Record: r,
+		Detail: fmt.Sprintf("intent %d of operator %q won and is revision %d; choose another number", c.Number, r.Operator, r.Revision)}
+	for _, h := range m.s.History {
+		if h.Record.Revision == r.Revision {
+			a.Moved, a.MovedFrom = []Moved{h}, r.Revision
+		}
+	}
+	return a
+}
+
+func (m *Machine) refuse(c Confirm) *Answer {
+	if err := c.Document.Validate(); err != nil {
+		a := &Answer{Outcome: Refused, Detail: err.Error()}
+		var p *intent.ProblemsError
+		if errors.As(err, &p) {
+			a.Problems = p.Problems
+		}
+		return a
+	}
+	if !m.mayConfirm(c.Operator) {
+		return &Answer{Outcome: NotAllowed, Detail: fmt.Sprintf("operator %q may not confirm under revision %d", c.Operator, m.s.Revision)}
+	}
+	if c.Base == m.s.Revision {
+		return nil
+	}
+	a := &Answer{Outcome: BaseMoved, Detail: fmt.Sprintf("the plan was made on revision %d, the current one is %d", c.Base, m.s.Revision)}
+	a.Moved, a.MovedFrom = m.Since(c.Base)
+	return a
+}
+
+// mayConfirm asks the current document, except before the first intent, which
+// brings the operators.
+func (m *Machine) mayConfirm(operator string) bool {
+	if m.s.Revision == 0 {
+		return true
+	}
+	return slices.ContainsFunc(m.s.Document.Operators, func(o intent.Operator) bool {
+		return o.Name == operator && !o.ReadOnly
+	})
+}
+
+func (m *Machine) accept(r Record, doc intent.Document) {
+	encoded, err := control.Marshal(intent.Diff(&m.s.Document, &doc))
+	if err != nil {
+		encoded = nil
+	}
+	m.s.Revision, m.s.Document = r.Revision, doc
+	m.s.Records = append(m.s.Records, r)
+	m.numbers[r.Number] = r
+	m.s.History = append(m.s.History, Moved{Record: r, Encoded: encoded})
+	m.trim()
+}
+
+func (m *Machine) trim() {
+	size := 0
+	for i := len(m.s.History) - 1; i >= 0; i-- {
+		size += len(m.s.History[i].Encoded)
+		if len(m.s.History)-i > MaxHistory || size > MaxHistoryBytes {
+			m.s.History = slices.Clone(m.s.History[i+1:])
+			return
+		}
+	}
+}
+
+// Snapshot implements control.Machine.
+func (m *Machine) Snapshot() ([]byte, error) { return control.Marshal(&m.s) }
+
+// Restore implements control.Machine.
+func (m *Machine) Restore(snapshot []byte) error {
+	var s state
+	if err := control.Unmarshal(snapshot, &s); err != nil {
+		return err
+	}
+	m.s = s
+	m.numbers = make(map[uint64]Record, len(s.Records))
+	for _, r := range s.Records {
+		m.numbers[r.Number] = r
+	}
+	return nil
+}
