--- a/core/raft/explore_test.go
+++ b/core/raft/explore_test.go
@@ -23,7 +23,7 @@
 	var commits, reads, leaders int
 	for seed := range int64(seeds) {
 		s := newSim(seed, 3+2*int(seed%2))
-		s.drop, s.crash, s.compact = 0.05, 0.0005, 0.02
+		s.drop, s.crash, s.compact = []float64{0.02, 0.1, 0.3}[seed%3], []float64{0.0003, 0.003}[seed/3%2], 0.02
 		for range 4000 {
 			s.disturb()
 			s.step()
@@ -208,3 +208,23 @@
 	}
 	return b.String()
 }
+
+// BenchmarkRecovery measures the time from a leader's death to the next commit,
+// as a multiple of the election timeout and in ticks of the simulated clock.
+func BenchmarkRecovery(b *testing.B) {
+	ticks := 0
+	for i := range b.N {
+		s := newSim(int64(i), 3)
+		if !s.propose("first") {
+			b.Fatal(s.describe())
+		}
+		s.stop(s.leader())
+		begin := s.now
+		if !s.propose("second") {
+			b.Fatal(s.describe())
+		}
+		ticks += int(s.now.Sub(begin) / tick)
+	}
+	b.ReportMetric(float64(ticks)/float64(b.N), "ticks/op")
+	b.ReportMetric(float64(ticks)*tick.Seconds()/float64(b.N)/election.Seconds(), "election-timeouts/op")
+}
--- a/core/raft/founding/founding.go
+++ b/core/raft/founding/founding.go
@@ -221,9 +221,6 @@
 	if f.state.Phase == Empty || !same(f.state.Charter, m.Charter) {
 		return
 	}
-	if member, ok := f.state.Charter.Members.Get(m.ID); !ok || member.Name != m.From {
-		return
-	}
 	f.accepted[m.From] = true
 	f.finish()
 }
--- a/instance/consensus/history_test.go
+++ b/instance/consensus/history_test.go
@@ -13,6 +13,7 @@
 	"github.com/anishathalye/porcupine"
 	. "github.com/onsi/gomega"
 
+	"github.com/comfreyladder/comfreyladder/core/control"
 	"github.com/comfreyladder/comfreyladder/core/control/revision"
 	"github.com/comfreyladder/comfreyladder/core/fault"
 	"github.com/comfreyladder/comfreyladder/instance/consensus"
@@ -107,12 +108,13 @@
 
 // operate is one operator: it reads, confirms on what it read with a number that
 // others choose as well, and now and then sends an old confirm again.
-func (h *history) operate(g *group, client int, ops int) {
+func (h *history) operate(g *group, client int, done <-chan struct{}) {
 	rnd := rand.New(rand.NewSource(int64(client)))
 	operator := []string{"ada", "bo", "cy", "dee"}[client]
 	var sent []historyInput
 	var base uint64
-	for range ops {
+	for !closed(done) {
+		time.Sleep(time.Duration(rnd.Intn(20)) * time.Millisecond)
 		name := trio[rnd.Intn(len(trio))]
 		call := time.Since(h.at)
 		if rnd.Intn(3) == 0 {
@@ -150,13 +152,9 @@
 	if _, err := s.Read(context.Background()); err != nil {
 		return historyOutput{unknown: true}
 	}
-	g.mu.Lock()
-	again := g.members[name].service
-	g.mu.Unlock()
-	if again != s {
-		return historyOutput{unknown: true}
-	}
-	return historyOutput{revision: g.revisionAt(name)}
+	var out historyOutput
+	s.View(func(_ uint64, m *control.Mux) { out.revision, _ = m.Machine(revision.Name).(*revision.Machine).Current() })
+	return out
 }
 
 // What a user would see: two operators are both told that they won, a resend
@@ -174,14 +172,12 @@
 		clients.Add(1)
 		go func() {
 			defer clients.Done()
-			h.operate(g, client, 60)
+			h.operate(g, client, done)
 		}()
 	}
-	go func() {
-		clients.Wait()
-		close(done)
-	}()
-	g.torment(done)
+	g.torment(30)
+	close(done)
+	clients.Wait()
 	g.setNetwork(0)
 	codes := map[revision.Outcome]int{}
 	for _, op := range h.ops {
@@ -200,23 +196,28 @@
 	gm.Expect(porcupine.CheckOperationsTimeout(confirmModel, h.ops, time.Minute)).To(Equal(porcupine.Ok))
 }
 
-// torment crashes, restarts and cuts members until done.
-func (g *group) torment(done <-chan struct{}) {
+func closed(done <-chan struct{}) bool {
+	select {
+	case <-done:
+		return true
+	default:
+		return false
+	}
+}
+
+// torment crashes, restarts and cuts members a number of times.
+func (g *group) torment(steps int) {
 	rnd := rand.New(rand.NewSource(3))
 	down := ""
-	for {
-		select {
-		case <-done:
-			if down != "" {
-				g.start(down)
-			}
-			return
-		case <-time.After(time.Duration(50+rnd.Intn(100)) * time.Millisecond):
-		}
-		switch rnd.Intn(4) {
+	for range steps {
+		time.Sleep(time.Duration(50+rnd.Intn(100)) * time.Millisecond)
+		switch rnd.Intn(5) {
 		case 0:
 			if down == "" {
 				down = trio[rnd.Intn(3)]
+				if leader := g.leader(); leader != "" {
+					down = leader
+				}
 				g.crash(down)
 			}
 		case 1:
@@ -225,9 +226,14 @@
 				down = ""
 			}
 		case 2:
-			g.setNetwork(0.05, trio[rnd.Intn(3)]+">"+trio[rnd.Intn(3)])
+			g.setNetwork(0.1, trio[rnd.Intn(3)]+">"+trio[rnd.Intn(3)])
 		case 3:
+			g.setNetwork(0.2)
+		case 4:
 			g.setNetwork(0.02)
 		}
 	}
+	if down != "" {
+		g.start(down)
+	}
 }
