--- /dev/null
+++ b/instance/link/queue.go
@@ -0,0 +1,142 @@
+package link
+
+import (
+	"sync"
+	"time"
+
+	"github.com/comfreyladder/comfreyladder/core/fault"
+)
+
+// item is one envelope on its way out.
+type item struct {
+	channel string
+	lossy   bool
+	bulk    bool
+	data    []byte
+	queued  time.Time
+	call    *call // nil for messages that expect no answer
+}
+
+// queue holds what waits for a connection: control before bulk, each bounded in
+// messages and both together in bytes, so that a peer that cannot be reached
+// costs a bounded amount of memory.
+type queue struct {
+	mu       sync.Mutex
+	control  []*item
+	bulk     []*item
+	bytes    int
+	maxItems int
+	maxBytes int
+	ready    chan struct{}
+}
+
+func newQueue(maxItems, maxBytes int) *queue {
+	return &queue{maxItems: maxItems, maxBytes: maxBytes, ready: make(chan struct{}, 1)}
+}
+
+// push adds an item without blocking. A full queue drops the oldest item of the
+// same channel when that is lossy, and refuses others with fault.Overloaded. The
+// first result says whether something was dropped.
+func (q *queue) push(it *item) (bool, error) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	list := q.list(it.bulk)
+	dropped := false
+	if len(*list) >= q.maxItems || q.bytes+len(it.data) > q.maxBytes {
+		if !it.lossy {
+			return false, fault.New(fault.Overloaded, "the queue to the peer is full: %d messages, %d bytes", len(*list), q.bytes)
+		}
+		dropped = true
+		if !q.dropOldest(list, it.channel) || q.bytes+len(it.data) > q.maxBytes {
+			return true, nil
+		}
+	}
+	it.queued = time.Now()
+	*list = append(*list, it)
+	q.bytes += len(it.data)
+	select {
+	case q.ready <- struct{}{}:
+	default:
+	}
+	return dropped, nil
+}
+
+func (q *queue) list(bulk bool) *[]*item {
+	if bulk {
+		return &q.bulk
+	}
+	return &q.control
+}
+
+func (q *queue) dropOldest(list *[]*item, channel string) bool {
+	for i, it := range *list {
+		if it.channel == channel {
+			q.bytes -= len(it.data)
+			*list = append((*list)[:i], (*list)[i+1:]...)
+			return true
+		}
+	}
+	return false
+}
+
+// pop takes the next item, or nil.
+func (q *queue) pop() *item {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	for _, list := range []*[]*item{&q.control, &q.bulk} {
+		if len(*list) == 0 {
+			continue
+		}
+		it := (*list)[0]
+		(*list)[0] = nil
+		*list = (*list)[1:]
+		q.bytes -= len(it.data)
+		return it
+	}
+	return nil
+}
+
+// remove takes a call's item out; false means that a writer has it already.
+func (q *queue) remove(c *call) bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	for _, list := range []*[]*item{&q.control, &q.bulk} {
+		for i, it := range *list {
+			if it.call == c {
+				q.bytes -= len(it.data)
+				*list = append((*list)[:i], (*list)[i+1:]...)
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// takeCalls takes out all items that expect an answer and drops lossy ones.
+func (q *queue) takeCalls() []*call {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	var calls []*call
+	for _, list := range []*[]*item{&q.control, &q.bulk} {
+		kept := (*list)[:0:0]
+		for _, it := range *list {
+			if it.call == nil && !it.lossy {
+				kept = append(kept, it)
+				continue
+			}
+			q.bytes -= len(it.data)
+			if it.call != nil {
+				calls = append(calls, it.call)
+			}
+		}
+		*list = kept
+	}
+	return calls
+}
+
+// waiting reports whether something is queued.
+func (q *queue) waiting() bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return len(q.control)+len(q.bulk) > 0
+}
--- /dev/null
+++ b/instance/link/queue_test.go
@@ -0,0 +1,36 @@
+package link
+
+import (
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/comfreyladder/comfreyladder/core/fault"
+)
+
+func TestQueueOrderAndBounds(t *testing.T) {
+	g := NewWithT(t)
+	q := newQueue(2, 100)
+	push := func(channel string, lossy, bulk bool, size int) (bool, error) {
+		return q.push(&item{channel: channel, lossy: lossy, bulk: bulk, data: make([]byte, size)})
+	}
+	_, err := push("bulk", false, true, 10)
+	g.Expect(err).NotTo(HaveOccurred())
+	_, err = push("beats", true, false, 20)
+	g.Expect(err).NotTo(HaveOccurred())
+	_, err = push("votes", false, false, 1)
+	g.Expect(err).NotTo(HaveOccurred())
+	_, err = push("votes", false, false, 1)
+	g.Expect(fault.CodeOf(err)).To(Equal(fault.Overloaded))
+	dropped, err := push("beats", true, false, 30)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(dropped).To(BeTrue())
+
+	var order []string
+	for it := q.pop(); it != nil; it = q.pop() {
+		order = append(order, it.channel)
+		g.Expect(it.channel != "beats" || len(it.data) == 30).To(BeTrue(), "the oldest is dropped, not the newest")
+	}
+	g.Expect(order).To(Equal([]string{"votes", "beats", "bulk"}))
+	g.Expect(q.bytes).To(BeZero())
+}
