--- a/instance/link/link_test.go
+++ b/instance/link/link_test.go
@@ -206,7 +206,7 @@
 		two := start("two", b, nil)
 		_, err := call(one, "two", "echo", "x")
 		Expect(fault.CodeOf(err)).To(Equal(fault.NotRun))
-		Expect(two.RefusedLinks()).To(BeNumerically(">=", 1))
+		Eventually(two.RefusedLinks, limit).Should(BeNumerically(">=", 1))
 		Expect(two.Stats()).To(BeEmpty())
 	})
 
