--- a/core/member/member.go
+++ b/core/member/member.go
@@ -62,19 +62,18 @@
 	Revision uint64 `codec:"r"`
 }
 
-// newer reports whether a says more than b about the same name. Leaving is final
-// for an incarnation: a heartbeat that was sent before and comes late must not
-// bring the instance back.
+// newer reports whether a says more than b about the same name. Without this
+// order, a heartbeat that was sent earlier and comes late, or is relayed in
+// circles, would count as a sign of life and bring back an instance that is dead
+// or has left. An instance that leaves sends nothing greater afterwards.
 func newer(a, b Info) bool {
 	switch {
 	case a.Incarnation != b.Incarnation:
 		return a.Incarnation > b.Incarnation
-	case b.Declared == Left:
-		return false
-	case a.Declared == Left:
-		return true
+	case a.Beat != b.Beat:
+		return a.Beat > b.Beat
 	}
-	return a.Beat > b.Beat
+	return a.Declared == Left && b.Declared != Left
 }
 
 // Member is an instance as others see it.
--- a/core/member/member_test.go
+++ b/core/member/member_test.go
@@ -143,13 +143,28 @@
 	g.Expect(status(two, now, "i1")).To(Equal(member.Alive))
 }
 
+// Story: an instance is cut off from one that died, and hears of its last
+// heartbeat from a third one, late. Silence counts from the heartbeat itself.
+func TestRelayedSilence(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Unix(1000, 0)
+	dead, relay, other := member.New(cfg, info(1, 1)), member.New(cfg, info(2, 1)), member.New(cfg, info(3, 1))
+	other.Receive(now, dead.Heartbeat())
+	relay.Receive(now, dead.Heartbeat())
+	other.Receive(now.Add(2*time.Second), relay.Full(now.Add(2*time.Second)))
+	now = now.Add(cfg.SuspectAfter + time.Second)
+	other.Tick(now)
+	g.Expect(status(other, now, "i1")).To(Equal(member.Suspect))
+}
+
 func TestReplacedInstance(t *testing.T) {
 	g := NewWithT(t)
 	now := time.Unix(1000, 0)
 	old, other := member.New(cfg, info(1, 1)), member.New(cfg, info(2, 1))
 	late := old.Heartbeat()
+	other.Receive(now, late)
 	old.Leave()
-	other.Receive(now, old.Heartbeat())
+	other.Receive(now, old.Full(now))
 	other.Receive(now, late)
 	g.Expect(status(other, now, "i1")).To(Equal(member.Left))
 
