--- /dev/null
+++ b/core/registry/registry_test.go
@@ -0,0 +1,199 @@
+package registry_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/comfreyladder/comfreyladder/core/announce"
+	"github.com/comfreyladder/comfreyladder/core/intent"
+	"github.com/comfreyladder/comfreyladder/core/registry"
+)
+
+const (
+	ttl       = 2500 * time.Millisecond
+	step      = 250 * time.Millisecond
+	instances = 3
+)
+
+func beat(incarnation, sequence uint64) announce.Beat {
+	return announce.Beat{
+		Name: "e1", Domain: "hall", Kind: intent.KindEngine, Address: "127.0.0.1:1", Slots: 1,
+		Incarnation: incarnation, Sequence: sequence, TTLMillis: ttl.Milliseconds(),
+	}
+}
+
+// held is a beat as one instance keeps it for relaying.
+type held struct {
+	m  registry.Relayed
+	at time.Time
+}
+
+// domain is a few instances that relay the beats of one upstream.
+type domain struct {
+	now         time.Time
+	regs        [instances]*registry.Registry
+	left        [instances]uint64 // the incarnation whose leave it has seen
+	flying      []held
+	incarnation uint64
+	sequence    uint64
+	alive       bool
+	ended       time.Time
+}
+
+func (d *domain) announce(t *rapid.T) {
+	if !d.alive {
+		if rapid.IntRange(0, 40).Draw(t, "returns") == 0 {
+			d.incarnation, d.sequence, d.alive = d.incarnation+1, 0, true
+		}
+		return
+	}
+	d.sequence++
+	b := beat(d.incarnation, d.sequence)
+	switch rapid.IntRange(0, 20).Draw(t, "event") {
+	case 0:
+		d.alive, d.ended = false, d.now
+		return
+	case 1:
+		d.alive, d.ended = false, d.now
+		b.Leave = true
+	}
+	to := rapid.IntRange(0, instances-1).Draw(t, "to")
+	d.regs[to].Apply(d.now, b)
+	d.sawLeave(to, b)
+	d.flying = append(d.flying, held{registry.Relayed{Beat: b, Remaining: ttl}, d.now})
+}
+
+func (d *domain) relay(t *rapid.T) {
+	for _, h := range d.flying {
+		if rapid.IntRange(0, 2).Draw(t, "relay") > 0 {
+			continue
+		}
+		to := rapid.IntRange(0, instances-1).Draw(t, "relay to")
+		m, ok := registry.Aged(h.m, d.now.Sub(h.at))
+		if ok && d.regs[to].ApplyRelayed(d.now, m) == registry.Accepted {
+			d.sawLeave(to, m.Beat)
+			d.flying = append(d.flying, held{m, d.now})
+		}
+	}
+}
+
+func (d *domain) sawLeave(to int, b announce.Beat) {
+	if b.Leave {
+		d.left[to] = max(d.left[to], b.Incarnation)
+	}
+}
+
+func (d *domain) check(t *rapid.T) {
+	for i, r := range d.regs {
+		r.Expire(d.now)
+		u := r.View().Find("e1")
+		if u == nil {
+			continue
+		}
+		if !d.alive && d.now.Sub(d.ended) >= registry.MaxSilence {
+			t.Fatalf("instance %d still uses it %s after its end", i, d.now.Sub(d.ended))
+		}
+		if u.Incarnation <= d.left[i] {
+			t.Fatalf("instance %d uses incarnation %d although it knows that %d left", i, u.Incarnation, d.left[i])
+		}
+	}
+}
+
+// Story: an upstream announces itself to one instance or another, the instances
+// relay the beats to each other, late, doubled and in any order, and then it
+// dies or leaves. If a relayed beat counted like a fresh one, the instances
+// would keep it alive for each other for ever, and requests would go to it.
+func TestNothingIsUsableAfterTheBound(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		d := &domain{now: time.Unix(1000, 0), incarnation: 1, alive: true}
+		for i := range d.regs {
+			d.regs[i] = registry.New("hall")
+		}
+		for range rapid.IntRange(20, 120).Draw(t, "steps") {
+			d.now = d.now.Add(step)
+			d.announce(t)
+			d.relay(t)
+			d.check(t)
+		}
+	})
+}
+
+func TestOrderOfBeats(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Unix(1000, 0)
+	r := registry.New("hall")
+	g.Expect(r.Apply(now, beat(1, 2))).To(Equal(registry.Accepted))
+	g.Expect(r.Apply(now, beat(1, 2))).To(Equal(registry.Stale))
+	g.Expect(r.Apply(now, beat(1, 1))).To(Equal(registry.Stale))
+	leave := beat(1, 3)
+	leave.Leave = true
+	g.Expect(r.Apply(now, leave)).To(Equal(registry.Accepted))
+	g.Expect(r.View().Find("e1")).To(BeNil())
+	g.Expect(r.Apply(now, beat(1, 4))).To(Equal(registry.Stale), "a leave is final for an incarnation")
+	g.Expect(r.Apply(now, beat(2, 1))).To(Equal(registry.Accepted))
+	g.Expect(r.View().Find("e1")).NotTo(BeNil())
+	other := beat(9, 9)
+	other.Domain = "elsewhere"
+	g.Expect(r.Apply(now, other)).To(Equal(registry.Foreign))
+}
+
+func TestLifetimes(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Unix(1000, 0)
+	r := registry.New("hall")
+	long := beat(1, 1)
+	long.TTLMillis = announce.MaxTTL.Milliseconds()
+	r.Apply(now, long)
+	before := r.View()
+	g.Expect(r.Expire(now.Add(registry.MaxSilence - 1))).To(BeEmpty())
+	g.Expect(r.Expire(now.Add(registry.MaxSilence))).To(Equal([]string{"e1"}))
+	g.Expect(r.View().Upstreams).To(BeEmpty())
+	g.Expect(r.View().Version).To(BeNumerically(">", before.Version))
+	g.Expect(before.Upstreams).To(HaveLen(1), "a view does not change")
+	g.Expect(r.Apply(now, long)).To(Equal(registry.Stale))
+
+	long.Sequence++
+	r.ApplyRelayed(now, registry.Relayed{Beat: long, Remaining: time.Hour})
+	g.Expect(r.Expire(now.Add(registry.MaxSilence))).To(Equal([]string{"e1"}))
+
+	r.Expire(now.Add(registry.ForgetAfter + time.Minute))
+	g.Expect(r.ApplyRelayed(now, registry.Relayed{Beat: long})).To(Equal(registry.Expired))
+}
+
+// Story: an engine evicts a prefix, the event that says so is lost, and requests
+// go on being sent there for it, away from engines that hold it.
+func TestCacheEventsWithGap(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Unix(1000, 0)
+	r := registry.New("hall")
+	apply := func(incarnation, sequence uint64, events ...announce.CacheEvent) *registry.Cache {
+		b := beat(incarnation, sequence)
+		b.Cache = events
+		r.Apply(now, b)
+		return r.View().Find("e1").Cache
+	}
+	first := apply(1, 1, announce.CacheEvent{Number: 1, Prefix: 10}, announce.CacheEvent{Number: 2, Prefix: 20})
+	second := apply(1, 2, announce.CacheEvent{Number: 2, Prefix: 20}, announce.CacheEvent{Number: 3, Prefix: 10, Dropped: true})
+	g.Expect([]bool{first.Holds(10), first.Holds(20), first.Doubtful}).To(Equal([]bool{true, true, false}))
+	g.Expect([]bool{second.Holds(10), second.Holds(20), second.Doubtful}).To(Equal([]bool{false, true, false}))
+	third := apply(1, 3, announce.CacheEvent{Number: 5, Prefix: 30})
+	g.Expect([]bool{third.Holds(20), third.Holds(30), third.Doubtful}).To(Equal([]bool{false, true, true}))
+	fourth := apply(2, 1)
+	g.Expect([]bool{fourth.Holds(30), fourth.Doubtful}).To(Equal([]bool{false, false}))
+}
+
+func TestAgeOfLoadReport(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Unix(1000, 0)
+	r := registry.New("hall")
+	b := beat(1, 1)
+	b.Load = &announce.Load{Running: 3, AgeMillis: 400}
+	r.ApplyRelayed(now, registry.Relayed{Beat: b, Remaining: time.Second, Age: 100 * time.Millisecond})
+	r.Apply(now, beat(1, 2))
+	u := r.View().Find("e1")
+	g.Expect(u.Load.Running).To(Equal(3))
+	g.Expect(now.Sub(u.LoadAt)).To(Equal(500 * time.Millisecond))
+}
