Spreading of control state as a pure state machine: tree, differences, lease

Leases are relayed as what remains and count from the question that was asked, so that neither delay nor a circle of cut-off instances prolongs them.

--- /dev/null
+++ b/core/tree/tree_test.go
@@ -0,0 +1,180 @@
+package tree_test
+
+import (
+	"bytes"
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/comfreyladder/comfreyladder/core/fault"
+	"github.com/comfreyladder/comfreyladder/core/tree"
+)
+
+const (
+	leaseTTL  = 8 * time.Second
+	followers = 4
+)
+
+// answer is an update on its way, or a copy of it.
+type answer struct {
+	to    int
+	asked time.Time
+	u     tree.Update
+}
+
+type model struct {
+	now       time.Time
+	root      *tree.Follower
+	revision  uint64
+	changed   map[uint64]time.Time // when the root put a revision in force
+	leads     bool
+	all       []*tree.Follower
+	highest   []uint64 // highest revision that each one acted on, over restarts
+	answers   []answer
+	lastRenew time.Time
+}
+
+func content(revision uint64) []byte {
+	return []byte(fmt.Sprintf("head %0*d tail", revision%20, revision))
+}
+
+func (m *model) step(t *rapid.T) {
+	m.now = m.now.Add(time.Duration(rapid.IntRange(0, 1500).Draw(t, "ms")) * time.Millisecond)
+	if m.leads {
+		m.root.Renew(m.now, leaseTTL)
+		m.lastRenew = m.now
+	}
+	switch rapid.IntRange(0, 12).Draw(t, "event") {
+	case 0, 1:
+		if m.leads {
+			m.revision++
+			m.changed[m.revision] = m.now
+			if err := m.root.Publish(m.revision, content(m.revision)); err != nil {
+				t.Fatal(err)
+			}
+		}
+	case 2:
+		m.leads = !m.leads
+	case 3:
+		i := rapid.IntRange(0, followers-1).Draw(t, "restart")
+		m.all[i] = tree.NewFollower()
+		m.all[i].Require(m.highest[i]) // told by the others' heartbeats
+	default:
+		m.ask(t)
+	}
+	m.deliver(t)
+	m.check(t)
+}
+
+func (m *model) ask(t *rapid.T) {
+	from := rapid.IntRange(0, followers-1).Draw(t, "from")
+	parent := m.root
+	if p := rapid.IntRange(0, followers).Draw(t, "parent"); p < followers {
+		parent = m.all[p]
+	}
+	u := parent.Answer(m.now, m.all[from].Question())
+	for range rapid.IntRange(0, 2).Draw(t, "copies") {
+		m.answers = append(m.answers, answer{from, m.now, u})
+	}
+}
+
+func (m *model) deliver(t *rapid.T) {
+	for len(m.answers) > 0 && rapid.Bool().Draw(t, "deliver") {
+		i := rapid.IntRange(0, len(m.answers)-1).Draw(t, "which")
+		a := m.answers[i]
+		m.answers = append(m.answers[:i], m.answers[i+1:]...)
+		// A restarted follower may not have the base any more: that is Corrupt.
+		_, _ = m.all[a.to].Offer(a.asked, a.u)
+	}
+}
+
+func (m *model) check(t *rapid.T) {
+	for i, f := range m.all {
+		if !f.Ready() {
+			continue
+		}
+		r := f.Revision()
+		if r < m.highest[i] {
+			t.Fatalf("follower %d went back from %d to %d", i, m.highest[i], r)
+		}
+		m.highest[i] = r
+		if !bytes.Equal(f.Content(), content(r)) {
+			t.Fatalf("follower %d has %q for %d", i, f.Content(), r)
+		}
+		if next, ok := m.changed[r+1]; ok && f.Lease(m.now).Valid && m.now.Sub(next) > leaseTTL {
+			t.Fatalf("follower %d trusts %d, which was replaced %s ago", i, r, m.now.Sub(next))
+		}
+		if f.Lease(m.now).Valid && m.now.Sub(m.lastRenew) > leaseTTL {
+			t.Fatalf("follower %d has a lease %s after the last renewal", i, m.now.Sub(m.lastRenew))
+		}
+	}
+}
+
+// Story: an operator's change is in force; then an instance gets a late answer,
+// or restarts without a disk and asks one that is behind, and acts on the old
+// configuration again. Or instances that are cut off from the control group
+// confirm to each other for ever that theirs is the newest.
+func TestRevisionsNeverGoBackAndLeasesEnd(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := &model{
+			now: time.Unix(1000, 0), root: tree.NewFollower(), changed: map[uint64]time.Time{}, leads: true,
+			highest: make([]uint64, followers), lastRenew: time.Unix(1000, 0),
+		}
+		for range followers {
+			m.all = append(m.all, tree.NewFollower())
+		}
+		for range rapid.IntRange(20, 150).Draw(t, "steps") {
+			m.step(t)
+		}
+	})
+}
+
+func TestDifferences(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Unix(1000, 0)
+	root, child := tree.NewFollower(), tree.NewFollower()
+	big := bytes.Repeat([]byte("organisation "), 10_000)
+	g.Expect(root.Publish(1, big)).To(Succeed())
+	_, err := child.Offer(now, root.Answer(now, child.Question()))
+	g.Expect(err).NotTo(HaveOccurred())
+	edited := append(append(bytes.Clone(big[:5000]), "new entry"...), big[5000:]...)
+	g.Expect(root.Publish(2, edited)).To(Succeed())
+	u := root.Answer(now, child.Question())
+	g.Expect(len(u.Middle)).To(BeNumerically("<", 100))
+	g.Expect(child.Offer(now, u)).To(Equal(tree.Applied))
+	g.Expect(child.Content()).To(Equal(edited))
+
+	far := tree.NewFollower()
+	_, err = far.Offer(now, u)
+	g.Expect(fault.CodeOf(err)).To(Equal(fault.Corrupt))
+	g.Expect(far.Ready()).To(BeFalse())
+	g.Expect(far.Offer(now, root.Answer(now, far.Question()))).To(Equal(tree.Applied))
+	g.Expect(fault.CodeOf(root.Publish(1, big))).To(Equal(fault.Conflict))
+	g.Expect(fault.CodeOf(root.Publish(2, big))).To(Equal(fault.Conflict))
+}
+
+func TestCandidates(t *testing.T) {
+	g := NewWithT(t)
+	const size = 21
+	nodes := []tree.Node{{Name: "leader", Domain: "far", Data: true}, {Name: "voter", Domain: "far", Data: true}}
+	for i := range size {
+		nodes = append(nodes, tree.Node{Name: fmt.Sprintf("i%02d", i), Domain: "hall"})
+	}
+	children := map[string]int{}
+	for _, n := range nodes[2:] {
+		c := tree.Candidates(n, "leader", nodes, tree.DefaultFanOut)
+		g.Expect(c).NotTo(ContainElement(n.Name))
+		g.Expect(c).To(HaveLen(len(nodes) - 1))
+		children[c[0]]++
+	}
+	g.Expect(children["leader"]).To(Equal(1), "one delegate of a domain asks the root")
+	for name, count := range children {
+		g.Expect(count).To(BeNumerically("<=", tree.DefaultFanOut), name)
+	}
+	g.Expect(tree.Candidates(nodes[2+20], "leader", nodes, tree.DefaultFanOut)[:4]).To(Equal([]string{"i04", "i00", "leader", "voter"}))
+	without := append(append([]tree.Node{}, nodes[:6]...), nodes[7:]...) // i04 is gone
+	g.Expect(tree.Candidates(nodes[2+20], "leader", without, tree.DefaultFanOut)[0]).NotTo(Equal("i04"))
+}
