--- a/core/tree/tree_test.go
+++ b/core/tree/tree_test.go
@@ -156,6 +156,28 @@
 	g.Expect(fault.CodeOf(root.Publish(2, big))).To(Equal(fault.Conflict))
 }
 
+// Story: an instance without a disk restarts and the first that it asks was cut
+// off and has an older configuration. It would serve by that one again.
+func TestRestartWithoutDisk(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Unix(1000, 0)
+	behind, recent, restarted := tree.NewFollower(), tree.NewFollower(), tree.NewFollower()
+	g.Expect(behind.Publish(4, content(4))).To(Succeed())
+	behind.Renew(now, leaseTTL)
+	g.Expect(recent.Publish(5, content(5))).To(Succeed())
+	late := behind.Answer(now, restarted.Question())
+	restarted.Require(5)
+	g.Expect(restarted.Offer(now, late)).To(Equal(tree.Behind))
+	g.Expect(restarted.Revision()).To(BeZero())
+	g.Expect(restarted.Offer(now, recent.Answer(now, restarted.Question()))).To(Equal(tree.Applied))
+	g.Expect(restarted.Offer(now, late)).To(Equal(tree.Behind))
+	g.Expect(restarted.Lease(now).Valid).To(BeFalse(), "a lease of an older revision does not count")
+	g.Expect(restarted.Ready()).To(BeTrue())
+	restarted.Require(6)
+	g.Expect(restarted.Ready()).To(BeFalse())
+	g.Expect(restarted.Offer(now, tree.Update{})).To(Equal(tree.Behind))
+}
+
 func TestCandidates(t *testing.T) {
 	g := NewWithT(t)
 	const size = 21
