--- a/core/member/member.go
+++ b/core/member/member.go
@@ -116,6 +116,7 @@
 	cfg        Config
 	self       Info
 	superseded bool
+	seen       uint64
 	members    map[string]*record
 	domains    map[string]*domainRecord
 }
@@ -143,6 +144,10 @@
 // SetRevision states the configuration revision that this instance acts on.
 func (t *Table) SetRevision(revision uint64) { t.self.Revision = revision }
 
+// RevisionSeen returns the highest configuration revision that any instance is
+// known to have acted on, this one before a restart included.
+func (t *Table) RevisionSeen() uint64 { return max(t.seen, t.self.Revision) }
+
 // Drain declares that this instance takes no new work.
 func (t *Table) Drain() {
 	if t.self.Declared == Alive {
--- a/core/member/member_test.go
+++ b/core/member/member_test.go
@@ -176,6 +176,10 @@
 	addr, _ := other.Address("i1")
 	g.Expect(addr).To(Equal("127.0.0.1:99"))
 
+	g.Expect(replaced.RevisionSeen()).To(BeZero())
+	replaced.Receive(now, member.Message{From: info(2, 1), Claims: []member.Claim{{Info: acted(info(1, 1), 6), Status: member.Left}}})
+	g.Expect(replaced.RevisionSeen()).To(BeEquivalentTo(6), "what it acted on before the restart")
+
 	zombie := member.New(cfg, info(1, 1))
 	zombie.Receive(now, other.Full(now))
 	g.Expect(zombie.Superseded()).To(BeTrue())
@@ -208,3 +212,8 @@
 	}
 	return 0
 }
+
+func acted(i member.Info, revision uint64) member.Info {
+	i.Revision = revision
+	return i
+}
--- a/core/member/message.go
+++ b/core/member/message.go
@@ -15,7 +15,9 @@
 
 // Message is one heartbeat, with a digest in some of them.
 type Message struct {
-	From   Info     `codec:"f"`
+	From Info `codec:"f"`
+	// Seen is the highest revision that the sender knows to have been acted on.
+	Seen   uint64   `codec:"v,omitempty"`
 	Claims []Claim  `codec:"c,omitempty"`
 	Others []Digest `codec:"o,omitempty"`
 }
@@ -41,7 +43,7 @@
 // Heartbeat counts and returns this instance's next heartbeat.
 func (t *Table) Heartbeat() Message {
 	t.self.Beat++
-	return Message{From: t.self}
+	return Message{From: t.self, Seen: t.RevisionSeen()}
 }
 
 // Full returns the latest heartbeat with all that this instance knows. To send
@@ -49,7 +51,7 @@
 // with n instances at n small messages a second each, where n full ones would
 // grow with the square.
 func (t *Table) Full(now time.Time) Message {
-	m := Message{From: t.self}
+	m := Message{From: t.self, Seen: t.RevisionSeen()}
 	for _, r := range t.members {
 		if r.info.Domain == t.self.Domain {
 			m.Claims = append(m.Claims, Claim{Info: r.info, Status: r.status, Silent: now.Sub(r.heard)})
@@ -114,9 +116,12 @@
 // Receive takes a message in. The result says that others suspect this instance
 // and that it refuted that: its next heartbeat should go out at once.
 func (t *Table) Receive(now time.Time, m Message) (refuted bool) {
+	t.seen = max(t.seen, m.Seen)
 	refuted = t.heard(now, Claim{Info: m.From, Status: m.From.Declared})
 	for _, c := range m.Claims {
-		refuted = t.heard(now, c) || refuted
+		if c.Info.Domain == t.self.Domain {
+			refuted = t.heard(now, c) || refuted
+		}
 	}
 	for _, d := range m.Others {
 		t.ReceiveDigest(now, d)
@@ -144,6 +149,7 @@
 }
 
 func (t *Table) heard(now time.Time, c Claim) bool {
+	t.seen = max(t.seen, c.Info.Revision)
 	if c.Info.Name == t.self.Name {
 		return t.heardOfSelf(c)
 	}
--- a/core/tree/tree_test.go
+++ b/core/tree/tree_test.go
@@ -171,6 +171,7 @@
 	g.Expect(restarted.Revision()).To(BeZero())
 	g.Expect(restarted.Offer(now, recent.Answer(now, restarted.Question()))).To(Equal(tree.Applied))
 	g.Expect(restarted.Offer(now, late)).To(Equal(tree.Behind))
+	g.Expect(recent.Offer(now, late)).To(Equal(tree.Behind))
 	g.Expect(restarted.Lease(now).Valid).To(BeFalse(), "a lease of an older revision does not count")
 	g.Expect(restarted.Ready()).To(BeTrue())
 	restarted.Require(6)
