--- /dev/null
+++ b/instance/registry/registry.go
@@ -0,0 +1,205 @@
+// Package registry runs a failure domain's view of its upstreams: it takes
+// announcements in, relays them to the domain's other instances and publishes
+// snapshots.
+package registry
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/comfreyladder/comfreyladder/core/announce"
+	"github.com/comfreyladder/comfreyladder/core/fault"
+	core "github.com/comfreyladder/comfreyladder/core/registry"
+	"github.com/comfreyladder/comfreyladder/instance/link"
+)
+
+const channelBeats = "registry.beats"
+
+const (
+	// DefaultInterval is how long accepted beats wait to be relayed together;
+	// it adds that much to the age of what other instances know.
+	DefaultInterval = 100 * time.Millisecond
+	// maxPending bounds the beats that wait for the next relay.
+	maxPending = core.MaxUpstreams
+)
+
+// Links is what this service needs of instance/link.
+type Links interface {
+	Send(to, channel string, msg any) error
+	Handle(channel string, h link.Handler, options ...link.ChannelOption)
+}
+
+// Config of a Service.
+type Config struct {
+	// Domain is this instance's failure domain.
+	Domain string
+	Links  Links
+	// Peers returns the names of the domain's other instances.
+	Peers func() []string
+	Log   zerolog.Logger
+	// Interval of relays and of the check for silent upstreams; zero means
+	// DefaultInterval.
+	Interval time.Duration
+	// OnChange is called with each new snapshot, in order. It must not block.
+	OnChange func(*core.View)
+}
+
+// batch is one message to the peers.
+type batch struct {
+	Beats []core.Relayed `codec:"b"`
+}
+
+type pending struct {
+	m  core.Relayed
+	at time.Time
+}
+
+// Service is one instance's view of the upstreams of its failure domain.
+type Service struct {
+	cfg    Config
+	view   atomic.Pointer[core.View]
+	mu     sync.Mutex
+	state  *core.Registry
+	queue  []pending
+	cancel context.CancelFunc
+	done   sync.WaitGroup
+}
+
+// New returns a service that is not started; it registers its channel.
+func New(cfg Config) *Service {
+	if cfg.Interval <= 0 {
+		cfg.Interval = DefaultInterval
+	}
+	s := &Service{cfg: cfg, state: core.New(cfg.Domain)}
+	s.view.Store(s.state.View())
+	cfg.Links.Handle(channelBeats, s.receive, link.Lossy())
+	return s
+}
+
+// Start begins to relay beats and to expire silent upstreams.
+func (s *Service) Start(context.Context) error {
+	ctx, cancel := context.WithCancel(context.Background())
+	s.cancel = cancel
+	s.done.Go(func() { s.run(ctx) })
+	return nil
+}
+
+// Stop ends the relays.
+func (s *Service) Stop(context.Context) error {
+	if s.cancel != nil {
+		s.cancel()
+		s.done.Wait()
+	}
+	return nil
+}
+
+// View returns the latest snapshot of the upstreams that may be given new work.
+func (s *Service) View() *core.View { return s.view.Load() }
+
+// Announce takes in a beat that an upstream sent to this instance. It fails with
+// fault.Invalid for a malformed beat or one of another failure domain and with
+// fault.Overloaded when too many upstreams are known; a late or repeated beat is
+// no failure.
+func (s *Service) Announce(beat announce.Beat) error {
+	if err := beat.Validate(); err != nil {
+		return err
+	}
+	now := time.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch s.state.Apply(now, beat) {
+	case core.Foreign:
+		return fault.New(fault.Invalid, "domain: %q is not %q, whose instances this one belongs to", beat.Domain, s.cfg.Domain)
+	case core.Full:
+		return fault.New(fault.Overloaded, "%d upstreams are known already", core.MaxUpstreams)
+	case core.Accepted:
+		s.enqueue(pending{core.Relayed{Beat: beat, Remaining: min(beat.TTL(), core.MaxSilence)}, now})
+		s.publish()
+	}
+	return nil
+}
+
+// enqueue keeps a beat for the next relay; the oldest goes when there are too
+// many, as its upstream sends another one within a second.
+func (s *Service) enqueue(p pending) {
+	if len(s.queue) >= maxPending {
+		s.queue = s.queue[1:]
+	}
+	s.queue = append(s.queue, p)
+}
+
+func (s *Service) publish() {
+	v := s.state.View()
+	if v == s.view.Load() {
+		return
+	}
+	s.view.Store(v)
+	if s.cfg.OnChange != nil {
+		s.cfg.OnChange(v)
+	}
+}
+
+func (s *Service) receive(_ context.Context, from string, m link.Message) (any, error) {
+	var b batch
+	if err := m.Decode(&b); err != nil {
+		return nil, err
+	}
+	now := time.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.state.Expire(now)
+	for _, r := range b.Beats {
+		if err := r.Beat.Validate(); err != nil {
+			s.cfg.Log.Warn().Err(err).Str("peer", from).Msg("relayed beat refused")
+			continue
+		}
+		// A leave is relayed by each that hears it first, since no later beat
+		// makes up for a lost one.
+		if s.state.ApplyRelayed(now, r) == core.Accepted && r.Beat.Leave {
+			s.enqueue(pending{r, now})
+		}
+	}
+	s.publish()
+	return nil, nil
+}
+
+func (s *Service) run(ctx context.Context) {
+	ticker := time.NewTicker(s.cfg.Interval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+			s.tick(time.Now())
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (s *Service) tick(now time.Time) {
+	s.mu.Lock()
+	for _, name := range s.state.Expire(now) {
+		s.cfg.Log.Warn().Str("upstream", name).Msg("upstream silent, no new work")
+	}
+	s.publish()
+	var b batch
+	for _, p := range s.queue {
+		if m, ok := core.Aged(p.m, now.Sub(p.at)); ok {
+			b.Beats = append(b.Beats, m)
+		}
+	}
+	s.queue = nil
+	s.mu.Unlock()
+	if len(b.Beats) == 0 {
+		return
+	}
+	for _, peer := range s.cfg.Peers() {
+		if err := s.cfg.Links.Send(peer, channelBeats, b); err != nil {
+			s.cfg.Log.Debug().Err(err).Str("peer", peer).Msg("beats not relayed")
+		}
+	}
+}
--- /dev/null
+++ b/instance/registry/registry_test.go
@@ -0,0 +1,94 @@
+package registry_test
+
+import (
+	"context"
+	"crypto/sha256"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"github.com/rs/zerolog"
+
+	"github.com/comfreyladder/comfreyladder/core/announce"
+	"github.com/comfreyladder/comfreyladder/core/fault"
+	"github.com/comfreyladder/comfreyladder/core/intent"
+	"github.com/comfreyladder/comfreyladder/instance/link"
+	"github.com/comfreyladder/comfreyladder/instance/registry"
+)
+
+const limit = 20 * time.Second
+
+type book struct{ sync.Map }
+
+func (b *book) Address(name string) (string, bool) {
+	v, ok := b.Load(name)
+	if !ok {
+		return "", false
+	}
+	return v.(string), true
+}
+
+func start(t *testing.T, name, peer string, b *book) *registry.Service {
+	g := NewWithT(t)
+	links, err := link.New(link.Config{
+		Self: name, Listen: "127.0.0.1:0", Credential: "secret", Book: b, Log: zerolog.Nop(),
+		Accept: [][sha256.Size]byte{sha256.Sum256([]byte("secret"))},
+	})
+	g.Expect(err).NotTo(HaveOccurred())
+	s := registry.New(registry.Config{Domain: "hall", Links: links, Log: zerolog.Nop(), Peers: func() []string { return []string{peer} }})
+	g.Expect(links.Start(context.Background())).To(Succeed())
+	b.Store(name, links.Addr().String())
+	g.Expect(s.Start(context.Background())).To(Succeed())
+	t.Cleanup(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), limit)
+		defer cancel()
+		g.Expect(s.Stop(ctx)).To(Succeed())
+		g.Expect(links.Stop(ctx)).To(Succeed())
+	})
+	return s
+}
+
+// Story: an upstream's announcements reach one instance of its failure domain.
+// The other one uses the upstream as well, and stops doing so when the upstream
+// leaves, or dies without a word.
+func TestUpstreamsAreKnownInTheWholeDomain(t *testing.T) {
+	g := NewWithT(t)
+	b := &book{}
+	one, two := start(t, "one", "two", b), start(t, "two", "one", b)
+	beat := announce.Beat{
+		Name: "e1", Domain: "hall", Kind: intent.KindEngine, Address: "127.0.0.1:1", Slots: 4,
+		Incarnation: 1, TTLMillis: 2000,
+	}
+	dying := beat
+	dying.Name = "e2"
+	names := func(s *registry.Service) func() []string {
+		return func() []string {
+			var all []string
+			for _, u := range s.View().Upstreams {
+				all = append(all, u.Name)
+			}
+			return all
+		}
+	}
+	g.Expect(one.Announce(dying)).To(Succeed())
+	g.Eventually(func() []string {
+		beat.Sequence++
+		g.Expect(one.Announce(beat)).To(Succeed())
+		return names(two)()
+	}, limit, "100ms").Should(Equal([]string{"e1", "e2"}))
+	g.Eventually(func() []string {
+		beat.Sequence++
+		g.Expect(two.Announce(beat)).To(Succeed())
+		return append(names(one)(), names(two)()...)
+	}, limit, "100ms").Should(Equal([]string{"e1", "e1"}), "the dead one is given up")
+
+	beat.Sequence++
+	beat.Leave = true
+	g.Expect(two.Announce(beat)).To(Succeed())
+	g.Expect(names(two)()).To(BeEmpty())
+	g.Eventually(names(one), limit).Should(BeEmpty())
+
+	beat.Domain = "elsewhere"
+	g.Expect(fault.CodeOf(one.Announce(beat))).To(Equal(fault.Invalid))
+}
