--- a/operator/standin/engine/step.go
+++ b/operator/standin/engine/step.go
@@ -62,9 +62,9 @@
 		s := e.waiting[0]
 		e.waiting = e.waiting[1:]
 		s.admitted = true
-		s.cached = e.cache.hit(s.prefixes)
+		s.cached = e.cache.hit(s.blocks)
 		s.prefillLeft = s.prompt - s.cached
-		e.cache.store(s.prefixes, now)
+		e.cache.store(s.blocks, now)
 		e.counters.Cached += uint64(s.cached)
 		e.running = append(e.running, s)
 	}
--- a/operator/standin/engine/stream.go
+++ b/operator/standin/engine/stream.go
@@ -25,7 +25,7 @@
 	tokens   int // of the whole answer
 	finish   string
 	prompt   int // tokens
-	prefixes []prefix
+	blocks   []block
 
 	prefillLeft int
 	cached      int
@@ -65,9 +65,8 @@
 	return strconv.FormatUint(digest, 36) + "." + strconv.Itoa(i) + " "
 }
 
-// Answer returns the whole answer of n tokens to a prompt, which is the contents
-// of all messages joined by newlines. Callers verify with it that an answer is
-// whole and their own.
+// Answer returns the whole answer of n tokens to a prompt (see Prompt). Callers
+// verify with it that an answer is whole and their own.
 func Answer(prompt string, n int) string {
 	var b strings.Builder
 	digest := xxhash.Sum64String(prompt)
