Add the load and experiment tool with three baselines

Open-loop arrivals whose times count from the plan, so that a slow system cannot hide a wait; each answer is compared with the only one its request may have. Wasted work is what the stand-ins generated less what arrived in whole answers. Baselines send straight to the stand-ins and share queue and caller's side, so that only the policy differs. 'known' is a good schedule, not a proved bound.

--- /dev/null
+++ b/operator/load/bench/bench_test.go
@@ -0,0 +1,128 @@
+package bench_test
+
+import (
+	"bytes"
+	"context"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"go.uber.org/goleak"
+
+	"github.com/comfreyladder/comfreyladder/operator/load"
+	"github.com/comfreyladder/comfreyladder/operator/load/bench"
+	"github.com/comfreyladder/comfreyladder/operator/load/caller"
+	"github.com/comfreyladder/comfreyladder/operator/load/fleet"
+	"github.com/comfreyladder/comfreyladder/operator/standin/engine"
+)
+
+func TestBench(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "bench")
+}
+
+func TestMain(m *testing.M) {
+	// The rest ends by itself: fasthttp's worker pools sleep for some seconds
+	// before they look whether they were stopped.
+	goleak.VerifyTestMain(m,
+		goleak.IgnoreAnyFunction("github.com/valyala/fasthttp.(*workerPool).Start.func2"),
+		goleak.IgnoreAnyFunction("github.com/onsi/ginkgo/v2/internal/interrupt_handler.(*InterruptHandler).registerForInterrupts.func2"))
+}
+
+func experiment() *load.Experiment {
+	x, err := load.Load("../testdata/tiny.ini")
+	Expect(err).NotTo(HaveOccurred())
+	return x
+}
+
+var _ = Describe("Run", func() {
+	DescribeTable("gives each request exactly one outcome while an engine crashes", func(policy string) {
+		x := experiment()
+		run := &load.Run{Experiment: x, Policy: policy, Seed: 1, System: bench.Makers()[policy](x, 1)}
+		run.StartFleet = func(ctx context.Context, announce []string) (load.Fleet, error) {
+			return fleet.Start(ctx, x, 1, announce)
+		}
+		res, err := run.Do(context.Background())
+		Expect(err).NotTo(HaveOccurred())
+		Expect(res.Records).To(HaveLen(len(load.Workload(x, 1))))
+		whole := uint64(0)
+		for _, rec := range res.Records {
+			Expect(rec.Request).NotTo(BeNil())
+			Expect(load.Verdicts).To(ContainElement(rec.Outcome.Verdict), rec.Request.ID)
+			Expect(rec.Outcome.Verdict).NotTo(Equal(load.Wrong))
+			if rec.Outcome.Verdict == load.Complete {
+				Expect(rec.Outcome.Tokens).To(Equal(rec.Request.Tokens))
+				whole++
+			}
+		}
+		Expect(whole).NotTo(BeZero())
+		Expect(res.Counters.Completed).To(BeNumerically(">=", whole), "no caller has an answer that no engine completed")
+	},
+		Entry("one queue, engines in turn", "fifo"),
+		Entry("strict priority, least in flight by the last report", "strict"),
+		Entry("all known", "known"),
+	)
+
+	It("writes table, JSON and plots", func() {
+		dir := GinkgoT().TempDir()
+		var out bytes.Buffer
+		c := &bench.Run{Dir: dir, Makers: bench.Makers(), Out: &out, Quiet: true}
+		c.Args.File = "../testdata/tiny.ini"
+		Expect(c.Do(context.Background())).To(Succeed())
+		Expect(out.String()).To(ContainSubstring("strict"))
+		for _, suffix := range []string{".json", ".png", ".svg"} {
+			info, err := os.Stat(filepath.Join(dir, "tiny"+suffix))
+			Expect(err).NotTo(HaveOccurred())
+			Expect(info.Size()).NotTo(BeZero())
+		}
+	})
+
+	It("names unknown policies before it runs anything", func() {
+		c := &bench.Run{Dir: GinkgoT().TempDir(), Makers: bench.Makers(), Policies: []string{"fifo", "luck"}}
+		c.Args.File = "../testdata/tiny.ini"
+		Expect(c.Do(context.Background())).To(MatchError(ContainSubstring("luck")))
+	})
+})
+
+var _ = Describe("Caller", func() {
+	var request *load.Request
+	BeforeEach(func() { request = load.Workload(experiment(), 1)[0] })
+
+	verdict := func(f engine.Faults) load.Verdict {
+		e := engine.New(engine.Config{Speed: 100, Faults: f})
+		Expect(e.Start(context.Background())).To(Succeed())
+		defer e.Stop(context.Background())
+		remote := caller.NewRemote([]string{e.Address()})
+		return remote.Serve(context.Background(), request, time.Now()).Verdict
+	}
+
+	It("takes a whole answer of its own", func() {
+		Expect(verdict(engine.Faults{})).To(Equal(load.Complete))
+	})
+
+	// A caller sees a clean, whole answer that belongs to somebody else: the
+	// engine mixed up two requests, and nothing on the way compared them.
+	It("sees an answer that is not its own", func() {
+		Expect(verdict(engine.Faults{Crossed: 1})).To(Equal(load.Wrong))
+	})
+
+	It("does not take a stream that ends early for an answer", func() {
+		Expect(verdict(engine.Faults{BreakAfter: 1})).To(Equal(load.Broken))
+	})
+
+	It("tells a refusal from a failure", func() {
+		Expect(verdict(engine.Faults{Refuse: true})).To(Equal(load.NotRun))
+	})
+
+	It("gives up when it is told to", func() {
+		e := engine.New(engine.Config{Faults: engine.Faults{Silent: true}})
+		Expect(e.Start(context.Background())).To(Succeed())
+		defer e.Stop(context.Background())
+		ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+		defer cancel()
+		Expect(caller.NewRemote([]string{e.Address()}).Serve(ctx, request, time.Now()).Verdict).To(Equal(load.Expired))
+	})
+})
--- /dev/null
+++ b/operator/load/fleet/fleet.go
@@ -0,0 +1,170 @@
+// Package fleet runs the stand-ins of an experiment in the tool's own process
+// and makes its faults happen at their times.
+package fleet
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/comfreyladder/comfreyladder/operator/load"
+	"github.com/comfreyladder/comfreyladder/operator/standin/engine"
+	"github.com/comfreyladder/comfreyladder/operator/standin/host"
+	"github.com/comfreyladder/comfreyladder/operator/standin/service"
+)
+
+// stopTime bounds how long one stand-in may take to end after a run.
+const stopTime = 500 * time.Millisecond
+
+// Fleet is the stand-ins of one run.
+type Fleet struct {
+	experiment *load.Experiment
+	engines    []*engine.Engine
+	services   []*service.Service
+
+	mu     sync.Mutex
+	active map[int]map[string]*load.FaultAt // by engine and name of the fault
+	timers []*time.Timer
+}
+
+// Start starts all stand-ins, which announce themselves to the given addresses.
+func Start(ctx context.Context, x *load.Experiment, seed uint64, announce []string) (*Fleet, error) {
+	f := &Fleet{experiment: x, active: map[int]map[string]*load.FaultAt{}}
+	h := host.Config{Announce: announce, Credential: x.Settings.UpstreamKey}
+	for i := range x.Engines.Count {
+		e := engine.New(f.engineConfig(i, seed, h))
+		f.engines = append(f.engines, e)
+		if err := e.Start(ctx); err != nil {
+			f.Stop()
+			return nil, err
+		}
+	}
+	for _, r := range x.Runners {
+		book := service.NewBook()
+		for i := range r.Count {
+			s := service.New(service.Config{
+				Config: h, Name: name(r.Prefix, i), Domain: f.domain(i), Service: r.Service, Book: book,
+			})
+			f.services = append(f.services, s)
+			if err := s.Start(ctx); err != nil {
+				f.Stop()
+				return nil, err
+			}
+		}
+	}
+	return f, nil
+}
+
+func name(prefix string, i int) string { return fmt.Sprintf("%s%02d", prefix, i+1) }
+
+func (f *Fleet) domain(i int) string {
+	d := f.experiment.Engines.Domains
+	return d[i%len(d)]
+}
+
+func (f *Fleet) engineConfig(i int, seed uint64, h host.Config) engine.Config {
+	e := &f.experiment.Engines
+	var models []string
+	for _, m := range f.experiment.Intent.Models {
+		models = append(models, m.Name)
+	}
+	return engine.Config{
+		Config: h, Name: name(e.Prefix, i), Domain: f.domain(i), Models: models,
+		Slots: e.Slots, Speed: f.experiment.Settings.Speed, Prefill: e.Prefill, Step: e.Step, StepEach: e.StepEach,
+		CacheTokens: e.CacheTokens, EventDelay: e.EventDelay, EventLoss: e.EventLoss,
+		Seed: seed*1000 + uint64(i), Faults: f.base(),
+	}
+}
+
+func (f *Fleet) base() engine.Faults {
+	return engine.Faults{ReportLagMillis: f.experiment.Engines.ReportLag.Milliseconds()}
+}
+
+// Engines returns the engines in the order of their numbers.
+func (f *Fleet) Engines() []*engine.Engine { return f.engines }
+
+// Schedule makes the experiment's faults happen, counted from now.
+func (f *Fleet) Schedule() {
+	for i := range f.experiment.Faults {
+		a := &f.experiment.Faults[i]
+		f.after(a.At, func() { f.set(a, true) })
+		if a.For > 0 && a.Kind != "crash" {
+			f.after(a.At+a.For, func() { f.set(a, false) })
+		}
+	}
+}
+
+func (f *Fleet) after(d time.Duration, do func()) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.timers = append(f.timers, time.AfterFunc(d, do))
+}
+
+// set begins or ends a fault; the other faults of its engines stay.
+func (f *Fleet) set(a *load.FaultAt, on bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for i := a.Engine - 1; i < a.Engine-1+a.Count; i++ {
+		if f.active[i] == nil {
+			f.active[i] = map[string]*load.FaultAt{}
+		}
+		delete(f.active[i], a.Name)
+		if on {
+			f.active[i][a.Name] = a
+		}
+		faults := f.base()
+		for _, other := range f.active[i] {
+			other.Apply(&faults)
+		}
+		f.engines[i].SetFaults(faults)
+	}
+}
+
+// Counters returns the sum over all engines.
+func (f *Fleet) Counters() engine.Counters {
+	var sum engine.Counters
+	for _, e := range f.engines {
+		c := e.Counters()
+		sum.Requests += c.Requests
+		sum.Refused += c.Refused
+		sum.Completed += c.Completed
+		sum.Cancelled += c.Cancelled
+		sum.Resumed += c.Resumed
+		sum.Generated += c.Generated
+		sum.Prefilled += c.Prefilled
+		sum.Cached += c.Cached
+		sum.BusyMillis += c.BusyMillis
+	}
+	return sum
+}
+
+// Queues returns the true numbers of running and waiting requests.
+func (f *Fleet) Queues() (running, waiting int) {
+	for _, e := range f.engines {
+		r, w := e.Queue()
+		running += r
+		waiting += w
+	}
+	return running, waiting
+}
+
+// Stop ends the faults and all stand-ins. Requests that are cut off have had
+// their outcome: the run is over.
+func (f *Fleet) Stop() {
+	f.mu.Lock()
+	for _, t := range f.timers {
+		t.Stop()
+	}
+	f.mu.Unlock()
+	ctx, cancel := context.WithTimeout(context.Background(), stopTime)
+	defer cancel()
+	var group sync.WaitGroup
+	for _, e := range f.engines {
+		group.Go(func() { _ = e.Stop(ctx) })
+	}
+	for _, s := range f.services {
+		group.Go(func() { _ = s.Stop(ctx) })
+	}
+	group.Wait()
+}
--- a/operator/standin/engine/engine.go
+++ b/operator/standin/engine/engine.go
@@ -151,10 +151,16 @@
 	}
 }
 
-// Queue returns the true numbers of running and waiting requests.
+// Queue returns the true numbers of running and waiting requests; none once the
+// engine has crashed or ended.
 func (e *Engine) Queue() (running, waiting int) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	select {
+	case <-e.done:
+		return 0, 0
+	default:
+	}
 	return len(e.running), len(e.waiting)
 }
 
--- a/operator/standin/engine/report.go
+++ b/operator/standin/engine/report.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/comfreyladder/comfreyladder/core/announce"
+	"github.com/comfreyladder/comfreyladder/core/prefix"
 )
 
 // maxLag bounds how old a load report can be made.
@@ -61,3 +62,23 @@
 	}
 	return announce.Load{AgeMillis: lag.Milliseconds()}
 }
+
+// Load returns the newest load report, which lags like those in beats.
+func (e *Engine) Load() announce.Load {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.loadAt(time.Now())
+}
+
+// CachedTokens returns how many prompt tokens of the prefixes named by hashes
+// (as by prefix.Hashes, the longest first) are in the cache at this moment.
+func (e *Engine) CachedTokens(hashes []uint64) int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for i, h := range hashes {
+		if _, ok := e.cache.entries[h]; ok {
+			return (len(hashes) - i) * prefix.BlockBytes / bytesPerToken
+		}
+	}
+	return 0
+}
