Test that the header alone proves that nothing ran

The body's code hid that the caller read the header: with the check taken out the tests stayed green. Now a bare 503 and one with the header are told apart.

--- a/operator/load/bench/bench_test.go
+++ b/operator/load/bench/bench_test.go
@@ -10,6 +10,7 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"github.com/valyala/fasthttp"
 	"go.uber.org/goleak"
 
 	"github.com/comfreyladder/comfreyladder/operator/load"
@@ -17,6 +18,7 @@
 	"github.com/comfreyladder/comfreyladder/operator/load/caller"
 	"github.com/comfreyladder/comfreyladder/operator/load/fleet"
 	"github.com/comfreyladder/comfreyladder/operator/standin/engine"
+	"github.com/comfreyladder/comfreyladder/operator/standin/host"
 )
 
 func TestBench(t *testing.T) {
@@ -117,6 +119,21 @@
 		Expect(verdict(engine.Faults{Refuse: true})).To(Equal(load.NotRun))
 	})
 
+	It("takes the header alone as proof that nothing ran, and a bare 503 not", func() {
+		for _, proof := range []bool{true, false} {
+			h := host.New(host.Config{}, func(ctx *fasthttp.RequestCtx) {
+				ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
+				if proof {
+					ctx.Response.Header.Set("X-Not-Run", "true")
+				}
+			}, nil)
+			Expect(h.Start(context.Background())).To(Succeed())
+			o := caller.NewRemote([]string{h.Address()}).Serve(context.Background(), request, time.Now())
+			Expect(o.Verdict == load.NotRun).To(Equal(proof))
+			Expect(h.Stop(context.Background())).To(Succeed())
+		}
+	})
+
 	It("gives up when it is told to", func() {
 		e := engine.New(engine.Config{Faults: engine.Faults{Silent: true}})
 		Expect(e.Start(context.Background())).To(Succeed())
