Offer calls to plain services and check what callers were told

The experiment can now send bookings with keys, some of them twice at once, and compares each outcome with the service's own book: run twice, said not run but run, said done but not run. Baselines do not route calls and are not offered any. A resend that was refused no longer counts as proof about the request before it; without that rule the test sees not_run in place of unknown.

--- a/operator/load/bench/bench_test.go
+++ b/operator/load/bench/bench_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"os"
 	"path/filepath"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -13,6 +14,7 @@
 	"github.com/valyala/fasthttp"
 	"go.uber.org/goleak"
 
+	"github.com/comfreyladder/comfreyladder/core/fault"
 	"github.com/comfreyladder/comfreyladder/operator/load"
 	"github.com/comfreyladder/comfreyladder/operator/load/bench"
 	"github.com/comfreyladder/comfreyladder/operator/load/caller"
@@ -89,6 +91,64 @@
 	})
 })
 
+var _ = Describe("Call", func() {
+	answers := func(doubled bool, list ...func(ctx *fasthttp.RequestCtx)) load.CallOutcome {
+		var next atomic.Int32
+		h := host.New(host.Config{}, func(ctx *fasthttp.RequestCtx) { list[int(next.Add(1))-1](ctx) }, nil)
+		Expect(h.Start(context.Background())).To(Succeed())
+		defer h.Stop(context.Background())
+		c := &load.Call{Service: "booking", Path: "/bookings", Key: "k", Timeout: time.Minute, Resends: len(list) - 1, Doubled: doubled}
+		if doubled {
+			c.Resends = 0
+		}
+		return caller.NewRemote([]string{h.Address()}).Call(context.Background(), c, time.Now())
+	}
+	done := func(ctx *fasthttp.RequestCtx) { ctx.SetStatusCode(fasthttp.StatusCreated) }
+	cut := func(ctx *fasthttp.RequestCtx) { _ = ctx.Conn().Close() }
+	notRun := func(ctx *fasthttp.RequestCtx) {
+		host.Refuse(ctx, fasthttp.StatusServiceUnavailable, fault.NotRun, "")
+	}
+	other := func(ctx *fasthttp.RequestCtx) { host.Refuse(ctx, fasthttp.StatusConflict, fault.Conflict, "") }
+
+	It("asks again until it knows the outcome", func() {
+		Expect(answers(false, cut, notRun, done).Verdict).To(Equal(load.CallDone))
+		Expect(answers(false, notRun, notRun).Verdict).To(Equal(load.CallNotRun))
+		Expect(answers(false, other, done).Verdict).To(Equal(load.CallRejected))
+	})
+
+	// A caller loses the first answer and asks again; the second request is
+	// refused before it runs. The key may have run all the same.
+	It("does not take a refused resend for proof about the first request", func() {
+		Expect(answers(false, cut, notRun).Verdict).To(Equal(load.CallUnknown))
+		Expect(answers(true, cut, notRun).Verdict).To(Equal(load.CallUnknown))
+	})
+
+	It("knows a doubled call as done when one of the two says so", func() {
+		Expect(answers(true, cut, done).Verdict).To(Equal(load.CallDone))
+	})
+})
+
+var _ = Describe("Fleet", func() {
+	It("begins and ends faults of engines and of services at their times", func() {
+		x := experiment()
+		x.Runners = []load.Runners{{Service: "booking", Prefix: "booking-", Count: 2}}
+		x.Faults = []load.FaultAt{
+			{Name: "a", Kind: "straggler", Engine: 1, Count: 1, Value: 4},
+			{Name: "b", Kind: "silent", Engine: 1, Count: 2, For: time.Millisecond},
+			{Name: "c", Kind: "drop-answer", Service: "booking", Engine: 2, Count: 1},
+		}
+		f, err := fleet.Start(context.Background(), x, 1, nil)
+		Expect(err).NotTo(HaveOccurred())
+		defer f.Stop()
+		f.Schedule()
+		faults := func(i int) func() engine.Faults { return func() engine.Faults { return f.Engines()[i].Faults() } }
+		lag := x.Engines.ReportLag.Milliseconds()
+		Eventually(faults(0), "10s").Should(Equal(engine.Faults{Straggler: 4, ReportLagMillis: lag}))
+		Eventually(faults(1), "10s").Should(Equal(engine.Faults{ReportLagMillis: lag}))
+		Expect(f.Books()).To(HaveKey("booking"))
+	})
+})
+
 var _ = Describe("Caller", func() {
 	var request *load.Request
 	BeforeEach(func() { request = load.Workload(experiment(), 1)[0] })
--- a/operator/load/experiment.go
+++ b/operator/load/experiment.go
@@ -9,6 +9,7 @@
 
 	"github.com/comfreyladder/comfreyladder/core/intent"
 	"github.com/comfreyladder/comfreyladder/operator/standin/engine"
+	"github.com/comfreyladder/comfreyladder/operator/standin/service"
 )
 
 // Experiment is one file. All its durations and rates are already scaled by
@@ -18,6 +19,7 @@
 	Engines  Engines
 	Runners  []Runners
 	Traffic  []Traffic
+	Calls    []Calls
 	Faults   []FaultAt
 	// Intent is the configuration that the router under test is given: that of
 	// the intent file with API keys and upstream credentials of the experiment.
@@ -114,23 +116,53 @@
 	Share float64
 }
 
-// FaultAt is a section [fault.NAME]: something that happens to engines.
+// FaultAt is a section [fault.NAME]: something that happens to engines or to the
+// runners of a service.
 type FaultAt struct {
 	Name string        `ini:"-"`
 	At   time.Duration `ini:"at" allow:"0s..24h"`
 	// For is after which time the fault ends; zero means never. A crash does
 	// not end.
 	For time.Duration `ini:"for" default:"0s" allow:"0s..24h"`
-	// Engine is the number of the first engine hit, from 1 on, and Count how many.
+	// Service names the plain service whose runners are hit; empty: engines.
+	Service string `ini:"service"`
+	// Engine is the number of the first engine or runner hit, from 1 on, and
+	// Count how many.
 	Engine int    `ini:"engine" default:"1" allow:"1..2000"`
 	Count  int    `ini:"count" default:"1" allow:"1..2000"`
-	Kind   string `ini:"kind" allow:"required straggler|crash|silent|mute|crossed|break|refuse|report-lag"`
+	Kind   string `ini:"kind" allow:"required"`
 	// Value is the straggler's factor, the share of crossed answers, the events
-	// after which streams break, or the lag in seconds.
+	// after which streams break, or the lag or delay in seconds.
 	Value float64 `ini:"value" default:"0" allow:"0..1000000"`
 }
 
-// Apply adds the fault to f.
+// kinds says which faults engines and runners of services know.
+var (
+	engineKinds  = []string{"straggler", "crash", "silent", "mute", "crossed", "break", "refuse", "report-lag"}
+	serviceKinds = []string{"crash", "silent", "mute", "refuse", "drop-answer", "die-before", "delay"}
+)
+
+// ApplyService adds the fault to those of a service's runner.
+func (a *FaultAt) ApplyService(f *service.Faults) {
+	switch a.Kind {
+	case "crash":
+		f.Crash = true
+	case "silent":
+		f.Silent = true
+	case "mute":
+		f.Mute = true
+	case "refuse":
+		f.Refuse = true
+	case "drop-answer":
+		f.DropAnswer = true
+	case "die-before":
+		f.DieBefore = true
+	case "delay":
+		f.DelayMillis = int64(a.Value * 1000)
+	}
+}
+
+// Apply adds the fault to those of an engine.
 func (a *FaultAt) Apply(f *engine.Faults) {
 	switch a.Kind {
 	case "straggler":
--- a/operator/load/fleet/fleet.go
+++ b/operator/load/fleet/fleet.go
@@ -21,16 +21,23 @@
 type Fleet struct {
 	experiment *load.Experiment
 	engines    []*engine.Engine
-	services   []*service.Service
+	services   []*runner
 
 	mu     sync.Mutex
-	active map[int]map[string]*load.FaultAt // by engine and name of the fault
+	active map[string]map[string]*load.FaultAt // by stand-in and name of the fault
 	timers []*time.Timer
 }
 
+// runner is one stand-in of a plain service.
+type runner struct {
+	*service.Service
+	name   string
+	number int
+}
+
 // Start starts all stand-ins, which announce themselves to the given addresses.
 func Start(ctx context.Context, x *load.Experiment, seed uint64, announce []string) (*Fleet, error) {
-	f := &Fleet{experiment: x, active: map[int]map[string]*load.FaultAt{}}
+	f := &Fleet{experiment: x, active: map[string]map[string]*load.FaultAt{}}
 	h := host.Config{Announce: announce, Credential: x.Settings.UpstreamKey}
 	for i := range x.Engines.Count {
 		e := engine.New(f.engineConfig(i, seed, h))
@@ -46,7 +53,7 @@
 			s := service.New(service.Config{
 				Config: h, Name: name(r.Prefix, i), Domain: f.domain(i), Service: r.Service, Book: book,
 			})
-			f.services = append(f.services, s)
+			f.services = append(f.services, &runner{Service: s, name: r.Service, number: i + 1})
 			if err := s.Start(ctx); err != nil {
 				f.Stop()
 				return nil, err
@@ -101,24 +108,55 @@
 	f.timers = append(f.timers, time.AfterFunc(d, do))
 }
 
-// set begins or ends a fault; the other faults of its engines stay.
+// set begins or ends a fault; the other faults of the same stand-ins stay.
 func (f *Fleet) set(a *load.FaultAt, on bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	for i := a.Engine - 1; i < a.Engine-1+a.Count; i++ {
-		if f.active[i] == nil {
-			f.active[i] = map[string]*load.FaultAt{}
-		}
-		delete(f.active[i], a.Name)
-		if on {
-			f.active[i][a.Name] = a
-		}
+	if a.Service != "" {
+		f.setServices(a, on)
+		return
+	}
+	for _, e := range f.engines[a.Engine-1 : a.Engine-1+a.Count] {
 		faults := f.base()
-		for _, other := range f.active[i] {
+		for _, other := range f.note(e.Name(), a, on) {
 			other.Apply(&faults)
 		}
-		f.engines[i].SetFaults(faults)
+		e.SetFaults(faults)
+	}
+}
+
+func (f *Fleet) setServices(a *load.FaultAt, on bool) {
+	for _, r := range f.services {
+		if r.name != a.Service || r.number < a.Engine || r.number >= a.Engine+a.Count {
+			continue
+		}
+		var faults service.Faults
+		for _, other := range f.note(r.Name(), a, on) {
+			other.ApplyService(&faults)
+		}
+		r.SetFaults(faults)
+	}
+}
+
+// note writes down that a fault begins or ends and returns all that are on.
+func (f *Fleet) note(name string, a *load.FaultAt, on bool) map[string]*load.FaultAt {
+	if f.active[name] == nil {
+		f.active[name] = map[string]*load.FaultAt{}
+	}
+	delete(f.active[name], a.Name)
+	if on {
+		f.active[name][a.Name] = a
+	}
+	return f.active[name]
+}
+
+// Books returns what the services' books say.
+func (f *Fleet) Books() load.Books {
+	out := load.Books{}
+	for _, r := range f.services {
+		out[r.name] = r.Book().Counts()
 	}
+	return out
 }
 
 // Counters returns the sum over all engines.
--- a/operator/load/load_test.go
+++ b/operator/load/load_test.go
@@ -37,7 +37,7 @@
 			places = append(places, f.Section+"/"+f.Key)
 		}
 		Expect(places).To(ConsistOf("experiment/duration", "experiment/seeds", "engines/colour", "traffic.urgent/tokens",
-			"traffic.urgent/organisations", "traffic.urgent/bursts", "traffic.unknown/", "fault.f/kind", "fault.f/engine", "weather/"))
+			"traffic.urgent/organisations", "traffic.urgent/bursts", "traffic.unknown/", "calls.booking/", "fault.f/kind", "fault.f/engine", "weather/"))
 	})
 
 	It("scales all times by its speed and keeps the intent valid", func() {
@@ -140,6 +140,23 @@
 		Expect(out.String()).To(ContainSubstring("not measured"))
 	})
 
+	It("checks what callers were told of calls against the service's book", func() {
+		rec := func(key string, v load.CallVerdict) load.CallRecord {
+			return load.CallRecord{Call: &load.Call{Service: "booking", Key: key}, Outcome: load.CallOutcome{Verdict: v}}
+		}
+		r := &load.Result{Policy: "p", Calls: []load.CallRecord{
+			rec("right", load.CallDone), rec("refused", load.CallNotRun), rec("unknown", load.CallUnknown),
+			rec("twice", load.CallDone), rec("lied", load.CallNotRun), rec("lost", load.CallDone),
+		}}
+		r.Books = load.Books{"booking": {ByKey: map[string]int{"right": 1, "unknown": 1, "twice": 2, "lied": 1}}}
+		rep := load.Summarize(tiny(), []*load.Result{r})
+		c := rep.Policies[0].Calls[0]
+		Expect([]int{c.Calls, c.RunTwice, c.FalseNotRun, c.FalseDone}).To(Equal([]int{6, 1, 1, 1}))
+		var out bytes.Buffer
+		Expect(rep.WriteTable(&out)).To(Succeed())
+		Expect(out.String()).To(ContainSubstring("run twice"))
+	})
+
 	It("draws PNG and SVG and refuses other formats", func() {
 		x := tiny()
 		r := &load.Result{Policy: "p", Records: []load.Record{record(x, load.Outcome{})}, Samples: []load.Sample{{}, {}}}
--- a/operator/load/parse.go
+++ b/operator/load/parse.go
@@ -51,6 +51,11 @@
 		p.file.Decode("traffic."+name, &t)
 		x.Traffic = append(x.Traffic, t)
 	}
+	for _, name := range p.file.Names("calls") {
+		c := Calls{Service: name}
+		p.file.Decode("calls."+name, &c)
+		x.Calls = append(x.Calls, c)
+	}
 	for _, name := range p.file.Names("fault") {
 		a := FaultAt{Name: name}
 		p.file.Decode("fault."+name, &a)
@@ -84,27 +89,53 @@
 	for i := range x.Traffic {
 		p.traffic(&x.Traffic[i])
 	}
+	for i := range x.Calls {
+		p.calls(&x.Calls[i])
+	}
 	for _, a := range x.Faults {
-		if last := a.Engine + a.Count - 1; last > x.Engines.Count {
-			p.file.Add("fault."+a.Name, "engine", strconv.Itoa(last), "there are engines 1 to "+strconv.Itoa(x.Engines.Count))
-		}
+		p.fault(a)
 	}
 	if x.Intent != nil && x.Engines.Prefix != "" && x.Intent.Trust(x.Engines.Prefix+"1") == nil {
 		p.file.Add("engines", "prefix", x.Engines.Prefix, "no trust rule of the intent covers these names")
 	}
 }
 
-func (p *parser) traffic(t *Traffic) {
-	section := "traffic." + t.Class
-	t.Tokens = p.distribution(section, "tokens", t.TokenText)
-	t.Prompt = p.distribution(section, "prompt", t.PromptText)
-	for _, text := range t.BurstText {
+func (p *parser) fault(a FaultAt) {
+	section := "fault." + a.Name
+	kinds, count := engineKinds, p.x.Engines.Count
+	if a.Service != "" {
+		kinds, count = serviceKinds, 0
+		for _, r := range p.x.Runners {
+			if r.Service == a.Service {
+				count = r.Count
+			}
+		}
+	}
+	if last := a.Engine + a.Count - 1; last > count {
+		p.file.Add(section, "engine", strconv.Itoa(last), "the numbers end at "+strconv.Itoa(count))
+	}
+	if a.Kind != "" && !slices.Contains(kinds, a.Kind) {
+		p.file.Add(section, "kind", a.Kind, "possible here is one of "+strings.Join(kinds, ", "))
+	}
+}
+
+func (p *parser) bursts(section string, list []string) []Burst {
+	var out []Burst
+	for _, text := range list {
 		b, ok := parseBurst(text)
 		if !ok {
 			p.file.Add(section, "bursts", text, "a burst is start+length x factor, such as 20s+10s x3")
 		}
-		t.Bursts = append(t.Bursts, b)
+		out = append(out, b)
 	}
+	return out
+}
+
+func (p *parser) traffic(t *Traffic) {
+	section := "traffic." + t.Class
+	t.Tokens = p.distribution(section, "tokens", t.TokenText)
+	t.Prompt = p.distribution(section, "prompt", t.PromptText)
+	t.Bursts = p.bursts(section, t.BurstText)
 	if p.x.Intent == nil {
 		return
 	}
@@ -185,9 +216,17 @@
 			by(&t.Bursts[j].Start, &t.Bursts[j].Length)
 		}
 	}
+	for i := range x.Calls {
+		c := &x.Calls[i]
+		c.Rate *= speed
+		by(&c.Timeout)
+		for j := range c.Bursts {
+			by(&c.Bursts[j].Start, &c.Bursts[j].Length)
+		}
+	}
 	for i := range x.Faults {
 		by(&x.Faults[i].At, &x.Faults[i].For)
-		if x.Faults[i].Kind == "report-lag" {
+		if k := x.Faults[i].Kind; k == "report-lag" || k == "delay" {
 			x.Faults[i].Value /= speed
 		}
 	}
--- a/operator/load/report.go
+++ b/operator/load/report.go
@@ -30,6 +30,7 @@
 	Policy  string         `json:"policy"`
 	Seeds   []*SeedReport  `json:"seeds"`
 	Classes []*ClassReport `json:"classes"`
+	Calls   []*CallReport  `json:"calls,omitempty"`
 	// Goodput is tokens of answers that met their level per second of arrivals.
 	Goodput Spread `json:"goodput_tokens_per_second"`
 	// Wasted is the share of generated tokens that no caller received in a
@@ -149,6 +150,7 @@
 		s.CacheHit = float64(r.Counters.Cached) / math.Max(1, float64(r.Counters.Cached+r.Counters.Prefilled))
 	}
 	p.Seeds = append(p.Seeds, s)
+	p.addCalls(r)
 }
 
 // add counts one record and reports whether it met its level.
@@ -260,12 +262,27 @@
 	for _, p := range rep.Policies {
 		line("%s\t%d\t%.0f\t%.0f..%.0f\t%s\t%s", p.Policy, len(p.Seeds), p.Goodput.Mean, p.Goodput.Min, p.Goodput.Max, p.wasted(), p.cached())
 	}
+	rep.callLines(line)
 	if err := t.Flush(); err != nil {
 		return fault.Wrap(err, fault.Unavailable, "write table")
 	}
 	return nil
 }
 
+func (rep *Report) callLines(line func(format string, args ...any)) {
+	first := true
+	for _, p := range rep.Policies {
+		for _, c := range p.Calls {
+			if first {
+				line("")
+				line("calls\tpolicy\tcalls\tdone\tnot run\tunknown\trejected\trun twice\tfalse not run\tfalse done")
+			}
+			first = false
+			line("%s", c.line(p.Policy))
+		}
+	}
+}
+
 func (p *PolicyReport) wasted() string {
 	if p.Wasted == nil {
 		return "not measured\t"
--- a/operator/load/run.go
+++ b/operator/load/run.go
@@ -18,6 +18,7 @@
 	Schedule()
 	Counters() engine.Counters
 	Queues() (running, waiting int)
+	Books() Books
 	Stop()
 }
 
@@ -53,10 +54,13 @@
 	Policy  string
 	Seed    uint64
 	Records []Record
+	// Calls are empty when the system does not route calls.
+	Calls   []CallRecord
 	Samples []Sample
 	// Measured says that Counters are there.
 	Measured bool
 	Counters engine.Counters
+	Books    Books
 }
 
 // state is what the goroutines of a run share.
@@ -94,6 +98,7 @@
 	r.offer(ctx, fleet, requests, res)
 	if fleet != nil {
 		res.Counters = fleet.Counters()
+		res.Books = fleet.Books()
 		res.Measured = true
 	}
 	if ctx.Err() != nil {
@@ -113,6 +118,11 @@
 	var watcher sync.WaitGroup
 	watcher.Go(func() { r.watch(watch, start, fleet, s, res) })
 	var callers sync.WaitGroup
+	if sys, ok := r.System.(CallSystem); ok {
+		calls := CallWorkload(r.Experiment, r.Seed)
+		res.Calls = make([]CallRecord, len(calls))
+		callers.Go(func() { offerCalls(limited, sys, calls, start, res.Calls) })
+	}
 	for i, q := range requests {
 		arrived := start.Add(q.At)
 		if wait := time.Until(arrived); wait > 0 && !sleep(ctx, wait) {
@@ -129,6 +139,19 @@
 	watcher.Wait()
 }
 
+// offerCalls sends all calls at their times and waits for the outcomes.
+func offerCalls(ctx context.Context, sys CallSystem, calls []*Call, start time.Time, out []CallRecord) {
+	var callers sync.WaitGroup
+	defer callers.Wait()
+	for i, c := range calls {
+		arrived := start.Add(c.At)
+		if wait := time.Until(arrived); wait > 0 && !sleep(ctx, wait) {
+			return
+		}
+		callers.Go(func() { out[i] = CallRecord{Call: c, Outcome: sys.Call(ctx, c, arrived)} })
+	}
+}
+
 // one is one caller, who gives up at the deadline of the class.
 func (r *Run) one(ctx context.Context, q *Request, arrived time.Time) Outcome {
 	if q.Class.Deadline > 0 {
