--- a/core/prefix/prefix.go
+++ b/core/prefix/prefix.go
@@ -4,22 +4,22 @@
 
 import "github.com/cespare/xxhash/v2"
 
-// MaxPrefixes bounds the prefixes named of one prompt; of a longer conversation
-// the first ones are named, which are those that other prompts share.
-const MaxPrefixes = 64
+const (
+	// BlockBytes is the length of one block of prompt text. A prefix is a whole
+	// number of blocks; 512 bytes are about 128 tokens of English.
+	BlockBytes = 512
+	// MaxBlocks bounds the prefixes named of one prompt.
+	MaxBlocks = 64
+)
 
-// Hashes returns the names of a prompt's prefixes, longest first. A prefix ends
-// where a message ends; its name is the xxhash of the contents up to there,
-// joined by newlines.
-func Hashes(contents []string) []uint64 {
-	n := min(len(contents), MaxPrefixes)
+// Hashes returns the names of all block-aligned prefixes of the prompt text,
+// longest first: each is the xxhash of the text up to the end of its block.
+func Hashes(text []byte) []uint64 {
+	n := min(len(text)/BlockBytes, MaxBlocks)
 	out := make([]uint64, n)
 	d := xxhash.New()
-	for i, text := range contents[:n] {
-		if i > 0 {
-			_, _ = d.WriteString("\n")
-		}
-		_, _ = d.WriteString(text)
+	for i := range n {
+		_, _ = d.Write(text[i*BlockBytes : (i+1)*BlockBytes])
 		out[n-1-i] = d.Sum64()
 	}
 	return out
--- a/instance/chat/request.go
+++ b/instance/chat/request.go
@@ -129,6 +129,17 @@
 	return text.String(), nil
 }
 
+// PromptText returns the contents of the messages, each with a newline after it,
+// as engines do when they name cached prefixes.
+func (r *Request) PromptText() []byte {
+	var text strings.Builder
+	for _, c := range r.Contents {
+		text.WriteString(c)
+		text.WriteByte('\n')
+	}
+	return []byte(text.String())
+}
+
 // PromptTokens estimates the prompt's length in tokens.
 func (r *Request) PromptTokens() int {
 	n := 0
--- /dev/null
+++ b/instance/control/control.go
@@ -0,0 +1,250 @@
+// Package control runs this instance's part in the control state. An instance
+// with a data folder is a member of the control group: it founds it with others
+// or joins it as a learner, and keeps the replicated state. One without asks
+// members. Accepted revisions go to all instances by instance/spread.
+package control
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/binary"
+	"encoding/hex"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/comfreyladder/comfreyladder/core/claim"
+	corecontrol "github.com/comfreyladder/comfreyladder/core/control"
+	"github.com/comfreyladder/comfreyladder/core/control/fence"
+	"github.com/comfreyladder/comfreyladder/core/control/revision"
+	"github.com/comfreyladder/comfreyladder/core/fault"
+	"github.com/comfreyladder/comfreyladder/core/intent"
+	"github.com/comfreyladder/comfreyladder/core/raft"
+	"github.com/comfreyladder/comfreyladder/instance/consensus"
+	"github.com/comfreyladder/comfreyladder/instance/disk"
+	"github.com/comfreyladder/comfreyladder/instance/link"
+)
+
+// Channels of this service.
+const (
+	channelRaft     = "control.raft"
+	channelFounding = "control.founding"
+	channelJoin     = "control.join"
+	channelPropose  = "control.propose"
+	channelRead     = "control.read"
+)
+
+// Links is what this service needs of instance/link.
+type Links interface {
+	Send(to, channel string, msg any) error
+	Call(ctx context.Context, to, channel string, req, resp any) error
+	Handle(channel string, h link.Handler, options ...link.ChannelOption)
+}
+
+// Spread carries revisions to all instances.
+type Spread interface {
+	Publish(revision uint64, data []byte) error
+	Renew(at time.Time, ttl time.Duration)
+}
+
+// Config of a Service.
+type Config struct {
+	// Name is this instance's name.
+	Name string
+	// DataFolder is empty on an instance that only follows.
+	DataFolder string
+	// Founders lists the names of the instances that found the group; empty on
+	// one that joins.
+	Founders []string
+	// FoundingIntent becomes revision 1; nil on an instance that doesn't found.
+	FoundingIntent *intent.Document
+	Links          Links
+	Spread         Spread
+	// Members returns the names of instances that may hold control state, the
+	// likely ones first.
+	Members func() []string
+	// Domains returns what is known of the revisions that failure domains act on.
+	Domains func() []DomainRevision
+	// Lease is how long a configuration counts as the newest after the last
+	// contact with the leader.
+	Lease time.Duration
+	Log   zerolog.Logger
+	// OnFatal is told once when the disk failed and this member had to stop.
+	OnFatal func(error)
+}
+
+// DomainRevision is the oldest revision that a failure domain's live instances
+// act on.
+type DomainRevision struct {
+	Domain   string
+	Revision uint64
+	Live     int
+}
+
+// Service is this instance's part in the control state.
+type Service struct {
+	cfg     Config
+	group   atomic.Pointer[consensus.Service]
+	founder atomic.Pointer[consensus.Founder]
+	names   atomic.Pointer[map[raft.MemberID]string]
+	changed chan struct{}
+	ctx     context.Context
+	cancel  context.CancelFunc
+	running sync.WaitGroup
+	// leaderHint is who answered last for the group, for instances that follow.
+	leaderHint atomic.Pointer[string]
+}
+
+// New returns a service that is not started; it registers its channels.
+func New(cfg Config) *Service {
+	s := &Service{cfg: cfg, changed: make(chan struct{}, 1)}
+	s.names.Store(&map[raft.MemberID]string{})
+	s.ctx, s.cancel = context.WithCancel(context.Background())
+	cfg.Links.Handle(channelRaft, s.receiveRaft, link.Lossy())
+	cfg.Links.Handle(channelFounding, s.receiveFounding, link.Lossy())
+	cfg.Links.Handle(channelJoin, s.receiveJoin)
+	cfg.Links.Handle(channelPropose, s.receivePropose)
+	cfg.Links.Handle(channelRead, s.receiveRead)
+	return s
+}
+
+// Start opens the disk, if there is one, and goes on in the background: a
+// founding or joining needs other instances, which may start later.
+func (s *Service) Start(context.Context) error {
+	if s.cfg.DataFolder == "" {
+		return nil
+	}
+	id, err := consensus.Initialise(disk.OS{}, s.cfg.DataFolder, newMemberID(), s.cfg.Name)
+	if err != nil {
+		return err
+	}
+	if id.Cluster != "" {
+		if err := s.startGroup(id); err != nil {
+			return err
+		}
+	}
+	if len(s.cfg.Founders) > 0 {
+		return s.startFounder(id)
+	}
+	if id.Cluster == "" {
+		s.running.Go(func() { s.join(id) })
+	}
+	return nil
+}
+
+// Stop ends all work of the service.
+func (s *Service) Stop(ctx context.Context) error {
+	s.cancel()
+	var err error
+	if f := s.founder.Load(); f != nil {
+		err = f.Stop(ctx)
+	}
+	if g := s.group.Load(); g != nil {
+		if stopErr := g.Stop(ctx); stopErr != nil {
+			err = stopErr
+		}
+	}
+	s.running.Wait()
+	return err
+}
+
+// startGroup starts the member of a disk whose cluster is known.
+func (s *Service) startGroup(id consensus.Identity) error {
+	g, err := consensus.New(consensus.Config{
+		FS: disk.OS{}, Dir: s.cfg.DataFolder, Identity: id, Mux: newMux(), Transport: transport{s},
+		Seed: int64(id.ID), OnFatal: s.fatal,
+	})
+	if err != nil {
+		return err
+	}
+	g.Watch(s.applied)
+	if err := g.Start(s.ctx); err != nil {
+		return err
+	}
+	s.group.Store(g)
+	s.refreshNames()
+	s.running.Go(s.publishLoop)
+	s.running.Go(s.leadLoop)
+	s.wake()
+	return nil
+}
+
+func newMux() *corecontrol.Mux {
+	return corecontrol.NewMux(map[string]corecontrol.Machine{
+		revision.Name: revision.New(),
+		fence.Name:    fence.New(),
+		claim.Name:    claim.New(claim.Config{}),
+	})
+}
+
+func (s *Service) fatal(err error) {
+	s.cfg.Log.Error().Err(err).Msg("control member stopped: its disk can no longer be trusted")
+	if s.cfg.OnFatal != nil {
+		s.cfg.OnFatal(err)
+	}
+}
+
+// applied is called for each applied entry, from the member's goroutine.
+func (s *Service) applied(_ uint64, e corecontrol.Entry) {
+	if e.Machine == "" || e.Machine == revision.Name {
+		s.wake()
+	}
+}
+
+func (s *Service) wake() {
+	select {
+	case s.changed <- struct{}{}:
+	default:
+	}
+}
+
+// publishLoop puts each revision that this member applied on its way.
+func (s *Service) publishLoop() {
+	for {
+		select {
+		case <-s.changed:
+		case <-s.ctx.Done():
+			return
+		}
+		number, data, err := s.encoded()
+		if err == nil && number > 0 {
+			err = s.cfg.Spread.Publish(number, data)
+		}
+		if err != nil && fault.CodeOf(err) != fault.Conflict {
+			s.cfg.Log.Error().Err(err).Uint64("revision", number).Msg("revision not published")
+		}
+	}
+}
+
+// encoded returns the revision that this member applied last.
+func (s *Service) encoded() (number uint64, data []byte, err error) {
+	s.group.Load().View(func(_ uint64, m *corecontrol.Mux) {
+		var doc *intent.Document
+		number, doc = m.Machine(revision.Name).(*revision.Machine).Current()
+		data, err = Encode(doc)
+	})
+	return number, data, err
+}
+
+// Encode returns a document in the form in which it is spread.
+func Encode(doc *intent.Document) ([]byte, error) { return corecontrol.Marshal(doc) }
+
+// Decode reads what Encode made.
+func Decode(data []byte) (*intent.Document, error) {
+	doc := &intent.Document{}
+	return doc, corecontrol.Unmarshal(data, doc)
+}
+
+func newMemberID() raft.MemberID {
+	var b [8]byte
+	_, _ = rand.Read(b[:])
+	return raft.MemberID(binary.LittleEndian.Uint64(b[:]) | 1)
+}
+
+func newClusterID() raft.ClusterID {
+	var b [16]byte
+	_, _ = rand.Read(b[:])
+	return raft.ClusterID(hex.EncodeToString(b[:]))
+}
--- a/instance/gateway/chat.go
+++ b/instance/gateway/chat.go
@@ -106,7 +106,7 @@
 			Class:        x.class.Name,
 			Model:        x.req.Model,
 			PromptTokens: x.req.PromptTokens(),
-			PrefixHashes: prefix.Hashes(x.req.Contents),
+			PrefixHashes: prefix.Hashes(x.req.PromptText()),
 			MaxTokens:    maxTokens,
 			Arrived:      x.start,
 			Deadline:     deadline,
--- a/proof/system/path_test.go
+++ b/proof/system/path_test.go
@@ -19,7 +19,7 @@
 			Expect(r.err).NotTo(HaveOccurred())
 			Expect(r.status).To(Equal(200), r.body)
 			Expect(r.whole).To(BeTrue())
-			Expect(r.text).To(Equal(engine.Answer("a question from "+d, 12)))
+			Expect(r.text).To(Equal(engine.Answer(engine.Prompt("a question from "+d), 12)))
 			Expect(r.header.Get("X-Request-Id")).NotTo(BeEmpty())
 		}
 	})
