Calls to plain services, at most once per key

The claim on a key is committed before the first byte leaves, the receipt after the answer. Outcomes are typed: an answer, not run with proof, unknown, in progress. A call runs on without its caller so that the resend finds its receipt; a receipt that can't be written is tried for a bounded time, and a drain waits for it.

--- /dev/null
+++ b/instance/plain/handler_test.go
@@ -0,0 +1,248 @@
+package plain_test
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"go.uber.org/goleak"
+
+	"github.com/comfreyladder/comfreyladder/core/claim"
+	"github.com/comfreyladder/comfreyladder/core/fault"
+	"github.com/comfreyladder/comfreyladder/instance/plain"
+	"github.com/comfreyladder/comfreyladder/instance/upstream"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// bench is one service with a ledger and handlers made on demand.
+type bench struct {
+	*WithT
+	s  *service
+	l  *ledger
+	up *upstream.Client
+}
+
+func newBench(t *testing.T, m func(key string) mood) *bench {
+	g := NewWithT(t)
+	b := &bench{WithT: g, s: newService(g, m), l: newLedger(0), up: upstream.New(upstream.Config{})}
+	t.Cleanup(func() {
+		b.up.Close(context.Background())
+		b.s.close()
+	})
+	return b
+}
+
+func (b *bench) handler(crash func() int) *plain.Handler { return newHandler(b.l, b.up, crash) }
+
+func always(m mood) func(string) mood { return func(string) mood { return m } }
+
+// script gives the moods in turn, then the last one for ever.
+func script(moods ...mood) func(string) mood {
+	return func(string) mood {
+		m := moods[0]
+		if len(moods) > 1 {
+			moods = moods[1:]
+		}
+		return m
+	}
+}
+
+func TestReplayAtAnotherInstance(t *testing.T) {
+	b := newBench(t, always(answers))
+	first, err := b.handler(never).Call(context.Background(), book(b.s, "k"))
+	b.Expect(err).NotTo(HaveOccurred())
+	again, err := b.handler(never).Call(context.Background(), book(b.s, "k"))
+	b.Expect(err).NotTo(HaveOccurred())
+	b.Expect(again.Replayed).To(BeTrue())
+	b.Expect(again.Answer.Body).To(Equal(first.Answer.Body))
+	b.Expect(again.Answer.Status).To(Equal(201))
+	b.Expect(b.s.effects("k")).To(Equal(1))
+	other := book(b.s, "k")
+	other.Body = []byte("other parts")
+	_, err = b.handler(never).Call(context.Background(), other)
+	b.Expect(fault.CodeOf(err)).To(Equal(fault.Conflict))
+	b.Expect(b.s.effects("k")).To(Equal(1))
+}
+
+// A caller's app sends the same booking at once to many instances.
+func TestConcurrentEqualCallsSendOnce(t *testing.T) {
+	b := newBench(t, always(answers))
+	var wg sync.WaitGroup
+	for range 16 {
+		p := b.handler(never)
+		wg.Go(func() {
+			_, err := p.Call(context.Background(), book(b.s, "k"))
+			if code := fault.CodeOf(err); code != "" && code != fault.InProgress {
+				t.Errorf("unexpected: %v", err)
+			}
+		})
+	}
+	wg.Wait()
+	b.Expect(b.s.effects("k")).To(Equal(1))
+}
+
+func TestOutcomesOfOneCall(t *testing.T) {
+	for name, c := range map[string]struct {
+		mood    mood
+		code    fault.Code
+		outcome claim.Outcome
+		second  fault.Code
+	}{
+		"rejected":       {rejects, "", claim.Rejected, ""},
+		"failed":         {fails, "", claim.Unknown, ""},
+		"answer dropped": {drops, fault.OutcomeUnknown, "", fault.OutcomeUnknown},
+		"refused":        {refuses, fault.NotRun, "", fault.NotRun},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := newBench(t, always(c.mood))
+			a, err := b.handler(never).Call(context.Background(), book(b.s, "k"))
+			b.Expect(fault.CodeOf(err)).To(Equal(c.code))
+			b.Expect(a.Outcome).To(Equal(c.outcome))
+			a, err = b.handler(never).Call(context.Background(), book(b.s, "k"))
+			b.Expect(fault.CodeOf(err)).To(Equal(c.second))
+			b.Expect(a.Outcome).To(Equal(c.outcome))
+			b.Expect(b.s.effects("k")).To(BeNumerically("<=", 1))
+		})
+	}
+}
+
+// The service refuses a booking under load and says that it did not run it. The
+// claim is given back, so that the caller's resend is run.
+func TestRefusedCallMayBeSentAgain(t *testing.T) {
+	b := newBench(t, script(refuses, answers))
+	_, err := b.handler(never).Call(context.Background(), book(b.s, "k"))
+	b.Expect(fault.CodeOf(err)).To(Equal(fault.NotRun))
+	b.Expect(fault.From(err).RetryAfter).To(BeNumerically(">", 0))
+	_, err = b.handler(never).Call(context.Background(), book(b.s, "k"))
+	b.Expect(err).NotTo(HaveOccurred())
+	b.Expect(b.s.effects("k")).To(Equal(1))
+}
+
+// A failure domain is cut off from the control group. A booking that can't be
+// claimed there is refused at once; sent all the same, its resend in another
+// domain would run a second time.
+func TestCutOffSideRunsNothing(t *testing.T) {
+	b := newBench(t, always(answers))
+	b.l.cutOff.Store(true)
+	p := b.handler(never)
+	_, err := p.Call(context.Background(), book(b.s, "k"))
+	b.Expect(fault.CodeOf(err)).To(Equal(fault.NotRun))
+	b.Expect(fault.From(err).RetryAfter).To(BeNumerically(">", 0))
+	b.Expect(b.s.effects("k")).To(BeZero())
+	b.l.cutOff.Store(false)
+	b.Expect(p.Drain(context.Background())).To(Succeed())
+	_, err = p.Call(context.Background(), book(b.s, "k"))
+	b.Expect(err).NotTo(HaveOccurred())
+}
+
+// An instance is killed at each step of a booking; the caller resends at another
+// one. The key has one effect at most, and where the service can be asked, an
+// effect that happened is found.
+func TestCrashBetweenSteps(t *testing.T) {
+	for _, query := range []string{"", "/query?id={key}"} {
+		for at := 1; at <= crashSteps; at++ {
+			b := newBench(t, always(answers))
+			ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+			r := book(b.s, "k")
+			r.Service.QueryPath = query
+			_, err := b.handler(func() int { return at }).Call(ctx, r)
+			cancel()
+			b.Expect(fault.CodeOf(err)).To(Equal(fault.InProgress))
+			b.l.advance(time.Minute)
+			a, err := b.handler(never).Call(context.Background(), r)
+			b.Expect(b.s.effects("k")).To(BeNumerically("<=", 1))
+			known := at == 1 || at == crashSteps || query != "" && at > 3
+			if !known {
+				b.Expect(fault.CodeOf(err)).To(Equal(fault.OutcomeUnknown), "crash at step %d", at)
+				continue
+			}
+			b.Expect(err).NotTo(HaveOccurred(), "crash at step %d", at)
+			b.Expect(string(a.Answer.Body)).To(Equal("effect 1 of k"))
+		}
+	}
+}
+
+// A caller gives up before its booking is answered; the answer comes all the
+// same. The resend finds it.
+func TestLateAnswerIsRecorded(t *testing.T) {
+	b := newBench(t, always(delays))
+	p := b.handler(never)
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Millisecond)
+	defer cancel()
+	_, err := p.Call(ctx, book(b.s, "k"))
+	b.Expect(fault.CodeOf(err)).To(Equal(fault.InProgress))
+	b.Expect(p.Drain(context.Background())).To(Succeed())
+	a, err := b.handler(never).Call(context.Background(), book(b.s, "k"))
+	b.Expect(err).NotTo(HaveOccurred())
+	b.Expect(a.Replayed).To(BeTrue())
+	b.Expect(b.s.effects("k")).To(Equal(1))
+}
+
+// The control group loses its leader right after a booking ran. The caller gets
+// its answer; the receipt is written once there is a leader again, before the
+// instance may stop.
+func TestReceiptIsWrittenAfterTheLedgerReturns(t *testing.T) {
+	b := newBench(t, func(string) mood { return answers })
+	b.s.mood = func(string) mood {
+		b.l.cutOff.Store(true)
+		return answers
+	}
+	p := b.handler(never)
+	a, err := p.Call(context.Background(), book(b.s, "k"))
+	b.Expect(err).NotTo(HaveOccurred())
+	b.Expect(a.Outcome).To(Equal(claim.Done))
+	short, cancel := context.WithTimeout(context.Background(), 10*time.Millisecond)
+	defer cancel()
+	b.Expect(fault.CodeOf(p.Drain(short))).To(Equal(fault.DeadlineExceeded))
+	b.l.cutOff.Store(false)
+	b.Expect(p.Drain(context.Background())).To(Succeed())
+	a, err = b.handler(never).Call(context.Background(), book(b.s, "k"))
+	b.Expect(err).NotTo(HaveOccurred())
+	b.Expect(a.Replayed).To(BeTrue())
+}
+
+func TestCallsWithoutAKey(t *testing.T) {
+	b := newBench(t, always(drops))
+	_, err := b.handler(never).Call(context.Background(), book(b.s, ""))
+	b.Expect(fault.CodeOf(err)).To(Equal(fault.Invalid))
+	b.Expect(b.s.n).To(BeZero())
+	r := book(b.s, "")
+	r.Service.RequireKey = false
+	_, err = b.handler(never).Call(context.Background(), r)
+	b.Expect(fault.CodeOf(err)).To(Equal(fault.OutcomeUnknown))
+	b.Expect(b.s.n).To(Equal(1))
+}
+
+// flaky fails its first attempts as a lost connection would.
+type flaky struct {
+	plain.Doer
+	lost  int
+	calls []upstream.Call
+}
+
+func (f *flaky) Do(ctx context.Context, t upstream.Target, c upstream.Call) (*upstream.Answer, error) {
+	f.calls = append(f.calls, c)
+	if len(f.calls) <= f.lost {
+		return nil, fault.New(fault.OutcomeUnknown, "lost")
+	}
+	return f.Doer.Do(ctx, t, c)
+}
+
+func TestReadsAreRetriedOnceOnAFreshConnection(t *testing.T) {
+	for lost, code := range []fault.Code{"", "", fault.OutcomeUnknown} {
+		b := newBench(t, always(answers))
+		f := &flaky{Doer: b.up, lost: lost}
+		r := book(b.s, "")
+		r.Method = "GET"
+		_, err := newHandler(b.l, f, never).Call(context.Background(), r)
+		b.Expect(fault.CodeOf(err)).To(Equal(code))
+		if lost > 0 {
+			b.Expect(f.calls).To(HaveLen(2))
+			b.Expect(f.calls[1].Fresh).To(BeTrue())
+			b.Expect(f.calls[1].RequestID).NotTo(Equal(f.calls[0].RequestID))
+		}
+	}
+}
