--- a/instance/link/queue_test.go
+++ b/instance/link/queue_test.go
@@ -34,3 +34,23 @@
 	g.Expect(order).To(Equal([]string{"votes", "beats", "bulk"}))
 	g.Expect(q.bytes).To(BeZero())
 }
+
+// Story: a peer answers late, when the caller has given up, or mixes up answers.
+// Another caller must never get them.
+func TestLateAndCrossedAnswersAreDropped(t *testing.T) {
+	g := NewWithT(t)
+	p := &peer{s: &Service{}, calls: map[uint64]*call{}}
+	c := &call{id: 7, channel: "votes", done: make(chan struct{})}
+	p.addCall(c)
+	p.receive(nil, &envelope{Kind: kindAnswer, ID: 6, Channel: "votes"})
+	p.receive(nil, &envelope{Kind: kindAnswer, ID: 7, Channel: "beats"})
+	p.receive(nil, &envelope{Kind: kindRequest, ID: 7, Channel: "votes"})
+	g.Expect(c.done).NotTo(BeClosed())
+	g.Expect(p.s.UnmatchedAnswers()).To(BeEquivalentTo(2))
+	p.receive(nil, &envelope{Kind: kindAnswer, ID: 7, Channel: "votes", Body: []byte{1}})
+	g.Expect(c.done).To(BeClosed())
+	p.dropCall(c)
+	p.receive(nil, &envelope{Kind: kindAnswer, ID: 7, Channel: "votes"})
+	g.Expect(p.s.UnmatchedAnswers()).To(BeEquivalentTo(3))
+	g.Expect(c.answer.Body).To(Equal([]byte{1}))
+}
--- a/instance/registry/registry_test.go
+++ b/instance/registry/registry_test.go
@@ -29,14 +29,14 @@
 	return v.(string), true
 }
 
-func start(t *testing.T, name, peer string, b *book) *registry.Service {
+func start(t *testing.T, name string, b *book, peers ...string) *registry.Service {
 	g := NewWithT(t)
 	links, err := link.New(link.Config{
 		Self: name, Listen: "127.0.0.1:0", Credential: "secret", Book: b, Log: zerolog.Nop(),
 		Accept: [][sha256.Size]byte{sha256.Sum256([]byte("secret"))},
 	})
 	g.Expect(err).NotTo(HaveOccurred())
-	s := registry.New(registry.Config{Domain: "hall", Links: links, Log: zerolog.Nop(), Peers: func() []string { return []string{peer} }})
+	s := registry.New(registry.Config{Domain: "hall", Links: links, Log: zerolog.Nop(), Peers: func() []string { return peers }})
 	g.Expect(links.Start(context.Background())).To(Succeed())
 	b.Store(name, links.Addr().String())
 	g.Expect(s.Start(context.Background())).To(Succeed())
@@ -49,13 +49,38 @@
 	return s
 }
 
+// Story: an upstream says to one instance that it leaves, and the link from there
+// to a third one is down. The second one passes the leave on, so that the third
+// gives it no more work, although earlier beats would still allow it.
+func TestLeavesArePassedOn(t *testing.T) {
+	g := NewWithT(t)
+	b := &book{}
+	one, three := start(t, "one", b, "two"), start(t, "three", b)
+	start(t, "two", b, "three")
+	beat := announce.Beat{
+		Name: "e1", Domain: "hall", Kind: intent.KindEngine, Address: "127.0.0.1:1", Slots: 4,
+		Incarnation: 1, TTLMillis: 2000,
+	}
+	leave := beat
+	leave.Sequence, leave.Leave = 1<<40, true
+	g.Expect(three.Announce(beat)).To(Succeed())
+	g.Expect(one.Announce(leave)).To(Succeed())
+	// The upstream's own late beats go on reaching the third one meanwhile, so
+	// that it is not silence that ends it.
+	g.Eventually(func() any {
+		beat.Sequence++
+		g.Expect(three.Announce(beat)).To(Succeed())
+		return three.View().Find("e1")
+	}, limit).Should(BeNil())
+}
+
 // Story: an upstream's announcements reach one instance of its failure domain.
 // The other one uses the upstream as well, and stops doing so when the upstream
 // leaves, or dies without a word.
 func TestUpstreamsAreKnownInTheWholeDomain(t *testing.T) {
 	g := NewWithT(t)
 	b := &book{}
-	one, two := start(t, "one", "two", b), start(t, "two", "one", b)
+	one, two := start(t, "one", b, "two"), start(t, "two", b, "one", "three")
 	beat := announce.Beat{
 		Name: "e1", Domain: "hall", Kind: intent.KindEngine, Address: "127.0.0.1:1", Slots: 4,
 		Incarnation: 1, TTLMillis: 2000,
