Schedule model requests for the whole failure domain

One elected instance runs core/sched, the others send tickets and get grants. Soft state: each instance repeats what it has to a successor, which listens for a hand-over time before it grants; digests in the beats show lost messages; leases end the grants of dead instances; while the scheduler is silent each instance schedules for itself on its share of the slots. Tested with an in-memory network: death of the scheduler, silence, death of a follower, lost grant, tickets and ends.

--- /dev/null
+++ b/instance/schedule/fault_test.go
@@ -0,0 +1,125 @@
+package schedule_test
+
+import (
+	"math/rand"
+	"sync/atomic"
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/comfreyladder/comfreyladder/instance/schedule"
+)
+
+// cut cuts an instance off: nothing reaches it or comes from it.
+func (d *domain) cut(name string) {
+	d.net.setLose(func(from, to, _ string) bool { return from == name || to == name })
+}
+
+func (d *domain) without(name string) []string {
+	var out []string
+	for _, n := range []string{"a", "b", "c"} {
+		if n != name {
+			out = append(out, n)
+		}
+	}
+	return out
+}
+
+// Requests hang, or slots stay taken, after the death of one instance.
+// The scheduler dies with grants of the others in flight and tickets queued. Its
+// successor must count those grants before it gives new ones, and must serve the
+// queued tickets without their callers' doing.
+func TestSchedulerDiesWithGrantsInFlight(t *testing.T) {
+	d := newDomain(t, 2, "a", "b", "c")
+	dead := d.scheduler()
+	live := d.without(dead)
+	held := []*schedule.Grant{d.acquire(live[0]), d.acquire(live[1])}
+	waiting := d.later(live[0])
+	d.Eventually(func() int { return d.services[live[0]].Status().Waiting }).Should(Equal(1))
+
+	d.cut(dead)
+	d.net.setMembers(live...)
+	d.Eventually(d.scheduler).Should(BeElementOf(live[0], live[1]))
+	successor := d.scheduler()
+	d.Eventually(d.inFlight(successor)).Should(Equal(2))
+	d.Consistently(waiting, "200ms").ShouldNot(Receive(), "both slots are taken")
+
+	held[0].Done(done)
+	g := <-waiting
+	held[1].Done(done)
+	g.Done(done)
+	d.Eventually(d.inFlight(successor)).Should(Equal(0))
+}
+
+// Requests wait for ever although engines idle: the link to the scheduler fell
+// silent, and no other member is elected, since the scheduler itself is alive.
+// Each instance then schedules for itself on its share, and goes back later.
+func TestInstancesScheduleAloneWhileTheSchedulerIsSilent(t *testing.T) {
+	d := newDomain(t, 3, "a", "b", "c")
+	silent := d.scheduler()
+	live := d.without(silent)
+	d.cut(silent)
+	held := []*schedule.Grant{d.acquire(live[0]), d.acquire(live[1])}
+	for _, name := range live {
+		d.Expect(d.services[name].Status().Role).To(Equal("alone"))
+		d.Expect(d.inFlight(name)()).To(Equal(1))
+	}
+	more := d.later(live[0])
+	d.Consistently(more, "100ms").ShouldNot(Receive(), "its share is one slot")
+
+	d.net.setLose(nil)
+	d.Eventually(func() string { return d.services[live[0]].Status().Role }).Should(Equal("follower"))
+	third := <-more
+	d.Eventually(d.inFlight(silent)).Should(Equal(3))
+	for _, g := range append(held, third) {
+		g.Done(done)
+	}
+	d.Eventually(d.inFlight(silent)).Should(Equal(0))
+}
+
+// An engine serves fewer requests each day until the scheduler is restarted.
+// Instances die with grants in flight that nobody will ever end.
+func TestGrantsOfADeadInstanceEndWithItsLease(t *testing.T) {
+	d := newDomain(t, 1, "a", "b", "c")
+	dead := d.follower()
+	d.acquire(dead)
+	elected := d.scheduler()
+	d.Expect(d.inFlight(elected)()).To(Equal(1))
+	d.cut(dead)
+	d.Eventually(d.inFlight(elected)).Should(Equal(0))
+	d.acquire(elected).Done(done)
+}
+
+// One request hangs for ever while others pass it, and its slot stays taken.
+// The message with its grant was lost on a link that was just being replaced.
+func TestLostGrantIsRepeated(t *testing.T) {
+	d := newDomain(t, 1, "a", "b", "c")
+	name := d.follower()
+	var lost atomic.Int64
+	var submitted atomic.Bool
+	d.net.setLose(func(_, to, channel string) bool {
+		if to != name || channel != "schedule.down" || !submitted.Load() {
+			return false
+		}
+		return lost.Add(1) <= 3
+	})
+	submitted.Store(true)
+	g := d.acquire(name)
+	d.Expect(lost.Load()).To(BeNumerically(">", 3))
+	g.Done(done)
+	d.Eventually(d.inFlight(d.scheduler())).Should(Equal(0))
+}
+
+// The same for the ticket on its way, and for the end of a grant.
+func TestLostTicketsAndEndsAreRepeated(t *testing.T) {
+	d := newDomain(t, 1, "a", "b", "c")
+	name := d.follower()
+	rnd := rand.New(rand.NewSource(1))
+	d.net.setLose(func(from, _, channel string) bool {
+		return from == name && channel == "schedule.up" && rnd.Intn(2) == 0
+	})
+	for range 10 {
+		d.acquire(name).Done(done)
+	}
+	d.Eventually(d.inFlight(d.scheduler())).Should(Equal(0))
+}
--- /dev/null
+++ b/instance/schedule/message.go
@@ -0,0 +1,118 @@
+package schedule
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/comfreyladder/comfreyladder/core/sched"
+)
+
+// Channels between instances.
+const (
+	// channelUp carries tickets and events to the domain's scheduler.
+	channelUp = "schedule.up"
+	// channelDown carries grants and refusals back.
+	channelDown = "schedule.down"
+)
+
+// ticketMessage is a ticket on its way. Clocks of instances differ, so that
+// times travel as durations.
+type ticketMessage struct {
+	Ticket sched.Ticket  `codec:"t"`
+	Age    time.Duration `codec:"a"`
+	// Left is the time to the deadline; 0 means that there is none.
+	Left time.Duration `codec:"l"`
+}
+
+func packTicket(t sched.Ticket, now time.Time) ticketMessage {
+	m := ticketMessage{Ticket: t, Age: now.Sub(t.Arrived)}
+	if !t.Deadline.IsZero() {
+		m.Left = max(t.Deadline.Sub(now), 1)
+	}
+	m.Ticket.Arrived, m.Ticket.Deadline = time.Time{}, time.Time{}
+	return m
+}
+
+func (m ticketMessage) unpack(now time.Time, from string) sched.Ticket {
+	t := m.Ticket
+	t.Instance = from
+	t.Arrived = now.Add(-m.Age)
+	if m.Left > 0 {
+		t.Deadline = now.Add(m.Left)
+	}
+	return t
+}
+
+type eventKind int
+
+const (
+	eventCancel eventKind = iota + 1
+	eventStarted
+	eventProgress
+	eventFinish
+)
+
+// event tells the scheduler what became of a ticket.
+type event struct {
+	Kind    eventKind     `codec:"k"`
+	ID      string        `codec:"i"`
+	Tokens  int           `codec:"n"`
+	Outcome sched.Outcome `codec:"o"`
+}
+
+// flight is a grant in flight, told to a successor.
+type flight struct {
+	Ticket   ticketMessage `codec:"t"`
+	Upstream string        `codec:"u"`
+	Tokens   int           `codec:"n"`
+	Started  bool          `codec:"s"`
+}
+
+// upMessage goes to the scheduler. Its parts apply in the order of the fields.
+type upMessage struct {
+	// Full says that Flights and Submits list all that the instance has.
+	Full    bool            `codec:"f"`
+	Flights []flight        `codec:"g"`
+	Submits []ticketMessage `codec:"s"`
+	Events  []event         `codec:"e"`
+	// Beat asks for an acknowledgement and carries digests of what the instance
+	// waits for and has in flight, by which the scheduler finds losses.
+	Beat    bool   `codec:"b"`
+	Waiting digest `codec:"w"`
+	Flying  digest `codec:"y"`
+}
+
+func (m *upMessage) empty() bool {
+	return !m.Full && !m.Beat && len(m.Flights)+len(m.Submits)+len(m.Events) == 0
+}
+
+// downMessage goes from the scheduler to an instance; an empty one acknowledges
+// a beat.
+type downMessage struct {
+	Grants []sched.Grant `codec:"g"`
+	Sheds  []sched.Shed  `codec:"s"`
+	// Resync asks for a Full message.
+	Resync bool `codec:"r"`
+	// NotScheduler says that the sender is not the scheduler by its own view.
+	NotScheduler bool `codec:"n"`
+}
+
+// digest stands for a set of IDs, whatever their order.
+type digest struct {
+	Count int    `codec:"c"`
+	Hash  uint64 `codec:"h"`
+}
+
+func (d *digest) add(id string) {
+	d.Count++
+	d.Hash ^= xxhash.Sum64String(id)
+}
+
+func digestOf(ids []string) digest {
+	var d digest
+	for _, id := range ids {
+		d.add(id)
+	}
+	return d
+}
