--- a/core/sched/dispatch.go
+++ b/core/sched/dispatch.go
@@ -164,15 +164,18 @@
 }
 
 func (s *Scheduler) grant(now time.Time, i *item, floor bool) bool {
-	s.candidates = s.candidates[:0]
+	s.candidates, s.holders = s.candidates[:0], s.holders[:0]
 	for _, e := range s.engines {
-		s.candidates = append(s.candidates, e.candidate(now, i, s.cfg.Headroom))
+		if e.holds[i.Model] {
+			s.candidates = append(s.candidates, e.candidate(now, i, s.cfg.Headroom))
+			s.holders = append(s.holders, e)
+		}
 	}
 	choice, ok := s.chain.Pick(&pick.Request{Protected: i.class.Protected}, s.candidates, s.rnd)
 	if !ok {
 		return false
 	}
-	e := s.engines[choice.Index]
+	e := s.holders[choice.Index]
 	prefix := s.candidates[choice.Index].Prefix
 	s.account(now, i, floor)
 	s.dequeue(i)
--- a/core/sched/engine.go
+++ b/core/sched/engine.go
@@ -36,6 +36,8 @@
 	unstarted map[string]*item
 	// history remembers counts in flight, to correct reports that lag.
 	history []flightCount
+	// others is how many requests of others the latest report showed.
+	others int
 	// firstToken is in seconds, tokenRate in tokens a second of one stream,
 	// slotRate in work a second of one slot; 0 means unknown.
 	firstToken, tokenRate, slotRate float64
@@ -57,6 +59,10 @@
 func (e *engine) update(u Upstream) {
 	e.Upstream = u
 	e.gone = false
+	e.others = 0
+	if u.Load != nil {
+		e.others = max(u.Load.Running+u.Load.Waiting-e.flightAt(u.LoadAt), 0)
+	}
 	e.holds = make(map[string]bool, len(u.Models))
 	for _, m := range u.Models {
 		e.holds[m] = true
@@ -98,8 +104,7 @@
 	if e.Load == nil || now.Sub(e.LoadAt) > reportLife {
 		return e.inFlight
 	}
-	others := e.Load.Running + e.Load.Waiting - e.flightAt(e.LoadAt)
-	return e.inFlight + max(others, 0)
+	return e.inFlight + e.others
 }
 
 // free returns how many slots are open to a class. Unprotected classes may not
@@ -117,6 +122,7 @@
 	return min(open, e.slots-reserved-e.unprotected)
 }
 
+// candidate describes the engine, which holds the item's model, for a choice.
 func (e *engine) candidate(now time.Time, i *item, headroom float64) pick.Candidate {
 	first, rate := e.firstToken, e.tokenRate
 	if e.stale(now) {
@@ -124,7 +130,7 @@
 	}
 	return pick.Candidate{
 		Name:       e.Name,
-		Holds:      e.holds[i.Model],
+		Holds:      true,
 		Excluded:   contains(i.Excluded, e.Name),
 		Draining:   e.Draining || e.gone,
 		Slots:      e.slots,
--- a/core/sched/sched.go
+++ b/core/sched/sched.go
@@ -37,9 +37,11 @@
 	// round numbers the dispatches.
 	round uint64
 
-	out        []Effect
-	free       map[string]*room
+	out  []Effect
+	free map[string]*room
+	// candidates and holders are buffers of a choice, by the same positions.
 	candidates []pick.Candidate
+	holders    []*engine
 }
 
 // New returns a scheduler without classes and upstreams; it refuses all tickets
