--- a/core/sched/admit.go
+++ b/core/sched/admit.go
@@ -139,8 +139,8 @@
 
 // rate is the work a second that serves the ticket's class for its model. For
 // protected work it is the whole capacity: lower tiers are no reason to refuse
-// it. For the others it is what more urgent classes were seen to leave, and at
-// least the floor.
+// it. For the others it is what more urgent classes were seen to leave, without
+// the floors of waiting lower ones, and at least the class's own floor.
 func (s *Scheduler) rate(now time.Time, i *item) float64 {
 	whole := s.capacity(i.Model)
 	if i.class.Protected {
@@ -148,11 +148,12 @@
 	}
 	left := whole
 	for _, c := range s.order {
-		if c.Tier >= i.class.Tier {
-			break
-		}
-		if m := c.granted[i.Model]; m != nil {
+		switch m := c.granted[i.Model]; {
+		case c == i.class:
+		case c.Tier < i.class.Tier && m != nil:
 			left -= m.read(now)
+		case c.lanes[i.Model] != nil:
+			left -= c.floor * whole
 		}
 	}
 	return max(left, i.class.floor*whole, 1e-3)
--- a/instance/schedule/state.go
+++ b/instance/schedule/state.go
@@ -193,8 +193,8 @@
 }
 
 // granted gives a grant to the request that waits for it. A grant for a request
-// that has ended, or that got one from elsewhere, goes back unused: without that
-// the slot would stay taken at its giver for good.
+// that has ended, or that got one from elsewhere, goes back unused at once; else
+// its slot would stay taken until the digests of the next beat show it.
 func (s *state) granted(now time.Time, giver string, g sched.Grant) {
 	r := s.requests[g.ID]
 	if r != nil && r.flying && r.grant.Upstream == g.Upstream {
