--- a/instance/plain/fakes_test.go
+++ b/instance/plain/fakes_test.go
@@ -151,6 +151,12 @@
 	return s.keys[key]
 }
 
+func (s *service) sent() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.n
+}
+
 func (s *service) ran(id string) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/instance/plain/handler_test.go
+++ b/instance/plain/handler_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -185,11 +186,12 @@
 // its answer; the receipt is written once there is a leader again, before the
 // instance may stop.
 func TestReceiptIsWrittenAfterTheLedgerReturns(t *testing.T) {
-	b := newBench(t, func(string) mood { return answers })
-	b.s.mood = func(string) mood {
-		b.l.cutOff.Store(true)
+	var l atomic.Pointer[ledger]
+	b := newBench(t, func(string) mood {
+		l.Load().cutOff.Store(true)
 		return answers
-	}
+	})
+	l.Store(b.l)
 	p := b.handler(never)
 	a, err := p.Call(context.Background(), book(b.s, "k"))
 	b.Expect(err).NotTo(HaveOccurred())
@@ -208,12 +210,12 @@
 	b := newBench(t, always(drops))
 	_, err := b.handler(never).Call(context.Background(), book(b.s, ""))
 	b.Expect(fault.CodeOf(err)).To(Equal(fault.Invalid))
-	b.Expect(b.s.n).To(BeZero())
+	b.Expect(b.s.sent()).To(BeZero())
 	r := book(b.s, "")
 	r.Service.RequireKey = false
 	_, err = b.handler(never).Call(context.Background(), r)
 	b.Expect(fault.CodeOf(err)).To(Equal(fault.OutcomeUnknown))
-	b.Expect(b.s.n).To(Equal(1))
+	b.Expect(b.s.sent()).To(Equal(1))
 }
 
 // flaky fails its first attempts as a lost connection would.
