Test proposals that a new leader takes before its first commit

Taking the later-term rule one term too far went unseen; the test lets the leader's first entry commit alone and counts the proposals behind it.

--- a/instance/consensus/cluster_test.go
+++ b/instance/consensus/cluster_test.go
@@ -41,6 +41,8 @@
 	nextID  raft.MemberID
 	cluster raft.ClusterID
 	options func(*consensus.Config)
+	// tamper, if set, may change a message; it returns false to drop it.
+	tamper func(*raft.Message) bool
 }
 
 type member struct {
@@ -195,6 +197,9 @@
 	g.mu.Lock()
 	target := g.byID[to]
 	lost := target == nil || g.members[target.name] != target || target.service == nil || g.cut[s.from+">"+target.name] || g.rnd.Float64() < g.loss
+	if g.tamper != nil && !g.tamper(&m) {
+		lost = true
+	}
 	double := g.rnd.Float64() < g.loss
 	late := time.Duration(0)
 	if g.rnd.Float64() < g.loss {
--- a/instance/consensus/history_test.go
+++ b/instance/consensus/history_test.go
@@ -153,7 +153,9 @@
 		return historyOutput{unknown: true}
 	}
 	var out historyOutput
-	s.View(func(_ uint64, m *control.Mux) { out.revision, _ = m.Machine(revision.Name).(*revision.Machine).Current() })
+	s.View(func(_ uint64, m *control.Mux) {
+		out.revision, _ = m.Machine(revision.Name).(*revision.Machine).Current()
+	})
 	return out
 }
 
--- a/instance/consensus/once_test.go
+++ b/instance/consensus/once_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -143,3 +144,54 @@
 	_, _, err = g.running(leader).Propose(context.Background(), tallyName, []byte("second"))
 	gm.Expect(fault.CodeOf(err)).To(Equal(fault.OutcomeUnknown))
 }
+
+// What a user would see: a command has run twice. What happens: a new leader takes
+// proposals before its first entry is committed; that entry is committed alone, the
+// proposals later. Cause: they are taken for attempts of an earlier term.
+func TestProposalsOfANewLeaderAreNotRepeated(t *testing.T) {
+	gm := NewWithT(t)
+	g := newGroup(t, func(c *consensus.Config) { withTally(c); c.Timeout = patience }, trio...)
+	old := g.awaitLeader()
+	var limit uint64
+	g.setTamper(func(m *raft.Message) bool {
+		m.Index = min(m.Index, limit)
+		return limit > 0
+	}, raft.MsgAppendReply)
+	g.stop(old)
+	leader := g.awaitLeader()
+	first := g.running(leader).Status().Last
+	done := make(chan error, 2)
+	for _, name := range trio {
+		if s := g.running(name); s != nil {
+			go func() {
+				_, _, err := s.Propose(context.Background(), tallyName, []byte(name))
+				done <- err
+			}()
+		}
+	}
+	status := func() raft.Status { return g.running(leader).Status().Status }
+	gm.Eventually(func() uint64 { return status().Last }).WithTimeout(patience).Should(Equal(first + 2))
+	g.mu.Lock()
+	limit = first
+	g.mu.Unlock()
+	gm.Eventually(func() uint64 { return status().Commit }).WithTimeout(patience).Should(Equal(first))
+	time.Sleep(5 * testHeartbeat) // time enough for a wrong repetition
+	g.setTamper(nil)
+	gm.Eventually(done).WithTimeout(patience).Should(Receive(BeNil()))
+	gm.Eventually(done).WithTimeout(patience).Should(Receive(BeNil()))
+	_, _, err := g.running(leader).Propose(context.Background(), tallyName, []byte("last"))
+	gm.Expect(err).NotTo(HaveOccurred())
+	for _, count := range g.tallyAt(leader) {
+		gm.Expect(count).To(Equal(1))
+	}
+}
+
+// setTamper has f see the messages of some kinds.
+func (g *group) setTamper(f func(*raft.Message) bool, only ...raft.MessageKind) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.tamper = nil
+	if f != nil {
+		g.tamper = func(m *raft.Message) bool { return !slices.Contains(only, m.Kind) || f(m) }
+	}
+}
