--- a/core/raft/doc.go
+++ b/core/raft/doc.go
@@ -33,6 +33,12 @@
 	DefaultMaxBatch        = 256
 	DefaultMaxWindow       = 2048
 	DefaultMaxUncommitted  = 8192
+	// DefaultMaxBatchBytes keeps an append well below the size of a message
+	// that links between instances accept.
+	DefaultMaxBatchBytes = 1 << 20
+	// DefaultMaxUncommittedBytes bounds what a leader without a quorum gathers
+	// in memory.
+	DefaultMaxUncommittedBytes = 8 << 20
 	// leaseShare is the share of the election timeout that a lease lasts. The
 	// rest covers clocks that run at different rates, up to a tenth apart.
 	leaseShare = 0.9
@@ -54,6 +60,10 @@
 	// MaxUncommitted bounds the leader's uncommitted entries; proposals above
 	// it are refused.
 	MaxUncommitted uint64
+	// MaxBatchBytes bounds the data of one append, but for a single entry that
+	// is larger; MaxUncommittedBytes is as MaxUncommitted.
+	MaxBatchBytes       int
+	MaxUncommittedBytes int
 	// Rand spreads the election timeouts.
 	Rand *rand.Rand
 }
@@ -67,6 +77,8 @@
 	setDefault(&c.MaxBatch, DefaultMaxBatch)
 	setDefault(&c.MaxWindow, DefaultMaxWindow)
 	setDefault(&c.MaxUncommitted, DefaultMaxUncommitted)
+	setDefault(&c.MaxBatchBytes, DefaultMaxBatchBytes)
+	setDefault(&c.MaxUncommittedBytes, DefaultMaxUncommittedBytes)
 	if c.ElectionTimeout < 2*c.Heartbeat {
 		return fault.New(fault.Invalid, "election timeout %v is below two heartbeats of %v", c.ElectionTimeout, c.Heartbeat)
 	}
--- a/core/raft/election.go
+++ b/core/raft/election.go
@@ -93,6 +93,7 @@
 	n.role, n.leader = Leader, n.cfg.ID
 	n.votes = nil
 	n.leaseLost = false
+	n.uncommitted = n.log.bytes(n.commit+1, n.log.last())
 	n.rounds = map[uint64]time.Time{}
 	clear(n.progress)
 	n.syncProgress(now, n.log.last()+1)
--- a/core/raft/log.go
+++ b/core/raft/log.go
@@ -37,14 +37,40 @@
 	return index >= l.snapIndex && index <= l.last() && l.term(index) == term
 }
 
-// slice returns a copy of the entries from low to high, both included.
-func (l *memLog) slice(low, high uint64) []Entry {
+// view returns the entries from low to high, both included, as they are.
+func (l *memLog) view(low, high uint64) []Entry {
 	low = max(low, l.snapIndex+1)
 	high = min(high, l.last())
 	if low > high {
 		return nil
 	}
-	return append([]Entry(nil), l.entries[low-l.snapIndex-1:high-l.snapIndex]...)
+	return l.entries[low-l.snapIndex-1 : high-l.snapIndex]
+}
+
+// slice is view with a copy of the entries.
+func (l *memLog) slice(low, high uint64) []Entry {
+	return append([]Entry(nil), l.view(low, high)...)
+}
+
+// bytes returns the size of the data of the entries from low to high.
+func (l *memLog) bytes(low, high uint64) int {
+	size := 0
+	for _, e := range l.view(low, high) {
+		size += len(e.Data)
+	}
+	return size
+}
+
+// within returns the highest index such that the data from low up to it does not
+// exceed limit, but at least low.
+func (l *memLog) within(low, high uint64, limit int) uint64 {
+	for i, e := range l.view(low, high) {
+		limit -= len(e.Data)
+		if limit < 0 && i > 0 {
+			return low + uint64(i) - 1
+		}
+	}
+	return high
 }
 
 // cut drops the entries from index on.
--- a/core/raft/node.go
+++ b/core/raft/node.go
@@ -44,6 +44,8 @@
 	rounds      map[uint64]time.Time
 	reads       []pendingRead
 	commitMoved bool
+	// uncommitted is the size of the leader's uncommitted data.
+	uncommitted int
 
 	transferee    MemberID
 	transferUntil time.Time
--- a/core/raft/node_test.go
+++ b/core/raft/node_test.go
@@ -320,3 +320,30 @@
 	s.echo(2, roundOf(s.wait(heartbeat)))
 	g.Expect(read(4).Reads).To(BeEmpty(), "the order to campaign may still be on its way")
 }
+
+// What a user would see: an instance runs out of memory, or a link between
+// instances breaks again and again. What happens: operators confirm large intents
+// while the group has no quorum, or a member is behind by many of them.
+func TestLargeEntriesAreBounded(t *testing.T) {
+	g := NewWithT(t)
+	s := newSingle(t, voters(1, 2, 3))
+	s.lead(2)
+	s.ack(2, 2)
+	large := make([]byte, raft.DefaultMaxBatchBytes*2/3)
+	accepted := 0
+	for range 100 {
+		if _, _, err := s.node.Propose(s.now, large); err != nil {
+			g.Expect(fault.CodeOf(err)).To(Equal(fault.Overloaded))
+			break
+		}
+		accepted++
+	}
+	g.Expect(accepted * len(large)).To(BeNumerically("<=", raft.DefaultMaxUncommittedBytes))
+	g.Expect(accepted).To(BeNumerically(">", 1))
+	r := s.ack(2, 2+uint64(accepted))
+	_, _, err := s.node.Propose(s.now, large)
+	g.Expect(err).NotTo(HaveOccurred(), "the commit made room")
+	for _, m := range append(r.Messages, s.ack(3, 2).Messages...) {
+		g.Expect(len(m.Entries)).To(BeNumerically("<=", 1))
+	}
+}
--- a/core/raft/ready.go
+++ b/core/raft/ready.go
@@ -43,13 +43,16 @@
 }
 
 // Compact truncates the log up to a snapshot at index that the caller has
-// synced, keeping up to tail entries before it for followers that lag a little.
-// It returns the first index that is kept.
-func (n *Node) Compact(index, tail uint64) (uint64, error) {
+// synced, keeping up to tail entries of up to tailBytes of data before it for
+// followers that lag a little. It returns the first index that is kept.
+func (n *Node) Compact(index, tail uint64, tailBytes int) (uint64, error) {
 	if index > n.applied {
 		return 0, fault.New(fault.Invalid, "snapshot at %d is beyond the applied %d", index, n.applied)
 	}
-	upTo := index - min(tail, index)
+	upTo := max(index-min(tail, index), n.log.snapIndex)
+	for n.log.bytes(upTo+1, index) > tailBytes {
+		upTo++
+	}
 	if upTo <= n.log.snapIndex {
 		return n.log.snapIndex + 1, nil
 	}
--- a/core/raft/replicate.go
+++ b/core/raft/replicate.go
@@ -31,9 +31,10 @@
 	if n.role != Leader || n.transferee != 0 {
 		return 0, 0, n.notLeader()
 	}
-	if n.log.last()-n.commit >= n.cfg.MaxUncommitted {
-		return 0, 0, fault.New(fault.Overloaded, "%d entries are uncommitted", n.cfg.MaxUncommitted).After(n.cfg.Heartbeat)
+	if n.log.last()-n.commit >= n.cfg.MaxUncommitted || n.uncommitted+len(data) > n.cfg.MaxUncommittedBytes && n.uncommitted > 0 {
+		return 0, 0, fault.New(fault.Overloaded, "%d entries of %d bytes are uncommitted", n.log.last()-n.commit, n.uncommitted).After(n.cfg.Heartbeat)
 	}
+	n.uncommitted += len(data)
 	index = n.appendEntry(now, Entry{Kind: EntryCommand, Data: data})
 	n.broadcastAppend()
 	return index, n.term, nil
@@ -65,7 +66,8 @@
 			n.sendSnapshot(id, p)
 			return
 		}
-		high := p.next + uint64(n.cfg.MaxBatch) - 1
+		high := min(p.next+uint64(n.cfg.MaxBatch)-1, n.log.last())
+		high = n.log.within(p.next, high, n.cfg.MaxBatchBytes)
 		entries := n.log.slice(p.next, high)
 		n.send(Message{Kind: MsgAppend, To: id, Index: p.next - 1, LogTerm: n.log.term(p.next - 1),
 			Entries: entries, Commit: n.commit, Round: n.round})
@@ -179,6 +181,7 @@
 	if index <= n.commit || n.log.term(index) != n.term {
 		return
 	}
+	n.uncommitted = max(0, n.uncommitted-n.log.bytes(n.commit+1, index))
 	n.commit = index
 	n.commitMoved = true
 }
--- a/core/raft/sim_test.go
+++ b/core/raft/sim_test.go
@@ -104,7 +104,7 @@
 
 func (s *sim) start(h *host) {
 	node, err := raft.New(s.clock(h), raft.Config{ID: h.id, Cluster: "c", Heartbeat: heartbeat, ElectionTimeout: election,
-		MaxBatch: 4, MaxWindow: 16, Rand: rand.New(rand.NewSource(s.rnd.Int63()))}, h.disk.hard, h.disk.snap, slices.Clone(h.disk.entries))
+		MaxBatch: 4, MaxWindow: 16, MaxBatchBytes: 30, Rand: rand.New(rand.NewSource(s.rnd.Int63()))}, h.disk.hard, h.disk.snap, slices.Clone(h.disk.entries))
 	if err != nil {
 		s.fail("start of %d: %v", h.id, err)
 		return
@@ -277,7 +277,7 @@
 		return
 	}
 	snap.Data = []byte(fmt.Sprint(h.state))
-	first, err := h.node.Compact(h.last, uint64(s.rnd.Intn(4)))
+	first, err := h.node.Compact(h.last, uint64(s.rnd.Intn(4)), 30)
 	if err != nil {
 		s.fail("compact: %v", err)
 	}
--- a/core/raft/types.go
+++ b/core/raft/types.go
@@ -46,8 +46,8 @@
 // MessageKind says what a Message is.
 type MessageKind uint8
 
-// The kinds of messages. MsgPropose and MsgProposeReply are carried for the
-// service around a Node, which handles them itself.
+// The kinds of messages. MsgPropose, MsgProposeReply and MsgSnapshotPart are
+// carried for the service around a Node, which handles them itself.
 const (
 	MsgPreVote MessageKind = iota + 1
 	MsgPreVoteReply
@@ -63,6 +63,9 @@
 	MsgReadIndexReply
 	MsgPropose
 	MsgProposeReply
+	// MsgSnapshotPart carries Data of a MsgSnapshot from offset Index on, of
+	// Hint bytes in all.
+	MsgSnapshotPart
 )
 
 // Message goes from one member to another. Which fields count depends on Kind.
--- a/instance/consensus/apply.go
+++ b/instance/consensus/apply.go
@@ -59,6 +59,7 @@
 		s.cfg.Mux.Skip(e.Index)
 	}
 	s.applied = e.Index
+	s.appliedBytes += len(e.Data)
 	s.mu.Unlock()
 	if err != nil {
 		return err
--- a/instance/consensus/forward.go
+++ b/instance/consensus/forward.go
@@ -47,6 +47,12 @@
 			s.handleForwardReply(m)
 		}
 		return nil
+	case raft.MsgSnapshotPart:
+		whole, complete := s.parts.add(m)
+		if !complete {
+			return nil
+		}
+		m = whole
 	}
 	return s.node.Step(time.Now(), m)
 }
--- a/instance/consensus/once_test.go
+++ b/instance/consensus/once_test.go
@@ -195,3 +195,17 @@
 		g.tamper = func(m *raft.Message) bool { return !slices.Contains(only, m.Kind) || f(m) }
 	}
 }
+
+func TestLargeCommandsBringTheSnapshotForward(t *testing.T) {
+	gm := NewWithT(t)
+	g := newGroup(t, func(c *consensus.Config) { withTally(c); c.SnapshotEvery, c.SnapshotBytes = 1<<20, 1000 }, "a")
+	g.awaitLeader()
+	for i := range 8 {
+		_, _, err := g.running("a").Propose(context.Background(), tallyName, fmt.Appendf(nil, "%0300d", i))
+		gm.Expect(err).NotTo(HaveOccurred())
+	}
+	gm.Eventually(func() uint64 { return g.running("a").Status().Snapshot }).WithTimeout(patience).Should(BeNumerically(">", 2))
+	g.crash("a")
+	g.start("a")
+	gm.Eventually(func() map[string]int { return g.tallyAt("a") }).WithTimeout(patience).Should(HaveLen(8))
+}
--- a/instance/consensus/service.go
+++ b/instance/consensus/service.go
@@ -24,6 +24,14 @@
 	// DefaultTail is the count of entries that stay in the log behind a
 	// snapshot, so that a member that was away for a little needs no snapshot.
 	DefaultTail = 1024
+	// DefaultSnapshotBytes is the size of applied commands after which a
+	// snapshot is taken even before DefaultSnapshotEvery. It bounds the log in
+	// memory and on disk, since one intent can be large; the tail is bounded
+	// by half of it.
+	DefaultSnapshotBytes = 8 << 20
+	// partLen is how much of a snapshot one message carries; links between
+	// instances refuse messages above some megabytes.
+	partLen = 1 << 20
 	// DefaultTimeout ends a proposal or read whose context has no deadline.
 	DefaultTimeout = 5 * time.Second
 	// inboxLen bounds messages that wait for the goroutine; more are dropped,
@@ -54,6 +62,7 @@
 	Heartbeat       time.Duration
 	ElectionTimeout time.Duration
 	SnapshotEvery   uint64
+	SnapshotBytes   int
 	Tail            uint64
 	Timeout         time.Duration
 	// Seed spreads the election timeouts; members need different ones.
@@ -91,7 +100,10 @@
 	retryAt   time.Time
 	// appliedTerm is the term of the last applied entry.
 	appliedTerm uint64
-	seen        map[raft.MemberID]*seenContexts
+	// appliedBytes counts applied data since the last snapshot.
+	appliedBytes int
+	parts        parts
+	seen         map[raft.MemberID]*seenContexts
 }
 
 // New returns a service that is not started.
@@ -105,6 +117,9 @@
 	if cfg.SnapshotEvery == 0 {
 		cfg.SnapshotEvery = DefaultSnapshotEvery
 	}
+	if cfg.SnapshotBytes == 0 {
+		cfg.SnapshotBytes = DefaultSnapshotBytes
+	}
 	if cfg.Tail == 0 {
 		cfg.Tail = DefaultTail
 	}
@@ -311,31 +326,22 @@
 
 func (s *Service) sendAll(messages []raft.Message) error {
 	for _, m := range messages {
-		if m.Kind == raft.MsgSnapshot {
-			if err := s.fill(&m); err != nil {
-				return err
-			}
+		if m.Kind != raft.MsgSnapshot {
+			s.cfg.Transport.Send(m.To, m)
+			continue
+		}
+		if err := s.sendSnapshot(m); err != nil {
+			return err
 		}
-		s.cfg.Transport.Send(m.To, m)
 	}
 	return nil
 }
 
-// fill puts the newest snapshot into a message. It may reach further than the
-// node asked for.
-func (s *Service) fill(m *raft.Message) error {
-	index, content, err := s.store.snaps.Load()
-	if err != nil || index == 0 {
-		return err
-	}
-	m.Snapshot = &raft.Snapshot{}
-	return control.Unmarshal(content, m.Snapshot)
-}
-
 func (s *Service) maybeSnapshot() error {
-	if s.applied < s.store.snap.Index+s.cfg.SnapshotEvery {
+	if s.applied < s.store.snap.Index+s.cfg.SnapshotEvery && s.appliedBytes < s.cfg.SnapshotBytes {
 		return nil
 	}
+	s.appliedBytes = 0
 	snapshot, err := s.node.SnapshotAt(s.applied)
 	if err != nil {
 		return err
@@ -346,7 +352,7 @@
 	if err := s.store.saveSnapshot(snapshot); err != nil {
 		return err
 	}
-	first, err := s.node.Compact(snapshot.Index, s.cfg.Tail)
+	first, err := s.node.Compact(snapshot.Index, s.cfg.Tail, s.cfg.SnapshotBytes/2)
 	if err != nil {
 		return err
 	}
