Links: bound what all peers together may queue, and what is received and not handled

Per peer, 16 MiB could wait; 20 peers that can't be reached would have held 320 MB, against 64 MB that a daemon has for control. Test: links over TLS.

--- a/instance/link/accept.go
+++ b/instance/link/accept.go
@@ -55,7 +55,8 @@
 		s.log.Warn().Err(err).Str("remote", conn.RemoteAddr().String()).Msg("link refused")
 		return
 	}
-	w := s.newWire(conn, name, newQueue(s.cfg.QueueItems, s.cfg.QueueBytes), nil)
+	w := s.newWire(conn, name, newQueue(s.cfg.QueueItems, s.cfg.QueueBytes, &s.queued), nil)
+	defer w.out.close()
 	w.in = bufio.NewReaderSize(heard{w}, bufferSize)
 	in := newInbound(s, w)
 	w.handle = in.receive
--- a/instance/link/inbound.go
+++ b/instance/link/inbound.go
@@ -49,6 +49,11 @@
 func (in *inbound) stop() {
 	in.cancel()
 	in.running.Wait()
+	for _, messages := range []chan *envelope{in.control, in.bulk} {
+		for len(messages) > 0 {
+			in.release(<-messages)
+		}
+	}
 }
 
 func (in *inbound) work(messages <-chan *envelope) {
@@ -58,36 +63,69 @@
 			if _, err := in.run(e); err != nil {
 				in.s.log.Debug().Err(err).Str("peer", in.w.peer).Str("channel", e.Channel).Msg("message not handled")
 			}
+			in.release(e)
 		case <-in.ctx.Done():
 			return
 		}
 	}
 }
 
+// reserve counts an envelope's bytes until its handler has ended; false means
+// that handlers are so far behind that no more may be held.
+func (in *inbound) reserve(e *envelope) bool {
+	size := int64(len(e.Body))
+	if in.s.received.used.Add(size) <= in.s.received.max {
+		return true
+	}
+	in.s.received.used.Add(-size)
+	return false
+}
+
+func (in *inbound) release(e *envelope) { in.s.received.used.Add(-int64(len(e.Body))) }
+
 func (in *inbound) receive(_ *wire, e *envelope) {
 	switch e.Kind {
 	case kindMessage:
-		messages := in.control
-		if in.s.traits(e.Channel).bulk {
-			messages = in.bulk
-		}
-		select {
-		case messages <- e:
-		default:
-			in.s.stats.dropped(e.Channel)
-		}
+		in.enqueue(e)
 	case kindRequest:
+		if !in.reserve(e) {
+			in.refuse(e)
+			return
+		}
 		select {
 		case in.calls <- struct{}{}:
 			in.running.Go(func() { in.answer(e) })
 		default:
-			in.reply(failure(e.ID, e.Channel, fault.New(fault.NotRun, "%d calls run already for %s", maxInboundCalls, in.w.peer)))
+			in.release(e)
+			in.refuse(e)
 		}
 	}
 }
 
+func (in *inbound) enqueue(e *envelope) {
+	if !in.reserve(e) {
+		in.s.stats.dropped(e.Channel)
+		return
+	}
+	messages := in.control
+	if in.s.traits(e.Channel).bulk {
+		messages = in.bulk
+	}
+	select {
+	case messages <- e:
+	default:
+		in.release(e)
+		in.s.stats.dropped(e.Channel)
+	}
+}
+
+func (in *inbound) refuse(e *envelope) {
+	in.reply(failure(e.ID, e.Channel, fault.New(fault.NotRun, "%s has too many calls from %s to run", in.s.cfg.Self, in.w.peer)))
+}
+
 func (in *inbound) answer(e *envelope) {
 	defer func() { <-in.calls }()
+	defer in.release(e)
 	result, err := in.run(e)
 	if err != nil {
 		in.reply(failure(e.ID, e.Channel, err))
--- a/instance/link/link.go
+++ b/instance/link/link.go
@@ -38,6 +38,10 @@
 	// the first counts for each priority.
 	DefaultQueueItems = 4096
 	DefaultQueueBytes = 16 << 20
+	// DefaultTotalBytes bounds what waits for all peers together, and as much
+	// again what was received and not handled yet: within the 64 MB that a
+	// daemon has for control.
+	DefaultTotalBytes = 24 << 20
 )
 
 // AddressBook knows where instances listen for links.
@@ -71,6 +75,7 @@
 	MaxMessage  int
 	QueueItems  int
 	QueueBytes  int
+	TotalBytes  int
 }
 
 func orDefault[T int | time.Duration](v *T, d T) {
@@ -89,6 +94,7 @@
 	orDefault(&c.MaxMessage, DefaultMaxMessage)
 	orDefault(&c.QueueItems, DefaultQueueItems)
 	orDefault(&c.QueueBytes, DefaultQueueBytes)
+	orDefault(&c.TotalBytes, DefaultTotalBytes)
 }
 
 // Message is what a handler receives.
@@ -123,6 +129,8 @@
 	heartbeat []byte
 	nextID    atomic.Uint64
 	stats     stats
+	queued    budget
+	received  budget
 
 	mu       sync.RWMutex
 	channels map[string]channel
@@ -145,6 +153,8 @@
 		return nil, err
 	}
 	s := &Service{cfg: cfg, log: cfg.Log, heartbeat: beat, channels: map[string]channel{}, peers: map[string]*peer{}}
+	s.queued.max = int64(cfg.TotalBytes)
+	s.received.max = int64(cfg.TotalBytes)
 	s.ctx, s.cancel = context.WithCancel(context.Background())
 	return s, nil
 }
@@ -175,7 +185,10 @@
 
 // Start binds the peer listener. It fails with fault.Unavailable.
 func (s *Service) Start(context.Context) error {
-	l, err := gnetconn.Listen(s.cfg.Listen, gnetconn.Options{MaxInbound: s.cfg.MaxMessage + bufferSize})
+	l, err := gnetconn.Listen(s.cfg.Listen, gnetconn.Options{
+		MaxInbound:      s.cfg.MaxMessage + bufferSize,
+		MaxInboundTotal: int64(s.cfg.TotalBytes),
+	})
 	if err != nil {
 		return err
 	}
@@ -239,12 +252,14 @@
 		return p, nil
 	}
 	ctx, cancel := context.WithCancel(s.ctx)
-	p = &peer{s: s, name: name, out: newQueue(s.cfg.QueueItems, s.cfg.QueueBytes), cancel: cancel, calls: map[uint64]*call{}}
+	p = &peer{s: s, name: name, out: newQueue(s.cfg.QueueItems, s.cfg.QueueBytes, &s.queued), cancel: cancel, calls: map[uint64]*call{}}
 	s.peers[name] = p
 	s.running.Go(func() {
 		defer cancel()
 		p.run(ctx)
-		p.failQueued(fault.New(fault.Draining, "links to %s are stopped", name))
+		for _, c := range p.out.close() {
+			c.abandon(fault.New(fault.Draining, "links to %s are stopped", name))
+		}
 	})
 	return p, nil
 }
--- a/instance/link/link_test.go
+++ b/instance/link/link_test.go
@@ -2,9 +2,15 @@
 
 import (
 	"context"
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
 	"crypto/sha256"
+	"crypto/tls"
+	"crypto/x509"
 	"fmt"
 	"io"
+	"math/big"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -87,6 +93,23 @@
 	return out.Text, err
 }
 
+// certificate returns the configurations of a server and a client that trusts it.
+func certificate() (server, client *tls.Config) {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	Expect(err).NotTo(HaveOccurred())
+	template := &x509.Certificate{
+		SerialNumber: big.NewInt(1), NotAfter: time.Now().Add(time.Hour),
+		IPAddresses: []net.IP{net.IPv4(127, 0, 0, 1)}, IsCA: true, BasicConstraintsValid: true,
+	}
+	der, err := x509.CreateCertificate(rand.Reader, template, template, key.Public(), key)
+	Expect(err).NotTo(HaveOccurred())
+	cert, err := x509.ParseCertificate(der)
+	Expect(err).NotTo(HaveOccurred())
+	roots := x509.NewCertPool()
+	roots.AddCert(cert)
+	return &tls.Config{Certificates: []tls.Certificate{{Certificate: [][]byte{der}, PrivateKey: key}}}, &tls.Config{RootCAs: roots}
+}
+
 // proxy forwards connections until they are muted; a muted connection stays open
 // and swallows everything, while new ones work.
 type proxy struct {
@@ -268,6 +291,48 @@
 		Expect(fault.CodeOf(err)).To(Equal(fault.OutcomeUnknown))
 	})
 
+	// Story: a handler hangs while a peer goes on sending to it. Unbounded, what
+	// waits for it would fill the memory.
+	It("refuses and drops what exceeds the memory for unhandled messages", func() {
+		b := &book{}
+		one := start("one", b, nil)
+		two := start("two", b, func(c *link.Config) { c.TotalBytes = 1 << 20 })
+		release := make(chan struct{})
+		two.Handle("stuck", func(context.Context, string, link.Message) (any, error) {
+			<-release
+			return nil, nil
+		})
+		for range 4 {
+			Expect(one.Send("two", "stuck", make([]byte, 300<<10))).To(Succeed())
+		}
+		Eventually(func() uint64 {
+			for _, c := range two.Stats() {
+				if c.Channel == "stuck" {
+					return c.DropCount
+				}
+			}
+			return 0
+		}, limit).Should(BeEquivalentTo(1))
+		ctx, cancel := context.WithTimeout(context.Background(), limit)
+		defer cancel()
+		err := one.Call(ctx, "two", "echo", make([]byte, 300<<10), nil)
+		Expect(fault.CodeOf(err)).To(Equal(fault.NotRun))
+		close(release)
+		Eventually(func() error { return one.Call(ctx, "two", "stuck", make([]byte, 300<<10), nil) }, limit).Should(Succeed())
+	})
+
+	It("runs over TLS and refuses peers that don't", func() {
+		server, client := certificate()
+		secure := func(c *link.Config) { c.ServerTLS, c.ClientTLS = server, client }
+		b := &book{}
+		one := start("one", b, secure)
+		start("two", b, secure)
+		Expect(call(one, "two", "echo", "x")).To(Equal("one:x"))
+		plain := start("plain", b, nil)
+		_, err := call(plain, "two", "echo", "x")
+		Expect(fault.CodeOf(err)).To(Equal(fault.NotRun))
+	})
+
 	It("survives garbage on the listener", func() {
 		b := &book{}
 		one := start("one", b, nil)
--- a/instance/link/queue.go
+++ b/instance/link/queue.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/comfreyladder/comfreyladder/core/fault"
@@ -18,8 +19,8 @@
 }
 
 // queue holds what waits for a connection: control before bulk, each bounded in
-// messages and both together in bytes, so that a peer that cannot be reached
-// costs a bounded amount of memory.
+// messages and both together in bytes, and all queues of the service together in
+// bytes, so that peers that cannot be reached cost a bounded amount of memory.
 type queue struct {
 	mu       sync.Mutex
 	control  []*item
@@ -27,11 +28,29 @@
 	bytes    int
 	maxItems int
 	maxBytes int
+	shared   *budget
+	closed   bool
 	ready    chan struct{}
 }
 
-func newQueue(maxItems, maxBytes int) *queue {
-	return &queue{maxItems: maxItems, maxBytes: maxBytes, ready: make(chan struct{}, 1)}
+// budget counts the bytes in all queues of a service.
+type budget struct {
+	used atomic.Int64
+	max  int64
+}
+
+func newQueue(maxItems, maxBytes int, shared *budget) *queue {
+	return &queue{maxItems: maxItems, maxBytes: maxBytes, shared: shared, ready: make(chan struct{}, 1)}
+}
+
+func (q *queue) hasRoom(size int) bool {
+	return q.bytes+size <= q.maxBytes && q.shared.used.Load()+int64(size) <= q.shared.max
+}
+
+// grow counts bytes that come, or go when size is negative.
+func (q *queue) grow(size int) {
+	q.bytes += size
+	q.shared.used.Add(int64(size))
 }
 
 // push adds an item without blocking. A full queue drops the oldest item of the
@@ -40,20 +59,23 @@
 func (q *queue) push(it *item) (bool, error) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
+	if q.closed {
+		return false, fault.New(fault.Unavailable, "the link is closed")
+	}
 	list := q.list(it.bulk)
 	dropped := false
-	if len(*list) >= q.maxItems || q.bytes+len(it.data) > q.maxBytes {
+	if len(*list) >= q.maxItems || !q.hasRoom(len(it.data)) {
 		if !it.lossy {
 			return false, fault.New(fault.Overloaded, "the queue to the peer is full: %d messages, %d bytes", len(*list), q.bytes)
 		}
 		dropped = true
-		if !q.dropOldest(list, it.channel) || q.bytes+len(it.data) > q.maxBytes {
+		if !q.dropOldest(list, it.channel) || !q.hasRoom(len(it.data)) {
 			return true, nil
 		}
 	}
 	it.queued = time.Now()
 	*list = append(*list, it)
-	q.bytes += len(it.data)
+	q.grow(len(it.data))
 	select {
 	case q.ready <- struct{}{}:
 	default:
@@ -71,7 +93,7 @@
 func (q *queue) dropOldest(list *[]*item, channel string) bool {
 	for i, it := range *list {
 		if it.channel == channel {
-			q.bytes -= len(it.data)
+			q.grow(-len(it.data))
 			*list = append((*list)[:i], (*list)[i+1:]...)
 			return true
 		}
@@ -90,7 +112,7 @@
 		it := (*list)[0]
 		(*list)[0] = nil
 		*list = (*list)[1:]
-		q.bytes -= len(it.data)
+		q.grow(-len(it.data))
 		return it
 	}
 	return nil
@@ -103,7 +125,7 @@
 	for _, list := range []*[]*item{&q.control, &q.bulk} {
 		for i, it := range *list {
 			if it.call == c {
-				q.bytes -= len(it.data)
+				q.grow(-len(it.data))
 				*list = append((*list)[:i], (*list)[i+1:]...)
 				return true
 			}
@@ -124,7 +146,7 @@
 				kept = append(kept, it)
 				continue
 			}
-			q.bytes -= len(it.data)
+			q.grow(-len(it.data))
 			if it.call != nil {
 				calls = append(calls, it.call)
 			}
@@ -140,3 +162,21 @@
 	defer q.mu.Unlock()
 	return len(q.control)+len(q.bulk) > 0
 }
+
+// close drops all that waits and refuses more; it returns the calls among it.
+func (q *queue) close() []*call {
+	calls := q.takeCalls()
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.closed = true
+	for _, list := range []*[]*item{&q.control, &q.bulk} {
+		for _, it := range *list {
+			if it.call != nil {
+				calls = append(calls, it.call)
+			}
+		}
+		*list = nil
+	}
+	q.grow(-q.bytes)
+	return calls
+}
--- a/instance/link/queue_test.go
+++ b/instance/link/queue_test.go
@@ -10,7 +10,8 @@
 
 func TestQueueOrderAndBounds(t *testing.T) {
 	g := NewWithT(t)
-	q := newQueue(2, 100)
+	shared := &budget{max: 100}
+	q := newQueue(2, 1000, shared)
 	push := func(channel string, lossy, bulk bool, size int) (bool, error) {
 		return q.push(&item{channel: channel, lossy: lossy, bulk: bulk, data: make([]byte, size)})
 	}
@@ -33,6 +34,17 @@
 	}
 	g.Expect(order).To(Equal([]string{"votes", "beats", "bulk"}))
 	g.Expect(q.bytes).To(BeZero())
+
+	_, err = push("bulk", false, true, 60)
+	g.Expect(err).NotTo(HaveOccurred())
+	other := newQueue(2, 1000, shared)
+	_, err = other.push(&item{channel: "bulk", data: make([]byte, 60)})
+	g.Expect(fault.CodeOf(err)).To(Equal(fault.Overloaded), "all queues together are bounded")
+	q.close()
+	_, err = push("bulk", false, true, 1)
+	g.Expect(fault.CodeOf(err)).To(Equal(fault.Unavailable))
+	_, err = other.push(&item{channel: "bulk", data: make([]byte, 60)})
+	g.Expect(err).NotTo(HaveOccurred())
 }
 
 // Story: a peer answers late, when the caller has given up, or mixes up answers.
