--- /dev/null
+++ b/instance/link/bench_test.go
@@ -0,0 +1,76 @@
+package link_test
+
+import (
+	"context"
+	"crypto/sha256"
+	"strconv"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/comfreyladder/comfreyladder/instance/link"
+)
+
+type ticket struct {
+	ID     string `codec:"i"`
+	Class  string `codec:"c"`
+	Tokens int    `codec:"t"`
+}
+
+// BenchmarkCall measures a call with a small message, such as the scheduler's,
+// and the processor time that both sides of it take together.
+func BenchmarkCall(b *testing.B) {
+	for _, callers := range []int{1, 64} {
+		b.Run(strconv.Itoa(callers), func(b *testing.B) { benchCalls(b, callers) })
+	}
+}
+
+func benchCalls(b *testing.B, callers int) {
+	known := &book{}
+	services := make([]*link.Service, 2)
+	for i := range services {
+		s, err := link.New(link.Config{
+			Self: strconv.Itoa(i), Listen: "127.0.0.1:0", Credential: "secret", Book: known, Log: zerolog.Nop(),
+			Accept: [][sha256.Size]byte{sha256.Sum256([]byte("secret"))},
+		})
+		if err != nil {
+			b.Fatal(err)
+		}
+		s.Handle("grant", func(_ context.Context, _ string, m link.Message) (any, error) {
+			var t ticket
+			err := m.Decode(&t)
+			return t, err
+		})
+		if err := s.Start(context.Background()); err != nil {
+			b.Fatal(err)
+		}
+		defer func() { _ = s.Stop(context.Background()) }()
+		known.Store(strconv.Itoa(i), s.Addr().String())
+		services[i] = s
+	}
+	b.ResetTimer()
+	before := processorTime()
+	var running sync.WaitGroup
+	for range callers {
+		running.Go(func() {
+			var answer ticket
+			for range max(1, b.N/callers) {
+				if err := services[0].Call(context.Background(), "1", "grant", ticket{"request-1234567890", "nurse-review", 700}, &answer); err != nil {
+					b.Error(err)
+					return
+				}
+			}
+		})
+	}
+	running.Wait()
+	b.ReportMetric(float64((processorTime()-before).Microseconds())/float64(b.N), "cpu-us/op")
+}
+
+func processorTime() time.Duration {
+	var u syscall.Rusage
+	_ = syscall.Getrusage(syscall.RUSAGE_SELF, &u)
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
--- /dev/null
+++ b/instance/link/envelope_test.go
@@ -0,0 +1,61 @@
+package link
+
+import (
+	"math"
+	"runtime"
+	"testing"
+
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/comfreyladder/comfreyladder/core/fault"
+)
+
+type nested struct {
+	Name  string   `codec:"n"`
+	Items []nested `codec:"i"`
+	Count uint64   `codec:"c"`
+}
+
+// Story: something on the way, or a defect of a peer, garbles a message. The
+// daemon must refuse it, not end or allocate what the garbled length says.
+func TestGarbledMessages(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		valid, err := Encode(nested{"a", []nested{{Name: "b"}, {Count: math.MaxUint64}}, 7})
+		if err != nil {
+			t.Fatal(err)
+		}
+		data := rapid.SliceOfN(rapid.Byte(), 0, 64).Draw(t, "garbage")
+		if rapid.Bool().Draw(t, "damage") {
+			data = valid[:rapid.IntRange(0, len(valid)).Draw(t, "cut")]
+			if len(data) > 0 {
+				data[rapid.IntRange(0, len(data)-1).Draw(t, "at")] = rapid.Byte().Draw(t, "byte")
+			}
+		}
+		var before, after runtime.MemStats
+		runtime.ReadMemStats(&before)
+		for _, into := range []any{&nested{}, &envelope{}} {
+			if err := Decode(data, into); err != nil && fault.CodeOf(err) != fault.Corrupt {
+				t.Fatalf("code %s", fault.CodeOf(err))
+			}
+		}
+		runtime.ReadMemStats(&after)
+		if got := after.TotalAlloc - before.TotalAlloc; got > 16<<20 {
+			t.Fatalf("%d bytes allocated for a message of %d", got, len(data))
+		}
+	})
+}
+
+func TestHugeLengths(t *testing.T) {
+	g := NewWithT(t)
+	// A map with the key "i" whose array, byte string and text claim 2^62 entries.
+	for _, length := range []byte{0x9b, 0x5b, 0x7b} {
+		data := []byte{0xa1, 0x61, 'i', length, 0x40, 0, 0, 0, 0, 0, 0, 0}
+		g.Expect(fault.CodeOf(Decode(data, &nested{}))).To(Equal(fault.Corrupt))
+	}
+	deep := append(make([]byte, 0, 1000), 0xa1, 0x61, 'i')
+	for range 200 {
+		deep = append(deep, 0x81, 0xa1, 0x61, 'i')
+	}
+	g.Expect(fault.CodeOf(Decode(append(deep, 0x80), &nested{}))).To(Equal(fault.Corrupt))
+}
