--- a/core/registry/registry.go
+++ b/core/registry/registry.go
@@ -71,6 +71,7 @@
 	gone    bool      // left or expired
 	left    bool
 	cache   cache
+	sum     uint64 // of what a Brief leaves out
 }
 
 // Registry is one instance's view. It is not safe for concurrent use; a View is.
@@ -78,6 +79,7 @@
 	domain  string
 	entries map[string]*entry
 	version uint64
+	turns   uint64
 	view    *View
 }
 
@@ -101,6 +103,8 @@
 	Full
 	// Expired beats keep nothing alive any more.
 	Expired
+	// Unknown brief beats lack what must be known before.
+	Unknown
 )
 
 // Apply takes in a beat that the upstream itself sent to this instance.
@@ -159,8 +163,12 @@
 	e.up.Beat = beat
 	e.up.HeardAt = heard
 	e.up.Cache = e.cache.view()
+	if e.gone != beat.Leave || e.sum == 0 {
+		r.turns++
+	}
 	e.left = beat.Leave
 	e.gone = beat.Leave
+	e.sum = sumOf(beat)
 	e.expires = now.Add(remaining)
 	r.changed()
 }
@@ -178,6 +186,7 @@
 		}
 	}
 	if len(names) > 0 {
+		r.turns++
 		sort.Strings(names)
 		r.changed()
 	}
@@ -192,6 +201,10 @@
 	return m, m.Remaining > 0 || m.Beat.Leave
 }
 
+// Turns counts how often an upstream came or went, which a View should tell at
+// once, where changes of load can wait to be told together.
+func (r *Registry) Turns() uint64 { return r.turns }
+
 func (r *Registry) changed() {
 	r.version++
 	r.view = nil
--- a/instance/registry/registry.go
+++ b/instance/registry/registry.go
@@ -17,7 +17,10 @@
 	"github.com/comfreyladder/comfreyladder/instance/link"
 )
 
-const channelBeats = "registry.beats"
+const (
+	channelBeats = "registry.beats"
+	channelWant  = "registry.want"
+)
 
 const (
 	// DefaultInterval is how long accepted beats wait to be relayed together;
@@ -50,7 +53,13 @@
 
 // batch is one message to the peers.
 type batch struct {
-	Beats []core.Relayed `codec:"b"`
+	Beats  []core.Relayed `codec:"b,omitempty"`
+	Briefs []core.Brief   `codec:"s,omitempty"`
+}
+
+// want asks for the whole beats of upstreams that a peer knows.
+type want struct {
+	Names []string `codec:"n"`
 }
 
 type pending struct {
@@ -65,6 +74,7 @@
 	mu     sync.Mutex
 	state  *core.Registry
 	queue  []pending
+	turns  uint64 // as of the published view
 	cancel context.CancelFunc
 	done   sync.WaitGroup
 }
@@ -77,6 +87,7 @@
 	s := &Service{cfg: cfg, state: core.New(cfg.Domain)}
 	s.view.Store(s.state.View())
 	cfg.Links.Handle(channelBeats, s.receive, link.Lossy())
+	cfg.Links.Handle(channelWant, s.wanted, link.Lossy())
 	return s
 }
 
@@ -98,6 +109,7 @@
 }
 
 // View returns the latest snapshot of the upstreams that may be given new work.
+// Their coming and going shows at once, their load within Config.Interval.
 func (s *Service) View() *core.View { return s.view.Load() }
 
 // Announce takes in a beat that an upstream sent to this instance. It fails with
@@ -118,7 +130,7 @@
 		return fault.New(fault.Overloaded, "%d upstreams are known already", core.MaxUpstreams)
 	case core.Accepted:
 		s.enqueue(pending{core.Relayed{Beat: beat, Remaining: min(beat.TTL(), core.MaxSilence)}, now})
-		s.publish()
+		s.publishTurns()
 	}
 	return nil
 }
@@ -132,7 +144,17 @@
 	s.queue = append(s.queue, p)
 }
 
+// publishTurns publishes at once when an upstream came or went. Other changes,
+// which come with each beat, wait for the next tick: a snapshot for each of them
+// took a quarter of what a domain of 21 instances spends on control.
+func (s *Service) publishTurns() {
+	if s.state.Turns() != s.turns {
+		s.publish()
+	}
+}
+
 func (s *Service) publish() {
+	s.turns = s.state.Turns()
 	v := s.state.View()
 	if v == s.view.Load() {
 		return
@@ -148,7 +170,16 @@
 	if err := m.Decode(&b); err != nil {
 		return nil, err
 	}
-	now := time.Now()
+	if unknown := s.take(time.Now(), from, b); len(unknown) > 0 {
+		return nil, s.cfg.Links.Send(from, channelWant, want{unknown})
+	}
+	return nil, nil
+}
+
+// take applies a peer's beats and returns the names of those upstreams of which
+// too little is known to understand a brief beat.
+func (s *Service) take(now time.Time, from string, b batch) []string {
+	var unknown []string
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.state.Expire(now)
@@ -163,8 +194,34 @@
 			s.enqueue(pending{r, now})
 		}
 	}
-	s.publish()
-	return nil, nil
+	for _, brief := range b.Briefs {
+		if s.state.ApplyBrief(now, brief) == core.Unknown {
+			unknown = append(unknown, brief.Name)
+		}
+	}
+	s.publishTurns()
+	return unknown
+}
+
+// wanted answers a peer that lacks whole beats.
+func (s *Service) wanted(_ context.Context, from string, m link.Message) (any, error) {
+	var w want
+	if err := m.Decode(&w); err != nil {
+		return nil, err
+	}
+	var b batch
+	now := time.Now()
+	s.mu.Lock()
+	for _, name := range w.Names {
+		if r, ok := s.state.Whole(now, name); ok {
+			b.Beats = append(b.Beats, r)
+		}
+	}
+	s.mu.Unlock()
+	if len(b.Beats) == 0 {
+		return nil, nil
+	}
+	return nil, s.cfg.Links.Send(from, channelBeats, b)
 }
 
 func (s *Service) run(ctx context.Context) {
@@ -188,13 +245,19 @@
 	s.publish()
 	var b batch
 	for _, p := range s.queue {
-		if m, ok := core.Aged(p.m, now.Sub(p.at)); ok {
-			b.Beats = append(b.Beats, m)
+		m, ok := core.Aged(p.m, now.Sub(p.at))
+		if !ok {
+			continue
+		}
+		if brief, ok := core.Shorten(m); ok {
+			b.Briefs = append(b.Briefs, brief)
+			continue
 		}
+		b.Beats = append(b.Beats, m)
 	}
 	s.queue = nil
 	s.mu.Unlock()
-	if len(b.Beats) == 0 {
+	if len(b.Beats)+len(b.Briefs) == 0 {
 		return
 	}
 	for _, peer := range s.cfg.Peers() {
