--- a/core/claim/claim_test.go
+++ b/core/claim/claim_test.go
@@ -253,3 +253,21 @@
 	runtime.ReadMemStats(&s)
 	return s.HeapAlloc
 }
+
+// BenchmarkClaimAndReceipt gives the cost of one call to each voter: two log
+// entries applied, their bytes and the bytes of a snapshot.
+func BenchmarkClaimAndReceipt(b *testing.B) {
+	m := claim.New(claim.Limits{Bytes: 1 << 40, OrganisationBytes: 1 << 40, ReceiptBytes: 1000})
+	logged := 0
+	for i := range b.N {
+		k := fmt.Sprintf("key-%08d-0123456789abcdef01234567", i)
+		for _, c := range []*claim.Command{claimOf(k, k, "x"), receiptOf(k, k, "booked under number 123456")} {
+			data, _ := claim.Encode(c)
+			logged += len(data)
+			m.Apply(0, start, data)
+		}
+	}
+	s, _ := m.Snapshot()
+	b.ReportMetric(float64(logged)/float64(b.N), "log-B/call")
+	b.ReportMetric(float64(len(s))/float64(b.N), "snapshot-B/call")
+}
