--- a/instance/admin/types.go
+++ b/instance/admin/types.go
@@ -63,6 +63,9 @@
 	Revision uint64 `json:"revision"`
 	// Leader is the instance that leads the control group, empty if unknown.
 	Leader string `json:"leader"`
+	// Members lists the control group as "name role", as its leader knows it;
+	// empty on an instance that holds no control state.
+	Members []string `json:"members,omitempty"`
 	// LeaseValid says whether the revision is known to be the newest.
 	LeaseValid bool `json:"lease_valid"`
 	// LeaseUntil is when the lease ran out, if it did.
--- a/instance/control/calls.go
+++ b/instance/control/calls.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 
 	"github.com/comfreyladder/comfreyladder/core/fault"
 	"github.com/comfreyladder/comfreyladder/core/intent"
@@ -140,5 +141,27 @@
 	return "learner"
 }
 
+// Members returns the control group as "name role", sorted; nothing on an
+// instance that holds no control state.
+func (s *Service) Members() (list []string) {
+	g := s.group.Load()
+	if g == nil {
+		return nil
+	}
+	st := g.Status()
+	for _, m := range st.Members {
+		role := "learner"
+		switch {
+		case m.ID == st.Leader:
+			role = "leader"
+		case m.Voter:
+			role = "voter"
+		}
+		list = append(list, m.Name+" "+role)
+	}
+	slices.Sort(list)
+	return list
+}
+
 // cluster returns the history that this member belongs to.
 func (s *Service) cluster() raft.ClusterID { return s.clusterID }
