--- a/instance/consensus/consensus_test.go
+++ b/instance/consensus/consensus_test.go
@@ -208,3 +208,20 @@
 	_, err = consensus.Initialise(fs, "data", 7, "a")
 	gm.Expect(fault.CodeOf(err)).To(Equal(fault.Corrupt))
 }
+
+// What a user would see: each planned restart of an instance stalls all changes
+// for an election. What happens: the leader stops without handing over.
+func TestDrainHandsTheLeadershipOver(t *testing.T) {
+	gm := NewWithT(t)
+	g := newGroup(t, func(c *consensus.Config) { c.ElectionTimeout, c.Timeout = 2*time.Second, patience }, trio...)
+	old := g.awaitLeader()
+	g.insist(trio, revision.Confirm{Operator: "ada", Number: 1, Document: document(0)})
+	term := g.running(old).Status().Term
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	gm.Expect(g.running(old).Drain(ctx)).To(Succeed())
+	gm.Eventually(g.leader).WithTimeout(patience).ShouldNot(Or(BeEmpty(), Equal(old)))
+	gm.Expect(g.running(g.leader()).Status().Term).To(BeNumerically(">", term))
+	g.stop(old)
+	gm.Expect(g.insist([]string{g.leader()}, revision.Confirm{Operator: "ada", Number: 2, Base: 1, Document: document(0.1)}).Outcome).To(Equal(revision.Accepted))
+}
--- a/instance/consensus/service.go
+++ b/instance/consensus/service.go
@@ -13,64 +13,8 @@
 	"github.com/comfreyladder/comfreyladder/core/control"
 	"github.com/comfreyladder/comfreyladder/core/fault"
 	"github.com/comfreyladder/comfreyladder/core/raft"
-	"github.com/comfreyladder/comfreyladder/instance/disk"
 )
 
-// Defaults of a Config.
-const (
-	// DefaultSnapshotEvery is the count of entries after which a snapshot is
-	// taken. It bounds the replay at a start.
-	DefaultSnapshotEvery = 4096
-	// DefaultTail is the count of entries that stay in the log behind a
-	// snapshot, so that a member that was away for a little needs no snapshot.
-	DefaultTail = 1024
-	// DefaultSnapshotBytes is the size of applied commands after which a
-	// snapshot is taken even before DefaultSnapshotEvery. It bounds the log in
-	// memory and on disk, since one intent can be large; the tail is bounded
-	// by half of it.
-	DefaultSnapshotBytes = 8 << 20
-	// partLen is how much of a snapshot one message carries; links between
-	// instances refuse messages above some megabytes.
-	partLen = 1 << 20
-	// DefaultTimeout ends a proposal or read whose context has no deadline.
-	DefaultTimeout = 5 * time.Second
-	// inboxLen bounds messages that wait for the goroutine; more are dropped,
-	// as a network may do.
-	inboxLen = 4096
-	// maxGather bounds the messages and calls that share one sync.
-	maxGather = 1024
-	// ticksPerHeartbeat is how often time passes for the node.
-	ticksPerHeartbeat = 4
-)
-
-// Transport sends messages to other members.
-type Transport interface {
-	// Send queues a message or drops it; it must not block. The message must
-	// not be changed.
-	Send(to raft.MemberID, m raft.Message)
-}
-
-// Config holds what a Service needs.
-type Config struct {
-	FS       disk.FS
-	Dir      string
-	Identity Identity
-	// Mux holds the sub-machines in their initial state.
-	Mux       *control.Mux
-	Transport Transport
-	// Heartbeat and ElectionTimeout are as in raft.Config.
-	Heartbeat       time.Duration
-	ElectionTimeout time.Duration
-	SnapshotEvery   uint64
-	SnapshotBytes   int
-	Tail            uint64
-	Timeout         time.Duration
-	// Seed spreads the election timeouts; members need different ones.
-	Seed int64
-	// OnFatal, if set, is told once when the member had to stop.
-	OnFatal func(error)
-}
-
 // Service is one member. It is safe for concurrent use.
 type Service struct {
 	cfg   Config
@@ -108,23 +52,8 @@
 
 // New returns a service that is not started.
 func New(cfg Config) (*Service, error) {
-	if cfg.Identity.Cluster == "" {
-		return nil, fault.New(fault.Invalid, "the disk in %s has neither founded nor joined a cluster", cfg.Dir)
-	}
-	if cfg.Heartbeat == 0 {
-		cfg.Heartbeat = raft.DefaultHeartbeat
-	}
-	if cfg.SnapshotEvery == 0 {
-		cfg.SnapshotEvery = DefaultSnapshotEvery
-	}
-	if cfg.SnapshotBytes == 0 {
-		cfg.SnapshotBytes = DefaultSnapshotBytes
-	}
-	if cfg.Tail == 0 {
-		cfg.Tail = DefaultTail
-	}
-	if cfg.Timeout == 0 {
-		cfg.Timeout = DefaultTimeout
+	if err := cfg.complete(); err != nil {
+		return nil, err
 	}
 	s := &Service{cfg: cfg, inbox: make(chan raft.Message, inboxLen), calls: make(chan *call, inboxLen),
 		stop: make(chan struct{}), done: make(chan struct{}), proposals: map[string]*call{}, changes: map[uint64]*call{},
@@ -140,38 +69,24 @@
 	if err != nil {
 		return err
 	}
-	snapshot, err := s.restoreNewest(store)
-	if err != nil {
+	if err := s.restore(&store.snap); err != nil {
 		_ = store.log.Close()
 		return err
 	}
+	store.snap.Data = nil
 	node, err := raft.New(time.Now(), raft.Config{ID: s.cfg.Identity.ID, Cluster: s.cfg.Identity.Cluster, Heartbeat: s.cfg.Heartbeat,
-		ElectionTimeout: s.cfg.ElectionTimeout, Rand: rand.New(rand.NewSource(s.cfg.Seed))}, store.hard, snapshot, store.entries)
+		ElectionTimeout: s.cfg.ElectionTimeout, Rand: rand.New(rand.NewSource(s.cfg.Seed))}, store.hard, store.snap, store.entries)
 	if err != nil {
 		_ = store.log.Close()
 		return err
 	}
 	store.entries = nil
-	s.node, s.store, s.applied, s.appliedTerm = node, store, snapshot.Index, snapshot.Term
+	s.node, s.store, s.applied, s.appliedTerm = node, store, store.snap.Index, store.snap.Term
 	s.status = node.Status(time.Now())
 	go s.run()
 	return nil
 }
 
-func (s *Service) restoreNewest(store *storage) (raft.Snapshot, error) {
-	snapshot := store.snap
-	index, content, err := store.snaps.Load()
-	if err != nil || index == 0 {
-		return snapshot, err
-	}
-	if err := control.Unmarshal(content, &snapshot); err != nil {
-		return snapshot, err
-	}
-	err = s.restore(&snapshot)
-	snapshot.Data = nil
-	return snapshot, err
-}
-
 func (s *Service) restore(snapshot *raft.Snapshot) error {
 	if len(snapshot.Data) == 0 {
 		return nil
@@ -179,6 +94,40 @@
 	return s.cfg.Mux.Restore(snapshot.Data)
 }
 
+// Drain hands the leadership over, if this member has it, so that a planned stop
+// does not cost the group an election timeout. It returns when another member
+// leads, or at the end of ctx with fault.DeadlineExceeded; a stop is safe anyway.
+func (s *Service) Drain(ctx context.Context) error {
+	ticker := time.NewTicker(s.cfg.Heartbeat)
+	defer ticker.Stop()
+	for {
+		st := s.Status()
+		if st.Role != raft.Leader || len(st.Members.Voters()) < 2 || st.Err != nil {
+			return nil
+		}
+		if to := successor(st.Status); to != 0 {
+			_ = s.Transfer(ctx, to)
+		}
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return fault.Wrap(ctx.Err(), fault.DeadlineExceeded, "no other member has taken the lead")
+		}
+	}
+}
+
+// successor returns the voter that has most of the log and was heard last.
+func successor(st raft.Status) raft.MemberID {
+	var best raft.FollowerStatus
+	for _, f := range st.Followers {
+		m, _ := st.Members.Get(f.ID)
+		if m.Voter && (best.ID == 0 || f.Match > best.Match || f.Match == best.Match && f.Silent < best.Silent) {
+			best = f
+		}
+	}
+	return best.ID
+}
+
 // Stop ends the service. Proposals under way end with fault.OutcomeUnknown.
 func (s *Service) Stop(ctx context.Context) error {
 	if s.node == nil {
