--- a/instance/plain/handler_test.go
+++ b/instance/plain/handler_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -165,6 +166,34 @@
 	}
 }
 
+// slowLedger answers claims late, as to a process that is frozen meanwhile.
+type slowLedger struct {
+	plain.Ledger
+	pause time.Duration
+}
+
+func (l slowLedger) Submit(ctx context.Context, c *claim.Command) (claim.Result, error) {
+	r, err := l.Ledger.Submit(ctx, c)
+	if c.Op == claim.OpClaim {
+		time.Sleep(l.pause)
+	}
+	return r, err
+}
+
+// An instance is frozen between its claim and the first byte. By the time it
+// goes on, others are told that the outcome is unknown, and an operator may have
+// settled it. It must not send then.
+func TestFrozenBetweenClaimAndSend(t *testing.T) {
+	b := newBench(t, always(answers))
+	r := book(b.s, "k")
+	r.Service.Timeout = 20 * time.Millisecond
+	slow := slowLedger{Ledger: plain.ProposeFunc(b.l.propose), pause: 2 * r.Service.Timeout}
+	p := plain.New(plain.Config{Ledger: slow, Client: b.up, Instance: "test", NewID: newID})
+	_, err := p.Call(context.Background(), r)
+	b.Expect(fault.CodeOf(err)).To(Equal(fault.NotRun))
+	b.Expect(b.s.sent()).To(BeZero())
+}
+
 // A caller gives up before its booking is answered; the answer comes all the
 // same. The resend finds it.
 func TestLateAnswerIsRecorded(t *testing.T) {
@@ -185,11 +214,12 @@
 // its answer; the receipt is written once there is a leader again, before the
 // instance may stop.
 func TestReceiptIsWrittenAfterTheLedgerReturns(t *testing.T) {
-	b := newBench(t, func(string) mood { return answers })
-	b.s.mood = func(string) mood {
-		b.l.cutOff.Store(true)
+	var l atomic.Pointer[ledger]
+	b := newBench(t, func(string) mood {
+		l.Load().cutOff.Store(true)
 		return answers
-	}
+	})
+	l.Store(b.l)
 	p := b.handler(never)
 	a, err := p.Call(context.Background(), book(b.s, "k"))
 	b.Expect(err).NotTo(HaveOccurred())
@@ -208,12 +238,12 @@
 	b := newBench(t, always(drops))
 	_, err := b.handler(never).Call(context.Background(), book(b.s, ""))
 	b.Expect(fault.CodeOf(err)).To(Equal(fault.Invalid))
-	b.Expect(b.s.n).To(BeZero())
+	b.Expect(b.s.sent()).To(BeZero())
 	r := book(b.s, "")
 	r.Service.RequireKey = false
 	_, err = b.handler(never).Call(context.Background(), r)
 	b.Expect(fault.CodeOf(err)).To(Equal(fault.OutcomeUnknown))
-	b.Expect(b.s.n).To(Equal(1))
+	b.Expect(b.s.sent()).To(Equal(1))
 }
 
 // flaky fails its first attempts as a lost connection would.
