--- a/core/sched/sched_test.go
+++ b/core/sched/sched_test.go
@@ -229,3 +229,25 @@
 	g.Expect(got[0].Reason).To(Equal(sched.ReasonExpired))
 	g.Expect(got[0].RetryAfter).To(BeNumerically(">", 0))
 }
+
+// A caller waits its whole deadline out although every engine was tried. Its last
+// attempt failed at the only engine left, and a queue for none of them is endless.
+func TestTriedEverywhereIsToldAtOnce(t *testing.T) {
+	g := NewWithT(t)
+	s := newScheduler(sched.Config{}, engines(2, 1))
+	tk := ticket("a", "review", "big", start)
+	tk.Excluded = []string{"e0", "e1"}
+	got := sheds(s.Submit(start, tk))
+	g.Expect(got).To(HaveLen(1))
+	g.Expect(got[0].Reason).To(Equal(sched.ReasonNoUpstream))
+
+	s.Submit(start, ticket("b", "review", "big", start))
+	s.Submit(start, ticket("c", "review", "big", start))
+	waits := ticket("d", "review", "big", start)
+	waits.Excluded = []string{"e0"}
+	g.Expect(s.Submit(start, waits)).To(BeEmpty())
+	s.SetUpstreams(start, engines(1, 1))
+	got = sheds(s.Tick(start.Add(time.Second)))
+	g.Expect(got).To(HaveLen(1), "its last engine left")
+	g.Expect(got[0].ID).To(Equal("d"))
+}
--- a/core/sched/types.go
+++ b/core/sched/types.go
@@ -15,26 +15,29 @@
 	"github.com/comfreyladder/comfreyladder/core/announce"
 )
 
+// The codec names below are short, as tickets and grants travel between instances
+// for each request.
+
 // Ticket stands for one waiting request; the request's body stays where it is.
 type Ticket struct {
 	// ID is unique for each attempt.
-	ID string `codec:"id"`
+	ID string `codec:"i,omitempty"`
 	// Instance is where the request waits.
-	Instance     string `codec:"instance"`
-	Organisation string `codec:"organisation"`
-	Class        string `codec:"class"`
-	Model        string `codec:"model"`
+	Instance     string `codec:"f,omitempty"`
+	Organisation string `codec:"o,omitempty"`
+	Class        string `codec:"c,omitempty"`
+	Model        string `codec:"m,omitempty"`
 	// PromptTokens is the estimated length of the prompt.
-	PromptTokens int `codec:"prompt_tokens"`
+	PromptTokens int `codec:"p,omitempty"`
 	// PrefixHashes are hashes of the prompt's prefixes, the longest first.
-	PrefixHashes []uint64 `codec:"prefix_hashes"`
+	PrefixHashes []uint64 `codec:"h,omitempty"`
 	// MaxTokens bounds the answer; 0 means the class's bound.
-	MaxTokens int       `codec:"max_tokens"`
-	Arrived   time.Time `codec:"arrived"`
+	MaxTokens int       `codec:"n,omitempty"`
+	Arrived   time.Time `codec:"a,omitempty"`
 	// Deadline is when the answer becomes worthless; zero takes the class's.
-	Deadline time.Time `codec:"deadline"`
+	Deadline time.Time `codec:"d,omitempty"`
 	// Excluded names upstreams at which the request was tried before.
-	Excluded []string `codec:"excluded"`
+	Excluded []string `codec:"x,omitempty"`
 }
 
 // Upstream is one model engine of the domain.
@@ -57,14 +60,14 @@
 // Outcome says how a grant ended.
 type Outcome struct {
 	// Tokens is how many tokens were generated.
-	Tokens int `codec:"tokens"`
+	Tokens int `codec:"n,omitempty"`
 	// Complete says that the whole answer arrived; only then is its length
 	// learned from.
-	Complete bool `codec:"complete"`
+	Complete bool `codec:"c,omitempty"`
 	// Failed says that the upstream is to blame: refused, broke off or silent.
-	Failed bool `codec:"failed"`
+	Failed bool `codec:"f,omitempty"`
 	// Unused says that nothing was sent to the upstream.
-	Unused bool `codec:"unused"`
+	Unused bool `codec:"u,omitempty"`
 }
 
 // Reason says why a ticket was shed.
@@ -95,31 +98,31 @@
 // Explain tells why a grant went where it went.
 type Explain struct {
 	// Waited is the time in the queue.
-	Waited time.Duration `codec:"waited"`
+	Waited time.Duration `codec:"w,omitempty"`
 	// Expected is the wait that was estimated at arrival.
-	Expected time.Duration `codec:"expected"`
+	Expected time.Duration `codec:"e,omitempty"`
 	// Floor says that the class went first because it was below its floor.
-	Floor bool `codec:"floor"`
+	Floor bool `codec:"l,omitempty"`
 	// Candidates is how many upstreams were open to it; Score is the chosen
 	// one's, in [0,1].
-	Candidates int     `codec:"candidates"`
-	Score      float64 `codec:"score"`
+	Candidates int     `codec:"c,omitempty"`
+	Score      float64 `codec:"s,omitempty"`
 	// Prefix is the share of the prompt believed to be cached there.
-	Prefix float64 `codec:"prefix"`
+	Prefix float64 `codec:"p,omitempty"`
 	// InFlight and Slots are the chosen upstream's, with this grant.
-	InFlight int `codec:"in_flight"`
-	Slots    int `codec:"slots"`
+	InFlight int `codec:"n,omitempty"`
+	Slots    int `codec:"t,omitempty"`
 }
 
 // Grant lets a ticket's request be sent to an upstream.
 type Grant struct {
-	ID       string `codec:"id"`
-	Instance string `codec:"instance"`
-	Upstream string `codec:"upstream"`
-	Address  string `codec:"address"`
+	ID       string `codec:"i,omitempty"`
+	Instance string `codec:"f,omitempty"`
+	Upstream string `codec:"u,omitempty"`
+	Address  string `codec:"a,omitempty"`
 	// Priority is the class's tier, for the engine's own queue.
-	Priority int     `codec:"priority"`
-	Explain  Explain `codec:"explain"`
+	Priority int     `codec:"p,omitempty"`
+	Explain  Explain `codec:"x,omitempty"`
 }
 
 // TicketID implements Effect.
@@ -127,11 +130,11 @@
 
 // Shed refuses a ticket; its request was not run.
 type Shed struct {
-	ID       string `codec:"id"`
-	Instance string `codec:"instance"`
-	Reason   Reason `codec:"reason"`
+	ID       string `codec:"i,omitempty"`
+	Instance string `codec:"f,omitempty"`
+	Reason   Reason `codec:"r,omitempty"`
 	// RetryAfter is above zero: when the backlog should have drained enough.
-	RetryAfter time.Duration `codec:"retry_after"`
+	RetryAfter time.Duration `codec:"a,omitempty"`
 }
 
 // TicketID implements Effect.
--- a/instance/schedule/message.go
+++ b/instance/schedule/message.go
@@ -19,10 +19,10 @@
 // ticketMessage is a ticket on its way. Clocks of instances differ, so that
 // times travel as durations.
 type ticketMessage struct {
-	Ticket sched.Ticket  `codec:"t"`
-	Age    time.Duration `codec:"a"`
+	Ticket sched.Ticket  `codec:"t,omitempty"`
+	Age    time.Duration `codec:"a,omitempty"`
 	// Left is the time to the deadline; 0 means that there is none.
-	Left time.Duration `codec:"l"`
+	Left time.Duration `codec:"l,omitempty"`
 }
 
 func packTicket(t sched.Ticket, now time.Time) ticketMessage {
@@ -55,32 +55,32 @@
 
 // event tells the scheduler what became of a ticket.
 type event struct {
-	Kind    eventKind     `codec:"k"`
-	ID      string        `codec:"i"`
-	Tokens  int           `codec:"n"`
-	Outcome sched.Outcome `codec:"o"`
+	Kind    eventKind     `codec:"k,omitempty"`
+	ID      string        `codec:"i,omitempty"`
+	Tokens  int           `codec:"n,omitempty"`
+	Outcome sched.Outcome `codec:"o,omitempty"`
 }
 
 // flight is a grant in flight, told to a successor.
 type flight struct {
-	Ticket   ticketMessage `codec:"t"`
-	Upstream string        `codec:"u"`
-	Tokens   int           `codec:"n"`
-	Started  bool          `codec:"s"`
+	Ticket   ticketMessage `codec:"t,omitempty"`
+	Upstream string        `codec:"u,omitempty"`
+	Tokens   int           `codec:"n,omitempty"`
+	Started  bool          `codec:"s,omitempty"`
 }
 
 // upMessage goes to the scheduler. Its parts apply in the order of the fields.
 type upMessage struct {
 	// Full says that Flights and Submits list all that the instance has.
-	Full    bool            `codec:"f"`
-	Flights []flight        `codec:"g"`
-	Submits []ticketMessage `codec:"s"`
-	Events  []event         `codec:"e"`
+	Full    bool            `codec:"f,omitempty"`
+	Flights []flight        `codec:"g,omitempty"`
+	Submits []ticketMessage `codec:"s,omitempty"`
+	Events  []event         `codec:"e,omitempty"`
 	// Beat asks for an acknowledgement and carries digests of what the instance
 	// waits for and has in flight, by which the scheduler finds losses.
-	Beat    bool   `codec:"b"`
-	Waiting digest `codec:"w"`
-	Flying  digest `codec:"y"`
+	Beat    bool   `codec:"b,omitempty"`
+	Waiting digest `codec:"w,omitempty"`
+	Flying  digest `codec:"y,omitempty"`
 }
 
 func (m *upMessage) empty() bool {
@@ -90,18 +90,18 @@
 // downMessage goes from the scheduler to an instance; an empty one acknowledges
 // a beat.
 type downMessage struct {
-	Grants []sched.Grant `codec:"g"`
-	Sheds  []sched.Shed  `codec:"s"`
+	Grants []sched.Grant `codec:"g,omitempty"`
+	Sheds  []sched.Shed  `codec:"s,omitempty"`
 	// Resync asks for a Full message.
-	Resync bool `codec:"r"`
+	Resync bool `codec:"r,omitempty"`
 	// NotScheduler says that the sender is not the scheduler by its own view.
-	NotScheduler bool `codec:"n"`
+	NotScheduler bool `codec:"n,omitempty"`
 }
 
 // digest stands for a set of IDs, whatever their order.
 type digest struct {
-	Count int    `codec:"c"`
-	Hash  uint64 `codec:"h"`
+	Count int    `codec:"c,omitempty"`
+	Hash  uint64 `codec:"h,omitempty"`
 }
 
 func (d *digest) add(id string) {
