--- a/core/sched/fault_test.go
+++ b/core/sched/fault_test.go
@@ -264,6 +264,40 @@
 	g.Expect(s.InFlight()).To(BeEmpty())
 }
 
+// The same for an engine that left before the scheduler changed: its grant must
+// be known, or the instance and the successor never agree on what is in flight.
+func TestSuccessorKnowsGrantsAtAnEngineThatLeft(t *testing.T) {
+	g := NewWithT(t)
+	s := newScheduler(sched.Config{}, engines(1, 2))
+	s.Restore(start, ticket("old", "draft", "big", start), "left", 10)
+	_, granted := s.Of("i")
+	g.Expect(granted).To(Equal([]string{"old"}))
+	for n := range 4 {
+		for _, gr := range grants(s.Submit(start, ticket(fmt.Sprint(n), "draft", "big", start))) {
+			g.Expect(gr.Upstream).To(Equal("e0"))
+		}
+	}
+	s.Finish(start, "old", sched.Outcome{Tokens: 20, Complete: true})
+	g.Expect(s.InFlight()).To(Equal(map[string]int{"e0": 2}))
+	g.Expect(s.Status(start).Upstreams).To(HaveLen(1))
+}
+
+// A draining engine finishes what it has and gets nothing new.
+func TestDrainingEngineGetsNoNewWork(t *testing.T) {
+	g := NewWithT(t)
+	ups := engines(2, 4)
+	s := newScheduler(sched.Config{}, ups)
+	ups[0].Draining = true
+	s.SetUpstreams(start, ups)
+	count := map[string]int{}
+	for n := range 12 {
+		for _, gr := range grants(s.Submit(start, ticket(fmt.Sprint(n), "draft", "big", start))) {
+			count[gr.Upstream]++
+		}
+	}
+	g.Expect(count).To(Equal(map[string]int{"e1": 4}))
+}
+
 // Parts of a divided engine add up to the whole, and each part differs.
 func TestSharesAddUpToAllSlots(t *testing.T) {
 	g := NewWithT(t)
--- a/core/sched/sched.go
+++ b/core/sched/sched.go
@@ -172,11 +172,16 @@
 // instances tell its successor what they have in flight. Nothing is checked
 // against the slots, because the request runs already.
 func (s *Scheduler) Restore(now time.Time, t Ticket, upstream string, tokens int) {
-	e := s.byName[upstream]
 	c := s.classes[t.Class]
-	if e == nil || c == nil {
+	if c == nil {
 		return
 	}
+	e := s.byName[upstream]
+	if e == nil {
+		// The upstream left while the request runs on it.
+		e = s.addEngine(upstream)
+		e.gone = true
+	}
 	if known := s.items[t.ID]; known != nil {
 		if known.engine != nil {
 			return
--- a/core/sched/settings.go
+++ b/core/sched/settings.go
@@ -113,9 +113,7 @@
 	for _, u := range list {
 		e := s.byName[u.Name]
 		if e == nil {
-			e = &engine{unstarted: map[string]*item{}, sent: map[uint64]struct{}{}}
-			s.byName[u.Name] = e
-			s.engines = append(s.engines, e)
+			e = s.addEngine(u.Name)
 		}
 		e.update(u)
 	}
@@ -125,6 +123,14 @@
 	return s.take()
 }
 
+func (s *Scheduler) addEngine(name string) *engine {
+	e := &engine{unstarted: map[string]*item{}, sent: map[uint64]struct{}{}}
+	e.Name = name
+	s.byName[name] = e
+	s.engines = append(s.engines, e)
+	return e
+}
+
 func (s *Scheduler) dropGone() {
 	s.engines = slices.DeleteFunc(s.engines, func(e *engine) bool {
 		if !e.gone || e.inFlight > 0 {
