--- /dev/null
+++ b/instance/daemon/daemon.go
@@ -0,0 +1,101 @@
+// Package daemon puts the services of an entry instance together on the
+// micro-kernel, from its settings.
+package daemon
+
+import (
+	"context"
+
+	"github.com/rs/zerolog"
+
+	"github.com/comfreyladder/comfreyladder/core/fault"
+	"github.com/comfreyladder/comfreyladder/instance/httpserver"
+	"github.com/comfreyladder/comfreyladder/instance/kernel"
+	"github.com/comfreyladder/comfreyladder/instance/settings"
+)
+
+// The names of the services.
+const (
+	nameTelemetry = "telemetry"
+	nameTrace     = "trace"
+	nameConfig    = "config"
+	nameLinks     = "links"
+	nameMembers   = "members"
+	nameSpread    = "spread"
+	nameControl   = "control"
+	nameRegistry  = "registry"
+	nameSchedule  = "schedule"
+	nameClient    = "upstream.client"
+	namePlain     = "plain"
+	nameGateway   = "gateway"
+	nameCallers   = "listener.callers"
+	nameOperators = "listener.operators"
+)
+
+// errSuperseded ends a process whose name a newer one has taken.
+var errSuperseded = fault.New(fault.Conflict, "a newer process runs under this instance's name")
+
+// Daemon is one entry instance.
+type Daemon struct {
+	cfg    *settings.Settings
+	log    zerolog.Logger
+	kernel *kernel.Kernel
+	book   *addressBook
+	fatal  chan error
+}
+
+// New returns a daemon that has not started. It fails when two services have
+// the same name, which is a defect.
+func New(cfg *settings.Settings, log zerolog.Logger) (*Daemon, error) {
+	d := &Daemon{cfg: cfg, log: log, kernel: kernel.New(), fatal: make(chan error, 1)}
+	d.book = d.addresses()
+	err := d.kernel.Register(
+		d.telemetry(), d.trace(), d.config(), d.links(), d.members(), d.spread(), d.control(), d.registry(),
+		d.schedule(), d.client(), d.plain(), d.gateway(), d.callers(), d.operators(),
+	)
+	return d, err
+}
+
+// Fatal tells why the process has to end: its disk failed, or a newer process
+// has its name.
+func (d *Daemon) Fatal() <-chan error { return d.fatal }
+
+// Start starts all services.
+func (d *Daemon) Start(ctx context.Context) error {
+	if err := d.kernel.Start(ctx); err != nil {
+		return err
+	}
+	d.log.Info().Str("domain", d.cfg.Instance.FailureDomain).
+		Str("callers", d.CallerAddress()).Str("operators", d.OperatorAddress()).Msg("started")
+	return nil
+}
+
+// Stop drains and stops all services: the balancer is told first, what arrives
+// meanwhile is still served, and what is in flight finishes. ctx bounds it.
+func (d *Daemon) Stop(ctx context.Context) error {
+	d.log.Info().Msg("draining")
+	drain, cancel := context.WithTimeout(ctx, d.cfg.Instance.DrainTimeout)
+	defer cancel()
+	if err := d.kernel.Drain(drain); err != nil {
+		d.log.Warn().Err(err).Msg("drain did not finish")
+	}
+	err := d.kernel.Stop(ctx)
+	d.log.Info().Msg("stopped")
+	return err
+}
+
+// Kill stops all services at once, without a drain.
+func (d *Daemon) Kill(ctx context.Context) error { return d.kernel.Stop(ctx) }
+
+// CallerAddress returns the bound address of the callers' listener.
+func (d *Daemon) CallerAddress() string { return d.address(nameCallers) }
+
+// OperatorAddress returns the bound address of the operators' listener.
+func (d *Daemon) OperatorAddress() string { return d.address(nameOperators) }
+
+func (d *Daemon) address(name string) string {
+	s, err := kernel.Lookup[*httpserver.Server](d.kernel, name)
+	if err != nil || s.Address() == nil {
+		return ""
+	}
+	return s.Address().String()
+}
