--- a/core/sched/sim_test.go
+++ b/core/sched/sim_test.go
@@ -234,4 +234,3 @@
 		s.good += made
 	}
 }
-
