--- a/instance/link/envelope.go
+++ b/instance/link/envelope.go
@@ -49,9 +49,15 @@
 // maxNesting bounds how deep a received message may nest, against stack growth.
 const maxNesting = 32
 
+// maxInitialLength bounds the entries allocated before they are read.
+const maxInitialLength = 256
+
 var cbor = func() *codec.CborHandle {
 	h := &codec.CborHandle{}
 	h.MaxDepth = maxNesting
+	// A list's first allocation is by entries, which are larger than they may
+	// be in the message; longer lists still grow as they are read.
+	h.MaxInitLen = maxInitialLength
 	return h
 }()
 
@@ -79,6 +85,9 @@
 	if v == nil {
 		return nil
 	}
+	if !wellFormed(data) {
+		return fault.New(fault.Corrupt, "decode %T: %d bytes that are not one CBOR item", v, len(data))
+	}
 	d := decoders.Get().(*codec.Decoder)
 	defer decoders.Put(d)
 	d.ResetBytes(data)
--- a/instance/link/envelope_test.go
+++ b/instance/link/envelope_test.go
@@ -40,7 +40,7 @@
 			}
 		}
 		runtime.ReadMemStats(&after)
-		if got := after.TotalAlloc - before.TotalAlloc; got > 16<<20 {
+		if got := after.TotalAlloc - before.TotalAlloc; got > 1<<20 {
 			t.Fatalf("%d bytes allocated for a message of %d", got, len(data))
 		}
 	})
@@ -48,6 +48,15 @@
 
 func TestHugeLengths(t *testing.T) {
 	g := NewWithT(t)
+	// A list, and a text, that are an array of 2^30 entries.
+	list := []byte{0xa1, 0x61, 'i', 0x9a, 0x40, 0, 0, 0}
+	text := []byte{0xa1, 0x61, 'n', 0x9a, 0x40, 0, 0, 0}
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	g.Expect(fault.CodeOf(Decode(list, &nested{}))).To(Equal(fault.Corrupt))
+	g.Expect(fault.CodeOf(Decode(text, &nested{}))).To(Equal(fault.Corrupt))
+	runtime.ReadMemStats(&after)
+	g.Expect(after.TotalAlloc - before.TotalAlloc).To(BeNumerically("<", 1<<20))
 	// A map with the key "i" whose array, byte string and text claim 2^62 entries.
 	for _, length := range []byte{0x9b, 0x5b, 0x7b} {
 		data := []byte{0xa1, 0x61, 'i', length, 0x40, 0, 0, 0, 0, 0, 0, 0}
--- a/instance/link/link_test.go
+++ b/instance/link/link_test.go
@@ -2,15 +2,9 @@
 
 import (
 	"context"
-	"crypto/ecdsa"
-	"crypto/elliptic"
-	"crypto/rand"
 	"crypto/sha256"
-	"crypto/tls"
-	"crypto/x509"
 	"fmt"
 	"io"
-	"math/big"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -93,89 +87,6 @@
 	return out.Text, err
 }
 
-// certificate returns the configurations of a server and a client that trusts it.
-func certificate() (server, client *tls.Config) {
-	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
-	Expect(err).NotTo(HaveOccurred())
-	template := &x509.Certificate{
-		SerialNumber: big.NewInt(1), NotAfter: time.Now().Add(time.Hour),
-		IPAddresses: []net.IP{net.IPv4(127, 0, 0, 1)}, IsCA: true, BasicConstraintsValid: true,
-	}
-	der, err := x509.CreateCertificate(rand.Reader, template, template, key.Public(), key)
-	Expect(err).NotTo(HaveOccurred())
-	cert, err := x509.ParseCertificate(der)
-	Expect(err).NotTo(HaveOccurred())
-	roots := x509.NewCertPool()
-	roots.AddCert(cert)
-	return &tls.Config{Certificates: []tls.Certificate{{Certificate: [][]byte{der}, PrivateKey: key}}}, &tls.Config{RootCAs: roots}
-}
-
-// proxy forwards connections until they are muted; a muted connection stays open
-// and swallows everything, while new ones work.
-type proxy struct {
-	net.Listener
-	mu     sync.Mutex
-	muted  []*atomic.Bool
-	conns  atomic.Int64
-	target string
-}
-
-func newProxy(target string) *proxy {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	Expect(err).NotTo(HaveOccurred())
-	p := &proxy{Listener: l, target: target}
-	go p.run()
-	DeferCleanup(func() { _ = l.Close() })
-	return p
-}
-
-func (p *proxy) run() {
-	for {
-		c, err := p.Accept()
-		if err != nil {
-			return
-		}
-		up, err := net.Dial("tcp", p.target)
-		if err != nil {
-			_ = c.Close()
-			continue
-		}
-		p.conns.Add(1)
-		muted := &atomic.Bool{}
-		p.mu.Lock()
-		p.muted = append(p.muted, muted)
-		p.mu.Unlock()
-		go pipe(c, up, muted)
-		go pipe(up, c, muted)
-	}
-}
-
-func (p *proxy) mute() {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for _, m := range p.muted {
-		m.Store(true)
-	}
-}
-
-func pipe(dst, src net.Conn, muted *atomic.Bool) {
-	defer func() { _ = src.Close() }()
-	defer func() { _ = dst.Close() }()
-	buf := make([]byte, 32<<10)
-	for {
-		n, err := src.Read(buf)
-		if err != nil {
-			return
-		}
-		if muted.Load() {
-			continue
-		}
-		if _, err := dst.Write(buf[:n]); err != nil {
-			return
-		}
-	}
-}
-
 var _ = Describe("calls and messages", func() {
 	It("correlates calls and carries typed failures", func() {
 		b := &book{}
@@ -333,6 +244,50 @@
 		Expect(fault.CodeOf(err)).To(Equal(fault.NotRun))
 	})
 
+	// Story: a message says for how long an upstream still counts as alive, and
+	// waits longer than that for a slow handshake. Delivered late, it would keep
+	// an upstream alive that is dead.
+	It("drops lossy messages that waited too long", func() {
+		quick := func(c *link.Config) {
+			c.Heartbeat, c.Timeout, c.DialTimeout = 50*time.Millisecond, 300*time.Millisecond, limit
+		}
+		b := &book{}
+		one, two := start("one", b, quick), start("two", b, quick)
+		got := make(chan string, 2)
+		for _, name := range []string{"news", "plain"} {
+			two.Handle(name, func(context.Context, string, link.Message) (any, error) {
+				got <- name
+				return nil, nil
+			})
+		}
+		one.Handle("news", nil, link.Lossy())
+		slow, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		defer slow.Close()
+		release := make(chan struct{})
+		go func() {
+			c, err := slow.Accept()
+			if err != nil {
+				return
+			}
+			<-release
+			up, err := net.Dial("tcp", two.Addr().String())
+			if err != nil {
+				return
+			}
+			go pipe(c, up, &atomic.Bool{})
+			pipe(up, c, &atomic.Bool{})
+		}()
+		b.Store("two", slow.Addr().String())
+		Expect(one.Send("two", "news", "x")).To(Succeed())
+		Expect(one.Send("two", "plain", "x")).To(Succeed())
+		time.Sleep(400 * time.Millisecond)
+		close(release)
+		var first string
+		Eventually(got, limit).Should(Receive(&first))
+		Expect(first).To(Equal("plain"))
+	})
+
 	It("survives garbage on the listener", func() {
 		b := &book{}
 		one := start("one", b, nil)
