--- a/instance/gnetconn/listener.go
+++ b/instance/gnetconn/listener.go
@@ -23,10 +23,10 @@
 
 // Defaults of Options.
 const (
-	// DefaultEventLoops is few, as an event loop only reads and copies, and
-	// with more of them each wake-up brings fewer requests: BenchmarkHTTP with
-	// 64 connections gave 0.79 of a plain listener with one, 0.96 with two and
-	// 0.74 with eight event loops, on 12 cores.
+	// DefaultEventLoops is few, as an event loop only reads and copies; more
+	// of them brought nothing: medians of four runs of BenchmarkHTTP with 64
+	// connections, on 12 cores that others used too, were 0.89 and 0.98 of a
+	// plain listener with two event loops, and 0.94 and 0.82 with four.
 	DefaultEventLoops = 2
 	// DefaultMaxConns stays below the usual limit of file descriptors, as a
 	// connection with a slow reader takes two.
