--- a/operator/standin/engine/engine_test.go
+++ b/operator/standin/engine/engine_test.go
@@ -259,7 +259,7 @@
 		Expect(b.Validate()).To(Succeed())
 		Expect(b.Address).To(Equal(e.Address()))
 		Expect(e.Stop(context.Background())).To(Succeed())
-		Eventually(func() bool { b = <-beats; return b.Leave }, limit).Should(BeTrue())
+		Eventually(beats, limit).Should(Receive(HaveField("Leave", BeTrue())))
 	})
 
 	It("publishes cache events late, in order, and with gaps in their numbers", func() {
