Streams may run longer than the write timeout

A stream was cut once it had run for write_timeout (30 s by default), though its caller read all the while: fasthttp sets one write deadline for the whole answer. Each write to a caller now has a time limit of its own.

It counts as in flight until its last byte was written, which a drain waits for also when the reader is slow.

--- a/instance/daemon/http.go
+++ b/instance/daemon/http.go
@@ -136,12 +136,14 @@
 	if err := sleep(ctx, g.d.cfg.Instance.DrainDelay); err != nil {
 		return err
 	}
-	if s, err := kernel.Lookup[*httpserver.Server](g.kernel, nameCallers); err == nil {
-		s.CloseAfterAnswer()
+	listener, err := kernel.Lookup[*httpserver.Server](g.kernel, nameCallers)
+	if err != nil {
+		return err
 	}
+	listener.CloseAfterAnswer()
 	idleSince := time.Now()
 	for time.Since(idleSince) < quiet {
-		if g.InFlight() > 0 {
+		if g.InFlight() > 0 || listener.Busy() > 0 {
 			idleSince = time.Now()
 		}
 		if err := sleep(ctx, drainPoll); err != nil {
--- a/instance/gateway/chat.go
+++ b/instance/gateway/chat.go
@@ -1,10 +1,8 @@
 package gateway
 
 import (
-	"bufio"
 	"bytes"
 	"context"
-	"encoding/json"
 	"io"
 	"net"
 	"time"
@@ -181,57 +179,6 @@
 	}
 }
 
-// serveStream waits for the first chunk, so that a request that was not run is
-// answered with a status of its own, and streams from then on.
-func (x *exchange) serveStream(ctx *fasthttp.RequestCtx) (streaming bool, err error) {
-	data, c, err := x.next()
-	if err != nil && !errors.Is(err, io.EOF) {
-		x.end(err, telemetry.CauseBroken)
-		return false, err
-	}
-	ctx.SetContentType("text/event-stream")
-	ctx.Response.Header.Set(fasthttp.HeaderCacheControl, "no-cache")
-	ctx.SetBodyStreamWriter(func(w *bufio.Writer) {
-		defer x.g.inFlight.Add(-1)
-		err := x.pump(w, data, c, err)
-		x.end(err, telemetry.CauseHangUp)
-	})
-	return true, nil
-}
-
-// pump writes chunks until the end marker. A stream that fails ends in an error
-// event and without the marker, so that nobody takes a part for the whole.
-func (x *exchange) pump(w *bufio.Writer, data []byte, c *chat.Chunk, err error) error {
-	for err == nil {
-		if !c.UsageOnly() || x.req.IncludeUsage {
-			if err := writeEvent(w, data); err != nil {
-				return fault.Wrap(err, fault.Canceled, "the caller hung up")
-			}
-		}
-		data, c, err = x.next()
-	}
-	if errors.Is(err, io.EOF) {
-		return writeEvent(w, []byte("[DONE]"))
-	}
-	body, marshalErr := json.Marshal(httpapi.Body(err, x.id))
-	if marshalErr == nil {
-		_ = writeEvent(w, body)
-	}
-	return err
-}
-
-func writeEvent(w *bufio.Writer, data []byte) error {
-	for _, part := range [][]byte{[]byte("data: "), data, []byte("\n\n")} {
-		if _, err := w.Write(part); err != nil {
-			return fault.Wrap(err, fault.Canceled, "write to the caller")
-		}
-	}
-	if err := w.Flush(); err != nil {
-		return fault.Wrap(err, fault.Canceled, "write to the caller")
-	}
-	return nil
-}
-
 // end closes the run and records what became of the request.
 func (x *exchange) end(err error, cause telemetry.Cause) {
 	if fault.CodeOf(err) == fault.DeadlineExceeded {
--- a/instance/httpserver/httpserver.go
+++ b/instance/httpserver/httpserver.go
@@ -40,6 +40,7 @@
 	listener *gnetconn.Listener
 	server   *fasthttp.Server
 	closing  atomic.Bool
+	busy     atomic.Int64
 	served   chan struct{}
 }
 
@@ -53,8 +54,8 @@
 		ReadBufferSize:               cfg.Limits.MaxHeader,
 		MaxRequestBodySize:           cfg.Limits.MaxBody,
 		ReadTimeout:                  cfg.Limits.ReadTimeout,
-		WriteTimeout:                 cfg.Limits.WriteTimeout,
 		IdleTimeout:                  cfg.Limits.IdleTimeout,
+		ConnState:                    s.connState,
 		NoDefaultServerHeader:        true,
 		NoDefaultDate:                true,
 		DisablePreParseMultipartForm: true,
@@ -105,33 +106,41 @@
 // clients move elsewhere without losing a request.
 func (s *Server) CloseAfterAnswer() { s.closing.Store(true) }
 
+// Busy returns how many connections have a request on its way: from its first
+// byte on until the last byte of its answer was handed to the system. A slow
+// reader's answer is on its way long after its handler has returned.
+func (s *Server) Busy() int64 { return s.busy.Load() }
+
 func (s *Server) serveConn(c net.Conn) {
+	limited := &conn{Conn: c, raw: c, writeTimeout: s.cfg.Limits.WriteTimeout}
 	if s.cfg.TLS == nil {
-		_ = s.server.ServeConn(c)
+		_ = s.server.ServeConn(limited)
 		return
 	}
-	secure := tls.Server(c, s.cfg.TLS)
-	_ = secure.SetDeadline(time.Now().Add(s.cfg.Limits.ReadTimeout))
+	secure := tls.Server(limited, s.cfg.TLS)
+	_ = c.SetReadDeadline(time.Now().Add(s.cfg.Limits.ReadTimeout))
 	if secure.Handshake() != nil {
 		return
 	}
-	_ = secure.SetDeadline(time.Time{})
-	_ = s.server.ServeConn(&tlsConn{Conn: secure, raw: c})
-}
-
-// tlsConn keeps the hang-up notice of the connection under TLS.
-type tlsConn struct {
-	*tls.Conn
-	raw net.Conn
+	_ = c.SetReadDeadline(time.Time{})
+	_ = s.server.ServeConn(&conn{Conn: secure, raw: c})
 }
 
-// HangUp returns the raw connection's notice.
-func (c *tlsConn) HangUp() <-chan struct{} {
-	h, ok := c.raw.(interface{ HangUp() <-chan struct{} })
+func (s *Server) connState(nc net.Conn, state fasthttp.ConnState) {
+	c, ok := nc.(*conn)
 	if !ok {
-		return nil
+		return
+	}
+	active := state == fasthttp.StateActive
+	if active == c.active {
+		return
+	}
+	c.active = active
+	if active {
+		s.busy.Add(1)
+		return
 	}
-	return h.HangUp()
+	s.busy.Add(-1)
 }
 
 func (s *Server) handle(ctx *fasthttp.RequestCtx) {
--- a/proof/system/harness_test.go
+++ b/proof/system/harness_test.go
@@ -5,6 +5,7 @@
 import (
 	"bufio"
 	"bytes"
+	"cmp"
 	"crypto/rand"
 	"encoding/json"
 	"fmt"
@@ -96,6 +97,19 @@
 	keys      map[string]string
 	instances map[string]*instance
 	intent    string
+	opts      siteOptions
+}
+
+// siteOptions changes what newSite lays out; the zero value changes nothing.
+type siteOptions struct {
+	// drainDelay is the instances' drain_delay; empty means 0s.
+	drainDelay string
+	// settings stands at the end of each instance's settings.
+	settings string
+	// classes replaces the classes of the founding intent.
+	classes string
+	// timeout replaces the service's timeout; empty means 5s.
+	timeout string
 }
 
 type instance struct {
@@ -114,7 +128,7 @@
 	return l.Addr().String()
 }
 
-const testIntent = `[class.urgent]
+const testClasses = `[class.urgent]
 tier = 0
 protected = true
 first_token = 5s
@@ -124,13 +138,15 @@
 tier = 2
 deadline = 60s
 floor = 0.1
-[model.m]
+`
+
+const testIntent = `[model.m]
 replicas = 1
 [service.booking]
 at_most_once = true
 require_key = true
 query_path = /operations/{key}
-timeout = 5s
+timeout = %s
 retention = 1h
 [upstream.e-*]
 kind = engine
@@ -152,13 +168,19 @@
 // newSite lays out instances named domain-1, domain-2 and so on; the first of
 // each domain has a disk.
 func newSite(perDomain int, domains ...string) *site {
-	s := &site{dir: GinkgoT().TempDir(), keys: map[string]string{}, instances: map[string]*instance{}}
-	var digests []any
+	return newSiteWith(siteOptions{}, perDomain, domains...)
+}
+
+func newSiteWith(opts siteOptions, perDomain int, domains ...string) *site {
+	opts.drainDelay = cmp.Or(opts.drainDelay, "0s")
+	opts.classes = cmp.Or(opts.classes, testClasses)
+	s := &site{dir: GinkgoT().TempDir(), keys: map[string]string{}, instances: map[string]*instance{}, opts: opts}
+	digests := []any{cmp.Or(opts.timeout, "5s")}
 	for _, who := range []string{"engine", "service", "ward", "alice", "bob"} {
 		s.keys[who] = rand.Text()
 		digests = append(digests, config.HashKey(s.keys[who]))
 	}
-	s.intent = fmt.Sprintf(testIntent, digests...)
+	s.intent = opts.classes + fmt.Sprintf(testIntent, digests...)
 	s.write("intent.ini", s.intent)
 	s.write("peer.key", rand.Text())
 	for _, d := range domains {
@@ -195,7 +217,7 @@
 		seeds = append(seeds, v.peers)
 	}
 	b := &strings.Builder{}
-	fmt.Fprintf(b, "[instance]\nname = %s\nfailure_domain = %s\ndrain_delay = 0s\n", in.name, in.domain)
+	fmt.Fprintf(b, "[instance]\nname = %s\nfailure_domain = %s\ndrain_delay = %s\n", in.name, in.domain, s.opts.drainDelay)
 	if in.disk {
 		fmt.Fprintf(b, "data_folder = data-%s\n", in.name)
 	}
@@ -204,6 +226,7 @@
 	if in.disk {
 		fmt.Fprintf(b, "founders = %s\nfounding_intent = intent.ini\n", strings.Join(founders, ", "))
 	}
+	b.WriteString(s.opts.settings)
 	return b.String()
 }
 
