--- a/instance/daemon/base.go
+++ b/instance/daemon/base.go
@@ -19,6 +19,24 @@
 // Stop implements kernel.Service.
 func (idle) Stop(context.Context) error { return nil }
 
+// into returns a lookup that sets to; all carries lookups out up to the first
+// that fails.
+func into[T any](k *kernel.Kernel, name string, to *T) func() error {
+	return func() (err error) {
+		*to, err = kernel.Lookup[T](k, name)
+		return err
+	}
+}
+
+func all(lookups ...func() error) error {
+	for _, lookup := range lookups {
+		if err := lookup(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 func (d *Daemon) telemetry() kernel.Module {
 	return kernel.Module{Name: nameTelemetry, New: func(*kernel.Kernel) (kernel.Service, error) {
 		return telemetry.New(), nil
--- a/instance/daemon/cluster.go
+++ b/instance/daemon/cluster.go
@@ -92,15 +92,10 @@
 
 func (d *Daemon) spread() kernel.Module {
 	return kernel.Module{Name: nameSpread, Needs: []string{nameLinks, nameMembers, nameConfig}, New: func(k *kernel.Kernel) (kernel.Service, error) {
-		links, err := kernel.Lookup[*link.Service](k, nameLinks)
-		if err != nil {
-			return nil, err
-		}
-		members, err := kernel.Lookup[*member.Service](k, nameMembers)
-		if err != nil {
-			return nil, err
-		}
-		conf, err := kernel.Lookup[*config.Service](k, nameConfig)
+		var links *link.Service
+		var members *member.Service
+		var conf *config.Service
+		err := all(into(k, nameLinks, &links), into(k, nameMembers, &members), into(k, nameConfig, &conf))
 		if err != nil {
 			return nil, err
 		}
@@ -139,15 +134,10 @@
 func (d *Daemon) control() kernel.Module {
 	needs := []string{nameLinks, nameMembers, nameSpread}
 	return kernel.Module{Name: nameControl, Needs: needs, New: func(k *kernel.Kernel) (kernel.Service, error) {
-		links, err := kernel.Lookup[*link.Service](k, nameLinks)
-		if err != nil {
-			return nil, err
-		}
-		members, err := kernel.Lookup[*member.Service](k, nameMembers)
-		if err != nil {
-			return nil, err
-		}
-		sp, err := kernel.Lookup[*spread.Service](k, nameSpread)
+		var links *link.Service
+		var members *member.Service
+		var sp *spread.Service
+		err := all(into(k, nameLinks, &links), into(k, nameMembers, &members), into(k, nameSpread, &sp))
 		if err != nil {
 			return nil, err
 		}
--- a/instance/daemon/http.go
+++ b/instance/daemon/http.go
@@ -44,24 +44,12 @@
 
 func find(k *kernel.Kernel) (p *parts, err error) {
 	p = &parts{}
-	for _, get := range []func() error{
+	return p, all(
 		into(k, nameConfig, &p.config), into(k, nameTelemetry, &p.telemetry), into(k, nameTrace, &p.trace),
 		into(k, nameClient, &p.client), into(k, nameRegistry, &p.registry), into(k, nameSchedule, &p.queue),
 		into(k, namePlain, &p.plain), into(k, nameMembers, &p.members), into(k, nameSpread, &p.spread),
 		into(k, nameControl, &p.control), into(k, nameLinks, &p.links),
-	} {
-		if err := get(); err != nil {
-			return nil, err
-		}
-	}
-	return p, nil
-}
-
-func into[T any](k *kernel.Kernel, name string, to *T) func() error {
-	return func() (err error) {
-		*to, err = kernel.Lookup[T](k, name)
-		return err
-	}
+	)
 }
 
 func (d *Daemon) gateway() kernel.Module {
--- a/instance/daemon/work.go
+++ b/instance/daemon/work.go
@@ -26,19 +26,11 @@
 func (d *Daemon) registry() kernel.Module {
 	needs := []string{nameLinks, nameMembers, nameConfig, nameSchedule}
 	return kernel.Module{Name: nameRegistry, Needs: needs, New: func(k *kernel.Kernel) (kernel.Service, error) {
-		links, err := kernel.Lookup[*link.Service](k, nameLinks)
-		if err != nil {
-			return nil, err
-		}
-		members, err := kernel.Lookup[*member.Service](k, nameMembers)
-		if err != nil {
-			return nil, err
-		}
-		conf, err := kernel.Lookup[*config.Service](k, nameConfig)
-		if err != nil {
-			return nil, err
-		}
-		queue, err := kernel.Lookup[*queueService](k, nameSchedule)
+		var links *link.Service
+		var members *member.Service
+		var conf *config.Service
+		var queue *queueService
+		err := all(into(k, nameLinks, &links), into(k, nameMembers, &members), into(k, nameConfig, &conf), into(k, nameSchedule, &queue))
 		if err != nil {
 			return nil, err
 		}
@@ -100,15 +92,10 @@
 
 func (d *Daemon) schedule() kernel.Module {
 	return kernel.Module{Name: nameSchedule, Needs: []string{nameLinks, nameMembers, nameConfig}, New: func(k *kernel.Kernel) (kernel.Service, error) {
-		links, err := kernel.Lookup[*link.Service](k, nameLinks)
-		if err != nil {
-			return nil, err
-		}
-		members, err := kernel.Lookup[*member.Service](k, nameMembers)
-		if err != nil {
-			return nil, err
-		}
-		conf, err := kernel.Lookup[*config.Service](k, nameConfig)
+		var links *link.Service
+		var members *member.Service
+		var conf *config.Service
+		err := all(into(k, nameLinks, &links), into(k, nameMembers, &members), into(k, nameConfig, &conf))
 		if err != nil {
 			return nil, err
 		}
@@ -133,15 +120,10 @@
 func (d *Daemon) plain() kernel.Module {
 	needs := []string{nameControl, nameClient, nameRegistry}
 	return kernel.Module{Name: namePlain, Needs: needs, New: func(k *kernel.Kernel) (kernel.Service, error) {
-		c, err := kernel.Lookup[*control.Service](k, nameControl)
-		if err != nil {
-			return nil, err
-		}
-		client, err := kernel.Lookup[*clientService](k, nameClient)
-		if err != nil {
-			return nil, err
-		}
-		r, err := kernel.Lookup[*instregistry.Service](k, nameRegistry)
+		var c *control.Service
+		var client *clientService
+		var r *instregistry.Service
+		err := all(into(k, nameControl, &c), into(k, nameClient, &client), into(k, nameRegistry, &r))
 		if err != nil {
 			return nil, err
 		}
