--- a/instance/admin/admin.go
+++ b/instance/admin/admin.go
@@ -35,6 +35,8 @@
 	Status    func() Status
 	// Explain finds what became of a request, also at another instance.
 	Explain func(ctx context.Context, id string) (Explanation, error)
+	// Drain asks this instance to drain and stop; it returns at once.
+	Drain func()
 }
 
 // API is the HTTP handler of the operators' listener.
@@ -61,6 +63,8 @@
 		return a.plan(ctx)
 	case path == PathConfirm && ctx.IsPost():
 		return a.confirm(ctx, op)
+	case path == PathDrain && ctx.IsPost():
+		return a.drain(ctx, op)
 	case path == PathIntent && ctx.IsGet():
 		return a.intent(ctx)
 	case path == PathStatus && ctx.IsGet():
@@ -129,6 +133,16 @@
 	return nil
 }
 
+func (a *API) drain(ctx *fasthttp.RequestCtx, op *intent.Operator) error {
+	if op.ReadOnly {
+		return fault.New(fault.Forbidden, "operator %q may look and plan but not drain", op.Name)
+	}
+	a.cfg.Log.Info().Str("operator", op.Name).Msg("drain asked for")
+	a.cfg.Drain()
+	httpapi.WriteJSON(ctx, fasthttp.StatusOK, a.cfg.Status())
+	return nil
+}
+
 func validate(doc *intent.Document) error {
 	if doc == nil {
 		return fault.New(fault.Invalid, "document: an intent is needed")
--- a/instance/admin/types.go
+++ b/instance/admin/types.go
@@ -14,6 +14,7 @@
 	PathPlan     = "/v1/operator/plan"
 	PathConfirm  = "/v1/operator/confirm"
 	PathIntent   = "/v1/operator/intent"
+	PathDrain    = "/v1/operator/drain"
 	PathStatus   = "/v1/operator/status"
 	PathRequests = "/v1/operator/requests/"
 	PathMetrics  = "/metrics"
--- a/instance/cmd/comfreyladderd/main.go
+++ b/instance/cmd/comfreyladderd/main.go
@@ -10,14 +10,16 @@
 
 	"github.com/jessevdk/go-flags"
 
+	"github.com/comfreyladder/comfreyladder/core/fault"
 	"github.com/comfreyladder/comfreyladder/instance/daemon"
 	"github.com/comfreyladder/comfreyladder/instance/logline"
 	"github.com/comfreyladder/comfreyladder/instance/settings"
 )
 
 type options struct {
-	Settings string `short:"s" long:"settings" value-name:"FILE" description:"the settings file (INI)" required:"true"`
+	Settings string `short:"s" long:"settings" value-name:"FILE" description:"the settings file (INI)"`
 	Check    bool   `long:"check" description:"check the settings and exit"`
+	Describe bool   `long:"help-settings" description:"print all settings with their defaults and exit"`
 }
 
 const (
@@ -28,7 +30,7 @@
 func main() {
 	var opts options
 	p := flags.NewParser(&opts, flags.Default)
-	p.LongDescription = "Runs one entry instance of the router until it gets SIGTERM or SIGINT, then drains and stops.\n" +
+	p.LongDescription = "Runs one entry instance of the router until it gets SIGTERM or SIGINT or an operator asks for it, then drains and stops.\n" +
 		"A second signal stops at once. Example:\n  comfreyladderd --settings operator/samples/bagmati/lalitpur-hall-1.ini"
 	if _, err := p.Parse(); err != nil {
 		if flags.WroteHelp(err) {
@@ -43,6 +45,13 @@
 }
 
 func run(opts options) error {
+	if opts.Describe {
+		settings.Describe(os.Stdout)
+		return nil
+	}
+	if opts.Settings == "" {
+		return fault.New(fault.Invalid, "--settings FILE is needed; --help tells more")
+	}
 	cfg, err := settings.Load(opts.Settings)
 	if err != nil || opts.Check {
 		return err
@@ -62,6 +71,7 @@
 	}
 	select {
 	case <-signals:
+	case <-d.DrainAsked():
 	case err := <-d.Fatal():
 		// What is in flight may be lost; serving on would be worse: the disk
 		// may not keep what it promised, or two processes share a name.
--- a/instance/daemon/daemon.go
+++ b/instance/daemon/daemon.go
@@ -41,12 +41,13 @@
 	kernel *kernel.Kernel
 	book   *addressBook
 	fatal  chan error
+	drain  chan struct{}
 }
 
 // New returns a daemon that has not started. It fails when two services have
 // the same name, which is a defect.
 func New(cfg *settings.Settings, log zerolog.Logger) (*Daemon, error) {
-	d := &Daemon{cfg: cfg, log: log, kernel: kernel.New(), fatal: make(chan error, 1)}
+	d := &Daemon{cfg: cfg, log: log, kernel: kernel.New(), fatal: make(chan error, 1), drain: make(chan struct{}, 1)}
 	d.book = d.addresses()
 	err := d.kernel.Register(
 		d.telemetry(), d.trace(), d.config(), d.links(), d.members(), d.spread(), d.control(), d.registry(),
@@ -59,6 +60,16 @@
 // has its name.
 func (d *Daemon) Fatal() <-chan error { return d.fatal }
 
+// DrainAsked tells that an operator wants the process to drain and stop.
+func (d *Daemon) DrainAsked() <-chan struct{} { return d.drain }
+
+func (d *Daemon) askDrain() {
+	select {
+	case d.drain <- struct{}{}:
+	default:
+	}
+}
+
 // Start starts all services.
 func (d *Daemon) Start(ctx context.Context) error {
 	if err := d.kernel.Start(ctx); err != nil {
--- a/instance/daemon/http.go
+++ b/instance/daemon/http.go
@@ -176,6 +176,7 @@
 			Config: p.config, Control: p.control, Telemetry: p.telemetry, Log: d.log,
 			Status:  func() admin.Status { return d.status(p, g) },
 			Explain: e.explain,
+			Drain:   d.askDrain,
 		})
 		return httpserver.New(httpserver.Config{
 			Address: d.cfg.Listen.Operators, EventLoops: 1, Limits: d.cfg.Limits, TLS: tls, Handler: api.Handle,
--- /dev/null
+++ b/instance/inifile/describe.go
@@ -0,0 +1,40 @@
+package inifile
+
+import (
+	"fmt"
+	"io"
+	"reflect"
+	"strings"
+)
+
+// Describe writes the keys of a section with their defaults and what is allowed,
+// as a file that could be loaded.
+func Describe(w io.Writer, section string, of any) {
+	t := reflect.TypeOf(of)
+	fmt.Fprintf(w, "[%s]\n", section)
+	for i := range t.NumField() {
+		field := t.Field(i)
+		key := keyOf(field)
+		if key == "" {
+			continue
+		}
+		fmt.Fprintf(w, "; %s\n", kindOf(field))
+		fmt.Fprintf(w, "%s = %s\n", key, field.Tag.Get("default"))
+	}
+	fmt.Fprintln(w)
+}
+
+func kindOf(field reflect.StructField) string {
+	kind := field.Type.String()
+	switch {
+	case field.Type == durationType:
+		kind = "duration"
+	case field.Type.Kind() == reflect.Slice:
+		kind = "list with commas"
+	}
+	allow := field.Tag.Get("allow")
+	if allow == "" {
+		return kind
+	}
+	return kind + ", " + strings.ReplaceAll(allow, "|", " or ")
+}
--- a/instance/settings/settings.go
+++ b/instance/settings/settings.go
@@ -4,8 +4,10 @@
 package settings
 
 import (
+	"io"
 	"os"
 	"path/filepath"
+	"reflect"
 	"strings"
 	"time"
 
@@ -118,13 +120,9 @@
 		return nil, err
 	}
 	s := &Settings{}
-	f.Decode("instance", &s.Instance)
-	f.Decode("listen", &s.Listen)
-	f.Decode("tls", &s.TLS)
-	f.Decode("control", &s.Control)
-	f.Decode("limits", &s.Limits)
-	f.Decode("upstream", &s.Upstream)
-	f.Decode("log", &s.Log)
+	for _, part := range s.sections() {
+		f.Decode(part.name, part.into)
+	}
 	s.cross(f)
 	if err := f.Err(); err != nil {
 		return nil, err
@@ -133,6 +131,25 @@
 	return s, nil
 }
 
+type section struct {
+	name string
+	into any
+}
+
+func (s *Settings) sections() []section {
+	return []section{
+		{"instance", &s.Instance}, {"listen", &s.Listen}, {"tls", &s.TLS}, {"control", &s.Control},
+		{"limits", &s.Limits}, {"upstream", &s.Upstream}, {"log", &s.Log},
+	}
+}
+
+// Describe writes all keys with their defaults and what is allowed.
+func Describe(w io.Writer) {
+	for _, part := range (&Settings{}).sections() {
+		inifile.Describe(w, part.name, reflect.ValueOf(part.into).Elem().Interface())
+	}
+}
+
 // cross checks what no single key can tell.
 func (s *Settings) cross(f *inifile.File) {
 	if (s.TLS.Certificate == "") != (s.TLS.Key == "") {
--- a/instance/tlsconf/tlsconf.go
+++ b/instance/tlsconf/tlsconf.go
@@ -45,17 +45,23 @@
 	if s.Certificate == "" {
 		return nil, nil
 	}
+	return Authority(s.PeerAuthority)
+}
+
+// Authority returns a client's configuration that trusts the certificate
+// authority in a file, or the system's authorities when the name is empty.
+func Authority(file string) (*tls.Config, error) {
 	c := &tls.Config{MinVersion: tls.VersionTLS12}
-	if s.PeerAuthority == "" {
+	if file == "" {
 		return c, nil
 	}
-	pem, err := os.ReadFile(s.PeerAuthority)
+	pem, err := os.ReadFile(file)
 	if err != nil {
-		return nil, fault.Wrap(err, fault.Invalid, "read the peers' certificate authority")
+		return nil, fault.Wrap(err, fault.Invalid, "read the certificate authority")
 	}
 	c.RootCAs = x509.NewCertPool()
 	if !c.RootCAs.AppendCertsFromPEM(pem) {
-		return nil, fault.New(fault.Invalid, "%s holds no certificate", s.PeerAuthority)
+		return nil, fault.New(fault.Invalid, "%s holds no certificate", file)
 	}
 	return c, nil
 }
--- a/operator/client/client.go
+++ b/operator/client/client.go
@@ -2,6 +2,7 @@
 package client
 
 import (
+	"crypto/tls"
 	"encoding/json"
 	"strings"
 	"time"
@@ -25,6 +26,8 @@
 	// Address is host:port, or a URL with http or https.
 	Address string
 	Key     string
+	// TLS is used with https; nil means the system's authorities.
+	TLS *tls.Config
 }
 
 // Plan asks what a document would change.
@@ -45,6 +48,12 @@
 	return out, c.do(fasthttp.MethodGet, admin.PathStatus, nil, out)
 }
 
+// Drain asks the instance to drain and stop.
+func (c *Client) Drain() (*admin.Status, error) {
+	out := &admin.Status{}
+	return out, c.do(fasthttp.MethodPost, admin.PathDrain, nil, out)
+}
+
 // Intent returns the document in force.
 func (c *Client) Intent() (*admin.Intent, error) {
 	out := &admin.Intent{}
@@ -75,7 +84,9 @@
 		req.Header.SetContentType("application/json")
 		req.SetBodyRaw(data)
 	}
-	h := fasthttp.Client{MaxIdemponentCallAttempts: 1, MaxResponseBodySize: maxResponse, ReadTimeout: timeout, WriteTimeout: timeout}
+	h := fasthttp.Client{
+		MaxIdemponentCallAttempts: 1, MaxResponseBodySize: maxResponse, ReadTimeout: timeout, WriteTimeout: timeout, TLSConfig: c.TLS,
+	}
 	defer h.CloseIdleConnections()
 	if err := h.DoTimeout(&req, &resp, timeout); err != nil {
 		return fault.Wrap(err, fault.Unavailable, "no answer from %s", base)
--- a/operator/commands/commands.go
+++ b/operator/commands/commands.go
@@ -14,6 +14,7 @@
 	"github.com/comfreyladder/comfreyladder/instance/config"
 	"github.com/comfreyladder/comfreyladder/instance/intentfile"
 	"github.com/comfreyladder/comfreyladder/instance/settings"
+	"github.com/comfreyladder/comfreyladder/instance/tlsconf"
 	"github.com/comfreyladder/comfreyladder/operator/client"
 	"github.com/comfreyladder/comfreyladder/operator/tryout"
 )
@@ -22,6 +23,7 @@
 type Connection struct {
 	Address string `short:"a" long:"address" env:"COMFREYLADDER_ADDRESS" default:"127.0.0.1:8081" description:"operators' address of any instance"`
 	KeyFile string `short:"k" long:"key-file" env:"COMFREYLADDER_KEY_FILE" required:"yes" description:"file with the operator's key"`
+	CA      string `long:"ca" env:"COMFREYLADDER_CA" description:"file with the certificate authority of https addresses; empty: the system's"`
 	JSON    bool   `long:"json" description:"print JSON"`
 }
 
@@ -30,7 +32,11 @@
 	if err != nil {
 		return nil, err
 	}
-	return &client.Client{Address: c.Address, Key: key}, nil
+	conf, err := tlsconf.Authority(c.CA)
+	if err != nil {
+		return nil, err
+	}
+	return &client.Client{Address: c.Address, Key: key, TLS: conf}, nil
 }
 
 func (c *Connection) print(out io.Writer, v any, text func(io.Writer)) error {
@@ -58,6 +64,7 @@
 		{"confirm", "put an intent file in force", "Example:\n  comfreyladder confirm --key-file ops.key --number 42 --base 7 intent.ini", &Confirm{}},
 		{"status", "show revisions, failure domains, instances and upstreams", "Example:\n  comfreyladder status --key-file ops.key", &Status{}},
 		{"explain", "tell what became of a request and why", "Example:\n  comfreyladder explain --key-file ops.key REQUEST-ID", &Explain{}},
+		{"drain", "have the instance at --address finish its work and stop", "Example:\n  comfreyladder drain --key-file ops.key --address 10.0.0.7:8081", &Drain{}},
 		{"check", "check a settings file or an intent file", "Example:\n  comfreyladder check instance.ini\n  comfreyladder check --intent intent.ini", &Check{}},
 		{"hash-key", "print the digest of a key that is read from standard input", "Example:\n  comfreyladder hash-key < ward.key", &HashKey{}},
 		{"demo", "run an instance with stand-ins in this process and show what it does", "", &Demo{}},
--- a/operator/commands/status.go
+++ b/operator/commands/status.go
@@ -1,6 +1,7 @@
 package commands
 
 import (
+	"fmt"
 	"io"
 	"os"
 
@@ -43,3 +44,21 @@
 	}
 	return c.print(os.Stdout, e, func(w io.Writer) { show.Explanation(w, e) })
 }
+
+// Drain is the subcommand "drain".
+type Drain struct{ Connection }
+
+// Execute implements flags.Commander.
+func (c *Drain) Execute([]string) error {
+	cl, err := c.client()
+	if err != nil {
+		return err
+	}
+	s, err := cl.Drain()
+	if err != nil {
+		return err
+	}
+	return c.print(os.Stdout, s, func(w io.Writer) {
+		fmt.Fprintf(w, "%s drains; %d requests are in flight.\n", s.Instance, s.InFlight)
+	})
+}
