--- a/instance/chat/answer.go
+++ b/instance/chat/answer.go
@@ -14,6 +14,17 @@
 	Model   string        `json:"model"`
 	Choices []ChunkChoice `json:"choices"`
 	Usage   *Usage        `json:"usage,omitempty"`
+	// Failed says that the event reports a failure in place of a chunk.
+	Failed failureMark `json:"error"`
+}
+
+// failureMark is set by any value but null.
+type failureMark bool
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (f *failureMark) UnmarshalJSON(data []byte) error {
+	*f = string(data) != "null"
+	return nil
 }
 
 // ChunkChoice is the part of a chunk that extends one choice.
--- a/instance/gateway/chat.go
+++ b/instance/gateway/chat.go
@@ -139,15 +139,11 @@
 		x.sent = ev.AttemptID
 		x.tokens = 0
 	}
-	c, err = chat.ParseChunk(ev.Data)
-	if err != nil {
-		return nil, nil, err
-	}
 	if x.first == 0 {
 		x.first = time.Since(x.start)
 	}
-	x.tokens += c.Tokens()
-	return bytes.Replace(ev.Data, []byte(ev.AttemptID), []byte(x.id), 1), c, nil
+	x.tokens += ev.Chunk.Tokens()
+	return bytes.Replace(ev.Data, []byte(ev.AttemptID), []byte(x.id), 1), ev.Chunk, nil
 }
 
 func (x *exchange) serveWhole(ctx *fasthttp.RequestCtx) error {
--- a/instance/telemetry/telemetry.go
+++ b/instance/telemetry/telemetry.go
@@ -27,7 +27,28 @@
 	CauseDeadline Cause = "deadline"
 	CauseBroken   Cause = "stream_broken"
 	CauseHedge    Cause = "hedge_lost"
-	CauseDrain    Cause = "drain"
+	// CausePreempted means that the engine took the request out before its end.
+	CausePreempted Cause = "preempted"
+)
+
+// AttemptKind tells first attempts from second ones.
+type AttemptKind string
+
+// The kinds of attempts.
+const (
+	AttemptFirst AttemptKind = "first"
+	AttemptRetry AttemptKind = "retry"
+	AttemptHedge AttemptKind = "hedge"
+)
+
+// HedgeOutcome says what became of a hedge.
+type HedgeOutcome string
+
+// The outcomes of hedges.
+const (
+	HedgeWon    HedgeOutcome = "won"
+	HedgeLost   HedgeOutcome = "lost"
+	HedgeFailed HedgeOutcome = "failed"
 )
 
 // Observation is one finished request.
@@ -110,8 +131,25 @@
 	s.counter(fmt.Sprintf(`missed_total{class=%q}`, class)).Inc()
 }
 
-// Wasted counts generated tokens that reached no caller.
+// Attempt counts a request that was granted an upstream.
+func (s *Service) Attempt(class string, kind AttemptKind) {
+	s.counter(fmt.Sprintf(`attempts_total{class=%q,kind=%q}`, class, kind)).Inc()
+}
+
+// Resumed counts a stream that broke and was continued.
+func (s *Service) Resumed(class string) {
+	s.counter(fmt.Sprintf(`resumed_total{class=%q}`, class)).Inc()
+}
+
+// Hedge counts the end of a hedge.
+func (s *Service) Hedge(class string, o HedgeOutcome) {
+	s.counter(fmt.Sprintf(`hedges_total{class=%q,outcome=%q}`, class, o)).Inc()
+}
+
+// Wasted counts an attempt that was of no use, with the tokens that it generated
+// and that reached no caller.
 func (s *Service) Wasted(class string, cause Cause, tokens int) {
+	s.counter(fmt.Sprintf(`wasted_attempts_total{class=%q,cause=%q}`, class, cause)).Inc()
 	s.counter(fmt.Sprintf(`wasted_tokens_total{class=%q,cause=%q}`, class, cause)).Add(tokens)
 }
 
--- a/instance/upstream/attempt.go
+++ b/instance/upstream/attempt.go
@@ -53,8 +53,8 @@
 	a := &attempt{client: c, ctx: ctx, target: t, id: id, conn: cn, anonymous: opt.anonymous, resp: &fasthttp.Response{}}
 	// Closing the connection wakes a read or write at once when ctx ends.
 	a.detach = context.AfterFunc(ctx, func() { _ = cn.raw.Close() })
-	if failed := a.exchange(req); failed != nil {
-		a.abandon()
+	if failed := a.exchange(req, opt.firstByte(c.cfg)); failed != nil {
+		a.lose(failed)
 		return nil, failed
 	}
 	return a, nil
@@ -73,19 +73,19 @@
 	return id != "" && len(id) <= maxIDLen
 }
 
-func (a *attempt) exchange(req *fasthttp.Request) *AttemptError {
+func (a *attempt) exchange(req *fasthttp.Request, firstByte time.Duration) *AttemptError {
 	req.Header.Set(HeaderRequestID, a.id)
 	req.Header.SetUserAgent(a.client.cfg.InstanceName)
 	// Setting the host on the header alone leaves the path as it was given.
 	req.Header.SetHost(a.target.Address)
-	left, err := a.conn.send(req, a.client.cfg.FirstByte)
+	left, err := a.conn.send(req, firstByte)
 	if err != nil && !left {
 		return notSent(a.target, err, "no byte was sent")
 	}
 	if err != nil {
 		return unknown(a.target, ioFault(a.ctx, err, fault.OutcomeUnknown, "sending the request"))
 	}
-	a.conn.until = time.Now().Add(a.client.cfg.FirstByte)
+	a.conn.until = time.Now().Add(firstByte)
 	if err := a.readHeader(); err != nil {
 		return unknown(a.target, ioFault(a.ctx, err, fault.OutcomeUnknown, "waiting for the answer"))
 	}
@@ -151,7 +151,7 @@
 // refusal reads an answer that is no success and returns it as a failure.
 func (a *attempt) refusal() *AttemptError {
 	if failed := a.readBody(maxErrorBody); failed != nil {
-		a.abandon()
+		a.lose(failed)
 		return failed
 	}
 	status := a.resp.StatusCode()
@@ -160,6 +160,7 @@
 		out.Evidence = Refused
 		out.fault = fault.New(fault.NotRun, "the upstream answered %d and that it did not run the request", status)
 	}
+	out.Reused = a.conn.reused
 	out.Status, out.Body = status, append([]byte(nil), a.resp.Body()...)
 	a.finish()
 	return out
@@ -200,3 +201,13 @@
 	a.detach()
 	a.conn.drop()
 }
+
+// lose is abandon with the failure that it is for. When the upstream was silent,
+// the pooled connections of the same age are not trusted either.
+func (a *attempt) lose(failed *AttemptError) {
+	failed.Reused = a.conn.reused
+	a.abandon()
+	if a.ctx.Err() == nil && failed.fault.Code == fault.DeadlineExceeded {
+		a.client.pool.distrust(a.target.Address, a.conn.sentAt)
+	}
+}
--- a/instance/upstream/call.go
+++ b/instance/upstream/call.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"strings"
+	"time"
 
 	"github.com/valyala/fasthttp"
 
@@ -41,6 +42,16 @@
 type options struct {
 	fresh     bool
 	anonymous bool
+	// prompt says that an upstream that is well answers at once.
+	prompt bool
+}
+
+// firstByte returns the bound on the wait for the answer's header.
+func (o options) firstByte(c Config) time.Duration {
+	if o.prompt {
+		return min(c.FirstByte, c.MaxSilence)
+	}
+	return c.FirstByte
 }
 
 // hopHeaders are of one connection and are not passed on.
@@ -75,7 +86,7 @@
 		return nil, a.refusal()
 	}
 	if failed := a.readBody(c.cfg.MaxAnswer); failed != nil {
-		a.abandon()
+		a.lose(failed)
 		return nil, failed
 	}
 	out := a.answer()
--- a/instance/upstream/conn.go
+++ b/instance/upstream/conn.go
@@ -24,7 +24,11 @@
 	address string
 
 	idleSince time.Time
-	dropped   atomic.Bool
+	// reused says that the connection has carried a request before this one,
+	// which was sent at the time sentAt.
+	reused  bool
+	sentAt  time.Time
+	dropped atomic.Bool
 
 	// until bounds all reads; silence bounds the wait of each single one.
 	until   time.Time
@@ -84,7 +88,8 @@
 // send writes the request and reports whether any byte of it left.
 func (c *conn) send(req *fasthttp.Request, limit time.Duration) (left bool, err error) {
 	before := c.raw.sent.Load()
-	if err = c.rw.SetWriteDeadline(time.Now().Add(limit)); err != nil {
+	c.sentAt = time.Now()
+	if err = c.rw.SetWriteDeadline(c.sentAt.Add(limit)); err != nil {
 		return false, err
 	}
 	bw := bufio.NewWriter(c.rw)
--- a/instance/upstream/errors.go
+++ b/instance/upstream/errors.go
@@ -37,6 +37,10 @@
 	// request's ID; Status is 0 otherwise.
 	Status int
 	Body   []byte
+	// Reused says that the attempt ran on a connection that had carried another
+	// request before. Something between the two ends may have lost track of it,
+	// so that the failure tells little about the upstream.
+	Reused bool
 
 	fault *fault.Error
 }
@@ -62,6 +66,13 @@
 	return Unknown
 }
 
+// ReusedIn reports whether the failed attempt in err's chain ran on a connection
+// that had carried another request before.
+func ReusedIn(err error) bool {
+	var a *AttemptError
+	return errors.As(err, &a) && a.Reused
+}
+
 func notSent(t Target, cause error, detail string) *AttemptError {
 	return &AttemptError{Evidence: NotSent, Upstream: t.Name, fault: fault.Wrap(cause, fault.NotRun, "%s", detail)}
 }
--- a/instance/upstream/pool.go
+++ b/instance/upstream/pool.go
@@ -75,6 +75,7 @@
 			return nil
 		}
 		if time.Since(c.idleSince) < p.cfg.MaxIdle && c.quiet() {
+			c.reused = true
 			return c
 		}
 		c.drop()
@@ -174,6 +175,25 @@
 	return out
 }
 
+// distrust closes the idle connections to an address that have brought nothing
+// since the given time. It is called when a connection has fallen silent: what
+// lost track of that one has likely lost the others of its age too, and each
+// would cost one more request its time limit.
+func (p *pool) distrust(address string, since time.Time) {
+	p.mu.Lock()
+	var old []*conn
+	if h := p.hosts[address]; h != nil {
+		for len(h.idle) > 0 && h.idle[0].idleSince.Before(since) {
+			old = append(old, h.idle[0])
+			h.idle = h.idle[1:]
+		}
+	}
+	p.mu.Unlock()
+	for _, c := range old {
+		c.drop()
+	}
+}
+
 func (p *pool) close() {
 	p.mu.Lock()
 	p.closed = true
--- a/instance/upstream/stream.go
+++ b/instance/upstream/stream.go
@@ -3,16 +3,17 @@
 import (
 	"bytes"
 	"context"
-	"encoding/json"
 	"io"
 	"net/http/httputil"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
 
 	"github.com/comfreyladder/comfreyladder/core/fault"
+	"github.com/comfreyladder/comfreyladder/instance/chat"
 )
 
 const (
@@ -29,8 +30,10 @@
 type Event struct {
 	// Seq numbers the events of a stream from 1 on, without a gap.
 	Seq uint64
-	// Data is one JSON chunk of the answer.
-	Data []byte
+	// Data is one JSON chunk of the answer, and Chunk the same decoded. Both are
+	// valid until the next call of Next.
+	Data  []byte
+	Chunk *chat.Chunk
 }
 
 // Option changes how a stream is asked for.
@@ -67,19 +70,35 @@
 	req.Header.SetContentType("application/json")
 	req.SetRequestURI(generatePath)
 	req.SetBodyRaw(body)
-	return c.stream(ctx, t, requestID, req, 0, opts)
+	s, failed := c.stream(ctx, t, requestID, req, 0, opts)
+	if failed == nil {
+		return s, nil
+	}
+	if failed.Evidence == Unknown && failed.Status == 0 {
+		// The engine may be at work on an answer that nobody will read.
+		c.cancelLater(t, requestID)
+	}
+	return nil, failed
 }
 
 // Resume continues a broken stream after the event with number after, on a
 // fresh connection. The failure is NotFound when the engine no longer keeps it.
+// An engine that keeps the stream answers at once, so that the bound on silence
+// bounds the wait for the header as well.
 func (c *Client) Resume(ctx context.Context, t Target, requestID string, after uint64) (*Stream, error) {
 	req := &fasthttp.Request{}
 	req.Header.SetMethod(fasthttp.MethodGet)
 	req.SetRequestURI(streamsPath + requestID)
 	req.Header.Set(headerLastEventID, strconv.FormatUint(after, 10))
-	return c.stream(ctx, t, requestID, req, after, []Option{Fresh()})
+	s, failed := c.stream(ctx, t, requestID, req, after, []Option{Fresh(), prompt})
+	if failed != nil {
+		return nil, failed
+	}
+	return s, nil
 }
 
+func prompt(o *options) { o.prompt = true }
+
 // Cancel tells the engine that nobody wants the answer. An engine that doesn't
 // know the request counts as told.
 func (c *Client) Cancel(ctx context.Context, t Target, requestID string) error {
@@ -94,16 +113,13 @@
 	return nil
 }
 
-func (c *Client) stream(ctx context.Context, t Target, id string, req *fasthttp.Request, after uint64, opts []Option) (*Stream, error) {
+func (c *Client) stream(ctx context.Context, t Target, id string, req *fasthttp.Request, after uint64, opts []Option) (*Stream, *AttemptError) {
 	var o options
 	for _, opt := range opts {
 		opt(&o)
 	}
 	a, failed := c.start(ctx, t, id, req, o)
 	if failed != nil {
-		if code := failed.fault.Code; code == fault.DeadlineExceeded || code == fault.Canceled {
-			c.cancelLater(t, id)
-		}
 		return nil, failed
 	}
 	if a.resp.StatusCode() != fasthttp.StatusOK {
@@ -168,43 +184,46 @@
 	if done {
 		return Event{}, io.EOF
 	}
-	return Event{Seq: raw.id, Data: raw.data}, s.checkChunk(raw.data)
+	chunk, err := s.chunk(raw.data)
+	return Event{Seq: raw.id, Data: raw.data, Chunk: chunk}, err
 }
 
-func (s *Stream) checkChunk(data []byte) error {
-	var chunk struct {
-		ID    string          `json:"id"`
-		Error json.RawMessage `json:"error"`
-	}
-	if err := json.Unmarshal(data, &chunk); err != nil {
-		return fault.Wrap(err, fault.StreamBroken, "an event is no JSON")
+func (s *Stream) chunk(data []byte) (*chat.Chunk, error) {
+	chunk, err := chat.ParseChunk(data)
+	if err != nil {
+		return nil, fault.Wrap(err, fault.StreamBroken, "an event is no chunk")
 	}
-	if len(chunk.Error) > 0 && string(chunk.Error) != "null" {
-		return fault.New(fault.StreamBroken, "the engine reported a failure in the stream")
+	if chunk.Failed {
+		return nil, fault.New(fault.StreamBroken, "the engine reported a failure in the stream")
 	}
-	if chunk.ID != chunkPrefix+s.a.id {
-		return fault.New(fault.StreamBroken, "a chunk carries the ID %q, not %q", chunk.ID, chunkPrefix+s.a.id)
+	if id, ok := strings.CutPrefix(chunk.ID, chunkPrefix); !ok || id != s.a.id {
+		return nil, fault.New(fault.StreamBroken, "a chunk carries the ID %q, not %q", chunk.ID, chunkPrefix+s.a.id)
 	}
-	return nil
+	return chunk, nil
 }
 
 func (s *Stream) fail(err error) error {
 	f := ioFault(s.a.ctx, err, fault.StreamBroken, "reading the stream")
-	s.state, s.err = streamFailed, unknown(s.a.target, f)
-	s.a.abandon()
+	failed := unknown(s.a.target, f)
+	s.state, s.err = streamFailed, failed
+	s.a.lose(failed)
 	if f.Code == fault.Canceled || s.a.ctx.Err() != nil {
-		s.a.client.cancelLater(s.a.target, s.a.id)
+		s.Forget()
 	}
-	return s.err
+	return failed
 }
 
+// Forget tells the engine that nobody will resume the stream. Without it the
+// engine works on for nobody until its own limit on unread streams.
+func (s *Stream) Forget() { s.a.client.cancelLater(s.a.target, s.a.id) }
+
 // Last returns the number of the last event that Next returned: where Resume
 // goes on.
 func (s *Stream) Last() uint64 { return s.last }
 
 // Close ends the use of the stream. Before the end it drops the connection for
 // good and sends a Cancel. After a failure it sends none, so that the caller may
-// Resume; call Cancel when nobody will.
+// Resume; call Forget when nobody will.
 func (s *Stream) Close() error {
 	was := s.state
 	s.state = streamClosed
@@ -214,7 +233,7 @@
 	case streamOpen:
 		s.a.abandon()
 		s.err = unknown(s.a.target, fault.New(fault.Canceled, "the stream was closed"))
-		s.a.client.cancelLater(s.a.target, s.a.id)
+		s.Forget()
 	}
 	return nil
 }
