Intent: sizes of models and a budget of the weight store

Orders to engines follow from the intent, so it has to say what a load costs, what a failure domain may load, how many models an engine may be given and its role. All are optional with defaults that are reasoned, not measured; intents without them stay valid. Versions, adapters and roles get a form, since model, version and adapter stand in one name towards engines.

--- a/core/intent/diff.go
+++ b/core/intent/diff.go
@@ -51,6 +51,9 @@
 	out = append(out, diffList("model", from.Models, to.Models, func(v Model) string { return v.Name })...)
 	out = append(out, diffList("service", from.Services, to.Services, func(v Service) string { return v.Name })...)
 	out = append(out, diffList("operator", from.Operators, to.Operators, func(v Operator) string { return v.Name })...)
+	if fields := diffFields(from.Weights, to.Weights); len(fields) > 0 {
+		out = append(out, Change{Verb: Changed, Path: "weights", Fields: fields})
+	}
 	return out
 }
 
--- a/core/intent/intent.go
+++ b/core/intent/intent.go
@@ -15,6 +15,7 @@
 	Models        []Model        `json:"models" codec:"models"`
 	Services      []Service      `json:"services" codec:"services"`
 	Operators     []Operator     `json:"operators" codec:"operators"`
+	Weights       Weights        `json:"weights" codec:"weights"`
 }
 
 // Class is one class of requests with its service level and priority.
@@ -82,6 +83,12 @@
 	ChecksFence bool `json:"checks_fence" codec:"checks_fence"`
 	// Models lists what such an engine may serve; empty means any model.
 	Models []string `json:"models" codec:"models"`
+	// MaxModels is up to how many models such an engine is ordered to hold side
+	// by side; 0 means as many as it holds, at least one.
+	MaxModels int `json:"max_models" codec:"max_models"`
+	// Role is the role that such an engine is ordered to take; empty leaves the
+	// role that it has.
+	Role string `json:"role" codec:"role"`
 }
 
 // Model is a model that engines should hold.
@@ -90,10 +97,33 @@
 	Version string `json:"version" codec:"version"`
 	// Adapters lists adapters that are loaded beside the model.
 	Adapters []string `json:"adapters" codec:"adapters"`
-	// Replicas is the wanted count of engines per failure domain that hold it.
+	// Replicas is the wanted count of engines per failure domain that hold it;
+	// it is a minimum, so that 0 leaves those that hold it as they are.
 	Replicas int `json:"replicas" codec:"replicas"`
+	// SizeMB is the size of its weights in megabytes, by which a load is charged
+	// to the weight store's budget; 0 means DefaultSizeMB.
+	SizeMB int `json:"size_mb" codec:"size_mb"`
 }
 
+// Weights is the budget of the weight store: what the engines of one failure
+// domain may be ordered to load. Each domain keeps to it on its own, so that it
+// holds while domains cannot reach each other: share the store's whole rate out.
+type Weights struct {
+	// RateMB is in megabytes a second; 0 means DefaultRateMB.
+	RateMB int `json:"rate_mb" codec:"rate_mb"`
+	// Loads is how many loads may be under way; 0 means DefaultLoads.
+	Loads int `json:"loads" codec:"loads"`
+}
+
+// Defaults of Model.SizeMB and Weights. They are reasoned, not measured: eight
+// thousand million parameters of 16 bits, and a store that feeds a network of
+// 10 Gbit/s with room to spare for everything else.
+const (
+	DefaultSizeMB = 16_000
+	DefaultRateMB = 1_000
+	DefaultLoads  = 4
+)
+
 // Service is a plain service to which calls under its prefix are routed.
 type Service struct {
 	Name string `json:"name" codec:"name"`
--- a/core/intent/intent_test.go
+++ b/core/intent/intent_test.go
@@ -67,15 +67,26 @@
 		Expect(problems(d)).To(ConsistOf("class.urgent.tier"))
 	})
 
+	It("refuses what would be ambiguous or boundless in orders to engines", func() {
+		d := valid()
+		d.Models = []intent.Model{{Name: "m", Version: "1@2", Adapters: []string{"a:b"}, SizeMB: -1}}
+		d.Upstreams = []intent.Upstream{{Name: "e-*", Kind: intent.KindEngine, KeyHash: strings.Repeat("ab", 32), MaxModels: -1, Role: "a b"}}
+		d.Weights = intent.Weights{RateMB: -1, Loads: intent.MaxLoads + 1}
+		Expect(problems(d)).To(ConsistOf("model.m.size_mb", "model.m.version", "model.m.adapters",
+			"upstream.e-*.max_models", "upstream.e-*.role", "weights.rate_mb", "weights.loads"))
+	})
+
 	It("names entries and fields that differ", func() {
 		from, to := valid(), valid()
 		to.Classes[1].Floor = 0.2
 		to.Organisations = nil
 		to.Models = []intent.Model{{Name: "m"}}
+		to.Weights.RateMB = 500
 		Expect(intent.Diff(from, to)).To(Equal([]intent.Change{
 			{Verb: intent.Changed, Path: "class.bulk", Fields: []intent.FieldChange{{Field: "floor", From: 0.1, To: 0.2}}},
 			{Verb: intent.Removed, Path: "organisation.ward"},
 			{Verb: intent.Added, Path: "model.m"},
+			{Verb: intent.Changed, Path: "weights", Fields: []intent.FieldChange{{Field: "rate_mb", From: 0, To: 500}}},
 		}))
 		Expect(intent.Diff(from, valid())).To(BeEmpty())
 	})
--- a/core/intent/validate.go
+++ b/core/intent/validate.go
@@ -22,10 +22,19 @@
 	MaxModels        = 256
 	MaxServices      = 256
 	MaxOperators     = 256
+	MaxAdapters      = 32
+	MaxSizeMB        = 10_000_000
+	MaxRateMB        = 1_000_000
+	MaxLoads         = 1_000
 	maxNameLen       = 64
 )
 
-var nameRE = regexp.MustCompile(`^[a-z0-9]([a-z0-9._-]*[a-z0-9])?$`)
+var (
+	nameRE = regexp.MustCompile(`^[a-z0-9]([a-z0-9._-]*[a-z0-9])?$`)
+	// labelRE leaves out ":" and "@", which part model, version and adapter in
+	// the names that engines are ordered to hold.
+	labelRE = regexp.MustCompile(`^[A-Za-z0-9._-]*$`)
+)
 
 // Problem is one thing that is wrong with a document.
 type Problem struct {
@@ -69,6 +78,7 @@
 	c.organisations()
 	c.upstreams()
 	c.models()
+	c.weights()
 	c.services()
 	c.operators()
 	if len(c.problems) == 0 {
@@ -217,6 +227,8 @@
 			c.add(path+".kind", "%q is neither %q nor %q", u.Kind, KindEngine, KindService)
 		}
 		c.keyHash(path+".key_hash", u.KeyHash)
+		c.within(path+".max_models", u.MaxModels, MaxModels)
+		c.label(path+".role", u.Role)
 		for _, m := range u.Models {
 			if c.doc.Model(m) == nil {
 				c.add(path+".models", "model %q is not declared", m)
@@ -227,12 +239,38 @@
 
 func (c *checker) models() {
 	for _, m := range c.doc.Models {
+		path := "model." + m.Name
 		if m.Replicas < 0 {
-			c.add("model."+m.Name+".replicas", "%d is negative", m.Replicas)
+			c.add(path+".replicas", "%d is negative", m.Replicas)
+		}
+		c.within(path+".size_mb", m.SizeMB, MaxSizeMB)
+		c.label(path+".version", m.Version)
+		if len(m.Adapters) > MaxAdapters {
+			c.add(path+".adapters", "%d entries, at most %d are allowed", len(m.Adapters), MaxAdapters)
+		}
+		for _, a := range m.Adapters {
+			c.label(path+".adapters", a)
 		}
 	}
 }
 
+func (c *checker) weights() {
+	c.within("weights.rate_mb", c.doc.Weights.RateMB, MaxRateMB)
+	c.within("weights.loads", c.doc.Weights.Loads, MaxLoads)
+}
+
+func (c *checker) within(path string, v, most int) {
+	if v < 0 || v > most {
+		c.add(path, "%d is not within 0 to %d", v, most)
+	}
+}
+
+func (c *checker) label(path, text string) {
+	if len(text) > maxNameLen || !labelRE.MatchString(text) {
+		c.add(path, "%q: up to %d of the characters a-z A-Z 0-9 . _ - are allowed", text, maxNameLen)
+	}
+}
+
 func (c *checker) services() {
 	for _, s := range c.doc.Services {
 		path := "service." + s.Name
--- a/instance/intentfile/intentfile.go
+++ b/instance/intentfile/intentfile.go
@@ -41,6 +41,7 @@
 	d.Models = entries(f, "model", func(v *intent.Model, name string) { v.Name = name })
 	d.Services = entries(f, "service", func(v *intent.Service, name string) { v.Name = name })
 	d.Operators = entries(f, "operator", func(v *intent.Operator, name string) { v.Name = name })
+	f.Decode("weights", &d.Weights)
 	if err := f.Err(); err != nil {
 		return nil, err
 	}
