--- a/proof/system/hangup_test.go
+++ b/proof/system/hangup_test.go
@@ -28,7 +28,7 @@
 		}()
 		return cancel
 	}
-	resp, err := httpClient.Do(req)
+	resp, err := httpClient.Do(req) //nolint:bodyclose // what is returned closes it
 	Expect(err).NotTo(HaveOccurred())
 	Expect(resp.StatusCode).To(Equal(http.StatusOK))
 	lines := bufio.NewScanner(resp.Body)
