--- a/proof/system/callers_test.go
+++ b/proof/system/callers_test.go
@@ -288,3 +288,26 @@
 		}
 	}
 }
+
+// bigSize is more than the buffers of a connection hold.
+const bigSize = 7 << 20
+
+// bigBooking is a booking whose answer repeats its content.
+func bigBooking() io.Reader {
+	return strings.NewReader(`{"text":"` + strings.Repeat("x", bigSize) + `"}`)
+}
+
+func readSlowly(r io.Reader) (int, error) {
+	buf := make([]byte, 64<<10)
+	sum := 0
+	for {
+		n, err := r.Read(buf)
+		sum += n
+		if err == io.EOF {
+			return sum, nil
+		}
+		if err != nil {
+			return sum, err
+		}
+	}
+}
