--- a/instance/admin/types.go
+++ b/instance/admin/types.go
@@ -14,6 +14,7 @@
 	PathPlan     = "/v1/operator/plan"
 	PathConfirm  = "/v1/operator/confirm"
 	PathIntent   = "/v1/operator/intent"
+	PathDrain    = "/v1/operator/drain"
 	PathStatus   = "/v1/operator/status"
 	PathRequests = "/v1/operator/requests/"
 	PathMetrics  = "/metrics"
@@ -63,6 +64,9 @@
 	Revision uint64 `json:"revision"`
 	// Leader is the instance that leads the control group, empty if unknown.
 	Leader string `json:"leader"`
+	// Members lists the control group as "name role", as its leader knows it;
+	// empty on an instance that holds no control state.
+	Members []string `json:"members,omitempty"`
 	// LeaseValid says whether the revision is known to be the newest.
 	LeaseValid bool `json:"lease_valid"`
 	// LeaseUntil is when the lease ran out, if it did.
