--- a/proof/system/callers_test.go
+++ b/proof/system/callers_test.go
@@ -87,6 +87,8 @@
 
 func (r *reply) id() string { return r.header.Get("X-Request-Id") }
 
+func (r *reply) saysNotRun() bool { return r.header.Get("X-Not-Run") == "true" }
+
 // tally counts verdicts and replies from many goroutines.
 type tally struct {
 	mu   sync.Mutex
