--- a/operator/standin/service/service.go
+++ b/operator/standin/service/service.go
@@ -198,8 +198,11 @@
 
 func (s *Service) handleBooking(ctx *fasthttp.RequestCtx) {
 	f := s.Faults()
+	id := string(ctx.Request.Header.Peek("X-Request-Id"))
 	if f.Refuse {
 		host.Refuse(ctx, fasthttp.StatusServiceUnavailable, fault.NotRun, "the service refuses work")
+		// Without the ID the refusal could be that of another request.
+		ctx.Response.Header.Set("X-Request-Id", id)
 		return
 	}
 	if f.DieBefore {
@@ -207,7 +210,7 @@
 		return
 	}
 	b := Booking{
-		RequestID: string(ctx.Request.Header.Peek("X-Request-Id")),
+		RequestID: id,
 		Key:       string(ctx.Request.Header.Peek("Idempotency-Key")),
 	}
 	if body := ctx.PostBody(); json.Valid(body) {
