Upstream client: a time after which a request may not arrive

An order to an engine may not arrive after the lease under which it was checked. Call.NotAfter is looked at again right before the write and is the write's deadline; the kernel drops what it could not deliver by then. Left: a freeze between that check and the system call.

--- a/instance/upstream/attempt.go
+++ b/instance/upstream/attempt.go
@@ -50,6 +50,7 @@
 	if failed != nil {
 		return nil, failed
 	}
+	cn.notAfter = opt.notAfter
 	a := &attempt{client: c, ctx: ctx, target: t, id: id, conn: cn, anonymous: opt.anonymous, resp: &fasthttp.Response{}}
 	// Closing the connection wakes a read or write at once when ctx ends.
 	a.detach = context.AfterFunc(ctx, func() { _ = cn.raw.Close() })
@@ -187,7 +188,8 @@
 // finish ends an attempt whose answer was read whole.
 func (a *attempt) finish() {
 	alive := a.detach()
-	if alive && !a.nameless && !a.resp.Header.ConnectionClose() && a.conn.br.Buffered() == 0 {
+	a.conn.lingerAgain()
+	if alive && !a.nameless && a.conn.notAfter.IsZero() && !a.resp.Header.ConnectionClose() && a.conn.br.Buffered() == 0 {
 		a.conn.keep()
 		return
 	}
--- a/instance/upstream/call.go
+++ b/instance/upstream/call.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"strings"
+	"time"
 
 	"github.com/valyala/fasthttp"
 
@@ -29,6 +30,10 @@
 	// AllowNoID accepts an answer that repeats no request ID. Its connection is
 	// closed after the answer. An answer with another ID is always refused.
 	AllowNoID bool
+	// NotAfter, if set, is the time after which no byte of the request may reach
+	// the upstream, such as the end of the lease under which it is sent. The call
+	// ends then as well, and its connection is used for nothing else.
+	NotAfter time.Time
 }
 
 // Answer is the whole answer to a Call, whatever its status.
@@ -41,6 +46,7 @@
 type options struct {
 	fresh     bool
 	anonymous bool
+	notAfter  time.Time
 }
 
 // hopHeaders are of one connection and are not passed on.
@@ -66,7 +72,13 @@
 		}
 	}
 	req.SetBodyRaw(call.Body)
-	a, failed := c.start(ctx, t, call.RequestID, req, options{fresh: call.Fresh, anonymous: call.AllowNoID})
+	opt := options{fresh: call.Fresh, anonymous: call.AllowNoID, notAfter: call.NotAfter}
+	if !opt.notAfter.IsZero() {
+		bounded, cancel := context.WithDeadline(ctx, opt.notAfter)
+		defer cancel()
+		ctx, opt.fresh = bounded, true
+	}
+	a, failed := c.start(ctx, t, call.RequestID, req, opt)
 	if failed != nil {
 		return nil, failed
 	}
--- a/instance/upstream/conn.go
+++ b/instance/upstream/conn.go
@@ -29,6 +29,8 @@
 	// until bounds all reads; silence bounds the wait of each single one.
 	until   time.Time
 	silence time.Duration
+	// notAfter is Call.NotAfter; see limitFlight.
+	notAfter time.Time
 }
 
 // countedConn counts the bytes that the operating system took for sending: the
@@ -84,7 +86,16 @@
 // send writes the request and reports whether any byte of it left.
 func (c *conn) send(req *fasthttp.Request, limit time.Duration) (left bool, err error) {
 	before := c.raw.sent.Load()
-	if err = c.rw.SetWriteDeadline(time.Now().Add(limit)); err != nil {
+	until := time.Now().Add(limit)
+	if !c.notAfter.IsZero() {
+		if err = c.limitFlight(); err != nil {
+			return false, err
+		}
+		if c.notAfter.Before(until) {
+			until = c.notAfter
+		}
+	}
+	if err = c.rw.SetWriteDeadline(until); err != nil {
 		return false, err
 	}
 	bw := bufio.NewWriter(c.rw)
--- /dev/null
+++ b/instance/upstream/flight.go
@@ -0,0 +1,61 @@
+package upstream
+
+import (
+	"net"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/comfreyladder/comfreyladder/core/fault"
+)
+
+// tcpUserTimeout is Linux's option TCP_USER_TIMEOUT, in milliseconds.
+const tcpUserTimeout = 0x12
+
+// limitFlight bounds the flight of a request that must not arrive after notAfter.
+// It is called right before the request is written.
+//
+// It guards against a process that is frozen, or a dial that takes long, after
+// the sender checked that it may still send: it would go on where it stopped and
+// send an order that a successor's order has replaced. The time is looked at
+// again here, and the write has it as its deadline, which Go checks before it
+// hands bytes to the kernel. It guards as well against bytes that wait in the
+// kernel for a network that is away: the kernel gives the connection up at that
+// time by itself, also if this process is frozen, and closing it drops what was
+// not sent in place of delivering it later.
+//
+// What is left is a freeze between that check and the system call that follows
+// it, and an upstream that reads its socket late.
+func (c *conn) limitFlight() error {
+	left := time.Until(c.notAfter)
+	if left <= 0 {
+		return fault.New(fault.DeadlineExceeded, "the time until which this request may be sent is over")
+	}
+	tcp, ok := c.raw.Conn.(*net.TCPConn)
+	if !ok {
+		return nil
+	}
+	if err := tcp.SetLinger(0); err != nil {
+		return err
+	}
+	sys, err := tcp.SyscallConn()
+	if err != nil {
+		return err
+	}
+	var failed error
+	err = sys.Control(func(fd uintptr) {
+		failed = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(max(left.Milliseconds(), 1)))
+	})
+	if err == nil && failed != nil {
+		err = errors.WithStack(failed)
+	}
+	return err
+}
+
+// lingerAgain lets a connection whose answer came whole end in the usual way.
+func (c *conn) lingerAgain() {
+	if tcp, ok := c.raw.Conn.(*net.TCPConn); ok && !c.notAfter.IsZero() {
+		_ = tcp.SetLinger(-1)
+	}
+}
--- /dev/null
+++ b/instance/upstream/flight_test.go
@@ -0,0 +1,79 @@
+package upstream
+
+import (
+	"context"
+	"io"
+	"net"
+	"syscall"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/valyala/fasthttp"
+
+	"github.com/comfreyladder/comfreyladder/core/fault"
+)
+
+// An order is checked to be in time; then the process is frozen while it dials.
+// When it goes on, the time is over, and no byte may leave.
+var _ = Describe("a request with a time after which it may not arrive", func() {
+	var far net.Conn
+	var near *conn
+
+	BeforeEach(func() {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		defer ln.Close()
+		raw, err := net.Dial("tcp", ln.Addr().String())
+		Expect(err).NotTo(HaveOccurred())
+		far, err = ln.Accept()
+		Expect(err).NotTo(HaveOccurred())
+		near = newConn(raw, newPool(Config{}.withDefaults()), ln.Addr().String())
+		DeferCleanup(func() {
+			_ = raw.Close()
+			_ = far.Close()
+		})
+	})
+
+	request := func() *fasthttp.Request {
+		req := &fasthttp.Request{}
+		req.Header.SetHost("far")
+		return req
+	}
+
+	It("is not sent when the time is over", func() {
+		near.notAfter = time.Now().Add(-time.Millisecond)
+		left, err := near.send(request(), time.Minute)
+		Expect(left).To(BeFalse())
+		Expect(fault.CodeOf(err)).To(Equal(fault.DeadlineExceeded))
+		Expect(near.raw.Close()).To(Succeed())
+		got, _ := io.ReadAll(far)
+		Expect(got).To(BeEmpty())
+	})
+
+	It("has the kernel give up at that time when the far end is away", func() {
+		near.notAfter = time.Now().Add(40 * time.Second)
+		left, err := near.send(request(), time.Minute)
+		Expect(left).To(BeTrue())
+		Expect(err).NotTo(HaveOccurred())
+		sys, err := near.raw.Conn.(*net.TCPConn).SyscallConn()
+		Expect(err).NotTo(HaveOccurred())
+		millis := 0
+		Expect(sys.Control(func(fd uintptr) { millis, err = syscall.GetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout) })).To(Succeed())
+		Expect(err).NotTo(HaveOccurred())
+		Expect(millis).To(And(BeNumerically(">", 0), BeNumerically("<=", 40_000)))
+	})
+
+	It("keeps no connection and ends at that time", func() {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		defer ln.Close()
+		c := New(Config{})
+		defer c.Close(context.Background())
+		_, err = c.Do(context.Background(), Target{Name: "far", Address: ln.Addr().String()},
+			Call{RequestID: "r", Method: "POST", Path: "/", NotAfter: time.Now().Add(200 * time.Millisecond)})
+		Expect(EvidenceOf(err)).To(Equal(Unknown))
+		Expect(fault.CodeOf(err)).To(Equal(fault.DeadlineExceeded))
+		Expect(c.pool.hosts).To(BeEmpty())
+	})
+})
