Stand-in engine: versions in orders, and counts of loads and refused orders

Orders name model@version, requests the model alone; the fleet and the try-out start their engines with the versions of the intent, so that orders find them as wanted.

--- a/operator/load/fleet/fleet.go
+++ b/operator/load/fleet/fleet.go
@@ -73,8 +73,8 @@
 func (f *Fleet) engineConfig(i int, seed uint64, h host.Config) engine.Config {
 	e := &f.experiment.Engines
 	var models []string
-	for _, m := range f.experiment.Intent.Models {
-		models = append(models, m.Name)
+	for i := range f.experiment.Intent.Models {
+		models = append(models, order.Names(&f.experiment.Intent.Models[i])...)
 	}
 	return engine.Config{
 		Config: h, Name: name(e.Prefix, i), Domain: f.domain(i), Models: models,
--- a/operator/standin/engine/engine.go
+++ b/operator/standin/engine/engine.go
@@ -49,6 +49,10 @@
 	Cached    uint64 `json:"cached"`
 	// BusyMillis is the time with a batch that was not empty, unscaled.
 	BusyMillis uint64 `json:"busy_ms"`
+	// Loads counts the loads that orders began, OldOrders the orders that were
+	// refused for an old fencing number.
+	Loads     uint64 `json:"loads"`
+	OldOrders uint64 `json:"old_orders"`
 }
 
 // New returns an engine that is not yet started.
@@ -173,7 +177,7 @@
 		Name:   e.config.Name,
 		Domain: e.config.Domain,
 		Kind:   intent.KindEngine,
-		Models: e.orders.loaded(now),
+		Models: e.orders.served(now),
 		Slots:  e.config.Slots,
 		Load:   &load,
 		Cache:  e.cache.publish(now.Add(-e.config.EventDelay), e.lose),
--- a/operator/standin/engine/engine_test.go
+++ b/operator/standin/engine/engine_test.go
@@ -225,6 +225,20 @@
 		}
 	})
 
+	It("holds versions and adapters by order, and serves them without the version", func() {
+		e := start(engine.Config{Models: []string{"m@1"}, LoadTime: time.Millisecond})
+		_, body := whole(e, "POST", "/v1/orders", `{"fence":3,"models":["m@1","m@2","m@2:a"],"role":"r"}`)
+		Expect(body).To(And(ContainSubstring(`"m@1"`), ContainSubstring(`"role":"r"`), ContainSubstring(`"last_fence":3`)))
+		Eventually(func() string { _, b := whole(e, "GET", "/v1/orders", ""); return b }, limit).
+			Should(And(ContainSubstring(`"models":["m@1","m@2","m@2:a"]`), ContainSubstring(`"loading":[]`)))
+		_, body = whole(e, "GET", "/v1/models", "")
+		Expect(body).To(And(ContainSubstring(`"id":"m"`), ContainSubstring(`"id":"m:a"`), Not(ContainSubstring("@"))))
+		Expect(e.Counters().Loads).To(Equal(uint64(2)))
+		resp, conn, _ := call(e, "GET", "/v1/orders", "", "X-Request-Id", "r7")
+		defer conn.Close()
+		Expect(string(resp.Header.Peek("X-Request-Id"))).To(Equal("r7"))
+	})
+
 	It("says not run for a model that it does not hold", func() {
 		e := start(engine.Config{Models: []string{"other"}})
 		resp, conn, _ := call(e, "POST", "/v1/chat/completions", ask("x", 0, 1), "X-Request-Id", "r")
--- a/operator/standin/engine/handle.go
+++ b/operator/standin/engine/handle.go
@@ -86,7 +86,7 @@
 
 func (e *Engine) handleModels(ctx *fasthttp.RequestCtx) {
 	e.mu.Lock()
-	models := e.orders.loaded(time.Now())
+	models := e.orders.served(time.Now())
 	e.mu.Unlock()
 	list := modelList{Object: "list", Data: []modelEntry{}}
 	for _, m := range models {
--- a/operator/tryout/stage.go
+++ b/operator/tryout/stage.go
@@ -11,6 +11,7 @@
 	"strings"
 
 	"github.com/comfreyladder/comfreyladder/core/fault"
+	"github.com/comfreyladder/comfreyladder/core/order"
 	"github.com/comfreyladder/comfreyladder/instance/config"
 	"github.com/comfreyladder/comfreyladder/instance/daemon"
 	"github.com/comfreyladder/comfreyladder/instance/intentfile"
@@ -142,7 +143,7 @@
 		for i := range engines {
 			e := engine.New(engine.Config{
 				Config: common, Name: fmt.Sprintf("%s%d", prefix, i+1), Domain: st.scene.domain,
-				Models: []string{st.scene.model}, Speed: speed,
+				Models: order.Names(doc.Model(st.scene.model)), Speed: speed,
 			})
 			if err := e.Start(ctx); err != nil {
 				return err
