--- a/operator/load/fleet/fleet.go
+++ b/operator/load/fleet/fleet.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"github.com/comfreyladder/comfreyladder/core/order"
 	"github.com/comfreyladder/comfreyladder/operator/load"
 	"github.com/comfreyladder/comfreyladder/operator/standin/engine"
 	"github.com/comfreyladder/comfreyladder/operator/standin/host"
