--- a/instance/upstream/conn.go
+++ b/instance/upstream/conn.go
@@ -33,6 +33,8 @@
 	// until bounds all reads; silence bounds the wait of each single one.
 	until   time.Time
 	silence time.Duration
+	// notAfter is Call.NotAfter; see limitFlight.
+	notAfter time.Time
 }
 
 // countedConn counts the bytes that the operating system took for sending: the
@@ -89,7 +91,16 @@
 func (c *conn) send(req *fasthttp.Request, limit time.Duration) (left bool, err error) {
 	before := c.raw.sent.Load()
 	c.sentAt = time.Now()
-	if err = c.rw.SetWriteDeadline(c.sentAt.Add(limit)); err != nil {
+	until := c.sentAt.Add(limit)
+	if !c.notAfter.IsZero() {
+		if err = c.limitFlight(); err != nil {
+			return false, err
+		}
+		if c.notAfter.Before(until) {
+			until = c.notAfter
+		}
+	}
+	if err = c.rw.SetWriteDeadline(until); err != nil {
 		return false, err
 	}
 	bw := bufio.NewWriter(c.rw)
