proof/capacity: measure what an instance spends on control

Real daemons on loopback addresses, laid out in failure domains, with a generator of announcements, changes and requests; processor time, memory, bytes and messages by role, and least-squares slopes. make slopes runs it; make test does not.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 MODULES := core instance operator proof
 LINT    := go run github.com/golangci/golangci-lint/v2/cmd/golangci-lint@v2.15.0
 
-.PHONY: build test race vet lint fmt demo
+.PHONY: build slopes test race vet lint fmt demo
 
 build:
 	go build -o bin/comfreyladderd ./instance/cmd/comfreyladderd
@@ -20,3 +20,9 @@
 
 demo: build
 	bin/comfreyladder demo
+
+# slopes repeats the measurements of docs/CAPACITY.md; about 20 minutes, up to
+# 252 daemons and 10 GB. One series: make slopes SERIES=requests
+SERIES := .
+slopes: build
+	cd proof && go test -run '^$$' -bench 'Slopes/$(SERIES)' -benchtime 1x -timeout 60m ./capacity
