Links and registry: send a domain's small messages together

By channel 14.3 KB/s were relayed beats, 1.3 KB/s heartbeats.

- A heartbeat goes out only when nothing else was written for its interval.
- Lazy channels (membership's heartbeats) wait for the next message or heartbeat.
- Beats go to the domain's scheduler within 100 ms, to the others within 400 ms, and to all within 100 ms when an upstream came or went.
- A brief beat names what it leaves out by one hash and travels as an array.

--- a/core/registry/brief.go
+++ b/core/registry/brief.go
@@ -13,29 +13,30 @@
 // Brief is a relayed beat without what seldom changes. A failure domain with 76
 // upstreams relays 76 beats a second to each of its instances; whole ones of
 // about 300 bytes would use up more than the 18 KB/s that an instance has for
-// all control traffic.
+// all control traffic. It travels as an array, as the names of its fields would
+// be a third of it.
 type Brief struct {
-	Name        string `codec:"n"`
-	Incarnation uint64 `codec:"i"`
-	Sequence    uint64 `codec:"s"`
-	// Sum is the hash of what is left out; see sumOf.
-	Sum uint64 `codec:"h"`
+	_struct bool `codec:",toarray"`
+	// Ref stands for what is left out; see refOf.
+	Ref      uint64
+	Sequence uint64
 	// RemainingMillis and AgeMillis are those of Relayed, rounded against the
 	// upstream.
-	RemainingMillis int64                 `codec:"r"`
-	AgeMillis       int64                 `codec:"a"`
-	Load            *BriefLoad            `codec:"l,omitempty"`
-	Cache           []announce.CacheEvent `codec:"c,omitempty"`
+	RemainingMillis int64
+	AgeMillis       int64
+	Load            *BriefLoad
+	Cache           []announce.CacheEvent
 }
 
 // BriefLoad is announce.Load in whole numbers.
 type BriefLoad struct {
-	Running         int   `codec:"r"`
-	Waiting         int   `codec:"w"`
-	TokensPerSecond int64 `codec:"t"`
+	_struct         bool `codec:",toarray"`
+	Running         int
+	Waiting         int
+	TokensPerSecond int64
 	// KVMille is the used share of the KV cache in thousandths.
-	KVMille   int64 `codec:"k"`
-	AgeMillis int64 `codec:"a"`
+	KVMille   int64
+	AgeMillis int64
 }
 
 const mille = 1000
@@ -47,10 +48,8 @@
 		return Brief{}, false
 	}
 	b := Brief{
-		Name:            m.Beat.Name,
-		Incarnation:     m.Beat.Incarnation,
+		Ref:             refOf(m.Beat),
 		Sequence:        m.Beat.Sequence,
-		Sum:             sumOf(m.Beat),
 		RemainingMillis: m.Remaining.Milliseconds(),
 		AgeMillis:       (m.Age + time.Millisecond - 1).Milliseconds(),
 		Cache:           m.Beat.Cache,
@@ -67,13 +66,16 @@
 	return b, true
 }
 
-// sumOf hashes what a Brief leaves out.
-func sumOf(b announce.Beat) uint64 {
+// refOf hashes what a Brief leaves out: the upstream's name, its start and what
+// it said of itself. Hashes of 64 bits of some thousand upstreams don't collide.
+func refOf(b announce.Beat) uint64 {
 	d := xxhash.New()
 	write := func(s string) {
 		_, _ = d.WriteString(s)
 		_, _ = d.WriteString("\x00")
 	}
+	write(b.Name)
+	write(strconv.FormatUint(b.Incarnation, 10))
 	write(b.Domain)
 	write(string(b.Kind))
 	write(b.Address)
@@ -89,12 +91,12 @@
 // ApplyBrief takes in a relayed beat in its brief form. It is Unknown when the
 // rest is not known here; then the sender is to be asked for the Whole beat.
 func (r *Registry) ApplyBrief(now time.Time, b Brief) Outcome {
-	e := r.entries[b.Name]
-	if e == nil || e.up.Incarnation < b.Incarnation || (e.up.Incarnation == b.Incarnation && e.sum != b.Sum) {
+	e := r.byRef[b.Ref]
+	if e == nil {
 		return Unknown
 	}
 	beat := e.up.Beat
-	beat.Incarnation, beat.Sequence, beat.Leave = b.Incarnation, b.Sequence, false
+	beat.Sequence, beat.Leave = b.Sequence, false
 	beat.Cache = b.Cache
 	if l := b.Load; l != nil {
 		beat.Load = &announce.Load{
@@ -112,11 +114,11 @@
 	})
 }
 
-// Whole returns the latest beat of an upstream as it is to be relayed now; false
-// when it is unknown or gone. It carries no cache events, so that the receiver
+// Whole returns the latest beat of the upstream that a Brief refers to, as it is
+// to be relayed now; false when it is unknown or gone. It carries no cache events, so that the receiver
 // learns by the next one's number whether it missed some.
-func (r *Registry) Whole(now time.Time, name string) (Relayed, bool) {
-	e := r.entries[name]
+func (r *Registry) Whole(now time.Time, ref uint64) (Relayed, bool) {
+	e := r.byRef[ref]
 	if e == nil || e.gone {
 		return Relayed{}, false
 	}
--- a/core/registry/registry.go
+++ b/core/registry/registry.go
@@ -71,13 +71,14 @@
 	gone    bool      // left or expired
 	left    bool
 	cache   cache
-	sum     uint64 // of what a Brief leaves out
+	ref     uint64 // of what a Brief leaves out; zero before the first beat
 }
 
 // Registry is one instance's view. It is not safe for concurrent use; a View is.
 type Registry struct {
 	domain  string
 	entries map[string]*entry
+	byRef   map[uint64]*entry
 	version uint64
 	turns   uint64
 	view    *View
@@ -85,7 +86,7 @@
 
 // New returns an empty view of a failure domain.
 func New(domain string) *Registry {
-	return &Registry{domain: domain, entries: map[string]*entry{}}
+	return &Registry{domain: domain, entries: map[string]*entry{}, byRef: map[uint64]*entry{}}
 }
 
 // Outcome says what became of a beat.
@@ -163,16 +164,26 @@
 	e.up.Beat = beat
 	e.up.HeardAt = heard
 	e.up.Cache = e.cache.view()
-	if e.gone != beat.Leave || e.sum == 0 {
+	if e.gone != beat.Leave || e.ref == 0 {
 		r.turns++
 	}
 	e.left = beat.Leave
 	e.gone = beat.Leave
-	e.sum = sumOf(beat)
+	r.refer(e, refOf(beat))
 	e.expires = now.Add(remaining)
 	r.changed()
 }
 
+// refer makes an entry known under another reference.
+func (r *Registry) refer(e *entry, ref uint64) {
+	if e.ref == ref {
+		return
+	}
+	delete(r.byRef, e.ref)
+	e.ref = ref
+	r.byRef[ref] = e
+}
+
 // Expire ends the upstreams whose lifetime ran out and returns their names.
 func (r *Registry) Expire(now time.Time) []string {
 	var names []string
@@ -180,6 +191,7 @@
 		switch {
 		case e.gone && now.Sub(e.expires) > ForgetAfter:
 			delete(r.entries, name)
+			delete(r.byRef, e.ref)
 		case !e.gone && !now.Before(e.expires):
 			e.gone = true
 			names = append(names, name)
--- a/instance/link/link.go
+++ b/instance/link/link.go
@@ -117,9 +117,14 @@
 // Bulk sends the channel's messages after those of all channels that are not.
 func Bulk() ChannelOption { return func(c *channel) { c.bulk = true } }
 
+// Lazy lets the channel's messages wait for the next message or heartbeat of the
+// link, for Config.Heartbeat at most. What is sent to each peer once a second
+// then needs no segment, and wakes no process, of its own.
+func Lazy() ChannelOption { return func(c *channel) { c.lazy = true } }
+
 type channel struct {
-	lossy, bulk bool
-	handler     Handler
+	lossy, bulk, lazy bool
+	handler           Handler
 }
 
 // Service holds the links of one instance.
@@ -295,7 +300,7 @@
 		return fault.New(fault.TooLarge, "message on %s: %d bytes, at most %d are allowed", channel, len(data), s.cfg.MaxMessage)
 	}
 	t := s.traits(channel)
-	dropped, err := p.out.push(&item{channel: channel, lossy: t.lossy, bulk: t.bulk, data: data})
+	dropped, err := p.out.push(&item{channel: channel, lossy: t.lossy, bulk: t.bulk, lazy: t.lazy, data: data})
 	if dropped {
 		s.stats.dropped(channel)
 	}
--- a/instance/link/link_test.go
+++ b/instance/link/link_test.go
@@ -162,6 +162,38 @@
 })
 
 var _ = Describe("ends of a link", func() {
+	// Story: 20 instances tell each other every second that they are there. With
+	// a segment for each such message, half of what an instance spends on control
+	// goes into segments. Lazy messages ride along with others, in order, and
+	// still make the first connection.
+	It("sends lazy messages together with others", func() {
+		b := &book{}
+		slow := func(c *link.Config) { c.Heartbeat, c.Timeout = time.Hour, 2*time.Hour }
+		one := start("one", b, slow)
+		two := start("two", b, slow)
+		got := make(chan string, 10)
+		take := func(_ context.Context, _ string, m link.Message) (any, error) {
+			var n note
+			err := m.Decode(&n)
+			got <- n.Text
+			return nil, err
+		}
+		for _, s := range []*link.Service{one, two} {
+			s.Handle("beat", take, link.Lazy())
+			s.Handle("urgent", take)
+		}
+		Expect(one.Send("two", "beat", note{Text: "dials"})).To(Succeed())
+		Eventually(got, limit).Should(Receive(Equal("dials")))
+		before, _ := one.Segments()
+		Expect(one.Send("two", "beat", note{Text: "waits"})).To(Succeed())
+		Consistently(got, "100ms").ShouldNot(Receive())
+		Expect(one.Send("two", "urgent", note{Text: "goes"})).To(Succeed())
+		Eventually(got, limit).Should(Receive(Equal("waits")))
+		Eventually(got, limit).Should(Receive(Equal("goes")))
+		after, _ := one.Segments()
+		Expect(after - before).To(BeEquivalentTo(1))
+	})
+
 	// Story: a router between two instances forgets their connection: it stays
 	// open on both sides and swallows all packets, while new connections work.
 	// Without heartbeats, calls would hang on it until the system's TCP timeout,
--- a/instance/link/queue.go
+++ b/instance/link/queue.go
@@ -13,6 +13,7 @@
 	channel string
 	lossy   bool
 	bulk    bool
+	lazy    bool
 	data    []byte
 	queued  time.Time
 	call    *call // nil for messages that expect no answer
@@ -30,7 +31,9 @@
 	maxBytes int
 	shared   *budget
 	closed   bool
-	ready    chan struct{}
+	// served says that a wire drains the queue, at each heartbeat at least.
+	served bool
+	ready  chan struct{}
 }
 
 // budget counts the bytes in all queues of a service.
@@ -76,6 +79,9 @@
 	it.queued = time.Now()
 	*list = append(*list, it)
 	q.grow(len(it.data))
+	if it.lazy && q.served {
+		return dropped, nil
+	}
 	select {
 	case q.ready <- struct{}{}:
 	default:
@@ -83,6 +89,14 @@
 	return dropped, nil
 }
 
+// serve states whether a wire drains the queue. Lazy messages wake nobody while
+// one does; without one, they are what a link is dialled for.
+func (q *queue) serve(served bool) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.served = served
+}
+
 func (q *queue) list(bulk bool) *[]*item {
 	if bulk {
 		return &q.bulk
--- a/instance/link/wire.go
+++ b/instance/link/wire.go
@@ -111,42 +111,57 @@
 	return nil
 }
 
+// write drains the queue until the wire ends. A heartbeat goes out only when
+// nothing else was written for its interval: any message tells the peer as much,
+// and heartbeats to 20 peers, four a second with each, were a fifth of the
+// segments of a failure domain.
 func (w *wire) write() error {
 	out := bufio.NewWriterSize(w.conn, bufferSize)
-	beat := time.NewTicker(w.s.cfg.Heartbeat)
+	w.out.serve(true)
+	defer w.out.serve(false)
+	beat := time.NewTimer(w.s.cfg.Heartbeat)
 	defer beat.Stop()
 	lastUse := time.Now()
 	for {
-		used, err := w.drain(out)
+		wrote, err := w.drain(out)
 		if err != nil {
 			return err
 		}
-		if used {
+		if wrote {
 			lastUse = time.Now()
+			beat.Reset(w.s.cfg.Heartbeat)
 		}
 		select {
 		case <-w.out.ready:
 		case <-beat.C:
+			if w.out.waiting() {
+				continue
+			}
 			if w.idleAfter > 0 && time.Since(lastUse) > w.idleAfter && !w.awaits() {
 				return nil
 			}
-			if err := w.frame(out, heartbeatChannel, w.s.heartbeat); err != nil {
-				return err
-			}
-			if err := w.flush(out); err != nil {
+			if err := w.beat(out); err != nil {
 				return err
 			}
+			beat.Reset(w.s.cfg.Heartbeat)
 		case <-w.stop:
 			return nil
 		}
 	}
 }
 
-// drain writes all that waits and flushes once.
+func (w *wire) beat(out *bufio.Writer) error {
+	if err := w.frame(out, heartbeatChannel, w.s.heartbeat); err != nil {
+		return err
+	}
+	return w.flush(out)
+}
+
+// drain writes all that waits and flushes once; it reports whether that was
+// anything.
 func (w *wire) drain(out *bufio.Writer) (bool, error) {
-	used := false
+	wrote := false
 	for it := w.out.pop(); it != nil; it = w.out.pop() {
-		used = true
 		if it.lossy && time.Since(it.queued) > w.s.cfg.Timeout {
 			// What a lossy message says, such as how long an upstream still
 			// counts as alive, is wrong once it has waited that long.
@@ -157,10 +172,11 @@
 			continue
 		}
 		if err := w.frame(out, it.channel, it.data); err != nil {
-			return used, err
+			return wrote, err
 		}
+		wrote = true
 	}
-	return used, w.flush(out)
+	return wrote, w.flush(out)
 }
 
 // frame writes and counts one message; the peer must take it within the timeout.
--- a/instance/member/member.go
+++ b/instance/member/member.go
@@ -78,7 +78,7 @@
 		cfg.Table = core.DefaultConfig()
 	}
 	s := &Service{cfg: cfg, table: core.New(cfg.Table, cfg.Self), hurry: make(chan struct{}, 1)}
-	cfg.Links.Handle(channelBeat, s.receive, link.Lossy())
+	cfg.Links.Handle(channelBeat, s.receive, link.Lossy(), link.Lazy())
 	cfg.Links.Handle(channelLeave, s.receive)
 	return s
 }
--- a/instance/registry/registry.go
+++ b/instance/registry/registry.go
@@ -23,9 +23,14 @@
 )
 
 const (
-	// DefaultInterval is how long accepted beats wait to be relayed together;
-	// it adds that much to the age of what other instances know.
+	// DefaultInterval is how long accepted beats wait to be relayed together
+	// to the peer that needs them first, and to all when an upstream came or
+	// went; it adds that much to the age of what is known there.
 	DefaultInterval = 100 * time.Millisecond
+	// relayIntervals is how many intervals beats wait for the other peers. An
+	// upstream's next beat still arrives 2 s before the last one's lifetime of
+	// 3 s ends, so that one lost message does no harm.
+	relayIntervals = 4
 	// maxPending bounds the beats that wait for the next relay.
 	maxPending = core.MaxUpstreams
 )
@@ -43,6 +48,10 @@
 	Links  Links
 	// Peers returns the names of the domain's other instances.
 	Peers func() []string
+	// First returns the peer that acts on the upstreams' load: the domain's
+	// scheduler. It is told at each interval, the others at every fourth. Nil,
+	// or an empty name, tells all at each interval.
+	First func() string
 	Log   zerolog.Logger
 	// Interval of relays and of the check for silent upstreams; zero means
 	// DefaultInterval.
@@ -59,7 +68,7 @@
 
 // want asks for the whole beats of upstreams that a peer knows.
 type want struct {
-	Names []string `codec:"n"`
+	Refs []uint64 `codec:"r"`
 }
 
 type pending struct {
@@ -69,11 +78,17 @@
 
 // Service is one instance's view of the upstreams of its failure domain.
 type Service struct {
-	cfg    Config
-	view   atomic.Pointer[core.View]
-	mu     sync.Mutex
-	state  *core.Registry
+	cfg   Config
+	view  atomic.Pointer[core.View]
+	mu    sync.Mutex
+	state *core.Registry
+	// queue waits for all peers; its entries from fresh on came since the last
+	// interval. hurry says that it may not wait, as an upstream came or went.
 	queue  []pending
+	fresh  int
+	hurry  bool
+	ticks  int
+	first  string // who was told first at the last relay
 	turns  uint64 // as of the published view
 	cancel context.CancelFunc
 	done   sync.WaitGroup
@@ -140,6 +155,7 @@
 func (s *Service) enqueue(p pending) {
 	if len(s.queue) >= maxPending {
 		s.queue = s.queue[1:]
+		s.fresh = max(s.fresh-1, 0)
 	}
 	s.queue = append(s.queue, p)
 }
@@ -149,6 +165,7 @@
 // took a quarter of what a domain of 21 instances spends on control.
 func (s *Service) publishTurns() {
 	if s.state.Turns() != s.turns {
+		s.hurry = true
 		s.publish()
 	}
 }
@@ -176,10 +193,10 @@
 	return nil, nil
 }
 
-// take applies a peer's beats and returns the names of those upstreams of which
-// too little is known to understand a brief beat.
-func (s *Service) take(now time.Time, from string, b batch) []string {
-	var unknown []string
+// take applies a peer's beats and returns the references of brief beats that
+// cannot be understood, as too little is known of their upstreams.
+func (s *Service) take(now time.Time, from string, b batch) []uint64 {
+	var unknown []uint64
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.state.Expire(now)
@@ -196,7 +213,7 @@
 	}
 	for _, brief := range b.Briefs {
 		if s.state.ApplyBrief(now, brief) == core.Unknown {
-			unknown = append(unknown, brief.Name)
+			unknown = append(unknown, brief.Ref)
 		}
 	}
 	s.publishTurns()
@@ -212,8 +229,8 @@
 	var b batch
 	now := time.Now()
 	s.mu.Lock()
-	for _, name := range w.Names {
-		if r, ok := s.state.Whole(now, name); ok {
+	for _, ref := range w.Refs {
+		if r, ok := s.state.Whole(now, ref); ok {
 			b.Beats = append(b.Beats, r)
 		}
 	}
@@ -243,8 +260,46 @@
 		s.cfg.Log.Warn().Str("upstream", name).Msg("upstream silent, no new work")
 	}
 	s.publish()
-	var b batch
-	for _, p := range s.queue {
+	waiting := len(s.queue) > 0
+	s.ticks++
+	s.mu.Unlock()
+	if waiting {
+		s.relay(now)
+	}
+}
+
+// relay sends what waits: all of it to all peers when it is time for that, else
+// what is fresh to the first. A peer that has just become the first one has got
+// nothing of what waits, nor has the one that was it before missed anything.
+func (s *Service) relay(now time.Time) {
+	first := ""
+	if s.cfg.First != nil {
+		first = s.cfg.First()
+	}
+	s.mu.Lock()
+	changed := first != s.first
+	toAll := first == "" || changed || s.hurry || s.ticks%relayIntervals == 0
+	fresh := packed(now, s.queue[s.fresh:])
+	all := fresh
+	if toAll {
+		all = packed(now, s.queue)
+		s.queue, s.hurry = nil, false
+	}
+	s.first, s.fresh = first, len(s.queue)
+	s.mu.Unlock()
+	for _, peer := range s.cfg.Peers() {
+		switch {
+		case peer == first && !changed:
+			s.send(peer, fresh)
+		case toAll:
+			s.send(peer, all)
+		}
+	}
+}
+
+// packed makes a message of beats that were held.
+func packed(now time.Time, held []pending) (b batch) {
+	for _, p := range held {
 		m, ok := core.Aged(p.m, now.Sub(p.at))
 		if !ok {
 			continue
@@ -255,14 +310,14 @@
 		}
 		b.Beats = append(b.Beats, m)
 	}
-	s.queue = nil
-	s.mu.Unlock()
+	return b
+}
+
+func (s *Service) send(peer string, b batch) {
 	if len(b.Beats)+len(b.Briefs) == 0 {
 		return
 	}
-	for _, peer := range s.cfg.Peers() {
-		if err := s.cfg.Links.Send(peer, channelBeats, b); err != nil {
-			s.cfg.Log.Debug().Err(err).Str("peer", peer).Msg("beats not relayed")
-		}
+	if err := s.cfg.Links.Send(peer, channelBeats, b); err != nil {
+		s.cfg.Log.Debug().Err(err).Str("peer", peer).Msg("beats not relayed")
 	}
 }
--- /dev/null
+++ b/instance/registry/relay_test.go
@@ -0,0 +1,107 @@
+package registry_test
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"github.com/rs/zerolog"
+
+	"github.com/comfreyladder/comfreyladder/core/announce"
+	"github.com/comfreyladder/comfreyladder/core/intent"
+	core "github.com/comfreyladder/comfreyladder/core/registry"
+	"github.com/comfreyladder/comfreyladder/instance/link"
+	"github.com/comfreyladder/comfreyladder/instance/registry"
+)
+
+// post keeps what a registry sends to each peer.
+type post struct {
+	mu       sync.Mutex
+	messages map[string]int
+	seen     map[string]map[uint64]bool
+}
+
+// sent is the form of the messages on the wire.
+type sent struct {
+	Beats  []core.Relayed `codec:"b"`
+	Briefs []core.Brief   `codec:"s"`
+}
+
+func (p *post) Handle(string, link.Handler, ...link.ChannelOption) {}
+
+func (p *post) Send(to, _ string, msg any) error {
+	data, err := link.Encode(msg)
+	if err != nil {
+		return err
+	}
+	var m sent
+	if err := link.Decode(data, &m); err != nil {
+		return err
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.seen[to] == nil {
+		p.seen[to] = map[uint64]bool{}
+	}
+	p.messages[to]++
+	for _, b := range m.Briefs {
+		p.seen[to][b.Sequence] = true
+	}
+	return nil
+}
+
+func (p *post) has(to string, sequence uint64) func() bool {
+	return func() bool {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		return p.seen[to][sequence]
+	}
+}
+
+// Story: each instance of a domain tells each other one of every beat, and spends
+// its share of the processor on that. Only the scheduler acts on load, so that the
+// others can wait and get several beats in one message; they must still get all,
+// also those that wait while another instance becomes the scheduler.
+func TestTheSchedulerIsToldFirst(t *testing.T) {
+	g := NewWithT(t)
+	p := &post{messages: map[string]int{}, seen: map[string]map[uint64]bool{}}
+	var scheduler atomic.Value
+	scheduler.Store("two")
+	s := registry.New(registry.Config{
+		Domain: "hall", Links: p, Log: zerolog.Nop(), Interval: 5 * time.Millisecond,
+		Peers: func() []string { return []string{"two", "three", "four"} }, First: func() string { return scheduler.Load().(string) },
+	})
+	g.Expect(s.Start(context.Background())).To(Succeed())
+	defer func() { _ = s.Stop(context.Background()) }()
+	beat := announce.Beat{
+		Name: "e1", Domain: "hall", Kind: intent.KindEngine, Address: "127.0.0.1:1", Slots: 4, Incarnation: 1, TTLMillis: 3000,
+	}
+	announced := func() {
+		beat.Sequence++
+		g.Expect(s.Announce(beat)).To(Succeed())
+		g.Eventually(p.has(scheduler.Load().(string), beat.Sequence), limit, "1ms").Should(BeTrue())
+	}
+	const beats = 40
+	for range beats {
+		announced()
+	}
+	p.mu.Lock()
+	first, others := p.messages["two"], p.messages["three"]
+	p.mu.Unlock()
+	g.Expect(first).To(Equal(beats))
+	g.Expect(others).To(BeNumerically("<=", beats/2))
+	for n := range beats {
+		if n%8 == 0 {
+			scheduler.Store([]string{"three", "four"}[n/8%2])
+		}
+		announced()
+	}
+	for _, peer := range []string{"two", "three", "four"} {
+		for n := uint64(1); n <= 2*beats; n++ {
+			g.Eventually(p.has(peer, n), limit).Should(BeTrue(), "%s lacks beat %d", peer, n)
+		}
+	}
+}
--- a/instance/schedule/peers.go
+++ b/instance/schedule/peers.go
@@ -41,6 +41,10 @@
 	return best
 }
 
+// Elect returns the member that schedules for the domain, for those that have
+// something to tell it.
+func Elect(members []string) string { return elect(members) }
+
 // rank returns self's position among the members by name and their count.
 func rank(members []string, self string) (part, parts int) {
 	sorted := slices.Clone(members)
