Run the router in the load tool, and explain missed levels

The router is founded in the tool's process with the experiment's intent: three daemons for each failure domain, stand-ins announced to the instances of their own domain, callers round-robin over all. Requests that missed their level are written with the system's own explanation.

--- a/operator/cmd/comfreyladder/main.go
+++ b/operator/cmd/comfreyladder/main.go
@@ -8,6 +8,9 @@
 	"github.com/jessevdk/go-flags"
 
 	"github.com/comfreyladder/comfreyladder/operator/commands"
+	"github.com/comfreyladder/comfreyladder/operator/load"
+	"github.com/comfreyladder/comfreyladder/operator/load/bench"
+	"github.com/comfreyladder/comfreyladder/operator/router"
 	"github.com/comfreyladder/comfreyladder/operator/standin/cli"
 )
 
@@ -15,7 +18,7 @@
 	p := flags.NewNamedParser("comfreyladder", flags.HelpFlag|flags.PassDoubleDash)
 	p.LongDescription = "Plans and confirms intents, shows status, and tries the router out.\n" +
 		"Shell completion: complete -C 'GO_FLAGS_COMPLETION=1 comfreyladder' comfreyladder"
-	for _, add := range []func(*flags.Parser) error{commands.Add, cli.AddCommands} {
+	for _, add := range []func(*flags.Parser) error{commands.Add, cli.AddCommands, addBench} {
 		if err := add(p); err != nil {
 			fail(err)
 		}
@@ -25,6 +28,10 @@
 	}
 }
 
+func addBench(p *flags.Parser) error {
+	return bench.AddCommands(p, map[string]load.Maker{"router": router.New})
+}
+
 func fail(err error) {
 	if flags.WroteHelp(err) {
 		fmt.Println(err)
--- a/operator/load/baseline/baseline.go
+++ b/operator/load/baseline/baseline.go
@@ -81,7 +81,7 @@
 }
 
 // Start implements load.System.
-func (s *System) Start(_ context.Context) ([]string, error) { return nil, nil }
+func (s *System) Start(_ context.Context) (load.Announce, error) { return nil, nil }
 
 // Attach implements load.System.
 func (s *System) Attach(_ context.Context, engines []*engine.Engine) error {
--- a/operator/load/bench/bench.go
+++ b/operator/load/bench/bench.go
@@ -13,6 +13,7 @@
 	"strconv"
 	"strings"
 	"syscall"
+	"time"
 
 	"github.com/jessevdk/go-flags"
 
@@ -142,7 +143,7 @@
 		run.Progress = c.Progress
 	}
 	if x.Settings.Fleet == "own" {
-		run.StartFleet = func(ctx context.Context, announce []string) (load.Fleet, error) {
+		run.StartFleet = func(ctx context.Context, announce load.Announce) (load.Fleet, error) {
 			f, err := fleet.Start(ctx, x, seed, announce)
 			if err != nil {
 				return nil, err
@@ -178,6 +179,33 @@
 			return err
 		}
 	}
+	if err := writeMissed(results, base+"-missed.txt"); err != nil {
+		return err
+	}
 	_, _ = fmt.Fprintf(c.Out, "written: %[1]s.json %[1]s.png %[1]s.svg\n", base)
 	return nil
 }
+
+// writeMissed tells of requests that missed their level what became of them.
+func writeMissed(results []*load.Result, path string) error {
+	b := &strings.Builder{}
+	for _, r := range results {
+		for _, m := range r.Missed {
+			o := &m.Record.Outcome
+			fmt.Fprintf(b, "%s seed %d: %s at %v: %s, first token %v, between %v, total %v, %d of %d tokens %s\n",
+				r.Policy, r.Seed, m.Record.Request.ID, m.Record.Request.At.Round(time.Millisecond), o.Verdict,
+				o.FirstToken.Round(time.Millisecond), o.Between.Round(time.Millisecond/10), o.Total.Round(time.Millisecond),
+				o.Tokens, m.Record.Request.Tokens, o.Detail)
+			for _, e := range m.Events {
+				fmt.Fprintf(b, "    %s\n", e)
+			}
+		}
+	}
+	if b.Len() == 0 {
+		return nil
+	}
+	if err := os.WriteFile(path, []byte(b.String()), 0o644); err != nil {
+		return fault.Wrap(err, fault.Unavailable, "write %s", path)
+	}
+	return nil
+}
--- a/operator/load/caller/caller.go
+++ b/operator/load/caller/caller.go
@@ -45,7 +45,7 @@
 func Do(ctx context.Context, c Call) load.Outcome {
 	a := &answer{call: c}
 	err := a.run(ctx)
-	o := load.Outcome{Tokens: a.tokens, FirstToken: a.first, Total: time.Since(c.Arrived)}
+	o := load.Outcome{ID: a.id, Tokens: a.tokens, FirstToken: a.first, Total: time.Since(c.Arrived)}
 	if a.tokens > 1 {
 		o.Between = (a.last - a.first) / time.Duration(a.tokens-1)
 	}
@@ -65,6 +65,7 @@
 // answer collects what comes back.
 type answer struct {
 	call   Call
+	id     string
 	text   strings.Builder
 	tokens int
 	ended  bool
@@ -89,6 +90,7 @@
 	if err := resp.Header.Read(r); err != nil {
 		return fault.Wrap(err, fault.OutcomeUnknown, "no answer")
 	}
+	a.id = string(resp.Header.Peek("X-Request-Id"))
 	if resp.StatusCode() != fasthttp.StatusOK {
 		return refusal(&resp, r)
 	}
--- a/operator/load/caller/remote.go
+++ b/operator/load/caller/remote.go
@@ -29,11 +29,11 @@
 }
 
 // Start implements load.System.
-func (m *Remote) Start(_ context.Context) ([]string, error) {
+func (m *Remote) Start(_ context.Context) (load.Announce, error) {
 	if len(m.Addresses) == 0 {
 		return nil, fault.New(fault.Invalid, "the policy remote needs targets in [experiment]")
 	}
-	return m.Addresses, nil
+	return load.Announce{"": m.Addresses}, nil
 }
 
 // Attach implements load.System.
--- a/operator/load/fleet/fleet.go
+++ b/operator/load/fleet/fleet.go
@@ -36,11 +36,10 @@
 }
 
 // Start starts all stand-ins, which announce themselves to the given addresses.
-func Start(ctx context.Context, x *load.Experiment, seed uint64, announce []string) (*Fleet, error) {
+func Start(ctx context.Context, x *load.Experiment, seed uint64, announce load.Announce) (*Fleet, error) {
 	f := &Fleet{experiment: x, active: map[string]map[string]*load.FaultAt{}}
-	h := host.Config{Announce: announce, Credential: x.Settings.UpstreamKey}
 	for i := range x.Engines.Count {
-		e := engine.New(f.engineConfig(i, seed, h))
+		e := engine.New(f.engineConfig(i, seed, f.host(announce, i)))
 		f.engines = append(f.engines, e)
 		if err := e.Start(ctx); err != nil {
 			f.Stop()
@@ -51,7 +50,7 @@
 		book := service.NewBook()
 		for i := range r.Count {
 			s := service.New(service.Config{
-				Config: h, Name: name(r.Prefix, i), Domain: f.domain(i), Service: r.Service, Book: book,
+				Config: f.host(announce, i), Name: name(r.Prefix, i), Domain: f.domain(i), Service: r.Service, Book: book,
 			})
 			f.services = append(f.services, &runner{Service: s, name: r.Service, number: i + 1})
 			if err := s.Start(ctx); err != nil {
@@ -63,6 +62,10 @@
 	return f, nil
 }
 
+func (f *Fleet) host(announce load.Announce, i int) host.Config {
+	return host.Config{Announce: announce.To(f.domain(i)), Credential: f.experiment.Settings.UpstreamKey}
+}
+
 func name(prefix string, i int) string { return fmt.Sprintf("%s%02d", prefix, i+1) }
 
 func (f *Fleet) domain(i int) string {
--- a/operator/load/run.go
+++ b/operator/load/run.go
@@ -29,7 +29,7 @@
 	Seed       uint64
 	System     System
 	// StartFleet starts the stand-ins; nil when they run elsewhere.
-	StartFleet func(ctx context.Context, announce []string) (Fleet, error)
+	StartFleet func(ctx context.Context, announce Announce) (Fleet, error)
 	// Progress gets a line a second; nil means none.
 	Progress io.Writer
 }
@@ -61,8 +61,20 @@
 	Measured bool
 	Counters engine.Counters
 	Books    Books
+	// Missed explains requests that missed their level, as far as the system
+	// can and at most maxMissed.
+	Missed []Missed
 }
 
+// Missed is a request that missed its level, with its events.
+type Missed struct {
+	Record *Record
+	Events []string
+}
+
+// maxMissed bounds the explanations of one run, some of each class.
+const maxMissed = 400
+
 // state is what the goroutines of a run share.
 type state struct {
 	mu      sync.Mutex
@@ -101,6 +113,9 @@
 		res.Books = fleet.Books()
 		res.Measured = true
 	}
+	if sys, ok := r.System.(Explainer); ok {
+		res.explain(sys, len(r.Experiment.Traffic))
+	}
 	if ctx.Err() != nil {
 		return nil, fault.Wrap(ctx.Err(), fault.Canceled, "the run was ended early")
 	}
@@ -139,6 +154,23 @@
 	watcher.Wait()
 }
 
+// explain asks for the reasons of missed levels, for each class alike.
+func (res *Result) explain(sys Explainer, classes int) {
+	asked := map[string]int{}
+	for i := range res.Records {
+		rec := &res.Records[i]
+		if rec.Request == nil || rec.Outcome.Met(rec.Request.Class) {
+			continue
+		}
+		class := rec.Request.Class.Name
+		if asked[class] >= maxMissed/classes {
+			continue
+		}
+		asked[class]++
+		res.Missed = append(res.Missed, Missed{Record: rec, Events: sys.Explain(rec)})
+	}
+}
+
 // offerCalls sends all calls at their times and waits for the outcomes.
 func offerCalls(ctx context.Context, sys CallSystem, calls []*Call, start time.Time, out []CallRecord) {
 	var callers sync.WaitGroup
--- a/operator/load/system.go
+++ b/operator/load/system.go
@@ -13,7 +13,7 @@
 type System interface {
 	// Start begins to serve. It returns the addresses to which the stand-ins
 	// announce themselves; none if they need not.
-	Start(ctx context.Context) (announce []string, err error)
+	Start(ctx context.Context) (announce Announce, err error)
 	// Attach tells of the engines once they serve; nil when they run elsewhere.
 	// It returns when the system is ready for load or ctx is done.
 	Attach(ctx context.Context, engines []*engine.Engine) error
@@ -25,6 +25,12 @@
 	Stop(ctx context.Context) error
 }
 
+// Explainer is a System that can tell after the run why a request fared as it
+// did, one line for each event.
+type Explainer interface {
+	Explain(rec *Record) []string
+}
+
 // Maker makes a System for one run.
 type Maker func(x *Experiment, seed uint64) System
 
@@ -54,6 +60,8 @@
 type Outcome struct {
 	Verdict Verdict
 	Detail  string
+	// ID is the system's own for the request, when its answer told one.
+	ID string
 	// FirstToken and Total are zero when they did not happen.
 	FirstToken time.Duration
 	Total      time.Duration
