Scheduler: a crashed engine draws no requests

Cause: a refused connection is an unused grant, and unused grants were not counted as failures; the dead engine looked idle until its announcement ran out.

A refused connection, or three broken streams in a row, now mean that an engine is down: no slots but for one unprotected probe a second. Answers that are failures don't count, as they may be the request's own fault; three of those set an engine aside as before.

--- a/core/pick/pick.go
+++ b/core/pick/pick.go
@@ -33,6 +33,8 @@
 	// Aside says that the upstream is a straggler; ProbeDue that one request
 	// may be sent to it to see whether it recovered.
 	Aside, ProbeDue bool
+	// Down says that it is aside because nothing came from it.
+	Down bool
 }
 
 // Request is what the choice depends on besides the candidates.
--- a/core/sched/engine.go
+++ b/core/sched/engine.go
@@ -41,10 +41,16 @@
 	// firstToken is in seconds, tokenRate in tokens a second of one stream,
 	// slotRate in work a second of one slot; 0 means unknown.
 	firstToken, tokenRate, slotRate float64
-	samples, failures               int
+	samples                         int
+	// failures counts failures in a row, broken those of them that the engine
+	// alone can be blamed for.
+	failures, broken int
 	// observed is when the figures were last confirmed.
-	observed              time.Time
-	aside                 bool
+	observed time.Time
+	aside    bool
+	// down says that the engine is aside because nothing came from it: it gets
+	// single probes, whatever waits.
+	down                  bool
 	asideSince, nextProbe time.Time
 	sent                  map[uint64]struct{}
 	sentOrder             []uint64
@@ -57,6 +63,9 @@
 }
 
 func (e *engine) update(u Upstream) {
+	if e.down && e.Address != u.Address {
+		e.restore()
+	}
 	e.Upstream = u
 	e.gone = false
 	e.others = 0
@@ -111,7 +120,7 @@
 // fill the last slots of an engine: a protected request must not wait for the
 // end of a long answer of a lower tier.
 func (e *engine) free(now time.Time, protected bool, headroom float64) int {
-	if e.gone || e.Draining {
+	if e.gone || e.Draining || e.down && (protected || now.Before(e.nextProbe)) {
 		return 0
 	}
 	open := min(e.slots-e.inFlight, e.Slots-e.used(now))
@@ -141,6 +150,7 @@
 		FirstToken: seconds(first),
 		TokenRate:  rate,
 		Aside:      e.aside,
+		Down:       e.down,
 		ProbeDue:   e.aside && !now.Before(e.nextProbe),
 	}
 }
@@ -173,11 +183,11 @@
 
 // learn takes in one finished grant.
 func (e *engine) learn(now time.Time, i *item, o Outcome, work float64) {
-	if o.Unused {
+	if o.Failed {
+		e.fail(now, i, o)
 		return
 	}
-	if o.Failed {
-		e.failures++
+	if o.Unused {
 		return
 	}
 	if i.startedAt.IsZero() {
@@ -185,7 +195,7 @@
 	}
 	alpha := e.alpha(now)
 	e.observed = now
-	e.failures = 0
+	e.failures, e.broken = 0, 0
 	e.samples++
 	if generating := now.Sub(i.startedAt).Seconds(); o.Tokens > 1 && generating > 0 {
 		e.tokenRate = smooth(e.tokenRate, float64(o.Tokens-1)/generating, alpha)
@@ -197,6 +207,9 @@
 
 func (e *engine) started(now time.Time, i *item) {
 	delete(e.unstarted, i.ID)
+	if e.down {
+		e.restore()
+	}
 	alpha := e.alpha(now)
 	e.firstToken = smooth(e.firstToken, math.Max(now.Sub(i.grantedAt).Seconds(), 1e-6), alpha)
 }
--- a/core/sched/health.go
+++ b/core/sched/health.go
@@ -20,8 +20,13 @@
 	enoughSamples = 5
 	// enoughPeers is how many engines of a model a median needs.
 	enoughPeers = 3
-	// failuresAside is how many failures in a row set an engine aside.
+	// failuresAside is how many failures in a row set an engine aside, or mean
+	// that it is down if none of them can be the request's own fault.
 	failuresAside = 3
+	// silentFactor and silentSlack bound the wait for a first token, from the
+	// peers' median, beyond which an engine counts as down and not only as slow.
+	silentFactor = 10
+	silentSlack  = 2 * time.Second
 	// longestAside is when an engine that got no probe is tried again anyway;
 	// without it an engine would stay aside while only protected work runs.
 	longestAside = 30 * time.Second
@@ -46,7 +51,38 @@
 		case !e.aside && slow:
 			e.setAside(now)
 		}
+		if e.aside && e.isSilent(now, groups) {
+			e.down = true
+		}
+	}
+}
+
+// isSilent reports whether an engine keeps a request waiting for a first token
+// for so long that nothing is to be expected from it.
+func (e *engine) isSilent(now time.Time, groups map[string]*peers) bool {
+	g := e.peers(groups)
+	return g != nil && e.slowest(now) > silentFactor*g.first+silentSlack
+}
+
+// fail takes in a failure. A refused connection proves by itself that the engine
+// is not there; streams that break do when they come in a row. A request that
+// the engine answered with a failure proves nothing: it may be a bad request,
+// and some of those must not take an engine out of use.
+//
+// It guards against a crashed engine that draws all requests to itself until its
+// announcement runs out: each fails at once, so that the engine looks idle while
+// the others are full, and callers are told "not run" although there is room.
+// A down engine gets one probe at a time, so that it can draw no more than that.
+func (e *engine) fail(now time.Time, i *item, o Outcome) {
+	e.failures++
+	if o.Unused || !i.startedAt.IsZero() {
+		e.broken++
+	}
+	if e.down || !o.Unused && e.broken < failuresAside {
+		return
 	}
+	e.setAside(now)
+	e.down = true
 }
 
 func (s *Scheduler) groups() map[string]*peers {
@@ -71,18 +107,15 @@
 }
 
 // straggles reports whether an engine is several times worse than its peers'
-// median, failed several times in a row, or keeps requests waiting for a first
+// median, failed and did not answer since, or keeps requests waiting for a first
 // token. The last part sees an engine that froze and so finishes nothing that
 // could be measured.
 func (e *engine) straggles(now time.Time, groups map[string]*peers) bool {
-	if e.failures >= failuresAside {
+	if e.down && e.failures > 0 || e.failures >= failuresAside {
 		return true
 	}
-	if len(e.Models) == 0 {
-		return false
-	}
-	g := groups[e.Models[0]]
-	if g == nil || len(g.firsts) < enoughPeers {
+	g := e.peers(groups)
+	if g == nil {
 		return false
 	}
 	bound := slowFactor*g.first + slowSlack
@@ -95,6 +128,17 @@
 	return seconds(e.firstToken) > bound || e.tokenRate*slowFactor < g.rate
 }
 
+// peers returns the engine's group if it is large enough to judge by.
+func (e *engine) peers(groups map[string]*peers) *peers {
+	if len(e.Models) == 0 {
+		return nil
+	}
+	if g := groups[e.Models[0]]; g != nil && len(g.firsts) >= enoughPeers {
+		return g
+	}
+	return nil
+}
+
 func (e *engine) setAside(now time.Time) {
 	e.aside = true
 	e.asideSince = now
@@ -104,8 +148,8 @@
 // restore takes an engine back with a clean record, so that old figures do not
 // set it aside again before new ones are there.
 func (e *engine) restore() {
-	e.aside = false
-	e.failures = 0
+	e.aside, e.down = false, false
+	e.failures, e.broken = 0, 0
 	e.samples = min(e.samples, 1)
 	e.observed = time.Time{}
 }
