Scheduler: learn an engine's rate while streams run, and keep off slow ones

Rates are now learned from notes of progress: after 8 tokens, then after 64 or 2 s. An upstream too slow for a request's own target is left out of the choice (InTime), and a request with targets for its first token and between tokens waits for up to half of the first for a slot elsewhere.

--- a/core/pick/filters.go
+++ b/core/pick/filters.go
@@ -1,5 +1,7 @@
 package pick
 
+import "time"
+
 // HoldsModel keeps upstreams that hold the request's model.
 type HoldsModel struct{}
 
@@ -32,5 +34,29 @@
 
 // Keep implements Filter.
 func (NoStraggler) Keep(r *Request, c *Candidate) bool {
-	return !c.Aside || (c.ProbeDue && !r.Protected)
+	return !c.Aside || mayProbe(r, c)
+}
+
+// mayProbe reports whether the request may find out whether a straggler has
+// recovered: one without a target between tokens, as it would miss that on a
+// slow engine, while a down engine costs it only another attempt.
+func mayProbe(r *Request, c *Candidate) bool {
+	return c.ProbeDue && !r.Protected && (c.Down || r.Pace == 0)
+}
+
+// InTime drops upstreams that are too slow for the request's own level, as far
+// as their rate is known: those that are slow, but not slow enough to count as
+// stragglers.
+type InTime struct{}
+
+// Keep implements Filter.
+func (InTime) Keep(r *Request, c *Candidate) bool {
+	if c.TokenRate <= 0 || mayProbe(r, c) {
+		return true
+	}
+	gap := time.Duration(float64(time.Second) / c.TokenRate)
+	if r.Pace > 0 && gap > r.Pace {
+		return false
+	}
+	return r.Left <= 0 || time.Duration(r.Tokens*float64(gap)) < r.Left
 }
--- a/core/pick/pick.go
+++ b/core/pick/pick.go
@@ -41,6 +41,15 @@
 type Request struct {
 	// Protected requests are not used to probe stragglers.
 	Protected bool
+	// Pace is the wanted time between tokens; 0 means none.
+	Pace time.Duration
+	// Tokens is the expected length of the answer, and Left the time to the
+	// target for its end; 0 means none.
+	Tokens float64
+	Left   time.Duration
+	// Patient says that the request can still wait for a candidate that the
+	// preferred filters keep.
+	Patient bool
 }
 
 // Domain sums up all candidates, for scores relative to the others.
@@ -78,8 +87,8 @@
 type Chain struct {
 	// Required filters always hold.
 	Required []Filter
-	// Preferred filters are dropped, one and all, for a choice in which they
-	// would leave no candidate.
+	// Preferred filters are dropped, the last first, for a choice in which they
+	// would leave no candidate, unless the request is patient.
 	Preferred []Filter
 	Scorers   []Weighted
 	Picker    Picker
@@ -104,7 +113,7 @@
 func Default(p Picker) *Chain {
 	return &Chain{
 		Required:  []Filter{HoldsModel{}, NotExcluded{}, NotDraining{}, HasRoom{}},
-		Preferred: []Filter{NoStraggler{}},
+		Preferred: []Filter{NoStraggler{}, InTime{}},
 		Scorers: []Weighted{
 			{Scorer: LeastLoad{}, Weight: 2},
 			{Scorer: ShortWait{}, Weight: 2},
@@ -138,7 +147,7 @@
 // it would never be chosen, and its recovery never seen.
 func probe(r *Request, candidates []Candidate, kept []int) int {
 	for _, i := range kept {
-		if c := &candidates[i]; c.Aside && c.ProbeDue && !r.Protected {
+		if c := &candidates[i]; c.Aside && mayProbe(r, c) {
 			return i
 		}
 	}
@@ -152,22 +161,27 @@
 			h.kept = append(h.kept, i)
 		}
 	}
-	preferred := 0
-	for _, i := range h.kept {
-		if keeps(h.Preferred, r, &candidates[i]) {
-			preferred++
+	for n := len(h.Preferred); n > 0; n-- {
+		if h.prefer(h.Preferred[:n], r, candidates) || r.Patient {
+			return
 		}
 	}
-	if preferred == 0 {
-		return
-	}
-	all := h.kept
-	h.kept = h.kept[:0]
-	for _, i := range all {
-		if keeps(h.Preferred, r, &candidates[i]) {
-			h.kept = append(h.kept, i)
+}
+
+// prefer keeps only what the filters keep and reports whether that is anything;
+// if not and the request isn't patient, all stay.
+func (h *Chain) prefer(filters []Filter, r *Request, candidates []Candidate) bool {
+	kept := 0
+	for at, i := range h.kept {
+		if keeps(filters, r, &candidates[i]) {
+			h.kept[kept], h.kept[at] = i, h.kept[kept]
+			kept++
 		}
 	}
+	if kept > 0 || r.Patient {
+		h.kept = h.kept[:kept]
+	}
+	return kept > 0
 }
 
 func keeps(filters []Filter, r *Request, c *Candidate) bool {
--- a/core/sched/dispatch.go
+++ b/core/sched/dispatch.go
@@ -171,7 +171,7 @@
 			s.holders = append(s.holders, e)
 		}
 	}
-	choice, ok := s.chain.Pick(&pick.Request{Protected: i.class.Protected}, s.candidates, s.rnd)
+	choice, ok := s.chain.Pick(s.request(now, i), s.candidates, s.rnd)
 	if !ok {
 		return false
 	}
@@ -192,6 +192,20 @@
 	return true
 }
 
+// request describes the item for a choice. One with a target for its first token
+// is patient until half of the time to it has passed: a slot at a good engine
+// becomes free every few hundred milliseconds, and an answer that crawls from
+// its first token on has missed its level already.
+func (s *Scheduler) request(now time.Time, i *item) *pick.Request {
+	c := &i.class.Class
+	r := &pick.Request{Protected: c.Protected, Pace: c.BetweenTokens, Tokens: i.tokensExpected}
+	if c.Total > 0 {
+		r.Left = max(i.Arrived.Add(c.Total).Sub(now), 1)
+	}
+	r.Patient = c.BetweenTokens > 0 && c.FirstToken > 0 && now.Sub(i.Arrived) < c.FirstToken/2
+	return r
+}
+
 // account books a grant: floor credits of all waiting classes grow, the served
 // one's shrinks, and the organisation is charged with the expected work.
 func (s *Scheduler) account(now time.Time, i *item, floor bool) {
--- a/core/sched/engine.go
+++ b/core/sched/engine.go
@@ -197,9 +197,7 @@
 	e.observed = now
 	e.failures, e.broken = 0, 0
 	e.samples++
-	if generating := now.Sub(i.startedAt).Seconds(); o.Tokens > 1 && generating > 0 {
-		e.tokenRate = smooth(e.tokenRate, float64(o.Tokens-1)/generating, alpha)
-	}
+	e.pace(now, i, o.Tokens, alpha)
 	if held := now.Sub(i.grantedAt).Seconds(); o.Complete && held > 0 {
 		e.slotRate = smooth(e.slotRate, work/held, alpha)
 	}
--- a/core/sched/queue.go
+++ b/core/sched/queue.go
@@ -12,8 +12,9 @@
 	class *class
 	lane  *lane
 	share *share
-	// work is the expected work in weighted tokens.
-	work float64
+	// work is the expected work in weighted tokens, tokensExpected the part of
+	// it that will be generated.
+	work, tokensExpected float64
 	// target is when the level is missed, deadline when the answer is worthless.
 	target, deadline time.Time
 	// run is the expected time from grant to end.
@@ -30,7 +31,13 @@
 	startedAt time.Time
 	charged   float64
 	tokens    int
-	probe     bool
+	// pacedAt and paced are the time and the count of tokens from which the
+	// stream's rate is measured next; a zero time means that none is known.
+	pacedAt time.Time
+	paced   int
+	probe   bool
+	// restored says that another scheduler gave the grant.
+	restored bool
 }
 
 // before orders the items of one organisation: those that can still meet their
--- a/core/sched/sched.go
+++ b/core/sched/sched.go
@@ -123,6 +123,9 @@
 		return
 	}
 	i.startedAt = now
+	if !i.restored {
+		i.pacedAt, i.paced = now, 1
+	}
 	i.engine.started(now, i)
 }
 
@@ -135,6 +138,7 @@
 	}
 	s.Started(now, id)
 	i.tokens = max(i.tokens, tokens)
+	i.engine.pace(now, i, tokens, i.engine.alpha(now))
 	if used := s.workOf(i, float64(i.tokens)); used > i.charged {
 		i.class.charge(i.Organisation, used-i.charged)
 		i.charged = used
@@ -191,6 +195,7 @@
 	i := s.newItem(t, c)
 	i.engine, i.grantedAt, i.tokens = e, now, tokens
 	i.charged = i.work
+	i.restored = true
 	s.items[t.ID] = i
 	c.account(t.Organisation, s.weight(t.Organisation))
 	e.flight(now, i, 1)
@@ -219,6 +224,7 @@
 	i := &item{Ticket: t, class: c, atShare: -1, atExpiry: -1}
 	tokens := s.expectedTokens(i)
 	i.work = s.workOf(i, tokens)
+	i.tokensExpected = tokens
 	i.run = time.Duration(tokens / s.streamRate(t.Model) * float64(time.Second))
 	s.setTimes(i)
 	return i
--- a/instance/schedule/grant.go
+++ b/instance/schedule/grant.go
@@ -7,9 +7,18 @@
 	"github.com/comfreyladder/comfreyladder/core/sched"
 )
 
-// progressStep is the count of tokens between two notes of progress: often
-// enough to charge long answers while they run, rarely enough to cost nothing.
-const progressStep = 64
+const (
+	// progressStep is the count of tokens between two notes of progress: often
+	// enough to charge long answers while they run, rarely enough to cost
+	// nothing.
+	progressStep = 64
+	// firstProgress is the count of tokens of the first note, and progressWait
+	// the longest time between two of a stream that moves. They let the
+	// scheduler see within a second or two that an engine has become slow; a
+	// stream at the wanted 29 ms between tokens is never that late.
+	firstProgress = 8
+	progressWait  = 2 * time.Second
+)
 
 // Grant lets a request be sent to an upstream. Done must be called exactly when
 // the attempt ended; further calls do nothing.
@@ -21,6 +30,7 @@
 	started bool
 	ended   bool
 	noted   int
+	notedAt time.Time
 }
 
 // FirstToken notes that the first token arrived.
@@ -38,13 +48,20 @@
 func (g *Grant) Progress(tokens int) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.ended || tokens < g.noted+progressStep {
+	if g.ended || !g.worthNoting(tokens, time.Now()) {
 		return
 	}
-	g.noted = tokens
+	g.noted, g.notedAt = tokens, time.Now()
 	g.note(event{Kind: eventProgress, ID: g.ID, Tokens: tokens})
 }
 
+func (g *Grant) worthNoting(tokens int, now time.Time) bool {
+	if g.noted == 0 {
+		return tokens >= firstProgress
+	}
+	return tokens >= g.noted+progressStep || now.Sub(g.notedAt) >= progressWait
+}
+
 // Done ends the grant and frees its slot.
 func (g *Grant) Done(o sched.Outcome) {
 	g.mu.Lock()
