--- a/proof/system/service_test.go
+++ b/proof/system/service_test.go
@@ -1,8 +1,11 @@
 package system_test
 
 import (
+	"fmt"
 	"net"
 	"os"
+	"strconv"
+	"strings"
 	"syscall"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -68,8 +71,10 @@
 			defer GinkgoRecover()
 			_ = north.book("late", "4711")
 		}()
-		// The claim is committed; north waits for its connection.
-		Eventually(func() int { return south.book("late", "4711").status }, patience, poll).Should(Equal(409))
+		// The claim is committed; north waits for its connection. To freeze it
+		// before it has asked for one would leave the last check untried.
+		Eventually(narrow.awaited, patience, poll).Should(BeTrue())
+		Expect(south.book("late", "4711").status).To(Equal(409))
 		north.process.signal(syscall.SIGSTOP)
 		narrow.open(svc.address)
 		Eventually(func() string { return south.book("late", "4711").code() }, patience, poll).Should(Equal("outcome_unknown"))
@@ -134,6 +139,24 @@
 	return n
 }
 
+// awaited reports whether the kernel is trying to connect somebody here.
+func (n *narrow) awaited() bool {
+	const synSent = "02"
+	_, port, err := net.SplitHostPort(n.address)
+	Expect(err).NotTo(HaveOccurred())
+	number, err := strconv.Atoi(port)
+	Expect(err).NotTo(HaveOccurred())
+	table, err := os.ReadFile("/proc/net/tcp")
+	Expect(err).NotTo(HaveOccurred())
+	for line := range strings.Lines(string(table)) {
+		f := strings.Fields(line)
+		if len(f) > 3 && f[3] == synSent && strings.HasSuffix(f[2], fmt.Sprintf(":%04X", number)) {
+			return true
+		}
+	}
+	return false
+}
+
 // open lets connections in and carries them to another address.
 func (n *narrow) open(to string) {
 	f := os.NewFile(uintptr(n.fd), "narrow")
