--- a/instance/schedule/domain.go
+++ b/instance/schedule/domain.go
@@ -9,6 +9,7 @@
 // tick does what time demands: follow the election, beat, watch for silence and
 // let the scheduler that runs here tick.
 func (s *state) tick(now time.Time) {
+	s.due = true
 	s.follow(now)
 	if s.role == roleFollower && now.Sub(s.lastHeard) > s.cfg.Silence {
 		s.scheduleHere(now, roleAlone)
@@ -125,11 +126,14 @@
 	}
 }
 
-// flush sends what was collected. A message that can't be sent is lost; the
-// digests show it.
-func (s *state) flush() {
-	if s.role == roleFollower && !s.up.empty() {
+// flush sends what was collected; what is not urgent waits for the next tick. A
+// message that can't be sent is lost; the digests show it.
+func (s *state) flush(now time.Time) {
+	due := s.due
+	s.due = false
+	if s.role == roleFollower && !s.up.empty() && (due || s.up.urgent()) {
 		m := s.up
+		m.stamp(now)
 		s.up = upMessage{}
 		_ = s.peers.Send(s.scheduler, channelUp, &m)
 	}
@@ -170,14 +174,14 @@
 func (s *state) reconcile(now time.Time, from string, m *upMessage) {
 	has := map[string]bool{}
 	for _, f := range m.Flights {
-		has[f.Ticket.Ticket.ID] = true
+		has[f.Ticket.ID] = true
 	}
 	for _, t := range m.Submits {
-		id := t.Ticket.ID
+		id := t.ID
 		has[id] = true
 		if g, ok := s.local.GrantOf(id); ok && g.Instance == from {
 			d := s.downTo(from)
-			d.Grants = append(d.Grants, g)
+			d.Grants = append(d.Grants, packGrant(g))
 		}
 	}
 	queued, granted := s.local.Of(from)
@@ -212,7 +216,7 @@
 // earlier one or one that has not yet seen that it was replaced.
 func (s *state) receiveDown(now time.Time, from string, m *downMessage) {
 	for _, g := range m.Grants {
-		s.granted(now, from, g)
+		s.granted(now, from, g.unpack(s.self))
 	}
 	if from != s.scheduler || m.NotScheduler {
 		return
--- a/instance/schedule/message.go
+++ b/instance/schedule/message.go
@@ -1,6 +1,7 @@
 package schedule
 
 import (
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -16,33 +17,8 @@
 	channelDown = "schedule.down"
 )
 
-// ticketMessage is a ticket on its way. Clocks of instances differ, so that
-// times travel as durations.
-type ticketMessage struct {
-	Ticket sched.Ticket  `codec:"t,omitempty"`
-	Age    time.Duration `codec:"a,omitempty"`
-	// Left is the time to the deadline; 0 means that there is none.
-	Left time.Duration `codec:"l,omitempty"`
-}
-
-func packTicket(t sched.Ticket, now time.Time) ticketMessage {
-	m := ticketMessage{Ticket: t, Age: now.Sub(t.Arrived)}
-	if !t.Deadline.IsZero() {
-		m.Left = max(t.Deadline.Sub(now), 1)
-	}
-	m.Ticket.Arrived, m.Ticket.Deadline = time.Time{}, time.Time{}
-	return m
-}
-
-func (m ticketMessage) unpack(now time.Time, from string) sched.Ticket {
-	t := m.Ticket
-	t.Instance = from
-	t.Arrived = now.Add(-m.Age)
-	if m.Left > 0 {
-		t.Deadline = now.Add(m.Left)
-	}
-	return t
-}
+// Tickets, grants and events travel as arrays: they come with each request, and
+// the names of their fields would be a fifth of them.
 
 type eventKind int
 
@@ -55,18 +31,34 @@
 
 // event tells the scheduler what became of a ticket.
 type event struct {
-	Kind    eventKind     `codec:"k,omitempty"`
-	ID      string        `codec:"i,omitempty"`
-	Tokens  int           `codec:"n,omitempty"`
-	Outcome sched.Outcome `codec:"o,omitempty"`
+	_struct bool `codec:",toarray"`
+	Kind    eventKind
+	ID      string
+	Tokens  int
+	Outcome sched.Outcome
+	// Age is how long ago it happened, in milliseconds.
+	Age int64
+	at  time.Time
+}
+
+// maxAge bounds the age of an event; older ones come from a defect.
+const maxAge = 10 * time.Second
+
+// happened returns when an event that came with a message happened.
+func (e event) happened(now time.Time) time.Time {
+	return now.Add(-min(max(millis(e.Age), 0), maxAge))
 }
 
+// urgent reports whether somebody may wait for the scheduler to know.
+func (e event) urgent() bool { return e.Kind == eventCancel || e.Kind == eventFinish }
+
 // flight is a grant in flight, told to a successor.
 type flight struct {
-	Ticket   ticketMessage `codec:"t,omitempty"`
-	Upstream string        `codec:"u,omitempty"`
-	Tokens   int           `codec:"n,omitempty"`
-	Started  bool          `codec:"s,omitempty"`
+	_struct  bool `codec:",toarray"`
+	Ticket   ticketMessage
+	Upstream string
+	Tokens   int
+	Started  bool
 }
 
 // upMessage goes to the scheduler. Its parts apply in the order of the fields.
@@ -87,11 +79,27 @@
 	return !m.Full && !m.Beat && len(m.Flights)+len(m.Submits)+len(m.Events) == 0
 }
 
+// urgent reports whether the message should go out at once. First tokens and
+// progress of streams can wait for others: they are most of the events, and each
+// message costs 30 bytes besides what it says.
+func (m *upMessage) urgent() bool {
+	return m.Full || m.Beat || len(m.Flights)+len(m.Submits) > 0 || slices.ContainsFunc(m.Events, event.urgent)
+}
+
+// stamp says how old the events are as they leave.
+func (m *upMessage) stamp(now time.Time) {
+	for i := range m.Events {
+		if e := &m.Events[i]; !e.at.IsZero() {
+			e.Age = now.Sub(e.at).Milliseconds()
+		}
+	}
+}
+
 // downMessage goes from the scheduler to an instance; an empty one acknowledges
 // a beat.
 type downMessage struct {
-	Grants []sched.Grant `codec:"g,omitempty"`
-	Sheds  []sched.Shed  `codec:"s,omitempty"`
+	Grants []grantMessage `codec:"g,omitempty"`
+	Sheds  []sched.Shed   `codec:"s,omitempty"`
 	// Resync asks for a Full message.
 	Resync bool `codec:"r,omitempty"`
 	// NotScheduler says that the sender is not the scheduler by its own view.
--- a/instance/schedule/service.go
+++ b/instance/schedule/service.go
@@ -182,6 +182,7 @@
 	if t.ID == "" {
 		return nil, fault.New(fault.Invalid, "a ticket needs an ID")
 	}
+	t.ID = shortID(t.ID)
 	t.Instance = s.state.self
 	if at, ok := ctx.Deadline(); ok && t.Deadline.IsZero() {
 		t.Deadline = at
@@ -236,7 +237,7 @@
 			f(time.Now())
 			s.batch()
 		}
-		s.state.flush()
+		s.state.flush(time.Now())
 	}
 }
 
--- a/instance/schedule/state.go
+++ b/instance/schedule/state.go
@@ -67,6 +67,8 @@
 	// up collects what goes to the scheduler, down what goes to instances.
 	up   upMessage
 	down map[string]*downMessage
+	// due says that up must go out, urgent or not.
+	due bool
 	// heard says when the scheduler here last heard each other instance.
 	heard map[string]time.Time
 }
@@ -140,6 +142,7 @@
 }
 
 func (s *state) tell(now time.Time, e event) {
+	e.at = now
 	if s.local != nil {
 		s.take(now, e)
 		return
@@ -153,9 +156,9 @@
 	case eventCancel:
 		s.apply(now, s.local.Cancel(now, e.ID))
 	case eventStarted:
-		s.local.Started(now, e.ID)
+		s.local.Started(e.happened(now), e.ID)
 	case eventProgress:
-		s.local.Progress(now, e.ID, e.Tokens)
+		s.local.Progress(e.happened(now), e.ID, e.Tokens)
 	case eventFinish:
 		s.apply(now, s.local.Finish(now, e.ID, e.Outcome))
 	}
@@ -171,7 +174,7 @@
 				continue
 			}
 			d := s.downTo(e.Instance)
-			d.Grants = append(d.Grants, e)
+			d.Grants = append(d.Grants, packGrant(e))
 		case sched.Shed:
 			if e.Instance == s.self {
 				s.refused(e)
