--- a/core/registry/brief.go
+++ b/core/registry/brief.go
@@ -8,6 +8,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/comfreyladder/comfreyladder/core/announce"
+	"github.com/comfreyladder/comfreyladder/core/wire"
 )
 
 // Brief is a relayed beat without what seldom changes. A failure domain with 76
@@ -16,7 +17,7 @@
 // all control traffic. It travels as an array, as the names of its fields would
 // be a third of it.
 type Brief struct {
-	_struct bool `codec:",toarray"`
+	wire.Array
 	// Ref stands for what is left out; see refOf.
 	Ref      uint64
 	Sequence uint64
@@ -30,7 +31,7 @@
 
 // BriefLoad is announce.Load in whole numbers.
 type BriefLoad struct {
-	_struct         bool `codec:",toarray"`
+	wire.Array
 	Running         int
 	Waiting         int
 	TokensPerSecond int64
--- a/instance/schedule/message.go
+++ b/instance/schedule/message.go
@@ -7,6 +7,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/comfreyladder/comfreyladder/core/sched"
+	"github.com/comfreyladder/comfreyladder/core/wire"
 )
 
 // Channels between instances.
@@ -31,7 +32,7 @@
 
 // event tells the scheduler what became of a ticket.
 type event struct {
-	_struct bool `codec:",toarray"`
+	wire.Array
 	Kind    eventKind
 	ID      string
 	Tokens  int
@@ -54,7 +55,7 @@
 
 // flight is a grant in flight, told to a successor.
 type flight struct {
-	_struct  bool `codec:",toarray"`
+	wire.Array
 	Ticket   ticketMessage
 	Upstream string
 	Tokens   int
--- a/instance/schedule/pack.go
+++ b/instance/schedule/pack.go
@@ -8,6 +8,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/comfreyladder/comfreyladder/core/sched"
+	"github.com/comfreyladder/comfreyladder/core/wire"
 )
 
 // shortLength is the length of a ticket's ID between instances.
@@ -29,7 +30,7 @@
 // ticketMessage is a ticket on its way. Clocks of instances differ, so that
 // times travel as durations, in milliseconds.
 type ticketMessage struct {
-	_struct      bool `codec:",toarray"`
+	wire.Array
 	ID           string
 	Organisation string
 	Class        string
@@ -80,7 +81,7 @@
 // as many blocks as a power of two or one and a half times that. Prompts of
 // unlike length that share a beginning so name the same ones of it.
 type prefixes struct {
-	_struct bool `codec:",toarray"`
+	wire.Array
 	// Blocks is how many prefixes the prompt has.
 	Blocks int
 	// Hashes are those that travel, the longest first, eight bytes each.
@@ -151,7 +152,7 @@
 // grantMessage is a grant on its way; shares travel in thousandths and times in
 // milliseconds.
 type grantMessage struct {
-	_struct    bool `codec:",toarray"`
+	wire.Array
 	ID         string
 	Upstream   string
 	Address    string
--- a/proof/capacity/site_test.go
+++ b/proof/capacity/site_test.go
@@ -41,8 +41,6 @@
 	changes, requests float64
 }
 
-func (l layout) daemons() int { return l.domains * l.perDomain }
-
 // daemon is one process.
 type daemon struct {
 	name, domain, ip string
