Scheduler: slow engines stay known as slow, and long prompts are spread

Answers with 29 to 34 ms between tokens sat on engines that worked on two long prompts at a time: an upstream's uncached prompt tokens of the last second now count in the choice (LeastPrefill, weight 2).

--- a/core/pick/filters.go
+++ b/core/pick/filters.go
@@ -45,16 +45,16 @@
 }
 
 // InTime drops upstreams that are too slow for the request's own level, as far
-// as their rate is known: those that are slow, but not slow enough to count as
+// as their rate was ever seen: those that are slow, but not slow enough to count as
 // stragglers.
 type InTime struct{}
 
 // Keep implements Filter.
 func (InTime) Keep(r *Request, c *Candidate) bool {
-	if c.TokenRate <= 0 || mayProbe(r, c) {
+	if c.LastRate <= 0 || mayProbe(r, c) {
 		return true
 	}
-	gap := time.Duration(float64(time.Second) / c.TokenRate)
+	gap := time.Duration(float64(time.Second) / c.LastRate)
 	if r.Pace > 0 && gap > r.Pace {
 		return false
 	}
--- a/core/pick/pick.go
+++ b/core/pick/pick.go
@@ -25,11 +25,16 @@
 	// Prefix is the share of the prompt, in [0,1], that the upstream's prefix
 	// cache is believed to hold.
 	Prefix float64
+	// Prefill is how many prompt tokens the upstream has to work through: those
+	// that were sent of late and are not cached, with the request's own.
+	Prefill float64
 	// FirstToken is the smoothed time to the first token; 0 means unknown.
 	FirstToken time.Duration
 	// TokenRate is the smoothed rate of one stream in tokens a second; 0 means
 	// unknown.
 	TokenRate float64
+	// LastRate is the last known rate even if it has grown old; 0 means unknown.
+	LastRate float64
 	// Aside says that the upstream is a straggler; ProbeDue that one request
 	// may be sent to it to see whether it recovered.
 	Aside, ProbeDue bool
@@ -118,6 +123,7 @@
 			{Scorer: LeastLoad{}, Weight: 2},
 			{Scorer: ShortWait{}, Weight: 2},
 			{Scorer: PrefixAffinity{}, Weight: 1.5},
+			{Scorer: LeastPrefill{}, Weight: 2},
 			{Scorer: TokenRate{}, Weight: 1},
 		},
 		Picker: p,
--- a/core/pick/scorers.go
+++ b/core/pick/scorers.go
@@ -64,6 +64,22 @@
 	return c.TokenRate / (c.TokenRate + d.MedianTokenRate)
 }
 
+// heavyPrefill is how many prompt tokens slow an engine's running streams so
+// much that any other engine is better: at some 50 microseconds a token, they
+// take 0.4 s out of streams that last for two or three.
+const heavyPrefill = 8192
+
+// LeastPrefill prefers upstreams with few prompt tokens to work through. It
+// guards against long prompts that meet on one engine: each step that works on
+// a prompt is longer for all streams there, which then miss their target
+// between tokens although the engine has free slots.
+type LeastPrefill struct{}
+
+// Score implements Scorer.
+func (LeastPrefill) Score(_ *Request, _ *Domain, c *Candidate) float64 {
+	return clamp(1 - c.Prefill/heavyPrefill)
+}
+
 // Summarise works out what scores are relative to.
 func Summarise(candidates []Candidate) Domain {
 	var firsts []time.Duration
--- a/core/sched/dispatch.go
+++ b/core/sched/dispatch.go
@@ -13,6 +13,9 @@
 	// blockedShares is how many organisations are tried when the first one's
 	// ticket fits none of the free upstreams.
 	blockedShares = 8
+	// patientShare is for how many quarters of the time to the first token a
+	// request waits for an engine that is fast enough for it.
+	patientShare = 3
 )
 
 // room counts the slots that are free for one model.
@@ -193,16 +196,16 @@
 }
 
 // request describes the item for a choice. One with a target for its first token
-// is patient until half of the time to it has passed: a slot at a good engine
-// becomes free every few hundred milliseconds, and an answer that crawls from
-// its first token on has missed its level already.
+// is patient for most of the time to it: a slot at a good engine becomes free
+// every few hundred milliseconds, and an answer that crawls from its first token
+// on has missed its level already.
 func (s *Scheduler) request(now time.Time, i *item) *pick.Request {
 	c := &i.class.Class
 	r := &pick.Request{Protected: c.Protected, Pace: c.BetweenTokens, Tokens: i.tokensExpected}
 	if c.Total > 0 {
 		r.Left = max(i.Arrived.Add(c.Total).Sub(now), 1)
 	}
-	r.Patient = c.BetweenTokens > 0 && c.FirstToken > 0 && now.Sub(i.Arrived) < c.FirstToken/2
+	r.Patient = c.BetweenTokens > 0 && c.FirstToken > 0 && now.Sub(i.Arrived) < c.FirstToken*patientShare/4
 	return r
 }
 
@@ -233,6 +236,7 @@
 	i.engine, i.grantedAt = e, now
 	e.flight(now, i, 1)
 	e.unstarted[i.ID] = i
+	e.prompted(now, i)
 	e.remember(i.PrefixHashes)
 	if e.aside {
 		i.probe = true
--- a/core/sched/engine.go
+++ b/core/sched/engine.go
@@ -52,9 +52,13 @@
 	// single probes, whatever waits.
 	down                  bool
 	asideSince, nextProbe time.Time
-	sent                  map[uint64]struct{}
-	sentOrder             []uint64
-	gone                  bool
+	// prompts is how many uncached prompt tokens were sent of late, forgotten
+	// exponentially; promptsAt is when that was true.
+	prompts   float64
+	promptsAt time.Time
+	sent      map[uint64]struct{}
+	sentOrder []uint64
+	gone      bool
 }
 
 type flightCount struct {
@@ -65,6 +69,7 @@
 func (e *engine) update(u Upstream) {
 	if e.down && e.Address != u.Address {
 		e.restore()
+		e.forget()
 	}
 	e.Upstream = u
 	e.gone = false
@@ -137,6 +142,7 @@
 	if e.stale(now) {
 		first, rate = 0, 0
 	}
+	prefix := e.prefix(i.PrefixHashes)
 	return pick.Candidate{
 		Name:       e.Name,
 		Holds:      true,
@@ -146,9 +152,11 @@
 		InFlight:   e.used(now),
 		Free:       e.free(now, i.class.Protected, headroom),
 		Unstarted:  len(e.unstarted),
-		Prefix:     e.prefix(i.PrefixHashes),
+		Prefix:     prefix,
+		Prefill:    e.promptsNow(now) + float64(i.PromptTokens)*(1-prefix),
 		FirstToken: seconds(first),
 		TokenRate:  rate,
+		LastRate:   e.lastRate(now),
 		Aside:      e.aside,
 		Down:       e.down,
 		ProbeDue:   e.aside && !now.Before(e.nextProbe),
@@ -207,6 +215,7 @@
 	delete(e.unstarted, i.ID)
 	if e.down {
 		e.restore()
+		e.forget()
 	}
 	alpha := e.alpha(now)
 	e.firstToken = smooth(e.firstToken, math.Max(now.Sub(i.grantedAt).Seconds(), 1e-6), alpha)
@@ -217,6 +226,15 @@
 	return now.Sub(e.observed) > figureLife
 }
 
+// lastRate is the last rate that was measured, or 0 when that was so long ago
+// that the engine must be tried again.
+func (e *engine) lastRate(now time.Time) float64 {
+	if now.Sub(e.observed) > longestAside {
+		return 0
+	}
+	return e.tokenRate
+}
+
 // alpha is the weight of the next observation: large for a straggler, and all
 // of it when the figures are old.
 func (e *engine) alpha(now time.Time) float64 {
--- a/core/sched/health.go
+++ b/core/sched/health.go
@@ -46,7 +46,10 @@
 	for _, e := range s.engines {
 		slow := e.straggles(now, groups)
 		switch {
-		case e.aside && (!slow || now.Sub(e.asideSince) > longestAside):
+		case e.aside && now.Sub(e.asideSince) > longestAside:
+			e.restore()
+			e.forget()
+		case e.aside && !slow:
 			e.restore()
 		case !e.aside && slow:
 			e.setAside(now)
@@ -145,11 +148,16 @@
 	e.nextProbe = now.Add(probeInterval)
 }
 
-// restore takes an engine back with a clean record, so that old figures do not
-// set it aside again before new ones are there.
+// restore takes an engine back. Its figures stay: one that is only little too
+// good for a straggler is still known to be slow.
 func (e *engine) restore() {
 	e.aside, e.down = false, false
 	e.failures, e.broken = 0, 0
+}
+
+// forget drops what was measured, so that old figures do not set an engine aside
+// again before new ones are there.
+func (e *engine) forget() {
 	e.samples = min(e.samples, 1)
 	e.observed = time.Time{}
 }
