Scheduler: long prompts wait for each other where paced streams run

Work without that target now waits, by at most about a second, for an engine that isn't at another long prompt.

Also: the counts of unprotected grants go by the class as it was at the grant. An operator who protected a class in between left slots taken for good.

--- a/core/pick/filters.go
+++ b/core/pick/filters.go
@@ -60,3 +60,23 @@
 	}
 	return r.Left <= 0 || time.Duration(r.Tokens*float64(gap)) < r.Left
 }
+
+const (
+	// promptRoom is how many prompt tokens an upstream with paced streams works
+	// through at a time, half of a request's own counted, so that one of any length may go: at some 50 microseconds
+	// a token about 0.15 s, in which those streams stand still.
+	promptRoom = 3072
+	// shortPrompt is the length up to which a prompt may always go.
+	shortPrompt = 512
+)
+
+// SparesPaced guards against long prompts of work without a target between
+// tokens that meet on one engine and hold up the streams of those with one. Such
+// work waits for another engine, or for the second that the last prompt takes.
+type SparesPaced struct{}
+
+// Keep implements Filter.
+func (SparesPaced) Keep(r *Request, c *Candidate) bool {
+	own := c.Prefill - c.Backlog
+	return r.Pace > 0 || !c.Paced || own <= shortPrompt || c.Backlog+min(own, promptRoom)/2 < promptRoom
+}
--- a/core/pick/pick.go
+++ b/core/pick/pick.go
@@ -28,6 +28,10 @@
 	// Prefill is how many prompt tokens the upstream has to work through: those
 	// that were sent of late and are not cached, with the request's own.
 	Prefill float64
+	// Backlog is the part of Prefill that was sent before.
+	Backlog float64
+	// Paced says that requests with a target between tokens run there.
+	Paced bool
 	// FirstToken is the smoothed time to the first token; 0 means unknown.
 	FirstToken time.Duration
 	// TokenRate is the smoothed rate of one stream in tokens a second; 0 means
@@ -117,7 +121,7 @@
 // most, because they apply to each request.
 func Default(p Picker) *Chain {
 	return &Chain{
-		Required:  []Filter{HoldsModel{}, NotExcluded{}, NotDraining{}, HasRoom{}},
+		Required:  []Filter{HoldsModel{}, NotExcluded{}, NotDraining{}, HasRoom{}, SparesPaced{}},
 		Preferred: []Filter{NoStraggler{}, InTime{}},
 		Scorers: []Weighted{
 			{Scorer: LeastLoad{}, Weight: 2},
--- a/core/sched/engine.go
+++ b/core/sched/engine.go
@@ -32,6 +32,8 @@
 	slots int
 	// inFlight counts grants; unprotected those of unprotected classes.
 	inFlight, unprotected int
+	// pacedFlight counts those of classes with a target between tokens.
+	pacedFlight int
 	// unstarted holds the grants without a first token.
 	unstarted map[string]*item
 	// history remembers counts in flight, to correct reports that lag.
@@ -86,9 +88,16 @@
 // flight changes the count in flight and remembers when.
 func (e *engine) flight(now time.Time, i *item, sign int) {
 	e.inFlight += sign
-	if !i.class.Protected {
+	if sign > 0 {
+		// A change of the class in between must not leave a count behind.
+		i.unprotected, i.withPace = !i.class.Protected, i.class.BetweenTokens > 0
+	}
+	if i.unprotected {
 		e.unprotected += sign
 	}
+	if i.withPace {
+		e.pacedFlight += sign
+	}
 	e.history = append(e.history, flightCount{now, e.inFlight})
 	if len(e.history) < 128 {
 		return
@@ -154,6 +163,8 @@
 		Unstarted:  len(e.unstarted),
 		Prefix:     prefix,
 		Prefill:    e.promptsNow(now) + float64(i.PromptTokens)*(1-prefix),
+		Backlog:    e.promptsNow(now),
+		Paced:      e.pacedFlight > 0,
 		FirstToken: seconds(first),
 		TokenRate:  rate,
 		LastRate:   e.lastRate(now),
--- a/core/sched/pace.go
+++ b/core/sched/pace.go
@@ -9,9 +9,17 @@
 // an engine takes for one of a few thousand tokens while it goes on generating.
 const promptMemory = time.Second
 
-// leastPaced is how many tokens a measurement of a stream's rate needs; fewer
-// say more about the time that messages take.
-const leastPaced = 4
+const (
+	// leastPaced is how many tokens a measurement of a stream's rate needs; fewer
+	// say more about the time that messages take.
+	leastPaced = 4
+	// paceDrop is the factor by which a measurement must be below the known rate
+	// to count as a change of the engine and not as noise; it then weighs
+	// paceDropAlpha. All streams of an engine share its steps, so that one of
+	// them speaks for all.
+	paceDrop      = 2
+	paceDropAlpha = 0.6
+)
 
 // pace learns the engine's rate from a stream that runs. Waiting for the end of
 // the stream is the failure this guards against: an engine that slows down ends
@@ -23,7 +31,11 @@
 		return
 	}
 	if took := now.Sub(i.pacedAt).Seconds(); !i.pacedAt.IsZero() && took > 0 {
-		e.tokenRate = smooth(e.tokenRate, float64(more)/took, alpha)
+		rate := float64(more) / took
+		if rate*paceDrop < e.tokenRate {
+			alpha = max(alpha, paceDropAlpha)
+		}
+		e.tokenRate = smooth(e.tokenRate, rate, alpha)
 		e.observed = now
 		e.samples++
 	}
--- a/core/sched/pace_test.go
+++ b/core/sched/pace_test.go
@@ -108,3 +108,39 @@
 		}
 	}
 }
+
+// Answers stutter while drafts are written, and drafts with very long prompts are
+// never written. The cause of the first: a second long prompt is sent to an engine
+// that works on one and runs a technician's answer. Of the second: the guard
+// against it must let one prompt of any length go.
+func TestLongPromptsWaitForEachOther(t *testing.T) {
+	p := newPaced(t, 8)
+	for range 4 {
+		p.Expect(p.send(start, "answer", 100)).To(HaveLen(1))
+	}
+	for range 4 {
+		p.Expect(p.send(start, "draft", 20000)).To(HaveLen(1))
+	}
+	p.Expect(p.send(start, "draft", 4000)).To(BeEmpty())
+	p.Expect(p.send(start, "answer", 4000)).To(HaveLen(1), "one with the target may go")
+	p.Expect(grants(p.s.Tick(start.Add(5 * time.Second)))).To(HaveLen(1))
+}
+
+// The slots of an engine stay taken for unprotected work although nothing runs.
+// An operator protects a class while its requests are in flight; their ends then
+// took nothing from the count of unprotected ones. The cause: the count went by
+// the class as it is at the end, not as it was at the grant.
+func TestChangedClassLeavesNoSlotTaken(t *testing.T) {
+	g := NewWithT(t)
+	s := newScheduler(sched.Config{}, engines(1, 4))
+	doc := document()
+	for round := range 5 {
+		doc.Classes[3].Protected = false
+		s.SetClasses(doc)
+		id := fmt.Sprint(round)
+		g.Expect(grants(s.Submit(start, ticket(id, "draft", "big", start)))).To(HaveLen(1), id)
+		doc.Classes[3].Protected = true
+		s.SetClasses(doc)
+		s.Finish(start, id, sched.Outcome{Tokens: 1, Complete: true})
+	}
+}
--- a/core/sched/queue.go
+++ b/core/sched/queue.go
@@ -36,6 +36,8 @@
 	pacedAt time.Time
 	paced   int
 	probe   bool
+	// unprotected and withPace are as the class was at the grant.
+	unprotected, withPace bool
 	// restored says that another scheduler gave the grant.
 	restored bool
 }
--- a/instance/schedule/grant.go
+++ b/instance/schedule/grant.go
@@ -12,11 +12,14 @@
 	// enough to charge long answers while they run, rarely enough to cost
 	// nothing.
 	progressStep = 64
-	// firstProgress is the count of tokens of the first note, and progressWait
-	// the longest time between two of a stream that moves. They let the
-	// scheduler see within a second or two that an engine has become slow; a
-	// stream at the wanted 29 ms between tokens is never that late.
+	// firstProgress is the count of tokens of the first note, or leastProgress
+	// after firstWait; progressWait is the longest time between two notes of a
+	// stream that moves. They let the scheduler see within a second or two that
+	// an engine has become slow; a stream at the wanted 29 ms between tokens is
+	// never that late.
 	firstProgress = 8
+	leastProgress = 5
+	firstWait     = 300 * time.Millisecond
 	progressWait  = 2 * time.Second
 )
 
@@ -40,7 +43,7 @@
 	if g.started || g.ended {
 		return
 	}
-	g.started = true
+	g.started, g.notedAt = true, time.Now()
 	g.note(event{Kind: eventStarted, ID: g.ID})
 }
 
@@ -57,7 +60,7 @@
 
 func (g *Grant) worthNoting(tokens int, now time.Time) bool {
 	if g.noted == 0 {
-		return tokens >= firstProgress
+		return tokens >= firstProgress || tokens >= leastProgress && now.Sub(g.notedAt) >= firstWait
 	}
 	return tokens >= g.noted+progressStep || now.Sub(g.notedAt) >= progressWait
 }
