Prove the failure domain's scheduler under SIGKILL and SIGSTOP

Real daemons under load: every request ends with a whole answer or an explicit failure, a successor counts the grants in flight, and all slots are usable afterwards.

--- /dev/null
+++ b/proof/system/schedule_test.go
@@ -0,0 +1,216 @@
+package system_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"sync"
+	"syscall"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/comfreyladder/comfreyladder/core/announce"
+)
+
+const (
+	scheduleEngines = 2
+	scheduleSlots   = 4
+	allSlots        = scheduleEngines * scheduleSlots
+)
+
+// hall is one failure domain of three instances and two engines.
+type hall struct {
+	*site
+	engines   []*standIn
+	scheduler *instance
+	others    []*instance
+}
+
+func newHall() *hall {
+	h := &hall{site: newSiteWith(siteOptions{settings: quickLimits}, 3, "hall")}
+	h.startAll()
+	for i := range scheduleEngines {
+		h.engines = append(h.engines, h.engine(fmt.Sprintf("e-%d", i+1), "hall", "--slots", fmt.Sprint(scheduleSlots), "--speed", "4"))
+	}
+	h.see("hall", scheduleEngines)
+	// All follow the same one before the test begins.
+	Eventually(func() bool {
+		first := h.list("hall")[0].schedulerName()
+		for _, in := range h.list("hall") {
+			if first == "" || in.schedulerName() != first {
+				return false
+			}
+		}
+		h.scheduler = h.instances[first]
+		return h.scheduler != nil
+	}, patience, poll).Should(BeTrue())
+	for _, in := range h.list("hall") {
+		if in != h.scheduler {
+			h.others = append(h.others, in)
+		}
+	}
+	return h
+}
+
+func (in *instance) schedulerName() string {
+	st, err := in.operator("alice").Status()
+	if err != nil {
+		return ""
+	}
+	return st.Scheduler
+}
+
+// load asks a stand-in engine for its true numbers.
+func (s *standIn) load() announce.Load {
+	resp, err := http.Get("http://" + s.address + "/v1/load")
+	Expect(err).NotTo(HaveOccurred())
+	defer resp.Body.Close()
+	var l announce.Load
+	Expect(json.NewDecoder(resp.Body).Decode(&l)).To(Succeed())
+	return l
+}
+
+// running is how many requests run on all engines; queued how many wait there,
+// as when an engine was granted more than its slots.
+func (h *hall) running() (running, queued int) {
+	for _, e := range h.engines {
+		l := e.load()
+		running += l.Running
+		queued += l.Waiting
+	}
+	return running, queued
+}
+
+// ask sends one request after another to the instances in turn, from several
+// callers, until stop is closed.
+func (h *hall) ask(to []*instance, callers int, stop chan struct{}, t *tally) *sync.WaitGroup {
+	var group sync.WaitGroup
+	for c := range callers {
+		group.Add(1)
+		go func() {
+			defer GinkgoRecover()
+			defer group.Done()
+			for n := 0; ; n++ {
+				select {
+				case <-stop:
+					return
+				default:
+				}
+				class := []string{"urgent", "bulk"}[n%2]
+				prompt := fmt.Sprintf("question %d of caller %d", n, c)
+				r := to[(n+c)%len(to)].chat(class, prompt, 40, n%3 > 0)
+				t.add(r.judge(prompt, 40), r)
+			}
+		}()
+	}
+	return &group
+}
+
+// usable expects that all slots can be taken at once, and no more than them.
+func (h *hall) usable(through []*instance) {
+	Eventually(func() int {
+		running, queued := h.running()
+		return running + queued
+	}, patience, poll).Should(BeZero(), "nothing is left at the engines")
+	replies := make(chan verdict, 2*allSlots)
+	for n := range 2 * allSlots {
+		go func() {
+			defer GinkgoRecover()
+			prompt := fmt.Sprint("last question ", n)
+			r := through[n%len(through)].chat("urgent", prompt, 400, true)
+			replies <- r.judge(prompt, 400)
+		}()
+	}
+	Eventually(func() int {
+		running, queued := h.running()
+		Expect(queued).To(BeZero())
+		return running
+	}, patience, poll).Should(Equal(allSlots), "no slot was lost")
+	for range 2 * allSlots {
+		Eventually(replies, patience).Should(Receive(Equal(wholeOwn)))
+	}
+}
+
+var _ = Describe("The instance that schedules for its failure domain", func() {
+	// Callers of other instances wait for ever, or some slots are never used again.
+	// The instance that schedules is killed while requests wait and run; those of
+	// the others go on, and another instance takes over. The cause would be tickets
+	// that were lost with it, or grants that nobody counts or ends.
+	It("is killed under load: every request ends, and no slot is lost", func() {
+		h := newHall()
+		stop, t := make(chan struct{}), newTally()
+		group := h.ask(h.list("hall"), 3*allSlots, stop, t)
+		Eventually(func() int { return t.of(wholeOwn) }, patience, poll).Should(BeNumerically(">", 4*allSlots))
+
+		h.scheduler.process.kill()
+		Eventually(func() bool {
+			a, b := h.others[0].schedulerName(), h.others[1].schedulerName()
+			return a == b && a != "" && a != h.scheduler.name
+		}, patience, poll).Should(BeTrue(), "another one schedules")
+		before := t.of(wholeOwn)
+		Eventually(func() int { return t.of(wholeOwn) }, patience, poll).Should(BeNumerically(">", before+4*allSlots))
+		close(stop)
+		group.Wait()
+		Expect(t.of(wrong)).To(BeZero(), "%v", t.bad)
+		h.usable(h.others)
+	})
+
+	// Engines get more requests than they have slots, so that urgent work waits at
+	// the engine behind others. All slots are taken by long answers through the
+	// instances that live on when the one that schedules is killed; the successor
+	// knows nothing of them. They tell it, and it grants nothing before.
+	It("is killed: its successor counts the grants in flight", func() {
+		h := newHall()
+		replies := make(chan verdict, 2*allSlots)
+		long := func(n int) {
+			defer GinkgoRecover()
+			prompt := fmt.Sprint("long question ", n)
+			r := h.others[n%2].chat("urgent", prompt, 1200, true)
+			replies <- r.judge(prompt, 1200)
+		}
+		for n := range allSlots {
+			go long(n)
+		}
+		Eventually(func() int { running, _ := h.running(); return running }, patience, poll).Should(Equal(allSlots))
+
+		h.scheduler.process.kill()
+		for n := range allSlots {
+			go long(allSlots + n)
+		}
+		for range 2 * allSlots {
+			Eventually(func() int { return len(replies) }, patience, poll).Should(BeNumerically(">", 0))
+			_, queued := h.running()
+			Expect(queued).To(BeZero(), "an engine was granted more than its slots")
+			Expect(<-replies).To(Equal(wholeOwn))
+		}
+		h.usable(h.others)
+	})
+
+	// Callers wait for an instance that answers nothing and is not gone either.
+	// The instance that schedules is frozen under load and goes on ten seconds
+	// later, with a view of the past; meanwhile another one took over.
+	It("freezes under load and comes back: every request ends, and no slot is lost", func() {
+		h := newHall()
+		stop, t := make(chan struct{}), newTally()
+		group := h.ask(h.others, 3*allSlots, stop, t)
+		Eventually(func() int { return t.of(wholeOwn) }, patience, poll).Should(BeNumerically(">", 4*allSlots))
+
+		h.scheduler.process.signal(syscall.SIGSTOP)
+		time.Sleep(10 * time.Second)
+		before := t.of(wholeOwn)
+		Eventually(func() int { return t.of(wholeOwn) }, patience, poll).Should(BeNumerically(">", before+4*allSlots))
+		h.scheduler.process.signal(syscall.SIGCONT)
+		Eventually(func() bool {
+			name := h.scheduler.schedulerName()
+			return name != "" && name == h.others[0].schedulerName() && name == h.others[1].schedulerName()
+		}, patience, poll).Should(BeTrue(), "all follow the same one again")
+		before = t.of(wholeOwn)
+		Eventually(func() int { return t.of(wholeOwn) }, patience, poll).Should(BeNumerically(">", before+4*allSlots))
+		close(stop)
+		group.Wait()
+		Expect(t.of(wrong)).To(BeZero(), "%v", t.bad)
+		h.usable(h.list("hall"))
+	})
+})
