--- a/core/pick/filters.go
+++ b/core/pick/filters.go
@@ -45,18 +45,38 @@
 }
 
 // InTime drops upstreams that are too slow for the request's own level, as far
-// as their rate is known: those that are slow, but not slow enough to count as
+// as their rate was ever seen: those that are slow, but not slow enough to count as
 // stragglers.
 type InTime struct{}
 
 // Keep implements Filter.
 func (InTime) Keep(r *Request, c *Candidate) bool {
-	if c.TokenRate <= 0 || mayProbe(r, c) {
+	if c.LastRate <= 0 || mayProbe(r, c) {
 		return true
 	}
-	gap := time.Duration(float64(time.Second) / c.TokenRate)
+	gap := time.Duration(float64(time.Second) / c.LastRate)
 	if r.Pace > 0 && gap > r.Pace {
 		return false
 	}
 	return r.Left <= 0 || time.Duration(r.Tokens*float64(gap)) < r.Left
 }
+
+const (
+	// promptRoom is how many prompt tokens an upstream with paced streams works
+	// through at a time, half of a request's own counted, so that one of any length may go: at some 50 microseconds
+	// a token about 0.15 s, in which those streams stand still.
+	promptRoom = 3072
+	// shortPrompt is the length up to which a prompt may always go.
+	shortPrompt = 512
+)
+
+// SparesPaced guards against long prompts of work without a target between
+// tokens that meet on one engine and hold up the streams of those with one. Such
+// work waits for another engine, or for the second that the last prompt takes.
+type SparesPaced struct{}
+
+// Keep implements Filter.
+func (SparesPaced) Keep(r *Request, c *Candidate) bool {
+	own := c.Prefill - c.Backlog
+	return r.Pace > 0 || !c.Paced || own <= shortPrompt || c.Backlog+min(own, promptRoom)/2 < promptRoom
+}
--- a/core/sched/engine.go
+++ b/core/sched/engine.go
@@ -32,6 +32,8 @@
 	slots int
 	// inFlight counts grants; unprotected those of unprotected classes.
 	inFlight, unprotected int
+	// pacedFlight counts those of classes with a target between tokens.
+	pacedFlight int
 	// unstarted holds the grants without a first token.
 	unstarted map[string]*item
 	// history remembers counts in flight, to correct reports that lag.
@@ -52,9 +54,13 @@
 	// single probes, whatever waits.
 	down                  bool
 	asideSince, nextProbe time.Time
-	sent                  map[uint64]struct{}
-	sentOrder             []uint64
-	gone                  bool
+	// prompts is how many uncached prompt tokens were sent of late, forgotten
+	// exponentially; promptsAt is when that was true.
+	prompts   float64
+	promptsAt time.Time
+	sent      map[uint64]struct{}
+	sentOrder []uint64
+	gone      bool
 }
 
 type flightCount struct {
@@ -65,6 +71,7 @@
 func (e *engine) update(u Upstream) {
 	if e.down && e.Address != u.Address {
 		e.restore()
+		e.forget()
 	}
 	e.Upstream = u
 	e.gone = false
@@ -81,9 +88,16 @@
 // flight changes the count in flight and remembers when.
 func (e *engine) flight(now time.Time, i *item, sign int) {
 	e.inFlight += sign
-	if !i.class.Protected {
+	if sign > 0 {
+		// A change of the class in between must not leave a count behind.
+		i.unprotected, i.withPace = !i.class.Protected, i.class.BetweenTokens > 0
+	}
+	if i.unprotected {
 		e.unprotected += sign
 	}
+	if i.withPace {
+		e.pacedFlight += sign
+	}
 	e.history = append(e.history, flightCount{now, e.inFlight})
 	if len(e.history) < 128 {
 		return
@@ -137,6 +151,7 @@
 	if e.stale(now) {
 		first, rate = 0, 0
 	}
+	prefix := e.prefix(i.PrefixHashes)
 	return pick.Candidate{
 		Name:       e.Name,
 		Holds:      true,
@@ -146,9 +161,13 @@
 		InFlight:   e.used(now),
 		Free:       e.free(now, i.class.Protected, headroom),
 		Unstarted:  len(e.unstarted),
-		Prefix:     e.prefix(i.PrefixHashes),
+		Prefix:     prefix,
+		Prefill:    e.promptsNow(now) + float64(i.PromptTokens)*(1-prefix),
+		Backlog:    e.promptsNow(now),
+		Paced:      e.pacedFlight > 0,
 		FirstToken: seconds(first),
 		TokenRate:  rate,
+		LastRate:   e.lastRate(now),
 		Aside:      e.aside,
 		Down:       e.down,
 		ProbeDue:   e.aside && !now.Before(e.nextProbe),
@@ -207,6 +226,7 @@
 	delete(e.unstarted, i.ID)
 	if e.down {
 		e.restore()
+		e.forget()
 	}
 	alpha := e.alpha(now)
 	e.firstToken = smooth(e.firstToken, math.Max(now.Sub(i.grantedAt).Seconds(), 1e-6), alpha)
@@ -217,6 +237,15 @@
 	return now.Sub(e.observed) > figureLife
 }
 
+// lastRate is the last rate that was measured, or 0 when that was so long ago
+// that the engine must be tried again.
+func (e *engine) lastRate(now time.Time) float64 {
+	if now.Sub(e.observed) > longestAside {
+		return 0
+	}
+	return e.tokenRate
+}
+
 // alpha is the weight of the next observation: large for a straggler, and all
 // of it when the figures are old.
 func (e *engine) alpha(now time.Time) float64 {
