Scheduler's process tests: count what is beyond an engine's slots

The specs took every request that waited at an engine for a grant too many, but one that just came waits for the engine's next step while a slot is free.

--- a/proof/system/schedule_test.go
+++ b/proof/system/schedule_test.go
@@ -72,13 +72,14 @@
 	return l
 }
 
-// running is how many requests run on all engines; queued how many wait there,
-// as when an engine was granted more than its slots.
+// running is how many requests the engines have; queued how many of them are more
+// than an engine's slots, which must not have been granted. A request that just
+// came waits for the engine's next step also while a slot is free.
 func (h *hall) running() (running, queued int) {
 	for _, e := range h.engines {
 		l := e.load()
-		running += l.Running
-		queued += l.Waiting
+		running += l.Running + l.Waiting
+		queued += max(l.Running+l.Waiting-scheduleSlots, 0)
 	}
 	return running, queued
 }
