--- a/instance/daemon/work.go
+++ b/instance/daemon/work.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/google/uuid"
 
+	"github.com/comfreyladder/comfreyladder/core/budget"
 	"github.com/comfreyladder/comfreyladder/core/intent"
 	"github.com/comfreyladder/comfreyladder/core/registry"
 	"github.com/comfreyladder/comfreyladder/core/sched"
@@ -117,6 +119,17 @@
 	return nil
 }
 
+// serviceRetries is the budget for repeating reads of plain services.
+func serviceRetries() func() bool {
+	var mu sync.Mutex
+	b := budget.New(budget.Config{})
+	return func() bool {
+		mu.Lock()
+		defer mu.Unlock()
+		return b.Spend(time.Now(), namePlain)
+	}
+}
+
 func (d *Daemon) plain() kernel.Module {
 	needs := []string{nameControl, nameClient, nameRegistry}
 	return kernel.Module{Name: namePlain, Needs: needs, New: func(k *kernel.Kernel) (kernel.Service, error) {
@@ -129,7 +142,7 @@
 		}
 		return &plainService{Handler: plain.New(plain.Config{
 			Ledger: plain.ProposeFunc(c.Propose), Client: client.Client, Instance: d.cfg.Instance.Name,
-			NewID: uuid.NewString,
+			NewID: uuid.NewString, AllowRetry: serviceRetries(),
 			Locate: func(name string) (upstream.Target, bool) {
 				u := r.View().Find(name)
 				if u == nil {
--- a/instance/dispatch/dispatch.go
+++ b/instance/dispatch/dispatch.go
@@ -99,10 +99,6 @@
 	return &Run{d: d, ctx: ctx, job: job}
 }
 
-// AllowRetry takes one retry of the named kind of work from its budget, or
-// reports that it is spent.
-func (d *Dispatcher) AllowRetry(kind string) bool { return d.spend(kind) }
-
 func (d *Dispatcher) first(class string) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/instance/upstream/errors.go
+++ b/instance/upstream/errors.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net"
 
 	"github.com/pkg/errors"
@@ -28,7 +29,7 @@
 // AttemptError is the failure of one attempt at an upstream. It unwraps to a
 // *fault.Error: NotRun for NotSent and Refused; OutcomeUnknown, StreamBroken,
 // DeadlineExceeded, Canceled, TooLarge or, for a whole 4xx answer, Invalid or
-// NotFound when the evidence is Unknown.
+// NotFound when the evidence is Unknown. It never matches io.EOF.
 type AttemptError struct {
 	Evidence Evidence
 	// Upstream is the name of the target.
@@ -73,8 +74,19 @@
 	return errors.As(err, &a) && a.Reused
 }
 
+// noEnd keeps a failure from looking like the end of an answer. An upstream that
+// closes the connection before its header fails the read with io.EOF, by which
+// Stream.Next tells the whole answer's end: kept as a cause, it made callers take
+// nothing for a whole answer that is empty.
+func noEnd(err error) error {
+	if errors.Is(err, io.EOF) {
+		return io.ErrUnexpectedEOF
+	}
+	return err
+}
+
 func notSent(t Target, cause error, detail string) *AttemptError {
-	return &AttemptError{Evidence: NotSent, Upstream: t.Name, fault: fault.Wrap(cause, fault.NotRun, "%s", detail)}
+	return &AttemptError{Evidence: NotSent, Upstream: t.Name, fault: fault.Wrap(noEnd(cause), fault.NotRun, "%s", detail)}
 }
 
 func unknown(t Target, f *fault.Error) *AttemptError {
@@ -96,5 +108,5 @@
 	case errors.Is(err, fasthttp.ErrTimeout), errors.As(err, &n) && n.Timeout():
 		return fault.Wrap(err, fault.DeadlineExceeded, "%s: the upstream was silent too long", doing)
 	}
-	return fault.Wrap(err, code, "%s: the connection failed", doing)
+	return fault.Wrap(noEnd(err), code, "%s: the connection failed", doing)
 }
--- a/proof/system/whole_test.go
+++ b/proof/system/whole_test.go
@@ -1,12 +1,18 @@
 package system_test
 
 import (
+	"bufio"
 	"fmt"
+	"net"
+	"net/http"
 	"sync"
 	"syscall"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+
+	"github.com/comfreyladder/comfreyladder/core/announce"
+	"github.com/comfreyladder/comfreyladder/core/intent"
 )
 
 var _ = Describe("Every caller's whole own answer", func() {
@@ -116,6 +122,31 @@
 		Expect(wholes.of(wholeOwn)).To(Equal(6), "%v", wholes.seen)
 	})
 
+	// An engine takes each request and closes the connection before it answers
+	// anything, as one does that crashes on start. The read fails with the same
+	// error as at a whole answer's end; a caller must not get an empty answer.
+	It("is no empty one when an engine closes before its header", func() {
+		s := newSite(1, "north")
+		s.startAll()
+		in := s.instances["north-1"]
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(ln.Close)
+		go func() {
+			for c, err := ln.Accept(); err == nil; c, err = ln.Accept() {
+				_, _ = http.ReadRequest(bufio.NewReader(c))
+				_ = c.Close()
+			}
+		}()
+		s.announce(announce.Beat{Name: "e-closes", Domain: "north", Kind: intent.KindEngine, Address: ln.Addr().String(), Models: []string{"m"}, Slots: 4})
+		s.see("north", 1)
+		for _, stream := range []bool{true, false} {
+			r := in.chat("urgent", "closed", 8, stream)
+			Expect(r.judge("closed", 8)).To(Equal(toldSo), "%+v", r)
+			Expect(r.saysNotRun()).To(BeFalse())
+		}
+	})
+
 	// A report takes longer than the time in which a caller must take what is
 	// written to it. The caller reads all the while, so nothing may cut it.
 	It("lets a stream run longer than the write timeout", func() {
