--- a/instance/chat/request.go
+++ b/instance/chat/request.go
@@ -5,6 +5,7 @@
 
 import (
 	"encoding/json"
+	"strconv"
 	"strings"
 
 	"github.com/comfreyladder/comfreyladder/core/fault"
@@ -29,6 +30,7 @@
 	// Contents holds the text of each message, for prefix hashes and the estimate.
 	Contents []string
 	fields   map[string]json.RawMessage
+	size     int
 }
 
 type message struct {
@@ -48,7 +50,7 @@
 // ParseRequest checks a request body. Failures have code Invalid and name the
 // field.
 func ParseRequest(body []byte) (*Request, error) {
-	r := &Request{}
+	r := &Request{size: len(body)}
 	if err := json.Unmarshal(body, &r.fields); err != nil {
 		return nil, fault.Wrap(err, fault.Invalid, "the body is not a JSON object")
 	}
@@ -79,13 +81,14 @@
 		}
 	}
 	r.IncludeUsage = options.IncludeUsage
+	least := min(r.MaxTokens, completion)
 	r.MaxTokens = max(r.MaxTokens, completion)
 	switch {
 	case r.Model == "" || len(r.Model) > maxModelName:
 		return fault.New(fault.Invalid, "model: 1 to %d characters are needed", maxModelName)
-	case r.MaxTokens < 0:
-		return fault.New(fault.Invalid, "max_tokens: %d is negative", r.MaxTokens)
-	case choices > 1:
+	case least < 0:
+		return fault.New(fault.Invalid, "max_tokens: %d is negative", least)
+	case choices > 1, choices < 0:
 		return fault.New(fault.Invalid, "n: one choice per request is served")
 	}
 	return nil
@@ -149,24 +152,45 @@
 	return n/bytesPerToken + 1
 }
 
+// decided lists the fields that the router sets itself or keeps to itself. They
+// are left out in any case of letters: many engines read field names without
+// regard to it, and a caller's "PRIORITY" would overrule the scheduler's.
+var decided = []string{"stream", "stream_options", "priority", "service_tier", "max_tokens", "max_completion_tokens"}
+
 // Upstream returns the body for an engine: always streamed, with usage, the
 // scheduler's priority and a bound on the answer.
 func (r *Request) Upstream(priority, maxTokens int) ([]byte, error) {
-	out := make(map[string]any, len(r.fields)+4)
-	for k, v := range r.fields {
-		out[k] = v
-	}
-	delete(out, "service_tier")
-	delete(out, "max_completion_tokens")
-	out["stream"] = true
-	out["stream_options"] = streamOptions{IncludeUsage: true}
-	out["priority"] = priority
+	out := make([]byte, 0, r.size+bodyMargin)
+	out = append(out, `{"stream":true,"stream_options":{"include_usage":true},"priority":`...)
+	out = strconv.AppendInt(out, int64(priority), 10)
 	if maxTokens > 0 {
-		out["max_tokens"] = maxTokens
+		out = append(out, `,"max_tokens":`...)
+		out = strconv.AppendInt(out, int64(maxTokens), 10)
 	}
-	body, err := json.Marshal(out)
-	if err != nil {
-		return nil, fault.Wrap(err, fault.Internal, "encode the upstream request")
+	for name, value := range r.fields {
+		if isDecided(name) {
+			continue
+		}
+		key, err := json.Marshal(name)
+		if err != nil {
+			return nil, fault.Wrap(err, fault.Internal, "encode the upstream request")
+		}
+		out = append(out, ',')
+		out = append(out, key...)
+		out = append(out, ':')
+		out = append(out, value...)
+	}
+	return append(out, '}'), nil
+}
+
+// bodyMargin is what the router adds to a body at most.
+const bodyMargin = 128
+
+func isDecided(name string) bool {
+	for _, d := range decided {
+		if strings.EqualFold(d, name) {
+			return true
+		}
 	}
-	return body, nil
+	return false
 }
--- a/instance/gateway/chat.go
+++ b/instance/gateway/chat.go
@@ -195,7 +195,7 @@
 	x.g.cfg.Trace.End(x.id, outcome, x.tokens)
 	ev := x.g.cfg.Log.Info()
 	if err != nil {
-		ev = x.g.cfg.Log.Warn().Err(err)
+		ev = x.g.failures.event(x.g.cfg.Log, time.Now(), err)
 	}
 	ev.Str("request", x.id).Str("organisation", x.org.Name).Str("class", x.class.Name).Str("outcome", outcome).
 		Int("tokens", x.tokens).Dur("queue", x.run.Queued()).Dur("first_token", x.first).Dur("total", total).Msg("request ended")
--- a/instance/gateway/gateway.go
+++ b/instance/gateway/gateway.go
@@ -65,6 +65,7 @@
 	cfg      Config
 	notReady atomic.Bool
 	inFlight atomic.Int64
+	failures failureLog
 }
 
 // New returns a Gateway.
--- a/instance/gateway/plain.go
+++ b/instance/gateway/plain.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"strings"
+	"time"
 
 	"github.com/valyala/fasthttp"
 
@@ -118,7 +119,7 @@
 func (g *Gateway) logPlain(org *intent.Organisation, s *intent.Service, t upstream.Target, a *plain.CallAnswer, err error) {
 	ev := g.cfg.Log.Info()
 	if err != nil {
-		ev = g.cfg.Log.Warn().Err(err)
+		ev = g.failures.event(g.cfg.Log, time.Now(), err)
 	}
 	ev.Str("request", a.RequestID).Str("organisation", org.Name).Str("service", s.Name).Str("upstream", t.Name).
 		Str("outcome", string(a.Outcome)).Bool("replayed", a.Replayed).Int("status", a.Answer.Status).Msg("service call ended")
