--- /dev/null
+++ b/instance/gateway/tls_test.go
@@ -0,0 +1,55 @@
+package gateway_test
+
+import (
+	"bufio"
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"io"
+	"math/big"
+	"net"
+	"strings"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+func selfSigned() tls.Certificate {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	Expect(err).NotTo(HaveOccurred())
+	t := &x509.Certificate{SerialNumber: big.NewInt(1), NotAfter: time.Now().Add(time.Hour), IPAddresses: []net.IP{net.IPv4(127, 0, 0, 1)}}
+	der, err := x509.CreateCertificate(rand.Reader, t, t, &key.PublicKey, key)
+	Expect(err).NotTo(HaveOccurred())
+	return tls.Certificate{Certificate: [][]byte{der}, PrivateKey: key}
+}
+
+var _ = Describe("The listener with TLS", func() {
+	// Over TLS the hang-up of a caller is seen on the raw connection; a caller
+	// that speaks no TLS, or says nothing, is cut off by the read limit.
+	It("serves streams, sees hang-ups and cuts off who doesn't speak it", func() {
+		limits := generous()
+		limits.ReadTimeout = 500 * time.Millisecond
+		e := newEngine(40_000)
+		p := newPlace(e, limits, &tls.Config{Certificates: []tls.Certificate{selfSigned()}})
+		mute, plain := p.dial(), p.dial()
+		_, err := io.WriteString(plain, request(goodKey, chatBody("x", false)))
+		Expect(err).NotTo(HaveOccurred())
+		secure, err := tls.Dial("tcp", p.address, &tls.Config{InsecureSkipVerify: true})
+		Expect(err).NotTo(HaveOccurred())
+		_, err = io.WriteString(secure, request(goodKey, chatBody(strings.Repeat("x", 500), true)))
+		Expect(err).NotTo(HaveOccurred())
+		line, err := bufio.NewReader(secure).ReadString('\n')
+		Expect(err).NotTo(HaveOccurred())
+		Expect(line).To(ContainSubstring("200 OK"))
+		Expect(p.queue.leases()).To(Equal(1))
+		Expect(secure.Close()).To(Succeed())
+		Eventually(p.queue.leases, limit).Should(BeZero())
+		for _, c := range []net.Conn{mute, plain} {
+			_, err := io.Copy(io.Discard, c)
+			_ = err // closed or reset, both are a cut
+		}
+	})
+})
--- a/instance/tlsconf/tlsconf.go
+++ b/instance/tlsconf/tlsconf.go
@@ -16,15 +16,22 @@
 // checkEvery bounds how often handshakes look at the files' times.
 const checkEvery = 5 * time.Second
 
-// reloader holds a certificate and the times of the files it came from.
+// reloader holds a certificate and what the files looked like that it came from.
 type reloader struct {
 	certFile, keyFile string
 	mu                sync.Mutex
 	cert              *tls.Certificate
-	loaded            time.Time
+	seen              [2]stamp
 	checked           time.Time
 }
 
+// stamp tells versions of a file apart. Any difference counts: a file that is
+// put in place by a rename may be older than the one before it.
+type stamp struct {
+	changed time.Time
+	size    int64
+}
+
 // Server returns the configuration of the listeners, or nil when the settings
 // name no certificate.
 func Server(s settings.TLS) (*tls.Config, error) {
@@ -75,7 +82,7 @@
 	if now.Sub(r.checked) >= checkEvery {
 		r.checked = now
 		if r.changed() {
-			_ = r.read(now)
+			_ = r.read()
 		}
 	}
 	return r.cert
@@ -85,25 +92,28 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.checked = now
-	return r.read(now)
+	return r.read()
 }
 
-func (r *reloader) read(now time.Time) error {
+func (r *reloader) read() error {
+	// The stamps are taken first: a change during the read is seen next time.
+	seen := r.stamps()
 	cert, err := tls.LoadX509KeyPair(r.certFile, r.keyFile)
 	if err != nil {
 		return fault.Wrap(err, fault.Invalid, "read the certificate %s with its key", r.certFile)
 	}
 	r.cert = &cert
-	r.loaded = now
+	r.seen = seen
 	return nil
 }
 
-func (r *reloader) changed() bool {
-	for _, name := range []string{r.certFile, r.keyFile} {
-		info, err := os.Stat(name)
-		if err == nil && info.ModTime().After(r.loaded) {
-			return true
+func (r *reloader) changed() bool { return r.stamps() != r.seen }
+
+func (r *reloader) stamps() (s [2]stamp) {
+	for i, name := range []string{r.certFile, r.keyFile} {
+		if info, err := os.Stat(name); err == nil {
+			s[i] = stamp{changed: info.ModTime(), size: info.Size()}
 		}
 	}
-	return false
+	return s
 }
