--- a/instance/dispatch/attempt.go
+++ b/instance/dispatch/attempt.go
@@ -120,7 +120,7 @@
 		ev, err := a.stream.Next()
 		if err == nil {
 			a.progress(ev)
-			return Event{Data: ev.Data, Chunk: ev.Chunk, AttemptID: a.id}, nil
+			return Event{Data: ev.Data, Head: ev.Head, AttemptID: a.id}, nil
 		}
 		if !a.resume(err) {
 			return Event{}, err
@@ -135,7 +135,7 @@
 		a.note("first event from attempt %d", a.number)
 	}
 	a.events++
-	a.tokens += ev.Chunk.Tokens()
+	a.tokens += ev.Head.Tokens
 	a.lease.Progress(a.tokens)
 }
 
--- a/instance/dispatch/dispatch.go
+++ b/instance/dispatch/dispatch.go
@@ -86,10 +86,10 @@
 // AttemptID changes, a Restartable job has started over and what came before is
 // void.
 type Event struct {
-	// Data is one chunk, carrying the ID "chatcmpl-" + AttemptID; Chunk is the
-	// same decoded.
+	// Data is one chunk, carrying the ID "chatcmpl-" + AttemptID; Head is what it
+	// says at a glance.
 	Data      []byte
-	Chunk     *chat.Chunk
+	Head      chat.Head
 	AttemptID string
 }
 
--- a/instance/dispatch/run.go
+++ b/instance/dispatch/run.go
@@ -56,6 +56,11 @@
 	return Event{}, io.EOF
 }
 
+// Ready reports whether the next event of the answer is there already.
+func (r *Run) Ready() bool {
+	return r.current != nil && r.current.stream != nil && r.current.stream.Ready()
+}
+
 // Close ends the run: an attempt on its way is cancelled at the engine and what
 // it generated counts as wasted by the given cause.
 func (r *Run) Close(cause telemetry.Cause) {
--- a/instance/dispatch/suite_test.go
+++ b/instance/dispatch/suite_test.go
@@ -20,6 +20,7 @@
 	"github.com/comfreyladder/comfreyladder/core/fault"
 	"github.com/comfreyladder/comfreyladder/core/intent"
 	"github.com/comfreyladder/comfreyladder/core/sched"
+	"github.com/comfreyladder/comfreyladder/instance/chat"
 	"github.com/comfreyladder/comfreyladder/instance/dispatch"
 	"github.com/comfreyladder/comfreyladder/instance/telemetry"
 	"github.com/comfreyladder/comfreyladder/instance/trace"
@@ -232,7 +233,9 @@
 		if attempt != ev.AttemptID {
 			attempt, text = ev.AttemptID, ""
 		}
-		text += ev.Chunk.Choices[0].Delta.Content
+		c, err := chat.ParseChunk(ev.Data)
+		Expect(err).NotTo(HaveOccurred())
+		text += c.Choices[0].Delta.Content
 	}
 }
 
--- a/instance/gateway/chat.go
+++ b/instance/gateway/chat.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"bytes"
 	"context"
 	"io"
 	"net"
@@ -129,11 +128,11 @@
 	return a
 }
 
-// next returns the next chunk, under the ID that the caller knows.
-func (x *exchange) next() (data []byte, c *chat.Chunk, err error) {
+// next returns the next event of the answer, valid until the next call.
+func (x *exchange) next() (dispatch.Event, error) {
 	ev, err := x.run.Next()
 	if err != nil {
-		return nil, nil, err
+		return ev, err
 	}
 	if x.sent != ev.AttemptID {
 		x.sent = ev.AttemptID
@@ -142,8 +141,8 @@
 	if x.first == 0 {
 		x.first = time.Since(x.start)
 	}
-	x.tokens += ev.Chunk.Tokens()
-	return bytes.Replace(ev.Data, []byte(ev.AttemptID), []byte(x.id), 1), ev.Chunk, nil
+	x.tokens += ev.Head.Tokens
+	return ev, nil
 }
 
 func (x *exchange) serveWhole(ctx *fasthttp.RequestCtx) error {
@@ -160,7 +159,7 @@
 	asm := &chat.Assembler{}
 	attempt := ""
 	for {
-		_, c, err := x.next()
+		ev, err := x.next()
 		if errors.Is(err, io.EOF) {
 			return asm.Whole(answerIDPrefix + x.id), nil
 		}
@@ -171,6 +170,10 @@
 			attempt = x.sent
 			asm = &chat.Assembler{}
 		}
+		c, err := chat.ParseChunk(ev.Data)
+		if err != nil {
+			return nil, err
+		}
 		asm.Add(c)
 	}
 }
--- a/instance/gateway/stream.go
+++ b/instance/gateway/stream.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"bytes"
 	"encoding/json"
 	"io"
 
@@ -8,7 +9,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/comfreyladder/comfreyladder/core/fault"
-	"github.com/comfreyladder/comfreyladder/instance/chat"
+	"github.com/comfreyladder/comfreyladder/instance/dispatch"
 	"github.com/comfreyladder/comfreyladder/instance/httpapi"
 	"github.com/comfreyladder/comfreyladder/instance/telemetry"
 )
@@ -22,14 +23,14 @@
 // serveStream waits for the first chunk, so that a request that was not run is
 // answered with a status of its own, and streams from then on.
 func (x *exchange) serveStream(ctx *fasthttp.RequestCtx) (streaming bool, err error) {
-	data, c, err := x.next()
+	ev, err := x.next()
 	if err != nil && !errors.Is(err, io.EOF) {
 		x.end(err, telemetry.CauseBroken)
 		return false, err
 	}
 	ctx.SetContentType("text/event-stream")
 	ctx.Response.Header.Set(fasthttp.HeaderCacheControl, "no-cache")
-	ctx.Response.SetBodyStream(&eventStream{x: x, data: data, chunk: c, err: err, begun: true}, -1)
+	ctx.Response.SetBodyStream(&eventStream{x: x, event: ev, err: err, begun: true}, -1)
 	return true, nil
 }
 
@@ -41,10 +42,10 @@
 // nobody takes a part for the whole.
 type eventStream struct {
 	x *exchange
-	// data, chunk and err are what x.next returned last, when begun is set.
-	data  []byte
-	chunk *chat.Chunk
+	// event and err are what x.next returned last.
+	event dispatch.Event
 	err   error
+	// begun says that the event is yet to be written.
 	begun bool
 	// over is set with the last frame; written when it reached the connection.
 	over    bool
@@ -57,11 +58,24 @@
 // SupportsBodyWriteTo implements fasthttp.BodyWriterTo.
 func (s *eventStream) SupportsBodyWriteTo() bool { return true }
 
-// WriteTo implements io.WriterTo; each frame is written and sent by itself.
+// maxBatch bounds the frames that are sent together, in bytes.
+const maxBatch = 16 << 10
+
+// WriteTo implements io.WriterTo. A frame is sent as soon as no other one is there
+// to go with it: each write costs a system call, and waiting for the next token
+// would hold back this one.
 func (s *eventStream) WriteTo(w io.Writer) (int64, error) {
 	var sum int64
 	for {
-		frame, err := s.next()
+		s.frame = s.frame[:0]
+		err := s.batch()
+		if len(s.frame) > 0 {
+			n, failed := w.Write(s.frame)
+			sum += int64(n)
+			if failed != nil {
+				return sum, fault.Wrap(failed, fault.Canceled, "write to the caller")
+			}
+		}
 		if errors.Is(err, io.EOF) {
 			s.written = true
 			return sum, nil
@@ -69,10 +83,21 @@
 		if err != nil {
 			return sum, err
 		}
-		n, err := w.Write(frame)
-		sum += int64(n)
-		if err != nil {
-			return sum, fault.Wrap(err, fault.Canceled, "write to the caller")
+	}
+}
+
+// batch collects the next frame and those that are there already; io.EOF says
+// that none follows.
+func (s *eventStream) batch() error {
+	for {
+		if err := s.next(); err != nil {
+			return err
+		}
+		if s.over {
+			return io.EOF
+		}
+		if len(s.frame) >= maxBatch || !s.x.run.Ready() {
+			return nil
 		}
 	}
 }
@@ -80,12 +105,12 @@
 // Read implements io.Reader, for callers without chunks.
 func (s *eventStream) Read(p []byte) (int, error) {
 	if len(s.rest) == 0 {
-		frame, err := s.next()
-		if err != nil {
+		s.frame = s.frame[:0]
+		if err := s.next(); err != nil {
 			s.written = errors.Is(err, io.EOF)
 			return 0, err
 		}
-		s.rest = frame
+		s.rest = s.frame
 	}
 	n := copy(p, s.rest)
 	s.rest = s.rest[n:]
@@ -110,41 +135,56 @@
 	return nil
 }
 
-// next returns the next frame, valid until the next call, or io.EOF.
-func (s *eventStream) next() ([]byte, error) {
+// next appends the next frame, or returns io.EOF after the last one.
+func (s *eventStream) next() error {
 	for {
 		if s.over {
-			return nil, io.EOF
+			return io.EOF
 		}
 		if !s.begun {
-			s.data, s.chunk, s.err = s.x.next()
+			s.event, s.err = s.x.next()
 		}
 		s.begun = false
 		switch {
 		case errors.Is(s.err, io.EOF):
 			s.over = true
-			return s.framed([]byte(endMarker)), nil
+			s.add([]byte(endMarker))
+			return nil
 		case s.err != nil:
 			s.over = true
-			return s.failure()
-		case s.chunk.UsageOnly() && !s.x.req.IncludeUsage:
+			return s.addFailure()
+		case s.event.Head.UsageOnly && !s.x.req.IncludeUsage:
 			continue
 		}
-		return s.framed(s.data), nil
+		s.addChunk()
+		return nil
 	}
 }
 
-func (s *eventStream) failure() ([]byte, error) {
+func (s *eventStream) addFailure() error {
 	body, err := json.Marshal(httpapi.Body(s.err, s.x.id))
 	if err != nil {
-		return nil, fault.Wrap(err, fault.Internal, "encode a failure")
+		return fault.Wrap(err, fault.Internal, "encode a failure")
 	}
-	return s.framed(body), nil
+	s.add(body)
+	return nil
+}
+
+// addChunk adds the event under the ID that the caller knows.
+func (s *eventStream) addChunk() {
+	data := s.event.Data
+	s.frame = append(s.frame, framePrefix...)
+	if i := bytes.Index(data, []byte(s.event.AttemptID)); i >= 0 {
+		s.frame = append(s.frame, data[:i]...)
+		s.frame = append(s.frame, s.x.id...)
+		data = data[i+len(s.event.AttemptID):]
+	}
+	s.frame = append(s.frame, data...)
+	s.frame = append(s.frame, frameEnd...)
 }
 
-func (s *eventStream) framed(data []byte) []byte {
-	s.frame = append(s.frame[:0], framePrefix...)
+func (s *eventStream) add(data []byte) {
+	s.frame = append(s.frame, framePrefix...)
 	s.frame = append(s.frame, data...)
 	s.frame = append(s.frame, frameEnd...)
-	return s.frame
 }
--- a/instance/upstream/conn.go
+++ b/instance/upstream/conn.go
@@ -20,6 +20,7 @@
 	raw     *countedConn
 	rw      net.Conn // raw, or TLS over it
 	br      *bufio.Reader
+	bw      *bufio.Writer
 	pool    *pool
 	address string
 
@@ -92,9 +93,11 @@
 	if err = c.rw.SetWriteDeadline(c.sentAt.Add(limit)); err != nil {
 		return false, err
 	}
-	bw := bufio.NewWriter(c.rw)
-	if err = req.Write(bw); err == nil {
-		err = bw.Flush()
+	if c.bw == nil {
+		c.bw = bufio.NewWriter(c.rw)
+	}
+	if err = req.Write(c.bw); err == nil {
+		err = c.bw.Flush()
 	}
 	return c.raw.sent.Load() != before, err
 }
--- a/instance/upstream/sse.go
+++ b/instance/upstream/sse.go
@@ -11,7 +11,8 @@
 	"github.com/comfreyladder/comfreyladder/core/fault"
 )
 
-// rawEvent is one server-sent event: its id and its joined data lines.
+// rawEvent is one server-sent event: its id and its joined data lines, which are
+// valid until the next event is read.
 type rawEvent struct {
 	id    uint64
 	hasID bool
@@ -24,6 +25,7 @@
 	br    *bufio.Reader
 	room  int
 	limit int
+	data  []byte
 }
 
 func newEventReader(r io.Reader, limit int) *eventReader {
@@ -33,7 +35,7 @@
 // next returns the next event that has data. The end of the body is never a
 // clean end here: only the caller knows the end marker.
 func (e *eventReader) next() (rawEvent, error) {
-	var ev rawEvent
+	ev := rawEvent{data: e.data[:0]}
 	hasData := false
 	for {
 		line, err := e.line()
@@ -44,7 +46,7 @@
 			if hasData {
 				return ev, nil
 			}
-			ev = rawEvent{}
+			ev = rawEvent{data: e.data[:0]}
 			continue
 		}
 		name, value, _ := bytes.Cut(line, []byte(":"))
@@ -60,11 +62,24 @@
 				ev.data = append(ev.data, '\n')
 			}
 			ev.data = append(ev.data, value...)
+			e.data = ev.data
 			hasData = true
 		}
 	}
 }
 
+// ready reports whether a whole event is there already, so that next won't wait.
+func (e *eventReader) ready() bool {
+	n := e.br.Buffered()
+	if n == 0 {
+		return false
+	}
+	there, _ := e.br.Peek(n)
+	return bytes.Contains(there, eventEnd)
+}
+
+var eventEnd = []byte("\n\n")
+
 // line returns the next line without its end, valid until the next call.
 func (e *eventReader) line() ([]byte, error) {
 	var long []byte
--- a/instance/upstream/stream.go
+++ b/instance/upstream/stream.go
@@ -6,7 +6,6 @@
 	"io"
 	"net/http/httputil"
 	"strconv"
-	"strings"
 	"time"
 
 	"github.com/pkg/errors"
@@ -30,10 +29,10 @@
 type Event struct {
 	// Seq numbers the events of a stream from 1 on, without a gap.
 	Seq uint64
-	// Data is one JSON chunk of the answer, and Chunk the same decoded. Both are
-	// valid until the next call of Next.
-	Data  []byte
-	Chunk *chat.Chunk
+	// Data is one JSON chunk of the answer, and Head what it says at a glance.
+	// Both are valid until the next call of Next.
+	Data []byte
+	Head chat.Head
 }
 
 // Option changes how a stream is asked for.
@@ -182,6 +181,9 @@
 	}
 }
 
+// Ready reports whether Next has an event or a failure without waiting.
+func (s *Stream) Ready() bool { return s.err != nil || s.events.ready() }
+
 // check admits an event of this request that follows the last one; io.EOF
 // stands for the end marker.
 func (s *Stream) check(raw rawEvent) (Event, error) {
@@ -195,22 +197,22 @@
 	if done {
 		return Event{}, io.EOF
 	}
-	chunk, err := s.chunk(raw.data)
-	return Event{Seq: raw.id, Data: raw.data, Chunk: chunk}, err
+	head, err := s.head(raw.data)
+	return Event{Seq: raw.id, Data: raw.data, Head: head}, err
 }
 
-func (s *Stream) chunk(data []byte) (*chat.Chunk, error) {
-	chunk, err := chat.ParseChunk(data)
+func (s *Stream) head(data []byte) (chat.Head, error) {
+	head, err := chat.HeadOf(data)
 	if err != nil {
-		return nil, fault.Wrap(err, fault.StreamBroken, "an event is no chunk")
+		return head, fault.Wrap(err, fault.StreamBroken, "an event is no chunk")
 	}
-	if chunk.Failed {
-		return nil, fault.New(fault.StreamBroken, "the engine reported a failure in the stream")
+	if head.Failed {
+		return head, fault.New(fault.StreamBroken, "the engine reported a failure in the stream")
 	}
-	if id, ok := strings.CutPrefix(chunk.ID, chunkPrefix); !ok || id != s.a.id {
-		return nil, fault.New(fault.StreamBroken, "a chunk carries the ID %q, not %q", chunk.ID, chunkPrefix+s.a.id)
+	if id, ok := bytes.CutPrefix(head.ID, []byte(chunkPrefix)); !ok || string(id) != s.a.id {
+		return head, fault.New(fault.StreamBroken, "a chunk carries the ID %q, not %q", head.ID, chunkPrefix+s.a.id)
 	}
-	return chunk, nil
+	return head, nil
 }
 
 func (s *Stream) fail(err error) error {
