--- a/proof/system/service_test.go
+++ b/proof/system/service_test.go
@@ -1,8 +1,11 @@
 package system_test
 
 import (
+	"fmt"
 	"net"
 	"os"
+	"strconv"
+	"strings"
 	"syscall"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -68,8 +71,9 @@
 			defer GinkgoRecover()
 			_ = north.book("late", "4711")
 		}()
-		// The claim is committed; north waits for its connection.
-		Eventually(func() int { return south.book("late", "4711").status }, patience, poll).Should(Equal(409))
+		// The claim is committed when north wants its connection.
+		Eventually(narrow.wanted, patience, poll).Should(BeTrue())
+		Expect(south.book("late", "4711").status).To(Equal(409))
 		north.process.signal(syscall.SIGSTOP)
 		narrow.open(svc.address)
 		Eventually(func() string { return south.book("late", "4711").code() }, patience, poll).Should(Equal("outcome_unknown"))
@@ -134,6 +138,24 @@
 	return n
 }
 
+// wanted reports whether some process waits for a connection to it.
+func (n *narrow) wanted() bool {
+	const synSent = "02"
+	_, port, err := net.SplitHostPort(n.address)
+	Expect(err).NotTo(HaveOccurred())
+	number, err := strconv.Atoi(port)
+	Expect(err).NotTo(HaveOccurred())
+	table, err := os.ReadFile("/proc/net/tcp")
+	Expect(err).NotTo(HaveOccurred())
+	remote := fmt.Sprintf("0100007F:%04X", number)
+	for line := range strings.Lines(string(table)) {
+		if f := strings.Fields(line); len(f) > 3 && f[2] == remote && f[3] == synSent {
+			return true
+		}
+	}
+	return false
+}
+
 // open lets connections in and carries them to another address.
 func (n *narrow) open(to string) {
 	f := os.NewFile(uintptr(n.fd), "narrow")
