A process that was frozen while it connected sends nothing after its time limit

The clock is looked at before the first byte: after a freeze the connection may be there before the timer of the context has run. The freeze test now asks that nothing was sent; it fails without the claim's time limit at the send.

--- a/instance/gateway/suite_test.go
+++ b/instance/gateway/suite_test.go
@@ -45,9 +45,7 @@
 
 // engine answers each request with its own prompt, in as many events as asked.
 type engine struct {
-	ln net.Listener
-	// hold, if set, is waited for before the end of each answer.
-	hold   chan struct{}
+	ln     net.Listener
 	events int
 }
 
--- a/instance/upstream/attempt.go
+++ b/instance/upstream/attempt.go
@@ -50,6 +50,12 @@
 	if failed != nil {
 		return nil, failed
 	}
+	// A process that was frozen while it connected may come here long after its
+	// time limit, before the timer of ctx has run; the clock tells.
+	if limit, ok := ctx.Deadline(); ok && !time.Now().Before(limit) {
+		cn.drop()
+		return nil, notSent(t, context.DeadlineExceeded, "the time limit passed before the request was sent")
+	}
 	a := &attempt{client: c, ctx: ctx, target: t, id: id, conn: cn, anonymous: opt.anonymous, resp: &fasthttp.Response{}}
 	// Closing the connection wakes a read or write at once when ctx ends.
 	a.detach = context.AfterFunc(ctx, func() { _ = cn.raw.Close() })
--- a/proof/system/service_test.go
+++ b/proof/system/service_test.go
@@ -65,11 +65,10 @@
 		s.announce(announce.Beat{Name: "s-south", Domain: "south", Kind: intent.KindService, Service: "booking", Address: svc.address, Slots: 4})
 		s.see("north", 1)
 		s.see("south", 1)
-		done := make(chan struct{})
+		first := make(chan *reply, 1)
 		go func() {
-			defer close(done)
 			defer GinkgoRecover()
-			_ = north.book("late", "4711")
+			first <- north.book("late", "4711")
 		}()
 		// The claim is committed when north wants its connection.
 		Eventually(narrow.wanted, patience, poll).Should(BeTrue())
@@ -79,8 +78,11 @@
 		Eventually(func() string { return south.book("late", "4711").code() }, patience, poll).Should(Equal("outcome_unknown"))
 		Eventually(narrow.connected, patience).Should(BeClosed())
 		north.process.signal(syscall.SIGCONT)
-		<-done
-		// Nothing was sent and the claim is given back, so that a resend runs.
+		r := <-first
+		Expect(r.status).To(Equal(503), r.body)
+		Expect(r.saysNotRun()).To(BeTrue())
+		Expect(svc.effects("late")).To(BeZero())
+		// The claim is given back, so that a resend runs.
 		Eventually(func() int { return south.book("late", "4711").status }, patience, poll).Should(Equal(201))
 		Expect(svc.effects("late")).To(Equal(1))
 	})
