--- a/instance/dispatch/dispatch.go
+++ b/instance/dispatch/dispatch.go
@@ -86,10 +86,10 @@
 // AttemptID changes, a Restartable job has started over and what came before is
 // void.
 type Event struct {
-	// Data is one chunk, carrying the ID "chatcmpl-" + AttemptID; Chunk is the
-	// same decoded.
+	// Data is one chunk, carrying the ID "chatcmpl-" + AttemptID; Head is what it
+	// says at a glance.
 	Data      []byte
-	Chunk     *chat.Chunk
+	Head      chat.Head
 	AttemptID string
 }
 
@@ -99,10 +99,6 @@
 	return &Run{d: d, ctx: ctx, job: job}
 }
 
-// AllowRetry takes one retry of the named kind of work from its budget, or
-// reports that it is spent.
-func (d *Dispatcher) AllowRetry(kind string) bool { return d.spend(kind) }
-
 func (d *Dispatcher) first(class string) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/proof/system/service_test.go
+++ b/proof/system/service_test.go
@@ -65,23 +65,24 @@
 		s.announce(announce.Beat{Name: "s-south", Domain: "south", Kind: intent.KindService, Service: "booking", Address: svc.address, Slots: 4})
 		s.see("north", 1)
 		s.see("south", 1)
-		done := make(chan struct{})
+		first := make(chan *reply, 1)
 		go func() {
-			defer close(done)
 			defer GinkgoRecover()
-			_ = north.book("late", "4711")
+			first <- north.book("late", "4711")
 		}()
-		// The claim is committed; north waits for its connection. To freeze it
-		// before it has asked for one would leave the last check untried.
-		Eventually(narrow.awaited, patience, poll).Should(BeTrue())
+		// The claim is committed when north wants its connection.
+		Eventually(narrow.wanted, patience, poll).Should(BeTrue())
 		Expect(south.book("late", "4711").status).To(Equal(409))
 		north.process.signal(syscall.SIGSTOP)
 		narrow.open(svc.address)
 		Eventually(func() string { return south.book("late", "4711").code() }, patience, poll).Should(Equal("outcome_unknown"))
 		Eventually(narrow.connected, patience).Should(BeClosed())
 		north.process.signal(syscall.SIGCONT)
-		<-done
-		// Nothing was sent and the claim is given back, so that a resend runs.
+		r := <-first
+		Expect(r.status).To(Equal(503), r.body)
+		Expect(r.saysNotRun()).To(BeTrue())
+		Expect(svc.effects("late")).To(BeZero())
+		// The claim is given back, so that a resend runs.
 		Eventually(func() int { return south.book("late", "4711").status }, patience, poll).Should(Equal(201))
 		Expect(svc.effects("late")).To(Equal(1))
 	})
@@ -139,8 +140,8 @@
 	return n
 }
 
-// awaited reports whether the kernel is trying to connect somebody here.
-func (n *narrow) awaited() bool {
+// wanted reports whether some process waits for a connection to it.
+func (n *narrow) wanted() bool {
 	const synSent = "02"
 	_, port, err := net.SplitHostPort(n.address)
 	Expect(err).NotTo(HaveOccurred())
@@ -148,9 +149,9 @@
 	Expect(err).NotTo(HaveOccurred())
 	table, err := os.ReadFile("/proc/net/tcp")
 	Expect(err).NotTo(HaveOccurred())
+	remote := fmt.Sprintf("0100007F:%04X", number)
 	for line := range strings.Lines(string(table)) {
-		f := strings.Fields(line)
-		if len(f) > 3 && f[3] == synSent && strings.HasSuffix(f[2], fmt.Sprintf(":%04X", number)) {
+		if f := strings.Fields(line); len(f) > 3 && f[2] == remote && f[3] == synSent {
 			return true
 		}
 	}
