Tree: no leases in a circle, and no long passing over of a parent that answers

One confirm in some hundred waited a whole lease of 5 s. Two instances asked the leader just before it took a revision in that they had, passed it over for 5 s as behind, and were content with leases from each other, which nobody renewed: their reports of the older revision stood until the leases ended. A parent that answers is now passed over for one interval, and nobody gives a lease to its own parent.

--- a/core/tree/follower.go
+++ b/core/tree/follower.go
@@ -131,14 +131,20 @@
 	}
 }
 
-// Answer returns what a child is told that asks q.
+// Answer returns what a child is told that asks q, with a lease if there is one.
 func (f *Follower) Answer(now time.Time, from Child, q Question) Update {
-	v := f.latest()
-	u := Update{Revision: v.revision, Sum: v.sum}
+	u := f.Inform(q)
 	if l := f.Lease(now); l.Valid {
 		u.LeaseMillis = l.Until.Sub(now).Milliseconds()
 		f.grant(from, q.Acted)
 	}
+	return u
+}
+
+// Inform is Answer without a lease.
+func (f *Follower) Inform(q Question) Update {
+	v := f.latest()
+	u := Update{Revision: v.revision, Sum: v.sum}
 	switch {
 	case q.Revision >= v.revision:
 		u.Unchanged = true
--- a/instance/spread/ask.go
+++ b/instance/spread/ask.go
@@ -42,6 +42,9 @@
 func (s *Service) round(ctx context.Context) {
 	layout := s.cfg.Layout()
 	if layout.Root == layout.Self.Name {
+		s.mu.Lock()
+		s.parent = ""
+		s.mu.Unlock()
 		return
 	}
 	asked := 0
@@ -53,10 +56,11 @@
 			continue
 		}
 		asked++
-		if s.ask(ctx, name) {
+		leased, err := s.ask(ctx, name)
+		if leased {
 			return
 		}
-		s.pass(name)
+		s.pass(name, err)
 	}
 	if asked == 0 {
 		s.mu.Lock()
@@ -71,10 +75,13 @@
 	return time.Now().Before(s.passedOver[name])
 }
 
-func (s *Service) pass(name string) {
+func (s *Service) pass(name string, err error) {
 	pause := passOver
-	if s.starts() {
+	switch {
+	case s.starts():
 		pause = startInterval
+	case err == nil:
+		pause = s.cfg.Interval
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -83,7 +90,7 @@
 
 // ask puts the question to one candidate and reports whether it is a parent to
 // stay with: one that answers, is not behind and gives a lease.
-func (s *Service) ask(ctx context.Context, name string) bool {
+func (s *Service) ask(ctx context.Context, name string) (bool, error) {
 	s.mu.Lock()
 	s.require()
 	q := question{Question: s.state.Question(time.Now(), name), Start: s.start}
@@ -95,9 +102,8 @@
 	}
 	if err != nil {
 		s.cfg.Log.Debug().Err(err).Str("peer", name).Msg("configuration not got")
-		return false
 	}
-	return leased
+	return leased, err
 }
 
 func (s *Service) askOnce(ctx context.Context, name string, q question) (bool, error) {
--- a/instance/spread/spread.go
+++ b/instance/spread/spread.go
@@ -37,8 +37,10 @@
 	startPhase    = 10 * time.Second
 	// askTimeout bounds one question; whole contents may be some megabytes.
 	askTimeout = time.Second
-	// passOver is for how long a parent that failed is not asked.
-	passOver = 5 * time.Second
+	// passOver is for how long a parent that failed is not asked. One that
+	// answers, but without a lease or with less than is known here, as right
+	// before it takes a change in, is passed over for one interval.
+	passOver = 2 * time.Second
 	// maxAsked bounds how many candidates are asked in one round.
 	maxAsked = 4
 	// childRounds is after how many silent intervals a child is forgotten.
@@ -315,5 +317,10 @@
 	if !s.state.Ready() {
 		return nil, fault.New(fault.Unavailable, "this instance has no configuration yet")
 	}
+	if from == s.parent {
+		// A lease from this instance would be the asking one's own, and while
+		// both were content with it neither would look for a fresh one.
+		return s.state.Inform(q.Question), nil
+	}
 	return s.state.Answer(time.Now(), tree.Child{Name: from, Start: q.Start}, q.Question), nil
 }
