Nobody acts on an older revision after a restart of all

A member now makes a revision durable before it acts on it and begins with that after a restart; an instance without a disk needs a lease with its first configuration, or waits ten seconds for one.

--- a/core/tree/grants.go
+++ b/core/tree/grants.go
@@ -31,6 +31,10 @@
 // ActsOn returns what this instance acts on; zero for nothing yet.
 func (f *Follower) ActsOn() uint64 { return f.acted }
 
+// Proved reports whether a lease ever came with a revision, so that it was the
+// newest when it was asked for.
+func (f *Follower) Proved() bool { return !f.given.IsZero() || !f.until.IsZero() }
+
 func (f *Follower) take(until time.Time) {
 	if until.After(f.given) {
 		f.given = until
--- a/instance/control/control.go
+++ b/instance/control/control.go
@@ -120,6 +120,9 @@
 	if err != nil {
 		return err
 	}
+	if err := s.recall(); err != nil {
+		return err
+	}
 	if id.Cluster != "" {
 		if err := s.startGroup(id); err != nil {
 			return err
--- a/instance/daemon/cluster.go
+++ b/instance/daemon/cluster.go
@@ -108,7 +108,7 @@
 			Links: links, Layout: func() spread.Layout { return d.layout(k, members) }, Floor: members.RevisionSeen, Log: d.log,
 			Interval: min(spread.DefaultInterval, d.cfg.Control.Lease/questionsPerLease),
 		})
-		s.Subscribe(func(revision uint64, data []byte) { d.takeRevision(conf, members, revision, data) })
+		s.Subscribe(func(revision uint64, data []byte) { d.takeRevision(k, conf, members, revision, data) })
 		return s, nil
 	}}
 }
@@ -118,10 +118,13 @@
 // lasts until its next question.
 const questionsPerLease = 5
 
-func (d *Daemon) takeRevision(conf *config.Service, members *member.Service, revision uint64, data []byte) {
+func (d *Daemon) takeRevision(k *kernel.Kernel, conf *config.Service, members *member.Service, revision uint64, data []byte) {
 	doc, err := control.Decode(data)
+	if err == nil {
+		err = remember(k, revision, data)
+	}
 	if err != nil {
-		d.log.Error().Err(err).Uint64("revision", revision).Msg("revision not readable")
+		d.log.Error().Err(err).Uint64("revision", revision).Msg("revision not taken")
 		return
 	}
 	if conf.Apply(revision, doc) {
@@ -129,6 +132,14 @@
 	}
 }
 
+func remember(k *kernel.Kernel, revision uint64, data []byte) error {
+	c, err := kernel.Lookup[*control.Service](k, nameControl)
+	if err != nil {
+		return err
+	}
+	return c.Remember(revision, data)
+}
+
 func (d *Daemon) layout(k *kernel.Kernel, members *member.Service) spread.Layout {
 	l := spread.Layout{Self: tree.Node{Name: d.cfg.Instance.Name, Domain: d.cfg.Instance.FailureDomain, Data: d.cfg.Instance.DataFolder != ""}}
 	if c, err := kernel.Lookup[*control.Service](k, nameControl); err == nil {
--- a/instance/spread/ask.go
+++ b/instance/spread/ask.go
@@ -12,6 +12,7 @@
 	for {
 		began := time.Now()
 		s.round(ctx)
+		wake(s.fresh)
 		timer := time.NewTimer(time.Until(began.Add(s.interval())))
 		select {
 		case <-timer.C:
--- a/instance/spread/spread.go
+++ b/instance/spread/spread.go
@@ -98,8 +98,10 @@
 	fresh  chan struct{}
 
 	// start tells this process from earlier ones of its name.
-	start   uint64
-	started time.Time
+	start uint64
+	// published says that this instance holds control state.
+	published bool
+	started   time.Time
 
 	mu          sync.Mutex
 	state       *tree.Follower
@@ -170,6 +172,7 @@
 	s.mu.Lock()
 	before := s.state.Revision()
 	err := s.state.Publish(revision, data)
+	s.published = s.published || err == nil
 	after := s.state.Revision()
 	s.mu.Unlock()
 	if after != before {
@@ -234,7 +237,17 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.require()
-	return s.state.Ready()
+	return s.ready()
+}
+
+// ready needs mu. An instance without a data folder has forgotten what it acted
+// on, and after a restart of all so have the others, and a parent may be behind:
+// its first configuration must come with a lease, which proves it the newest. In
+// a failure domain that is cut off there is none, and after startPhase what the
+// others of the domain know has to do.
+func (s *Service) ready() bool {
+	proved := s.published || s.state.Proved() || time.Since(s.started) > startPhase
+	return proved && s.state.Ready()
 }
 
 // Revision returns the revision in force; zero when there is none.
@@ -269,7 +282,7 @@
 			return
 		}
 		s.mu.Lock()
-		revision, data, ready := s.state.Revision(), s.state.Content(), s.state.Ready()
+		revision, data, ready := s.state.Revision(), s.state.Content(), s.ready()
 		subscribers := s.subscribers
 		s.mu.Unlock()
 		if !ready || revision <= told {
@@ -314,7 +327,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.children[from] = time.Now()
-	if !s.state.Ready() {
+	if !s.ready() {
 		return nil, fault.New(fault.Unavailable, "this instance has no configuration yet")
 	}
 	if from == s.parent {
--- a/proof/system/control_test.go
+++ b/proof/system/control_test.go
@@ -72,11 +72,21 @@
 
 var domains = []string{"north", "south", "east"}
 
+// shortLease keeps the waits for leases short.
+const shortLease = "[control]\nconfiguration_lease = 1s\n"
+
+// newControlSite starts a site whose instances all have their first lease.
+func newControlSite(perDomain int) *site {
+	s := newSiteWith(siteOptions{settings: shortLease}, perDomain, domains...)
+	s.startAll()
+	s.awaitLeases()
+	return s
+}
+
+
 var _ = Describe("An operator's intent", func() {
 	It("is in force at every instance of every failure domain when its confirm returns", func() {
-		s := newSite(2, domains...)
-		s.startAll()
-		s.awaitLeases()
+		s := newControlSite(2)
 		in := s.instances["south-2"]
 		for n := range 5 {
 			base, doc := in.withFloor(0.2 + float64(n)/100)
@@ -93,8 +103,7 @@
 	// two instances at once. One wins; the other must learn that it lost and to
 	// whom. Both resend, also after every instance was killed and restarted.
 	It("has one winner when operators race, also for resends after a restart of all", func() {
-		s := newSite(1, domains...)
-		s.startAll()
+		s := newControlSite(1)
 		north, south := s.instances["north-1"], s.instances["south-1"]
 		base, a := north.withFloor(0.21)
 		_, b := north.withFloor(0.22)
@@ -139,8 +148,7 @@
 	// leader among them. Afterwards all restart, diskless ones too. Nobody may act
 	// on an older revision than the last one accepted.
 	It("survives hundreds of changes with kills and restarts in between", func() {
-		s := newSite(2, domains...)
-		s.startAll()
+		s := newControlSite(2)
 		victims := []string{"north-1", "south-2", "east-1", "north-2", "south-1"}
 		last := 0.0
 		in := s.instances["east-2"]
@@ -170,8 +178,7 @@
 	// its old name, and status says that it is repaired. Right then a second member
 	// dies. What was accepted before must still be there, and changes go on.
 	It("loses nothing when a second instance dies right after a disk was replaced", func() {
-		s := newSite(1, domains...)
-		s.startAll()
+		s := newControlSite(1)
 		north, south, east := s.instances["north-1"], s.instances["south-1"], s.instances["east-1"]
 		base, doc := north.withFloor(0.3)
 		_, err := north.confirm("alice", 1, base, doc)
@@ -197,8 +204,7 @@
 	// confirm waits until the silent domain must know that it is cut off. It goes
 	// on serving, says so in its status, and follows as soon as it is back.
 	It("waits out a silent domain's lease, and the domain follows when it is back", func() {
-		s := newSite(1, domains...)
-		s.startAll()
+		s := newControlSite(1)
 		leader := s.leader()
 		var cut, other *instance
 		for _, in := range s.instances {
@@ -223,8 +229,7 @@
 	// Two of three members are cut off. The third must not accept a confirm, and
 	// what it could not accept must not be in force later by surprise.
 	It("is not accepted by a minority", func() {
-		s := newSite(1, domains...)
-		s.startAll()
+		s := newControlSite(1)
 		north := s.instances["north-1"]
 		base, doc := north.withFloor(0.4)
 		s.instances["south-1"].process.signal(syscall.SIGSTOP)
