Operators' API and command for unknown outcomes and control members

unknown lists at-most-once calls whose outcome is unknown, resolve settles one by the operator's word (not-run needs --i-have-proof, as a resend runs the call then). member list shows the control group as its leader knows it, member remove removes a member that was silent for ten seconds; one that is heard is refused.

--- a/instance/admin/admin.go
+++ b/instance/admin/admin.go
@@ -30,6 +30,8 @@
 type Config struct {
 	Config    *config.Service
 	Control   Control
+	Claims    Claims
+	Group     Group
 	Telemetry *telemetry.Service
 	Log       zerolog.Logger
 	Status    func() Status
@@ -57,6 +59,8 @@
 	}
 	path := string(ctx.Path())
 	switch {
+	case strings.HasPrefix(path, PathClaims), strings.HasPrefix(path, PathMembers):
+		return a.routeGroup(ctx, op, path)
 	case path == PathPlan && ctx.IsPost():
 		return a.plan(ctx)
 	case path == PathConfirm && ctx.IsPost():
@@ -75,6 +79,20 @@
 	return fault.New(fault.NotFound, "%s %s is not part of this API", ctx.Method(), path)
 }
 
+func (a *API) routeGroup(ctx *fasthttp.RequestCtx, op *intent.Operator, path string) error {
+	switch {
+	case path == PathClaims && ctx.IsGet():
+		return a.unknowns(ctx)
+	case path == PathResolve && ctx.IsPost():
+		return a.resolve(ctx, op)
+	case path == PathMembers && ctx.IsGet():
+		return a.group(ctx)
+	case path == PathRemove && ctx.IsPost():
+		return a.removeMember(ctx, op)
+	}
+	return fault.New(fault.NotFound, "%s %s is not part of this API", ctx.Method(), path)
+}
+
 func (a *API) authenticate(ctx *fasthttp.RequestCtx) (*intent.Operator, error) {
 	view, err := a.cfg.Config.Current()
 	if err != nil {
--- a/instance/admin/types.go
+++ b/instance/admin/types.go
@@ -16,6 +16,10 @@
 	PathIntent   = "/v1/operator/intent"
 	PathStatus   = "/v1/operator/status"
 	PathRequests = "/v1/operator/requests/"
+	PathClaims   = "/v1/operator/claims/unknown"
+	PathResolve  = "/v1/operator/claims/unknown/resolve"
+	PathMembers  = "/v1/operator/members"
+	PathRemove   = "/v1/operator/members/remove"
 	PathMetrics  = "/metrics"
 )
 
--- a/instance/control/calls.go
+++ b/instance/control/calls.go
@@ -97,7 +97,8 @@
 func (s *Service) readNewest(ctx context.Context) (a readAnswer, err error) {
 	g := s.group.Load()
 	if g == nil {
-		return a, s.ask(ctx, channelRead, struct{}{}, &a)
+		err = s.ask(ctx, channelRead, struct{}{}, &a)
+		return a, err
 	}
 	if _, err := g.Read(ctx); err != nil {
 		return a, err
--- a/instance/control/control.go
+++ b/instance/control/control.go
@@ -36,6 +36,8 @@
 	channelPropose  = "control.propose"
 	channelRead     = "control.read"
 	channelForce    = "control.force"
+	channelUnknowns = "control.unknowns"
+	channelGroup    = "control.group"
 )
 
 // Links is what this service needs of instance/link.
@@ -107,6 +109,8 @@
 	cfg.Links.Handle(channelPropose, s.receivePropose)
 	cfg.Links.Handle(channelRead, s.receiveRead)
 	cfg.Links.Handle(channelForce, s.receiveForce)
+	cfg.Links.Handle(channelUnknowns, s.receiveUnknowns, link.Bulk())
+	cfg.Links.Handle(channelGroup, s.receiveGroup)
 	return s
 }
 
--- a/instance/control/force.go
+++ b/instance/control/force.go
@@ -63,7 +63,8 @@
 	g := s.group.Load()
 	var a forceAnswer
 	if g == nil {
-		return a.InForce, s.ask(ctx, channelForce, q, &a)
+		err := s.ask(ctx, channelForce, q, &a)
+		return a.InForce, err
 	}
 	st := g.Status()
 	if st.Leader == st.ID {
--- /dev/null
+++ b/instance/control/operate.go
@@ -0,0 +1,173 @@
+package control
+
+import (
+	"context"
+	"strconv"
+	"time"
+
+	"github.com/comfreyladder/comfreyladder/core/claim"
+	corecontrol "github.com/comfreyladder/comfreyladder/core/control"
+	"github.com/comfreyladder/comfreyladder/core/fault"
+	"github.com/comfreyladder/comfreyladder/core/raft"
+	"github.com/comfreyladder/comfreyladder/instance/admin"
+	"github.com/comfreyladder/comfreyladder/instance/consensus"
+	"github.com/comfreyladder/comfreyladder/instance/link"
+	"github.com/comfreyladder/comfreyladder/instance/plain"
+)
+
+const (
+	// maxUnknowns bounds one list of calls with an unknown outcome.
+	maxUnknowns = 1000
+	// removableAfter is the silence after which a member may be removed by an
+	// operator; one that is heard would only lose its vote for nothing.
+	removableAfter = 10 * time.Second
+)
+
+// Unknowns implements admin.Claims.
+func (s *Service) Unknowns(ctx context.Context) (list []claim.Named, err error) {
+	g := s.group.Load()
+	if g == nil {
+		err = s.ask(ctx, channelUnknowns, struct{}{}, &list)
+		return list, err
+	}
+	if _, err := g.Read(ctx); err != nil {
+		return nil, err
+	}
+	g.View(func(_ uint64, m *corecontrol.Mux) {
+		list = m.Machine(plain.MachineName).(*claim.Machine).Unknowns(time.Now(), maxUnknowns)
+	})
+	return list, nil
+}
+
+func (s *Service) receiveUnknowns(ctx context.Context, _ string, _ link.Message) (any, error) {
+	if s.group.Load() == nil {
+		return nil, fault.New(fault.NotRun, "this instance holds no control state")
+	}
+	return s.Unknowns(ctx)
+}
+
+// Resolve implements admin.Claims. The attempt is looked up first, so that the
+// operator's word counts for the attempt that was unknown, and for no later one.
+func (s *Service) Resolve(ctx context.Context, operator string, key claim.Key, as claim.Outcome) error {
+	ledger := plain.ProposeFunc(s.Propose)
+	r, err := ledger.Submit(ctx, &claim.Command{Op: claim.OpLook, Key: key})
+	if err != nil {
+		return err
+	}
+	if r.Verdict == claim.Absent {
+		return fault.New(fault.NotFound, "no call with key %q is claimed", key.Idempotency)
+	}
+	if r.Verdict != claim.OutcomeUnknown || r.View == nil {
+		return fault.New(fault.Conflict, "the outcome of this call is not unknown: %s", r.Verdict)
+	}
+	c := &claim.Command{Op: claim.OpResolve, Key: key, Attempt: r.View.Attempt, Outcome: as, By: "operator " + operator}
+	if status := resolvedStatus[as]; status != 0 {
+		c.Receipt = &claim.Receipt{Status: status, Truncated: true}
+	}
+	if r, err = ledger.Submit(ctx, c); err != nil {
+		return err
+	}
+	if r.Verdict != claim.Recorded {
+		return fault.New(fault.Conflict, "the call was not resolved: %s", r.Verdict)
+	}
+	return nil
+}
+
+// resolvedStatus is what a resend is answered after an operator's word, since the
+// service's own answer is not known.
+var resolvedStatus = map[claim.Outcome]int{claim.Done: 200, claim.Rejected: 409}
+
+type groupRequest struct {
+	// Remove is the member to remove; zero for none.
+	Remove  raft.MemberID `codec:"r"`
+	Relayed bool          `codec:"y,omitempty"`
+}
+
+// Group implements admin.Group: the members as their leader knows them.
+func (s *Service) Group(ctx context.Context) ([]admin.Member, error) {
+	return s.askGroup(ctx, groupRequest{})
+}
+
+// RemoveMember implements admin.Group. It refuses a member that is heard.
+func (s *Service) RemoveMember(ctx context.Context, id string) ([]admin.Member, error) {
+	n, err := strconv.ParseUint(id, 16, 64)
+	if err != nil || n == 0 {
+		return nil, fault.New(fault.Invalid, "member %q: the ID as a list of members shows it is needed", id)
+	}
+	return s.askGroup(ctx, groupRequest{Remove: raft.MemberID(n)})
+}
+
+func (s *Service) askGroup(ctx context.Context, q groupRequest) (list []admin.Member, err error) {
+	g := s.group.Load()
+	if g == nil {
+		err = s.ask(ctx, channelGroup, q, &list)
+		return list, err
+	}
+	st := g.Status()
+	switch {
+	case st.Leader == st.ID:
+		return s.answerGroup(ctx, g, q)
+	case st.Leader == 0 || q.Relayed:
+		return nil, fault.New(fault.NotRun, "no leader is known").After(joinEvery)
+	}
+	q.Relayed = true
+	err = s.cfg.Links.Call(ctx, s.Leader(), channelGroup, q, &list)
+	return list, err
+}
+
+func (s *Service) receiveGroup(ctx context.Context, _ string, m link.Message) (any, error) {
+	var q groupRequest
+	if err := m.Decode(&q); err != nil {
+		return nil, err
+	}
+	if s.group.Load() == nil {
+		return nil, fault.New(fault.NotRun, "this instance holds no control state")
+	}
+	return s.askGroup(ctx, q)
+}
+
+// answerGroup answers at the leader.
+func (s *Service) answerGroup(ctx context.Context, g *consensus.Service, q groupRequest) ([]admin.Member, error) {
+	if q.Remove != 0 {
+		if err := removable(g.Status(), q.Remove); err != nil {
+			return nil, err
+		}
+		if err := g.Remove(ctx, q.Remove); err != nil {
+			return nil, err
+		}
+		s.cfg.Log.Warn().Str("member", formatMember(q.Remove)).Msg("an operator removed a control member")
+	}
+	st := g.Status()
+	silent := silences(st)
+	var list []admin.Member
+	for _, m := range st.Members {
+		list = append(list, admin.Member{
+			ID: formatMember(m.ID), Name: m.Name, Voter: m.Voter, Leader: m.ID == st.Leader, SilentMS: silent[m.ID].Milliseconds(),
+		})
+	}
+	return list, nil
+}
+
+// removable guards against the removal of a member by a slip: with a live one
+// less, the next loss of a disk can cost the quorum.
+func removable(st consensus.Status, id raft.MemberID) error {
+	m, known := st.Members.Get(id)
+	if !known {
+		return fault.New(fault.NotFound, "no member %s", formatMember(id))
+	}
+	if silent := silences(st)[id]; id == st.ID || silent < removableAfter {
+		return fault.New(fault.Conflict, "member %s of %s was heard %s ago; only one that is silent for %s may be removed",
+			formatMember(id), m.Name, silent.Round(time.Millisecond), removableAfter)
+	}
+	return nil
+}
+
+func silences(st consensus.Status) map[raft.MemberID]time.Duration {
+	silent := map[raft.MemberID]time.Duration{}
+	for _, f := range st.Followers {
+		silent[f.ID] = f.Silent
+	}
+	return silent
+}
+
+func formatMember(id raft.MemberID) string { return strconv.FormatUint(uint64(id), 16) }
--- a/instance/daemon/http.go
+++ b/instance/daemon/http.go
@@ -185,7 +185,7 @@
 		}
 		e := newExplainer(d.cfg.Instance.Name, p)
 		api := admin.New(admin.Config{
-			Config: p.config, Control: p.control, Telemetry: p.telemetry, Log: d.log,
+			Config: p.config, Control: p.control, Claims: p.control, Group: p.control, Telemetry: p.telemetry, Log: d.log,
 			Status:  func() admin.Status { return d.status(p, g) },
 			Explain: e.explain,
 		})
--- a/operator/client/client.go
+++ b/operator/client/client.go
@@ -57,6 +57,32 @@
 	return out, c.do(fasthttp.MethodGet, admin.PathRequests+id, nil, out)
 }
 
+// Unknowns lists at-most-once calls whose outcome is unknown.
+func (c *Client) Unknowns() ([]admin.UnknownCall, error) {
+	var out []admin.UnknownCall
+	err := c.do(fasthttp.MethodGet, admin.PathClaims, nil, &out)
+	return out, err
+}
+
+// Resolve settles an unknown outcome by the operator's word.
+func (c *Client) Resolve(r *admin.Resolution) error {
+	return c.do(fasthttp.MethodPost, admin.PathResolve, r, &admin.Resolution{})
+}
+
+// Group lists the members of the control group.
+func (c *Client) Group() ([]admin.Member, error) {
+	var out []admin.Member
+	err := c.do(fasthttp.MethodGet, admin.PathMembers, nil, &out)
+	return out, err
+}
+
+// RemoveMember removes a silent member from the control group for good.
+func (c *Client) RemoveMember(id string) ([]admin.Member, error) {
+	var out []admin.Member
+	err := c.do(fasthttp.MethodPost, admin.PathRemove, admin.Removal{ID: id}, &out)
+	return out, err
+}
+
 func (c *Client) do(method, path string, body, into any) error {
 	var req fasthttp.Request
 	var resp fasthttp.Response
