--- a/proof/system/control_test.go
+++ b/proof/system/control_test.go
@@ -19,14 +19,18 @@
 func (in *instance) withFloor(floor float64) (uint64, *intent.Document) {
 	cur, err := in.operator("alice").Intent()
 	Expect(err).NotTo(HaveOccurred())
-	doc := *cur.Document
+	return cur.Revision, withFloor(cur.Document, floor)
+}
+
+func withFloor(of *intent.Document, floor float64) *intent.Document {
+	doc := *of
 	doc.Classes = append([]intent.Class(nil), doc.Classes...)
 	for i := range doc.Classes {
 		if doc.Classes[i].Name == "bulk" {
 			doc.Classes[i].Floor = floor
 		}
 	}
-	return cur.Revision, &doc
+	return &doc
 }
 
 func (in *instance) floor() float64 {
@@ -83,7 +87,6 @@
 	return s
 }
 
-
 var _ = Describe("An operator's intent", func() {
 	It("is in force at every instance of every failure domain when its confirm returns", func() {
 		s := newControlSite(2)
@@ -226,6 +229,64 @@
 		Eventually(func() bool { return cut.status().LeaseValid }, patience, poll).Should(BeTrue())
 	})
 
+	// The control leader freezes in silence; the others elect another one and accept
+	// a change. When the old one wakes up it still believes that it leads. It must
+	// not pass the old configuration off as the newest, nor accept on its base.
+	It("is not undone by a leader that was frozen and wakes up", func() {
+		s := newControlSite(1)
+		old := s.leader()
+		other := s.other(old)
+		base, doc := other.withFloor(0.35)
+		_, stale := other.withFloor(0.36)
+		old.process.signal(syscall.SIGSTOP)
+		Eventually(func() error {
+			_, err := other.confirm("alice", 1, base, doc)
+			return err
+		}, patience, poll).Should(Succeed())
+		old.process.signal(syscall.SIGCONT)
+		st := old.status()
+		Expect(st.Revision > base || !st.LeaseValid).To(BeTrue(), "acts on the old revision as if it were the newest")
+		Eventually(func() fault.Code {
+			_, err := old.confirm("bob", 2, base, stale)
+			return fault.CodeOf(err)
+		}, patience, poll).Should(Equal(fault.Conflict))
+		Eventually(old.floor, patience, poll).Should(Equal(0.35))
+		Eventually(old.role, patience, poll).Should(Equal("voter"))
+	})
+
+	// A change is in force while one member is frozen. Then all others are killed,
+	// and an instance without a disk restarts: the only one that answers it is the
+	// member that missed the change. Having acted on the new revision, it must
+	// rather wait than serve by the old one.
+	It("is not forgotten by an instance without a disk that restarts", func() {
+		s := newControlSite(2)
+		frozen := s.other(s.leader())
+		s.instances[frozen.domain+"-2"].process.kill()
+		victim := s.instances[s.leader().domain+"-2"]
+		frozen.process.signal(syscall.SIGSTOP)
+		base, doc := victim.withFloor(0.37)
+		Eventually(func() error {
+			_, err := victim.confirm("alice", 1, base, doc)
+			return err
+		}, patience, poll).Should(Succeed())
+		Eventually(victim.floor, patience, poll).Should(Equal(0.37))
+		for _, in := range s.instances {
+			if in != frozen {
+				in.process.kill()
+			}
+		}
+		frozen.process.signal(syscall.SIGCONT)
+		victim.start()
+		Eventually(func() int { return len(frozen.status().Instances) }, patience, poll).Should(BeNumerically(">", 1))
+		Consistently(victim.floor, "3s", poll).Should(Or(Equal(-1.0), Equal(0.37)))
+		for _, in := range s.voters() {
+			if in != frozen {
+				in.start()
+			}
+		}
+		Eventually(victim.floor, patience, poll).Should(Equal(0.37))
+	})
+
 	// Two of three members are cut off. The third must not accept a confirm, and
 	// what it could not accept must not be in force later by surprise.
 	It("is not accepted by a minority", func() {
