Control tests: check every revision acted on after a restart, and the wake-up of a frozen leader closely

Both specs passed with their guard taken out (no recall of the revision acted on; renewal of the lease without a quorum's word); they fail now.

--- a/proof/system/control_test.go
+++ b/proof/system/control_test.go
@@ -3,6 +3,8 @@
 import (
 	"os"
 	"path/filepath"
+	"regexp"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -168,12 +170,17 @@
 				return err
 			}, patience, poll).Should(Succeed())
 		}
+		for _, x := range s.instances {
+			Eventually(x.floor, patience, poll).Should(Equal(last), x.name)
+		}
+		newest := in.status().Revision
 		for _, x := range s.instances {
 			x.process.kill()
 		}
 		s.startAll()
 		for _, x := range s.instances {
 			Expect(x.floor()).To(Equal(last), x.name)
+			Expect(x.acted()).To(HaveEach(newest), x.name)
 		}
 	})
 
@@ -244,8 +251,10 @@
 			return err
 		}, patience, poll).Should(Succeed())
 		old.process.signal(syscall.SIGCONT)
-		st := old.status()
-		Expect(st.Revision > base || !st.LeaseValid).To(BeTrue(), "acts on the old revision as if it were the newest")
+		Consistently(func() bool {
+			st := old.status()
+			return st.Revision > base || !st.LeaseValid
+		}, "500ms", "1ms").Should(BeTrue(), "acts on the old revision as if it were the newest")
 		Eventually(func() fault.Code {
 			_, err := old.confirm("bob", 2, base, stale)
 			return fault.CodeOf(err)
@@ -307,6 +316,18 @@
 	})
 })
 
+var inForce = regexp.MustCompile(`revision=(\d+) .*message="revision in force"`)
+
+// acted returns the revisions that the instance acted on since its start.
+func (in *instance) acted() (list []uint64) {
+	for _, m := range inForce.FindAllStringSubmatch(in.process.out.String(), -1) {
+		n, err := strconv.ParseUint(m[1], 10, 64)
+		Expect(err).NotTo(HaveOccurred())
+		list = append(list, n)
+	}
+	return list
+}
+
 func (in *instance) role() string {
 	for _, i := range in.status().Instances {
 		if i.Name == in.name {
