--- a/instance/control/control.go
+++ b/instance/control/control.go
@@ -35,6 +35,9 @@
 	channelJoin     = "control.join"
 	channelPropose  = "control.propose"
 	channelRead     = "control.read"
+	channelForce    = "control.force"
+	channelUnknowns = "control.unknowns"
+	channelGroup    = "control.group"
 )
 
 // Links is what this service needs of instance/link.
@@ -48,6 +51,9 @@
 type Spread interface {
 	Publish(revision uint64, data []byte) error
 	Renew(at time.Time, ttl time.Duration)
+	TakeOver(ttl time.Duration, first bool)
+	InForce(revision uint64) bool
+	Acts(revision uint64) bool
 }
 
 // Config of a Service.
@@ -66,8 +72,6 @@
 	// Members returns the names of instances that may hold control state, the
 	// likely ones first.
 	Members func() []string
-	// Domains returns what is known of the revisions that failure domains act on.
-	Domains func() []DomainRevision
 	// Lease is how long a configuration counts as the newest after the last
 	// contact with the leader.
 	Lease time.Duration
@@ -76,14 +80,6 @@
 	OnFatal func(error)
 }
 
-// DomainRevision is the oldest revision that a failure domain's live instances
-// act on.
-type DomainRevision struct {
-	Domain   string
-	Revision uint64
-	Live     int
-}
-
 // Service is this instance's part in the control state.
 type Service struct {
 	cfg     Config
@@ -98,6 +94,8 @@
 	clusterID raft.ClusterID
 	// leaderHint is who answered last for the group, for instances that follow.
 	leaderHint atomic.Pointer[string]
+	// ledTerm is the last term in which this instance became the tree's root.
+	ledTerm atomic.Uint64
 }
 
 // New returns a service that is not started; it registers its channels.
@@ -110,6 +108,9 @@
 	cfg.Links.Handle(channelJoin, s.receiveJoin)
 	cfg.Links.Handle(channelPropose, s.receivePropose)
 	cfg.Links.Handle(channelRead, s.receiveRead)
+	cfg.Links.Handle(channelForce, s.receiveForce)
+	cfg.Links.Handle(channelUnknowns, s.receiveUnknowns, link.Bulk())
+	cfg.Links.Handle(channelGroup, s.receiveGroup)
 	return s
 }
 
@@ -123,6 +124,9 @@
 	if err != nil {
 		return err
 	}
+	if err := s.recall(); err != nil {
+		return err
+	}
 	if id.Cluster != "" {
 		if err := s.startGroup(id); err != nil {
 			return err
@@ -137,6 +141,24 @@
 	return nil
 }
 
+// drainTimeout bounds a hand-over; a stop without one is safe, and costs the
+// group an election timeout.
+const drainTimeout = 2 * time.Second
+
+// Drain implements kernel.Drainer: a leader hands over before it ends.
+func (s *Service) Drain(ctx context.Context) error {
+	g := s.group.Load()
+	if g == nil {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, drainTimeout)
+	defer cancel()
+	if err := g.Drain(ctx); err != nil {
+		s.cfg.Log.Warn().Err(err).Msg("control leadership not handed over")
+	}
+	return nil
+}
+
 // Stop ends all work of the service.
 func (s *Service) Stop(ctx context.Context) error {
 	s.cancel()
--- a/instance/daemon/cluster.go
+++ b/instance/daemon/cluster.go
@@ -101,16 +101,25 @@
 		}
 		s := spread.New(spread.Config{
 			Links: links, Layout: func() spread.Layout { return d.layout(k, members) }, Floor: members.RevisionSeen, Log: d.log,
+			Interval: min(spread.DefaultInterval, d.cfg.Control.Lease/questionsPerLease),
 		})
-		s.Subscribe(func(revision uint64, data []byte) { d.takeRevision(conf, members, revision, data) })
+		s.Subscribe(func(revision uint64, data []byte) { d.takeRevision(k, conf, members, revision, data) })
 		return s, nil
 	}}
 }
 
-func (d *Daemon) takeRevision(conf *config.Service, members *member.Service, revision uint64, data []byte) {
+// questionsPerLease is how often an instance asks its parent within a lease: a
+// leaf of a full domain, three steps below the leader, still gets one that
+// lasts until its next question.
+const questionsPerLease = 5
+
+func (d *Daemon) takeRevision(k *kernel.Kernel, conf *config.Service, members *member.Service, revision uint64, data []byte) {
 	doc, err := control.Decode(data)
+	if err == nil {
+		err = remember(k, revision, data)
+	}
 	if err != nil {
-		d.log.Error().Err(err).Uint64("revision", revision).Msg("revision not readable")
+		d.log.Error().Err(err).Uint64("revision", revision).Msg("revision not taken")
 		return
 	}
 	if conf.Apply(revision, doc) {
@@ -118,6 +127,14 @@
 	}
 }
 
+func remember(k *kernel.Kernel, revision uint64, data []byte) error {
+	c, err := kernel.Lookup[*control.Service](k, nameControl)
+	if err != nil {
+		return err
+	}
+	return c.Remember(revision, data)
+}
+
 func (d *Daemon) layout(k *kernel.Kernel, members *member.Service) spread.Layout {
 	l := spread.Layout{Self: tree.Node{Name: d.cfg.Instance.Name, Domain: d.cfg.Instance.FailureDomain, Data: d.cfg.Instance.DataFolder != ""}}
 	if c, err := kernel.Lookup[*control.Service](k, nameControl); err == nil {
@@ -144,7 +161,6 @@
 		cfg := control.Config{
 			Name: d.cfg.Instance.Name, DataFolder: d.cfg.Instance.DataFolder, Links: links, Spread: sp,
 			Members: func() []string { return d.controlMembers(members) },
-			Domains: func() []control.DomainRevision { return d.domainRevisions(members) },
 			Lease:   d.cfg.Control.Lease, Log: d.log, OnFatal: d.fail,
 		}
 		if cfg.Founders = d.founderNames(); len(cfg.Founders) > 0 {
@@ -181,26 +197,6 @@
 	return names
 }
 
-// domainRevisions returns what each known failure domain acts on, this one's
-// from its members and the others' from their digests.
-func (d *Daemon) domainRevisions(members *member.Service) []control.DomainRevision {
-	own := control.DomainRevision{Domain: d.cfg.Instance.FailureDomain}
-	for _, m := range members.Members() {
-		if m.Domain != own.Domain || !m.Usable() {
-			continue
-		}
-		if own.Live == 0 || m.Revision < own.Revision {
-			own.Revision = m.Revision
-		}
-		own.Live++
-	}
-	out := []control.DomainRevision{own}
-	for _, g := range members.Domains() {
-		out = append(out, control.DomainRevision{Domain: g.Domain, Revision: g.RevisionMin, Live: g.Live})
-	}
-	return out
-}
-
 // superseded ends this process when a newer one has its name.
 func (d *Daemon) superseded() { d.fail(errSuperseded) }
 
--- a/instance/spread/spread.go
+++ b/instance/spread/spread.go
@@ -23,16 +23,24 @@
 const (
 	channelAsk  = "spread.ask"
 	channelNews = "spread.news"
+	channelActs = "spread.acts"
 )
 
 const (
 	// DefaultInterval between two questions. Each step of the tree costs up to
 	// one interval of the lease that reaches the instances below.
 	DefaultInterval = time.Second
+	// startInterval is the time between two questions until there is a first
+	// configuration and lease, and for how long a parent that gives none is not
+	// asked then; but only for startPhase, as a cut can last.
+	startInterval = 100 * time.Millisecond
+	startPhase    = 10 * time.Second
 	// askTimeout bounds one question; whole contents may be some megabytes.
 	askTimeout = time.Second
-	// passOver is for how long a parent that failed is not asked.
-	passOver = 5 * time.Second
+	// passOver is for how long a parent that failed is not asked. One that
+	// answers, but without a lease or with less than is known here, as right
+	// before it takes a change in, is passed over for one interval.
+	passOver = 2 * time.Second
 	// maxAsked bounds how many candidates are asked in one round.
 	maxAsked = 4
 	// childRounds is after how many silent intervals a child is forgotten.
@@ -46,6 +54,18 @@
 	Handle(channel string, h link.Handler, options ...link.ChannelOption)
 }
 
+// question and report are what an instance sends its parents. Start tells the
+// processes of one name apart.
+type question struct {
+	tree.Question
+	Start uint64 `codec:"st"`
+}
+
+type report struct {
+	Acted uint64 `codec:"a"`
+	Start uint64 `codec:"st"`
+}
+
 // Layout is what the tree is made from.
 type Layout struct {
 	Self tree.Node
@@ -77,8 +97,15 @@
 	hurry  chan struct{}
 	fresh  chan struct{}
 
+	// start tells this process from earlier ones of its name.
+	start uint64
+	// published says that this instance holds control state.
+	published bool
+	started   time.Time
+
 	mu          sync.Mutex
 	state       *tree.Follower
+	lessors     map[string]lessor
 	passedOver  map[string]time.Time
 	children    map[string]time.Time
 	subscribers []func(revision uint64, data []byte)
@@ -97,11 +124,14 @@
 		cfg:        cfg,
 		hurry:      make(chan struct{}, 1),
 		fresh:      make(chan struct{}, 1),
+		start:      uint64(time.Now().UnixNano()),
+		lessors:    map[string]lessor{},
 		state:      tree.NewFollower(),
 		passedOver: map[string]time.Time{},
 		children:   map[string]time.Time{},
 	}
 	cfg.Links.Handle(channelAsk, s.answer, link.Bulk())
+	cfg.Links.Handle(channelActs, s.receiveReport, link.Lossy())
 	cfg.Links.Handle(channelNews, func(context.Context, string, link.Message) (any, error) {
 		wake(s.hurry)
 		return nil, nil
@@ -120,6 +150,7 @@
 func (s *Service) Start(context.Context) error {
 	ctx, cancel := context.WithCancel(context.Background())
 	s.cancel = cancel
+	s.started = time.Now()
 	s.done.Go(func() { s.run(ctx) })
 	s.done.Go(func() { s.tell(ctx) })
 	return nil
@@ -141,6 +172,7 @@
 	s.mu.Lock()
 	before := s.state.Revision()
 	err := s.state.Publish(revision, data)
+	s.published = s.published || err == nil
 	after := s.state.Revision()
 	s.mu.Unlock()
 	if after != before {
@@ -157,6 +189,32 @@
 	s.state.Renew(at, ttl)
 }
 
+// TakeOver states that this instance becomes the control leader. first says that
+// there was none before it, so that no lease can be left of an earlier one.
+func (s *Service) TakeOver(ttl time.Duration, first bool) {
+	if first {
+		ttl = 0
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.state.TakeOver(time.Now(), ttl)
+}
+
+// Acts reports whether this instance itself acts on a revision or a later one.
+func (s *Service) Acts(revision uint64) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.state.ActsOn() >= revision
+}
+
+// InForce reports, at the control leader, whether all instances act on a revision
+// or a later one, or know that they are cut off.
+func (s *Service) InForce(revision uint64) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.state.InForce(time.Now(), revision)
+}
+
 // Subscribe calls f with the content in force and with each that follows.
 // Revisions only grow; some may be skipped. f runs on the service's goroutine.
 // Subscribe before Start.
@@ -179,7 +237,17 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.require()
-	return s.state.Ready()
+	return s.ready()
+}
+
+// ready needs mu. An instance without a data folder has forgotten what it acted
+// on, and after a restart of all so have the others, and a parent may be behind:
+// its first configuration must come with a lease, which proves it the newest. In
+// a failure domain that is cut off there is none, and after startPhase what the
+// others of the domain know has to do.
+func (s *Service) ready() bool {
+	proved := s.published || s.state.Proved() || time.Since(s.started) > startPhase
+	return proved && s.state.Ready()
 }
 
 // Revision returns the revision in force; zero when there is none.
@@ -214,7 +282,7 @@
 			return
 		}
 		s.mu.Lock()
-		revision, data, ready := s.state.Revision(), s.state.Content(), s.state.Ready()
+		revision, data, ready := s.state.Revision(), s.state.Content(), s.ready()
 		subscribers := s.subscribers
 		s.mu.Unlock()
 		if !ready || revision <= told {
@@ -224,6 +292,10 @@
 			f(revision, data)
 		}
 		told = revision
+		s.mu.Lock()
+		s.state.Act(revision)
+		s.mu.Unlock()
+		s.report()
 	}
 }
 
@@ -248,15 +320,20 @@
 }
 
 func (s *Service) answer(_ context.Context, from string, m link.Message) (any, error) {
-	var q tree.Question
+	var q question
 	if err := m.Decode(&q); err != nil {
 		return nil, err
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.children[from] = time.Now()
-	if !s.state.Ready() {
+	if !s.ready() {
 		return nil, fault.New(fault.Unavailable, "this instance has no configuration yet")
 	}
-	return s.state.Answer(time.Now(), q), nil
+	if from == s.parent {
+		// A lease from this instance would be the asking one's own, and while
+		// both were content with it neither would look for a fresh one.
+		return s.state.Inform(q.Question), nil
+	}
+	return s.state.Answer(time.Now(), tree.Child{Name: from, Start: q.Start}, q.Question), nil
 }
