Orders to engines: one issuer per failure domain, under a lease

Two issuers at a time: engines that check the fencing number refuse the older one; for the others the successor waits the whole lease and a flight, and each order is bound to its lease up to the kernel (Call.NotAfter). Orders whose answer was lost count as under way until the engine is read, and the lease is not given up before they are over. Status shows for each model and engine how far it is.

--- a/core/order/domain.go
+++ b/core/order/domain.go
@@ -71,8 +71,12 @@
 	}
 }
 
-// Answered ends an order's flight: the engine's State in the next step is newer.
+// Answered ends an order's flight, if one is under way: the engine's State in the
+// next step is newer.
 func (d *Domain) Answered(engine string) {
+	if d.flights[engine] == nil {
+		return
+	}
 	delete(d.flights, engine)
 	if m := d.known[engine]; m != nil {
 		m.answered, m.trouble = true, ""
--- a/instance/admin/types.go
+++ b/instance/admin/types.go
@@ -71,7 +71,9 @@
 	// LeaseUntil is when the lease ran out, if it did.
 	LeaseUntil *time.Time `json:"lease_until,omitempty"`
 	// Scheduler is the instance that schedules for this failure domain.
-	Scheduler string           `json:"scheduler"`
+	Scheduler string `json:"scheduler"`
+	// Orders tells how this failure domain's engines stand to the intent.
+	Orders    OrdersStatus     `json:"orders"`
 	Draining  bool             `json:"draining"`
 	InFlight  int64            `json:"in_flight"`
 	Domains   []DomainStatus   `json:"domains"`
@@ -112,5 +114,47 @@
 	AgeMS    int64    `json:"age_ms"`
 }
 
+// OrdersStatus is what the engines of this failure domain are ordered to hold, by
+// the word of the instance that orders them; its name alone while that is silent.
+type OrdersStatus struct {
+	// Issuer is the instance that orders the engines.
+	Issuer string `json:"issuer"`
+	// Fence is the fencing number of its lease, 0 while there is nothing to order.
+	Fence uint64 `json:"fence,omitempty"`
+	// LeaseUntil is the end of that lease; SettledAt is when engines that ignore
+	// the number may be ordered, set while that is still to come.
+	LeaseUntil *time.Time     `json:"lease_until,omitempty"`
+	SettledAt  *time.Time     `json:"settled_at,omitempty"`
+	Models     []ModelStatus  `json:"models,omitempty"`
+	Engines    []EngineOrders `json:"engines,omitempty"`
+}
+
+// ModelStatus says how far a model is from what the intent asks for.
+type ModelStatus struct {
+	// Name is "model@version".
+	Name string `json:"name"`
+	// Wanted engines should hold it at least; Holding ones do, Loading ones will;
+	// Serving ones serve it in whatever version.
+	Wanted  int `json:"wanted"`
+	Holding int `json:"holding"`
+	Loading int `json:"loading"`
+	Serving int `json:"serving"`
+	// Note says why it is not as wanted.
+	Note string `json:"note,omitempty"`
+}
+
+// EngineOrders is the wanted end of one engine.
+type EngineOrders struct {
+	Name string `json:"name"`
+	// Standing is such as "as wanted", "loading" or "ordered".
+	Standing string   `json:"standing"`
+	Wanted   []string `json:"wanted"`
+	Held     []string `json:"held"`
+	// Fence is the highest fencing number that the engine has seen; Checks says
+	// that it refuses an order with a lower one.
+	Fence  uint64 `json:"fence"`
+	Checks bool   `json:"checks"`
+}
+
 // Explanation tells what became of one request.
 type Explanation = trace.Record
--- a/instance/daemon/daemon.go
+++ b/instance/daemon/daemon.go
@@ -26,6 +26,7 @@
 	nameSchedule  = "schedule"
 	nameClient    = "upstream.client"
 	namePlain     = "plain"
+	nameOrders    = "orders"
 	nameGateway   = "gateway"
 	nameCallers   = "listener.callers"
 	nameOperators = "listener.operators"
@@ -50,7 +51,7 @@
 	d.book = d.addresses()
 	err := d.kernel.Register(
 		d.telemetry(), d.trace(), d.config(), d.links(), d.members(), d.spread(), d.control(), d.registry(),
-		d.schedule(), d.client(), d.plain(), d.gateway(), d.callers(), d.operators(),
+		d.schedule(), d.client(), d.plain(), d.orders(), d.gateway(), d.callers(), d.operators(),
 	)
 	return d, err
 }
--- a/instance/daemon/http.go
+++ b/instance/daemon/http.go
@@ -16,6 +16,7 @@
 	"github.com/comfreyladder/comfreyladder/instance/kernel"
 	"github.com/comfreyladder/comfreyladder/instance/link"
 	"github.com/comfreyladder/comfreyladder/instance/member"
+	"github.com/comfreyladder/comfreyladder/instance/order"
 	"github.com/comfreyladder/comfreyladder/instance/registry"
 	"github.com/comfreyladder/comfreyladder/instance/spread"
 	"github.com/comfreyladder/comfreyladder/instance/telemetry"
@@ -36,10 +37,11 @@
 	spread    *spread.Service
 	control   *control.Service
 	links     *link.Service
+	orders    *order.Service
 }
 
 var partNames = []string{
-	nameConfig, nameTelemetry, nameTrace, nameClient, nameRegistry, nameSchedule, namePlain, nameMembers, nameSpread, nameControl, nameLinks,
+	nameConfig, nameTelemetry, nameTrace, nameClient, nameRegistry, nameSchedule, namePlain, nameMembers, nameSpread, nameControl, nameLinks, nameOrders,
 }
 
 func find(k *kernel.Kernel) (p *parts, err error) {
@@ -48,7 +50,7 @@
 		into(k, nameConfig, &p.config), into(k, nameTelemetry, &p.telemetry), into(k, nameTrace, &p.trace),
 		into(k, nameClient, &p.client), into(k, nameRegistry, &p.registry), into(k, nameSchedule, &p.queue),
 		into(k, namePlain, &p.plain), into(k, nameMembers, &p.members), into(k, nameSpread, &p.spread),
-		into(k, nameControl, &p.control), into(k, nameLinks, &p.links),
+		into(k, nameControl, &p.control), into(k, nameLinks, &p.links), into(k, nameOrders, &p.orders),
 	)
 }
 
--- /dev/null
+++ b/instance/daemon/orders.go
@@ -0,0 +1,80 @@
+package daemon
+
+import (
+	"context"
+	"crypto/rand"
+	"time"
+
+	"github.com/comfreyladder/comfreyladder/instance/admin"
+	"github.com/comfreyladder/comfreyladder/instance/config"
+	"github.com/comfreyladder/comfreyladder/instance/kernel"
+	"github.com/comfreyladder/comfreyladder/instance/link"
+	"github.com/comfreyladder/comfreyladder/instance/order"
+)
+
+// channelOrders asks the instance that orders the engines how they stand.
+const (
+	channelOrders = "orders.status"
+	ordersTimeout = time.Second
+)
+
+func (d *Daemon) orders() kernel.Module {
+	needs := []string{nameConfig, nameControl, nameSpread, nameMembers, nameRegistry, nameClient, nameLinks}
+	return kernel.Module{Name: nameOrders, Needs: needs, New: func(k *kernel.Kernel) (kernel.Service, error) {
+		p := &parts{}
+		for _, get := range []func() error{
+			into(k, nameConfig, &p.config), into(k, nameControl, &p.control), into(k, nameSpread, &p.spread), into(k, nameMembers, &p.members),
+			into(k, nameRegistry, &p.registry), into(k, nameClient, &p.client), into(k, nameLinks, &p.links),
+		} {
+			if err := get(); err != nil {
+				return nil, err
+			}
+		}
+		return d.newOrders(p), nil
+	}}
+}
+
+func (d *Daemon) newOrders(p *parts) *order.Service {
+	peers := &schedulePeers{d: d, members: p.members}
+	s := order.New(order.Config{
+		Domain: d.cfg.Instance.FailureDomain, Self: d.cfg.Instance.Name, Members: peers.Members, Propose: p.control.Propose,
+		Client: p.client.Client, View: p.registry.View, Newest: func() bool { return p.spread.Lease().Valid }, Log: d.log,
+	}, rand.Text())
+	p.config.Subscribe(func(v *config.View) { s.SetIntent(v.Document) })
+	p.links.Handle(channelOrders, func(context.Context, string, link.Message) (any, error) { return s.Status(), nil })
+	return s
+}
+
+// ordersStatus asks the instance that orders the engines, if that is another one.
+func (d *Daemon) ordersStatus(p *parts) admin.OrdersStatus {
+	st := p.orders.Status()
+	if st.Issuer == "" || st.Issuer == d.cfg.Instance.Name {
+		return showOrders(&st)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), ordersTimeout)
+	defer cancel()
+	var theirs order.Status
+	if err := p.links.Call(ctx, st.Issuer, channelOrders, struct{}{}, &theirs); err != nil {
+		return showOrders(&st)
+	}
+	return showOrders(&theirs)
+}
+
+func showOrders(st *order.Status) admin.OrdersStatus {
+	out := admin.OrdersStatus{Issuer: st.Issuer, Fence: st.Fence}
+	if st.Fence > 0 {
+		out.LeaseUntil = &st.Until
+		if time.Now().Before(st.Settled) {
+			out.SettledAt = &st.Settled
+		}
+	}
+	for _, m := range st.Models {
+		out.Models = append(out.Models, admin.ModelStatus(m))
+	}
+	for _, e := range st.Engines {
+		out.Engines = append(out.Engines, admin.EngineOrders{
+			Name: e.Name, Standing: string(e.Standing), Wanted: e.Wanted, Held: e.Held, Fence: e.Fence, Checks: e.Checks,
+		})
+	}
+	return out
+}
--- a/instance/daemon/status.go
+++ b/instance/daemon/status.go
@@ -16,7 +16,7 @@
 	s := admin.Status{
 		Instance: d.cfg.Instance.Name, Domain: d.cfg.Instance.FailureDomain, Revision: p.spread.Revision(),
 		Leader: p.control.Leader(), LeaseValid: lease.Valid, InFlight: g.InFlight(), Scheduler: p.queue.Status().Scheduler,
-		Members: p.control.Members(),
+		Members: p.control.Members(), Orders: d.ordersStatus(p),
 	}
 	if !lease.Valid && !lease.Until.IsZero() {
 		s.LeaseUntil = &lease.Until
--- /dev/null
+++ b/instance/order/send.go
@@ -0,0 +1,104 @@
+package order
+
+import (
+	"encoding/json"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/comfreyladder/comfreyladder/core/fault"
+	core "github.com/comfreyladder/comfreyladder/core/order"
+	"github.com/comfreyladder/comfreyladder/instance/upstream"
+)
+
+// message is the published body of POST /v1/orders.
+type message struct {
+	Fence  uint64   `json:"fence"`
+	Models []string `json:"models"`
+	Role   string   `json:"role,omitempty"`
+}
+
+// send gives an engine its order, under the lease as it is now. The time is looked
+// at anew: the decision took some.
+func (s *Service) send(now time.Time, o core.Order) {
+	e := s.engines[o.Engine]
+	if e == nil || e.busy || !s.lease.valid(time.Now()) {
+		s.domain.NotSent(now, o.Engine)
+		return
+	}
+	body, err := json.Marshal(message{Fence: s.lease.number, Models: o.Models, Role: o.Role})
+	if err != nil {
+		s.domain.NotSent(now, o.Engine)
+		return
+	}
+	l := s.lease
+	c := upstream.Call{
+		Method: fasthttp.MethodPost, Headers: []upstream.Header{{Name: "Content-Type", Value: "application/json"}}, Body: body,
+		NotAfter: l.until,
+	}
+	s.cfg.Log.Info().Str("engine", o.Engine).Uint64("fence", l.number).Strs("models", o.Models).Int("cost_mb", o.CostMB).Msg("order")
+	s.flying++
+	s.call(e, c, func(now time.Time, a *upstream.Answer, err error) {
+		s.flying--
+		st, err := stateOf(a, err)
+		if err == nil {
+			s.followed(o, e, st)
+			return
+		}
+		s.cfg.Log.Warn().Err(err).Str("engine", o.Engine).Uint64("fence", l.number).Msg("order not answered with success")
+		s.notFollowed(now, o, e, l, st, a, err)
+	})
+}
+
+func (s *Service) followed(o core.Order, e *engine, st *core.State) {
+	if s.engines[o.Engine] == e {
+		e.state, e.failures = st, 0
+		s.domain.Answered(o.Engine)
+	}
+}
+
+// notFollowed takes in an order that failed. When it may have arrived, or may still
+// arrive until the end of its lease, it counts as under way until the engine has
+// been read, and the lease is not given up before it is over.
+func (s *Service) notFollowed(now time.Time, o core.Order, e *engine, l lease, st *core.State, a *upstream.Answer, err error) {
+	known := a != nil && a.Status < fasthttp.StatusInternalServerError
+	if !known && upstream.EvidenceOf(err) == upstream.Unknown {
+		s.late = later(s.late, l.until.Add(s.cfg.Flight))
+		e.failures++ // is read again soon
+		return
+	}
+	if fault.CodeOf(err) == fault.Conflict && st != nil && st.Fence > l.number {
+		s.superseded(now, l)
+	}
+	if s.engines[o.Engine] != e {
+		return
+	}
+	e.noOrders = e.noOrders || fault.CodeOf(err) == fault.NotFound
+	if st != nil {
+		e.state = st
+	}
+	s.domain.NotSent(now, o.Engine)
+}
+
+// superseded ends the lease under which an engine refused an order: it has seen a
+// greater number. The next lease has a greater one than this.
+func (s *Service) superseded(now time.Time, l lease) {
+	switch {
+	case s.lease.number != l.number:
+	case s.uncertain(now) || s.asking:
+		s.lease.drop()
+		s.askAt = l.until.Add(s.cfg.Margin)
+	default:
+		s.giveUp()
+	}
+}
+
+// uncertain reports whether an order may be under way.
+func (s *Service) uncertain(now time.Time) bool { return s.flying > 0 || now.Before(s.late) }
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
--- a/operator/commands/show/show.go
+++ b/operator/commands/show/show.go
@@ -4,6 +4,7 @@
 import (
 	"fmt"
 	"io"
+	"strconv"
 	"strings"
 	"text/tabwriter"
 	"time"
@@ -52,9 +53,38 @@
 	for _, u := range s.Upstreams {
 		fmt.Fprintf(t, "%s\t%s\t%s\t%d\t%d\t%d ms ago\t%s\n", u.Name, u.Kind, u.State, u.InFlight, u.Slots, u.AgeMS, strings.Join(u.Models, " "))
 	}
+	orders(t, &s.Orders)
 	_ = t.Flush()
 }
 
+// orders prints what the engines are ordered to hold.
+func orders(w io.Writer, o *admin.OrdersStatus) {
+	if len(o.Models) == 0 {
+		fmt.Fprintf(w, "\nEngines are ordered by: %s. How they stand is not known yet, or the intent names no models.\n", orNone(o.Issuer))
+		return
+	}
+	lease := "there is nothing to order"
+	if o.Fence > 0 {
+		lease = fmt.Sprintf("fencing number %d, lease until %s", o.Fence, o.LeaseUntil.Format(time.RFC3339))
+	}
+	if o.SettledAt != nil {
+		lease += "; engines that ignore the number wait until " + o.SettledAt.Format(time.RFC3339)
+	}
+	fmt.Fprintf(w, "\nEngines are ordered by: %s; %s.\n", o.Issuer, lease)
+	fmt.Fprintln(w, "\nMODEL\tWANTED\tHOLDING\tLOADING\tSERVING\tNOTE")
+	for _, m := range o.Models {
+		fmt.Fprintf(w, "%s\t%d\t%d\t%d\t%d\t%s\n", m.Name, m.Wanted, m.Holding, m.Loading, m.Serving, m.Note)
+	}
+	fmt.Fprintln(w, "\nENGINE\tSTANDING\tFENCE\tWANTED")
+	for _, e := range o.Engines {
+		seen := strconv.FormatUint(e.Fence, 10)
+		if !e.Checks {
+			seen += " (ignores it)"
+		}
+		fmt.Fprintf(w, "%s\t%s\t%s\t%s\n", e.Name, e.Standing, seen, strings.Join(e.Wanted, " "))
+	}
+}
+
 func orNone(s string) string {
 	if s == "" {
 		return "none known"
