--- a/proof/system/control_bench_test.go
+++ b/proof/system/control_bench_test.go
@@ -24,8 +24,8 @@
 	return s
 }
 
-// change confirms one change and returns how long it took until it was in force.
-func (in *instance) change(number uint64) time.Duration {
+// timeChange confirms one change and returns how long it took until it was in force.
+func (in *instance) timeChange(number uint64) time.Duration {
 	base, doc := in.withFloor(float64(number%500) / 1000)
 	began := time.Now()
 	_, err := in.confirm("alice", number, base, doc)
@@ -43,12 +43,12 @@
 func BenchmarkConfirm(b *testing.B) {
 	s := benchSite(b, 3, domains...)
 	in := s.instances["south-2"]
-	in.change(1)
+	in.timeChange(1)
 	var took []time.Duration
 	behind := 0
 	b.ResetTimer()
 	for n := range b.N {
-		took = append(took, in.change(uint64(n+2)))
+		took = append(took, in.timeChange(uint64(n+2)))
 		for _, other := range s.instances {
 			cur, err := other.operator("alice").Intent()
 			if err != nil || cur.Document.Class("bulk").Floor != float64((n+2)%500)/1000 {
@@ -67,10 +67,10 @@
 func BenchmarkChanges(b *testing.B) {
 	s := benchSite(b, 3, domains...)
 	in := s.instances["south-2"]
-	in.change(1)
+	in.timeChange(1)
 	b.ResetTimer()
 	for n := range b.N {
-		in.change(uint64(n + 2))
+		in.timeChange(uint64(n + 2))
 	}
 	b.ReportMetric(float64(b.N)/b.Elapsed().Seconds(), "changes/s")
 }
