Control: a confirm travels as the entries that differ from its base

With 1,600 organisations and a change a second, the leader's links to two voters carried 960 KB/s: each change sent the whole document, 320 KB, to each voter and once more from the instance that the operator talked to. Now a confirm holds the new, changed and removed entries and the digest of the whole; a member that makes anything else of it refuses it.

The whole document still travels where the instance does not have the base, and in commands of older logs.

The leader also encoded the document anew at each renewal of the lease; it keeps what it encoded.

--- a/core/control/revision/machine.go
+++ b/core/control/revision/machine.go
@@ -80,21 +80,36 @@
 }
 
 func (m *Machine) confirm(c Confirm, at time.Time) Answer {
-	digest, err := DigestOf(&c.Document)
+	doc, digest, err := m.document(&c)
 	if err != nil {
 		return Answer{Outcome: Refused, Detail: err.Error()}
 	}
 	if r, taken := m.numbers[c.Number]; taken {
 		return m.again(c, digest, r)
 	}
-	if refusal := m.refuse(c); refusal != nil {
+	if refusal := m.refuse(c, doc); refusal != nil {
 		return *refusal
 	}
 	r := Record{Revision: m.s.Revision + 1, Operator: c.Operator, Number: c.Number, Digest: digest, At: at.UnixNano()}
-	m.accept(r, c.Document)
+	m.accept(r, *doc)
 	return Answer{Outcome: Accepted, Record: r}
 }
 
+// document returns what a confirm puts in force, and its digest. Of a patch on
+// another base than the current one only the digest is known, which is enough to
+// know a resend; anything else is refused for its base.
+func (m *Machine) document(c *Confirm) (*intent.Document, Digest, error) {
+	switch {
+	case c.Patch == nil:
+		digest, err := DigestOf(&c.Document)
+		return &c.Document, digest, err
+	case c.Base != m.s.Revision:
+		return nil, c.Patch.Digest, nil
+	}
+	doc, err := c.Patch.Apply(&m.s.Document)
+	return doc, c.Patch.Digest, err
+}
+
 // again answers a confirm whose number was accepted before. It comes first, even
 // before the check of the base: after its answer was lost, the sender of the
 // accepted confirm must not be told that the base moved, by itself, and plan the
@@ -118,13 +133,8 @@
 	return a
 }
 
-func (m *Machine) refuse(c Confirm) *Answer {
-	if err := c.Document.Validate(); err != nil {
-		a := &Answer{Outcome: Refused, Detail: err.Error()}
-		var p *intent.ProblemsError
-		if errors.As(err, &p) {
-			a.Problems = p.Problems
-		}
+func (m *Machine) refuse(c Confirm, doc *intent.Document) *Answer {
+	if a := invalid(doc); a != nil {
 		return a
 	}
 	if !m.mayConfirm(c.Operator) {
@@ -138,6 +148,22 @@
 	return a
 }
 
+func invalid(doc *intent.Document) *Answer {
+	if doc == nil {
+		return nil
+	}
+	err := doc.Validate()
+	if err == nil {
+		return nil
+	}
+	a := &Answer{Outcome: Refused, Detail: err.Error()}
+	var p *intent.ProblemsError
+	if errors.As(err, &p) {
+		a.Problems = p.Problems
+	}
+	return a
+}
+
 // mayConfirm asks the current document, except before the first intent, which
 // brings the operators.
 func (m *Machine) mayConfirm(operator string) bool {
--- a/core/control/revision/types.go
+++ b/core/control/revision/types.go
@@ -38,6 +38,8 @@
 	// Base is the revision that the plan was made on.
 	Base     uint64          `codec:"base" json:"base"`
 	Document intent.Document `codec:"document" json:"document"`
+	// Patch, if set, stands for the document, seen from the base.
+	Patch *Patch `codec:"patch,omitempty" json:"patch,omitempty"`
 }
 
 // Outcome says what became of a Confirm.
--- a/instance/control/control.go
+++ b/instance/control/control.go
@@ -22,6 +22,7 @@
 	"github.com/comfreyladder/comfreyladder/core/fault"
 	"github.com/comfreyladder/comfreyladder/core/intent"
 	"github.com/comfreyladder/comfreyladder/core/raft"
+	"github.com/comfreyladder/comfreyladder/instance/config"
 	"github.com/comfreyladder/comfreyladder/instance/consensus"
 	"github.com/comfreyladder/comfreyladder/instance/disk"
 	"github.com/comfreyladder/comfreyladder/instance/link"
@@ -68,6 +69,9 @@
 	Members func() []string
 	// Domains returns what is known of the revisions that failure domains act on.
 	Domains func() []DomainRevision
+	// Current returns the configuration in force here; nil means that confirms
+	// travel with whole documents.
+	Current func() (*config.View, error)
 	// Lease is how long a configuration counts as the newest after the last
 	// contact with the leader.
 	Lease time.Duration
@@ -96,6 +100,9 @@
 	running sync.WaitGroup
 	// clusterID is set before group is.
 	clusterID raft.ClusterID
+	// lastEncoded is what encoded returned last: the leader asks for it at each
+	// renewal, and a document of 1,600 organisations takes some milliseconds.
+	lastEncoded atomic.Pointer[encodedRevision]
 	// leaderHint is who answered last for the group, for instances that follow.
 	leaderHint atomic.Pointer[string]
 }
@@ -222,12 +229,24 @@
 	}
 }
 
+// encodedRevision is a revision in the form in which it is spread.
+type encodedRevision struct {
+	number uint64
+	data   []byte
+}
+
 // encoded returns the revision that this member applied last.
 func (s *Service) encoded() (number uint64, data []byte, err error) {
 	s.group.Load().View(func(_ uint64, m *corecontrol.Mux) {
 		var doc *intent.Document
 		number, doc = m.Machine(revision.Name).(*revision.Machine).Current()
-		data, err = Encode(doc)
+		if last := s.lastEncoded.Load(); last != nil && last.number == number {
+			data = last.data
+			return
+		}
+		if data, err = Encode(doc); err == nil {
+			s.lastEncoded.Store(&encodedRevision{number, data})
+		}
 	})
 	return number, data, err
 }
--- a/instance/control/intent.go
+++ b/instance/control/intent.go
@@ -36,7 +36,7 @@
 	if req.Number == 0 {
 		return nil, fault.New(fault.Invalid, "number: your own number of the intent, from 1 on, is needed")
 	}
-	a, err := s.propose(ctx, &revision.Confirm{Operator: operator, Number: req.Number, Base: req.Base, Document: *req.Document})
+	a, err := s.propose(ctx, s.command(operator, req))
 	if err != nil {
 		return nil, err
 	}
--- a/instance/daemon/cluster.go
+++ b/instance/daemon/cluster.go
@@ -132,7 +132,7 @@
 }
 
 func (d *Daemon) control() kernel.Module {
-	needs := []string{nameLinks, nameMembers, nameSpread}
+	needs := []string{nameLinks, nameMembers, nameSpread, nameConfig}
 	return kernel.Module{Name: nameControl, Needs: needs, New: func(k *kernel.Kernel) (kernel.Service, error) {
 		var links *link.Service
 		var members *member.Service
@@ -141,8 +141,13 @@
 		if err != nil {
 			return nil, err
 		}
+		conf, err := kernel.Lookup[*config.Service](k, nameConfig)
+		if err != nil {
+			return nil, err
+		}
 		cfg := control.Config{
-			Name: d.cfg.Instance.Name, DataFolder: d.cfg.Instance.DataFolder, Links: links, Spread: sp,
+			Current: conf.Current,
+			Name:    d.cfg.Instance.Name, DataFolder: d.cfg.Instance.DataFolder, Links: links, Spread: sp,
 			Members: func() []string { return d.controlMembers(members) },
 			Domains: func() []control.DomainRevision { return d.domainRevisions(members) },
 			Lease:   d.cfg.Control.Lease, Log: d.log, OnFatal: d.fail,
--- a/proof/capacity/traffic_test.go
+++ b/proof/capacity/traffic_test.go
@@ -32,6 +32,7 @@
 	// engineSpeed shortens the answers' generation, so that few streams are open
 	// at once and the generator stays small.
 	engineSpeed = 20
+	engines     = 12
 )
 
 // traffic is what goes on around the daemons while they are measured.
@@ -57,7 +58,9 @@
 		}
 	}
 	if t.site.requests > 0 {
-		t.startEngine(b)
+		for n := range engines {
+			t.startEngine(b, n)
+		}
 		t.running.Go(func() { t.request(ctx) })
 	}
 }
@@ -99,15 +102,15 @@
 	}
 }
 
-// startEngine starts an engine that serves the requests, in the first domain.
-func (t *traffic) startEngine(b *testing.B) {
+// startEngine starts an engine that serves requests, in the first domain.
+func (t *traffic) startEngine(b *testing.B, n int) {
 	var to []string
 	for _, d := range t.site.daemons[:t.site.perDomain] {
 		to = append(to, d.address(t.site.callers))
 	}
 	e := engine.New(engine.Config{
 		Config: host.Config{Listen: "127.0.0.1:0", Announce: to, Credential: t.site.keys["upstream"]},
-		Name:   "e-real", Domain: t.site.daemons[0].domain, Models: []string{"m"}, Slots: 4096, Speed: engineSpeed,
+		Name:   fmt.Sprint("e-real-", n), Domain: t.site.daemons[0].domain, Models: []string{"m"}, Slots: 64, Speed: engineSpeed, Seed: uint64(n),
 	})
 	if err := e.Start(context.Background()); err != nil {
 		b.Fatal(err)
