--- a/operator/load/bench/bench.go
+++ b/operator/load/bench/bench.go
@@ -58,6 +58,7 @@
 	Policies []string `long:"policy" description:"run only this policy; may be repeated"`
 	Seeds    []uint64 `long:"seed" description:"run only this seed; may be repeated"`
 	Targets  []string `long:"target" description:"address of a running instance for the policy remote; may be repeated"`
+	Calm     bool     `long:"no-faults" description:"leave out the experiment's faults"`
 	Quiet    bool     `long:"quiet" description:"no progress"`
 	Args     struct {
 		File string `positional-arg-name:"FILE" required:"yes"`
@@ -84,6 +85,9 @@
 	if len(c.Targets) > 0 {
 		x.Settings.Targets = c.Targets
 	}
+	if c.Calm {
+		x.Faults = nil
+	}
 	policies, err := c.policies(x)
 	if err != nil {
 		return err
