Schedule: what was learned outlives a scheduler

When the role moved, the successor knew no engine's speed and no usual length: a slow engine got requests with a target between tokens until its streams had shown it again. Followers now learn from their own requests (Knowledge, Watch), at no cost in messages, and a scheduler begins with that.

Grants that another scheduler gave no longer count for the time to the first token and for a first rate, as their times are not known: a first token one second after the change looked like one second, whatever it was.

--- a/core/sched/engine.go
+++ b/core/sched/engine.go
@@ -1,7 +1,6 @@
 package sched
 
 import (
-	"math"
 	"time"
 
 	"github.com/comfreyladder/comfreyladder/core/pick"
@@ -27,6 +26,7 @@
 // engine is what is known about one upstream.
 type engine struct {
 	Upstream
+	*figures
 	holds map[string]bool
 	// slots is this scheduler's part of the upstream's slots.
 	slots int
@@ -40,16 +40,10 @@
 	history []flightCount
 	// others is how many requests of others the latest report showed.
 	others int
-	// firstToken is in seconds, tokenRate in tokens a second of one stream,
-	// slotRate in work a second of one slot; 0 means unknown.
-	firstToken, tokenRate, slotRate float64
-	samples                         int
 	// failures counts failures in a row, broken those of them that the engine
 	// alone can be blamed for.
 	failures, broken int
-	// observed is when the figures were last confirmed.
-	observed time.Time
-	aside    bool
+	aside            bool
 	// down says that the engine is aside because nothing came from it: it gets
 	// single probes, whatever waits.
 	down                  bool
@@ -152,6 +146,7 @@
 		first, rate = 0, 0
 	}
 	prefix := e.prefix(i.PrefixHashes)
+	backlog := e.promptsNow(now)
 	return pick.Candidate{
 		Name:       e.Name,
 		Holds:      true,
@@ -162,8 +157,8 @@
 		Free:       e.free(now, i.class.Protected, headroom),
 		Unstarted:  len(e.unstarted),
 		Prefix:     prefix,
-		Prefill:    e.promptsNow(now) + float64(i.PromptTokens)*(1-prefix),
-		Backlog:    e.promptsNow(now),
+		Prefill:    backlog + float64(i.PromptTokens)*(1-prefix),
+		Backlog:    backlog,
 		Paced:      e.pacedFlight > 0,
 		FirstToken: seconds(first),
 		TokenRate:  rate,
@@ -212,50 +207,27 @@
 	if i.startedAt.IsZero() {
 		return
 	}
-	alpha := e.alpha(now)
-	e.observed = now
 	e.failures, e.broken = 0, 0
-	e.samples++
-	e.pace(now, i, o.Tokens, alpha)
-	if held := now.Sub(i.grantedAt).Seconds(); o.Complete && held > 0 {
-		e.slotRate = smooth(e.slotRate, work/held, alpha)
-	}
+	e.finished(now, &i.stream, o, work, e.alpha(now))
 }
 
-func (e *engine) started(now time.Time, i *item) {
+// start takes in a first token.
+func (e *engine) start(now time.Time, i *item) {
 	delete(e.unstarted, i.ID)
 	if e.down {
 		e.restore()
 		e.forget()
 	}
-	alpha := e.alpha(now)
-	e.firstToken = smooth(e.firstToken, math.Max(now.Sub(i.grantedAt).Seconds(), 1e-6), alpha)
-}
-
-// stale reports whether nothing was learned of the engine for long.
-func (e *engine) stale(now time.Time) bool {
-	return now.Sub(e.observed) > figureLife
-}
-
-// lastRate is the last rate that was measured, or 0 when that was so long ago
-// that the engine must be tried again.
-func (e *engine) lastRate(now time.Time) float64 {
-	if now.Sub(e.observed) > longestAside {
-		return 0
-	}
-	return e.tokenRate
+	e.started(now, &i.stream, e.alpha(now))
 }
 
-// alpha is the weight of the next observation: large for a straggler, and all
-// of it when the figures are old.
+// alpha is the weight of the next observation: larger for a straggler.
 func (e *engine) alpha(now time.Time) float64 {
-	switch {
-	case e.stale(now):
-		return 1
-	case e.aside:
-		return probeLearnRate
+	alpha := e.figures.alpha(now)
+	if e.aside {
+		alpha = max(alpha, probeLearnRate)
 	}
-	return learnRate
+	return alpha
 }
 
 // slowest returns the time that the oldest grant waits for its first token.
--- a/core/sched/health.go
+++ b/core/sched/health.go
@@ -155,13 +155,6 @@
 	e.failures, e.broken = 0, 0
 }
 
-// forget drops what was measured, so that old figures do not set an engine aside
-// again before new ones are there.
-func (e *engine) forget() {
-	e.samples = min(e.samples, 1)
-	e.observed = time.Time{}
-}
-
 // judgeProbe acts on the end of a probe at once.
 func (s *Scheduler) judgeProbe(now time.Time, i *item, o Outcome) {
 	e := i.engine
--- a/core/sched/queue.go
+++ b/core/sched/queue.go
@@ -9,6 +9,7 @@
 // item is a ticket that is queued or granted.
 type item struct {
 	Ticket
+	stream
 	class *class
 	lane  *lane
 	share *share
@@ -25,21 +26,13 @@
 	// atShare and atExpiry are positions in the two heaps, -1 outside.
 	atShare, atExpiry int
 
-	engine    *engine
-	grant     Grant
-	grantedAt time.Time
-	startedAt time.Time
-	charged   float64
-	tokens    int
-	// pacedAt and paced are the time and the count of tokens from which the
-	// stream's rate is measured next; a zero time means that none is known.
-	pacedAt time.Time
-	paced   int
+	engine  *engine
+	grant   Grant
+	charged float64
+	tokens  int
 	probe   bool
 	// unprotected and withPace are as the class was at the grant.
 	unprotected, withPace bool
-	// restored says that another scheduler gave the grant.
-	restored bool
 }
 
 // before orders the items of one organisation: those that can still meet their
--- a/core/sched/sched.go
+++ b/core/sched/sched.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"github.com/comfreyladder/comfreyladder/core/pick"
-	"github.com/comfreyladder/comfreyladder/core/predict"
 )
 
 // predictEntries bounds the length histograms of single organisations.
@@ -13,10 +12,10 @@
 
 // Scheduler is the state machine. See the package comment.
 type Scheduler struct {
-	cfg     Config
-	rnd     *rand.Rand
-	chain   *pick.Chain
-	lengths *predict.Predictor
+	cfg   Config
+	rnd   *rand.Rand
+	chain *pick.Chain
+	known *Knowledge
 
 	classes map[string]*class
 	// order lists the classes by tier, the most urgent first.
@@ -47,6 +46,11 @@
 // New returns a scheduler without classes and upstreams; it refuses all tickets
 // until SetClasses and SetUpstreams were called.
 func New(cfg Config, rnd *rand.Rand) *Scheduler {
+	return NewKnowing(cfg, rnd, NewKnowledge(cfg))
+}
+
+// NewKnowing is New with what was learned before; the scheduler goes on with k.
+func NewKnowing(cfg Config, rnd *rand.Rand, k *Knowledge) *Scheduler {
 	cfg = cfg.withDefaults()
 	picker := pick.Picker(pick.Best{})
 	if cfg.Apart {
@@ -54,7 +58,7 @@
 	}
 	s := &Scheduler{
 		cfg: cfg, rnd: rnd, chain: pick.Default(picker),
-		lengths: predict.New(cfg.PriorTokens, predictEntries),
+		known:   k,
 		classes: map[string]*class{}, weights: map[string]float64{},
 		byName: map[string]*engine{}, items: map[string]*item{},
 		free: map[string]*room{}, parts: 1,
@@ -122,11 +126,7 @@
 	if i == nil || i.engine == nil || !i.startedAt.IsZero() {
 		return
 	}
-	i.startedAt = now
-	if !i.restored {
-		i.pacedAt, i.paced = now, 1
-	}
-	i.engine.started(now, i)
+	i.engine.start(now, i)
 }
 
 // Progress notes how many tokens were generated so far; use beyond what was
@@ -138,7 +138,7 @@
 	}
 	s.Started(now, id)
 	i.tokens = max(i.tokens, tokens)
-	i.engine.pace(now, i, tokens, i.engine.alpha(now))
+	i.engine.pace(now, &i.stream, tokens, i.engine.alpha(now))
 	if used := s.workOf(i, float64(i.tokens)); used > i.charged {
 		i.class.charge(i.Organisation, used-i.charged)
 		i.charged = used
@@ -164,7 +164,7 @@
 	i.class.forget(i.Organisation)
 	e.learn(now, i, o, used)
 	if o.Complete {
-		s.lengths.Observe(i.Class, i.Organisation, o.Tokens)
+		s.known.lengths.Observe(i.Class, i.Organisation, o.Tokens)
 	}
 	s.judgeProbe(now, i, o)
 	s.dropGone()
@@ -231,7 +231,7 @@
 }
 
 func (s *Scheduler) expectedTokens(i *item) float64 {
-	tokens := s.lengths.Mean(i.Class, i.Organisation)
+	tokens := s.known.lengths.Mean(i.Class, i.Organisation)
 	for _, bound := range []int{i.MaxTokens, i.class.MaxTokens} {
 		if bound > 0 {
 			tokens = min(tokens, float64(bound))
@@ -240,7 +240,6 @@
 	return tokens
 }
 
-// workOf weighs a request's prompt and generated tokens.
 func (s *Scheduler) workOf(i *item, tokens float64) float64 {
-	return tokens + s.cfg.PromptWeight*float64(i.PromptTokens) + 1
+	return s.known.workOf(&i.Ticket, tokens)
 }
--- a/core/sched/settings.go
+++ b/core/sched/settings.go
@@ -124,7 +124,7 @@
 }
 
 func (s *Scheduler) addEngine(name string) *engine {
-	e := &engine{unstarted: map[string]*item{}, sent: map[uint64]struct{}{}}
+	e := &engine{figures: s.known.engine(name), unstarted: map[string]*item{}, sent: map[uint64]struct{}{}}
 	e.Name = name
 	s.byName[name] = e
 	s.engines = append(s.engines, e)
@@ -137,6 +137,7 @@
 			return false
 		}
 		delete(s.byName, e.Name)
+		delete(s.known.engines, e.Name)
 		return true
 	})
 }
--- a/instance/schedule/domain.go
+++ b/instance/schedule/domain.go
@@ -55,7 +55,7 @@
 	clear(s.heard)
 	policy := s.cfg.Policy
 	policy.Apart = as == roleAlone
-	s.local = sched.New(policy, s.rnd)
+	s.local = sched.NewKnowing(policy, s.rnd, s.known)
 	if as == roleAlone {
 		s.local.SetShare(rank(s.peers.Members(), s.self))
 	}
--- a/instance/schedule/fault_test.go
+++ b/instance/schedule/fault_test.go
@@ -172,3 +172,26 @@
 	d.Eventually(d.scheduler).ShouldNot(BeEmpty())
 	d.Eventually(func() int { return d.inFlight(d.scheduler())() }).Should(Equal(0))
 }
+
+// Answers crawl on a slow engine for a while after each death of a scheduler.
+// A follower takes the role over and knows of no engine how fast it is, although
+// requests of its own ran there all the time.
+func TestSuccessorKnowsWhatItLearnedAsAFollower(t *testing.T) {
+	d := newDomain(t, 4, "a", "b", "c")
+	dead := d.scheduler()
+	live := d.without(dead)
+	for _, name := range live {
+		g := d.acquire(name)
+		g.FirstToken()
+		time.Sleep(time.Millisecond)
+		g.Progress(16)
+		g.Done(done)
+	}
+	d.cut(dead)
+	d.net.setMembers(live...)
+	d.Eventually(d.scheduler).Should(BeElementOf(live[0], live[1]))
+	known := d.services[d.scheduler()].Status().Domain.Upstreams
+	d.Expect(known).To(HaveLen(1))
+	d.Expect(known[0].FirstToken).NotTo(BeZero())
+	d.Expect(known[0].TokenRate).NotTo(BeZero())
+}
--- a/instance/schedule/service.go
+++ b/instance/schedule/service.go
@@ -4,7 +4,8 @@
 // tickets and events and get grants back. While it does not answer, each
 // instance schedules for itself on its share of the slots.
 //
-// Scheduler state is soft. Each instance knows its own tickets and grants and
+// Scheduler state is soft. What was learned of engines and lengths is not lost
+// with it: followers learn from their own requests. Each instance knows its own tickets and grants and
 // repeats them to a new scheduler, which grants nothing for a short hand-over
 // time. Messages may be lost: digests in the heartbeats show it and lead to a
 // full exchange.
@@ -90,7 +91,7 @@
 	s.state = &state{
 		cfg: cfg, peers: peers, self: peers.Self(), rnd: rand.New(rand.NewSource(cfg.Seed)),
 		requests: map[string]*request{}, heard: map[string]time.Time{}, down: map[string]*downMessage{},
-		doc: &intent.Document{},
+		doc: &intent.Document{}, known: sched.NewKnowledge(cfg.Policy),
 	}
 	peers.Handle(channelUp, func(_ context.Context, from string, d Decoder) {
 		var m upMessage
--- a/instance/schedule/state.go
+++ b/instance/schedule/state.go
@@ -35,6 +35,8 @@
 	grant   sched.Grant
 	tokens  int
 	started bool
+	// watch learns from the request while no scheduler runs here.
+	watch *sched.Watch
 }
 
 type reply struct {
@@ -54,8 +56,10 @@
 	scheduler string
 	lastHeard time.Time
 	nextBeat  time.Time
-	// local is the scheduler that runs here; nil for followers.
+	// local is the scheduler that runs here; nil for followers. known is what
+	// was learned, whoever schedules.
 	local *sched.Scheduler
+	known *sched.Knowledge
 
 	requests map[string]*request
 	draining bool
@@ -83,9 +87,11 @@
 
 func (s *state) setUpstreams(now time.Time, list []sched.Upstream) {
 	s.upstreams = list
-	if s.local != nil {
-		s.apply(now, s.local.SetUpstreams(now, list))
+	if s.local == nil {
+		s.known.Keep(list)
+		return
 	}
+	s.apply(now, s.local.SetUpstreams(now, list))
 }
 
 func (s *state) submit(now time.Time, r *request) {
@@ -136,9 +142,23 @@
 	default:
 		s.forget(e.ID)
 	}
+	if s.local == nil && r.watch != nil {
+		learn(now, r.watch, e)
+	}
 	s.tell(now, e)
 }
 
+func learn(now time.Time, w *sched.Watch, e event) {
+	switch e.Kind {
+	case eventStarted:
+		w.Started(now)
+	case eventProgress:
+		w.Progress(now, e.Tokens)
+	case eventFinish:
+		w.Finish(now, e.Outcome)
+	}
+}
+
 func (s *state) tell(now time.Time, e event) {
 	if s.local != nil {
 		s.take(now, e)
@@ -205,6 +225,9 @@
 		return
 	}
 	r.flying, r.grant = true, g
+	if s.local == nil {
+		r.watch = s.known.Watch(now, r.ticket, g.Upstream)
+	}
 	if giver != s.self && s.local != nil {
 		s.local.Restore(now, r.ticket, g.Upstream, 0)
 	}
