--- a/instance/admin/admin.go
+++ b/instance/admin/admin.go
@@ -41,60 +41,64 @@
 	Drain func()
 }
 
+// handler serves one request of an operator.
+type handler func(ctx *fasthttp.RequestCtx, op *intent.Operator) error
+
 // API is the HTTP handler of the operators' listener.
-type API struct{ cfg Config }
+type API struct {
+	cfg Config
+	// routes are found by method and path.
+	routes map[string]handler
+}
 
 // New returns an API.
-func New(cfg Config) *API { return &API{cfg: cfg} }
+func New(cfg Config) *API {
+	a := &API{cfg: cfg}
+	a.routes = map[string]handler{
+		"POST " + PathPlan:    a.plan,
+		"POST " + PathConfirm: a.confirm,
+		"POST " + PathDrain:   a.drain,
+		"GET " + PathIntent:   a.intent,
+		"GET " + PathStatus:   a.status,
+		"GET " + PathMetrics:  a.metrics,
+		"GET " + PathClaims:   a.unknowns,
+		"POST " + PathResolve: a.resolve,
+		"GET " + PathMembers:  a.group,
+		"POST " + PathRemove:  a.removeMember,
+	}
+	return a
+}
 
 // Handle serves one request.
 func (a *API) Handle(ctx *fasthttp.RequestCtx) {
-	if err := a.route(ctx); err != nil {
+	if err := a.serve(ctx); err != nil {
 		httpapi.WriteError(ctx, err, "")
 	}
 }
 
-func (a *API) route(ctx *fasthttp.RequestCtx) error {
+func (a *API) serve(ctx *fasthttp.RequestCtx) error {
 	op, err := a.authenticate(ctx)
 	if err != nil {
 		return err
 	}
-	path := string(ctx.Path())
-	switch {
-	case strings.HasPrefix(path, PathClaims), strings.HasPrefix(path, PathMembers):
-		return a.routeGroup(ctx, op, path)
-	case path == PathPlan && ctx.IsPost():
-		return a.plan(ctx)
-	case path == PathConfirm && ctx.IsPost():
-		return a.confirm(ctx, op)
-	case path == PathDrain && ctx.IsPost():
-		return a.drain(ctx, op)
-	case path == PathIntent && ctx.IsGet():
-		return a.intent(ctx)
-	case path == PathStatus && ctx.IsGet():
-		httpapi.WriteJSON(ctx, fasthttp.StatusOK, a.cfg.Status())
-		return nil
-	case path == PathMetrics && ctx.IsGet():
-		a.cfg.Telemetry.Write(ctx)
-		return nil
-	case strings.HasPrefix(path, PathRequests) && ctx.IsGet():
-		return a.explain(ctx, strings.TrimPrefix(path, PathRequests))
-	}
-	return fault.New(fault.NotFound, "%s %s is not part of this API", ctx.Method(), path)
+	method, path := string(ctx.Method()), string(ctx.Path())
+	if h, ok := a.routes[method+" "+path]; ok {
+		return h(ctx, op)
+	}
+	if id, ok := strings.CutPrefix(path, PathRequests); ok && ctx.IsGet() {
+		return a.explain(ctx, id)
+	}
+	return fault.New(fault.NotFound, "%s %s is not part of this API", method, path)
 }
 
-func (a *API) routeGroup(ctx *fasthttp.RequestCtx, op *intent.Operator, path string) error {
-	switch {
-	case path == PathClaims && ctx.IsGet():
-		return a.unknowns(ctx)
-	case path == PathResolve && ctx.IsPost():
-		return a.resolve(ctx, op)
-	case path == PathMembers && ctx.IsGet():
-		return a.group(ctx)
-	case path == PathRemove && ctx.IsPost():
-		return a.removeMember(ctx, op)
-	}
-	return fault.New(fault.NotFound, "%s %s is not part of this API", ctx.Method(), path)
+func (a *API) status(ctx *fasthttp.RequestCtx, _ *intent.Operator) error {
+	httpapi.WriteJSON(ctx, fasthttp.StatusOK, a.cfg.Status())
+	return nil
+}
+
+func (a *API) metrics(ctx *fasthttp.RequestCtx, _ *intent.Operator) error {
+	a.cfg.Telemetry.Write(ctx)
+	return nil
 }
 
 func (a *API) authenticate(ctx *fasthttp.RequestCtx) (*intent.Operator, error) {
@@ -109,7 +113,7 @@
 	return view.Operator(key)
 }
 
-func (a *API) plan(ctx *fasthttp.RequestCtx) error {
+func (a *API) plan(ctx *fasthttp.RequestCtx, _ *intent.Operator) error {
 	req := &PlanRequest{}
 	if err := httpapi.ReadJSON(ctx, req); err != nil {
 		return err
@@ -172,7 +176,7 @@
 	return nil
 }
 
-func (a *API) intent(ctx *fasthttp.RequestCtx) error {
+func (a *API) intent(ctx *fasthttp.RequestCtx, _ *intent.Operator) error {
 	view, err := a.cfg.Config.Current()
 	if err != nil {
 		return err
--- a/instance/admin/claims.go
+++ b/instance/admin/claims.go
@@ -69,7 +69,7 @@
 	ID string `json:"id"`
 }
 
-func (a *API) unknowns(ctx *fasthttp.RequestCtx) error {
+func (a *API) unknowns(ctx *fasthttp.RequestCtx, _ *intent.Operator) error {
 	c, cancel := context.WithTimeout(context.Background(), controlTimeout)
 	defer cancel()
 	list, err := a.cfg.Claims.Unknowns(c)
@@ -109,7 +109,7 @@
 	return nil
 }
 
-func (a *API) group(ctx *fasthttp.RequestCtx) error {
+func (a *API) group(ctx *fasthttp.RequestCtx, _ *intent.Operator) error {
 	c, cancel := context.WithTimeout(context.Background(), controlTimeout)
 	defer cancel()
 	list, err := a.cfg.Group.Group(c)
