--- a/proof/system/history_test.go
+++ b/proof/system/history_test.go
@@ -91,6 +91,7 @@
 		r := &recorder{began: time.Now(), counts: map[fault.Code]int{}}
 		_, first := s.instances["east-1"].withFloor(0.1)
 		var number atomic.Uint64
+		var ended atomic.Bool
 		var operators sync.WaitGroup
 		names := []string{"north-1", "north-2", "south-1", "south-2", "east-2"}
 		for client, name := range names {
@@ -98,7 +99,7 @@
 				defer GinkgoRecover()
 				in := s.instances[name]
 				who := []string{"alice", "bob"}[client%2]
-				for range 40 {
+				for !ended.Load() {
 					plan := r.record(client, step{}, func() (uint64, error) {
 						p, err := in.operator(who).Plan(first)
 						if err != nil {
@@ -106,8 +107,8 @@
 						}
 						return p.Base, nil
 					})
+					time.Sleep(poll)
 					if plan.code != "" {
-						time.Sleep(poll)
 						continue
 					}
 					n := number.Add(1)
@@ -128,7 +129,9 @@
 			v := s.instances[names[random.Intn(len(names))]]
 			v.process.kill()
 			v.start()
+			v.awaitReady()
 		}
+		ended.Store(true)
 		operators.Wait()
 		model := revisions.ToModel()
 		Expect(porcupine.CheckOperationsTimeout(model, r.history, patience)).To(Equal(porcupine.Ok), "%v", r.counts)
