--- a/instance/spread/spread.go
+++ b/instance/spread/spread.go
@@ -98,10 +98,8 @@
 	fresh  chan struct{}
 
 	// start tells this process from earlier ones of its name.
-	start uint64
-	// published says that this instance holds control state.
-	published bool
-	started   time.Time
+	start   uint64
+	started time.Time
 
 	mu          sync.Mutex
 	state       *tree.Follower
@@ -172,7 +170,6 @@
 	s.mu.Lock()
 	before := s.state.Revision()
 	err := s.state.Publish(revision, data)
-	s.published = s.published || err == nil
 	after := s.state.Revision()
 	s.mu.Unlock()
 	if after != before {
@@ -240,13 +237,13 @@
 	return s.ready()
 }
 
-// ready needs mu. An instance without a data folder has forgotten what it acted
-// on, and after a restart of all so have the others, and a parent may be behind:
-// its first configuration must come with a lease, which proves it the newest. In
-// a failure domain that is cut off there is none, and after startPhase what the
-// others of the domain know has to do.
+// ready needs mu. What an instance finds first after a start may be old: one
+// without a data folder has forgotten what it acted on, after a restart of all so
+// have the others, and a member has to catch up. The first configuration must come
+// with a lease, which proves it the newest. In a failure domain that is cut off
+// there is none; after startPhase, what is known here has to do.
 func (s *Service) ready() bool {
-	proved := s.published || s.state.Proved() || time.Since(s.started) > startPhase
+	proved := s.state.Proved() || time.Since(s.started) > startPhase
 	return proved && s.state.Ready()
 }
 
--- a/proof/system/control_test.go
+++ b/proof/system/control_test.go
@@ -177,6 +177,11 @@
 		for _, x := range s.instances {
 			x.process.kill()
 		}
+		alone := s.instances["north-1"]
+		alone.start()
+		Eventually(alone.floor, patience, poll).Should(Equal(last), "cut off from all others")
+		Expect(alone.acted()).To(HaveEach(newest))
+		alone.process.kill()
 		s.startAll()
 		for _, x := range s.instances {
 			Expect(x.floor()).To(Equal(last), x.name)
