--- a/proof/system/order_test.go
+++ b/proof/system/order_test.go
@@ -66,7 +66,7 @@
 }
 
 func version(v string) func(d *intent.Document) {
-	return func(d *intent.Document) { d.Models[0].Version = v }
+	return func(d *intent.Document) { d.Models[0].Version, d.Models[0].SizeMB = v, 100 }
 }
 
 func (in *instance) orders() admin.OrdersStatus {
