--- a/instance/order/order.go
+++ b/instance/order/order.go
@@ -175,7 +175,8 @@
 	s.cancel()
 	<-s.ended
 	s.calls.Wait()
-	if s.lease.number > 0 && !s.uncertain(time.Now()) {
+	// A request that was under way may have taken the lease, or not given it up.
+	if (s.lease.number > 0 || s.asking) && !s.uncertain(time.Now()) {
 		bounded, cancel := context.WithTimeout(ctx, s.cfg.CallTimeout)
 		defer cancel()
 		_, _ = s.propose(bounded, s.releaseRequest())
--- a/instance/order/order_test.go
+++ b/instance/order/order_test.go
@@ -78,6 +78,10 @@
 	nodes := startAll(p, "a", "b", "c")
 	p.Eventually(p.loaded("1")).Should(BeTrue())
 	issuer, others := elected(p, nodes)
+	// An order whose answer is still on its way would rightly be waited for.
+	p.Eventually(func() bool {
+		return !slices.ContainsFunc(issuer.Status().Engines, func(e order.EngineStatus) bool { return e.Standing != order.AsWanted })
+	}).Should(BeTrue())
 	p.setMembers(without(p.live(), nameOf(nodes, issuer))...)
 	p.stop(issuer)
 	p.confirm("2", others...)
