--- a/proof/capacity/site_test.go
+++ b/proof/capacity/site_test.go
@@ -23,6 +23,8 @@
 	program  = "../../bin/comfreyladderd"
 	patience = 90 * time.Second
 	poll     = 100 * time.Millisecond
+	// localSeeds is how many instances of its own domain each one asks first.
+	localSeeds = 2
 	// processors is GOMAXPROCS of each daemon: entry instances are small.
 	processors = "2"
 )
@@ -126,6 +128,12 @@
 			seeds = append(seeds, v.address(s.peering))
 		}
 	}
+	// Instances of a domain without a voter find each other by seeds of their own.
+	for _, o := range s.daemons {
+		if o.domain == d.domain && o.place < localSeeds && !o.disk {
+			seeds = append(seeds, o.address(s.peering))
+		}
+	}
 	t := &strings.Builder{}
 	fmt.Fprintf(t, "[instance]\nname = %s\nfailure_domain = %s\ndrain_delay = 0s\n", d.name, d.domain)
 	if d.disk {
--- a/proof/capacity/slopes_test.go
+++ b/proof/capacity/slopes_test.go
@@ -11,8 +11,11 @@
 )
 
 const (
-	settle   = 8 * time.Second
-	measured = 12 * time.Second
+	settle = 8 * time.Second
+	// settleAbroad is for several failure domains: instances learn of those of
+	// other domains by digests of digests, every five seconds.
+	settleAbroad = 45 * time.Second
+	measured     = 12 * time.Second
 	// catchUp lets the last change reach everyone before the logs are read.
 	catchUp = 3 * time.Second
 )
@@ -100,7 +103,11 @@
 	t := newTraffic(s)
 	t.start(b)
 	defer t.stop()
-	time.Sleep(settle)
+	if l.domains > 1 {
+		time.Sleep(settleAbroad)
+	} else {
+		time.Sleep(settle)
+	}
 	entry := s.daemons[len(s.daemons)-1]
 	roles := s.roles(b, entry)
 	x := s.read(b, true)
