--- a/instance/link/inbound.go
+++ b/instance/link/inbound.go
@@ -10,8 +10,9 @@
 // Bounds of one accepted connection.
 const (
 	// maxInboundMessages is how many one-way messages may wait for their
-	// handlers; more are dropped and counted.
-	maxInboundMessages = 4096
+	// handlers; more are dropped and counted. The places for them take 8 bytes
+	// each, twice for each connection.
+	maxInboundMessages = 1024
 	// maxInboundCalls is how many calls run at once; more are refused.
 	maxInboundCalls = 256
 )
--- a/instance/link/wire.go
+++ b/instance/link/wire.go
@@ -12,8 +12,9 @@
 	"github.com/comfreyladder/comfreyladder/core/fault"
 )
 
-// bufferSize of a connection's reader and writer, in bytes.
-const bufferSize = 16 << 10
+// bufferSize of a connection's reader and writer, in bytes. Most messages have a
+// few hundred; a voter has a hundred connections.
+const bufferSize = 4 << 10
 
 // wire is one WebSocket connection: a writer that drains a queue and sends
 // heartbeats, and a reader that hands envelopes on.
