--- a/instance/link/queue_test.go
+++ b/instance/link/queue_test.go
@@ -66,3 +66,26 @@
 	g.Expect(p.s.UnmatchedAnswers()).To(BeEquivalentTo(3))
 	g.Expect(c.answer.Body).To(Equal([]byte{1}))
 }
+
+// Story: an instance that was not linked yet, or whose link ended, is told that
+// another one is there by lazy messages only. They must have the link dialled;
+// waiting for its next heartbeat, they would wait for ever.
+func TestLazyMessagesWakeAQueueWithoutWire(t *testing.T) {
+	g := NewWithT(t)
+	q := newQueue(8, 1000, &budget{max: 1000})
+	woken := func() bool {
+		_, err := q.push(&item{lazy: true, data: []byte{1}})
+		g.Expect(err).NotTo(HaveOccurred())
+		select {
+		case <-q.ready:
+			return true
+		default:
+			return false
+		}
+	}
+	g.Expect(woken()).To(BeTrue())
+	q.serve(true)
+	g.Expect(woken()).To(BeFalse())
+	q.serve(false)
+	g.Expect(woken()).To(BeTrue())
+}
--- a/instance/registry/relay_test.go
+++ b/instance/registry/relay_test.go
@@ -94,8 +94,9 @@
 	g.Expect(first).To(Equal(beats))
 	g.Expect(others).To(BeNumerically("<=", beats/2))
 	for n := range beats {
-		if n%8 == 0 {
-			scheduler.Store([]string{"three", "four"}[n/8%2])
+		// Every seventh, so that what waits for all is not always the same.
+		if n%7 == 0 {
+			scheduler.Store([]string{"three", "four"}[n/7%2])
 		}
 		announced()
 	}
