--- a/proof/system/schedule_test.go
+++ b/proof/system/schedule_test.go
@@ -18,9 +18,14 @@
 	scheduleEngines = 2
 	scheduleSlots   = 4
 	allSlots        = scheduleEngines * scheduleSlots
+	// outlive is the length of answers that take longer than it takes the domain
+	// to replace a dead scheduler, at the engines' speed of four.
+	outlive = 3000
 )
 
-// hall is one failure domain of three instances and two engines.
+// hall is one failure domain of three instances and two engines. The engines'
+// load reports lag by more than a test takes, so that nobody can learn from them
+// what is in flight.
 type hall struct {
 	*site
 	engines   []*standIn
@@ -32,7 +37,7 @@
 	h := &hall{site: newSiteWith(siteOptions{settings: quickLimits}, 3, "hall")}
 	h.startAll()
 	for i := range scheduleEngines {
-		h.engines = append(h.engines, h.engine(fmt.Sprintf("e-%d", i+1), "hall", "--slots", fmt.Sprint(scheduleSlots), "--speed", "4"))
+		h.engines = append(h.engines, h.engine(fmt.Sprintf("e-%d", i+1), "hall", "--slots", fmt.Sprint(scheduleSlots), "--speed", "4", "--report-lag", "30s"))
 	}
 	h.see("hall", scheduleEngines)
 	// All follow the same one before the test begins.
@@ -170,20 +175,20 @@
 	It("is killed: its successor counts the grants in flight", func() {
 		h := newHall()
 		replies := make(chan verdict, 2*allSlots)
-		long := func(n int) {
+		ask := func(n, tokens int) {
 			defer GinkgoRecover()
 			prompt := fmt.Sprint("long question ", n)
-			r := h.others[n%2].chat("urgent", prompt, 1200, true)
-			replies <- r.judge(prompt, 1200)
+			r := h.others[n%2].chat("urgent", prompt, tokens, true)
+			replies <- r.judge(prompt, tokens)
 		}
 		for n := range allSlots {
-			go long(n)
+			go ask(n, outlive)
 		}
 		Eventually(h.taken, patience, poll).Should(Equal(allSlots))
 
 		h.scheduler.process.kill()
 		for n := range allSlots {
-			go long(allSlots + n)
+			go ask(allSlots+n, 100)
 		}
 		for range 2 * allSlots {
 			Eventually(func() int {
