--- a/proof/system/callers_test.go
+++ b/proof/system/callers_test.go
@@ -87,8 +87,6 @@
 
 func (r *reply) id() string { return r.header.Get("X-Request-Id") }
 
-func (r *reply) saysNotRun() bool { return r.header.Get("X-Not-Run") == "true" }
-
 // tally counts verdicts and replies from many goroutines.
 type tally struct {
 	mu   sync.Mutex
@@ -288,3 +286,26 @@
 		}
 	}
 }
+
+// bigSize is more than the buffers of a connection hold.
+const bigSize = 7 << 20
+
+// bigBooking is a booking whose answer repeats its content.
+func bigBooking() io.Reader {
+	return strings.NewReader(`{"text":"` + strings.Repeat("x", bigSize) + `"}`)
+}
+
+func readSlowly(r io.Reader) (int, error) {
+	buf := make([]byte, 64<<10)
+	sum := 0
+	for {
+		n, err := r.Read(buf)
+		sum += n
+		if err == io.EOF {
+			return sum, nil
+		}
+		if err != nil {
+			return sum, err
+		}
+	}
+}
