--- a/operator/router/format.go
+++ b/operator/router/format.go
@@ -19,20 +19,25 @@
 	sections(b, "model", d.Models)
 	sections(b, "service", d.Services)
 	sections(b, "operator", d.Operators)
+	section(b, "weights", reflect.ValueOf(d.Weights))
 	return b.String()
 }
 
 func sections[T any](b *strings.Builder, kind string, list []T) {
 	for i := range list {
 		v := reflect.ValueOf(&list[i]).Elem()
-		fmt.Fprintf(b, "[%s.%s]\n", kind, v.FieldByName("Name"))
-		for f := range v.NumField() {
-			key, _, _ := strings.Cut(v.Type().Field(f).Tag.Get("json"), ",")
-			if key == "name" || v.Field(f).IsZero() && v.Field(f).Kind() != reflect.Bool {
-				continue
-			}
-			fmt.Fprintf(b, "%s = %s\n", key, value(v.Field(f).Interface()))
+		section(b, kind+"."+v.FieldByName("Name").String(), v)
+	}
+}
+
+func section(b *strings.Builder, title string, v reflect.Value) {
+	fmt.Fprintf(b, "[%s]\n", title)
+	for f := range v.NumField() {
+		key, _, _ := strings.Cut(v.Type().Field(f).Tag.Get("json"), ",")
+		if key == "name" || v.Field(f).IsZero() && v.Field(f).Kind() != reflect.Bool {
+			continue
 		}
+		fmt.Fprintf(b, "%s = %s\n", key, value(v.Field(f).Interface()))
 	}
 }
 
