gnetconn: an address in use is told as that

A daemon that could not bind said 'setsockopt: bad file descriptor': gnet goes on with its keep-alive option after the bind failed and hides the cause. The option is set on each connection now. Seen in process tests whose port had been taken meanwhile.

--- a/instance/gnetconn/events.go
+++ b/instance/gnetconn/events.go
@@ -53,6 +53,9 @@
 		l.turnedAway.Add(1)
 		return nil, gnet.Close
 	}
+	// Not as an option of the listener: gnet then reports "bad file descriptor"
+	// in place of an address that is in use.
+	_ = gc.SetKeepAlivePeriod(keepAlive)
 	c := newConn(l, gc)
 	gc.SetContext(c)
 	l.handlers.Add(1)
--- a/instance/gnetconn/gnetconn_test.go
+++ b/instance/gnetconn/gnetconn_test.go
@@ -14,6 +14,7 @@
 	"runtime"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -273,3 +274,14 @@
 		Entry("by the peer's close", func(_, client net.Conn) { _ = client.Close() }),
 	)
 })
+
+// An operator starts a second daemon on an address that is taken. The failure
+// has to say so; gnet's own went on about a bad file descriptor.
+func TestAddressInUseIsTold(t *testing.T) {
+	g := NewWithT(t)
+	taken, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(HaveOccurred())
+	defer func() { _ = taken.Close() }()
+	_, err = gnetconn.Listen(taken.Addr().String(), gnetconn.Options{})
+	g.Expect(err).To(MatchError(syscall.EADDRINUSE))
+}
--- a/instance/gnetconn/listener.go
+++ b/instance/gnetconn/listener.go
@@ -120,7 +120,6 @@
 		gnet.WithLoadBalancing(gnet.LeastConnections),
 		gnet.WithReuseAddr(true),
 		gnet.WithTCPNoDelay(gnet.TCPNoDelay),
-		gnet.WithTCPKeepAlive(keepAlive),
 		gnet.WithLogger(quiet{}),
 		gnet.WithLogLevel(logging.ErrorLevel),
 	)
