--- a/instance/admin/admin.go
+++ b/instance/admin/admin.go
@@ -61,14 +61,10 @@
 	}
 	path := string(ctx.Path())
 	switch {
-	case strings.HasPrefix(path, PathClaims), strings.HasPrefix(path, PathMembers):
-		return a.routeGroup(ctx, op, path)
 	case path == PathPlan && ctx.IsPost():
 		return a.plan(ctx)
 	case path == PathConfirm && ctx.IsPost():
 		return a.confirm(ctx, op)
-	case path == PathDrain && ctx.IsPost():
-		return a.drain(ctx, op)
 	case path == PathIntent && ctx.IsGet():
 		return a.intent(ctx)
 	case path == PathStatus && ctx.IsGet():
@@ -80,11 +76,14 @@
 	case strings.HasPrefix(path, PathRequests) && ctx.IsGet():
 		return a.explain(ctx, strings.TrimPrefix(path, PathRequests))
 	}
-	return fault.New(fault.NotFound, "%s %s is not part of this API", ctx.Method(), path)
+	return a.routeRepair(ctx, op, path)
 }
 
-func (a *API) routeGroup(ctx *fasthttp.RequestCtx, op *intent.Operator, path string) error {
+// routeRepair serves what an operator does to instances and calls.
+func (a *API) routeRepair(ctx *fasthttp.RequestCtx, op *intent.Operator, path string) error {
 	switch {
+	case path == PathDrain && ctx.IsPost():
+		return a.drain(ctx, op)
 	case path == PathClaims && ctx.IsGet():
 		return a.unknowns(ctx)
 	case path == PathResolve && ctx.IsPost():
