--- a/operator/standin/engine/handle.go
+++ b/operator/standin/engine/handle.go
@@ -224,6 +224,7 @@
 		e.mu.Unlock()
 		for ; !silent && sent < ready; sent++ {
 			if breakAfter > 0 && sent-after >= breakAfter {
+				_ = w.Flush()
 				return false
 			}
 			if _, err := w.Write(s.event(sent + 1)); err != nil {
