--- a/instance/member/member.go
+++ b/instance/member/member.go
@@ -222,7 +222,10 @@
 		if s.round%digestRounds != 0 {
 			full.Others = nil
 		}
-		out = append(out, outgoing{to: peers[s.round%len(peers):][:1], msg: full})
+		// The turn moves on by one more after each digest: counted in rounds alone,
+		// digests reached only some of 5, 10, 15 or 20 peers, ever the same ones.
+		turn := (s.round + s.round/digestRounds) % len(peers)
+		out = append(out, outgoing{to: peers[turn : turn+1], msg: full})
 	}
 	abroad := core.Message{From: beat.From, Others: append(s.table.Domains(now), s.table.Digest(now))}
 	if seeds := s.unknownSeeds(now); len(seeds) > 0 {
