--- a/instance/member/member.go
+++ b/instance/member/member.go
@@ -219,12 +219,15 @@
 	out := []outgoing{{to: peers, msg: beat}}
 	if len(peers) > 0 {
 		full := s.table.Full(now)
-		if s.round%digestRounds != 0 {
+		turn := s.round
+		if s.round%digestRounds == 0 {
+			// Digests take turns of their own: counted in rounds they would reach
+			// only some of 5, 10, 15 or 20 peers, ever the same ones.
+			turn = s.round / digestRounds
+		} else {
 			full.Others = nil
 		}
-		// The turn moves on by one more after each digest: counted in rounds alone,
-		// digests reached only some of 5, 10, 15 or 20 peers, ever the same ones.
-		turn := (s.round + s.round/digestRounds) % len(peers)
+		turn %= len(peers)
 		out = append(out, outgoing{to: peers[turn : turn+1], msg: full})
 	}
 	abroad := core.Message{From: beat.From, Others: append(s.table.Domains(now), s.table.Digest(now))}
