--- a/instance/relay/conn.go
+++ b/instance/relay/conn.go
@@ -81,7 +81,7 @@
 	if r.fail = r.head.ReadRequest(c.in, lim.HeaderBytes); r.fail != nil {
 		return true
 	}
-	r.arrived = clock.Now()
+	r.arrived, r.headRead = clock.Now(), true
 	if r.head.Framing == http1.NoBody {
 		_ = c.nc.SetReadDeadline(time.Time{})
 		return r.head.Close
--- /dev/null
+++ b/instance/relay/relay_test.go
@@ -0,0 +1,247 @@
+package relay_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+)
+
+// A caller posts a body, and the next request that the same buffers serve has none.
+// The upstream of the second one must not get the first one's body: it would run
+// what nobody sent, and one caller's words would reach another's answer.
+func TestBuffersDoNotCarryABodyOver(t *testing.T) {
+	up := startUpstream(t, "u", echo)
+	c := start(t, up).caller()
+	Expect(c.call("POST", "/idem/a", "1", "secret").body).To(Equal("POST secret"))
+	for i := range 5 {
+		Expect(c.call("GET", "/idem/a", fmt.Sprint(2+i), "").body).To(Equal("GET "))
+	}
+}
+
+func TestRequestIsForwardedAsItCame(t *testing.T) {
+	up := startUpstream(t, "u", echo)
+	c := start(t, up).caller()
+	c.send("POST /idem/a%20b?q=1 HTTP/1.1\r\nHost: h\r\nX-Id: 7\r\nX-Key: k\r\nX-Org: forged\r\nX-Expect: forged\r\nX-Hold: forged\r\n" +
+		"X-Left: 1000\r\nConnection: X-Id, X-Hop\r\nX-Hop: 1\r\nX-Other: o\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n")
+	r := c.receive()
+	Expect(r.status).To(Equal(200))
+	Expect(r.header.Get("X-Seal")).To(Equal("s"))
+	got := up.requests()[0]
+	Expect(got.target).To(Equal("/idem/a%20b?q=1"))
+	Expect(got.body).To(Equal("abc"))
+	Expect(got.header["X-Org"]).To(Equal([]string{"org"}))
+	Expect(got.header["X-Expect"]).To(Equal([]string{"u"}))
+	Expect(got.header.Get("X-Id")).To(Equal("7"), "what a caller lists in Connection can't take its ID away")
+	Expect(got.header).NotTo(HaveKey("X-Key"))
+	Expect(got.header).NotTo(HaveKey("X-Hold"))
+	Expect(got.header).NotTo(HaveKey("X-Hop"))
+	Expect(got.header.Get("X-Other")).To(Equal("o"))
+	Expect(got.header.Get("X-Left")).To(MatchRegexp(`^9\d\d$`))
+}
+
+func TestRefusalsSayWhy(t *testing.T) {
+	up := startUpstream(t, "u", echo)
+	b := start(t, up)
+	Expect(b.caller().call("GET", "/none/", "1", "").status).To(Equal(404))
+	c := b.caller()
+	c.send("GET /idem/ HTTP/1.1\r\nHost: h\r\nX-Key: wrong\r\n\r\n")
+	Expect(c.receive().status).To(Equal(401))
+	c.send("GET /open/ HTTP/1.1\r\nHost: h\r\nX-Id: 1\r\n\r\n")
+	Expect(c.receive().status).To(Equal(200), "the connection goes on after a refusal, and an open route needs no key")
+	c.send("GET /idem/ HTTP/1.1\r\nHost: h\r\nHost: i\r\n\r\n")
+	Expect(c.receive().status).To(Equal(400))
+	c = b.caller()
+	c.send("GET /idem/ HTTP/1.1\r\nHost: h\r\nX-A: " + strings.Repeat("a", 4000) + "\r\n\r\n")
+	Expect(c.receive().status).To(Equal(431))
+	c = b.caller()
+	c.send("POST /idem/ HTTP/1.1\r\nHost: h\r\nContent-Length: 99999999\r\n\r\n")
+	Expect(c.receive().status).To(Equal(413))
+	c = b.caller()
+	c.send("GET /idem/ HTTP/1.1\r\nHo")
+	Expect(c.receive().status).To(Equal(408))
+	Expect(up.requests()).To(HaveLen(1))
+}
+
+// An instance loses the control group, and a key is taken away meanwhile. Once the
+// lease is over, nothing with a key may run; what needs none goes on.
+func TestNoKeyIsBelievedWithoutALease(t *testing.T) {
+	up := startUpstream(t, "u", echo)
+	b := start(t, up)
+	b.state.setLease(0)
+	r := b.caller().call("GET", "/idem/", "1", "")
+	Expect(r.status).To(Equal(503))
+	Expect(r.header.Get("Retry-After")).NotTo(BeEmpty())
+	Expect(b.service.Ready()).To(BeFalse())
+	c := b.caller()
+	c.send("GET /open/ HTTP/1.1\r\nHost: h\r\nX-Id: 1\r\n\r\n")
+	Expect(c.receive().status).To(Equal(200))
+	Expect(up.requests()).To(HaveLen(1))
+}
+
+// An upstream takes a request that must not be repeated and its answer is lost. The
+// caller is told that the outcome is not known, and no other upstream gets it.
+func TestLostAnswerOfANonIdempotentRequestIsUnknown(t *testing.T) {
+	lose := func(int, *received, net.Conn) bool { return false }
+	a, b := startUpstream(t, "a", lose), startUpstream(t, "b", lose)
+	r := start(t, a, b).caller().call("POST", "/once/", "1", "x")
+	Expect(r.status).To(Equal(502))
+	Expect(len(a.requests()) + len(b.requests())).To(Equal(1))
+}
+
+// An upstream says that it did not run the request. Only then may another one get
+// it, and when nobody does, the caller is told so and when to come back.
+func TestProofOfNotRunAllowsAnotherUpstream(t *testing.T) {
+	refuse := func(_ int, r *received, c net.Conn) bool { return notRun(c, r) }
+	a, b := startUpstream(t, "a", refuse), startUpstream(t, "b", refuse)
+	r := start(t, a, b).caller().call("POST", "/once/", "1", "x")
+	Expect(r.status).To(Equal(503))
+	Expect(r.header.Get("Retry-After")).NotTo(BeEmpty())
+	Expect(len(a.requests()) + len(b.requests())).To(Equal(2))
+}
+
+// An upstream fails an idempotent request; the other one answers it.
+func TestIdempotentRequestIsRepeatedElsewhere(t *testing.T) {
+	for name, fail := range map[string]func(int, *received, net.Conn) bool{
+		"lost":      func(int, *received, net.Conn) bool { return false },
+		"failed":    func(_ int, r *received, c net.Conn) bool { return whole(c, r, 500, "no") },
+		"cut short": func(_ int, r *received, c net.Conn) bool { return cutShort(c, r) },
+		"garbage":   func(_ int, _ *received, c net.Conn) bool { _, _ = io.WriteString(c, "garbage\r\n\r\n"); return true },
+		"other ID": func(_ int, r *received, c net.Conn) bool {
+			r.header.Set("X-Id", "other")
+			whole(c, r, 200, "theirs")
+			return false
+		},
+		"no seal": func(_ int, r *received, c net.Conn) bool {
+			_, _ = fmt.Fprintf(c, "HTTP/1.1 200 X\r\nX-Id: %s\r\nContent-Length: 2\r\n\r\nno", r.header.Get("X-Id"))
+			return true
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			a, b := startUpstream(t, "a", fail), startUpstream(t, "b", echo)
+			bed := start(t, a, b)
+			c := bed.caller()
+			for i := range 6 {
+				r := c.call("GET", "/idem/", fmt.Sprint(i), "")
+				Expect(r.status).To(Equal(200))
+				Expect(r.body).To(Equal("GET "))
+			}
+			Expect(a.requests()).NotTo(BeEmpty())
+		})
+	}
+}
+
+func cutShort(c net.Conn, r *received) bool {
+	_, _ = fmt.Fprintf(c, "HTTP/1.1 200 X\r\nX-Id: %s\r\nX-Seal: s\r\nContent-Length: 9\r\n\r\nabc", r.header.Get("X-Id"))
+	return false
+}
+
+// A second answer to an earlier request comes late, where the next request's answer
+// is due. It belongs to nobody: the next caller gets its own.
+func TestLateExtraAnswerIsNobodys(t *testing.T) {
+	up := startUpstream(t, "u", func(n int, r *received, c net.Conn) bool {
+		if n == 2 {
+			_, _ = fmt.Fprint(c, "HTTP/1.1 200 X\r\nX-Id: 1\r\nX-Seal: s\r\nContent-Length: 5\r\n\r\nextra")
+		}
+		return whole(c, r, 200, "own"+r.header.Get("X-Id"))
+	})
+	c := start(t, up).caller()
+	Expect(c.call("POST", "/once/", "1", "x").body).To(Equal("own1"))
+	Expect(c.call("POST", "/once/", "2", "x").body).To(Equal("own2"))
+}
+
+// A caller hangs up while an upstream works. The upstream must learn it at once.
+func TestHangUpReachesTheUpstream(t *testing.T) {
+	up := startUpstream(t, "u", func(_ int, _ *received, c net.Conn) bool {
+		_ = c.SetReadDeadline(time.Now().Add(limit))
+		_, _ = c.Read(make([]byte, 1))
+		return true
+	})
+	c := start(t, up).caller()
+	c.send(message("POST", "/once/", "1", "x"))
+	Eventually(up.requests).Should(HaveLen(1))
+	_ = c.Close()
+	Eventually(up.hangUps).WithTimeout(300 * time.Millisecond).Should(Equal(1))
+}
+
+// An upstream hangs. At the route's timeout the caller has the final answer.
+func TestFinalAnswerComesAtTheTimeout(t *testing.T) {
+	up := startUpstream(t, "u", func(int, *received, net.Conn) bool { time.Sleep(2 * limit); return false })
+	r := start(t, up).caller().call("POST", "/once/", "1", "x")
+	Expect(r.status).To(Equal(504))
+	Expect(r.took).To(BeNumerically("~", 1500*time.Millisecond, 150*time.Millisecond))
+}
+
+// An upstream leaves the answer without a length, and its connection is reset on the
+// way. What came must not pass for the whole answer.
+func TestUnframedAnswerThatIsResetIsNotWhole(t *testing.T) {
+	up := startUpstream(t, "u", func(n int, r *received, c net.Conn) bool {
+		_, _ = fmt.Fprintf(c, "HTTP/1.1 200 X\r\nX-Id: %s\r\nX-Seal: s\r\n\r\nabc", r.header.Get("X-Id"))
+		if n == 1 {
+			time.Sleep(20 * time.Millisecond)
+			_ = c.(*net.TCPConn).SetLinger(0)
+		}
+		return false
+	})
+	b := start(t, up)
+	Expect(b.caller().call("POST", "/once/", "1", "x").status).To(Equal(502))
+	r := b.caller().call("POST", "/once/", "2", "x")
+	Expect(r.status).To(Equal(200))
+	Expect(r.body).To(Equal("abc"))
+}
+
+// An upstream answers a long request before it has read it, and keeps the
+// connection. The rest of that body is due there: no other request may follow.
+func TestConnectionOfAnEarlyAnswerIsNotUsedAgain(t *testing.T) {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = l.Close() }()
+	accepted := make(chan net.Conn, 4)
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			_ = c.(*net.TCPConn).SetReadBuffer(4096)
+			accepted <- c
+			buf := make([]byte, 400)
+			_, _ = c.Read(buf)
+			_, _ = io.WriteString(c, "HTTP/1.1 413 X\r\nX-Id: 1\r\nX-Seal: s\r\nContent-Length: 0\r\n\r\n")
+		}
+	}()
+	up := &fakeUpstream{id: "u", listener: l}
+	c := start(t, up).caller()
+	Expect(c.call("POST", "/once/", "1", strings.Repeat("b", 900<<10)).status).To(Equal(413))
+	c.send(message("POST", "/once/", "1", "x"))
+	Eventually(accepted).Should(HaveLen(2))
+}
+
+// An instance drains while callers go on: each gets its answer, the connection ends
+// with it, and the balancer sees at once that the instance isn't ready.
+func TestDrainServesWhatStillComes(t *testing.T) {
+	up := startUpstream(t, "u", func(_ int, r *received, c net.Conn) bool {
+		time.Sleep(100 * time.Millisecond)
+		return whole(c, r, 200, "done")
+	})
+	b := start(t, up)
+	kept, idle := b.caller(), b.caller()
+	Expect(kept.call("GET", "/idem/", "1", "").status).To(Equal(200))
+	drained := make(chan error, 1)
+	go func() { drained <- b.service.Drain(context.Background()) }()
+	Eventually(b.service.Ready).Should(BeFalse())
+	r := kept.call("GET", "/idem/", "2", "")
+	Expect(r.status).To(Equal(200))
+	Expect(r.closes).To(BeTrue())
+	Expect(b.caller().call("GET", "/idem/", "3", "").status).To(Equal(200))
+	Expect(<-drained).To(Succeed())
+	_, err := idle.in.ReadByte()
+	Expect(err).To(MatchError(io.EOF), "an idle connection ends in order")
+}
--- a/instance/relay/request.go
+++ b/instance/relay/request.go
@@ -25,9 +25,10 @@
 
 // progress is what is known of a request and what became of it.
 type progress struct {
-	// fail is what is wrong with the message itself.
-	fail    error
-	arrived time.Time
+	// fail is what is wrong with the message itself, headRead that its head came.
+	fail     error
+	headRead bool
+	arrived  time.Time
 	// gone is closed when the caller has hung up. mu guards abandoned and abort,
 	// which ends the attempt under way.
 	gone      chan struct{}
@@ -72,7 +73,8 @@
 	if cap(r.body) > maxKeptBody {
 		return
 	}
-	r.progress = progress{}
+	// What is left in the buffers must not become part of another caller's request.
+	r.body, r.fields, r.progress = r.body[:0], r.fields[:0], progress{}
 	requests.Put(r)
 }
 
--- a/instance/relay/serve.go
+++ b/instance/relay/serve.go
@@ -39,10 +39,10 @@
 // refuseMessage answers a message that could not be read.
 func (s *Service) refuseMessage(c *conn, r *request) bool {
 	switch {
-	case errors.Is(r.fail, http1.ErrHeadTooLarge):
-		return s.refuse(c, r, &verdict{431, r.fail.Error(), 0})
-	case errors.Is(r.fail, http1.ErrBodyTooLarge):
+	case fault.CodeOf(r.fail) == fault.TooLarge && r.headRead:
 		return s.refuse(c, r, &verdict{413, r.fail.Error(), 0})
+	case fault.CodeOf(r.fail) == fault.TooLarge:
+		return s.refuse(c, r, &verdict{431, r.fail.Error(), 0})
 	case fault.CodeOf(r.fail) == fault.Invalid:
 		return s.refuse(c, r, &verdict{400, r.fail.Error(), 0})
 	case isTimeout(r.fail):
--- /dev/null
+++ b/instance/relay/stream_test.go
@@ -0,0 +1,92 @@
+package relay_test
+
+import (
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+)
+
+func TestStreamIsPassedOnAsItComes(t *testing.T) {
+	up := startUpstream(t, "u", func(_ int, r *received, c net.Conn) bool {
+		_, _ = io.WriteString(c, streamHead(r)+chunk(event(1)+event(2)[:4]))
+		time.Sleep(100 * time.Millisecond)
+		_, err := io.WriteString(c, chunk(event(2)[4:])+"0\r\n\r\n")
+		return err == nil
+	})
+	c := start(t, up).caller()
+	r := c.call("POST", "/brief/", "1", "x")
+	Expect(r.err).NotTo(HaveOccurred())
+	Expect(r.body).To(Equal(event(1) + event(2)))
+	Expect(c.call("POST", "/brief/", "2", "x").body).To(Equal(event(1)+event(2)), "the connections go on")
+	Expect(up.hangUps()).To(BeZero())
+}
+
+// An upstream breaks off in the middle of an event. A stream that may be resumed
+// goes on at another upstream after the last whole event, within the same answer;
+// no event is missing and none comes twice.
+func TestBrokenStreamGoesOnElsewhere(t *testing.T) {
+	script := func(_ int, r *received, c net.Conn) bool {
+		if r.header.Get("X-Last") == "2" {
+			return events(c, r, 2, 4, true) // repeats the event that the caller has
+		}
+		events(c, r, 1, 2, false)
+		_, _ = io.WriteString(c, "9\r\nid: 3\ndat")
+		return false
+	}
+	a, b := startUpstream(t, "a", script), startUpstream(t, "b", script)
+	r := start(t, a, b).caller().call("POST", "/stream/", "1", "x")
+	Expect(r.err).NotTo(HaveOccurred())
+	Expect(r.body).To(Equal(event(1) + event(2) + event(3) + event(4)))
+	Expect(a.requests()).To(HaveLen(1))
+	Expect(b.requests()).To(HaveLen(1))
+}
+
+// A stream that may not be resumed breaks off. Its caller must see that it isn't
+// whole, and no other upstream may run it.
+func TestBrokenStreamThatMayNotGoOnIsCut(t *testing.T) {
+	script := func(_ int, r *received, c net.Conn) bool { return events(c, r, 1, 2, false) }
+	a, b := startUpstream(t, "a", script), startUpstream(t, "b", script)
+	r := start(t, a, b).caller().call("POST", "/brief/", "1", "x")
+	Expect(r.err).To(HaveOccurred())
+	Expect(len(a.requests()) + len(b.requests())).To(Equal(1))
+}
+
+// A stream breaks before its first event. One that may be repeated begins anew with
+// the other upstream's own head, one that may not ends as unknown.
+func TestStreamThatBreaksBeforeItsFirstEvent(t *testing.T) {
+	script := func(n int, r *received, c net.Conn) bool {
+		if r.header.Get("X-Expect") == "a" {
+			_, _ = io.WriteString(c, streamHead(r))
+			return false
+		}
+		return events(c, r, 1, 2, true)
+	}
+	a, b := startUpstream(t, "a", script), startUpstream(t, "b", script)
+	bed := start(t, a, b)
+	for len(a.requests()) == 0 {
+		r := bed.caller().call("POST", "/stream/", "1", "x")
+		Expect(r.body).To(Equal(event(1) + event(2)))
+	}
+}
+
+// An upstream falls silent in the middle of a stream, without closing anything. The
+// stream goes on elsewhere instead of waiting for the time limit.
+func TestSilentStreamGoesOnElsewhere(t *testing.T) {
+	script := func(_ int, r *received, c net.Conn) bool {
+		if r.header.Get("X-Last") != "" {
+			return events(c, r, 3, 4, true)
+		}
+		events(c, r, 1, 2, false)
+		time.Sleep(2 * limit)
+		return false
+	}
+	a, b := startUpstream(t, "a", script), startUpstream(t, "b", script)
+	bed := start(t, a, b)
+	c := bed.caller()
+	c.send("POST /stream/ HTTP/1.1\r\nHost: h\r\nX-Id: 1\r\nX-Key: k\r\nX-Left: 60000\r\nContent-Length: 1\r\n\r\nx")
+	r := c.receive()
+	Expect(r.body).To(HavePrefix(event(1) + event(2)))
+}
--- /dev/null
+++ b/instance/relay/suite_test.go
@@ -0,0 +1,266 @@
+package relay_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	. "github.com/onsi/gomega"
+
+	"github.com/comfreyladder/comfreyladder/core/control/serving"
+	"github.com/comfreyladder/comfreyladder/core/route"
+	"github.com/comfreyladder/comfreyladder/instance/follow"
+	"github.com/comfreyladder/comfreyladder/instance/relay"
+)
+
+var headers = relay.Headers{
+	RequestID: "X-Id", Deadline: "X-Left", Key: "X-Key", Organisation: "X-Org", ExpectInstance: "X-Expect", Urgency: "X-Urgency",
+	NotRun: "X-Not-Run", Seal: "X-Seal", LastEvent: "X-Last", Parts: "X-Parts", Tokens: "X-Tokens",
+	Reserved: []string{"X-Org", "X-Expect", "X-Urgency", "X-Hold"}, EndToEnd: []string{"X-Id"},
+}
+
+// state is a serving state that a test sets.
+type state struct {
+	mu    sync.Mutex
+	view  *follow.View
+	lease time.Duration
+}
+
+func (s *state) View() *follow.View {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.view
+}
+
+func (s *state) Lease() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.lease
+}
+
+func (s *state) Age() time.Duration { return 0 }
+
+func (s *state) setLease(d time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lease = d
+}
+
+// received is a request as an upstream got it.
+type received struct {
+	method, target, body string
+	header               http.Header
+}
+
+// fakeUpstream answers each request on its connections by a script.
+type fakeUpstream struct {
+	id       string
+	listener net.Listener
+	script   func(n int, r *received, c net.Conn) (keep bool)
+	mu       sync.Mutex
+	got      []*received
+	closed   int
+}
+
+func startUpstream(t *testing.T, id string, script func(n int, r *received, c net.Conn) bool) *fakeUpstream {
+	t.Helper()
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	u := &fakeUpstream{id: id, listener: l, script: script}
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go u.serve(c)
+		}
+	}()
+	return u
+}
+
+func (u *fakeUpstream) serve(c net.Conn) {
+	defer func() { _ = c.Close() }()
+	in := bufio.NewReader(c)
+	for {
+		req, err := http.ReadRequest(in)
+		if err != nil {
+			u.mu.Lock()
+			u.closed++
+			u.mu.Unlock()
+			return
+		}
+		body, _ := io.ReadAll(req.Body)
+		r := &received{method: req.Method, target: req.RequestURI, body: string(body), header: req.Header}
+		u.mu.Lock()
+		u.got = append(u.got, r)
+		n := len(u.got)
+		u.mu.Unlock()
+		if !u.script(n, r, c) {
+			return
+		}
+	}
+}
+
+func (u *fakeUpstream) requests() []*received {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return append([]*received(nil), u.got...)
+}
+
+func (u *fakeUpstream) hangUps() int {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.closed
+}
+
+// whole writes a whole answer with the request's ID and a seal.
+func whole(c net.Conn, r *received, status int, body string) bool {
+	_, err := fmt.Fprintf(c, "HTTP/1.1 %d X\r\nX-Id: %s\r\nX-Seal: s\r\nContent-Length: %d\r\n\r\n%s", status, r.header.Get("X-Id"), len(body), body)
+	return err == nil
+}
+
+func echo(_ int, r *received, c net.Conn) bool { return whole(c, r, 200, r.method+" "+r.body) }
+
+func notRun(c net.Conn, r *received) bool {
+	_, err := fmt.Fprintf(c, "HTTP/1.1 503 X\r\nX-Id: %s\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n", r.header.Get("X-Id"))
+	return err == nil
+}
+
+const limit = 2 * time.Second
+
+func routes() *route.Table {
+	to := []route.Backend{{Service: "s", Weight: 1}}
+	return &route.Table{
+		Version: 1,
+		Routes: []route.Route{
+			{Name: "idem", Host: "h", Prefix: "/idem/", Kind: route.Idempotent, Backends: to, Timeout: limit, Target: 100 * time.Millisecond, MaxAttempts: 2},
+			{Name: "once", Host: "h", Prefix: "/once/", Kind: route.NonIdempotent, Backends: to, Timeout: limit, Target: 100 * time.Millisecond, MaxAttempts: 2},
+			{Name: "stream", Host: "h", Prefix: "/stream/", Kind: route.Streaming, Resumable: true, Backends: to, Timeout: limit, Target: 100 * time.Millisecond, MaxAttempts: 2},
+			{Name: "brief", Host: "h", Prefix: "/brief/", Kind: route.Streaming, Backends: to, Timeout: limit, Target: 100 * time.Millisecond, MaxAttempts: 2},
+			{Name: "open", Host: "h", Prefix: "/open/", Kind: route.Idempotent, Backends: to, Timeout: limit, MaxAttempts: 1, Anonymous: true},
+		},
+		Services:      []route.Service{{Name: "s"}},
+		Organisations: []route.Organisation{{Name: "org", Keys: []route.KeyDigest{route.Digest([]byte("k"))}}},
+		Limits:        route.Limits{HeaderBytes: 2048, BodyBytes: 1 << 20, HeaderTimeout: 300 * time.Millisecond, IdleTimeout: time.Second},
+	}
+}
+
+type bed struct {
+	t       *testing.T
+	state   *state
+	service *relay.Service
+}
+
+// start runs a relay before the given upstreams.
+func start(t *testing.T, ups ...*fakeUpstream) *bed {
+	t.Helper()
+	RegisterTestingT(t)
+	v := &follow.View{Index: 1, Routes: route.NewIndex(routes()), Upstreams: map[string]*serving.Upstream{}, Forwarders: 1}
+	for _, u := range ups {
+		v.Upstreams[u.id] = &serving.Upstream{ID: u.id, Service: "s", Address: u.listener.Addr().String(), State: serving.Ready, Slots: 8}
+	}
+	b := &bed{t: t, state: &state{view: v, lease: time.Minute}}
+	b.service = relay.New(relay.Config{
+		Listen: "127.0.0.1:0", Headers: headers, State: b.state, FailClosed: true,
+		Budget:   relay.Budget{Ratio: 0.2, Window: 10 * time.Second, Slack: 20},
+		Announce: 200 * time.Millisecond, DrainTimeout: 2 * time.Second,
+	}, metrics.NewSet())
+	b.service.Update(v)
+	if err := b.service.Start(context.Background()); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = b.service.Stop(context.Background()) })
+	return b
+}
+
+// caller is one connection of a caller.
+type caller struct {
+	net.Conn
+	in *bufio.Reader
+	t  *testing.T
+}
+
+func (b *bed) caller() *caller {
+	b.t.Helper()
+	c, err := net.Dial("tcp4", b.service.Address().String())
+	if err != nil {
+		b.t.Fatal(err)
+	}
+	b.t.Cleanup(func() { _ = c.Close() })
+	return &caller{Conn: c, in: bufio.NewReader(c), t: b.t}
+}
+
+func message(method, path, id, body string) string {
+	m := fmt.Sprintf("%s %s HTTP/1.1\r\nHost: h\r\nX-Id: %s\r\nX-Key: k\r\nX-Left: 1500\r\n", method, path, id)
+	if body != "" {
+		m += fmt.Sprintf("Content-Length: %d\r\n", len(body))
+	}
+	return m + "\r\n" + body
+}
+
+func (c *caller) send(text string) {
+	c.t.Helper()
+	if _, err := io.WriteString(c, text); err != nil {
+		c.t.Fatal(err)
+	}
+}
+
+type reply struct {
+	status int
+	body   string
+	header http.Header
+	err    error
+	took   time.Duration
+	closes bool
+}
+
+func (c *caller) receive() reply {
+	begun := time.Now()
+	_ = c.SetReadDeadline(begun.Add(2 * limit))
+	resp, err := http.ReadResponse(c.in, nil)
+	if err != nil {
+		return reply{err: err, took: time.Since(begun)}
+	}
+	body, err := io.ReadAll(resp.Body)
+	return reply{resp.StatusCode, string(body), resp.Header, err, time.Since(begun), resp.Close}
+}
+
+func (c *caller) call(method, path, id, body string) reply {
+	c.t.Helper()
+	c.send(message(method, path, id, body))
+	return c.receive()
+}
+
+func event(n int) string { return fmt.Sprintf("id: %d\ndata: e%d\n\n", n, n) }
+
+func chunk(s string) string { return fmt.Sprintf("%x\r\n%s\r\n", len(s), s) }
+
+func streamHead(r *received) string {
+	return "HTTP/1.1 200 OK\r\nX-Id: " + r.header.Get("X-Id") + "\r\nX-Seal: s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+}
+
+// events writes a stream from one event to another; the end only if asked for.
+func events(c net.Conn, r *received, from, to int, end bool) bool {
+	var b strings.Builder
+	b.WriteString(streamHead(r))
+	for i := from; i <= to; i++ {
+		b.WriteString(chunk(event(i)))
+	}
+	if end {
+		b.WriteString("0\r\n\r\n")
+	}
+	_, err := io.WriteString(c, b.String())
+	return err == nil && end
+}
