--- a/core/route/index.go
+++ b/core/route/index.go
@@ -60,9 +60,9 @@
 }
 
 // Urgency returns the rank of a request among all of the table, from 0 (first) to
-// levels-1: the organisation's priority goes before the route's, and a request
-// without an organisation comes after those that have one. Where there are more
-// pairs of priorities than levels, neighbouring ones share a level.
+// levels-1: the route's priority goes before the organisation's, and a request
+// without an organisation counts as one of the last. Where there are more pairs of
+// priorities than levels, neighbouring ones share a level.
 func (x *Index) Urgency(r *Route, o *Organisation, levels int) int {
 	last := len(x.organisationRanks)
 	of := last
@@ -70,7 +70,7 @@
 		of = x.organisationRanks[o.Priority]
 	}
 	pairs := max(1, last) * len(x.routeRanks)
-	place := min(of, max(0, last-1))*len(x.routeRanks) + x.routeRanks[r.Priority]
+	place := min(of, max(0, last-1)) + max(1,last)*x.routeRanks[r.Priority]
 	if pairs <= levels {
 		return place
 	}
--- a/instance/relay/serve.go
+++ b/instance/relay/serve.go
@@ -329,7 +329,7 @@
 		event = "request_failed"
 	}
 	l := s.cfg.Log.Event(event).Bytes("request", r.id).Str("route", name).Str("kind", kind).Int("status", int64(status)).
-		MS("took", took).Int("sent", int64(r.sent)).Str("upstream", r.upstream).MS("view_age", s.cfg.State.Age())
+		MS("took", took).Int("sent", int64(r.sent)).Int("urgency", int64(r.urgency)).Str("upstream", r.upstream).MS("view_age", s.cfg.State.Age())
 	if reason != "" {
 		l.Str("reason", reason)
 	}
--- a/instance/relay/stream.go
+++ b/instance/relay/stream.go
@@ -49,6 +49,7 @@
 		}
 		next := st.resume(a, err)
 		if next == nil {
+			a.r.last = err
 			return false, st.broke("the stream broke off")
 		}
 		a = next
