--- a/instance/relay/relay_test.go
+++ b/instance/relay/relay_test.go
@@ -275,3 +275,27 @@
 	}
 	Expect(got).To(Equal(len(up.requests())))
 }
+
+// A stream arrives at the end of a drain, as happens when too few other instances
+// are ready. It would be cut off when the process ends: the caller is told at once
+// that it did not run. Short requests are still served.
+func TestStreamAtTheEndOfADrainIsRefused(t *testing.T) {
+	up := startUpstream(t, "u", func(_ int, r *received, c net.Conn) bool {
+		if r.header.Get("X-Id") == "long" {
+			time.Sleep(time.Second)
+		}
+		return whole(c, r, 200, "done")
+	})
+	b := start(t, up)
+	long := b.caller()
+	long.send(message("POST", "/idem/", "long", "x"))
+	Eventually(up.requests).Should(HaveLen(1))
+	go func() { _ = b.service.Drain(context.Background()) }()
+	time.Sleep(400 * time.Millisecond)
+	r := b.caller().call("POST", "/stream/", "1", "x")
+	Expect(r.status).To(Equal(503))
+	Expect(r.closes).To(BeTrue())
+	Expect(b.caller().call("GET", "/idem/", "2", "").status).To(Equal(200))
+	Expect(long.receive().status).To(Equal(200))
+	Expect(up.requests()).To(HaveLen(2))
+}
--- a/instance/relay/serve.go
+++ b/instance/relay/serve.go
@@ -70,10 +70,21 @@
 	if v := s.authorise(r, v.Routes); v != nil {
 		return v
 	}
+	if s.ending.Load() && r.route.Kind == route.Streaming {
+		return errEnding
+	}
 	s.plan(r, v)
 	return nil
 }
 
+// errEnding refuses a stream that the process would not live to see the end of. The
+// balancer has had its time to send callers elsewhere; one that comes all the same,
+// since too few instances are ready, is better off at another one than cut off.
+var errEnding = &verdict{503, "not run: this instance ends", retryAtOnce}
+
+// retryAtOnce tells a caller to come back without a wait.
+const retryAtOnce = 20 * time.Millisecond
+
 // mayAct reports whether the view is fresh enough to act on.
 func (s *Service) mayAct() bool { return !s.cfg.FailClosed || s.cfg.State.Lease() > 0 }
 
@@ -153,7 +164,7 @@
 // patience is how long the head of an answer is awaited before another upstream is
 // tried; zero where the request must not be repeated.
 func (s *Service) patience(r *request) time.Duration {
-	if !r.route.Repeatable() || r.sent+1 >= r.route.MaxAttempts {
+	if !r.route.Repeatable() || r.sent+1 >= r.route.MaxAttempts || s.fleet.known(r.service) < 2 {
 		return 0
 	}
 	return max(minPatience, patienceShare*r.route.Target)
