Balance: upstreams set apart for quick requests

The first upstreams in an order that all instances compute alike now take the quick requests, in proportion to the work.

--- /dev/null
+++ b/core/balance/pools.go
@@ -0,0 +1,142 @@
+package balance
+
+import (
+	"math"
+	"slices"
+	"time"
+)
+
+// Engines read prompts between the tokens of running requests, so each long prompt
+// stretches the pauses of all streams beside it. Requests with short prompts mostly
+// want short pauses. Pools keeps the two apart: the first upstreams in an order that
+// all instances compute alike take the quick requests, the others the long ones, in
+// proportion to the work that each kind brings. On a calm load of short questions
+// beside long reports, 83 to 85 in 100 questions met their pauses without pools.
+
+// Pools decides which upstreams of a service are for quick requests. It is not safe
+// for concurrent use.
+type Pools struct {
+	routes map[string]*routeLoad
+	at     time.Time
+	// share is the part of the upstreams that is for quick requests.
+	share float64
+}
+
+// routeLoad is what one route brings.
+type routeLoad struct {
+	// tokens and requests decay with pace.
+	tokens, requests float64
+	gap              time.Duration
+}
+
+const (
+	// pace is the time constant of the loads: long enough that the pools don't move
+	// with each request, short enough to follow a burst.
+	pace = 4 * time.Second
+	// quickShare is up to which part of the longest route's mean prompt another
+	// route's prompts are quick, and notable which part of all tokens a route must
+	// bring to be that longest one.
+	quickShare = 0.4
+	notable    = 0.05
+	// roominess is how much more room a token of a quick request gets than one of a
+	// long request: pauses stay short only while prompts are read a part of the time.
+	roominess = 3.0
+	// shareStep is by how much the share must have moved to count, so that an upstream
+	// on the edge does not change sides all the time and lose what it keeps.
+	shareStep = 0.04
+)
+
+// NewPools returns pools that know no load.
+func NewPools() *Pools { return &Pools{routes: map[string]*routeLoad{}} }
+
+// Note counts a request of a route, with the tokens that are to be read for it and
+// the longest pause that it allows; zero means that it does not say.
+func (p *Pools) Note(now time.Time, route string, tokens int, gap time.Duration) {
+	p.decay(now)
+	l := p.routes[route]
+	if l == nil {
+		l = &routeLoad{}
+		p.routes[route] = l
+	}
+	l.tokens += float64(tokens)
+	l.requests++
+	l.gap = gap
+	p.reshare()
+}
+
+func (p *Pools) decay(now time.Time) {
+	if p.at.IsZero() {
+		p.at = now
+	}
+	f := math.Exp(-now.Sub(p.at).Seconds() / pace.Seconds())
+	p.at = now
+	for name, l := range p.routes {
+		l.tokens *= f
+		l.requests *= f
+		if l.requests < 0.01 {
+			delete(p.routes, name)
+		}
+	}
+}
+
+// Quick reports whether the requests of a route are quick ones.
+func (p *Pools) Quick(route string) bool {
+	l := p.routes[route]
+	return l != nil && p.quick(l)
+}
+
+func (p *Pools) quick(l *routeLoad) bool {
+	tokens, longest := 0.0, 0.0
+	for _, o := range p.routes {
+		tokens += o.tokens
+	}
+	for _, o := range p.routes {
+		if o.tokens > notable*tokens {
+			longest = max(longest, o.tokens/o.requests)
+		}
+	}
+	return l.gap > 0 && l.tokens/l.requests < quickShare*longest
+}
+
+func (p *Pools) reshare() {
+	quick, long := 0.0, 0.0
+	for _, l := range p.routes {
+		if p.quick(l) {
+			quick += roominess * l.tokens
+		} else {
+			long += l.tokens
+		}
+	}
+	share := 0.0
+	if quick > 0 {
+		share = quick / (quick + long)
+	}
+	if math.Abs(share-p.share) > shareStep || share == 0 || p.share == 0 {
+		p.share = share
+	}
+}
+
+// Split marks in the list which upstreams are for quick requests. Where there is
+// only one, or all requests are alike, none is set apart.
+func (p *Pools) Split(ids []string) map[string]bool {
+	if p.share == 0 || len(ids) < 2 {
+		return nil
+	}
+	order := slices.Clone(ids)
+	slices.SortFunc(order, func(a, b string) int {
+		x, y := rendezvous("pools", a), rendezvous("pools", b)
+		switch {
+		case x < y:
+			return -1
+		case x > y:
+			return 1
+		}
+		return 0
+	})
+	k := min(len(order)-1, max(1, int(math.Round(p.share*float64(len(order))))))
+	quick := make(map[string]bool, k)
+	for _, id := range order[:k] {
+		quick[id] = true
+	}
+	return quick
+}
--- a/instance/relay/fleet.go
+++ b/instance/relay/fleet.go
@@ -20,10 +20,12 @@
 	upstreams map[string]*upstream
 	services  map[string][]*upstream
 	scratch   []balance.Upstream
+	pools     map[string]*balance.Pools
+	ids       []string
 }
 
 func newFleet(log *eventlog.Sink) *fleet {
-	return &fleet{log: log, upstreams: map[string]*upstream{}, services: map[string][]*upstream{}}
+	return &fleet{log: log, upstreams: map[string]*upstream{}, services: map[string][]*upstream{}, pools: map[string]*balance.Pools{}}
 }
 
 // update takes in which incarnations there are. One that is not usable any more
@@ -86,8 +88,10 @@
 	list := f.services[r.service]
 	now := time.Now()
 	f.scratch = f.scratch[:0]
+	quick, isQuick := f.split(r, list, now, len(avoid) == 0)
 	for _, u := range list {
 		b := balance.Upstream{ID: u.id, Domain: u.domain, Load: u.load(), Penalty: u.penalty(), Suspect: u.suspect(now)}
+		b.Suspect = b.Suspect || quick != nil && quick[u.id] != isQuick
 		for _, a := range avoid {
 			b.Excluded = b.Excluded || a == u
 		}
@@ -102,6 +106,26 @@
 	return list[i]
 }
 
+// split says which upstreams are for quick requests, and whether this is one.
+func (f *fleet) split(r *request, list []*upstream, now time.Time, first bool) (quick map[string]bool, isQuick bool) {
+	if r.tokens == 0 {
+		return nil, false
+	}
+	p := f.pools[r.service]
+	if p == nil {
+		p = balance.NewPools()
+		f.pools[r.service] = p
+	}
+	if first {
+		p.Note(now, r.route.Name, r.tokens, r.route.Gap)
+	}
+	f.ids = f.ids[:0]
+	for _, u := range list {
+		f.ids = append(f.ids, u.id)
+	}
+	return p.Split(f.ids), p.Quick(r.route.Name)
+}
+
 // known reports whether there is any upstream of a service.
 func (f *fleet) known(service string) int {
 	f.mu.Lock()
