Balance: a model of engines, loads of all instances, kept parts first

Now instances report their work with each question to the control group (four a second) and get that of all others, and an engine costs what is waiting to be read there plus six times what it would have to read again.

--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -1,7 +1,8 @@
 // Package balance chooses the upstream for a request, as a chain of small steps:
-// filters take out what can't be used, then the first of the candidates in the
-// order of the request's affinity that is not overloaded is picked, or the least
-// loaded one. It knows nothing of connections.
+// filters take out what can't be used, a model of each candidate says what the
+// request would cost there, and a picker takes the cheapest one, or among equally
+// cheap ones the first in the order of the request's affinity. It knows nothing of
+// connections.
 package balance
 
 import (
@@ -14,51 +15,110 @@
 type Upstream struct {
 	ID     string
 	Domain string
-	// Load is the work it has, in any unit that is equal for all: 1 is full.
-	Load float64
-	// Penalty multiplies the load of an upstream that fails or is slow; 1 is none.
+	// Active counts the requests under way there, of all instances as far as is
+	// known, and Slots those that it runs at once.
+	Active, Slots int
+	// Reading is how many prompt tokens wait to be read there, Held how many its
+	// requests hold in its memory, which has room for Capacity. They are zero for
+	// upstreams that are no engines.
+	Reading, Held, Capacity int
+	// Kept is the part of the request's shared tokens that is believed to be there.
+	Kept float64
+	// Slowness is how much longer than predicted its answers have taken; 1 is normal.
+	Slowness float64
+	// Penalty multiplies the cost of an upstream that fails; 1 is none.
 	Penalty float64
-	// Suspect upstreams are picked only when no other is left.
-	Suspect bool
-	// Excluded upstreams are not picked at all.
-	Excluded bool
+	// Suspect upstreams are picked only when no other is left, Excluded ones never.
+	Suspect, Excluded bool
 }
 
 // Request is what is known of a request.
 type Request struct {
 	// Affinity names what an upstream may have kept; empty for nothing.
 	Affinity string
-	// Domain is the caller's failure domain.
+	// Shared and Own are the prompt tokens that are shared with other requests and
+	// those that are not.
+	Shared, Own int
+	// Rate is how many prompt tokens an engine reads in a millisecond.
+	Rate float64
+	// Domain is the failure domain of the instance that asks.
 	Domain string
 	// Draw is a number drawn uniformly from [0, 1).
 	Draw float64
 }
 
-const (
-	// bound is how much more than the mean load an upstream may have and still be
-	// picked for its affinity, and slackLoad the load below which it always may.
-	bound     = 1.5
-	slackLoad = 0.15
-	// otherDomain is what a way to another failure domain counts as load: bytes
-	// between domains cost, and such a way is cut more often.
-	otherDomain = 0.1
-)
+// Choice is an upstream with what is predicted of the request there.
+type Choice struct {
+	Index int
+	// Wait is the predicted time to the first event in milliseconds; zero for
+	// upstreams that are no engines.
+	Wait float64
+}
 
-// None is returned when no upstream is left.
+// None is the index when no upstream is left.
 const None = -1
 
-// Choose returns the index of the upstream to use, or None.
-func Choose(list []Upstream, r *Request) int {
+const (
+	// otherDomain is what a way to another failure domain costs, in milliseconds:
+	// bytes between domains have a price, and such a way is cut more often.
+	otherDomain = 4.0
+	// rereading weighs what a request makes an engine read that another one keeps,
+	// beside its own wait: it delays the others there and pushes out what they share.
+	rereading = 6.0
+	// near is up to which cost above the lowest one candidates count as equal, as a
+	// part and in milliseconds. Picking the very lowest would send all instances,
+	// which see the same numbers a moment late, to the same upstream.
+	near, nearMS = 0.15, 6.0
+	// memoryLimit is the part of an engine's memory that requests may hold before
+	// more of them push each other and what is kept out.
+	memoryLimit = 0.85
+	// crowded multiplies the cost of an engine without a free slot or memory.
+	crowded = 6.0
+	// slotMS is the cost of a busy slot at an upstream that is no engine.
+	slotMS = 60.0
+)
+
+// Choose picks the upstream to use.
+func Choose(list []Upstream, r *Request) Choice {
 	suspects := countUsable(list, false) == 0
 	if suspects && countUsable(list, true) == 0 {
-		return None
+		return Choice{Index: None}
 	}
-	if r.Affinity != "" {
-		if i := byAffinity(list, r, suspects); i != None {
-			return i
+	lowest := math.Inf(1)
+	for i := range list {
+		if usable(&list[i], suspects) {
+			lowest = min(lowest, cost(&list[i], r))
+		}
+	}
+	best := pick(list, r, func(u *Upstream) bool {
+		return usable(u, suspects) && cost(u, r) <= lowest*(1+near)+nearMS
+	})
+	return Choice{Index: best, Wait: wait(&list[best], r)}
+}
+
+// pick takes one of the near candidates: the first one in the order of the affinity,
+// or else one in the own failure domain, or else any, in turns.
+func pick(list []Upstream, r *Request, isNear func(*Upstream) bool) int {
+	best, score := None, uint64(0)
+	start := int(r.Draw * float64(len(list)))
+	for k := range list {
+		i := (start + k) % len(list)
+		u := &list[i]
+		if !isNear(u) {
+			continue
+		}
+		s := uint64(1)
+		switch {
+		case r.Affinity != "":
+			s = rendezvous(r.Affinity, u.ID)
+		case u.Domain == r.Domain:
+			s = 2
+		}
+		if best == None || s > score {
+			best, score = i, s
 		}
 	}
-	return leastLoaded(list, r, suspects)
+	return best
 }
 
 func usable(u *Upstream, suspects bool) bool { return !u.Excluded && (suspects || !u.Suspect) }
@@ -73,35 +133,53 @@
 	return n
 }
 
-// byAffinity walks the upstreams in the order of a rendezvous hash, which all
-// instances compute alike, and takes the first one that is not overloaded. When
-// one comes or goes, only what was its own moves.
-func byAffinity(list []Upstream, r *Request, suspects bool) int {
-	limit := max(slackLoad, bound*meanLoad(list, suspects))
+// Unread is how many tokens of the request an upstream would have to read.
+func Unread(u *Upstream, r *Request) float64 {
+	return float64(r.Own) + (1-u.Kept)*float64(r.Shared)
+}
+
+// wait predicts the time to the first event, in milliseconds.
+func wait(u *Upstream, r *Request) float64 {
+	if u.Capacity == 0 || r.Rate <= 0 {
+		return 0
+	}
+	return (float64(u.Reading) + Unread(u, r)) / r.Rate * u.Slowness
+}
+
+// cost is what the request costs at an upstream, in milliseconds.
+func cost(u *Upstream, r *Request) float64 {
+	c := 0.0
+	if u.Capacity == 0 || r.Rate <= 0 {
+		c = slotMS * float64(u.Active+1) / float64(max(1, u.Slots)) * u.Slowness
+	} else {
+		c = wait(u, r) + rereading*(1-u.Kept)*float64(r.Shared)/r.Rate
+		if u.Active >= u.Slots || float64(u.Held+r.Shared+r.Own) > memoryLimit*float64(u.Capacity) {
+			c *= crowded
+		}
+	}
+	c *= u.Penalty
+	if u.Domain != r.Domain {
+		c += otherDomain
+	}
+	return c
+}
+
+// Primary returns the upstream that comes first in the order of an affinity, which
+// all instances compute alike: what it names is most likely kept there. When an
+// upstream comes or goes, only what was its own moves.
+func Primary(list []Upstream, affinity string) int {
 	best, score := None, uint64(0)
 	for i := range list {
-		u := &list[i]
-		if !usable(u, suspects) || u.Load*u.Penalty > limit {
+		if !usable(&list[i], false) {
 			continue
 		}
-		if s := rendezvous(r.Affinity, u.ID); best == None || s > score {
+		if s := rendezvous(affinity, list[i].ID); best == None || s > score {
 			best, score = i, s
 		}
 	}
 	return best
 }
 
-func meanLoad(list []Upstream, suspects bool) float64 {
-	sum, n := 0.0, 0
-	for i := range list {
-		if usable(&list[i], suspects) {
-			sum += list[i].Load
-			n++
-		}
-	}
-	return sum / float64(n)
-}
-
 func rendezvous(affinity, id string) uint64 {
 	var d xxhash.Digest
 	d.Reset()
@@ -109,24 +187,3 @@
 	_, _ = d.WriteString(id)
 	return d.Sum64()
 }
-
-// leastLoaded takes the least loaded one; equal ones take turns by the draw.
-func leastLoaded(list []Upstream, r *Request, suspects bool) int {
-	best, lowest := None, math.Inf(1)
-	start := int(r.Draw * float64(len(list)))
-	for k := range list {
-		i := (start + k) % len(list)
-		u := &list[i]
-		if !usable(u, suspects) {
-			continue
-		}
-		cost := u.Load * u.Penalty
-		if u.Domain != r.Domain {
-			cost += otherDomain
-		}
-		if cost < lowest {
-			best, lowest = i, cost
-		}
-	}
-	return best
-}
--- /dev/null
+++ b/core/balance/learn.go
@@ -0,0 +1,119 @@
+package balance
+
+import "time"
+
+const (
+	// firstRate is taken for an engine's pace until some requests have shown it, in
+	// prompt tokens a millisecond.
+	firstRate = 50.0
+	// rateStep is by what part one observation moves the pace; it moves up or down by
+	// the same step, so that it settles at the median.
+	rateStep = 0.02
+	// leastTokens is how many tokens an observation must be made on, and setupMS what
+	// a first event takes beside the reading.
+	leastTokens = 1500
+	setupMS     = 12.0
+)
+
+// Rate learns how many prompt tokens the engines of a service read in a millisecond.
+type Rate struct{ perMS float64 }
+
+// PerMS returns the pace.
+func (r *Rate) PerMS() float64 {
+	if r.perMS == 0 {
+		return firstRate
+	}
+	return r.perMS
+}
+
+// Observe takes in that a request for which so many tokens were to be read, with
+// those that waited before it, had its first event after a time.
+func (r *Rate) Observe(tokens float64, took time.Duration) {
+	ms := float64(took)/float64(time.Millisecond) - setupMS
+	if tokens < leastTokens || ms <= 0 {
+		return
+	}
+	pace := r.PerMS()
+	if tokens/ms > pace {
+		pace *= 1 + rateStep
+	} else {
+		pace /= 1 + rateStep
+	}
+	r.perMS = pace
+}
+
+const (
+	// slowWeight is the weight of the latest answer, and slowFade after what time
+	// without answers an upstream counts as normal again, so that it is tried anew.
+	slowWeight = 0.2
+	slowFade   = 8 * time.Second
+	// leastSlowness and mostSlowness bound what single answers can do.
+	leastSlowness, mostSlowness = 0.7, 8.0
+)
+
+// Slowness learns how much longer than predicted an upstream's answers take. It
+// finds what probes don't tell: slow machines, and work that others sent there.
+type Slowness struct {
+	value float64
+	at    time.Time
+}
+
+// Now returns the factor; 1 is normal.
+func (s *Slowness) Now(now time.Time) float64 {
+	if s.value == 0 {
+		return 1
+	}
+	fade := min(1, max(0, 1-float64(now.Sub(s.at))/float64(slowFade)))
+	return 1 + (s.value-1)*fade
+}
+
+// Observe takes in an answer that was predicted to take a time and took another.
+func (s *Slowness) Observe(now time.Time, predicted, took float64) {
+	if predicted <= 0 {
+		return
+	}
+	ratio := min(mostSlowness, max(leastSlowness, took/predicted))
+	current := s.Now(now)
+	s.value = current + slowWeight*(ratio-current)
+	s.at = now
+}
+
+const (
+	// keptFor is for how long a prompt that was read is believed to be kept.
+	keptFor = 30 * time.Second
+	// maxKept bounds the prompts that are remembered of one upstream.
+	maxKept = 4096
+	// keptAtPrimary is the part of a shared prompt that is believed to be at its
+	// primary upstream if this instance has not sent it there: others may have.
+	keptAtPrimary = 0.9
+)
+
+// Kept remembers which prompts an upstream was sent.
+type Kept struct{ at map[string]time.Time }
+
+// Note says that the upstream reads a prompt.
+func (k *Kept) Note(now time.Time, affinity string) {
+	if k.at == nil {
+		k.at = map[string]time.Time{}
+	}
+	if len(k.at) >= maxKept {
+		for name, at := range k.at {
+			if now.Sub(at) > keptFor/2 {
+				delete(k.at, name)
+			}
+		}
+	}
+	k.at[affinity] = now
+}
+
+// Part returns which part of the prompt is believed to be kept.
+func (k *Kept) Part(now time.Time, affinity string, primary bool) float64 {
+	at, known := k.at[affinity]
+	switch {
+	case known && now.Sub(at) < keptFor:
+		return 1
+	case primary:
+		return keptAtPrimary
+	}
+	return 0
+}
--- /dev/null
+++ b/core/balance/learn_test.go
@@ -0,0 +1,48 @@
+package balance_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/comfreyladder/comfreyladder/core/balance"
+)
+
+func TestRateSettlesAtTheMedian(t *testing.T) {
+	g := NewWithT(t)
+	var r balance.Rate
+	rng := rand.New(rand.NewPCG(1, 2))
+	for range 500 {
+		tokens := 2000 + 10000*rng.Float64()
+		ms := 12 + tokens/80*(0.8+0.4*rng.Float64())
+		r.Observe(tokens, time.Duration(ms*float64(time.Millisecond)))
+	}
+	g.Expect(r.PerMS()).To(BeNumerically("~", 80, 8))
+}
+
+// An upstream turns slow while its probes stay good. It must cost more soon, and be
+// tried again some time later.
+func TestSlownessIsLearntAndForgotten(t *testing.T) {
+	g := NewWithT(t)
+	var s balance.Slowness
+	now := time.Unix(100, 0)
+	g.Expect(s.Now(now)).To(Equal(1.0))
+	for range 8 {
+		s.Observe(now, 100, 500)
+	}
+	g.Expect(s.Now(now)).To(BeNumerically(">", 3.5))
+	g.Expect(s.Now(now.Add(time.Minute))).To(Equal(1.0))
+}
+
+func TestKeptPromptsAreForgottenInTime(t *testing.T) {
+	g := NewWithT(t)
+	var k balance.Kept
+	now := time.Unix(100, 0)
+	g.Expect(k.Part(now, "p", false)).To(BeZero())
+	g.Expect(k.Part(now, "p", true)).To(BeNumerically(">", 0.3))
+	k.Note(now, "p")
+	g.Expect(k.Part(now, "p", false)).To(Equal(1.0))
+	g.Expect(k.Part(now.Add(time.Hour), "p", false)).To(BeZero())
+}
--- a/core/route/index.go
+++ b/core/route/index.go
@@ -70,7 +70,7 @@
 		of = x.organisationRanks[o.Priority]
 	}
 	pairs := max(1, last) * len(x.routeRanks)
-	place := min(of, max(0, last-1)) + max(1,last)*x.routeRanks[r.Priority]
+	place := min(of, max(0, last-1)) + max(1, last)*x.routeRanks[r.Priority]
 	if pairs <= levels {
 		return place
 	}
--- a/instance/follow/follow.go
+++ b/instance/follow/follow.go
@@ -27,8 +27,9 @@
 
 // Defaults of a Config.
 const (
-	// DefaultHold is for how long a member holds a question without news.
-	DefaultHold = 500 * time.Millisecond
+	// DefaultHold is for how long a member holds a question without news. It is also
+	// how old the loads of other instances may get.
+	DefaultHold = 250 * time.Millisecond
 	// DefaultSlack is what an answer may take beyond the hold before the next
 	// member is asked.
 	DefaultSlack = 600 * time.Millisecond
@@ -51,7 +52,11 @@
 	Lease time.Duration
 	// Hold and Slack; zero means the defaults.
 	Hold, Slack time.Duration
-	Log         zerolog.Logger
+	// Loads returns the work that this instance has under way, and OnLoads is told
+	// that of all others; both may be nil.
+	Loads   func() []servingsvc.Load
+	OnLoads func([]servingsvc.Load)
+	Log     zerolog.Logger
 }
 
 // View is the state at one moment. It is immutable.
@@ -174,6 +179,9 @@
 		hold = 0
 	}
 	q := servingsvc.Question{Index: view.Index, HoldMS: hold.Milliseconds(), Forwards: true}
+	if f.cfg.Loads != nil {
+		q.Loads = f.cfg.Loads()
+	}
 	ctx, cancel := context.WithTimeout(ctx, hold+f.cfg.Slack)
 	defer cancel()
 	sent := clock.Now()
@@ -183,6 +191,9 @@
 		return false
 	}
 	f.take(view, &a)
+	if f.cfg.OnLoads != nil {
+		f.cfg.OnLoads(a.Loads)
+	}
 	if !a.Confirmed {
 		return false
 	}
--- a/instance/relay/attempt.go
+++ b/instance/relay/attempt.go
@@ -41,8 +41,12 @@
 	conn *upstreamConn
 	head http1.Head
 	body http1.Body
-	// tokens are booked at the upstream until the first event.
-	tokens int
+	// unread is how many tokens were believed to be read for it, ahead how many waited
+	// before them, predicted the time to the first event in milliseconds. unread is
+	// booked at the upstream until the first event.
+	unread, ahead int
+	predicted     float64
+	begunEvents   bool
 	// writing is closed when all of the request was written, nil if it was at once.
 	writing chan error
 	// dirty says that the connection can't be used again, ended that it was given back.
@@ -56,7 +60,7 @@
 // start sends the request and reads the head of the answer. patience bounds the
 // wait for it; zero means until the deadline.
 func (s *Service) start(r *request, up *upstream, patience time.Duration, lastEvent []byte) (*attempt, outcome) {
-	a := &attempt{s: s, r: r, up: up, tokens: r.tokens, begun: time.Now()}
+	a := &attempt{s: s, r: r, up: up, unread: r.unread, ahead: r.ahead, predicted: r.predicted, begun: time.Now()}
 	if o := a.connect(); o != answered {
 		return a, o
 	}
@@ -210,7 +214,7 @@
 	}
 	a.ended = true
 	a.r.detach()
-	a.s.fleet.done(a.up, a.tokens)
+	a.s.fleet.done(a)
 	if a.conn == nil {
 		return
 	}
@@ -237,9 +241,9 @@
 
 // firstEvent says that the prompt was read.
 func (a *attempt) firstEvent() {
-	if a.tokens > 0 {
-		a.s.fleet.firstEvent(a.up, a.tokens)
-		a.tokens = 0
+	if !a.begunEvents {
+		a.s.fleet.firstEvent(a, time.Since(a.begun))
+		a.begunEvents = true
 	}
 }
 
--- a/instance/relay/fleet.go
+++ b/instance/relay/fleet.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -10,6 +11,7 @@
 	"github.com/comfreyladder/comfreyladder/core/route"
 	"github.com/comfreyladder/comfreyladder/instance/eventlog"
 	"github.com/comfreyladder/comfreyladder/instance/follow"
+	servingsvc "github.com/comfreyladder/comfreyladder/instance/serving"
 )
 
 // fleet holds what this instance knows of all upstreams.
@@ -21,11 +23,16 @@
 	services  map[string][]*upstream
 	scratch   []balance.Upstream
 	pools     map[string]*balance.Pools
+	rates     map[string]*balance.Rate
 	ids       []string
+	// others is the work that other instances have under way, as of othersAt.
+	others   map[string]servingsvc.Load
+	othersAt time.Time
 }
 
 func newFleet(log *eventlog.Sink) *fleet {
-	return &fleet{log: log, upstreams: map[string]*upstream{}, services: map[string][]*upstream{}, pools: map[string]*balance.Pools{}}
+	return &fleet{log: log, upstreams: map[string]*upstream{}, services: map[string][]*upstream{}, pools: map[string]*balance.Pools{},
+		rates: map[string]*balance.Rate{}, others: map[string]servingsvc.Load{}}
 }
 
 // update takes in which incarnations there are. One that is not usable any more
@@ -87,23 +94,81 @@
 	defer f.mu.Unlock()
 	list := f.services[r.service]
 	now := time.Now()
+	f.describe(r, list, now, avoid)
+	q := &balance.Request{Affinity: r.affinity, Shared: r.shared, Own: r.tokens - r.shared, Domain: domain, Draw: rand.Float64()}
+	if r.tokens > 0 {
+		q.Rate = f.rate(r.service).PerMS()
+	}
+	c := balance.Choose(f.scratch, q)
+	if c.Index == balance.None {
+		return nil
+	}
+	u := list[c.Index]
+	r.predicted = c.Wait
+	r.unread = int(balance.Unread(&f.scratch[c.Index], q))
+	r.ahead = f.scratch[c.Index].Reading
+	u.begin(r, now)
+	return u
+}
+
+// describe fills scratch with what is known of the candidates.
+func (f *fleet) describe(r *request, list []*upstream, now time.Time, avoid []*upstream) {
 	f.scratch = f.scratch[:0]
 	quick, isQuick := f.split(r, list, now, len(avoid) == 0)
+	fresh := now.Sub(f.othersAt) < othersAge
 	for _, u := range list {
-		b := balance.Upstream{ID: u.id, Domain: u.domain, Load: u.load(), Penalty: u.penalty(), Suspect: u.suspect(now)}
-		b.Suspect = b.Suspect || quick != nil && quick[u.id] != isQuick
-		for _, a := range avoid {
-			b.Excluded = b.Excluded || a == u
+		b := u.describe(now)
+		if others := f.others[u.id]; fresh {
+			b.Active += others.Active
+			b.Reading += others.Reading
+			b.Held += others.Held
 		}
-		b.Excluded = b.Excluded || u.active >= u.maxConns
+		b.Capacity = r.capacity
+		b.Suspect = b.Suspect || quick != nil && quick[u.id] != isQuick
+		b.Excluded = u.active >= u.maxConns || slices.Contains(avoid, u)
 		f.scratch = append(f.scratch, b)
 	}
-	i := balance.Choose(f.scratch, &balance.Request{Affinity: r.affinity, Domain: domain, Draw: rand.Float64()})
-	if i == balance.None {
-		return nil
+	if r.affinity == "" {
+		return
+	}
+	primary := balance.Primary(f.scratch, r.affinity)
+	for i, u := range list {
+		f.scratch[i].Kept = u.kept.Part(now, r.affinity, i == primary)
+	}
+}
+
+// othersAge is for how long the loads of other instances count.
+const othersAge = 2 * time.Second
+
+func (f *fleet) takeLoads(loads []servingsvc.Load) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	clear(f.others)
+	for _, l := range loads {
+		f.others[l.ID] = l
+	}
+	f.othersAt = time.Now()
+}
+
+func (f *fleet) loads() (list []servingsvc.Load) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for id, u := range f.upstreams {
+		if u.active > 0 {
+			list = append(list, servingsvc.Load{ID: id, Active: u.active, Reading: u.reading, Held: u.held})
+		}
+	}
+	return list
+}
+
+// rate needs mu.
+func (f *fleet) rate(service string) *balance.Rate {
+	r := f.rates[service]
+	if r == nil {
+		r = &balance.Rate{}
+		f.rates[service] = r
 	}
-	list[i].begin(r, now)
-	return list[i]
+	return r
 }
 
 // split says which upstreams are for quick requests, and whether this is one.
--- a/instance/relay/relay.go
+++ b/instance/relay/relay.go
@@ -13,6 +13,7 @@
 	"github.com/comfreyladder/comfreyladder/core/fault"
 	"github.com/comfreyladder/comfreyladder/instance/clock"
 	"github.com/comfreyladder/comfreyladder/instance/follow"
+	"github.com/comfreyladder/comfreyladder/instance/serving"
 )
 
 // Service forwards requests. It is safe for concurrent use.
@@ -41,6 +42,12 @@
 	}
 }
 
+// Loads returns the work that this instance has under way.
+func (s *Service) Loads() []serving.Load { return s.fleet.loads() }
+
+// TakeLoads takes the work that all other instances have under way.
+func (s *Service) TakeLoads(loads []serving.Load) { s.fleet.takeLoads(loads) }
+
 // Update takes a new view of the serving state.
 func (s *Service) Update(v *follow.View) { s.fleet.update(v) }
 
--- a/instance/relay/request.go
+++ b/instance/relay/request.go
@@ -48,6 +48,11 @@
 	// deadline is when the final answer is due.
 	deadline time.Time
 	affinity string
+	// shared is how many tokens the affinity names, capacity the memory of an engine
+	// in tokens; predicted, unread and ahead say what was expected of the last choice.
+	shared, capacity int
+	predicted        float64
+	unread, ahead    int
 	// sent counts the upstreams that the request was sent to; ran says that one of
 	// them may have run it.
 	sent int
@@ -266,16 +271,12 @@
 // left returns the time until the final answer is due.
 func (r *request) left(now time.Time) time.Duration { return r.deadline.Sub(now) }
 
-// minShared is how many tokens the shared parts of a prompt must have for it to
-// matter where they are kept.
-const minShared = 1000
-
 // sharedParts returns the name of the parts that the request shares with others,
-// all but the last one, if they are worth keeping together.
-func sharedParts(parts []byte) string {
+// all but the last one, and how many tokens they have.
+func sharedParts(parts []byte) (name string, count int) {
 	i := bytes.LastIndexByte(parts, ',')
 	if i < 0 {
-		return ""
+		return "", 0
 	}
 	shared := parts[:i]
 	tokens := 0
@@ -287,8 +288,5 @@
 			tokens += int(n)
 		}
 	}
-	if tokens < minShared {
-		return ""
-	}
-	return string(shared)
+	return string(shared), tokens
 }
--- a/instance/relay/serve.go
+++ b/instance/relay/serve.go
@@ -114,11 +114,15 @@
 	}
 	r.deadline = r.arrived.Add(wait - deadlineMargin)
 	r.urgency = v.Routes.Urgency(r.route, r.organisation, urgencyLevels)
-	if engineOf(v, r.service) == nil {
+	e := engineOf(v, r.service)
+	if e == nil {
 		r.tokens = 0
+		return
 	}
+	r.capacity = e.KVTokens
 	if r.route.Sticky {
-		r.affinity = sharedParts(r.parts)
+		r.affinity, r.shared = sharedParts(r.parts)
+		r.shared = min(r.shared, r.tokens)
 	}
 }
 
--- a/instance/relay/stream.go
+++ b/instance/relay/stream.go
@@ -95,7 +95,7 @@
 
 func (a *attempt) setStreamDeadline() {
 	left := a.r.left(clock.Now())
-	if a.r.route.Resumable && a.r.sent+1 < a.r.route.MaxAttempts && a.tokens == 0 {
+	if a.r.route.Resumable && a.r.sent+1 < a.r.route.MaxAttempts && a.begunEvents {
 		left = min(left, max(stall, stallGaps*a.r.route.Gap))
 	}
 	_ = a.conn.nc.SetReadDeadline(time.Now().Add(left))
--- a/instance/relay/upstream.go
+++ b/instance/relay/upstream.go
@@ -4,6 +4,7 @@
 	"sync"
 	"time"
 
+	"github.com/comfreyladder/comfreyladder/core/balance"
 	"github.com/comfreyladder/comfreyladder/core/control/serving"
 )
 
@@ -17,10 +18,13 @@
 	slots               int
 	maxConns            int
 
-	// active counts requests under way, reading the prompt tokens of those whose
-	// first event has not come.
-	active  int
-	reading int
+	// active counts requests under way, held their prompt tokens, and reading those
+	// that are to be read for requests whose first event has not come.
+	active   int
+	held     int
+	reading  int
+	slowness balance.Slowness
+	kept     balance.Kept
 
 	mu sync.Mutex
 	// failures counts failures in a row; until is when an upstream that failed may
@@ -42,8 +46,6 @@
 }
 
 const (
-	// readingFull is how many prompt tokens to read count as a full upstream.
-	readingFull = 100_000
 	// weightOfLatest is the weight of the latest answer in a moving mean.
 	weightOfLatest = 0.15
 	// penaltyOfErrors makes an upstream that fails all its requests count as so many
@@ -51,44 +53,50 @@
 	penaltyOfErrors = 8
 )
 
-// load needs the fleet's mutex.
-func (u *upstream) load() float64 {
-	return float64(u.active)/float64(u.slots) + float64(u.reading)/readingFull
-}
-
-func (u *upstream) penalty() float64 {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	return 1 + penaltyOfErrors*u.errors
-}
-
-// suspect reports whether the upstream should be left alone for now.
-func (u *upstream) suspect(now time.Time) bool {
+// describe needs the fleet's mutex.
+func (u *upstream) describe(now time.Time) balance.Upstream {
+	b := balance.Upstream{
+		ID: u.id, Domain: u.domain, Active: u.active, Slots: u.slots, Reading: u.reading, Held: u.held, Slowness: u.slowness.Now(now),
+	}
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	return u.failures > 0 && now.Before(u.until) || u.silent && u.failures > 0
+	b.Penalty = 1 + penaltyOfErrors*u.errors
+	b.Suspect = u.failures > 0 && (now.Before(u.until) || u.silent)
+	return b
 }
 
 // begin books a request; it needs the fleet's mutex.
-func (u *upstream) begin(r *request, _ time.Time) {
+func (u *upstream) begin(r *request, now time.Time) {
 	u.active++
-	u.reading += r.tokens
+	u.reading += r.unread
+	u.held += r.tokens
+	if r.affinity != "" {
+		u.kept.Note(now, r.affinity)
+	}
 }
 
 // firstEvent says that a request's prompt was read.
-func (f *fleet) firstEvent(u *upstream, tokens int) {
+func (f *fleet) firstEvent(a *attempt, took time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	u.reading -= tokens
+	a.up.reading -= a.unread
+	f.rate(a.r.service).Observe(float64(a.unread+a.ahead), took)
+	a.up.slowness.Observe(time.Now(), a.predicted+slownessFloor, float64(took.Milliseconds())+slownessFloor)
 }
 
-// done says that a request has ended; tokens are those of firstEvent if that was
-// not called.
-func (f *fleet) done(u *upstream, tokens int) {
+// slownessFloor is added, in milliseconds, to what was predicted and what was seen,
+// so that short answers, which vary by that much, don't look slow.
+const slownessFloor = 40.0
+
+// done says that a request has ended.
+func (f *fleet) done(a *attempt) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	u.active--
-	u.reading -= tokens
+	a.up.active--
+	a.up.held -= a.r.tokens
+	if !a.begunEvents {
+		a.up.reading -= a.unread
+	}
 }
 
 const (
--- a/instance/roles/process.go
+++ b/instance/roles/process.go
@@ -48,7 +48,9 @@
 	events  *eventlog.Sink
 	kernel  *kernel.Kernel
 	seeds   atomic.Pointer[[]string]
-	fatal   chan error
+	// forwarder is set before the follower starts, which tells it the others' loads.
+	forwarder atomic.Pointer[relay.Service]
+	fatal     chan error
 }
 
 // New returns a process that has not started.
@@ -231,6 +233,7 @@
 		}
 		return follow.New(follow.Config{
 			Links: links, Seeds: func() []string { return *p.seeds.Load() }, Lease: p.cfg.Lease, Log: p.log,
+			Loads: func() []serving.Load { return p.forwarder.Load().Loads() }, OnLoads: func(l []serving.Load) { p.forwarder.Load().TakeLoads(l) },
 		}), nil
 	}}
 }
@@ -251,6 +254,7 @@
 			Budget: p.cfg.Budget, Announce: p.cfg.Announce, DrainTimeout: p.cfg.Grace - 2*stopMargin, Log: p.events,
 		}, tel.Set())
 		state.Subscribe(s.Update)
+		p.forwarder.Store(s)
 		return s, nil
 	}}
 }
--- a/instance/serving/digest.go
+++ b/instance/serving/digest.go
@@ -51,12 +51,9 @@
 
 func (s *Service) tell(st *consensus.Status) {
 	d := s.takeDigest()
-	for _, m := range st.Members {
-		if m.ID == st.ID {
-			continue
-		}
-		if err := s.cfg.Links.Send(m.Name, channelDigest, d); err != nil {
-			s.cfg.Log.Debug().Err(err).Str("peer", m.Name).Msg("digest not sent")
+	for _, name := range otherNames(st.Members, st.ID) {
+		if err := s.cfg.Links.Send(name, channelDigest, d); err != nil {
+			s.cfg.Log.Debug().Err(err).Str("peer", name).Msg("digest not sent")
 		}
 	}
 }
--- a/instance/serving/serving.go
+++ b/instance/serving/serving.go
@@ -64,6 +64,7 @@
 	fresh   map[string]bool
 	watched map[string]time.Time
 	own     map[string]bool
+	loads   loadBook
 	// leads is since when this member leads, zero while it does not.
 	leads time.Time
 }
@@ -78,10 +79,11 @@
 	}
 	s := &Service{
 		cfg: cfg, news: make(chan struct{}), heard: map[string]time.Time{}, fresh: map[string]bool{},
-		watched: map[string]time.Time{}, own: map[string]bool{},
+		watched: map[string]time.Time{}, own: map[string]bool{}, loads: newLoadBook(),
 	}
 	cfg.Links.Handle(ChannelWatch, s.watch)
 	cfg.Links.Handle(channelDigest, s.receiveDigest, link.Lossy())
+	cfg.Links.Handle(channelLoads, s.receiveLoads, link.Lossy())
 	return s
 }
 
@@ -90,6 +92,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	s.cancel = cancel
 	s.done.Go(func() { s.exchange(ctx) })
+	s.done.Go(func() { s.shareLoads(ctx) })
 	return nil
 }
 
--- a/instance/serving/watch.go
+++ b/instance/serving/watch.go
@@ -31,6 +31,8 @@
 	// Forwards says that the instance forwards requests, so that it counts among
 	// those that share budgets.
 	Forwards bool `codec:"w"`
+	// Loads is the work that the instance has under way.
+	Loads []Load `codec:"l,omitempty"`
 }
 
 // Answer is what a member knows.
@@ -45,6 +47,8 @@
 	Members []string `codec:"m"`
 	// Forwarders is how many instances forward requests, as far as is known.
 	Forwarders int `codec:"f"`
+	// Loads is the work that all other instances have under way.
+	Loads []Load `codec:"l,omitempty"`
 }
 
 // watch holds a question until there is news or its time is over. The confirmation
@@ -61,6 +65,7 @@
 	}
 	if q.Forwards {
 		s.noteWatcher(from)
+		s.noteLoads(from, q.Loads)
 	}
 	s.hold(ctx, g, &q)
 	a := Answer{Domain: s.cfg.Domain, HeldMS: clock.Since(arrived).Milliseconds()}
@@ -72,6 +77,7 @@
 	st := g.Status()
 	a.Members = names(st.Members)
 	a.Forwarders = s.forwarders()
+	a.Loads = s.loadsBut(from)
 	return a, nil
 }
 
