--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -50,9 +50,10 @@
 // Choice is an upstream with what is predicted of the request there.
 type Choice struct {
 	Index int
-	// Wait is the predicted time to the first event in milliseconds; zero for
-	// upstreams that are no engines.
-	Wait float64
+	// Wait is the predicted time to the first event in milliseconds, and Ahead the
+	// part of it for what waits before the request; zero for upstreams that are no
+	// engines.
+	Wait, Ahead float64
 }
 
 // None is the index when no upstream is left.
@@ -93,7 +94,7 @@
 	best := pick(list, r, func(u *Upstream) bool {
 		return usable(u, suspects) && cost(u, r) <= lowest*(1+near)+nearMS
 	})
-	return Choice{Index: best, Wait: wait(&list[best], r)}
+	return Choice{Index: best, Wait: wait(&list[best], r), Ahead: ahead(&list[best], r)}
 }
 
 // pick takes one of the near candidates: the first one in the order of the affinity,
@@ -143,7 +144,14 @@
 	if u.Capacity == 0 || r.Rate <= 0 {
 		return 0
 	}
-	return (float64(u.Reading) + Unread(u, r)) / r.Rate * u.Slowness
+	return ahead(u, r) + Unread(u, r)/r.Rate*u.Slowness
+}
+
+func ahead(u *Upstream, r *Request) float64 {
+	if u.Capacity == 0 || r.Rate <= 0 {
+		return 0
+	}
+	return float64(u.Reading) / r.Rate * u.Slowness
 }
 
 // cost is what the request costs at an upstream, in milliseconds.
--- a/core/balance/pools.go
+++ b/core/balance/pools.go
@@ -19,14 +19,16 @@
 	routes map[string]*routeLoad
 	at     time.Time
 	// share is the part of the upstreams that is for quick requests.
-	share float64
+	share  float64
+	others Demand
 }
 
 // routeLoad is what one route brings.
 type routeLoad struct {
-	// tokens and requests decay with pace.
-	tokens, requests float64
-	gap              time.Duration
+	// tokens of prompts, those of them that had to be read, and requests decay with
+	// pace.
+	tokens, unread, requests float64
+	gap                      time.Duration
 }
 
 const (
@@ -41,17 +43,20 @@
 	// roominess is how much more room a token of a quick request gets than one of a
 	// long request: pauses stay short only while prompts are read a part of the time.
 	roominess = 3.0
+	// answering is what generating an answer counts as, in prompt tokens.
+	answering = 800.0
 	// shareStep is by how much the share must have moved to count, so that an upstream
 	// on the edge does not change sides all the time and lose what it keeps.
-	shareStep = 0.04
+	shareStep = 0.06
 )
 
 // NewPools returns pools that know no load.
 func NewPools() *Pools { return &Pools{routes: map[string]*routeLoad{}} }
 
-// Note counts a request of a route, with the tokens that are to be read for it and
-// the longest pause that it allows; zero means that it does not say.
-func (p *Pools) Note(now time.Time, route string, tokens int, gap time.Duration) {
+// Note counts a request of a route, with the tokens of its prompt, those that are to
+// be read for it, and the longest pause that it allows; zero means that it does not
+// say.
+func (p *Pools) Note(now time.Time, route string, tokens, unread int, gap time.Duration) {
 	p.decay(now)
 	l := p.routes[route]
 	if l == nil {
@@ -59,9 +64,10 @@
 		p.routes[route] = l
 	}
 	l.tokens += float64(tokens)
+	l.unread += float64(unread)
 	l.requests++
 	l.gap = gap
-	p.reshare()
+	p.reshare(now)
 }
 
 func (p *Pools) decay(now time.Time) {
@@ -72,6 +78,7 @@
 	p.at = now
 	for name, l := range p.routes {
 		l.tokens *= f
+		l.unread *= f
 		l.requests *= f
 		if l.requests < 0.01 {
 			delete(p.routes, name)
@@ -98,15 +105,32 @@
 	return l.gap > 0 && l.tokens/l.requests < quickShare*longest
 }
 
-func (p *Pools) reshare() {
-	quick, long := 0.0, 0.0
+// Demand is the work that quick and long requests bring, in prompt tokens a second.
+type Demand struct{ Quick, Long float64 }
+
+// Own returns the demand that this instance sees.
+func (p *Pools) Own(now time.Time) Demand {
+	p.decay(now)
+	var d Demand
 	for _, l := range p.routes {
 		if p.quick(l) {
-			quick += roominess * l.tokens
+			d.Quick += (roominess*l.unread + answering*l.requests) / pace.Seconds()
 		} else {
-			long += l.tokens
+			d.Long += (l.unread + answering*l.requests) / pace.Seconds()
 		}
 	}
+	return d
+}
+
+// SetOthers takes the demand that all other instances see. One instance's part of
+// the requests is too few to tell the proportion, and all must draw about the same
+// line, or each would have its prompts kept elsewhere.
+func (p *Pools) SetOthers(d Demand) { p.others = d }
+
+// reshare moves the line if the proportion has changed by enough.
+func (p *Pools) reshare(now time.Time) {
+	d := p.Own(now)
+	quick, long := d.Quick+p.others.Quick, d.Long+p.others.Long
 	share := 0.0
 	if quick > 0 {
 		share = quick / (quick + long)
--- a/core/balance/pools_test.go
+++ b/core/balance/pools_test.go
@@ -21,9 +21,9 @@
 	note := func(questions int) {
 		for range 400 {
 			now = now.Add(20 * time.Millisecond)
-			p.Note(now, "report", 9000, time.Second)
+			p.Note(now, "report", 9000, 9000, time.Second)
 			for range questions {
-				p.Note(now, "question", 1400, 300*time.Millisecond)
+				p.Note(now, "question", 1400, 1400, 300*time.Millisecond)
 			}
 		}
 	}
@@ -44,8 +44,8 @@
 	g := NewWithT(t)
 	p := balance.NewPools()
 	for i := range 100 {
-		p.Note(time.Unix(100, int64(i)), "a", 3000, time.Second)
-		p.Note(time.Unix(100, int64(i)), "b", 2500, time.Second)
+		p.Note(time.Unix(100, int64(i)), "a", 3000, 3000, time.Second)
+		p.Note(time.Unix(100, int64(i)), "b", 2500, 2500, time.Second)
 	}
 	g.Expect(p.Split([]string{"u", "v"})).To(BeEmpty())
 }
--- a/core/route/index.go
+++ b/core/route/index.go
@@ -77,6 +77,15 @@
 	return place * levels / pairs
 }
 
+// Place returns where a route's priority comes among those of the table, as a part
+// of all: 0 for the most urgent ones, 1 for the least urgent ones.
+func (x *Index) Place(r *Route) float64 {
+	if len(x.routeRanks) < 2 {
+		return 0
+	}
+	return float64(x.routeRanks[r.Priority]) / float64(len(x.routeRanks)-1)
+}
+
 // Route returns the route of the host whose prefix is the longest that begins the
 // target, or nil. A port in host and a query in target do not count.
 func (x *Index) Route(host, target string) *Route {
--- /dev/null
+++ b/instance/relay/admit.go
@@ -0,0 +1,61 @@
+package relay
+
+import (
+	"time"
+
+	"github.com/comfreyladder/comfreyladder/core/route"
+)
+
+// Engines that always have prompts to read generate tokens many times slower: a step
+// that reads a chunk of a prompt takes some ten times as long as one that doesn't.
+// Streams then miss their pauses and time limits, hold memory for longer, and all get
+// later still. So work waits here, not in the engines' queues, and for a short time
+// only: what can't begin soon is told so at once, with when to come back.
+
+const (
+	// aheadLast and aheadFirst are how much may wait before a request at an engine, as
+	// a part of its latency objective: for the least and the most urgent requests. Less
+	// urgent work is so turned away first.
+	aheadLast, aheadFirst = 0.4, 1.0
+	// holdShare is for which part of its objective a request waits here for an engine
+	// that has room: a wait up to that is made good by answering in time.
+	holdShare = 0.125
+	// holdStep is the time between two looks for room.
+	holdStep = 25 * time.Millisecond
+)
+
+// maxAhead returns how much may wait before a request of a route, in milliseconds.
+func maxAhead(r *route.Route, place float64) float64 {
+	part := aheadFirst + (aheadLast-aheadFirst)*place
+	return part * float64(r.Target.Milliseconds())
+}
+
+// acquire chooses an upstream, and waits for a moment for one that has room.
+func (s *Service) acquire(r *request, avoid []*upstream) (up *upstream, busy bool) {
+	until := time.Now().Add(time.Duration(holdShare * float64(r.route.Target)))
+	for {
+		up, busy = s.fleet.choose(r, s.cfg.Domain, avoid)
+		if up != nil {
+			r.upstream = up.id
+			return up, false
+		}
+		if !busy || !time.Now().Add(holdStep).Before(until) {
+			return nil, busy
+		}
+		t := time.NewTimer(holdStep)
+		select {
+		case <-t.C:
+		case <-r.gone:
+			t.Stop()
+			return nil, false
+		}
+	}
+}
+
+// busyHint is when a request that found too much before it may come again: when that
+// has been read, as far as it is known, and early enough to be answered in time.
+func busyHint(r *request) time.Duration {
+	const shortest = 100 * time.Millisecond
+	wait := time.Duration((r.predicted - r.maxAhead) * float64(time.Millisecond))
+	return min(max(wait, shortest), max(shortest, r.route.Target/4))
+}
--- a/instance/relay/attempt.go
+++ b/instance/relay/attempt.go
@@ -242,7 +242,8 @@
 // firstEvent says that the prompt was read.
 func (a *attempt) firstEvent() {
 	if !a.begunEvents {
-		a.s.fleet.firstEvent(a, time.Since(a.begun))
+		a.r.first = time.Since(a.begun)
+		a.s.fleet.firstEvent(a, a.r.first)
 		a.begunEvents = true
 	}
 }
--- a/instance/relay/fleet.go
+++ b/instance/relay/fleet.go
@@ -88,33 +88,45 @@
 }
 
 // choose picks an upstream for a request and books its work there; nil means that
-// none is left. Upstreams in avoid are not picked.
-func (f *fleet) choose(r *request, domain string, avoid []*upstream) *upstream {
+// none is left. Upstreams in avoid are not picked. Where the chosen one has more
+// waiting than the request may have before it, nothing is booked, and busy is true.
+func (f *fleet) choose(r *request, domain string, avoid []*upstream) (u *upstream, busy bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	list := f.services[r.service]
 	now := time.Now()
-	f.describe(r, list, now, avoid)
+	f.describe(r, list, now, avoid, true)
 	q := &balance.Request{Affinity: r.affinity, Shared: r.shared, Own: r.tokens - r.shared, Domain: domain, Draw: rand.Float64()}
 	if r.tokens > 0 {
 		q.Rate = f.rate(r.service).PerMS()
 	}
 	c := balance.Choose(f.scratch, q)
 	if c.Index == balance.None {
-		return nil
+		return nil, false
 	}
-	u := list[c.Index]
 	r.predicted = c.Wait
+	if c.Ahead > r.maxAhead && r.tokens > 0 {
+		// Its own kind of upstreams is busy; any other that has room will do.
+		f.describe(r, list, now, avoid, false)
+		if c = balance.Choose(f.scratch, q); c.Ahead > r.maxAhead {
+			return nil, true
+		}
+	}
+	u = list[c.Index]
 	r.unread = int(balance.Unread(&f.scratch[c.Index], q))
 	r.ahead = f.scratch[c.Index].Reading
 	u.begin(r, now)
-	return u
+	if r.tokens > 0 && len(avoid) == 0 {
+		f.pools[r.service].Note(now, r.route.Name, r.tokens, r.unread, r.route.Gap)
+	}
+	return u, false
 }
 
-// describe fills scratch with what is known of the candidates.
-func (f *fleet) describe(r *request, list []*upstream, now time.Time, avoid []*upstream) {
+// describe fills scratch with what is known of the candidates. With pools, those that
+// are for the other kind of requests are suspects.
+func (f *fleet) describe(r *request, list []*upstream, now time.Time, avoid []*upstream, pools bool) {
 	f.scratch = f.scratch[:0]
-	quick, isQuick := f.split(r, list, now, len(avoid) == 0)
+	quick, isQuick := f.split(r, list)
 	fresh := now.Sub(f.othersAt) < othersAge
 	for _, u := range list {
 		b := u.describe(now)
@@ -124,7 +136,7 @@
 			b.Held += others.Held
 		}
 		b.Capacity = r.capacity
-		b.Suspect = b.Suspect || quick != nil && quick[u.id] != isQuick
+		b.Suspect = b.Suspect || pools && quick != nil && quick[u.id] != isQuick
 		b.Excluded = u.active >= u.maxConns || slices.Contains(avoid, u)
 		f.scratch = append(f.scratch, b)
 	}
@@ -148,6 +160,10 @@
 		f.others[l.ID] = l
 	}
 	f.othersAt = time.Now()
+	for service, p := range f.pools {
+		l := f.others[service]
+		p.SetOthers(balance.Demand{Quick: float64(l.Quick), Long: float64(l.Long)})
+	}
 }
 
 func (f *fleet) loads() (list []servingsvc.Load) {
@@ -158,6 +174,12 @@
 			list = append(list, servingsvc.Load{ID: id, Active: u.active, Reading: u.reading, Held: u.held})
 		}
 	}
+	now := time.Now()
+	for service, p := range f.pools {
+		if d := p.Own(now); d.Quick+d.Long >= 1 {
+			list = append(list, servingsvc.Load{ID: service, Quick: int(d.Quick), Long: int(d.Long)})
+		}
+	}
 	return list
 }
 
@@ -172,7 +194,7 @@
 }
 
 // split says which upstreams are for quick requests, and whether this is one.
-func (f *fleet) split(r *request, list []*upstream, now time.Time, first bool) (quick map[string]bool, isQuick bool) {
+func (f *fleet) split(r *request, list []*upstream) (quick map[string]bool, isQuick bool) {
 	if r.tokens == 0 {
 		return nil, false
 	}
@@ -181,9 +203,6 @@
 		p = balance.NewPools()
 		f.pools[r.service] = p
 	}
-	if first {
-		p.Note(now, r.route.Name, r.tokens, r.route.Gap)
-	}
 	f.ids = f.ids[:0]
 	for _, u := range list {
 		f.ids = append(f.ids, u.id)
--- a/instance/relay/request.go
+++ b/instance/relay/request.go
@@ -53,6 +53,10 @@
 	shared, capacity int
 	predicted        float64
 	unread, ahead    int
+	// maxAhead is how much may wait before it at an engine, in milliseconds.
+	maxAhead float64
+	// first is the time from the last sending to the first event.
+	first time.Duration
 	// sent counts the upstreams that the request was sent to; ran says that one of
 	// them may have run it.
 	sent int
--- a/instance/relay/serve.go
+++ b/instance/relay/serve.go
@@ -120,6 +120,7 @@
 		return
 	}
 	r.capacity = e.KVTokens
+	r.maxAhead = maxAhead(r.route, v.Routes.Place(r.route))
 	if r.route.Sticky {
 		r.affinity, r.shared = sharedParts(r.parts)
 		r.shared = min(r.shared, r.tokens)
@@ -137,11 +138,16 @@
 func (s *Service) forward(c *conn, r *request) bool {
 	var avoid []*upstream
 	for {
-		up := s.fleet.choose(r, s.cfg.Domain, avoid)
-		if up == nil {
+		up, busy := s.acquire(r, avoid)
+		switch {
+		case r.isGone():
+			s.logDone(r, 0, "the caller hung up")
+			return false
+		case busy:
+			return s.refuse(c, r, &verdict{503, "not run: too much waits before it", busyHint(r)})
+		case up == nil:
 			return s.giveUp(c, r)
 		}
-		r.upstream = up.id
 		a, o := s.start(r, up, s.patience(r), nil)
 		if o == answered {
 			again, keep := s.carry(c, a)
@@ -345,6 +351,10 @@
 	}
 	l := s.cfg.Log.Event(event).Bytes("request", r.id).Str("route", name).Str("kind", kind).Int("status", int64(status)).
 		MS("took", took).Int("sent", int64(r.sent)).Int("urgency", int64(r.urgency)).Str("upstream", r.upstream).MS("view_age", s.cfg.State.Age())
+	if r.tokens > 0 {
+		l.Int("tokens", int64(r.tokens)).Int("unread", int64(r.unread)).Int("ahead", int64(r.ahead)).
+			Int("predicted", int64(r.predicted)).MS("first_event", r.first)
+	}
 	if reason != "" {
 		l.Str("reason", reason)
 	}
--- a/instance/relay/stream.go
+++ b/instance/relay/stream.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"math"
 	"time"
 
 	"github.com/comfreyladder/comfreyladder/core/fault"
@@ -202,7 +203,8 @@
 	broken.end()
 	s.noteAttempt(r, broken, unknown)
 	for r.route.Resumable && len(st.lastID) > 0 && s.mayTryAgain(r, unknown) {
-		up := s.fleet.choose(r, s.cfg.Domain, avoid)
+		r.maxAhead = math.Inf(1)
+		up, _ := s.fleet.choose(r, s.cfg.Domain, avoid)
 		if up == nil {
 			return nil
 		}
--- a/instance/serving/loads.go
+++ b/instance/serving/loads.go
@@ -19,7 +19,8 @@
 	loadsAge = 1500 * time.Millisecond
 )
 
-// Load is the work that one instance, or several, have under way at an upstream.
+// Load is the work that one instance, or several, have under way at an upstream, or
+// bring to a service.
 // Upstreams' own reports lag and cost; what was sent to them is known at once.
 type Load struct {
 	ID string `codec:"i"`
@@ -28,6 +29,10 @@
 	Active  int `codec:"a"`
 	Reading int `codec:"r"`
 	Held    int `codec:"h"`
+	// Quick and Long are set in place of these for a service: the work a second that
+	// requests of both kinds bring, in prompt tokens.
+	Quick int `codec:"q,omitempty"`
+	Long  int `codec:"l,omitempty"`
 }
 
 type loadReport struct {
@@ -76,6 +81,8 @@
 			t.Active += l.Active
 			t.Reading += l.Reading
 			t.Held += l.Held
+			t.Quick += l.Quick
+			t.Long += l.Long
 		}
 	}
 }
