Relay: instances tell each other where prompts are kept

Cause: an instance that had not sent a prompt itself could only guess by a hash where it was kept, and had to place new prompts by that hash as well: some engines got many long ones.

--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -34,8 +34,8 @@
 
 // Request is what is known of a request.
 type Request struct {
-	// Affinity names what an upstream may have kept; empty for nothing.
-	Affinity string
+	// Affinity is the hash of what an upstream may have kept; zero for nothing.
+	Affinity uint64
 	// Shared and Own are the prompt tokens that are shared with other requests and
 	// those that are not.
 	Shared, Own int
@@ -110,7 +110,7 @@
 		}
 		s := uint64(1)
 		switch {
-		case r.Affinity != "":
+		case r.Affinity != 0:
 			s = rendezvous(r.Affinity, u.ID)
 		case u.Domain == r.Domain:
 			s = 2
@@ -172,26 +172,9 @@
 	return c
 }
 
-// Primary returns the upstream that comes first in the order of an affinity, which
-// all instances compute alike: what it names is most likely kept there. When an
-// upstream comes or goes, only what was its own moves.
-func Primary(list []Upstream, affinity string) int {
-	best, score := None, uint64(0)
-	for i := range list {
-		if !usable(&list[i], false) {
-			continue
-		}
-		if s := rendezvous(affinity, list[i].ID); best == None || s > score {
-			best, score = i, s
-		}
-	}
-	return best
-}
-
-func rendezvous(affinity, id string) uint64 {
+func rendezvous(affinity uint64, id string) uint64 {
 	var d xxhash.Digest
-	d.Reset()
-	_, _ = d.WriteString(affinity)
+	d.ResetWithSeed(affinity)
 	_, _ = d.WriteString(id)
 	return d.Sum64()
 }
--- a/core/balance/learn.go
+++ b/core/balance/learn.go
@@ -83,37 +83,37 @@
 	keptFor = 30 * time.Second
 	// maxKept bounds the prompts that are remembered of one upstream.
 	maxKept = 4096
-	// keptAtPrimary is the part of a shared prompt that is believed to be at its
-	// primary upstream if this instance has not sent it there: others may have.
-	keptAtPrimary = 0.9
 )
 
-// Kept remembers which prompts an upstream was sent.
-type Kept struct{ at map[string]time.Time }
+// Kept remembers which prompts an upstream was sent, by their hashes.
+type Kept struct{ at map[uint64]time.Time }
 
 // Note says that the upstream reads a prompt.
-func (k *Kept) Note(now time.Time, affinity string) {
+func (k *Kept) Note(now time.Time, prompt uint64) {
 	if k.at == nil {
-		k.at = map[string]time.Time{}
+		k.at = map[uint64]time.Time{}
 	}
 	if len(k.at) >= maxKept {
-		for name, at := range k.at {
-			if now.Sub(at) > keptFor/2 {
-				delete(k.at, name)
-			}
+		k.forget(now)
+	}
+	k.at[prompt] = now
+}
+
+func (k *Kept) forget(now time.Time) {
+	for name, at := range k.at {
+		if now.Sub(at) > keptFor/2 {
+			delete(k.at, name)
 		}
 	}
-	k.at[affinity] = now
+	if len(k.at) >= maxKept {
+		clear(k.at)
+	}
 }
 
 // Part returns which part of the prompt is believed to be kept.
-func (k *Kept) Part(now time.Time, affinity string, primary bool) float64 {
-	at, known := k.at[affinity]
-	switch {
-	case known && now.Sub(at) < keptFor:
+func (k *Kept) Part(now time.Time, prompt uint64) float64 {
+	if at, known := k.at[prompt]; known && now.Sub(at) < keptFor {
 		return 1
-	case primary:
-		return keptAtPrimary
 	}
 	return 0
 }
--- a/core/balance/pools.go
+++ b/core/balance/pools.go
@@ -48,6 +48,8 @@
 	// shareStep is by how much the share must have moved to count, so that an upstream
 	// on the edge does not change sides all the time and lose what it keeps.
 	shareStep = 0.06
+	// poolsOrder makes the order of the pools another one than those of prompts.
+	poolsOrder = 1
 )
 
 // NewPools returns pools that know no load.
@@ -148,7 +150,7 @@
 	}
 	order := slices.Clone(ids)
 	slices.SortFunc(order, func(a, b string) int {
-		x, y := rendezvous("pools", a), rendezvous("pools", b)
+		x, y := rendezvous(poolsOrder, a), rendezvous(poolsOrder, b)
 		switch {
 		case x < y:
 			return -1
--- a/instance/follow/follow.go
+++ b/instance/follow/follow.go
@@ -52,11 +52,11 @@
 	Lease time.Duration
 	// Hold and Slack; zero means the defaults.
 	Hold, Slack time.Duration
-	// Loads returns the work that this instance has under way, and OnLoads is told
-	// that of all others; both may be nil.
-	Loads   func() []servingsvc.Load
-	OnLoads func([]servingsvc.Load)
-	Log     zerolog.Logger
+	// Report returns the work of this instance, and OnReport is told that of all
+	// others; both may be nil.
+	Report   func() servingsvc.Report
+	OnReport func(*servingsvc.Report)
+	Log      zerolog.Logger
 }
 
 // View is the state at one moment. It is immutable.
@@ -86,6 +86,9 @@
 	members []string
 	current string
 	inTouch bool
+	// told is up to where toldBy has told the others' work.
+	told   uint64
+	toldBy string
 }
 
 // New returns a follower that has not started.
@@ -179,8 +182,11 @@
 		hold = 0
 	}
 	q := servingsvc.Question{Index: view.Index, HoldMS: hold.Milliseconds(), Forwards: true}
-	if f.cfg.Loads != nil {
-		q.Loads = f.cfg.Loads()
+	if f.cfg.Report != nil {
+		q.Report = f.cfg.Report()
+	}
+	if f.toldBy == name {
+		q.Told = f.told
 	}
 	ctx, cancel := context.WithTimeout(ctx, hold+f.cfg.Slack)
 	defer cancel()
@@ -191,8 +197,9 @@
 		return false
 	}
 	f.take(view, &a)
-	if f.cfg.OnLoads != nil {
-		f.cfg.OnLoads(a.Loads)
+	f.told, f.toldBy = a.Told, name
+	if f.cfg.OnReport != nil {
+		f.cfg.OnReport(&a.Report)
 	}
 	if !a.Confirmed {
 		return false
--- a/instance/relay/fleet.go
+++ b/instance/relay/fleet.go
@@ -28,6 +28,8 @@
 	// others is the work that other instances have under way, as of othersAt.
 	others   map[string]servingsvc.Load
 	othersAt time.Time
+	// placed lists the prompts that were sent to upstreams since the last report.
+	placed []servingsvc.Placed
 }
 
 func newFleet(log *eventlog.Sink) *fleet {
@@ -116,6 +118,9 @@
 	r.unread = int(balance.Unread(&f.scratch[c.Index], q))
 	r.ahead = f.scratch[c.Index].Reading
 	u.begin(r, now)
+	if r.affinity != 0 && len(f.placed) < maxPlaced {
+		f.placed = append(f.placed, servingsvc.Placed{Prompt: r.affinity, Upstream: u.id})
+	}
 	if r.tokens > 0 && len(avoid) == 0 {
 		f.pools[r.service].Note(now, r.route.Name, r.tokens, r.unread, r.route.Gap)
 	}
@@ -140,35 +145,45 @@
 		b.Excluded = u.active >= u.maxConns || slices.Contains(avoid, u)
 		f.scratch = append(f.scratch, b)
 	}
-	if r.affinity == "" {
+	if r.affinity == 0 {
 		return
 	}
-	primary := balance.Primary(f.scratch, r.affinity)
 	for i, u := range list {
-		f.scratch[i].Kept = u.kept.Part(now, r.affinity, i == primary)
+		f.scratch[i].Kept = u.kept.Part(now, r.affinity)
 	}
 }
 
+// maxPlaced bounds the prompts that wait for the next report.
+const maxPlaced = 1024
+
 // othersAge is for how long the loads of other instances count.
 const othersAge = 2 * time.Second
 
-func (f *fleet) takeLoads(loads []servingsvc.Load) {
+func (f *fleet) takeReport(r *servingsvc.Report) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	clear(f.others)
-	for _, l := range loads {
+	for _, l := range r.Loads {
 		f.others[l.ID] = l
 	}
 	f.othersAt = time.Now()
+	for _, p := range r.Placed {
+		if u := f.upstreams[p.Upstream]; u != nil {
+			u.kept.Note(f.othersAt, p.Prompt)
+		}
+	}
 	for service, p := range f.pools {
 		l := f.others[service]
 		p.SetOthers(balance.Demand{Quick: float64(l.Quick), Long: float64(l.Long)})
 	}
 }
 
-func (f *fleet) loads() (list []servingsvc.Load) {
+func (f *fleet) report() servingsvc.Report {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	r := servingsvc.Report{Placed: f.placed}
+	f.placed = nil
+	list := r.Loads
 	for id, u := range f.upstreams {
 		if u.active > 0 {
 			list = append(list, servingsvc.Load{ID: id, Active: u.active, Reading: u.reading, Held: u.held})
@@ -180,7 +195,8 @@
 			list = append(list, servingsvc.Load{ID: service, Quick: int(d.Quick), Long: int(d.Long)})
 		}
 	}
-	return list
+	r.Loads = list
+	return r
 }
 
 // rate needs mu.
--- a/instance/relay/relay.go
+++ b/instance/relay/relay.go
@@ -42,11 +42,11 @@
 	}
 }
 
-// Loads returns the work that this instance has under way.
-func (s *Service) Loads() []serving.Load { return s.fleet.loads() }
+// Report returns the work of this instance.
+func (s *Service) Report() serving.Report { return s.fleet.report() }
 
-// TakeLoads takes the work that all other instances have under way.
-func (s *Service) TakeLoads(loads []serving.Load) { s.fleet.takeLoads(loads) }
+// TakeReport takes the work of all other instances.
+func (s *Service) TakeReport(r *serving.Report) { s.fleet.takeReport(r) }
 
 // Update takes a new view of the serving state.
 func (s *Service) Update(v *follow.View) { s.fleet.update(v) }
--- a/instance/relay/request.go
+++ b/instance/relay/request.go
@@ -6,6 +6,8 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/comfreyladder/comfreyladder/core/fault"
 	"github.com/comfreyladder/comfreyladder/core/route"
 	"github.com/comfreyladder/comfreyladder/instance/http1"
@@ -47,7 +49,8 @@
 	urgency int
 	// deadline is when the final answer is due.
 	deadline time.Time
-	affinity string
+	// affinity is the hash of the prompt's shared parts, zero if there are none.
+	affinity uint64
 	// shared is how many tokens the affinity names, capacity the memory of an engine
 	// in tokens; predicted, unread and ahead say what was expected of the last choice.
 	shared, capacity int
@@ -275,12 +278,12 @@
 // left returns the time until the final answer is due.
 func (r *request) left(now time.Time) time.Duration { return r.deadline.Sub(now) }
 
-// sharedParts returns the name of the parts that the request shares with others,
+// sharedParts returns a hash of the parts that the request shares with others,
 // all but the last one, and how many tokens they have.
-func sharedParts(parts []byte) (name string, count int) {
+func sharedParts(parts []byte) (hash uint64, count int) {
 	i := bytes.LastIndexByte(parts, ',')
 	if i < 0 {
-		return "", 0
+		return 0, 0
 	}
 	shared := parts[:i]
 	tokens := 0
@@ -292,5 +295,5 @@
 			tokens += int(n)
 		}
 	}
-	return string(shared), tokens
+	return max(1, xxhash.Sum64(shared)), tokens
 }
--- a/instance/relay/upstream.go
+++ b/instance/relay/upstream.go
@@ -70,7 +70,7 @@
 	u.active++
 	u.reading += r.unread
 	u.held += r.tokens
-	if r.affinity != "" {
+	if r.affinity != 0 {
 		u.kept.Note(now, r.affinity)
 	}
 }
--- a/instance/roles/process.go
+++ b/instance/roles/process.go
@@ -233,7 +233,8 @@
 		}
 		return follow.New(follow.Config{
 			Links: links, Seeds: func() []string { return *p.seeds.Load() }, Lease: p.cfg.Lease, Log: p.log,
-			Loads: func() []serving.Load { return p.forwarder.Load().Loads() }, OnLoads: func(l []serving.Load) { p.forwarder.Load().TakeLoads(l) },
+			Report:   func() serving.Report { return p.forwarder.Load().Report() },
+			OnReport: func(r *serving.Report) { p.forwarder.Load().TakeReport(r) },
 		}), nil
 	}}
 }
--- a/instance/serving/loads.go
+++ b/instance/serving/loads.go
@@ -35,11 +35,71 @@
 	Long  int `codec:"l,omitempty"`
 }
 
+// Placed says that the shared parts of a prompt, by their hash, were sent to an
+// upstream, which keeps them from then on.
+type Placed struct {
+	Prompt   uint64 `codec:"p"`
+	Upstream string `codec:"u"`
+}
+
+// Report is what an instance tells of its work, and what it is told of the others'.
+type Report struct {
+	Loads []Load `codec:"l,omitempty"`
+	// Placed lists what was placed since the last report.
+	Placed []Placed `codec:"p,omitempty"`
+}
+
 type loadReport struct {
 	at    time.Time
 	loads []Load
 }
 
+// placedNote is one Placed with who told it.
+type placedNote struct {
+	Placed
+	from string
+}
+
+// maxPlaced bounds the notes that a member holds for instances that ask seldom, and
+// maxPlacedAnswer those in one answer.
+const (
+	maxPlaced       = 4096
+	maxPlacedAnswer = 1024
+)
+
+// placedLog holds the latest notes in order. next is the number of the one to come.
+type placedLog struct {
+	notes []placedNote
+	next  uint64
+}
+
+func (l *placedLog) add(from string, placed []Placed) {
+	for _, p := range placed {
+		l.notes = append(l.notes, placedNote{p, from})
+		l.next++
+	}
+	if extra := len(l.notes) - maxPlaced; extra > maxPlaced/4 {
+		l.notes = append([]placedNote(nil), l.notes[extra:]...)
+	}
+}
+
+// since returns the notes from a number on that others than the given one told. A
+// number of another member's log is too high or too low; then all that is held, or
+// nothing, is new, and either is harmless.
+func (l *placedLog) since(number uint64, but string) (list []Placed) {
+	first := l.next - uint64(len(l.notes))
+	from := min(max(number, first), l.next)
+	for _, n := range l.notes[from-first:] {
+		if n.from != but {
+			list = append(list, n.Placed)
+		}
+	}
+	if extra := len(list) - maxPlacedAnswer; extra > 0 {
+		list = list[extra:]
+	}
+	return list
+}
+
 // loadBook adds up the loads that instances report, by who reported them: instances
 // to the member that they ask, and members to each other.
 type loadBook struct{ watchers, members map[string]loadReport }
@@ -87,7 +147,8 @@
 	}
 }
 
-// shareLoads tells the other members what the instances that ask here have under way.
+// shareLoads tells the other members what the instances that ask here have under way,
+// and what they have placed.
 func (s *Service) shareLoads(ctx context.Context) {
 	ticker := time.NewTicker(loadsEvery)
 	defer ticker.Stop()
@@ -103,20 +164,22 @@
 			continue
 		}
 		s.mu.Lock()
-		loads := s.loads.sum(clock.Now(), "", false)
+		r := Report{Loads: s.loads.sum(clock.Now(), "", false), Placed: s.unsent}
+		s.unsent = nil
 		s.mu.Unlock()
-		if len(loads) == 0 && idle {
+		quiet := len(r.Loads) == 0 && len(r.Placed) == 0
+		if quiet && idle {
 			continue
 		}
-		idle = len(loads) == 0
-		s.sendLoads(g, loads)
+		idle = quiet
+		s.sendReport(g, &r)
 	}
 }
 
-func (s *Service) sendLoads(g *consensus.Service, loads []Load) {
+func (s *Service) sendReport(g *consensus.Service, r *Report) {
 	st := g.Status()
 	for _, name := range otherNames(st.Members, st.ID) {
-		if err := s.cfg.Links.Send(name, channelLoads, loads); err != nil {
+		if err := s.cfg.Links.Send(name, channelLoads, r); err != nil {
 			s.cfg.Log.Debug().Err(err).Str("peer", name).Msg("loads not sent")
 		}
 	}
@@ -132,24 +195,32 @@
 }
 
 func (s *Service) receiveLoads(_ context.Context, from string, msg link.Message) (any, error) {
-	var loads []Load
-	if err := msg.Decode(&loads); err != nil {
+	var r Report
+	if err := msg.Decode(&r); err != nil {
 		return nil, err
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.loads.members[from] = loadReport{at: clock.Now(), loads: loads}
+	s.loads.members[from] = loadReport{at: clock.Now(), loads: r.Loads}
+	s.placed.add(from, r.Placed)
 	return nil, nil
 }
 
-func (s *Service) noteLoads(from string, loads []Load) {
+// noteReport takes what an instance that asks here tells.
+func (s *Service) noteReport(from string, r *Report) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.loads.watchers[from] = loadReport{at: clock.Now(), loads: loads}
+	s.loads.watchers[from] = loadReport{at: clock.Now(), loads: r.Loads}
+	s.placed.add(from, r.Placed)
+	if len(s.unsent) < maxPlaced {
+		s.unsent = append(s.unsent, r.Placed...)
+	}
 }
 
-func (s *Service) loadsBut(name string) []Load {
+// reportFor returns what all others told, and the number from which on the next
+// answer goes.
+func (s *Service) reportFor(name string, since uint64) (r Report, next uint64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.loads.sum(clock.Now(), name, true)
+	return Report{Loads: s.loads.sum(clock.Now(), name, true), Placed: s.placed.since(since, name)}, s.placed.next
 }
--- a/instance/serving/loads_test.go
+++ b/instance/serving/loads_test.go
@@ -20,3 +20,19 @@
 	g.Expect(b.sum(now, "", false)).To(Equal([]Load{{ID: "u", Active: 3, Reading: 30, Held: 300}}))
 	g.Expect(b.sum(now.Add(2*loadsAge), "", true)).To(BeEmpty())
 }
+
+func TestPlacedPromptsReachTheOthersOnce(t *testing.T) {
+	g := NewWithT(t)
+	var l placedLog
+	l.add("a", []Placed{{1, "u"}, {2, "v"}})
+	l.add("b", []Placed{{3, "u"}})
+	g.Expect(l.since(0, "a")).To(Equal([]Placed{{3, "u"}}))
+	g.Expect(l.since(0, "c")).To(HaveLen(3))
+	g.Expect(l.since(l.next, "c")).To(BeEmpty())
+	g.Expect(l.since(l.next+99, "c")).To(BeEmpty(), "a number of another member's log")
+	for range 3 * maxPlaced {
+		l.add("a", []Placed{{9, "w"}})
+	}
+	g.Expect(len(l.notes)).To(BeNumerically("<=", 2*maxPlaced))
+	g.Expect(l.since(1, "c")).To(HaveLen(maxPlacedAnswer))
+}
--- a/instance/serving/serving.go
+++ b/instance/serving/serving.go
@@ -65,6 +65,9 @@
 	watched map[string]time.Time
 	own     map[string]bool
 	loads   loadBook
+	placed  placedLog
+	// unsent are the notes that the other members were not told yet.
+	unsent []Placed
 	// leads is since when this member leads, zero while it does not.
 	leads time.Time
 }
--- a/instance/serving/watch.go
+++ b/instance/serving/watch.go
@@ -31,8 +31,10 @@
 	// Forwards says that the instance forwards requests, so that it counts among
 	// those that share budgets.
 	Forwards bool `codec:"w"`
-	// Loads is the work that the instance has under way.
-	Loads []Load `codec:"l,omitempty"`
+	// Report is the work of the instance, and Told up to where it was told the others'
+	// by this member.
+	Report Report `codec:"r"`
+	Told   uint64 `codec:"t"`
 }
 
 // Answer is what a member knows.
@@ -47,8 +49,9 @@
 	Members []string `codec:"m"`
 	// Forwarders is how many instances forward requests, as far as is known.
 	Forwarders int `codec:"f"`
-	// Loads is the work that all other instances have under way.
-	Loads []Load `codec:"l,omitempty"`
+	// Report is the work of all other instances, and Told the number to ask from next.
+	Report Report `codec:"r"`
+	Told   uint64 `codec:"t"`
 }
 
 // watch holds a question until there is news or its time is over. The confirmation
@@ -65,7 +68,7 @@
 	}
 	if q.Forwards {
 		s.noteWatcher(from)
-		s.noteLoads(from, q.Loads)
+		s.noteReport(from, &q.Report)
 	}
 	s.hold(ctx, g, &q)
 	a := Answer{Domain: s.cfg.Domain, HeldMS: clock.Since(arrived).Milliseconds()}
@@ -77,7 +80,7 @@
 	st := g.Status()
 	a.Members = names(st.Members)
 	a.Forwarders = s.forwarders()
-	a.Loads = s.loadsBut(from)
+	a.Report, a.Told = s.reportFor(from, q.Told)
 	return a, nil
 }
 
