--- a/instance/admin/types.go
+++ b/instance/admin/types.go
@@ -77,6 +77,9 @@
 	LeaseUntil *time.Time `json:"lease_until,omitempty"`
 	// Scheduler is the instance that schedules for this failure domain.
 	Scheduler string `json:"scheduler"`
+	// SchedulesAs is this instance's own role: "scheduler", "follower", or "alone"
+	// while the scheduler does not answer.
+	SchedulesAs string `json:"schedules_as"`
 	// Orders tells how this failure domain's engines stand to the intent.
 	Orders    OrdersStatus     `json:"orders"`
 	Draining  bool             `json:"draining"`
--- a/instance/control/control.go
+++ b/instance/control/control.go
@@ -211,7 +211,7 @@
 func (s *Service) startGroup(id consensus.Identity) error {
 	g, err := consensus.New(consensus.Config{
 		FS: disk.OS{}, Dir: s.cfg.DataFolder, Identity: id, Mux: newMux(), Transport: transport{s},
-		Seed: int64(id.ID), OnFatal: func(err error) { s.failed(id, err) },
+		Seed: int64(id.ID), OnFatal: s.failed,
 	})
 	if err != nil {
 		return err
--- a/instance/control/group.go
+++ b/instance/control/group.go
@@ -122,7 +122,7 @@
 
 func (s *Service) run(id consensus.Identity) {
 	if err := s.startGroup(id); err != nil {
-		s.failed(id, err)
+		s.failed(err)
 	}
 }
 
@@ -168,7 +168,7 @@
 			continue
 		}
 		if err := consensus.Join(disk.OS{}, s.cfg.DataFolder, &id, a.Cluster); err != nil {
-			s.failed(id, err)
+			s.failed(err)
 			return true
 		}
 		s.run(id)
--- a/instance/control/patience.go
+++ b/instance/control/patience.go
@@ -22,7 +22,7 @@
 // process must not end for it, since the machine's other work goes on. The member
 // has stopped to vote and to acknowledge, and what it wrote last counts only once
 // the log was opened, checked and synced anew.
-func (s *Service) failed(id consensus.Identity, err error) {
+func (s *Service) failed(err error) {
 	if !s.cfg.WaitOutDisk || fault.CodeOf(err) == fault.Corrupt {
 		s.fatal(err)
 		return
--- a/instance/daemon/cluster.go
+++ b/instance/daemon/cluster.go
@@ -169,6 +169,7 @@
 			Lease:   d.cfg.Control.Lease, Log: d.log, OnFatal: d.fail,
 		}
 		if cfg.Founders = d.founderNames(); len(cfg.Founders) > 0 {
+			cfg.Bootstrap = true
 			if cfg.FoundingIntent, err = intentfile.Load(d.cfg.Control.FoundingIntent); err != nil {
 				return nil, err
 			}
--- a/instance/daemon/status.go
+++ b/instance/daemon/status.go
@@ -13,9 +13,10 @@
 
 func (d *Daemon) status(p *parts, g *gatewayService) admin.Status {
 	lease := p.spread.Lease()
+	queue := p.queue.Status()
 	s := admin.Status{
 		Instance: d.cfg.Instance.Name, Domain: d.cfg.Instance.FailureDomain, Revision: p.spread.Revision(),
-		Leader: p.control.Leader(), LeaseValid: lease.Valid, InFlight: g.InFlight(), Scheduler: p.queue.Status().Scheduler,
+		Leader: p.control.Leader(), LeaseValid: lease.Valid, InFlight: g.InFlight(), Scheduler: queue.Scheduler, SchedulesAs: queue.Role,
 		Members: p.control.Members(), Orders: d.ordersStatus(p),
 	}
 	if !lease.Valid && !lease.Until.IsZero() {
--- a/instance/http1/head.go
+++ b/instance/http1/head.go
@@ -263,11 +263,7 @@
 			}
 			coded = true
 		case f.Is("Connection"):
-			if hasListed(f.Value, "close") {
-				h.Close = true
-			} else if h.Minor == 0 && hasListed(f.Value, "keep-alive") {
-				h.Close = false
-			}
+			h.connection(f.Value)
 		}
 	}
 	if coded {
@@ -282,6 +278,16 @@
 	return nil
 }
 
+// connection sets Close as a Connection field says.
+func (h *Head) connection(options []byte) {
+	switch {
+	case hasListed(options, "close"):
+		h.Close = true
+	case h.Minor == 0 && hasListed(options, "keep-alive"):
+		h.Close = false
+	}
+}
+
 const maxLengthDigits = 15
 
 func parseLength(b []byte) (int64, bool) {
--- a/instance/relay/suite_test.go
+++ b/instance/relay/suite_test.go
@@ -233,6 +233,7 @@
 	if err != nil {
 		return reply{err: err, took: time.Since(begun)}
 	}
+	defer func() { _ = resp.Body.Close() }()
 	body, err := io.ReadAll(resp.Body)
 	return reply{resp.StatusCode, string(body), resp.Header, err, time.Since(begun), resp.Close}
 }
--- a/operator/commands/show/show.go
+++ b/operator/commands/show/show.go
@@ -34,8 +34,8 @@
 	if !s.LeaseValid {
 		lease = "MAY BE OLD: the configuration lease has run out"
 	}
-	fmt.Fprintf(w, "%s in %s acts on revision %d, %s.\n%d requests in flight. Control leader: %s. Scheduler of %s: %s.\n\n",
-		s.Instance, s.Domain, s.Revision, lease, s.InFlight, orNone(s.Leader), s.Domain, orNone(s.Scheduler))
+	fmt.Fprintf(w, "%s in %s acts on revision %d, %s.\n%d requests in flight. Control leader: %s. Scheduler of %s: %s; this instance: %s.\n\n",
+		s.Instance, s.Domain, s.Revision, lease, s.InFlight, orNone(s.Leader), s.Domain, orNone(s.Scheduler), orNone(s.SchedulesAs))
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
 	fmt.Fprintln(t, "FAILURE DOMAIN\tLIVE\tREVISION\tLAG\tSILENT SINCE")
 	for _, d := range s.Domains {
--- a/operator/standin/engine/handle.go
+++ b/operator/standin/engine/handle.go
@@ -211,7 +211,15 @@
 	})
 }
 
-// pump writes events until the stream ends and reports whether it ended well.
+// cut ends the connection after what was written so far.
+func cut(w *bufio.Writer) {
+	_ = w.Flush()
+	_, _ = w.WriteString(host.Cut)
+	_ = w.Flush()
+}
+
+// pump writes events until the stream ends or is cut on purpose, and reports whether
+// it did; otherwise the connection is to be closed.
 func (e *Engine) pump(w *bufio.Writer, s *stream, after int) bool {
 	sent := after
 	idle := time.NewTicker(keepAlive)
@@ -224,8 +232,8 @@
 		e.mu.Unlock()
 		for ; !silent && sent < ready; sent++ {
 			if breakAfter > 0 && sent-after >= breakAfter {
-				_ = w.Flush()
-				return false
+				cut(w)
+				return true
 			}
 			if _, err := w.Write(s.event(sent + 1)); err != nil {
 				return false
--- a/operator/standin/host/host.go
+++ b/operator/standin/host/host.go
@@ -4,6 +4,7 @@
 package host
 
 import (
+	"bytes"
 	"context"
 	"net"
 	"sync"
@@ -198,6 +199,26 @@
 	once sync.Once
 }
 
+// Cut ends the connection of an answer that it is written to at exactly that point: all before it
+// has been sent, nothing after it will be. Closing the connection from a handler would
+// race with the server, which sends what the handler wrote some time later; a reader
+// would then miss events that the stand-in counts as sent.
+const Cut = ": cut here\n\n"
+
+// Write implements net.Conn.
+func (c *trackedConn) Write(p []byte) (int, error) {
+	i := bytes.Index(p, []byte(Cut))
+	if i < 0 {
+		return c.Conn.Write(p)
+	}
+	n, err := c.Conn.Write(p[:i])
+	if err == nil {
+		err = fault.New(fault.Unavailable, "the connection is cut")
+	}
+	_ = c.Close()
+	return n, err
+}
+
 // Close implements net.Conn.
 func (c *trackedConn) Close() error {
 	err := c.Conn.Close()
