Balance: the line between quick and long requests moves one upstream at a time

Cause: instances drew the line anew every second or two, at 1 to 5 of 12 engines, and long prompts met quick streams at the engines on it.

--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -26,8 +26,8 @@
 	Kept float64
 	// Slowness is how much longer than predicted its answers have taken; 1 is normal.
 	Slowness float64
-	// Penalty multiplies the cost of an upstream that fails; 1 is none.
-	Penalty float64
+	// Errors is the part of its latest answers that failed.
+	Errors float64
 	// Suspect upstreams are picked only when no other is left, Excluded ones never.
 	Suspect, Excluded bool
 }
@@ -75,6 +75,11 @@
 	memoryLimit = 0.85
 	// crowded multiplies the cost of an engine without a free slot or memory.
 	crowded = 6.0
+	// failing multiplies the cost of an upstream, by what part more of its requests
+	// fail than of its peers'. Failures that all have alike are the requests' own.
+	failing = 25.0
+	// tolerated is what the share of failures may differ by chance.
+	tolerated = 0.12
 	// slotMS is the cost of a busy slot at an upstream that is no engine.
 	slotMS = 60.0
 )
@@ -86,13 +91,14 @@
 		return Choice{Index: None}
 	}
 	lowest := math.Inf(1)
+	common := commonErrors(list, suspects)
 	for i := range list {
 		if usable(&list[i], suspects) {
-			lowest = min(lowest, cost(&list[i], r))
+			lowest = min(lowest, cost(&list[i], r, common))
 		}
 	}
 	best := pick(list, r, func(u *Upstream) bool {
-		return usable(u, suspects) && cost(u, r) <= lowest*(1+near)+nearMS
+		return usable(u, suspects) && cost(u, r, common) <= lowest*(1+near)+nearMS
 	})
 	return Choice{Index: best, Wait: wait(&list[best], r), Ahead: ahead(&list[best], r)}
 }
@@ -154,8 +160,19 @@
 	return float64(u.Reading) / r.Rate * u.Slowness
 }
 
+// commonErrors is the smallest part of failed answers among the candidates.
+func commonErrors(list []Upstream, suspects bool) float64 {
+	common := 1.0
+	for i := range list {
+		if usable(&list[i], suspects) {
+			common = min(common, list[i].Errors)
+		}
+	}
+	return common
+}
+
 // cost is what the request costs at an upstream, in milliseconds.
-func cost(u *Upstream, r *Request) float64 {
+func cost(u *Upstream, r *Request, commonErrors float64) float64 {
 	c := 0.0
 	if u.Capacity == 0 || r.Rate <= 0 {
 		c = slotMS * float64(u.Active+1) / float64(max(1, u.Slots)) * u.Slowness
@@ -165,7 +182,7 @@
 			c *= crowded
 		}
 	}
-	c *= u.Penalty
+	c *= 1 + failing*max(0, u.Errors-commonErrors-tolerated)
 	if u.Domain != r.Domain {
 		c += otherDomain
 	}
--- a/core/balance/pools.go
+++ b/core/balance/pools.go
@@ -21,6 +21,9 @@
 	// share is the part of the upstreams that is for quick requests.
 	share  float64
 	others Demand
+	// count is how many upstreams are set apart, since moved.
+	count int
+	moved time.Time
 }
 
 // routeLoad is what one route brings.
@@ -34,7 +37,7 @@
 const (
 	// pace is the time constant of the loads: long enough that the pools don't move
 	// with each request, short enough to follow a burst.
-	pace = 4 * time.Second
+	pace = 6 * time.Second
 	// quickShare is up to which part of the longest route's mean prompt another
 	// route's prompts are quick, and notable which part of all tokens a route must
 	// bring to be that longest one.
@@ -45,9 +48,10 @@
 	roominess = 3.0
 	// answering is what generating an answer counts as, in prompt tokens.
 	answering = 800.0
-	// shareStep is by how much the share must have moved to count, so that an upstream
-	// on the edge does not change sides all the time and lose what it keeps.
-	shareStep = 0.06
+	// lineStep is by how many upstreams the line must be off to move, and lineEvery
+	// the shortest time between two moves.
+	lineStep  = 0.8
+	lineEvery = 700 * time.Millisecond
 	// poolsOrder makes the order of the pools another one than those of prompts.
 	poolsOrder = 1
 )
@@ -129,22 +133,38 @@
 // line, or each would have its prompts kept elsewhere.
 func (p *Pools) SetOthers(d Demand) { p.others = d }
 
-// reshare moves the line if the proportion has changed by enough.
+// reshare works out the share that quick requests should have now.
 func (p *Pools) reshare(now time.Time) {
 	d := p.Own(now)
 	quick, long := d.Quick+p.others.Quick, d.Long+p.others.Long
-	share := 0.0
+	p.share = 0
 	if quick > 0 {
-		share = quick / (quick + long)
+		p.share = quick / (quick + long)
 	}
-	if math.Abs(share-p.share) > shareStep || share == 0 || p.share == 0 {
-		p.share = share
+}
+
+// line returns how many of so many upstreams are set apart. It follows the share one
+// upstream at a time: one that changes sides loses what it keeps.
+func (p *Pools) line(now time.Time, upstreams int) int {
+	ideal := p.share * float64(upstreams)
+	wanted := min(upstreams-1, max(1, int(math.Round(ideal))))
+	switch {
+	case p.count == 0 || p.count >= upstreams:
+		p.count, p.moved = wanted, now
+	case math.Abs(ideal-float64(p.count)) > lineStep && now.Sub(p.moved) > lineEvery:
+		if wanted > p.count {
+			p.count++
+		} else {
+			p.count = max(1, p.count-1)
+		}
+		p.moved = now
 	}
+	return p.count
 }
 
 // Split marks in the list which upstreams are for quick requests. Where there is
 // only one, or all requests are alike, none is set apart.
-func (p *Pools) Split(ids []string) map[string]bool {
+func (p *Pools) Split(now time.Time, ids []string) map[string]bool {
 	if p.share == 0 || len(ids) < 2 {
 		return nil
 	}
@@ -159,7 +179,7 @@
 		}
 		return 0
 	})
-	k := min(len(order)-1, max(1, int(math.Round(p.share*float64(len(order))))))
+	k := p.line(now, len(order))
 	quick := make(map[string]bool, k)
 	for _, id := range order[:k] {
 		quick[id] = true
--- a/instance/relay/fleet.go
+++ b/instance/relay/fleet.go
@@ -25,6 +25,8 @@
 	pools     map[string]*balance.Pools
 	rates     map[string]*balance.Rate
 	ids       []string
+	// quickCount is how many upstreams are set apart, by service.
+	quickCount map[string]int
 	// others is the work that other instances have under way, as of othersAt.
 	others   map[string]servingsvc.Load
 	othersAt time.Time
@@ -34,7 +36,7 @@
 
 func newFleet(log *eventlog.Sink) *fleet {
 	return &fleet{log: log, upstreams: map[string]*upstream{}, services: map[string][]*upstream{}, pools: map[string]*balance.Pools{},
-		rates: map[string]*balance.Rate{}, others: map[string]servingsvc.Load{}}
+		rates: map[string]*balance.Rate{}, others: map[string]servingsvc.Load{}, quickCount: map[string]int{}}
 }
 
 // update takes in which incarnations there are. One that is not usable any more
@@ -108,7 +110,10 @@
 	}
 	r.predicted = c.Wait
 	if c.Ahead > r.maxAhead && r.tokens > 0 {
-		// Its own kind of upstreams is busy; any other that has room will do.
+		if !f.pools[r.service].Quick(r.route.Name) {
+			return nil, true
+		}
+		// A quick request harms nobody elsewhere; a long one among quick ones would.
 		f.describe(r, list, now, avoid, false)
 		if c = balance.Choose(f.scratch, q); c.Ahead > r.maxAhead {
 			return nil, true
@@ -131,7 +136,7 @@
 // are for the other kind of requests are suspects.
 func (f *fleet) describe(r *request, list []*upstream, now time.Time, avoid []*upstream, pools bool) {
 	f.scratch = f.scratch[:0]
-	quick, isQuick := f.split(r, list)
+	quick, isQuick := f.split(r, list, now)
 	fresh := now.Sub(f.othersAt) < othersAge
 	for _, u := range list {
 		b := u.describe(now)
@@ -210,7 +215,7 @@
 }
 
 // split says which upstreams are for quick requests, and whether this is one.
-func (f *fleet) split(r *request, list []*upstream) (quick map[string]bool, isQuick bool) {
+func (f *fleet) split(r *request, list []*upstream, now time.Time) (quick map[string]bool, isQuick bool) {
 	if r.tokens == 0 {
 		return nil, false
 	}
@@ -223,7 +228,12 @@
 	for _, u := range list {
 		f.ids = append(f.ids, u.id)
 	}
-	return p.Split(f.ids), p.Quick(r.route.Name)
+	quick = p.Split(now, f.ids)
+	if len(quick) != f.quickCount[r.service] {
+		f.quickCount[r.service] = len(quick)
+		f.log.Event("pools").Str("service", r.service).Int("quick", int64(len(quick))).Int("upstreams", int64(len(list))).End()
+	}
+	return quick, p.Quick(r.route.Name)
 }
 
 // known reports whether there is any upstream of a service.
--- a/instance/relay/request.go
+++ b/instance/relay/request.go
@@ -60,6 +60,10 @@
 	maxAhead float64
 	// first is the time from the last sending to the first event.
 	first time.Duration
+	// pause is the longest time between two events that went out, lastOut when the
+	// latest one did.
+	pause   time.Duration
+	lastOut time.Time
 	// sent counts the upstreams that the request was sent to; ran says that one of
 	// them may have run it.
 	sent int
--- a/instance/relay/serve.go
+++ b/instance/relay/serve.go
@@ -197,7 +197,9 @@
 	case unknown:
 		r.sent++
 		r.ran = true
-		pause = a.up.failed(false)
+		if fault.CodeOf(a.err) != fault.Internal || a.head.Status < statusServerError {
+			pause = a.up.failed(false)
+		}
 	case rejected:
 		r.sent++
 		if a.head.Status == statusMisdirected {
@@ -273,9 +275,9 @@
 		return true, false
 	}
 	if a.head.Status >= statusServerError {
-		a.up.failed(false)
+		a.up.answeredFailure()
 		if s.worthRepeating(r) {
-			a.err = fault.New(fault.Unavailable, "the upstream answered %d", a.head.Status)
+			a.err = fault.New(fault.Internal, "the upstream answered %d", a.head.Status)
 			return true, false
 		}
 		if a.head.Status == 503 && r.route.Kind != route.Idempotent {
@@ -353,7 +355,7 @@
 		MS("took", took).Int("sent", int64(r.sent)).Int("urgency", int64(r.urgency)).Str("upstream", r.upstream).MS("view_age", s.cfg.State.Age())
 	if r.tokens > 0 {
 		l.Int("tokens", int64(r.tokens)).Int("unread", int64(r.unread)).Int("ahead", int64(r.ahead)).
-			Int("predicted", int64(r.predicted)).MS("first_event", r.first)
+			Int("predicted", int64(r.predicted)).MS("first_event", r.first).MS("pause", r.pause)
 	}
 	if reason != "" {
 		l.Str("reason", reason)
--- a/instance/relay/stream.go
+++ b/instance/relay/stream.go
@@ -128,10 +128,19 @@
 	st.keep(end)
 	st.c.out = b
 	a.firstEvent()
+	st.r.noteEvent(time.Now())
 	st.out = true
 	return st.c.write(b)
 }
 
+// noteEvent measures the pauses between events.
+func (r *request) noteEvent(now time.Time) {
+	if !r.lastOut.IsZero() {
+		r.pause = max(r.pause, now.Sub(r.lastOut))
+	}
+	r.lastOut = now
+}
+
 func (st *stream) keep(from int) {
 	n := copy(st.pending, st.pending[from:])
 	st.pending = st.pending[:n]
--- a/instance/relay/upstream.go
+++ b/instance/relay/upstream.go
@@ -48,9 +48,6 @@
 const (
 	// weightOfLatest is the weight of the latest answer in a moving mean.
 	weightOfLatest = 0.15
-	// penaltyOfErrors makes an upstream that fails all its requests count as so many
-	// times loaded.
-	penaltyOfErrors = 8
 )
 
 // describe needs the fleet's mutex.
@@ -60,7 +57,7 @@
 	}
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	b.Penalty = 1 + penaltyOfErrors*u.errors
+	b.Errors = u.errors
 	b.Suspect = u.failures > 0 && (now.Before(u.until) || u.silent)
 	return b
 }
@@ -122,6 +119,16 @@
 	return pause
 }
 
+// answeredFailure notes a whole answer that is a failure. It may be the request's own
+// fault, so the upstream is not left alone for it; but one that fails more of its
+// requests than its peers costs more.
+func (u *upstream) answeredFailure() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.errors += weightOfLatest * (1 - u.errors)
+	u.failures = 0
+}
+
 // succeeded notes an answer.
 func (u *upstream) succeeded(took time.Duration) {
 	u.mu.Lock()
