Balance: engines get what they can read in four fifths of the time

Cause: at full load engines read prompts in every step, some 70 ms each, and streams took until their time limits; what was cut there had cost as much as what was served.

--- a/core/balance/pools.go
+++ b/core/balance/pools.go
@@ -1,6 +1,7 @@
 package balance
 
 import (
+	"cmp"
 	"math"
 	"slices"
 	"time"
@@ -32,6 +33,8 @@
 	// pace.
 	tokens, unread, requests float64
 	gap                      time.Duration
+	// place is how urgent the route is: 0 for the most urgent ones, 1 for the least.
+	place float64
 }
 
 const (
@@ -59,20 +62,29 @@
 // NewPools returns pools that know no load.
 func NewPools() *Pools { return &Pools{routes: map[string]*routeLoad{}} }
 
-// Note counts a request of a route, with the tokens of its prompt, those that are to
-// be read for it, and the longest pause that it allows; zero means that it does not
-// say.
-func (p *Pools) Note(now time.Time, route string, tokens, unread int, gap time.Duration) {
+// Offer is a request that came, whether it is taken or not.
+type Offer struct {
+	Route string
+	// Tokens are those of its prompt, Unread those that are to be read for it.
+	Tokens, Unread int
+	// Gap is the longest pause that it allows; zero means that it does not say.
+	Gap time.Duration
+	// Place is how urgent its route is: 0 for the most urgent ones, 1 for the least.
+	Place float64
+}
+
+// Note counts a request.
+func (p *Pools) Note(now time.Time, o *Offer) {
 	p.decay(now)
-	l := p.routes[route]
+	l := p.routes[o.Route]
 	if l == nil {
 		l = &routeLoad{}
-		p.routes[route] = l
+		p.routes[o.Route] = l
 	}
-	l.tokens += float64(tokens)
-	l.unread += float64(unread)
+	l.tokens += float64(o.Tokens)
+	l.unread += float64(o.Unread)
 	l.requests++
-	l.gap = gap
+	l.gap, l.place = o.Gap, o.Place
 	p.reshare(now)
 }
 
@@ -143,6 +155,47 @@
 	}
 }
 
+// Engines that read prompts all the time generate so slowly that streams miss their
+// time limits and what was read for them is wasted. busiest is the part of the time
+// for which they may read.
+const (
+	busiest = 0.8
+	// leastAdmitted is the part of each route's requests that is taken in any case.
+	leastAdmitted = 0.3
+)
+
+// Admitted returns which part of a long route's requests the upstreams that are not
+// for quick ones can bear, if each of so many reads so many tokens a second. Where it
+// is not all, the most urgent routes come first.
+func (p *Pools) Admitted(now time.Time, route string, upstreams, perSecond float64) float64 {
+	own := p.Own(now)
+	if own.Long <= 0 {
+		return 1
+	}
+	left := busiest * upstreams * perSecond
+	scale := (own.Long + p.others.Long) / own.Long
+	for _, l := range p.longRoutes() {
+		demand := scale * (l.unread + answering*l.requests) / pace.Seconds()
+		part := min(1, max(leastAdmitted, left/demand))
+		if l == p.routes[route] {
+			return part
+		}
+		left = max(0, left-part*demand)
+	}
+	return 1
+}
+
+// longRoutes returns the loads of long routes, the most urgent first.
+func (p *Pools) longRoutes() (list []*routeLoad) {
+	for _, l := range p.routes {
+		if !p.quick(l) {
+			list = append(list, l)
+		}
+	}
+	slices.SortFunc(list, func(a, b *routeLoad) int { return cmp.Compare(a.place, b.place) })
+	return list
+}
+
 // line returns how many of so many upstreams are set apart. It follows the share one
 // upstream at a time: one that changes sides loses what it keeps.
 func (p *Pools) line(now time.Time, upstreams int) int {
--- a/core/balance/pools_test.go
+++ b/core/balance/pools_test.go
@@ -21,9 +21,9 @@
 	note := func(questions int) {
 		for range 400 {
 			now = now.Add(20 * time.Millisecond)
-			p.Note(now, "report", 9000, 9000, time.Second)
+			p.Note(now, &balance.Offer{Route: "report", Tokens: 9000, Unread: 9000, Gap: time.Second})
 			for range questions {
-				p.Note(now, "question", 1400, 1400, 300*time.Millisecond)
+				p.Note(now, &balance.Offer{Route: "question", Tokens: 1400, Unread: 1400, Gap: 300 * time.Millisecond})
 			}
 		}
 	}
@@ -47,8 +47,28 @@
 	g := NewWithT(t)
 	p := balance.NewPools()
 	for i := range 100 {
-		p.Note(time.Unix(100, int64(i)), "a", 3000, 3000, time.Second)
-		p.Note(time.Unix(100, int64(i)), "b", 2500, 2500, time.Second)
+		p.Note(time.Unix(100, int64(i)), &balance.Offer{Route: "a", Tokens: 3000, Unread: 3000, Gap: time.Second})
+		p.Note(time.Unix(100, int64(i)), &balance.Offer{Route: "b", Tokens: 2500, Unread: 2500, Gap: time.Second})
 	}
 	g.Expect(p.Split(time.Unix(101, 0), []string{"u", "v"})).To(BeEmpty())
 }
+
+// More is asked than engines can read. If all were taken, engines would read all the
+// time, streams would crawl, and most would be cut at their time limits. The least
+// urgent part is not taken, and no route is shut out.
+func TestOnlyWhatCanBeReadIsAdmitted(t *testing.T) {
+	g := NewWithT(t)
+	p := balance.NewPools()
+	now := time.Unix(100, 0)
+	for range 2000 {
+		now = now.Add(10 * time.Millisecond)
+		p.Note(now, &balance.Offer{Route: "brief", Tokens: 9000, Unread: 3000, Gap: time.Second, Place: 0})
+		p.Note(now, &balance.Offer{Route: "report", Tokens: 17000, Unread: 9000, Gap: time.Second, Place: 1})
+	}
+	g.Expect(p.Admitted(now, "brief", 100, 60000)).To(Equal(1.0))
+	g.Expect(p.Admitted(now, "report", 100, 60000)).To(Equal(1.0))
+	g.Expect(p.Admitted(now, "brief", 15, 60000)).To(Equal(1.0))
+	part := p.Admitted(now, "report", 15, 60000)
+	g.Expect(part).To(BeNumerically("~", 0.35, 0.1))
+	g.Expect(p.Admitted(now, "report", 1, 60000)).To(BeNumerically(">", 0.2))
+}
--- a/instance/relay/admit.go
+++ b/instance/relay/admit.go
@@ -39,7 +39,7 @@
 			r.upstream = up.id
 			return up, false
 		}
-		if !busy || !time.Now().Add(holdStep).Before(until) {
+		if !busy || r.shed || !time.Now().Add(holdStep).Before(until) {
 			return nil, busy
 		}
 		t := time.NewTimer(holdStep)
--- a/instance/relay/fleet.go
+++ b/instance/relay/fleet.go
@@ -109,6 +109,12 @@
 		return nil, false
 	}
 	r.predicted = c.Wait
+	if r.tokens > 0 && len(avoid) == 0 {
+		f.offer(r, q, c, now)
+		if r.shed {
+			return nil, true
+		}
+	}
 	if c.Ahead > r.maxAhead && r.tokens > 0 {
 		if !f.pools[r.service].Quick(r.route.Name) {
 			return nil, true
@@ -126,12 +132,33 @@
 	if r.affinity != 0 && len(f.placed) < maxPlaced {
 		f.placed = append(f.placed, servingsvc.Placed{Prompt: r.affinity, Upstream: u.id})
 	}
-	if r.tokens > 0 && len(avoid) == 0 {
-		f.pools[r.service].Note(now, r.route.Name, r.tokens, r.unread, r.route.Gap)
-	}
 	return u, false
 }
 
+// offer counts a request, once, and decides whether it is among those that can't be
+// borne.
+func (f *fleet) offer(r *request, q *balance.Request, c balance.Choice, now time.Time) {
+	if r.offered {
+		return
+	}
+	r.offered = true
+	p := f.pools[r.service]
+	p.Note(now, &balance.Offer{
+		Route: r.route.Name, Tokens: r.tokens, Unread: int(balance.Unread(&f.scratch[c.Index], q)), Gap: r.route.Gap, Place: r.place,
+	})
+	if p.Quick(r.route.Name) {
+		return
+	}
+	able := 0.0
+	for i := range f.scratch {
+		if u := &f.scratch[i]; !u.Suspect && !u.Excluded {
+			able += 1 / max(1, u.Slowness)
+		}
+	}
+	part := p.Admitted(now, r.route.Name, able, q.Rate*1000)
+	r.shed = part < 1 && rand.Float64() > part
+}
+
 // describe fills scratch with what is known of the candidates. With pools, those that
 // are for the other kind of requests are suspects.
 func (f *fleet) describe(r *request, list []*upstream, now time.Time, avoid []*upstream, pools bool) {
--- a/instance/relay/serve.go
+++ b/instance/relay/serve.go
@@ -120,7 +120,8 @@
 		return
 	}
 	r.capacity = e.KVTokens
-	r.maxAhead = maxAhead(r.route, v.Routes.Place(r.route))
+	r.place = v.Routes.Place(r.route)
+	r.maxAhead = maxAhead(r.route, r.place)
 	if r.route.Sticky {
 		r.affinity, r.shared = sharedParts(r.parts)
 		r.shared = min(r.shared, r.tokens)
