--- a/instance/control/group.go
+++ b/instance/control/group.go
@@ -143,6 +143,8 @@
 type joinRequest struct {
 	ID   raft.MemberID `codec:"i"`
 	Name string        `codec:"n"`
+	// Relayed is set by a member that hands the request to the leader.
+	Relayed bool `codec:"y,omitempty"`
 }
 
 type joinAnswer struct {
@@ -177,29 +179,42 @@
 	return false
 }
 
+// receiveJoin adds a disk as a learner, at the leader. Any other member hands the
+// request on: a newcomer knows some members only, of which the leader may be none.
 func (s *Service) receiveJoin(ctx context.Context, from string, m link.Message) (any, error) {
 	var q joinRequest
 	if err := m.Decode(&q); err != nil {
 		return nil, err
 	}
 	g := s.group.Load()
-	if g == nil || q.Name != from {
+	if g == nil || !q.Relayed && q.Name != from {
 		return nil, fault.New(fault.NotRun, "no member of a control group")
 	}
 	st := g.Status()
 	if st.Leader != st.ID {
-		return nil, fault.New(fault.NotRun, "not the leader")
+		return s.relayJoin(ctx, st, q)
 	}
-	s.learnName(q.ID, from)
+	s.learnName(q.ID, q.Name)
 	if _, known := st.Members.Get(q.ID); !known {
 		if err := g.AddLearner(ctx, q.ID, q.Name); err != nil {
 			return nil, err
 		}
-		s.cfg.Log.Info().Str("peer", q.Name).Msg("a new disk learns the control state")
+		s.cfg.Log.Info().Str("event", "member_joins").Str("peer", q.Name).Uint64("member", uint64(q.ID)).Msg("a new disk learns the control state")
 	}
 	return joinAnswer{Cluster: s.cluster()}, nil
 }
 
+func (s *Service) relayJoin(ctx context.Context, st consensus.Status, q joinRequest) (any, error) {
+	leader, known := st.Members.Get(st.Leader)
+	if q.Relayed || !known {
+		return nil, fault.New(fault.NotRun, "not the leader")
+	}
+	q.Relayed = true
+	var a joinAnswer
+	err := s.cfg.Links.Call(ctx, leader.Name, channelJoin, q, &a)
+	return a, err
+}
+
 func (s *Service) pause(d time.Duration) bool {
 	t := time.NewTimer(d)
 	defer t.Stop()
--- /dev/null
+++ b/instance/follow/follow_test.go
@@ -0,0 +1,148 @@
+package follow_test
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"github.com/rs/zerolog"
+
+	corecontrol "github.com/comfreyladder/comfreyladder/core/control"
+	"github.com/comfreyladder/comfreyladder/core/control/serving"
+	"github.com/comfreyladder/comfreyladder/core/fault"
+	"github.com/comfreyladder/comfreyladder/core/route"
+	"github.com/comfreyladder/comfreyladder/instance/follow"
+	servingsvc "github.com/comfreyladder/comfreyladder/instance/serving"
+)
+
+// group is a control group as a follower sees it.
+type group struct {
+	mu      sync.Mutex
+	members map[string]*member
+	asked   []string
+}
+
+// member answers questions; a nil answer means that it doesn't.
+type member struct {
+	answer *servingsvc.Answer
+	delay  time.Duration
+}
+
+func (g *group) Call(ctx context.Context, to, _ string, _, resp any) error {
+	g.mu.Lock()
+	g.asked = append(g.asked, to)
+	m := g.members[to]
+	g.mu.Unlock()
+	if m == nil || m.answer == nil {
+		<-ctx.Done()
+		return fault.New(fault.OutcomeUnknown, "no answer")
+	}
+	select {
+	case <-time.After(max(m.delay, time.Millisecond)):
+	case <-ctx.Done():
+		return fault.New(fault.OutcomeUnknown, "no answer")
+	}
+	*resp.(*servingsvc.Answer) = *m.answer
+	return nil
+}
+
+func (g *group) set(name string, a *servingsvc.Answer) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.members[name] = &member{answer: a}
+}
+
+func answer(index, version uint64, confirmed bool, members ...string) *servingsvc.Answer {
+	t := route.Table{Version: version}
+	b, _ := corecontrol.Marshal(&t)
+	return &servingsvc.Answer{Confirmed: confirmed, Members: members, Forwarders: 1,
+		Changes: serving.Changes{Index: index, Version: version, Table: b, Full: true,
+			Upstreams: []serving.Upstream{{ID: "u", State: serving.Ready, Changed: index}}}}
+}
+
+const lease = 300 * time.Millisecond
+
+func start(t *testing.T, g *group, seeds ...string) *follow.Follower {
+	t.Helper()
+	f := follow.New(follow.Config{
+		Links: g, Seeds: func() []string { return seeds }, Lease: lease, Hold: 20 * time.Millisecond, Slack: 30 * time.Millisecond, Log: zerolog.Nop(),
+	})
+	if err := f.Start(context.Background()); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = f.Stop(context.Background()) })
+	return f
+}
+
+func version(f *follow.Follower) func() uint64 {
+	return func() uint64 {
+		if r := f.View().Routes; r != nil {
+			return r.Table.Version
+		}
+		return 0
+	}
+}
+
+// The member that an instance asks is cut off in silence. Another one must be asked
+// within the lease, or the instance would refuse its callers for nothing.
+func TestAnotherMemberIsAskedInTime(t *testing.T) {
+	g := NewWithT(t)
+	grp := &group{members: map[string]*member{}}
+	grp.set("a", answer(1, 1, true, "a", "b", "c"))
+	grp.set("b", answer(1, 1, true, "a", "b", "c"))
+	f := start(t, grp, "a")
+	g.Eventually(version(f)).Should(Equal(uint64(1)))
+	grp.set("a", nil)
+	g.Consistently(func() time.Duration { return f.Lease() }).WithTimeout(2 * lease).WithPolling(5 * time.Millisecond).Should(BeNumerically(">", 0))
+}
+
+// A member that lost its quorum still answers. What it can't confirm extends no
+// lease: the instance must know when it may be behind.
+func TestUnconfirmedAnswerExtendsNoLease(t *testing.T) {
+	g := NewWithT(t)
+	grp := &group{members: map[string]*member{}}
+	grp.set("a", answer(1, 1, true, "a"))
+	f := start(t, grp, "a")
+	g.Eventually(f.Lease).Should(BeNumerically(">", 0))
+	grp.set("a", answer(2, 2, false, "a"))
+	g.Eventually(version(f)).Should(Equal(uint64(2)), "what it has is committed all the same")
+	g.Eventually(f.Lease).WithTimeout(2 * lease).Should(BeNumerically("<", 0))
+}
+
+// Members are behind each other. An instance that has acted on a table must not go
+// back to an older one because the next member it asks has not got it yet.
+func TestViewNeverGoesBack(t *testing.T) {
+	g := NewWithT(t)
+	grp := &group{members: map[string]*member{}}
+	grp.set("a", answer(5, 3, true, "a"))
+	f := start(t, grp, "a")
+	g.Eventually(version(f)).Should(Equal(uint64(3)))
+	grp.set("a", answer(4, 2, true, "a"))
+	g.Consistently(version(f)).WithTimeout(100 * time.Millisecond).Should(Equal(uint64(3)))
+}
+
+// The lease counts from the question, not from the answer: an answer that was held
+// up on its way says nothing about the time since.
+func TestLeaseCountsFromTheQuestion(t *testing.T) {
+	g := NewWithT(t)
+	grp := &group{members: map[string]*member{"a": {answer: answer(1, 1, true, "a"), delay: 20 * time.Millisecond}}}
+	f := start(t, grp, "a")
+	g.Eventually(f.Lease).Should(BeNumerically(">", 0))
+	g.Expect(f.Lease()).To(BeNumerically("<=", lease-19*time.Millisecond))
+}
+
+func TestUpstreamsThatAreGoneLeaveTheView(t *testing.T) {
+	g := NewWithT(t)
+	grp := &group{members: map[string]*member{}}
+	grp.set("a", answer(1, 1, true, "a"))
+	f := start(t, grp, "a")
+	g.Eventually(func() int { return len(f.View().Upstreams) }).Should(Equal(1))
+	a := answer(2, 1, true, "a")
+	a.Changes.Full, a.Changes.Table = false, nil
+	a.Changes.Upstreams[0].State = serving.Gone
+	grp.set("a", a)
+	g.Eventually(func() int { return len(f.View().Upstreams) }).Should(BeZero())
+	g.Expect(version(f)()).To(Equal(uint64(1)))
+}
--- /dev/null
+++ b/proof/deployed/harness_test.go
@@ -0,0 +1,291 @@
+package deployed_test
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+)
+
+const (
+	binary   = "../../bin/comfreyladderd"
+	patience = 15 * time.Second
+	poll     = 20 * time.Millisecond
+	// The ports are the same on all machines. They lie below the range from which the
+	// system takes the ports of outgoing connections.
+	portControl, portFrontend, portReady, portPeer = 17229, 17227, 17220, 17340
+)
+
+// nets gives each test a part of the loopback range of its own.
+var nets atomic.Int64
+
+// site is one deployment.
+type site struct {
+	t     *testing.T
+	dir   string
+	net   int64
+	nodes map[string]*node
+	seeds []string
+}
+
+// node is one machine with its process.
+type node struct {
+	s       *site
+	name    string
+	ip      string
+	core    bool
+	process *exec.Cmd
+	exited  chan struct{}
+	out     *bytes.Buffer
+	mu      sync.Mutex
+}
+
+func newSite(t *testing.T) *site {
+	RegisterTestingT(t)
+	s := &site{t: t, dir: t.TempDir(), net: 10 + nets.Add(1) + int64(os.Getpid()%20)*10, nodes: map[string]*node{}}
+	t.Cleanup(func() {
+		for _, n := range s.nodes {
+			n.kill()
+		}
+	})
+	return s
+}
+
+func (s *site) ip(host int) string { return fmt.Sprintf("127.%d.%d.%d", 1+s.net/200, s.net%200, host) }
+
+// add makes a machine; nothing runs on it yet.
+func (s *site) add(name string, host int, core bool) *node {
+	n := &node{s: s, name: name, ip: s.ip(host), core: core, out: &bytes.Buffer{}}
+	s.nodes[name] = n
+	return n
+}
+
+func (n *node) at(port int) string { return fmt.Sprintf("%s:%d", n.ip, port) }
+
+func (n *node) settingsFile() string { return filepath.Join(n.s.dir, n.name+".yaml") }
+func (n *node) dataDir() string      { return filepath.Join(n.s.dir, n.name) }
+
+func (n *node) writeSettings(bootstrap bool) {
+	role, listen, data := "edge", fmt.Sprintf("{frontend: %q, ready: %q}", n.at(portFrontend), n.at(portReady)), "null"
+	if n.core {
+		role, listen, data = "controller", fmt.Sprintf("{control-plane: %q}", n.at(portControl)), n.dataDir()
+	}
+	seeds, _ := json.Marshal(n.s.seeds)
+	text := fmt.Sprintf(`
+node-name: %q
+serves: [%q]
+ip: %q
+zone: "north"
+listen: %s
+internal-port-range: [%d, %d]
+seeds: %s
+bootstrap: %t
+data-dir: %s
+limits: {memory-mb: 284}
+heartbeat-ms: 1200
+bounds: {fail-closed: true, revoke-ms: 3000, grace-s: 8, retry-budget-ratio: 0.2, retry-window-s: 10, retry-slack: 58}
+`, n.name, role, n.ip, listen, portPeer, portPeer+15, seeds, bootstrap, data)
+	Expect(os.WriteFile(n.settingsFile(), []byte(text), 0o600)).To(Succeed())
+}
+
+// start runs the process.
+func (n *node) start(bootstrap bool) *node {
+	n.s.t.Helper()
+	n.writeSettings(bootstrap)
+	if n.core {
+		Expect(os.MkdirAll(n.dataDir(), 0o700)).To(Succeed())
+	}
+	cmd := exec.Command(binary, "--platform")
+	cmd.Env = append(os.Environ(), "COMFREYLADDER_CONFIG="+n.settingsFile())
+	cmd.Stdout, cmd.Stderr = n, n
+	Expect(cmd.Start()).To(Succeed())
+	n.process, n.exited = cmd, make(chan struct{})
+	go func(exited chan struct{}) {
+		_ = cmd.Wait()
+		close(exited)
+	}(n.exited)
+	return n
+}
+
+// Write gathers what the process prints.
+func (n *node) Write(p []byte) (int, error) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.out.Write(p)
+}
+
+func (n *node) log() string {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.out.String()
+}
+
+func (n *node) signal(sig syscall.Signal) { Expect(n.process.Process.Signal(sig)).To(Succeed()) }
+
+// kill ends the process at once, also one that is stopped.
+func (n *node) kill() {
+	if n.process == nil {
+		return
+	}
+	_ = n.process.Process.Kill()
+	<-n.exited
+	n.process = nil
+}
+
+func (n *node) wipe() { Expect(os.RemoveAll(n.dataDir())).To(Succeed()) }
+
+var client = &http.Client{Timeout: 2 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+
+// call makes one call; status 0 means that there was no answer.
+func call(method, url, body string, headers ...string) (int, string) {
+	req, err := http.NewRequest(method, url, strings.NewReader(body))
+	if err != nil {
+		return 0, err.Error()
+	}
+	for i := 0; i+1 < len(headers); i += 2 {
+		req.Header.Set(headers[i], headers[i+1])
+	}
+	if host := req.Header.Get("Host"); host != "" {
+		req.Host = host
+	}
+	resp, err := client.Do(req)
+	if err != nil {
+		return 0, err.Error()
+	}
+	defer func() { _ = resp.Body.Close() }()
+	b, _ := io.ReadAll(resp.Body)
+	return resp.StatusCode, string(b)
+}
+
+func (n *node) put(version int, keys ...string) int {
+	status, _ := call("PUT", "http://"+n.at(portControl)+"/config", desired(version, keys...))
+	return status
+}
+
+func (n *node) get() (int, string) { return call("GET", "http://"+n.at(portControl)+"/config", "") }
+
+func (n *node) ready() bool {
+	status, _ := call("GET", "http://"+n.at(portReady)+"/readyz", "")
+	return status == 200
+}
+
+var attempts atomic.Int64
+
+// ask sends a request with a key through an edge.
+func (n *node) ask(key string) int {
+	id := fmt.Sprintf("a%d", attempts.Add(1))
+	status, _ := call("GET", "http://"+n.at(portFrontend)+"/a/x", "", "Host", "h.example", "Attempt-Id", id, "Key", key, "Deadline-Ms", "1500")
+	return status
+}
+
+func desired(version int, keys ...string) string {
+	k, _ := json.Marshal(keys)
+	return fmt.Sprintf(`{"version":%d,"routes":[{"name":"r","host":"h.example","path-prefix":"/a/","route-type":"idempotent","timeout-ms":1500,
+"target-latency-ms":300,"priority":0,"service":"s","max-attempts":2}],"services":[{"name":"s","health-path":"/h","max-connections":100}],
+"limits":{"max-header-bytes":16384,"max-body-bytes":4194304,"header-timeout-ms":3000,"idle-timeout-ms":15000},"tenants":[{"name":"o","api-keys":%s}]}`, version, k)
+}
+
+// runner is an upstream that announces itself to the cores in turn.
+type runner struct {
+	s        *site
+	id       string
+	listener net.Listener
+	sequence atomic.Int64
+	served   atomic.Int64
+	stop     chan struct{}
+}
+
+func (s *site) runner(id string, cores ...*node) *runner {
+	l, err := net.Listen("tcp4", s.ip(250)+":0")
+	Expect(err).NotTo(HaveOccurred())
+	r := &runner{s: s, id: id, listener: l, stop: make(chan struct{})}
+	server := &http.Server{ReadHeaderTimeout: time.Second, Handler: http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+		r.served.Add(1)
+		w.Header().Set("Attempt-Id", req.Header.Get("Attempt-Id"))
+		w.Header().Set("Runner-Seal", "s")
+		_, _ = io.WriteString(w, "done")
+	})}
+	go func() { _ = server.Serve(l) }()
+	go r.beat(cores)
+	s.t.Cleanup(func() {
+		close(r.stop)
+		_ = server.Close()
+	})
+	return r
+}
+
+func (r *runner) beat(cores []*node) {
+	for i := 0; ; i++ {
+		r.report(cores[i%len(cores)], "ready")
+		select {
+		case <-r.stop:
+			return
+		case <-time.After(300 * time.Millisecond):
+		}
+	}
+}
+
+func (r *runner) report(to *node, state string) int {
+	body := fmt.Sprintf(`{"service":"s","address":%q,"zone":"north","slots":8,"state":%q,"sequence":%d}`, r.listener.Addr(), state, r.sequence.Add(1))
+	status, _ := call("PUT", "http://"+to.at(portControl)+"/instances/"+r.id, body)
+	return status
+}
+
+// trio is three cores, two edges and a runner that serve a configuration.
+type trio struct {
+	*site
+	cores, edges []*node
+	runner       *runner
+}
+
+func newTrio(t *testing.T) *trio {
+	s := &trio{site: newSite(t)}
+	for i := range 3 {
+		n := s.add(fmt.Sprint("core-", i+1), 1+i, true)
+		s.cores = append(s.cores, n)
+		s.seeds = append(s.seeds, n.at(portControl))
+	}
+	for i := range 2 {
+		s.edges = append(s.edges, s.add(fmt.Sprint("edge-", i+1), 101+i, false))
+	}
+	for _, n := range append(append([]*node(nil), s.edges...), s.cores...) {
+		n.start(true)
+	}
+	Eventually(func() int { return s.cores[0].put(1, "k", "l") }, patience, poll).Should(Equal(200))
+	s.runner = s.site.runner("i-1", s.cores...)
+	for _, e := range s.edges {
+		Eventually(e.ready, patience, poll).Should(BeTrue(), e.log)
+		Eventually(func() int { return e.ask("k") }, patience, poll).Should(Equal(200))
+	}
+	return s
+}
+
+func TestMain(m *testing.M) {
+	if _, err := os.Stat(binary); err != nil {
+		fmt.Fprintln(os.Stderr, "run make build first:", err)
+		os.Exit(1)
+	}
+	os.Exit(m.Run())
+}
+
+// logs returns what all processes printed, for a failure's report.
+func (s *site) logs() string {
+	all := ""
+	for _, n := range s.nodes {
+		all += "== " + n.name + "\n" + n.log()
+	}
+	return all
+}
