Relay: an upstream that can't be reached is passed over

Cause: failures compare by their code, and a failed connect has the code of a lost lease, so a request was given up (503 after 400 ms) while other upstreams were free. The test failed before (503). Also: explain reads logs; gauges.

--- a/instance/relay/admit.go
+++ b/instance/relay/admit.go
@@ -52,6 +52,15 @@
 	}
 }
 
+// busyVerdict refuses a request for which no engine has room, and says which bound it
+// met.
+func busyVerdict(r *request) *verdict {
+	if r.shed {
+		return &verdict{503, "not run: more is asked than the engines can read", busyHint(r)}
+	}
+	return &verdict{503, "not run: too much waits before it", busyHint(r)}
+}
+
 // busyHint is when a request that found too much before it may come again: when that
 // has been read, as far as it is known, and early enough to be answered in time.
 func busyHint(r *request) time.Duration {
--- a/instance/relay/attempt.go
+++ b/instance/relay/attempt.go
@@ -76,7 +76,7 @@
 		return a, notSent
 	}
 	if r.organisation != nil && !s.mayAct() {
-		a.err = errLease
+		a.err, r.leaseLost = errLease, true
 		return a, notSent
 	}
 	until := time.Now().Add(left)
--- a/instance/relay/relay.go
+++ b/instance/relay/relay.go
@@ -37,9 +37,11 @@
 
 // New returns a service that does not listen yet.
 func New(cfg Config, set *metrics.Set) *Service {
-	return &Service{
+	s := &Service{
 		cfg: cfg, set: set, fleet: newFleet(cfg.Log), stop: make(chan struct{}), conns: map[*conn]struct{}{}, budgets: map[string]*budget.Window{},
 	}
+	s.gauges()
+	return s
 }
 
 // Report returns the work of this instance.
--- a/instance/relay/relay_test.go
+++ b/instance/relay/relay_test.go
@@ -299,3 +299,16 @@
 	Expect(long.receive().status).To(Equal(200))
 	Expect(up.requests()).To(HaveLen(2))
 }
+
+// An upstream can't be reached. Nothing has left for it, so another one gets the
+// request, whatever its kind.
+func TestUnreachableUpstreamIsPassedOver(t *testing.T) {
+	dead := startUpstream(t, "a", echo)
+	_ = dead.listener.Close()
+	alive := startUpstream(t, "b", echo)
+	b := start(t, dead, alive)
+	for i := range 8 {
+		Expect(b.caller().call("POST", "/once/", fmt.Sprint(i), "x").status).To(Equal(200))
+	}
+	Expect(alive.requests()).To(HaveLen(8))
+}
--- a/instance/relay/request.go
+++ b/instance/relay/request.go
@@ -72,6 +72,8 @@
 	// them may have run it.
 	sent int
 	ran  bool
+	// leaseLost says that it was not sent since keys can't be told any more.
+	leaseLost bool
 	// broken says that a part of an answer is out and the rest will not come.
 	broken bool
 	// upstream is the last one used, last what became of it.
--- a/instance/relay/serve.go
+++ b/instance/relay/serve.go
@@ -145,7 +145,7 @@
 			s.logDone(r, 0, "the caller hung up")
 			return false
 		case busy:
-			return s.refuse(c, r, &verdict{503, "not run: too much waits before it", busyHint(r)})
+			return s.refuse(c, r, busyVerdict(r))
 		case up == nil:
 			return s.giveUp(c, r)
 		}
@@ -221,7 +221,7 @@
 		return false
 	}
 	if o == notSent {
-		return !errors.Is(r.last, errLease)
+		return !r.leaseLost
 	}
 	if r.sent >= max(1, r.route.MaxAttempts) || r.ran && !r.route.Repeatable() {
 		return false
@@ -347,7 +347,7 @@
 		kind, name = r.route.Kind.String(), r.route.Name
 	}
 	took := clock.Since(r.arrived)
-	s.count(r, kind, status, took)
+	s.count(r, kind, status, reason, took)
 	event := "request_done"
 	if reason != "" || status >= statusServerError {
 		event = "request_failed"
@@ -356,7 +356,7 @@
 		MS("took", took).Int("sent", int64(r.sent)).Int("urgency", int64(r.urgency)).Str("upstream", r.upstream).MS("view_age", s.cfg.State.Age())
 	if r.tokens > 0 {
 		l.Int("tokens", int64(r.tokens)).Int("unread", int64(r.unread)).Int("ahead", int64(r.ahead)).
-			Int("predicted", int64(r.predicted)).MS("first_event", r.first).MS("pause", r.pause)
+			Int("predicted", int64(r.predicted)).Int("max_ahead", int64(r.maxAhead)).MS("first_event", r.first).MS("pause", r.pause)
 	}
 	if reason != "" {
 		l.Str("reason", reason)
--- a/instance/relay/stream.go
+++ b/instance/relay/stream.go
@@ -212,7 +212,7 @@
 	broken.end()
 	s.noteAttempt(r, broken, unknown)
 	for r.route.Resumable && len(st.lastID) > 0 && s.mayTryAgain(r, unknown) {
-		r.maxAhead = math.Inf(1)
+		r.maxAhead = math.MaxInt32
 		up, _ := s.fleet.choose(r, s.cfg.Domain, avoid)
 		if up == nil {
 			return nil
--- a/instance/roles/process.go
+++ b/instance/roles/process.go
@@ -271,15 +271,49 @@
 }
 
 func (p *Process) metrics() kernel.Module {
-	return kernel.Module{Name: nameMetrics, Needs: []string{nameTelemetry}, New: func(k *kernel.Kernel) (kernel.Service, error) {
+	needs := []string{nameTelemetry}
+	if p.cfg.Control != "" {
+		needs = append(needs, nameServing)
+	}
+	return kernel.Module{Name: nameMetrics, Needs: needs, New: func(k *kernel.Kernel) (kernel.Service, error) {
 		tel, err := kernel.Lookup[*telemetry.Service](k, nameTelemetry)
 		if err != nil {
 			return nil, err
 		}
+		if s, err := kernel.Lookup[*servingService](k, nameServing); err == nil {
+			memberGauges(tel, s)
+		}
 		return newListener(p.cfg.Metrics, func(ctx *fasthttp.RequestCtx) { tel.Write(ctx) }), nil
 	}}
 }
 
+// memberGauges tell how the member of the control group stands that runs here.
+func memberGauges(tel *telemetry.Service, s *servingService) {
+	gauge := func(name string, value func(consensus.Status) float64) {
+		tel.Set().NewGauge(name, func() float64 {
+			if g := s.replica(); g != nil {
+				return value(g.Status())
+			}
+			return 0
+		})
+	}
+	gauge("control_term", func(st consensus.Status) float64 { return float64(st.Term) })
+	gauge("control_applied_index", func(st consensus.Status) float64 { return float64(st.Applied) })
+	gauge("control_voters", func(st consensus.Status) float64 { return float64(len(st.Members.Voters())) })
+	gauge("control_is_leader", func(st consensus.Status) float64 {
+		if st.Leader != 0 && st.Leader == st.ID {
+			return 1
+		}
+		return 0
+	})
+	gauge("control_knows_leader", func(st consensus.Status) float64 {
+		if st.Leader != 0 {
+			return 1
+		}
+		return 0
+	})
+}
+
 // maxCall bounds the body of a call: a table of some thousand routes.
 const maxCall = 16 << 20
 
--- a/operator/commands/commands.go
+++ b/operator/commands/commands.go
@@ -22,12 +22,15 @@
 // Connection holds the options by which a command reaches an instance.
 type Connection struct {
 	Address string `short:"a" long:"address" env:"COMFREYLADDER_ADDRESS" default:"127.0.0.1:8081" description:"operators' address of any instance"`
-	KeyFile string `short:"k" long:"key-file" env:"COMFREYLADDER_KEY_FILE" required:"yes" description:"file with the operator's key"`
+	KeyFile string `short:"k" long:"key-file" env:"COMFREYLADDER_KEY_FILE" description:"file with the operator's key"`
 	CA      string `long:"ca" env:"COMFREYLADDER_CA" description:"file with the certificate authority of https addresses; empty: the system's"`
 	JSON    bool   `long:"json" description:"print JSON"`
 }
 
 func (c *Connection) client() (*client.Client, error) {
+	if c.KeyFile == "" {
+		return nil, fault.New(fault.Invalid, "--key-file FILE is needed: the file with the operator's key")
+	}
 	key, err := settings.ReadKey(c.KeyFile)
 	if err != nil {
 		return nil, err
@@ -63,7 +66,7 @@
 		{"plan", "show what an intent file would change", "Example:\n  comfreyladder plan --key-file ops.key intent.ini", &Plan{}},
 		{"confirm", "put an intent file in force", "Example:\n  comfreyladder confirm --key-file ops.key --number 42 --base 7 intent.ini", &Confirm{}},
 		{"status", "show revisions, failure domains, instances and upstreams", "Example:\n  comfreyladder status --key-file ops.key", &Status{}},
-		{"explain", "tell what became of a request and why", "Example:\n  comfreyladder explain --key-file ops.key REQUEST-ID", &Explain{}},
+		{"explain", "tell what became of a request and why", explainHelp, &Explain{}},
 		{"drain", "have the instance at --address finish its work and stop", "Example:\n  comfreyladder drain --key-file ops.key --address 10.0.0.7:8081", &Drain{}},
 		{"unknown", "list at-most-once calls whose outcome is unknown", "Example:\n  comfreyladder unknown --key-file ops.key", &Unknown{}},
 		{"resolve", "say what became of a call whose outcome is unknown", resolveHelp, &Resolve{}},
--- a/operator/commands/status.go
+++ b/operator/commands/status.go
@@ -24,27 +24,6 @@
 	return c.print(os.Stdout, s, func(w io.Writer) { show.Status(w, s) })
 }
 
-// Explain is the subcommand "explain".
-type Explain struct {
-	Connection
-	Args struct {
-		ID string `positional-arg-name:"REQUEST-ID" required:"yes"`
-	} `positional-args:"yes"`
-}
-
-// Execute implements flags.Commander.
-func (c *Explain) Execute([]string) error {
-	cl, err := c.client()
-	if err != nil {
-		return err
-	}
-	e, err := cl.Explain(c.Args.ID)
-	if err != nil {
-		return err
-	}
-	return c.print(os.Stdout, e, func(w io.Writer) { show.Explanation(w, e) })
-}
-
 // Drain is the subcommand "drain".
 type Drain struct{ Connection }
 
--- /dev/null
+++ b/operator/logs/logs.go
@@ -0,0 +1,172 @@
+// Package logs reads the key=value lines that the processes write, and puts together
+// what they say of one request.
+package logs
+
+import (
+	"bufio"
+	"io"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/comfreyladder/comfreyladder/core/fault"
+)
+
+// Line is one line of a process.
+type Line struct {
+	At     time.Time
+	Source string
+	Text   string
+	fields map[string]string
+}
+
+// Field returns the value of a key, or the empty string.
+func (l *Line) Field(key string) string { return l.fields[key] }
+
+// Event returns what the line is about.
+func (l *Line) Event() string { return l.fields["event"] }
+
+// maxLine bounds a line.
+const maxLine = 1 << 20
+
+// Read reads lines. What stands before the first pair of a line, as a collector of
+// logs puts it there, is the line's source; without it the source is the given name.
+// Lines without a time are passed over.
+func Read(r io.Reader, name string) ([]*Line, error) {
+	var lines []*Line
+	scanner := bufio.NewScanner(r)
+	scanner.Buffer(nil, maxLine)
+	for scanner.Scan() {
+		if l := parse(scanner.Text(), name); l != nil {
+			lines = append(lines, l)
+		}
+	}
+	if err := scanner.Err(); err != nil {
+		return nil, fault.Wrap(err, fault.Invalid, "read the log %s", name)
+	}
+	return lines, nil
+}
+
+func parse(text, source string) *Line {
+	fields, prefix, rest := pairs(text)
+	at, err := time.Parse(time.RFC3339Nano, fields["time"])
+	if err != nil {
+		return nil
+	}
+	if words := strings.Fields(prefix); len(words) > 0 {
+		source = words[len(words)-1]
+	}
+	return &Line{At: at, Source: source, Text: rest, fields: fields}
+}
+
+// pairs splits a line into its pairs, and returns what stands before the first one
+// and the rest.
+func pairs(text string) (fields map[string]string, prefix, rest string) {
+	fields = map[string]string{}
+	for at := 0; at < len(text); {
+		word, next := token(text, at)
+		if key, value, ok := strings.Cut(word, "="); ok && key != "" {
+			if len(fields) == 0 {
+				prefix, rest = text[:at], text[at:]
+			}
+			fields[key] = unquote(value)
+		}
+		at = next
+	}
+	return fields, prefix, rest
+}
+
+// token returns the word that begins at a place, with spaces inside quotes, and where
+// the next one begins.
+func token(text string, at int) (word string, next int) {
+	quoted := false
+	for i := at; i < len(text); i++ {
+		switch c := text[i]; {
+		case c == '\\' && quoted:
+			i++
+		case c == '"':
+			quoted = !quoted
+		case c == ' ' && !quoted:
+			return text[at:i], i + 1
+		}
+	}
+	return text[at:], len(text)
+}
+
+func unquote(s string) string {
+	if len(s) < 2 || s[0] != '"' {
+		return s
+	}
+	return strings.NewReplacer(`\"`, `"`, `\\`, `\`).Replace(s[1 : len(s)-1])
+}
+
+// beliefs are the events by which a process changes what it acts on.
+var beliefs = []string{
+	"start", "stop", "drain", "reload", "control_lost", "control_regained", "table_in_force", "upstream_state", "upstream_gone",
+	"upstream_announced", "upstream_left", "upstreams_silent", "pools", "member_change", "member_joins", "disk_refuses", "log_dropped",
+}
+
+// Explain returns the lines of a request, with those by which the processes that
+// wrote them, or any process about the same upstreams, changed what they believed
+// while it was under way or for as long as context before. They are in order of time.
+func Explain(lines []*Line, request string, context time.Duration) []*Line {
+	var own []*Line
+	for _, l := range lines {
+		if l.Field("request") == request {
+			own = append(own, l)
+		}
+	}
+	if len(own) == 0 {
+		return nil
+	}
+	s := scopeOf(own, context)
+	out := own
+	for _, l := range lines {
+		if l.Field("request") == "" && s.holds(l) {
+			out = append(out, l)
+		}
+	}
+	slices.SortStableFunc(out, func(a, b *Line) int { return a.At.Compare(b.At) })
+	return out
+}
+
+// scope says which lines matter beside a request's own.
+type scope struct {
+	from, to  time.Time
+	sources   map[string]bool
+	upstreams map[string]bool
+}
+
+func scopeOf(own []*Line, context time.Duration) *scope {
+	s := &scope{from: own[0].At, to: own[0].At, sources: map[string]bool{}, upstreams: map[string]bool{}}
+	for _, l := range own {
+		begun := l.At
+		if took, err := time.ParseDuration(l.Field("took") + "ms"); err == nil {
+			begun = begun.Add(-took)
+		}
+		if begun.Before(s.from) {
+			s.from = begun
+		}
+		if l.At.After(s.to) {
+			s.to = l.At
+		}
+		s.sources[l.Source] = true
+		for _, key := range []string{"upstream", "from"} {
+			if u := l.Field(key); u != "" {
+				s.upstreams[u] = true
+			}
+		}
+	}
+	s.from = s.from.Add(-context)
+	return s
+}
+
+func (s *scope) holds(l *Line) bool {
+	if l.At.Before(s.from) || l.At.After(s.to) || !slices.Contains(beliefs, l.Event()) {
+		return false
+	}
+	if u := l.Field("upstream"); u != "" {
+		return s.upstreams[u]
+	}
+	return s.sources[l.Source] || strings.HasPrefix(l.Event(), "member_") || l.Event() == "disk_refuses"
+}
--- /dev/null
+++ b/operator/logs/logs_test.go
@@ -0,0 +1,40 @@
+package logs_test
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/comfreyladder/comfreyladder/operator/logs"
+)
+
+const edge = `time=2026-01-01T00:00:01.000Z event=control_lost peer=c lease_left=3000
+time=2026-01-01T00:00:02.000Z event=upstream_state upstream=u1 state=ready silent=true
+time=2026-01-01T00:00:02.100Z event=upstream_state upstream=u9 state=ready silent=true
+time=2026-01-01T00:00:03.000Z event=attempt request=a upstream=u1 outcome=unknown took=900 error="read tcp: i/o \"timeout\""
+no line of ours
+time=2026-01-01T00:00:03.500Z event=request_done request=b status=200
+`
+
+const core = `  12.5 core-1 level=info event=upstream_announced upstream=u1 time=2026-01-01T00:00:02.500Z message="heartbeat of an upstream"
+  12.6 core-1 level=info event=upstream_announced upstream=u1 time=2026-01-01T00:00:09.000Z message=x
+`
+
+func TestOneRequestsLinesOfAllProcesses(t *testing.T) {
+	g := NewWithT(t)
+	lines, err := logs.Read(strings.NewReader(edge), "edge-1.log")
+	g.Expect(err).NotTo(HaveOccurred())
+	more, err := logs.Read(strings.NewReader(core), "all.log")
+	g.Expect(err).NotTo(HaveOccurred())
+	var got []string
+	for _, l := range logs.Explain(append(lines, more...), "a", 2*time.Second) {
+		got = append(got, l.Source+" "+l.Event())
+	}
+	g.Expect(got).To(Equal([]string{
+		"edge-1.log control_lost", "edge-1.log upstream_state", "core-1 upstream_announced", "edge-1.log attempt",
+	}))
+	g.Expect(lines[3].Field("error")).To(Equal(`read tcp: i/o "timeout"`))
+	g.Expect(logs.Explain(lines, "none", time.Second)).To(BeEmpty())
+}
