Balance: an engine's pace is the upper quartile of what is seen

Cause: the pace settled at the median of observations that include waits which are not known here: 48 to 53 and 37 to 47 tokens a ms where engines read 61 and 51.

--- a/core/balance/learn.go
+++ b/core/balance/learn.go
@@ -6,9 +6,10 @@
 	// firstRate is taken for an engine's pace until some requests have shown it, in
 	// prompt tokens a millisecond.
 	firstRate = 50.0
-	// rateStep is by what part one observation moves the pace; it moves up or down by
-	// the same step, so that it settles at the median.
-	rateStep = 0.02
+	// rateUp and rateDown are by what part one observation moves the pace. They are
+	// unequal so that it settles at the upper quartile: much makes a first event late
+	// that is not known here, and little makes one early.
+	rateUp, rateDown = 0.03, 0.01
 	// leastTokens is how many tokens an observation must be made on, and setupMS what
 	// a first event takes beside the reading.
 	leastTokens = 1500
@@ -35,9 +36,9 @@
 	}
 	pace := r.PerMS()
 	if tokens/ms > pace {
-		pace *= 1 + rateStep
+		pace *= 1 + rateUp
 	} else {
-		pace /= 1 + rateStep
+		pace /= 1 + rateDown
 	}
 	r.perMS = pace
 }
--- a/instance/relay/admit.go
+++ b/instance/relay/admit.go
@@ -36,7 +36,6 @@
 	for {
 		up, busy = s.fleet.choose(r, s.cfg.Domain, avoid)
 		if up != nil {
-			r.upstream = up.id
 			return up, false
 		}
 		if !busy || r.shed || !time.Now().Add(holdStep).Before(until) {
--- a/instance/relay/fleet.go
+++ b/instance/relay/fleet.go
@@ -108,7 +108,8 @@
 	if c.Index == balance.None {
 		return nil, false
 	}
-	r.predicted = c.Wait
+	r.predicted, r.upstream = c.Wait, list[c.Index].id
+	r.unread, r.ahead = int(balance.Unread(&f.scratch[c.Index], q)), f.scratch[c.Index].Reading
 	if r.tokens > 0 && len(avoid) == 0 {
 		f.offer(r, q, c, now)
 		if r.shed {
@@ -126,8 +127,7 @@
 		}
 	}
 	u = list[c.Index]
-	r.unread = int(balance.Unread(&f.scratch[c.Index], q))
-	r.ahead = f.scratch[c.Index].Reading
+	r.upstream, r.unread, r.ahead = u.id, int(balance.Unread(&f.scratch[c.Index], q)), f.scratch[c.Index].Reading
 	u.begin(r, now)
 	if r.affinity != 0 && len(f.placed) < maxPlaced {
 		f.placed = append(f.placed, servingsvc.Placed{Prompt: r.affinity, Upstream: u.id})
@@ -258,7 +258,8 @@
 	quick = p.Split(now, f.ids)
 	if len(quick) != f.quickCount[r.service] {
 		f.quickCount[r.service] = len(quick)
-		f.log.Event("pools").Str("service", r.service).Int("quick", int64(len(quick))).Int("upstreams", int64(len(list))).End()
+		f.log.Event("pools").Str("service", r.service).Int("quick", int64(len(quick))).Int("upstreams", int64(len(list))).
+			Int("tokens_per_s", int64(1000*f.rate(r.service).PerMS())).End()
 	}
 	return quick, p.Quick(r.route.Name)
 }
--- a/instance/relay/stream.go
+++ b/instance/relay/stream.go
@@ -217,7 +217,6 @@
 		if up == nil {
 			return nil
 		}
-		r.upstream = up.id
 		a, o := s.start(r, up, 0, st.lastID)
 		if o == answered && a.head.Status/100 == 2 {
 			s.cfg.Log.Event("stream_resumed").Bytes("request", r.id).Str("from", broken.up.id).Str("upstream", up.id).
