--- a/instance/relay/fleet.go
+++ b/instance/relay/fleet.go
@@ -21,6 +21,7 @@
 	mu        sync.Mutex
 	upstreams map[string]*upstream
 	services  map[string][]*upstream
+	domains   domains
 	scratch   []balance.Upstream
 	pools     map[string]*balance.Pools
 	rates     map[string]*balance.Rate
@@ -35,7 +36,7 @@
 }
 
 func newFleet(log *eventlog.Sink) *fleet {
-	return &fleet{log: log, upstreams: map[string]*upstream{}, services: map[string][]*upstream{}, pools: map[string]*balance.Pools{},
+	return &fleet{log: log, upstreams: map[string]*upstream{}, services: map[string][]*upstream{}, domains: domains{}, pools: map[string]*balance.Pools{},
 		rates: map[string]*balance.Rate{}, others: map[string]servingsvc.Load{}, quickCount: map[string]int{}}
 }
 
@@ -99,7 +100,7 @@
 	defer f.mu.Unlock()
 	list := f.services[r.service]
 	now := time.Now()
-	f.describe(r, list, now, avoid, true)
+	f.describe(r, list, now, domain, avoid, true)
 	q := &balance.Request{Affinity: r.affinity, Shared: r.shared, Own: r.tokens - r.shared, Domain: domain, Draw: rand.Float64()}
 	if r.tokens > 0 {
 		q.Rate = f.rate(r.service).PerMS()
@@ -121,7 +122,7 @@
 			return nil, true
 		}
 		// A quick request harms nobody elsewhere; a long one among quick ones would.
-		f.describe(r, list, now, avoid, false)
+		f.describe(r, list, now, domain, avoid, false)
 		if c = balance.Choose(f.scratch, q); c.Ahead > r.maxAhead {
 			return nil, true
 		}
@@ -161,7 +162,7 @@
 
 // describe fills scratch with what is known of the candidates. With pools, those that
 // are for the other kind of requests are suspects.
-func (f *fleet) describe(r *request, list []*upstream, now time.Time, avoid []*upstream, pools bool) {
+func (f *fleet) describe(r *request, list []*upstream, now time.Time, domain string, avoid []*upstream, pools bool) {
 	f.scratch = f.scratch[:0]
 	quick, isQuick := f.split(r, list, now)
 	fresh := now.Sub(f.othersAt) < othersAge
@@ -173,7 +174,7 @@
 			b.Held += others.Held
 		}
 		b.Capacity = r.capacity
-		b.Suspect = b.Suspect || pools && quick != nil && quick[u.id] != isQuick
+		b.Suspect = b.Suspect || u.domain != domain && f.domains.suspect(now, u.domain) || pools && quick != nil && quick[u.id] != isQuick
 		b.Excluded = u.active >= u.maxConns || slices.Contains(avoid, u)
 		f.scratch = append(f.scratch, b)
 	}
@@ -264,6 +265,22 @@
 	return quick, p.Quick(r.route.Name)
 }
 
+// unreachable notes that an upstream could not be reached.
+func (f *fleet) unreachable(u *upstream) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.domains.unreachable(time.Now(), u.domain, u.id) {
+		f.log.Event("domain_suspect").Str("domain", u.domain).Str("upstream", u.id).MS("for", domainSuspect).End()
+	}
+}
+
+// reached notes that an upstream answered.
+func (f *fleet) reached(u *upstream) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.domains.reached(u.domain)
+}
+
 // known reports whether there is any upstream of a service.
 func (f *fleet) known(service string) int {
 	f.mu.Lock()
--- a/instance/relay/serve.go
+++ b/instance/relay/serve.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -151,6 +152,7 @@
 		}
 		a, o := s.start(r, up, s.patience(r), nil)
 		if o == answered {
+			s.fleet.reached(up)
 			again, keep := s.carry(c, a)
 			a.end()
 			if !again {
@@ -192,8 +194,9 @@
 	var pause time.Duration
 	switch o {
 	case notSent:
-		if fault.CodeOf(a.err) == fault.Unavailable && a.conn == nil {
+		if a.conn == nil {
 			pause = a.up.failed(true)
+			s.fleet.unreachable(a.up)
 		}
 	case unknown:
 		r.sent++
@@ -201,6 +204,9 @@
 		if fault.CodeOf(a.err) != fault.Internal || a.head.Status < statusServerError {
 			pause = a.up.failed(false)
 		}
+		if isTimeout(a.err) || errors.Is(a.err, syscall.ETIMEDOUT) {
+			s.fleet.unreachable(a.up)
+		}
 	case rejected:
 		r.sent++
 		if a.head.Status == statusMisdirected {
