--- a/instance/control/control.go
+++ b/instance/control/control.go
@@ -94,6 +94,9 @@
 	// WaitOutDisk keeps the process when its disk refuses writes: the member stops
 	// to vote, and starts again from the disk every diskRetry.
 	WaitOutDisk bool
+	// Heartbeat and ElectionTimeout are those of the raft member; zero means raft's
+	// defaults, which suit regions that are far apart.
+	Heartbeat, ElectionTimeout time.Duration
 	// OnApplied, if set, is called for each change of the replicated state, from the
 	// member's goroutine: it must not block.
 	OnApplied func(index uint64)
@@ -211,7 +214,7 @@
 func (s *Service) startGroup(id consensus.Identity) error {
 	g, err := consensus.New(consensus.Config{
 		FS: disk.OS{}, Dir: s.cfg.DataFolder, Identity: id, Mux: newMux(), Transport: transport{s},
-		Seed: int64(id.ID), OnFatal: s.failed,
+		Seed: int64(id.ID), OnFatal: s.failed, Heartbeat: s.cfg.Heartbeat, ElectionTimeout: s.cfg.ElectionTimeout,
 	})
 	if err != nil {
 		return err
--- a/instance/relay/relay.go
+++ b/instance/relay/relay.go
@@ -25,6 +25,7 @@
 	running  sync.WaitGroup
 	stop     chan struct{}
 	stopOnce sync.Once
+	started  time.Time
 	draining atomic.Bool
 	// ending says that idle connections are closed.
 	ending   atomic.Bool
@@ -59,7 +60,7 @@
 	if err != nil {
 		return fault.Wrap(err, fault.Unavailable, "listen on %s", s.cfg.Listen)
 	}
-	s.listener = l
+	s.listener, s.started = l, time.Now()
 	s.running.Go(s.accept)
 	s.running.Go(s.housekeep)
 	return nil
--- a/instance/relay/serve.go
+++ b/instance/relay/serve.go
@@ -53,7 +53,16 @@
 	return false
 }
 
-var errNoTable = &verdict{503, "there is no configuration yet", time.Second}
+// usualStart is within what time after its start an instance has a configuration,
+// also if the control group starts with it.
+const usualStart = 1500 * time.Millisecond
+
+// noTable refuses a request that came before there was a configuration, and tells
+// when there should be one.
+func (s *Service) noTable() *verdict {
+	const shortest = 200 * time.Millisecond
+	return &verdict{503, "there is no configuration yet", max(shortest, usualStart-time.Since(s.started))}
+}
 
 // admit finds out what the request is and whether it may be forwarded; nil means yes.
 func (s *Service) admit(r *request) *verdict {
@@ -62,7 +71,7 @@
 		return &verdict{400, err.Error(), 0}
 	}
 	if v.Routes == nil {
-		return errNoTable
+		return s.noTable()
 	}
 	r.route = v.Routes.Route(string(r.head.Get("Host")), string(r.head.Target))
 	if r.route == nil {
--- a/instance/roles/process.go
+++ b/instance/roles/process.go
@@ -157,6 +157,15 @@
 	}}
 }
 
+// heartbeat and electionTimeout are those of a control group whose members are some
+// milliseconds apart. After a loss of power of all machines callers wait for an
+// election: with raft's defaults of 200 ms and 1 s it took 1.7 s until edges had a
+// configuration.
+const (
+	heartbeat       = 120 * time.Millisecond
+	electionTimeout = 600 * time.Millisecond
+)
+
 func (p *Process) control() kernel.Module {
 	return kernel.Module{Name: nameControl, Needs: []string{nameLinks, nameServing}, New: func(k *kernel.Kernel) (kernel.Service, error) {
 		links, err := kernel.Lookup[*link.Service](k, nameLinks)
@@ -171,6 +180,7 @@
 			Name: p.cfg.Peer, DataFolder: p.cfg.DataFolder, Founders: p.founders(), Bootstrap: p.cfg.Bootstrap,
 			Links: links, Members: func() []string { return p.otherSeeds() }, Log: p.log, OnFatal: p.fail,
 			MendMembers: true, WaitOutDisk: true, OnApplied: state.Applied,
+			Heartbeat: heartbeat, ElectionTimeout: electionTimeout,
 		})
 		state.control.Store(s)
 		return s, nil
