Balance: a new prompt goes where least waits among three homes

Cause: instances that met the same new prompt within the quarter second that news take chose by their own view of the load; it was read at two engines.

--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -75,6 +75,10 @@
 	memoryLimit = 0.85
 	// crowded multiplies the cost of an engine without a free slot or memory.
 	crowded = 6.0
+	// homes is how many upstreams a prompt that nobody keeps may well go to, and strange
+	// weighs what it costs to read it anywhere else.
+	homes   = 3
+	strange = 2.0
 	// failing multiplies the cost of an upstream, by what part more of its requests
 	// fail than of its peers'. Failures that all have alike are the requests' own.
 	failing = 25.0
@@ -91,14 +95,14 @@
 		return Choice{Index: None}
 	}
 	lowest := math.Inf(1)
-	common := commonErrors(list, suspects)
+	c := costs{request: r, common: commonErrors(list, suspects), homeScore: homeScore(list, r, suspects)}
 	for i := range list {
 		if usable(&list[i], suspects) {
-			lowest = min(lowest, cost(&list[i], r, common))
+			lowest = min(lowest, c.of(&list[i]))
 		}
 	}
 	best := pick(list, r, func(u *Upstream) bool {
-		return usable(u, suspects) && cost(u, r, common) <= lowest*(1+near)+nearMS
+		return usable(u, suspects) && c.of(u) <= lowest*(1+near)+nearMS
 	})
 	return Choice{Index: best, Wait: wait(&list[best], r), Ahead: ahead(&list[best], r)}
 }
@@ -171,22 +175,57 @@
 	return common
 }
 
-// cost is what the request costs at an upstream, in milliseconds.
-func cost(u *Upstream, r *Request, commonErrors float64) float64 {
-	c := 0.0
+// costs works out what a request costs at each candidate.
+type costs struct {
+	request *Request
+	// common is the smallest part of failed answers among the candidates, homeScore
+	// the least score of the homes of the request's prompt.
+	common    float64
+	homeScore uint64
+}
+
+// of returns the cost at an upstream, in milliseconds.
+func (c *costs) of(u *Upstream) float64 {
+	r := c.request
+	cost := 0.0
 	if u.Capacity == 0 || r.Rate <= 0 {
-		c = slotMS * float64(u.Active+1) / float64(max(1, u.Slots)) * u.Slowness
+		cost = slotMS * float64(u.Active+1) / float64(max(1, u.Slots)) * u.Slowness
 	} else {
-		c = wait(u, r) + rereading*(1-u.Kept)*float64(r.Shared)/r.Rate
+		cost = wait(u, r) + rereading*(1-u.Kept)*float64(r.Shared)/r.Rate
+		if u.Kept == 0 && r.Affinity != 0 && rendezvous(r.Affinity, u.ID) < c.homeScore {
+			cost += strange * float64(r.Shared) / r.Rate
+		}
 		if u.Active >= u.Slots || float64(u.Held+r.Shared+r.Own) > memoryLimit*float64(u.Capacity) {
-			c *= crowded
+			cost *= crowded
 		}
 	}
-	c *= 1 + failing*max(0, u.Errors-commonErrors-tolerated)
+	cost *= 1 + failing*max(0, u.Errors-c.common-tolerated)
 	if u.Domain != r.Domain {
-		c += otherDomain
+		cost += otherDomain
+	}
+	return cost
+}
+
+// homeScore returns the least score of a prompt's homes: the first upstreams in its
+// order. Instances that meet a new prompt in the same moment don't know of each
+// other; choosing among the same few, they mostly choose the same one.
+func homeScore(list []Upstream, r *Request, suspects bool) uint64 {
+	if r.Affinity == 0 {
+		return 0
+	}
+	var top [homes]uint64
+	for i := range list {
+		if !usable(&list[i], suspects) {
+			continue
+		}
+		s := rendezvous(r.Affinity, list[i].ID)
+		for k := range top {
+			if s > top[k] {
+				s, top[k] = top[k], s
+			}
+		}
 	}
-	return c
+	return top[homes-1]
 }
 
 func rendezvous(affinity uint64, id string) uint64 {
