--- a/core/balance/pools.go
+++ b/core/balance/pools.go
@@ -51,6 +51,9 @@
 	roominess = 3.0
 	// answering is what generating an answer counts as, in prompt tokens.
 	answering = 800.0
+	// leastShare is the share that quick requests have at least if they are many: a
+	// burst of long prompts that nobody keeps yet must not crowd them together.
+	leastShare = 0.2
 	// lineStep is by how many upstreams the line must be off to move, and lineEvery
 	// the shortest time between two moves.
 	lineStep  = 0.8
@@ -151,10 +154,22 @@
 	quick, long := d.Quick+p.others.Quick, d.Long+p.others.Long
 	p.share = 0
 	if quick > 0 {
-		p.share = quick / (quick + long)
+		p.share = max(quick/(quick+long), min(leastShare, p.quickRequests()/2))
 	}
 }
 
+// quickRequests returns which part of the requests here are quick ones.
+func (p *Pools) quickRequests() float64 {
+	quick, all := 0.0, 0.0
+	for _, l := range p.routes {
+		all += l.requests
+		if p.quick(l) {
+			quick += l.requests
+		}
+	}
+	return quick / all
+}
+
 // Engines that read prompts all the time generate so slowly that streams miss their
 // time limits and what was read for them is wasted. busiest is the part of the time
 // for which they may read.
