--- a/proof/shape/shape_test.go
+++ b/proof/shape/shape_test.go
@@ -105,3 +105,54 @@
 		_ = bin.Close()
 	}
 }
+
+// platformNames are names that the users' platform gave things. What knows one of
+// them outside platform/ would have to change with the platform.
+var platformNames = []string{
+	"Attempt-Id", "Deadline-Ms", "Prefix-Hash", "Last-Event-Id", "Runner-Seal", "Expect-Instance", "Not-Executed", "Instance-Id",
+	"Token-Count", "Request-Urgency", "Weight-Versions", "Expect-Version", "Pin-Ms", "Reservation", "Length-Hint", "Kv-Backup", "Kv-From",
+	"path-prefix", "route-type", "target-latency-ms", "target-gap-ms", "max-attempts", "non_idempotent\"", "api-keys", "max-connections",
+	"heartbeat-target", "warmup-left-ms", "COMFREYLADDER_CONFIG", "control-plane", "internal-port-range", "retry-budget-ratio", "fail-closed",
+}
+
+// internalWords are literals that happen to equal a platform's word but are this
+// product's own, by file.
+var internalWords = map[string][]string{"core/route/route.go": {"non_idempotent\""}}
+
+func TestOnlyThePlatformFolderKnowsItsNames(t *testing.T) {
+	sources(t, func(path string, file *ast.File) {
+		rel, _ := filepath.Rel(root, path)
+		if strings.HasPrefix(rel, "platform"+string(filepath.Separator)) {
+			return
+		}
+		ast.Inspect(file, func(n ast.Node) bool {
+			lit, ok := n.(*ast.BasicLit)
+			if !ok || lit.Kind != token.STRING {
+				return true
+			}
+			for _, name := range platformNames {
+				if strings.Contains(lit.Value, name) && !slices.Contains(internalWords[filepath.ToSlash(rel)], name) {
+					t.Errorf("%s: %s is the platform's name; only platform/ may know it", rel, lit.Value)
+				}
+			}
+			return true
+		})
+	})
+}
+
+func TestThePlatformFolderStaysSmall(t *testing.T) {
+	const most = 2000
+	lines := 0
+	sources(t, func(path string, _ *ast.File) {
+		if strings.Contains(filepath.ToSlash(path), "/platform/") && !strings.Contains(path, "cmd") {
+			b, err := os.ReadFile(path)
+			if err != nil {
+				t.Fatal(err)
+			}
+			lines += strings.Count(string(b), "\n")
+		}
+	})
+	if lines > most {
+		t.Errorf("platform/ has %d lines, more than %d: it translates and decides nothing", lines, most)
+	}
+}
