--- a/core/claim/codec.go
+++ b/core/claim/codec.go
@@ -3,18 +3,9 @@
 import (
 	"time"
 
-	"github.com/ugorji/go/codec"
-
-	"github.com/comfreyladder/comfreyladder/core/fault"
+	"github.com/comfreyladder/comfreyladder/core/control"
 )
 
-// cbor encodes canonically: equal values have equal bytes on all members.
-var cbor = func() *codec.CborHandle {
-	h := &codec.CborHandle{}
-	h.Canonical = true
-	return h
-}()
-
 // Instant is a time in nanoseconds since 1970, UTC. The codec rounds a time.Time
 // to microseconds: a member restored from a snapshot would end a claim at another
 // time than one that applied the log.
@@ -30,18 +21,7 @@
 func (i Instant) Add(d time.Duration) Instant { return i + Instant(d) }
 
 // Encode returns the bytes of a Command or Result. It fails with fault.Internal.
-func Encode(v any) ([]byte, error) {
-	var b []byte
-	if err := codec.NewEncoderBytes(&b, cbor).Encode(v); err != nil {
-		return nil, fault.Wrap(err, fault.Internal, "encode %T", v)
-	}
-	return b, nil
-}
+func Encode(v any) ([]byte, error) { return control.Marshal(v) }
 
 // Decode reads what Encode wrote. It fails with fault.Corrupt.
-func Decode(b []byte, v any) error {
-	if err := codec.NewDecoderBytes(b, cbor).Decode(v); err != nil {
-		return fault.Wrap(err, fault.Corrupt, "decode %T", v)
-	}
-	return nil
-}
+func Decode(b []byte, v any) error { return control.Unmarshal(b, v) }
--- /dev/null
+++ b/instance/relay/plain.go
@@ -0,0 +1,103 @@
+package relay
+
+import (
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/comfreyladder/comfreyladder/core/fault"
+	"github.com/comfreyladder/comfreyladder/core/route"
+	"github.com/comfreyladder/comfreyladder/instance/clock"
+	"github.com/comfreyladder/comfreyladder/instance/http1"
+)
+
+// carry passes an answer on. again means that nothing of it went out and that the
+// request may be tried elsewhere.
+func (s *Service) carry(c *conn, a *attempt) (again, keep bool) {
+	if a.r.route.Kind == route.Streaming && a.head.Status/100 == 2 {
+		return s.carryStream(c, a)
+	}
+	return s.carryPlain(c, a)
+}
+
+const statusServerError = 500
+
+// carryPlain passes on an answer that is no stream.
+func (s *Service) carryPlain(c *conn, a *attempt) (again, keep bool) {
+	r := a.r
+	_ = a.conn.nc.SetReadDeadline(time.Now().Add(r.left(clock.Now())))
+	buf := buffers.Get().(*[]byte)
+	defer buffers.Put(buf)
+	body, err := a.body.ReadAll((*buf)[:0], maxBuffered)
+	*buf = body[:0]
+	if errors.Is(err, http1.ErrBodyTooLarge) {
+		return false, s.pass(c, a, body)
+	}
+	if err != nil {
+		a.err = err
+		return true, false
+	}
+	if a.head.Status >= statusServerError {
+		a.up.answeredFailure()
+		if s.worthRepeating(r) {
+			a.err = fault.New(fault.Internal, "the upstream answered %d", a.head.Status)
+			return true, false
+		}
+		if a.head.Status == 503 && r.route.Kind != route.Idempotent {
+			// The upstream does not say that it did not run the request, but this
+			// status would.
+			r.ran = true
+			return false, s.refuse(c, r, &verdict{502, "the upstream failed", 0})
+		}
+	} else {
+		a.up.succeeded(time.Since(a.begun))
+	}
+	return false, s.sendWhole(c, a, body)
+}
+
+// worthRepeating reports whether an idempotent request that failed at an upstream
+// will be tried at another one.
+func (s *Service) worthRepeating(r *request) bool {
+	return r.route.Kind == route.Idempotent && r.sent+1 < r.route.MaxAttempts && s.fleet.known(r.service) > 1
+}
+
+func (s *Service) sendWhole(c *conn, a *attempt, body []byte) bool {
+	closing := c.closing(a.r)
+	b := appendAnswerHead(c.out[:0], a, closing)
+	if string(a.r.head.Method) != "HEAD" && a.head.Status != 204 && a.head.Status != 304 {
+		b = appendLength(b, len(body))
+	}
+	b = append(append(b, "\r\n"...), body...)
+	c.out = b
+	err := c.write(b)
+	s.logDone(a.r, a.head.Status, "")
+	return err == nil && !closing
+}
+
+// pass forwards a long answer as it comes, with chunks. What breaks off is cut, so
+// that it does not look whole.
+func (s *Service) pass(c *conn, a *attempt, begun []byte) bool {
+	closing := c.closing(a.r)
+	b := append(appendAnswerHead(c.out[:0], a, closing), "Transfer-Encoding: chunked\r\n\r\n"...)
+	b = appendChunk(b, begun)
+	var piece [ioBuffer]byte
+	for {
+		if err := c.write(b); err != nil {
+			a.r.broken = true
+			return false
+		}
+		n, err := a.body.Read(piece[:])
+		b = appendChunk(b[:0], piece[:n])
+		if a.body.Whole() {
+			break
+		}
+		if err != nil {
+			a.err, a.r.broken = err, true
+			s.logDone(a.r, a.head.Status, "the answer broke off")
+			return false
+		}
+	}
+	err := c.write(append(b, lastChunk...))
+	s.logDone(a.r, a.head.Status, "")
+	return err == nil && !closing
+}
--- /dev/null
+++ b/instance/relay/report.go
@@ -0,0 +1,79 @@
+package relay
+
+import (
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/comfreyladder/comfreyladder/instance/clock"
+)
+
+// logDone writes the line of a request's end and counts it.
+func (s *Service) logDone(r *request, status int, reason string) {
+	kind, name := "none", ""
+	if r.route != nil {
+		kind, name = r.route.Kind.String(), r.route.Name
+	}
+	took := clock.Since(r.arrived)
+	s.count(r, kind, status, reason, took)
+	event := "request_done"
+	if reason != "" || status >= statusServerError {
+		event = "request_failed"
+	}
+	l := s.cfg.Log.Event(event).Bytes("request", r.id).Str("route", name).Str("kind", kind).Int("status", int64(status)).
+		MS("took", took).Int("sent", int64(r.sent)).Int("urgency", int64(r.urgency)).Str("upstream", r.upstream).MS("view_age", s.cfg.State.Age())
+	if r.tokens > 0 {
+		l.Int("tokens", int64(r.tokens)).Int("unread", int64(r.unread)).Int("ahead", int64(r.ahead)).
+			Int("predicted", int64(r.predicted)).Int("max_ahead", int64(r.maxAhead)).MS("first_event", r.first).MS("pause", r.pause)
+	}
+	if reason != "" {
+		l.Str("reason", reason)
+	}
+	if r.organisation != nil {
+		l.Str("organisation", r.organisation.Name)
+	}
+	l.Err(r.last).End()
+}
+
+// count counts a request's end. The labels are bounded: kinds and statuses are few,
+// reasons are this package's own, organisations and services those of the table.
+func (s *Service) count(r *request, kind string, status int, reason string, took time.Duration) {
+	s.set.GetOrCreateCounter(`relay_requests_total{kind="` + kind + `",status="` + strconv.Itoa(status) + `"}`).Inc()
+	if reason != "" {
+		s.set.GetOrCreateCounter(`relay_ended_total{reason="` + metricReason(reason) + `"}`).Inc()
+	}
+	if status/100 == 2 {
+		s.set.GetOrCreateHistogram(`relay_seconds{kind="` + kind + `"}`).Update(took.Seconds())
+	}
+	if r.first > 0 {
+		s.set.GetOrCreateHistogram(`relay_first_event_seconds{service="` + r.service + `"}`).Update(r.first.Seconds())
+		s.set.GetOrCreateHistogram(`relay_longest_pause_seconds{service="` + r.service + `"}`).Update(r.pause.Seconds())
+	}
+	if r.organisation != nil {
+		s.set.GetOrCreateCounter(`relay_organisation_requests_total{organisation="` + r.organisation.Name + `",status="` + strconv.Itoa(status/100) + `xx"}`).Inc()
+	}
+}
+
+// metricReason is the part of a reason before the details of the case.
+func metricReason(reason string) string {
+	head, _, _ := strings.Cut(reason, ":")
+	if head == "not run" {
+		return strings.ReplaceAll(reason, `"`, "")
+	}
+	return head
+}
+
+// gauges are what the instance believes.
+func (s *Service) gauges() {
+	s.set.NewGauge("relay_view_age_seconds", func() float64 { return s.cfg.State.Age().Seconds() })
+	s.set.NewGauge("relay_lease_left_seconds", func() float64 { return s.cfg.State.Lease().Seconds() })
+	s.set.NewGauge("relay_in_flight", func() float64 { return float64(s.inFlight.Load()) })
+	s.set.NewGauge("relay_forwarders", func() float64 { return float64(s.cfg.State.View().Forwarders) })
+	s.set.NewGauge("relay_upstreams", func() float64 { return float64(len(s.cfg.State.View().Upstreams)) })
+	s.set.NewGauge("relay_table_version", func() float64 {
+		if r := s.cfg.State.View().Routes; r != nil {
+			return float64(r.Table.Version)
+		}
+		return 0
+	})
+}
--- /dev/null
+++ b/instance/roles/core.go
@@ -0,0 +1,127 @@
+package roles
+
+import (
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"github.com/comfreyladder/comfreyladder/instance/consensus"
+	"github.com/comfreyladder/comfreyladder/instance/control"
+	"github.com/comfreyladder/comfreyladder/instance/kernel"
+	"github.com/comfreyladder/comfreyladder/instance/link"
+	"github.com/comfreyladder/comfreyladder/instance/serving"
+	"github.com/comfreyladder/comfreyladder/instance/telemetry"
+)
+
+// heartbeat and electionTimeout are those of a control group whose members are some
+// milliseconds apart. After a loss of power of all machines callers wait for an
+// election: with raft's defaults of 200 ms and 1 s it took 1.7 s until edges had a
+// configuration.
+const (
+	heartbeat       = 120 * time.Millisecond
+	electionTimeout = 600 * time.Millisecond
+)
+
+func (p *Process) control() kernel.Module {
+	return kernel.Module{Name: nameControl, Needs: []string{nameLinks, nameServing}, New: func(k *kernel.Kernel) (kernel.Service, error) {
+		links, err := kernel.Lookup[*link.Service](k, nameLinks)
+		if err != nil {
+			return nil, err
+		}
+		state, err := kernel.Lookup[*servingService](k, nameServing)
+		if err != nil {
+			return nil, err
+		}
+		s := control.New(control.Config{
+			Name: p.cfg.Peer, DataFolder: p.cfg.DataFolder, Founders: p.founders(), Bootstrap: p.cfg.Bootstrap,
+			Links: links, Members: func() []string { return p.otherSeeds() }, Log: p.log, OnFatal: p.fail,
+			MendMembers: true, WaitOutDisk: true, OnApplied: state.Applied,
+			Heartbeat: heartbeat, ElectionTimeout: electionTimeout,
+		})
+		state.control.Store(s)
+		return s, nil
+	}}
+}
+
+// founders are the seeds that all processes get at the first start. An instance that
+// is none of them joins.
+func (p *Process) founders() []string {
+	if !slices.Contains(p.cfg.Seeds, p.cfg.Peer) {
+		return nil
+	}
+	return p.cfg.Seeds
+}
+
+func (p *Process) otherSeeds() (list []string) {
+	for _, seed := range *p.seeds.Load() {
+		if seed != p.cfg.Peer {
+			list = append(list, seed)
+		}
+	}
+	return list
+}
+
+// servingService finds the member of the control group that runs here.
+type servingService struct {
+	*serving.Service
+	control atomic.Pointer[control.Service]
+}
+
+func (p *Process) serving() kernel.Module {
+	return kernel.Module{Name: nameServing, Needs: []string{nameLinks}, New: func(k *kernel.Kernel) (kernel.Service, error) {
+		links, err := kernel.Lookup[*link.Service](k, nameLinks)
+		if err != nil {
+			return nil, err
+		}
+		s := &servingService{}
+		s.Service = serving.New(serving.Config{
+			Name: p.cfg.Peer, Domain: p.cfg.Domain, Links: links, Silence: p.cfg.Silence, Log: p.log, Replica: s.replica,
+		})
+		return s, nil
+	}}
+}
+
+func (p *Process) calls() kernel.Module {
+	return kernel.Module{Name: nameCalls, Needs: []string{nameServing, nameControl}, New: func(k *kernel.Kernel) (kernel.Service, error) {
+		s, err := kernel.Lookup[*servingService](k, nameServing)
+		if err != nil {
+			return nil, err
+		}
+		return newListener(p.cfg.Control, p.dialect.Control(s)), nil
+	}}
+}
+
+// replica returns the member of the control group that runs here, or nil.
+func (s *servingService) replica() *consensus.Service {
+	if c := s.control.Load(); c != nil {
+		return c.Replica()
+	}
+	return nil
+}
+
+// memberGauges tell how the member of the control group stands that runs here.
+func memberGauges(tel *telemetry.Service, s *servingService) {
+	gauge := func(name string, value func(consensus.Status) float64) {
+		tel.Set().NewGauge(name, func() float64 {
+			if g := s.replica(); g != nil {
+				return value(g.Status())
+			}
+			return 0
+		})
+	}
+	gauge("control_term", func(st consensus.Status) float64 { return float64(st.Term) })
+	gauge("control_applied_index", func(st consensus.Status) float64 { return float64(st.Applied) })
+	gauge("control_voters", func(st consensus.Status) float64 { return float64(len(st.Members.Voters())) })
+	gauge("control_is_leader", func(st consensus.Status) float64 {
+		if st.Leader != 0 && st.Leader == st.ID {
+			return 1
+		}
+		return 0
+	})
+	gauge("control_knows_leader", func(st consensus.Status) float64 {
+		if st.Leader != 0 {
+			return 1
+		}
+		return 0
+	})
+}
--- /dev/null
+++ b/instance/roles/edge.go
@@ -0,0 +1,55 @@
+package roles
+
+import (
+	"github.com/comfreyladder/comfreyladder/instance/follow"
+	"github.com/comfreyladder/comfreyladder/instance/kernel"
+	"github.com/comfreyladder/comfreyladder/instance/link"
+	"github.com/comfreyladder/comfreyladder/instance/relay"
+	"github.com/comfreyladder/comfreyladder/instance/serving"
+	"github.com/comfreyladder/comfreyladder/instance/telemetry"
+)
+
+func (p *Process) follow() kernel.Module {
+	return kernel.Module{Name: nameFollow, Needs: []string{nameLinks}, New: func(k *kernel.Kernel) (kernel.Service, error) {
+		links, err := kernel.Lookup[*link.Service](k, nameLinks)
+		if err != nil {
+			return nil, err
+		}
+		return follow.New(follow.Config{
+			Links: links, Seeds: func() []string { return *p.seeds.Load() }, Lease: p.cfg.Lease, Log: p.log,
+			Report:   func() serving.Report { return p.forwarder.Load().Report() },
+			OnReport: func(r *serving.Report) { p.forwarder.Load().TakeReport(r) },
+		}), nil
+	}}
+}
+
+func (p *Process) relay() kernel.Module {
+	needs := []string{nameFollow, nameTelemetry}
+	return kernel.Module{Name: nameRelay, Needs: needs, New: func(k *kernel.Kernel) (kernel.Service, error) {
+		state, err := kernel.Lookup[*follow.Follower](k, nameFollow)
+		if err != nil {
+			return nil, err
+		}
+		tel, err := kernel.Lookup[*telemetry.Service](k, nameTelemetry)
+		if err != nil {
+			return nil, err
+		}
+		s := relay.New(relay.Config{
+			Listen: p.cfg.Callers, Domain: p.cfg.Domain, Headers: p.dialect.Headers, State: state, FailClosed: p.cfg.FailClosed,
+			Budget: p.cfg.Budget, Announce: p.cfg.Announce, DrainTimeout: p.cfg.Grace - 2*stopMargin, Log: p.events,
+		}, tel.Set())
+		state.Subscribe(s.Update)
+		p.forwarder.Store(s)
+		return s, nil
+	}}
+}
+
+func (p *Process) ready() kernel.Module {
+	return kernel.Module{Name: nameReady, Needs: []string{nameRelay}, New: func(k *kernel.Kernel) (kernel.Service, error) {
+		s, err := kernel.Lookup[*relay.Service](k, nameRelay)
+		if err != nil {
+			return nil, err
+		}
+		return newListener(p.cfg.Ready, p.dialect.Ready(s.Ready)), nil
+	}}
+}
