--- a/core/balance/pools.go
+++ b/core/balance/pools.go
@@ -54,9 +54,12 @@
 	// leastShare is the share that quick requests have at least if they are many: a
 	// burst of long prompts that nobody keeps yet must not crowd them together.
 	leastShare = 0.2
-	// lineStep is by how many upstreams the line must be off to move, and lineEvery
-	// the shortest time between two moves.
+	// enough is how many requests tell something by themselves.
+	enough = 20
+	// lineStep is by how many upstreams the line must be off to move, lineShare by
+	// which part of all, and lineEvery the shortest time between two moves.
 	lineStep  = 0.8
+	lineShare = 0.04
 	lineEvery = 700 * time.Millisecond
 	// poolsOrder makes the order of the pools another one than those of prompts.
 	poolsOrder = 1
@@ -153,11 +156,24 @@
 	d := p.Own(now)
 	quick, long := d.Quick+p.others.Quick, d.Long+p.others.Long
 	p.share = 0
-	if quick > 0 {
+	switch {
+	case p.others == (Demand{}) && p.requests() < enough:
+		// Some requests of its own tell an instance nothing of the proportion; one that
+		// drew the line by them would have its prompts kept where nobody else does.
+		p.share = leastShare
+	case quick > 0:
 		p.share = max(quick/(quick+long), min(leastShare, p.quickRequests()/2))
 	}
 }
 
+func (p *Pools) requests() float64 {
+	all := 0.0
+	for _, l := range p.routes {
+		all += l.requests
+	}
+	return all
+}
+
 // quickRequests returns which part of the requests here are quick ones.
 func (p *Pools) quickRequests() float64 {
 	quick, all := 0.0, 0.0
@@ -211,25 +227,29 @@
 	return list
 }
 
-// line returns how many of so many upstreams are set apart. It follows the share one
-// upstream at a time: one that changes sides loses what it keeps.
+// line returns how many of so many upstreams are set apart. It follows the share half
+// of the way at a time, and not at all for little: an upstream that changes sides
+// loses what it keeps.
 func (p *Pools) line(now time.Time, upstreams int) int {
 	ideal := p.share * float64(upstreams)
-	wanted := min(upstreams-1, max(1, int(math.Round(ideal))))
-	switch {
-	case p.count == 0 || p.count >= upstreams:
-		p.count, p.moved = wanted, now
-	case math.Abs(ideal-float64(p.count)) > lineStep && now.Sub(p.moved) > lineEvery:
-		if wanted > p.count {
-			p.count++
-		} else {
-			p.count = max(1, p.count-1)
+	if p.count == 0 || p.count >= upstreams {
+		p.count, p.moved = clamp(int(math.Round(ideal)), upstreams), now
+		return p.count
+	}
+	off := ideal - float64(p.count)
+	if math.Abs(off) > max(lineStep, lineShare*float64(upstreams)) && now.Sub(p.moved) > lineEvery {
+		step := int(math.Round(off / 2))
+		if step == 0 {
+			step = int(math.Copysign(1, off))
 		}
-		p.moved = now
+		p.count, p.moved = clamp(p.count+step, upstreams), now
 	}
 	return p.count
 }
 
+// clamp leaves at least one upstream on each side.
+func clamp(count, upstreams int) int { return min(upstreams-1, max(1, count)) }
+
 // Split marks in the list which upstreams are for quick requests. Where there is
 // only one, or all requests are alike, none is set apart.
 func (p *Pools) Split(now time.Time, ids []string) map[string]bool {
--- a/core/balance/pools_test.go
+++ b/core/balance/pools_test.go
@@ -72,3 +72,56 @@
 	g.Expect(part).To(BeNumerically("~", 0.35, 0.1))
 	g.Expect(p.Admitted(now, "report", 1, 60000)).To(BeNumerically(">", 0.2))
 }
+
+// Ninety instances meet their first requests, each some other ones. They must draw
+// about the same line, or what one of them has kept at an engine the next one looks
+// for elsewhere.
+func TestInstancesDrawTheSameLineFromTheStart(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Unix(100, 0)
+	var ids []string
+	for i := range 90 {
+		ids = append(ids, fmt.Sprint("u", i))
+	}
+	least, most := len(ids), 0
+	for i := range 30 {
+		p := balance.NewPools()
+		for k := range 3 {
+			if (i>>k)&1 == 0 {
+				p.Note(now, &balance.Offer{Route: "report", Tokens: 17000, Unread: 17000, Gap: time.Second, Place: 1})
+			} else {
+				p.Note(now, &balance.Offer{Route: "question", Tokens: 1400, Unread: 1400, Gap: 300 * time.Millisecond})
+			}
+		}
+		n := len(p.Split(now, ids))
+		least, most = min(least, n), max(most, n)
+	}
+	g.Expect(most - least).To(BeNumerically("<=", 4))
+}
+
+// The load changes for good. The line must be where it belongs within seconds also
+// where there are many upstreams.
+func TestLineFollowsInSecondsAlsoAmongMany(t *testing.T) {
+	g := NewWithT(t)
+	p := balance.NewPools()
+	now := time.Unix(100, 0)
+	var ids []string
+	for i := range 90 {
+		ids = append(ids, fmt.Sprint("u", i))
+	}
+	run := func(seconds, questions int) int {
+		for range seconds * 20 {
+			now = now.Add(50 * time.Millisecond)
+			p.Note(now, &balance.Offer{Route: "report", Tokens: 17000, Unread: 5000, Gap: time.Second, Place: 1})
+			for range questions {
+				p.Note(now, &balance.Offer{Route: "question", Tokens: 1400, Unread: 1400, Gap: 300 * time.Millisecond})
+			}
+			p.Split(now, ids)
+		}
+		return len(p.Split(now, ids))
+	}
+	few := run(30, 1)
+	many := run(8, 6)
+	g.Expect(many).To(BeNumerically(">", few+15))
+	g.Expect(run(30, 6)).To(BeNumerically("~", many, 8))
+}
