--- a/instance/relay/serve.go
+++ b/instance/relay/serve.go
@@ -183,9 +183,11 @@
 }
 
 // patience is how long the head of an answer is awaited before another upstream is
-// tried; zero where the request must not be repeated.
+// tried; zero where the request must not be repeated. An engine that is late is not
+// given up: what it has read would be read again at another one, which feeds the
+// overload that made it late, and the answer would be late all the same.
 func (s *Service) patience(r *request) time.Duration {
-	if !r.route.Repeatable() || r.sent+1 >= r.route.MaxAttempts || s.fleet.known(r.service) < 2 {
+	if r.tokens > 0 || !r.route.Repeatable() || r.sent+1 >= r.route.MaxAttempts || s.fleet.known(r.service) < 2 {
 		return 0
 	}
 	return max(minPatience, patienceShare*r.route.Target)
--- a/instance/relay/stream.go
+++ b/instance/relay/stream.go
@@ -88,15 +88,18 @@
 }
 
 // stall is after what silence a stream that may be resumed is taken for broken, if
-// the route does not say how long a pause may be; else stallGaps such pauses.
+// the route does not say how long a pause may be; else stallGaps such pauses. With a
+// long prompt that others share it goes on elsewhere only when its connection is
+// lost: reading all of it again costs more than the late answer is worth.
 const (
-	stall     = 2 * time.Second
-	stallGaps = 3
+	stall       = 2 * time.Second
+	stallGaps   = 3
+	stallShared = 3000
 )
 
 func (a *attempt) setStreamDeadline() {
 	left := a.r.left(clock.Now())
-	if a.r.route.Resumable && a.r.sent+1 < a.r.route.MaxAttempts && a.begunEvents {
+	if a.r.route.Resumable && a.r.sent+1 < a.r.route.MaxAttempts && a.begunEvents && a.r.shared < stallShared {
 		left = min(left, max(stall, stallGaps*a.r.route.Gap))
 	}
 	_ = a.conn.nc.SetReadDeadline(time.Now().Add(left))
