--- a/instance/follow/follow.go
+++ b/instance/follow/follow.go
@@ -28,8 +28,11 @@
 // Defaults of a Config.
 const (
 	// DefaultHold is for how long a member holds a question without news. It is also
-	// how old the loads of other instances may get.
-	DefaultHold = 250 * time.Millisecond
+	// how old the loads of other instances may get. While upstreams are busy questions
+	// are held for DefaultBusyHold only: loads are worth more then than the processor
+	// time that asking takes.
+	DefaultHold     = 250 * time.Millisecond
+	DefaultBusyHold = 120 * time.Millisecond
 	// DefaultSlack is what an answer may take beyond the hold before the next
 	// member is asked.
 	DefaultSlack = 600 * time.Millisecond
@@ -89,6 +92,8 @@
 	// told is up to where toldBy has told the others' work.
 	told   uint64
 	toldBy string
+	// othersBusy says that other instances find upstreams busy.
+	othersBusy bool
 }
 
 // New returns a follower that has not started.
@@ -177,14 +182,12 @@
 // ask puts one question and reports whether the member is one to stay with.
 func (f *Follower) ask(ctx context.Context, name string) bool {
 	view := f.view.Load()
-	hold := f.cfg.Hold
-	if f.Lease() <= 0 {
-		hold = 0
-	}
-	q := servingsvc.Question{Index: view.Index, HoldMS: hold.Milliseconds(), Forwards: true}
+	q := servingsvc.Question{Index: view.Index, Forwards: true}
 	if f.cfg.Report != nil {
 		q.Report = f.cfg.Report()
 	}
+	hold := f.hold(&q.Report)
+	q.HoldMS = hold.Milliseconds()
 	if f.toldBy == name {
 		q.Told = f.told
 	}
@@ -197,7 +200,7 @@
 		return false
 	}
 	f.take(view, &a)
-	f.told, f.toldBy = a.Told, name
+	f.told, f.toldBy, f.othersBusy = a.Told, name, a.Report.Busy
 	if f.cfg.OnReport != nil {
 		f.cfg.OnReport(&a.Report)
 	}
@@ -211,6 +214,17 @@
 	return true
 }
 
+// hold returns for how long the next question may be held.
+func (f *Follower) hold(own *servingsvc.Report) time.Duration {
+	switch {
+	case f.Lease() <= 0:
+		return 0
+	case own.Busy || f.othersBusy:
+		return min(f.cfg.Hold, DefaultBusyHold)
+	}
+	return f.cfg.Hold
+}
+
 // take brings in the changes. What is older than the view changes nothing: a view
 // never goes back.
 func (f *Follower) take(old *View, a *servingsvc.Answer) {
--- a/instance/relay/fleet.go
+++ b/instance/relay/fleet.go
@@ -228,10 +228,32 @@
 			list = append(list, servingsvc.Load{ID: service, Quick: int(d.Quick), Long: int(d.Long)})
 		}
 	}
-	r.Loads = list
+	r.Loads, r.Busy = list, f.busy(now)
 	return r
 }
 
+// busyReading is how many prompt tokens must wait at the mean engine for news of loads
+// to matter.
+const busyReading = 1500
+
+// busy reports whether engines have much to read; it needs mu.
+func (f *fleet) busy(now time.Time) bool {
+	reading, engines := 0, 0
+	for service, p := range f.pools {
+		if p == nil {
+			continue
+		}
+		for _, u := range f.services[service] {
+			engines++
+			reading += u.reading
+			if now.Sub(f.othersAt) < othersAge {
+				reading += f.others[u.id].Reading
+			}
+		}
+	}
+	return reading > busyReading*engines
+}
+
 // rate needs mu.
 func (f *fleet) rate(service string) *balance.Rate {
 	r := f.rates[service]
--- a/instance/serving/loads.go
+++ b/instance/serving/loads.go
@@ -13,8 +13,10 @@
 const channelLoads = "serving.loads"
 
 const (
-	// loadsEvery is the time between two exchanges of loads among members.
-	loadsEvery = 250 * time.Millisecond
+	// loadsEvery is the time between two exchanges of loads among members while
+	// upstreams are busy, and loadsSeldom while they are not.
+	loadsEvery  = 100 * time.Millisecond
+	loadsSeldom = 300 * time.Millisecond
 	// loadsAge is for how long a load counts without a newer one.
 	loadsAge = 1500 * time.Millisecond
 )
@@ -47,11 +49,14 @@
 	Loads []Load `codec:"l,omitempty"`
 	// Placed lists what was placed since the last report.
 	Placed []Placed `codec:"p,omitempty"`
+	// Busy says that upstreams have much to read, so that news of loads matter.
+	Busy bool `codec:"b,omitempty"`
 }
 
 type loadReport struct {
 	at    time.Time
 	loads []Load
+	busy  bool
 }
 
 // placedNote is one Placed with who told it.
@@ -123,6 +128,23 @@
 	return list
 }
 
+// busy reports whether any instance but one finds upstreams busy.
+func (b *loadBook) busy(now time.Time, but string, others bool) bool {
+	for name, r := range b.watchers {
+		if r.busy && name != but && now.Sub(r.at) < loadsAge {
+			return true
+		}
+	}
+	if others {
+		for _, r := range b.members {
+			if r.busy && now.Sub(r.at) < loadsAge {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 func add(total map[string]*Load, now time.Time, reports map[string]loadReport, but string) {
 	for name, report := range reports {
 		if now.Sub(report.at) > loadsAge {
@@ -153,6 +175,7 @@
 	ticker := time.NewTicker(loadsEvery)
 	defer ticker.Stop()
 	idle := false
+	last := clock.Now()
 	for {
 		select {
 		case <-ticker.C:
@@ -164,7 +187,14 @@
 			continue
 		}
 		s.mu.Lock()
-		r := Report{Loads: s.loads.sum(clock.Now(), "", false), Placed: s.unsent}
+		now := clock.Now()
+		busy := s.loads.busy(now, "", false)
+		if !busy && now.Sub(last) < loadsSeldom {
+			s.mu.Unlock()
+			continue
+		}
+		last = now
+		r := Report{Loads: s.loads.sum(now, "", false), Placed: s.unsent, Busy: busy}
 		s.unsent = nil
 		s.mu.Unlock()
 		quiet := len(r.Loads) == 0 && len(r.Placed) == 0
@@ -201,7 +231,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.loads.members[from] = loadReport{at: clock.Now(), loads: r.Loads}
+	s.loads.members[from] = loadReport{at: clock.Now(), loads: r.Loads, busy: r.Busy}
 	s.placed.add(from, r.Placed)
 	return nil, nil
 }
@@ -210,7 +240,7 @@
 func (s *Service) noteReport(from string, r *Report) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.loads.watchers[from] = loadReport{at: clock.Now(), loads: r.Loads}
+	s.loads.watchers[from] = loadReport{at: clock.Now(), loads: r.Loads, busy: r.Busy}
 	s.placed.add(from, r.Placed)
 	if len(s.unsent) < maxPlaced {
 		s.unsent = append(s.unsent, r.Placed...)
@@ -222,5 +252,6 @@
 func (s *Service) reportFor(name string, since uint64) (r Report, next uint64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return Report{Loads: s.loads.sum(clock.Now(), name, true), Placed: s.placed.since(since, name)}, s.placed.next
+	now := clock.Now()
+	return Report{Loads: s.loads.sum(now, name, true), Placed: s.placed.since(since, name), Busy: s.loads.busy(now, name, true)}, s.placed.next
 }
--- a/instance/serving/loads_test.go
+++ b/instance/serving/loads_test.go
@@ -13,9 +13,9 @@
 	g := NewWithT(t)
 	b := newLoadBook()
 	now := time.Unix(100, 0)
-	b.watchers["a"] = loadReport{now, []Load{{ID: "u", Active: 1, Reading: 10, Held: 100}}}
-	b.watchers["b"] = loadReport{now, []Load{{ID: "u", Active: 2, Reading: 20, Held: 200}}}
-	b.members["m"] = loadReport{now, []Load{{ID: "u", Active: 4, Reading: 40, Held: 400}}}
+	b.watchers["a"] = loadReport{at: now, loads: []Load{{ID: "u", Active: 1, Reading: 10, Held: 100}}}
+	b.watchers["b"] = loadReport{at: now, loads: []Load{{ID: "u", Active: 2, Reading: 20, Held: 200}}}
+	b.members["m"] = loadReport{at: now, loads: []Load{{ID: "u", Active: 4, Reading: 40, Held: 400}}}
 	g.Expect(b.sum(now, "a", true)).To(Equal([]Load{{ID: "u", Active: 6, Reading: 60, Held: 600}}))
 	g.Expect(b.sum(now, "", false)).To(Equal([]Load{{ID: "u", Active: 3, Reading: 30, Held: 300}}))
 	g.Expect(b.sum(now.Add(2*loadsAge), "", true)).To(BeEmpty())
