--- a/core/balance/pools.go
+++ b/core/balance/pools.go
@@ -35,12 +35,17 @@
 	gap                      time.Duration
 	// place is how urgent the route is: 0 for the most urgent ones, 1 for the least.
 	place float64
+	// recent is the work that decays with haste.
+	recent float64
 }
 
 const (
 	// pace is the time constant of the loads: long enough that the pools don't move
 	// with each request, short enough to follow a burst.
 	pace = 6 * time.Second
+	// haste is the time constant of what is admitted: a burst fills engines' queues in
+	// a second or two.
+	haste = 1500 * time.Millisecond
 	// quickShare is up to which part of the longest route's mean prompt another
 	// route's prompts are quick, and notable which part of all tokens a route must
 	// bring to be that longest one.
@@ -91,6 +96,7 @@
 	l.unread += float64(o.Unread)
 	l.requests++
 	l.gap, l.place = o.Gap, o.Place
+	l.recent += float64(o.Unread) + answering
 	p.reshare(now)
 }
 
@@ -99,8 +105,10 @@
 		p.at = now
 	}
 	f := math.Exp(-now.Sub(p.at).Seconds() / pace.Seconds())
+	fast := math.Exp(-now.Sub(p.at).Seconds() / haste.Seconds())
 	p.at = now
 	for name, l := range p.routes {
+		l.recent *= fast
 		l.tokens *= f
 		l.unread *= f
 		l.requests *= f
@@ -130,7 +138,8 @@
 }
 
 // Demand is the work that quick and long requests bring, in prompt tokens a second.
-type Demand struct{ Quick, Long float64 }
+// Recent is what long ones brought in the last second or two.
+type Demand struct{ Quick, Long, Recent float64 }
 
 // Own returns the demand that this instance sees.
 func (p *Pools) Own(now time.Time) Demand {
@@ -141,6 +150,7 @@
 			d.Quick += (roominess*l.unread + answering*l.requests) / pace.Seconds()
 		} else {
 			d.Long += (l.unread + answering*l.requests) / pace.Seconds()
+			d.Recent += l.recent / haste.Seconds()
 		}
 	}
 	return d
@@ -200,13 +210,13 @@
 // is not all, the most urgent routes come first.
 func (p *Pools) Admitted(now time.Time, route string, upstreams, perSecond float64) float64 {
 	own := p.Own(now)
-	if own.Long <= 0 {
+	if own.Recent <= 0 {
 		return 1
 	}
 	left := busiest * upstreams * perSecond
-	scale := (own.Long + p.others.Long) / own.Long
+	scale := (own.Recent + p.others.Recent) / own.Recent
 	for _, l := range p.longRoutes() {
-		demand := scale * (l.unread + answering*l.requests) / pace.Seconds()
+		demand := scale * l.recent / haste.Seconds()
 		part := min(1, max(leastAdmitted, left/demand))
 		if l == p.routes[route] {
 			return part
--- a/instance/relay/admit.go
+++ b/instance/relay/admit.go
@@ -13,10 +13,11 @@
 // only: what can't begin soon is told so at once, with when to come back.
 
 const (
-	// aheadLast and aheadFirst are how much may wait before a request at an engine, as
-	// a part of its latency objective: for the least and the most urgent requests. Less
-	// urgent work is so turned away first.
-	aheadLast, aheadFirst = 0.4, 1.0
+	// aheadLast is how much may wait before a request of the least urgent routes at an
+	// engine, as a part of its latency objective, and aheadOthers before all others:
+	// engines take the more urgent ones first, so what waits there is mostly not before
+	// them, and turning them away beside less urgent work would be the wrong order.
+	aheadLast, aheadOthers = 0.35, 3.0
 	// holdShare is for which part of its objective a request waits here for an engine
 	// that has room: a wait up to that is made good by answering in time.
 	holdShare = 0.125
@@ -26,7 +27,10 @@
 
 // maxAhead returns how much may wait before a request of a route, in milliseconds.
 func maxAhead(r *route.Route, place float64) float64 {
-	part := aheadFirst + (aheadLast-aheadFirst)*place
+	part := aheadOthers
+	if place == 1 {
+		part = aheadLast
+	}
 	return part * float64(r.Target.Milliseconds())
 }
 
--- a/instance/relay/fleet.go
+++ b/instance/relay/fleet.go
@@ -207,7 +207,7 @@
 	}
 	for service, p := range f.pools {
 		l := f.others[service]
-		p.SetOthers(balance.Demand{Quick: float64(l.Quick), Long: float64(l.Long)})
+		p.SetOthers(balance.Demand{Quick: float64(l.Quick), Long: float64(l.Long), Recent: float64(l.Recent)})
 	}
 }
 
@@ -225,7 +225,7 @@
 	now := time.Now()
 	for service, p := range f.pools {
 		if d := p.Own(now); d.Quick+d.Long >= 1 {
-			list = append(list, servingsvc.Load{ID: service, Quick: int(d.Quick), Long: int(d.Long)})
+			list = append(list, servingsvc.Load{ID: service, Quick: int(d.Quick), Long: int(d.Long), Recent: int(d.Recent)})
 		}
 	}
 	r.Loads, r.Busy = list, f.busy(now)
--- a/instance/serving/loads.go
+++ b/instance/serving/loads.go
@@ -33,8 +33,10 @@
 	Held    int `codec:"h"`
 	// Quick and Long are set in place of these for a service: the work a second that
 	// requests of both kinds bring, in prompt tokens.
-	Quick int `codec:"q,omitempty"`
-	Long  int `codec:"l,omitempty"`
+	// Recent is what long ones brought in the last second or two.
+	Quick  int `codec:"q,omitempty"`
+	Long   int `codec:"l,omitempty"`
+	Recent int `codec:"e,omitempty"`
 }
 
 // Placed says that the shared parts of a prompt, by their hash, were sent to an
@@ -165,6 +167,7 @@
 			t.Held += l.Held
 			t.Quick += l.Quick
 			t.Long += l.Long
+			t.Recent += l.Recent
 		}
 	}
 }
