--- a/instance/relay/plain.go
+++ b/instance/relay/plain.go
@@ -50,7 +50,7 @@
 			return false, s.refuse(c, r, &verdict{502, "the upstream failed", 0})
 		}
 	} else {
-		a.up.succeeded(time.Since(a.begun))
+		a.up.succeeded()
 	}
 	return false, s.sendWhole(c, a, body)
 }
--- a/instance/relay/stream.go
+++ b/instance/relay/stream.go
@@ -77,7 +77,7 @@
 			return werr
 		}
 		if whole {
-			a.up.succeeded(time.Since(a.begun))
+			a.up.succeeded()
 			return nil
 		}
 		if err != nil {
--- a/instance/relay/upstream.go
+++ b/instance/relay/upstream.go
@@ -9,8 +9,8 @@
 )
 
 // upstream is what this instance knows of one incarnation: its state, the work that
-// it has from here, how that went, and the connections to it. The fields up to pool
-// belong to the fleet's mutex, except where a method says otherwise.
+// it has from here, how that went, and the connections to it. The fleet's mutex guards
+// the fields up to mu; mu guards those up to pool, which has a mutex of its own.
 type upstream struct {
 	id, address, domain string
 	state               serving.State
@@ -33,8 +33,6 @@
 	until    time.Time
 	// errors is the share of failures among the latest answers.
 	errors float64
-	// latency is the mean time of the latest plain answers, in seconds.
-	latency float64
 
 	pool pool
 }
@@ -45,10 +43,8 @@
 	return u
 }
 
-const (
-	// weightOfLatest is the weight of the latest answer in a moving mean.
-	weightOfLatest = 0.15
-)
+// weightOfLatest is the weight of the latest answer in a moving mean.
+const weightOfLatest = 0.15
 
 // describe needs the fleet's mutex.
 func (u *upstream) describe(now time.Time) balance.Upstream {
@@ -98,9 +94,11 @@
 
 const (
 	// minEjection and maxEjection bound for how long an upstream is left alone after
-	// failures in a row; a connection that fails once may be the connection's fault.
-	minEjection  = 500 * time.Millisecond
-	maxEjection  = 4 * time.Second
+	// failures in a row.
+	minEjection = 500 * time.Millisecond
+	maxEjection = 4 * time.Second
+	// toleratedRow is how many failures in a row don't count: one may be the fault of
+	// its connection alone.
 	toleratedRow = 1
 )
 
@@ -130,15 +128,11 @@
 }
 
 // succeeded notes an answer.
-func (u *upstream) succeeded(took time.Duration) {
+func (u *upstream) succeeded() {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	u.errors -= weightOfLatest * u.errors
 	u.failures = 0
-	if u.latency == 0 {
-		u.latency = took.Seconds()
-	}
-	u.latency += weightOfLatest * (took.Seconds() - u.latency)
 }
 
 func (u *upstream) closeIdle(now time.Time) { u.pool.closeIdle(now) }
