Relay: what a draining process would not live to answer is told to go elsewhere

While it ends, a process takes only requests whose time is over before its own. The test failed before (504).

--- a/instance/relay/relay.go
+++ b/instance/relay/relay.go
@@ -30,6 +30,8 @@
 	// ending says that idle connections are closed.
 	ending   atomic.Bool
 	inFlight atomic.Int64
+	// drainEnd is when a drain is over at the latest, in nanoseconds of clock.Now.
+	drainEnd atomic.Int64
 
 	mu      sync.Mutex
 	conns   map[*conn]struct{}
@@ -133,6 +135,7 @@
 func (s *Service) Drain(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, s.cfg.DrainTimeout)
 	defer cancel()
+	s.drainEnd.Store(clock.Now().Add(s.cfg.DrainTimeout).UnixNano())
 	s.draining.Store(true)
 	s.cfg.Log.Event("drain").Int("in_flight", s.inFlight.Load()).MS("announce", s.cfg.Announce).MS("timeout", s.cfg.DrainTimeout).End()
 	sleep(ctx, s.cfg.Announce)
--- a/instance/relay/relay_test.go
+++ b/instance/relay/relay_test.go
@@ -312,3 +312,23 @@
 	}
 	Expect(alive.requests()).To(HaveLen(8))
 }
+
+// One long answer keeps a draining process alive to the end of its time, and a short
+// request comes in the last moment. It must be told to go elsewhere: taken, it would
+// be cut off when the process ends.
+func TestRequestInTheLastMomentOfADrainIsRefused(t *testing.T) {
+	up := startUpstream(t, "u", func(_ int, r *received, c net.Conn) bool {
+		time.Sleep(1700 * time.Millisecond)
+		return whole(c, r, 200, "done")
+	})
+	b := start(t, up)
+	long := b.caller()
+	long.send(message("POST", "/once/", "long", "x"))
+	Eventually(up.requests).Should(HaveLen(1))
+	go func() { _ = b.service.Drain(context.Background()) }()
+	time.Sleep(time.Second)
+	r := b.caller().call("GET", "/idem/", "2", "")
+	Expect(r.status).To(Equal(503))
+	Expect(r.took).To(BeNumerically("<", 200*time.Millisecond))
+	Expect(up.requests()).To(HaveLen(1))
+}
--- a/instance/relay/serve.go
+++ b/instance/relay/serve.go
@@ -79,14 +79,15 @@
 	if v := s.authorise(r, v.Routes); v != nil {
 		return v
 	}
-	if s.ending.Load() && r.route.Kind == route.Streaming {
+	s.plan(r, v)
+	if s.ending.Load() && (r.route.Kind == route.Streaming || r.deadline.UnixNano() > s.drainEnd.Load()) {
 		return errEnding
 	}
-	s.plan(r, v)
 	return nil
 }
 
-// errEnding refuses a stream that the process would not live to see the end of. The
+// errEnding refuses what the process may not live to see the end of: any stream, and
+// a request whose time goes on beyond the drain's. The
 // balancer has had its time to send callers elsewhere; one that comes all the same,
 // since too few instances are ready, is better off at another one than cut off.
 var errEnding = &verdict{503, "not run: this instance ends", retryAtOnce}
