--- a/core/balance/pools.go
+++ b/core/balance/pools.go
@@ -197,7 +197,7 @@
 }
 
 // Engines that read prompts all the time generate so slowly that streams miss their
-// time limits and what was read for them is wasted. busiest is the part of the time
+// deadlines and what was read for them is wasted. busiest is the part of the time
 // for which they may read.
 const (
 	busiest = 0.8
--- a/core/balance/pools_test.go
+++ b/core/balance/pools_test.go
@@ -54,7 +54,7 @@
 }
 
 // More is asked than engines can read. If all were taken, engines would read all the
-// time, streams would crawl, and most would be cut at their time limits. The least
+// time, streams would crawl, and most would be cut at their deadlines. The least
 // urgent part is not taken, and no route is shut out.
 func TestOnlyWhatCanBeReadIsAdmitted(t *testing.T) {
 	g := NewWithT(t)
--- a/instance/eventlog/eventlog_test.go
+++ b/instance/eventlog/eventlog_test.go
@@ -81,3 +81,32 @@
 	s.Event("a").End()
 	s.Close(time.Second)
 }
+
+// slow takes its time for each write, as a collector that is behind does.
+type slow struct{ buffer }
+
+func (s *slow) Write(p []byte) (int, error) {
+	time.Sleep(50 * time.Millisecond)
+	return s.buffer.Write(p)
+}
+
+// The reader of the pipe is slower than the lines come. Callers don't notice; what
+// did not fit is told, and the lines that come through are whole.
+func TestSlowWriterDoesNotBlockTheCallers(t *testing.T) {
+	g := NewWithT(t)
+	out := &slow{}
+	s := eventlog.New(out, map[string]int{"a": 1 << 30})
+	begun := time.Now()
+	for range 20000 {
+		s.Event("a").Str("k", "0123456789").End()
+	}
+	g.Expect(time.Since(begun)).To(BeNumerically("<", 2*time.Second))
+	time.Sleep(1200 * time.Millisecond)
+	s.Event("b").End()
+	s.Close(2 * time.Second)
+	text := out.String()
+	g.Expect(text).To(ContainSubstring("event=log_dropped kind=any"))
+	for _, line := range strings.Split(strings.TrimSuffix(text, "\n"), "\n") {
+		g.Expect(line).To(MatchRegexp(`^time=\S+ event=(a k=0123456789|b|log_dropped kind=any lines=\d+)$`))
+	}
+}
--- a/instance/relay/admit.go
+++ b/instance/relay/admit.go
@@ -8,7 +8,7 @@
 
 // Engines that always have prompts to read generate tokens many times slower: a step
 // that reads a chunk of a prompt takes some ten times as long as one that doesn't.
-// Streams then miss their pauses and time limits, hold memory for longer, and all get
+// Streams then miss their pauses and deadlines, hold memory for longer, and all get
 // later still. So work waits here, not in the engines' queues, and for a short time
 // only: what can't begin soon is told so at once, with when to come back.
 
--- a/instance/relay/stream_test.go
+++ b/instance/relay/stream_test.go
@@ -73,7 +73,7 @@
 }
 
 // An upstream falls silent in the middle of a stream, without closing anything. The
-// stream goes on elsewhere instead of waiting for the time limit.
+// stream goes on elsewhere instead of waiting for the deadline.
 func TestSilentStreamGoesOnElsewhere(t *testing.T) {
 	script := func(_ int, r *received, c net.Conn) bool {
 		if r.header.Get("X-Last") != "" {
