--- a/instance/schedule/domain.go
+++ b/instance/schedule/domain.go
@@ -1,6 +1,7 @@
 package schedule
 
 import (
+	"slices"
 	"time"
 
 	"github.com/comfreyladder/comfreyladder/core/sched"
@@ -11,10 +12,8 @@
 func (s *state) tick(now time.Time) {
 	s.due = true
 	s.follow(now)
-	if s.role == roleFollower && now.Sub(s.lastHeard) > s.cfg.Silence {
-		s.scheduleHere(now, roleAlone)
-	}
-	if s.scheduler != s.self && s.scheduler != "" && !now.Before(s.nextBeat) {
+	s.watchSilence(now)
+	if !now.Before(s.nextBeat) {
 		s.nextBeat = now.Add(s.cfg.Beat)
 		s.beat()
 	}
@@ -29,13 +28,32 @@
 	s.apply(now, s.local.Tick(now))
 }
 
+// watchSilence acts on a scheduler that does not answer. Members are told of a death
+// only seconds later. Until then the next in the election stands in for the silent
+// one: it counts what all others have in flight, where an instance that schedules for
+// itself would grant its share of an engine on top of what others run there. An
+// instance schedules alone where the deputy does not answer either, or does not find
+// the scheduler silent.
+func (s *state) watchSilence(now time.Time) {
+	switch silent := now.Sub(s.lastHeard); {
+	case s.role != roleFollower:
+	case s.deposed == "" && silent > s.cfg.Silence:
+		s.deposed = s.scheduler
+		s.follow(now)
+	case s.deposed != "" && silent > s.cfg.HandOver:
+		s.scheduleHere(now, roleAlone)
+	}
+}
+
 // follow takes on the role that the live members give this instance.
 func (s *state) follow(now time.Time) {
-	elected := elect(s.peers.Members())
+	elected := s.elected()
 	if elected == s.scheduler && s.role != roleNone {
 		return
 	}
-	if old := s.scheduler; old != "" && old != s.self {
+	// A silent one may only be frozen: it keeps what it holds for this instance, so
+	// that it grants none of it twice when it wakes.
+	if old := s.scheduler; old != "" && old != s.self && old != s.deposed {
 		_ = s.peers.Send(old, channelUp, &upMessage{Full: true})
 	}
 	s.scheduler = elected
@@ -49,6 +67,19 @@
 	}
 }
 
+// elected returns the member that schedules: the winner of the election, or its
+// deputy while the winner is silent here.
+func (s *state) elected() string {
+	members := s.peers.Members()
+	winner := elect(members)
+	if winner != s.deposed {
+		s.deposed = ""
+		return winner
+	}
+	others := slices.DeleteFunc(slices.Clone(members), func(m string) bool { return m == winner })
+	return elect(others)
+}
+
 // scheduleHere starts a scheduler on this instance with what it has itself.
 func (s *state) scheduleHere(now time.Time, as role) {
 	s.role = as
@@ -109,8 +140,15 @@
 	}
 }
 
-// beat asks the scheduler for a sign of life; a follower adds its digests.
+// beat asks the scheduler for a sign of life, and one that fell silent as well; a
+// follower adds its digests.
 func (s *state) beat() {
+	if s.deposed != "" {
+		_ = s.peers.Send(s.deposed, channelUp, &upMessage{Beat: true})
+	}
+	if s.scheduler == s.self || s.scheduler == "" {
+		return
+	}
 	if s.role != roleFollower {
 		_ = s.peers.Send(s.scheduler, channelUp, &upMessage{Beat: true})
 		return
@@ -218,6 +256,10 @@
 	for _, g := range m.Grants {
 		s.granted(now, from, g.unpack(s.self))
 	}
+	if from == s.deposed && !m.NotScheduler {
+		s.deposed = ""
+		s.follow(now)
+	}
 	if from != s.scheduler || m.NotScheduler {
 		return
 	}
--- a/instance/schedule/fault_test.go
+++ b/instance/schedule/fault_test.go
@@ -28,6 +28,32 @@
 	return out
 }
 
+// deputy is who schedules while the elected one is silent.
+func (d *domain) deputy(elected string) string { return schedule.Elect(d.without(elected)) }
+
+// follows returns whom the instances follow, the deputy itself included; empty while
+// they don't agree.
+func (d *domain) follows(names ...string) string {
+	agreed := ""
+	for _, name := range names {
+		st := d.services[name].Status()
+		if st.Role != "scheduler" && st.Role != "follower" || agreed != "" && st.Scheduler != agreed {
+			return ""
+		}
+		agreed = st.Scheduler
+	}
+	return agreed
+}
+
+// acquireInto acquires in the background.
+func (d *domain) acquireInto(got chan<- *schedule.Grant, name string) {
+	tk := d.ticket("draft")
+	go func() {
+		g, _ := d.services[name].Acquire(context.Background(), tk)
+		got <- g
+	}()
+}
+
 // Requests hang, or slots stay taken, after the death of one instance.
 // The scheduler dies with grants of the others in flight and tickets queued. Its
 // successor must count those grants before it gives new ones, and must serve the
@@ -54,39 +80,91 @@
 	d.Eventually(d.inFlight(successor)).Should(Equal(0))
 }
 
+// An engine gets more requests than it has slots, and urgent work waits there.
+// The scheduler dies while one instance has all slots taken. Another instance notices
+// the silence seconds before the members are told of the death, and grants itself its
+// share of slots that are in use.
+func TestNobodyGrantsOnTopOfOthersBeforeTheMembersKnowOfTheDeath(t *testing.T) {
+	d := newDomain(t, 3, "a", "b", "c")
+	dead := d.scheduler()
+	live := d.without(dead)
+	var held []*schedule.Grant
+	for range 3 {
+		held = append(held, d.acquire(live[0]))
+	}
+	d.cut(dead)
+	waiting := d.later(live[1])
+	d.Eventually(func() bool { return d.follows(live...) == d.deputy(dead) }).Should(BeTrue())
+	d.Eventually(d.inFlight(d.deputy(dead))).Should(Equal(3))
+	d.Consistently(waiting, "300ms").ShouldNot(Receive(), "all three slots are taken")
+
+	held[0].Done(done)
+	(<-waiting).Done(done)
+	held[1].Done(done)
+	held[2].Done(done)
+	d.Eventually(d.inFlight(d.deputy(dead))).Should(Equal(0))
+}
+
 // Requests wait for ever although engines idle: the link to the scheduler fell
 // silent, and no other member is elected, since the scheduler itself is alive.
-// Each instance then schedules for itself on its share, and goes back later.
-func TestInstancesScheduleAloneWhileTheSchedulerIsSilent(t *testing.T) {
+// A deputy stands in with all slots, and gives them back later.
+func TestDeputyStandsInWhileTheSchedulerIsSilent(t *testing.T) {
 	d := newDomain(t, 3, "a", "b", "c")
 	silent := d.scheduler()
 	live := d.without(silent)
 	d.cut(silent)
-	got := make(chan *schedule.Grant, 3)
-	for _, name := range []string{live[0], live[0], live[1]} {
-		tk := d.ticket("draft")
-		go func() {
-			g, _ := d.services[name].Acquire(context.Background(), tk)
-			got <- g
-		}()
-	}
-	held := []*schedule.Grant{<-got, <-got}
-	d.Consistently(got, "100ms").ShouldNot(Receive(), "the share of each is one slot")
-	for _, name := range live {
-		d.Expect(d.services[name].Status().Role).To(Equal("alone"))
-		d.Expect(d.inFlight(name)()).To(Equal(1))
+	got := make(chan *schedule.Grant, 4)
+	for _, name := range []string{live[0], live[0], live[1], live[1]} {
+		d.acquireInto(got, name)
 	}
+	held := []*schedule.Grant{<-got, <-got, <-got}
+	d.Consistently(got, "100ms").ShouldNot(Receive(), "the engine has three slots")
+	d.Expect(d.follows(live...)).To(Equal(d.deputy(silent)))
+	d.Expect(d.inFlight(d.deputy(silent))()).To(Equal(3))
 
 	d.net.setLose(nil)
-	d.Eventually(func() string { return d.services[live[0]].Status().Role }).Should(Equal("follower"))
-	third := <-got
+	d.Eventually(func() string { return d.follows(live...) }).Should(Equal(silent))
+	held[0].Done(done)
+	fourth := <-got
 	d.Eventually(d.inFlight(silent)).Should(Equal(3))
-	for _, g := range append(held, third) {
+	for _, g := range append(held[1:], fourth) {
 		g.Done(done)
 	}
 	d.Eventually(d.inFlight(silent)).Should(Equal(0))
 }
 
+// The same where one instance alone has lost its link to the scheduler: the deputy
+// hears the scheduler and does not stand in. The instance then schedules for itself
+// on its share, and goes back later.
+func TestInstanceSchedulesAloneWhereTheDeputyHearsTheScheduler(t *testing.T) {
+	d := newDomain(t, 3, "a", "b", "c")
+	elected := d.scheduler()
+	deputy := d.deputy(elected)
+	lonely := d.without(elected)[0]
+	if lonely == deputy {
+		lonely = d.without(elected)[1]
+	}
+	d.net.setLose(func(from, to, _ string) bool {
+		return from == lonely && to == elected || from == elected && to == lonely
+	})
+	got := make(chan *schedule.Grant, 2)
+	d.acquireInto(got, lonely)
+	d.acquireInto(got, lonely)
+	held := <-got
+	d.Consistently(got, "100ms").ShouldNot(Receive(), "the share of each is one slot")
+	d.Expect(d.services[lonely].Status().Role).To(Equal("alone"))
+	d.Expect(d.services[deputy].Status().Scheduler).To(Equal(elected))
+	d.Expect(d.inFlight(lonely)()).To(Equal(1))
+
+	d.net.setLose(nil)
+	d.Eventually(func() string { return d.services[lonely].Status().Role }).Should(Equal("follower"))
+	second := <-got
+	d.Eventually(d.inFlight(elected)).Should(Equal(2))
+	held.Done(done)
+	second.Done(done)
+	d.Eventually(d.inFlight(elected)).Should(Equal(0))
+}
+
 // An engine serves fewer requests each day until the scheduler is restarted.
 // Instances die with grants in flight that nobody will ever end.
 func TestGrantsOfADeadInstanceEndWithItsLease(t *testing.T) {
--- a/instance/schedule/service.go
+++ b/instance/schedule/service.go
@@ -1,8 +1,9 @@
 // Package schedule lets requests of this instance wait for a grant of an
 // upstream. One instance of the failure domain, elected by rendezvous hash over
 // the live ones, runs the domain's scheduler (core/sched); the others send it
-// tickets and events and get grants back. While it does not answer, each
-// instance schedules for itself on its share of the slots.
+// tickets and events and get grants back. While it does not answer, the next in the
+// election stands in; an instance that reaches neither schedules for itself on its
+// share of the slots.
 //
 // Scheduler state is soft. What was learned of engines and lengths is not lost
 // with it: followers learn from their own requests. Each instance knows its own tickets and grants and
@@ -48,9 +49,10 @@
 	Seed int64
 	Tick time.Duration
 	// Beat is the interval of heartbeats to the scheduler, Silence the time
-	// without any message from it after which the instance schedules for itself.
+	// without any message from it after which its deputy is asked.
 	Beat, Silence time.Duration
-	// HandOver is how long a new scheduler listens before it grants.
+	// HandOver is how long a new scheduler listens before it grants, and the time
+	// without any message from a deputy after which the instance schedules for itself.
 	HandOver time.Duration
 	// Lease is how long a silent instance's grants are kept.
 	Lease time.Duration
--- a/instance/schedule/state.go
+++ b/instance/schedule/state.go
@@ -19,7 +19,7 @@
 	roleScheduler
 	// roleFollower sends its tickets to the scheduler.
 	roleFollower
-	// roleAlone schedules for itself, as the scheduler does not answer.
+	// roleAlone schedules for itself, as neither the scheduler nor its deputy answers.
 	roleAlone
 )
 
@@ -56,6 +56,8 @@
 	scheduler string
 	lastHeard time.Time
 	nextBeat  time.Time
+	// deposed is the winner of the election while it is silent here; empty else.
+	deposed string
 	// local is the scheduler that runs here; nil for followers. known is what
 	// was learned, whoever schedules.
 	local *sched.Scheduler
