--- a/instance/relay/conn.go
+++ b/instance/relay/conn.go
@@ -10,6 +10,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/comfreyladder/comfreyladder/core/drain"
 	"github.com/comfreyladder/comfreyladder/core/fault"
 	"github.com/comfreyladder/comfreyladder/instance/clock"
 	"github.com/comfreyladder/comfreyladder/instance/http1"
@@ -28,11 +29,11 @@
 	out      []byte
 
 	mu sync.Mutex
-	// current is the request under way, or nil; pending counts it and those that were
-	// read and wait; closed says that the connection ends.
+	// life decides when the connection ends. Read deadlines are set under the same lock,
+	// so that none of an idle connection is left when a request comes.
+	life drain.Conn
+	// current is the request that is being answered, or nil.
 	current *request
-	pending int
-	closed  bool
 }
 
 func newConn(s *Service, nc net.Conn) *conn {
@@ -53,22 +54,20 @@
 // readAll reads requests until the connection ends.
 func (c *conn) readAll() {
 	defer close(c.requests)
-	_ = c.nc.SetReadDeadline(time.Now().Add(limits(c.s.cfg.State.View()).IdleTimeout))
+	c.awaitRequest()
 	for {
 		if _, err := c.in.Peek(1); err != nil {
-			if isTimeout(err) && c.busy() {
-				continue
-			}
 			c.hangUp()
 			return
 		}
 		r := newRequest()
+		c.beginRead()
 		last := c.readRequest(r)
 		c.take()
 		select {
 		case c.requests <- r:
 		case <-c.finished:
-			c.end()
+			c.drop()
 			return
 		}
 		if last {
@@ -82,13 +81,11 @@
 // whether nothing more can be read after it.
 func (c *conn) readRequest(r *request) bool {
 	lim := limits(c.s.cfg.State.View())
-	_ = c.nc.SetReadDeadline(time.Now().Add(lim.HeaderTimeout))
 	if r.fail = r.head.ReadRequest(c.in, lim.HeaderBytes); r.fail != nil {
 		return true
 	}
 	r.arrived, r.headRead = clock.Now(), true
 	if r.head.Framing == http1.NoBody {
-		_ = c.nc.SetReadDeadline(time.Time{})
 		return r.head.Close
 	}
 	if r.head.Framing == http1.ByLength && r.head.Length > lim.BodyBytes {
@@ -102,29 +99,39 @@
 	body.Reset(c.in, &r.head)
 	r.body, r.fail = body.ReadAll(r.body[:0], lim.BodyBytes)
 	r.arrived = clock.Now()
-	_ = c.nc.SetReadDeadline(time.Time{})
 	return r.fail != nil || r.head.Close
 }
 
-// take books a request that was read.
+// awaitRequest gives the caller the time of an idle connection; it needs mu, but for
+// the first request.
+func (c *conn) awaitRequest() {
+	_ = c.nc.SetReadDeadline(time.Now().Add(limits(c.s.cfg.State.View()).IdleTimeout))
+}
+
+// beginRead gives the caller the time that a request may take to come.
+func (c *conn) beginRead() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.life.Begins()
+	_ = c.nc.SetReadDeadline(time.Now().Add(limits(c.s.cfg.State.View()).HeaderTimeout))
+}
+
+// take books a request that was read. The reader waits on without a deadline, to see
+// whether the caller hangs up.
 func (c *conn) take() {
 	c.s.inFlight.Add(1)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.pending++
+	c.life.Takes()
+	_ = c.nc.SetReadDeadline(time.Time{})
 }
 
-// busy reports whether a request is pending, and if so lets the reader wait on. The
-// deadline of an idle connection may have been set while a request was being read:
-// to take its end for a hang-up would cut off that request.
-func (c *conn) busy() bool {
+// drop ends a request that came after the last answer.
+func (c *conn) drop() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.pending == 0 || c.closed {
-		return false
-	}
-	_ = c.nc.SetReadDeadline(time.Time{})
-	return true
+	c.life.Drops()
+	c.s.inFlight.Add(-1)
 }
 
 // linger reads and drops what still comes, until the answers are out and for a
@@ -137,12 +144,11 @@
 	}
 }
 
-// hangUp tells the request under way that its caller is gone. A read that timed out
-// is no hang-up; it can only have been for an idle connection.
+// hangUp tells the request under way that its caller is gone.
 func (c *conn) hangUp() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.closed = true
+	c.life.HangUp()
 	if c.current != nil {
 		c.current.abandon()
 	}
@@ -152,24 +158,31 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.current = r
-	if c.closed {
+	if c.life.Gone() {
 		r.abandon()
 	}
 }
 
-func (c *conn) end() {
+// answered books an answer, and reports whether the connection goes on.
+func (c *conn) answered(keep bool) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.current = nil
-	c.pending--
 	c.s.inFlight.Add(-1)
+	switch c.life.Answered(c.s.phase(), keep) {
+	case drain.Finish:
+		return false
+	case drain.Await:
+		c.awaitRequest()
+	}
+	return true
 }
 
-// closeIfIdle closes a connection without a request under way.
-func (c *conn) closeIfIdle() {
+// sweep closes a connection at the end of a drain if nothing is under way on it.
+func (c *conn) sweep() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.pending == 0 {
+	if c.life.Sweep() {
 		_ = c.nc.SetReadDeadline(time.Now())
 	}
 }
@@ -180,24 +193,18 @@
 	for r := range c.requests {
 		c.begin(r)
 		keep := c.s.serve(c, r)
-		c.end()
-		if !keep {
+		if !c.answered(keep) {
 			c.finish(r)
 			return
 		}
 		r.release()
-		if c.s.ending.Load() {
-			c.finish(nil)
-			return
-		}
-		_ = c.nc.SetReadDeadline(time.Now().Add(limits(c.s.cfg.State.View()).IdleTimeout))
 	}
 }
 
 // finish ends the connection after the last answer. The write side goes first: what
 // the caller has not read yet must reach it.
 func (c *conn) finish(r *request) {
-	if r != nil && r.broken {
+	if r.broken {
 		// A part of an answer is out: a reset tells the caller that it isn't whole.
 		if tcp, ok := c.nc.(*net.TCPConn); ok {
 			_ = tcp.SetLinger(0)
@@ -221,7 +228,7 @@
 
 // closing reports whether the connection ends with the answer to r.
 func (c *conn) closing(r *request) bool {
-	return r.head.Close || r.fail != nil || c.s.draining.Load()
+	return r.head.Close || r.fail != nil || c.s.phase() != drain.Serving
 }
 
 // reply sends an answer of this instance's own.
--- a/instance/relay/relay.go
+++ b/instance/relay/relay.go
@@ -10,7 +10,9 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"github.com/comfreyladder/comfreyladder/core/budget"
+	"github.com/comfreyladder/comfreyladder/core/drain"
 	"github.com/comfreyladder/comfreyladder/core/fault"
+	"github.com/comfreyladder/comfreyladder/core/route"
 	"github.com/comfreyladder/comfreyladder/instance/clock"
 	"github.com/comfreyladder/comfreyladder/instance/follow"
 	"github.com/comfreyladder/comfreyladder/instance/serving"
@@ -26,12 +28,9 @@
 	stop     chan struct{}
 	stopOnce sync.Once
 	started  time.Time
-	draining atomic.Bool
-	// ending says that idle connections are closed.
-	ending   atomic.Bool
 	inFlight atomic.Int64
-	// drainEnd is when a drain is over at the latest, in nanoseconds of clock.Now.
-	drainEnd atomic.Int64
+	// drain is the course of the drain, nil before one.
+	drain atomic.Pointer[drain.Schedule]
 
 	mu      sync.Mutex
 	conns   map[*conn]struct{}
@@ -123,7 +122,7 @@
 // Ready reports whether callers should be sent here: there is a table, it may be
 // acted on, and the instance does not drain.
 func (s *Service) Ready() bool {
-	return !s.draining.Load() && s.cfg.State.View().Routes != nil && (!s.cfg.FailClosed || s.cfg.State.Lease() > 0)
+	return s.phase() == drain.Serving && s.cfg.State.View().Routes != nil && (!s.cfg.FailClosed || s.cfg.State.Lease() > 0)
 }
 
 // drainPoll is how often a drain looks whether all is done.
@@ -135,12 +134,11 @@
 func (s *Service) Drain(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, s.cfg.DrainTimeout)
 	defer cancel()
-	s.drainEnd.Store(clock.Now().Add(s.cfg.DrainTimeout).UnixNano())
-	s.draining.Store(true)
+	course := drain.Begin(clock.Now(), s.cfg.Announce, s.cfg.DrainTimeout)
+	s.drain.Store(&course)
 	s.cfg.Log.Event("drain").Int("in_flight", s.inFlight.Load()).MS("announce", s.cfg.Announce).MS("timeout", s.cfg.DrainTimeout).End()
 	sleep(ctx, s.cfg.Announce)
-	s.ending.Store(true)
-	s.closeIdleCallers()
+	s.sweep()
 	settled := time.Now().Add(settle)
 	for s.inFlight.Load() > 0 || s.connections() > 0 && time.Now().Before(settled) {
 		if !sleep(ctx, drainPoll) {
@@ -171,11 +169,26 @@
 	}
 }
 
-func (s *Service) closeIdleCallers() {
+// phase returns how far a drain is.
+func (s *Service) phase() drain.Phase {
+	if course := s.drain.Load(); course != nil {
+		return course.Phase(clock.Now())
+	}
+	return drain.Serving
+}
+
+// takes reports whether a request may begin, as far as a drain is concerned.
+func (s *Service) takes(r *request) bool {
+	course := s.drain.Load()
+	return course == nil || course.Takes(clock.Now(), r.route.Kind == route.Streaming, r.deadline)
+}
+
+// sweep closes idle connections.
+func (s *Service) sweep() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for c := range s.conns {
-		c.closeIfIdle()
+		c.sweep()
 	}
 }
 
--- a/instance/relay/serve.go
+++ b/instance/relay/serve.go
@@ -80,16 +80,15 @@
 		return v
 	}
 	s.plan(r, v)
-	if s.ending.Load() && (r.route.Kind == route.Streaming || r.deadline.UnixNano() > s.drainEnd.Load()) {
+	if !s.takes(r) {
 		return errEnding
 	}
 	return nil
 }
 
-// errEnding refuses what the process may not live to see the end of: any stream, and
-// a request whose time goes on beyond the drain's. The
-// balancer has had its time to send callers elsewhere; one that comes all the same,
-// since too few instances are ready, is better off at another one than cut off.
+// errEnding refuses what the process may not live to see the end of. The balancer has
+// had its time to send callers elsewhere; one that comes all the same, since too few
+// instances are ready, is better off at another one than cut off.
 var errEnding = &verdict{503, "not run: this instance ends", retryAtOnce}
 
 // retryAtOnce tells a caller to come back without a wait.
