--- a/instance/control/acted.go
+++ b/instance/control/acted.go
@@ -29,7 +29,7 @@
 	if err != nil {
 		return err
 	}
-	if err := disk.WriteSealed(disk.OS{}, s.actedPath(), b); err != nil {
+	if err := disk.WriteSealed(s.cfg.Disk, s.actedPath(), b); err != nil {
 		s.fatal(err)
 		return err
 	}
@@ -42,7 +42,7 @@
 	if s.cfg.Spread == nil {
 		return nil
 	}
-	b, err := disk.ReadSealed(disk.OS{}, s.actedPath())
+	b, err := disk.ReadSealed(s.cfg.Disk, s.actedPath())
 	if fault.CodeOf(err) == fault.NotFound {
 		return nil
 	}
--- a/instance/control/control.go
+++ b/instance/control/control.go
@@ -65,6 +65,8 @@
 	Name string
 	// DataFolder is empty on an instance that only follows.
 	DataFolder string
+	// Disk holds the data folder; nil means the machine's filesystem.
+	Disk disk.FS
 	// Founders lists the names of the instances that found the group; empty on
 	// one that joins.
 	Founders []string
@@ -127,6 +129,9 @@
 
 // New returns a service that is not started; it registers its channels.
 func New(cfg Config) *Service {
+	if cfg.Disk == nil {
+		cfg.Disk = disk.OS{}
+	}
 	s := &Service{cfg: cfg, changed: make(chan struct{}, 1)}
 	s.names.Store(&map[raft.MemberID]string{})
 	s.ctx, s.cancel = context.WithCancel(context.Background())
@@ -213,7 +218,7 @@
 // startGroup starts the member of a disk whose cluster is known.
 func (s *Service) startGroup(id consensus.Identity) error {
 	g, err := consensus.New(consensus.Config{
-		FS: disk.OS{}, Dir: s.cfg.DataFolder, Identity: id, Mux: newMux(), Transport: transport{s},
+		FS: s.cfg.Disk, Dir: s.cfg.DataFolder, Identity: id, Mux: newMux(), Transport: transport{s},
 		Seed: int64(id.ID), OnFatal: s.failed, Heartbeat: s.cfg.Heartbeat, ElectionTimeout: s.cfg.ElectionTimeout,
 	})
 	if err != nil {
--- a/instance/control/group.go
+++ b/instance/control/group.go
@@ -8,7 +8,6 @@
 	"github.com/comfreyladder/comfreyladder/core/raft"
 	"github.com/comfreyladder/comfreyladder/core/raft/founding"
 	"github.com/comfreyladder/comfreyladder/instance/consensus"
-	"github.com/comfreyladder/comfreyladder/instance/disk"
 	"github.com/comfreyladder/comfreyladder/instance/link"
 )
 
@@ -80,7 +79,7 @@
 // member. It goes on answering: another founder may still wait for the word.
 func (s *Service) startFounder(id consensus.Identity) error {
 	f, err := consensus.NewFounder(consensus.FounderConfig{
-		FS: disk.OS{}, Dir: s.cfg.DataFolder, Identity: id, Founders: s.cfg.Founders, Cluster: newClusterID(),
+		FS: s.cfg.Disk, Dir: s.cfg.DataFolder, Identity: id, Founders: s.cfg.Founders, Cluster: newClusterID(),
 		Send: func(to string, m founding.Message) {
 			if err := s.cfg.Links.Send(to, channelFounding, m); err != nil {
 				s.cfg.Log.Debug().Err(err).Str("peer", to).Msg("founding message not sent")
@@ -169,7 +168,7 @@
 		if err != nil {
 			continue
 		}
-		if err := consensus.Join(disk.OS{}, s.cfg.DataFolder, &id, a.Cluster); err != nil {
+		if err := consensus.Join(s.cfg.Disk, s.cfg.DataFolder, &id, a.Cluster); err != nil {
 			s.failed(err)
 			return true
 		}
--- a/instance/control/patience.go
+++ b/instance/control/patience.go
@@ -6,7 +6,6 @@
 
 	"github.com/comfreyladder/comfreyladder/core/fault"
 	"github.com/comfreyladder/comfreyladder/instance/consensus"
-	"github.com/comfreyladder/comfreyladder/instance/disk"
 )
 
 const (
@@ -52,7 +51,7 @@
 }
 
 func (s *Service) identity() (consensus.Identity, error) {
-	return consensus.Initialise(disk.OS{}, s.cfg.DataFolder, newMemberID(), s.cfg.Name)
+	return consensus.Initialise(s.cfg.Disk, s.cfg.DataFolder, newMemberID(), s.cfg.Name)
 }
 
 // openPatiently opens the disk as soon as it can be used.
