--- a/core/balance/pools.go
+++ b/core/balance/pools.go
@@ -14,29 +14,32 @@
 // proportion to the work that each kind brings. On a calm load of short questions
 // beside long reports, 83 to 85 in 100 questions met their pauses without pools.
 
-// Pools decides which upstreams of a service are for quick requests. It is not safe
-// for concurrent use.
+// Pools decides which upstreams of a service are for quick requests. All instances go by
+// the same sums: one instance's part of the requests is too few to tell the proportion,
+// and each would have its prompts kept elsewhere. It is not safe for concurrent use.
 type Pools struct {
-	routes map[string]*routeLoad
+	// own is what this instance sees, others what all others see.
+	own    map[string]*RouteLoad
+	others map[string]RouteLoad
 	at     time.Time
 	// share is the part of the upstreams that is for quick requests.
-	share  float64
-	others Demand
+	share float64
 	// count is how many upstreams are set apart, since moved.
 	count int
 	moved time.Time
 }
 
-// routeLoad is what one route brings.
-type routeLoad struct {
-	// tokens of prompts, those of them that had to be read, and requests decay with
-	// pace.
-	tokens, unread, requests float64
-	gap                      time.Duration
-	// place is how urgent the route is: 0 for the most urgent ones, 1 for the least.
-	place float64
-	// recent is the work that decays with haste.
-	recent float64
+// RouteLoad is what one route brings, as one instance sees it or several.
+type RouteLoad struct {
+	// Tokens of prompts, Unread, those of them that had to be read, and Requests are
+	// sums that decay with pace.
+	Tokens, Unread, Requests float64
+	// Recent is the work, in prompt tokens, that decays with haste.
+	Recent float64
+	// Gap is the longest pause that the route allows; zero means that it does not say.
+	Gap time.Duration
+	// Place is how urgent the route is: 0 for the most urgent ones, 1 for the least.
+	Place float64
 }
 
 const (
@@ -51,6 +54,8 @@
 	// bring to be that longest one.
 	quickShare = 0.4
 	notable    = 0.05
+	// briefShare is up to which part of its pause the reading of a prompt is brief.
+	briefShare = 1.0 / 6
 	// roominess is how much more room a token of a quick request gets than one of a
 	// long request: pauses stay short only while prompts are read a part of the time.
 	roominess = 3.0
@@ -71,7 +76,7 @@
 )
 
 // NewPools returns pools that know no load.
-func NewPools() *Pools { return &Pools{routes: map[string]*routeLoad{}} }
+func NewPools() *Pools { return &Pools{own: map[string]*RouteLoad{}, share: leastShare} }
 
 // Offer is a request that came, whether it is taken or not.
 type Offer struct {
@@ -87,17 +92,17 @@
 // Note counts a request.
 func (p *Pools) Note(now time.Time, o *Offer) {
 	p.decay(now)
-	l := p.routes[o.Route]
+	l := p.own[o.Route]
 	if l == nil {
-		l = &routeLoad{}
-		p.routes[o.Route] = l
+		l = &RouteLoad{}
+		p.own[o.Route] = l
 	}
-	l.tokens += float64(o.Tokens)
-	l.unread += float64(o.Unread)
-	l.requests++
-	l.gap, l.place = o.Gap, o.Place
-	l.recent += float64(o.Unread) + answering
-	p.reshare(now)
+	l.Tokens += float64(o.Tokens)
+	l.Unread += float64(o.Unread)
+	l.Requests++
+	l.Recent += float64(o.Unread) + answering
+	l.Gap, l.Place = o.Gap, o.Place
+	p.reshare()
 }
 
 func (p *Pools) decay(now time.Time) {
@@ -107,93 +112,110 @@
 	f := math.Exp(-now.Sub(p.at).Seconds() / pace.Seconds())
 	fast := math.Exp(-now.Sub(p.at).Seconds() / haste.Seconds())
 	p.at = now
-	for name, l := range p.routes {
-		l.recent *= fast
-		l.tokens *= f
-		l.unread *= f
-		l.requests *= f
-		if l.requests < 0.01 {
-			delete(p.routes, name)
+	for name, l := range p.own {
+		l.Recent *= fast
+		l.Tokens *= f
+		l.Unread *= f
+		l.Requests *= f
+		if l.Requests < 0.01 {
+			delete(p.own, name)
 		}
 	}
 }
 
-// Quick reports whether the requests of a route are quick ones.
-func (p *Pools) Quick(route string) bool {
-	l := p.routes[route]
-	return l != nil && p.quick(l)
+// Own returns what this instance sees, by route.
+func (p *Pools) Own(now time.Time) map[string]*RouteLoad {
+	p.decay(now)
+	return p.own
 }
 
-func (p *Pools) quick(l *routeLoad) bool {
-	tokens, longest := 0.0, 0.0
-	for _, o := range p.routes {
-		tokens += o.tokens
+// SetOthers takes what all other instances see, by route.
+func (p *Pools) SetOthers(loads map[string]RouteLoad) {
+	p.others = loads
+	p.reshare()
+}
+
+// all returns the loads of all instances, by route.
+func (p *Pools) all() map[string]RouteLoad {
+	sum := make(map[string]RouteLoad, len(p.own)+len(p.others))
+	for name, l := range p.others {
+		sum[name] = l
 	}
-	for _, o := range p.routes {
-		if o.tokens > notable*tokens {
-			longest = max(longest, o.tokens/o.requests)
-		}
+	for name, l := range p.own {
+		s := sum[name]
+		s.Tokens += l.Tokens
+		s.Unread += l.Unread
+		s.Requests += l.Requests
+		s.Recent += l.Recent
+		s.Gap, s.Place = l.Gap, l.Place
+		sum[name] = s
 	}
-	return l.gap > 0 && l.tokens/l.requests < quickShare*longest
+	return sum
 }
 
-// Demand is the work that quick and long requests bring, in prompt tokens a second.
-// Recent is what long ones brought in the last second or two.
-type Demand struct{ Quick, Long, Recent float64 }
+// Quick reports whether a request is a quick one: its route's prompts are short beside
+// those of the longest route. Before enough requests tell, it is one if reading its
+// prompt, at so many tokens a millisecond, takes a small part of the pause that it allows.
+func (p *Pools) Quick(o *Offer, perMS float64) bool {
+	loads := p.all()
+	l, known := loads[o.Route]
+	if !known || requestsOf(loads) < enough {
+		return float64(o.Tokens)/perMS < briefShare*float64(o.Gap.Milliseconds())
+	}
+	return quick(&l, longest(loads))
+}
 
-// Own returns the demand that this instance sees.
-func (p *Pools) Own(now time.Time) Demand {
-	p.decay(now)
-	var d Demand
-	for _, l := range p.routes {
-		if p.quick(l) {
-			d.Quick += (roominess*l.unread + answering*l.requests) / pace.Seconds()
-		} else {
-			d.Long += (l.unread + answering*l.requests) / pace.Seconds()
-			d.Recent += l.recent / haste.Seconds()
+// longest returns the mean prompt of the route with the longest ones, among those that
+// bring a notable part of all tokens.
+func longest(loads map[string]RouteLoad) float64 {
+	tokens, most := 0.0, 0.0
+	for _, l := range loads {
+		tokens += l.Tokens
+	}
+	for _, l := range loads {
+		if l.Tokens > notable*tokens {
+			most = max(most, l.Tokens/l.Requests)
 		}
 	}
-	return d
+	return most
 }
 
-// SetOthers takes the demand that all other instances see. One instance's part of
-// the requests is too few to tell the proportion, and all must draw about the same
-// line, or each would have its prompts kept elsewhere.
-func (p *Pools) SetOthers(d Demand) { p.others = d }
-
-// reshare works out the share that quick requests should have now.
-func (p *Pools) reshare(now time.Time) {
-	d := p.Own(now)
-	quick, long := d.Quick+p.others.Quick, d.Long+p.others.Long
-	p.share = 0
-	switch {
-	case p.others == (Demand{}) && p.requests() < enough:
-		// Some requests of its own tell an instance nothing of the proportion; one that
-		// drew the line by them would have its prompts kept where nobody else does.
-		p.share = leastShare
-	case quick > 0:
-		p.share = max(quick/(quick+long), min(leastShare, p.quickRequests()/2))
-	}
+func quick(l *RouteLoad, longest float64) bool {
+	return l.Gap > 0 && l.Tokens/l.Requests < quickShare*longest
 }
 
-func (p *Pools) requests() float64 {
-	all := 0.0
-	for _, l := range p.routes {
-		all += l.requests
+func requestsOf(loads map[string]RouteLoad) float64 {
+	sum := 0.0
+	for _, l := range loads {
+		sum += l.Requests
 	}
-	return all
+	return sum
 }
 
-// quickRequests returns which part of the requests here are quick ones.
-func (p *Pools) quickRequests() float64 {
-	quick, all := 0.0, 0.0
-	for _, l := range p.routes {
-		all += l.requests
-		if p.quick(l) {
-			quick += l.requests
+// reshare works out the share that quick requests should have now.
+func (p *Pools) reshare() {
+	loads := p.all()
+	requests := requestsOf(loads)
+	if requests < enough {
+		// A few requests tell nothing of the proportion; who drew the line by them would
+		// have its prompts kept where nobody else does.
+		p.share = leastShare
+		return
+	}
+	most := longest(loads)
+	work, quickWork, quickRequests := 0.0, 0.0, 0.0
+	for _, l := range loads {
+		if !quick(&l, most) {
+			work += l.Unread + answering*l.Requests
+			continue
 		}
+		quickWork += roominess*l.Unread + answering*l.Requests
+		quickRequests += l.Requests
+	}
+	p.share = 0
+	if quickWork > 0 {
+		p.share = max(quickWork/(quickWork+work), min(leastShare, quickRequests/requests/2))
 	}
-	return quick / all
 }
 
 // Engines that read prompts all the time generate so slowly that streams miss their
@@ -209,16 +231,15 @@
 // for quick ones can bear, if each of so many reads so many tokens a second. Where it
 // is not all, the most urgent routes come first.
 func (p *Pools) Admitted(now time.Time, route string, upstreams, perSecond float64) float64 {
-	own := p.Own(now)
-	if own.Recent <= 0 {
-		return 1
-	}
+	p.decay(now)
 	left := busiest * upstreams * perSecond
-	scale := (own.Recent + p.others.Recent) / own.Recent
-	for _, l := range p.longRoutes() {
-		demand := scale * l.recent / haste.Seconds()
+	for _, l := range longRoutes(p.all()) {
+		demand := l.load.Recent / haste.Seconds()
+		if demand <= 0 {
+			continue
+		}
 		part := min(1, max(leastAdmitted, left/demand))
-		if l == p.routes[route] {
+		if l.name == route {
 			return part
 		}
 		left = max(0, left-part*demand)
@@ -226,14 +247,22 @@
 	return 1
 }
 
+type namedLoad struct {
+	name string
+	load RouteLoad
+}
+
 // longRoutes returns the loads of long routes, the most urgent first.
-func (p *Pools) longRoutes() (list []*routeLoad) {
-	for _, l := range p.routes {
-		if !p.quick(l) {
-			list = append(list, l)
+func longRoutes(loads map[string]RouteLoad) (list []namedLoad) {
+	most := longest(loads)
+	for name, l := range loads {
+		if !quick(&l, most) {
+			list = append(list, namedLoad{name, l})
 		}
 	}
-	slices.SortFunc(list, func(a, b *routeLoad) int { return cmp.Compare(a.place, b.place) })
+	slices.SortFunc(list, func(a, b namedLoad) int {
+		return cmp.Or(cmp.Compare(a.load.Place, b.load.Place), cmp.Compare(a.name, b.name))
+	})
 	return list
 }
 
--- a/core/balance/pools_test.go
+++ b/core/balance/pools_test.go
@@ -10,6 +10,56 @@
 	"github.com/comfreyladder/comfreyladder/core/balance"
 )
 
+var (
+	report   = balance.Offer{Route: "report", Tokens: 17000, Unread: 17000, Gap: time.Second, Place: 1}
+	question = balance.Offer{Route: "question", Tokens: 1400, Unread: 1400, Gap: 250 * time.Millisecond}
+)
+
+// seen returns what an instance sees of so many reports and questions.
+func seen(now time.Time, reports, questions int) (p *balance.Pools, loads map[string]balance.RouteLoad) {
+	p = balance.NewPools()
+	for range reports {
+		p.Note(now, &report)
+	}
+	for range questions {
+		p.Note(now, &question)
+	}
+	loads = map[string]balance.RouteLoad{}
+	for name, l := range p.Own(now) {
+		loads[name] = *l
+	}
+	return p, loads
+}
+
+// Short questions sit among long prompts in the first seconds of a day, and after each
+// restart of an instance: it has met none of the long ones yet and takes its questions
+// for the longest there are. It must go by the others' sums, and before there are any,
+// by the request itself.
+func TestInstanceThatHasSeenLittleGoesByTheOthers(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Unix(100, 0)
+	fresh, _ := seen(now, 0, 30)
+	_, others := seen(now, 60, 60)
+	fresh.SetOthers(others)
+	g.Expect(fresh.Quick(&question, 50)).To(BeTrue())
+	g.Expect(fresh.Quick(&report, 50)).To(BeFalse())
+	fresh.Note(now, &question)
+
+	old, _ := seen(now, 60, 60)
+	_, few := seen(now, 0, 31)
+	old.SetOthers(few)
+	old.Note(now, &question)
+	var ids []string
+	for i := range 12 {
+		ids = append(ids, fmt.Sprint("u", i))
+	}
+	g.Expect(len(fresh.Split(now, ids))).To(Equal(len(old.Split(now, ids))), "all draw the same line")
+
+	empty := balance.NewPools()
+	g.Expect(empty.Quick(&question, 50)).To(BeTrue())
+	g.Expect(empty.Quick(&report, 50)).To(BeFalse())
+}
+
 func TestPoolsFollowTheLoad(t *testing.T) {
 	g := NewWithT(t)
 	p := balance.NewPools()
@@ -28,8 +78,8 @@
 		}
 	}
 	note(2)
-	g.Expect(p.Quick("question")).To(BeTrue())
-	g.Expect(p.Quick("report")).To(BeFalse())
+	g.Expect(p.Quick(&question, 50)).To(BeTrue())
+	g.Expect(p.Quick(&report, 50)).To(BeFalse())
 	few := p.Split(now, ids)
 	g.Expect(len(few)).To(BeNumerically("~", 9, 2))
 	for range 10 {
--- a/instance/relay/fleet.go
+++ b/instance/relay/fleet.go
@@ -118,7 +118,7 @@
 		}
 	}
 	if c.Ahead > r.maxAhead && r.tokens > 0 {
-		if !f.pools[r.service].Quick(r.route.Name) {
+		if !r.quick {
 			return nil, true
 		}
 		// A quick request harms nobody elsewhere; a long one among quick ones would.
@@ -144,10 +144,10 @@
 	}
 	r.offered = true
 	p := f.pools[r.service]
-	p.Note(now, &balance.Offer{
-		Route: r.route.Name, Tokens: r.tokens, Unread: int(balance.Unread(&f.scratch[c.Index], q)), Gap: r.route.Gap, Place: r.place,
-	})
-	if p.Quick(r.route.Name) {
+	o := r.offer()
+	o.Unread = int(balance.Unread(&f.scratch[c.Index], q))
+	p.Note(now, &o)
+	if r.quick {
 		return
 	}
 	able := 0.0
@@ -164,7 +164,7 @@
 // are for the other kind of requests are suspects.
 func (f *fleet) describe(r *request, list []*upstream, now time.Time, domain string, avoid []*upstream, pools bool) {
 	f.scratch = f.scratch[:0]
-	quick, isQuick := f.split(r, list, now)
+	quick := f.split(r, list, now)
 	fresh := now.Sub(f.othersAt) < othersAge
 	for _, u := range list {
 		b := u.describe(now)
@@ -174,7 +174,7 @@
 			b.Held += others.Held
 		}
 		b.Capacity = r.capacity
-		b.Suspect = b.Suspect || u.domain != domain && f.domains.suspect(now, u.domain) || pools && quick != nil && quick[u.id] != isQuick
+		b.Suspect = b.Suspect || u.domain != domain && f.domains.suspect(now, u.domain) || pools && quick != nil && quick[u.id] != r.quick
 		b.Excluded = u.active >= u.maxConns || slices.Contains(avoid, u)
 		f.scratch = append(f.scratch, b)
 	}
@@ -196,8 +196,16 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	clear(f.others)
+	routes := map[string]map[string]balance.RouteLoad{}
 	for _, l := range r.Loads {
-		f.others[l.ID] = l
+		if l.Route == "" {
+			f.others[l.ID] = l
+			continue
+		}
+		if routes[l.ID] == nil {
+			routes[l.ID] = map[string]balance.RouteLoad{}
+		}
+		routes[l.ID][l.Route] = loadOfRoute(&l)
 	}
 	f.othersAt = time.Now()
 	for _, p := range r.Placed {
@@ -205,9 +213,43 @@
 			u.kept.Note(f.othersAt, p.Prompt)
 		}
 	}
+	for service, loads := range routes {
+		f.poolsOf(service).SetOthers(loads)
+	}
 	for service, p := range f.pools {
-		l := f.others[service]
-		p.SetOthers(balance.Demand{Quick: float64(l.Quick), Long: float64(l.Long), Recent: float64(l.Recent)})
+		if routes[service] == nil {
+			p.SetOthers(nil)
+		}
+	}
+}
+
+// poolsOf returns the pools of a service; it needs mu.
+func (f *fleet) poolsOf(service string) *balance.Pools {
+	p := f.pools[service]
+	if p == nil {
+		p = balance.NewPools()
+		f.pools[service] = p
+	}
+	return p
+}
+
+// Loads travel in whole numbers: requests in thousandths, places in hundredths.
+const (
+	requestUnit = 1000
+	placeUnit   = 100
+)
+
+func loadOfRoute(l *servingsvc.Load) balance.RouteLoad {
+	return balance.RouteLoad{
+		Tokens: float64(l.Tokens), Unread: float64(l.Unread), Requests: float64(l.Requests) / requestUnit, Recent: float64(l.Recent),
+		Gap: time.Duration(l.Gap) * time.Millisecond, Place: float64(l.Place) / placeUnit,
+	}
+}
+
+func routeLoad(service, name string, l *balance.RouteLoad) servingsvc.Load {
+	return servingsvc.Load{
+		ID: service, Route: name, Tokens: int(l.Tokens), Unread: int(l.Unread), Requests: int(l.Requests * requestUnit), Recent: int(l.Recent),
+		Gap: int(l.Gap.Milliseconds()), Place: int(l.Place * placeUnit),
 	}
 }
 
@@ -224,8 +266,8 @@
 	}
 	now := time.Now()
 	for service, p := range f.pools {
-		if d := p.Own(now); d.Quick+d.Long >= 1 {
-			list = append(list, servingsvc.Load{ID: service, Quick: int(d.Quick), Long: int(d.Long), Recent: int(d.Recent)})
+		for name, l := range p.Own(now) {
+			list = append(list, routeLoad(service, name, l))
 		}
 	}
 	r.Loads, r.Busy = list, f.busy(now)
@@ -264,16 +306,12 @@
 	return r
 }
 
-// split says which upstreams are for quick requests, and whether this is one.
-func (f *fleet) split(r *request, list []*upstream, now time.Time) (quick map[string]bool, isQuick bool) {
+// split says which upstreams are for quick requests, and notes whether this is one.
+func (f *fleet) split(r *request, list []*upstream, now time.Time) (quick map[string]bool) {
 	if r.tokens == 0 {
-		return nil, false
-	}
-	p := f.pools[r.service]
-	if p == nil {
-		p = balance.NewPools()
-		f.pools[r.service] = p
+		return nil
 	}
+	p := f.poolsOf(r.service)
 	f.ids = f.ids[:0]
 	for _, u := range list {
 		f.ids = append(f.ids, u.id)
@@ -284,7 +322,14 @@
 		f.log.Event("pools").Str("service", r.service).Int("quick", int64(len(quick))).Int("upstreams", int64(len(list))).
 			Int("tokens_per_s", int64(1000*f.rate(r.service).PerMS())).End()
 	}
-	return quick, p.Quick(r.route.Name)
+	o := r.offer()
+	r.quick = p.Quick(&o, f.rate(r.service).PerMS())
+	return quick
+}
+
+// offer describes the request to the pools.
+func (r *request) offer() balance.Offer {
+	return balance.Offer{Route: r.route.Name, Tokens: r.tokens, Gap: r.route.Gap, Place: r.place}
 }
 
 // unreachable notes that an upstream could not be reached.
--- a/instance/relay/request.go
+++ b/instance/relay/request.go
@@ -56,10 +56,11 @@
 	shared, capacity int
 	predicted        float64
 	unread, ahead    int
-	// place is how urgent the route is; offered says that the request was counted, shed
-	// that it is among those that can't be borne.
-	place         float64
-	offered, shed bool
+	// place is how urgent the route is; quick says that it goes to the upstreams for
+	// quick requests, offered that it was counted, shed that it is among those that
+	// can't be borne.
+	place                float64
+	quick, offered, shed bool
 	// maxAhead is how much may wait before it at an engine, in milliseconds.
 	maxAhead float64
 	// first is the time from the last sending to the first event.
--- a/instance/serving/loads.go
+++ b/instance/serving/loads.go
@@ -22,23 +22,42 @@
 )
 
 // Load is the work that one instance, or several, have under way at an upstream, or
-// bring to a service.
+// bring to a service by one of its routes.
 // Upstreams' own reports lag and cost; what was sent to them is known at once.
 type Load struct {
-	ID string `codec:"i"`
-	// Active counts requests, Reading the prompt tokens that wait to be read for
-	// them, Held those that they hold in memory.
-	Active  int `codec:"a"`
-	Reading int `codec:"r"`
-	Held    int `codec:"h"`
-	// Quick and Long are set in place of these for a service: the work a second that
-	// requests of both kinds bring, in prompt tokens.
-	// Recent is what long ones brought in the last second or two.
-	Quick  int `codec:"q,omitempty"`
-	Long   int `codec:"l,omitempty"`
-	Recent int `codec:"e,omitempty"`
+	// ID is the upstream's or the service's; Route is set for a service.
+	ID    string `codec:"i"`
+	Route string `codec:"t,omitempty"`
+	// Active counts requests at an upstream, Reading the prompt tokens that wait to be
+	// read for them, Held those that they hold in memory.
+	Active  int `codec:"a,omitempty"`
+	Reading int `codec:"r,omitempty"`
+	Held    int `codec:"h,omitempty"`
+	// The others are the fields of balance.RouteLoad: prompt tokens, requests in
+	// thousandths, the gap in milliseconds, the place in hundredths.
+	Tokens   int `codec:"k,omitempty"`
+	Unread   int `codec:"u,omitempty"`
+	Requests int `codec:"n,omitempty"`
+	Recent   int `codec:"e,omitempty"`
+	Gap      int `codec:"g,omitempty"`
+	Place    int `codec:"p,omitempty"`
 }
 
+// plus adds what another instance reports of the same.
+func (l *Load) plus(o *Load) {
+	l.Active += o.Active
+	l.Reading += o.Reading
+	l.Held += o.Held
+	l.Tokens += o.Tokens
+	l.Unread += o.Unread
+	l.Requests += o.Requests
+	l.Recent += o.Recent
+	l.Gap, l.Place = o.Gap, o.Place
+}
+
+// loadKey is what the loads of several instances are added up by.
+type loadKey struct{ id, route string }
+
 // Placed says that the shared parts of a prompt, by their hash, were sent to an
 // upstream, which keeps them from then on.
 type Placed struct {
@@ -118,7 +137,7 @@
 // sum adds up the loads of all but one instance, and those of the other members if
 // asked for.
 func (b *loadBook) sum(now time.Time, but string, others bool) []Load {
-	total := map[string]*Load{}
+	total := map[loadKey]*Load{}
 	add(total, now, b.watchers, but)
 	if others {
 		add(total, now, b.members, "")
@@ -147,7 +166,7 @@
 	return false
 }
 
-func add(total map[string]*Load, now time.Time, reports map[string]loadReport, but string) {
+func add(total map[loadKey]*Load, now time.Time, reports map[string]loadReport, but string) {
 	for name, report := range reports {
 		if now.Sub(report.at) > loadsAge {
 			delete(reports, name)
@@ -156,18 +175,15 @@
 		if name == but {
 			continue
 		}
-		for _, l := range report.loads {
-			t := total[l.ID]
+		for i := range report.loads {
+			l := &report.loads[i]
+			key := loadKey{l.ID, l.Route}
+			t := total[key]
 			if t == nil {
-				t = &Load{ID: l.ID}
-				total[l.ID] = t
+				t = &Load{ID: l.ID, Route: l.Route}
+				total[key] = t
 			}
-			t.Active += l.Active
-			t.Reading += l.Reading
-			t.Held += l.Held
-			t.Quick += l.Quick
-			t.Long += l.Long
-			t.Recent += l.Recent
+			t.plus(l)
 		}
 	}
 }
