--- a/instance/cmd/comfreyladderd/main.go
+++ b/instance/cmd/comfreyladderd/main.go
@@ -14,6 +14,7 @@
 	"github.com/comfreyladder/comfreyladder/instance/daemon"
 	"github.com/comfreyladder/comfreyladder/instance/logline"
 	"github.com/comfreyladder/comfreyladder/instance/settings"
+	"github.com/comfreyladder/comfreyladder/platform"
 )
 
 type options struct {
@@ -21,7 +22,7 @@
 	Check    bool   `long:"check" description:"check the settings and exit"`
 	Platform bool   `long:"platform" description:"run as a member of the users' platform, which names the settings file; see docs/PLATFORM.md"`
 	Metrics  int    `long:"metrics-port" value-name:"PORT" description:"with --platform: the port of the metrics"`
-	Describe bool   `long:"help-settings" description:"print all settings with their defaults and exit"`
+	Describe bool   `long:"help-settings" description:"print all settings with their defaults and exit; with --platform those of its file"`
 }
 
 const (
@@ -47,7 +48,11 @@
 }
 
 func run(opts options) error {
-	if opts.Describe {
+	switch {
+	case opts.Describe && opts.Platform:
+		platform.DescribeSettings(os.Stdout)
+		return nil
+	case opts.Describe:
 		settings.Describe(os.Stdout)
 		return nil
 	}
