--- a/instance/relay/suite_test.go
+++ b/instance/relay/suite_test.go
@@ -201,6 +201,23 @@
 	return b
 }
 
+// engines makes the service one of engines, with routes of unlike urgency to it.
+func (b *bed) engines() {
+	t := routes()
+	t.Services[0].Engine = &route.Engine{Slots: 8, KVTokens: 500_000, Stride: 3}
+	for i, name := range []string{"urgent", "last"} {
+		t.Routes = append(t.Routes, route.Route{
+			Name: name, Host: "h", Prefix: "/" + name + "/", Kind: route.Idempotent, Backends: t.Routes[0].Backends, Timeout: limit,
+			Target: time.Second, MaxAttempts: 1, Priority: i, Sticky: true,
+		})
+	}
+	b.state.mu.Lock()
+	defer b.state.mu.Unlock()
+	v := *b.state.view
+	v.Routes = route.NewIndex(t)
+	b.state.view = &v
+}
+
 // caller is one connection of a caller.
 type caller struct {
 	net.Conn
