--- a/core/balance/pools.go
+++ b/core/balance/pools.go
@@ -1,7 +1,6 @@
 package balance
 
 import (
-	"cmp"
 	"math"
 	"slices"
 	"time"
@@ -218,54 +217,6 @@
 	}
 }
 
-// Engines that read prompts all the time generate so slowly that streams miss their
-// deadlines and what was read for them is wasted. busiest is the part of the time
-// for which they may read.
-const (
-	busiest = 0.8
-	// leastAdmitted is the part of each route's requests that is taken in any case.
-	leastAdmitted = 0.3
-)
-
-// Admitted returns which part of a long route's requests the upstreams that are not
-// for quick ones can bear, if each of so many reads so many tokens a second. Where it
-// is not all, the most urgent routes come first.
-func (p *Pools) Admitted(now time.Time, route string, upstreams, perSecond float64) float64 {
-	p.decay(now)
-	left := busiest * upstreams * perSecond
-	for _, l := range longRoutes(p.all()) {
-		demand := l.load.Recent / haste.Seconds()
-		if demand <= 0 {
-			continue
-		}
-		part := min(1, max(leastAdmitted, left/demand))
-		if l.name == route {
-			return part
-		}
-		left = max(0, left-part*demand)
-	}
-	return 1
-}
-
-type namedLoad struct {
-	name string
-	load RouteLoad
-}
-
-// longRoutes returns the loads of long routes, the most urgent first.
-func longRoutes(loads map[string]RouteLoad) (list []namedLoad) {
-	most := longest(loads)
-	for name, l := range loads {
-		if !quick(&l, most) {
-			list = append(list, namedLoad{name, l})
-		}
-	}
-	slices.SortFunc(list, func(a, b namedLoad) int {
-		return cmp.Or(cmp.Compare(a.load.Place, b.load.Place), cmp.Compare(a.name, b.name))
-	})
-	return list
-}
-
 // line returns how many of so many upstreams are set apart. It follows the share half
 // of the way at a time, and not at all for little: an upstream that changes sides
 // loses what it keeps.
--- a/core/order/budget.go
+++ b/core/order/budget.go
@@ -1,6 +1,7 @@
 package order
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/comfreyladder/comfreyladder/core/intent"
@@ -17,7 +18,7 @@
 }
 
 func (b *budget) configure(doc *intent.Document) {
-	b.rate = float64(orDefault(doc.Weights.RateMB, intent.DefaultRateMB))
+	b.rate = float64(cmp.Or(doc.Weights.RateMB, intent.DefaultRateMB))
 	b.most = 0
 	for i := range doc.Models {
 		b.most = max(b.most, float64(wholeSize(&doc.Models[i])))
@@ -38,16 +39,9 @@
 // adapters are well under it.
 const adapterShare = 50
 
-func sizeOf(m *intent.Model) int { return orDefault(m.SizeMB, intent.DefaultSizeMB) }
+func sizeOf(m *intent.Model) int { return cmp.Or(m.SizeMB, intent.DefaultSizeMB) }
 
 func adapterSize(m *intent.Model) int { return max(sizeOf(m)/adapterShare, 1) }
 
 // wholeSize is that of a model with all its adapters.
 func wholeSize(m *intent.Model) int { return sizeOf(m) + len(m.Adapters)*adapterSize(m) }
-
-func orDefault(v, d int) int {
-	if v == 0 {
-		return d
-	}
-	return v
-}
--- a/core/order/plan.go
+++ b/core/order/plan.go
@@ -1,6 +1,7 @@
 package order
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/comfreyladder/comfreyladder/core/intent"
@@ -207,7 +208,7 @@
 // affordable reports whether a load may begin now; if not, no other one may
 // either, so that small loads do not hold up a large one for ever.
 func (p *plan) affordable(w *want, megabytes int) bool {
-	most := orDefault(p.d.doc.Weights.Loads, intent.DefaultLoads)
+	most := cmp.Or(p.d.doc.Weights.Loads, intent.DefaultLoads)
 	if p.spent || p.coming >= most || p.d.budget.level < float64(megabytes) {
 		p.spent = true
 		w.note = noteBudget
--- a/core/order/types.go
+++ b/core/order/types.go
@@ -15,6 +15,7 @@
 import (
 	"time"
 
+	"github.com/comfreyladder/comfreyladder/core/defaults"
 	"github.com/comfreyladder/comfreyladder/core/intent"
 )
 
@@ -69,22 +70,16 @@
 }
 
 func (c Config) withDefaults() Config {
-	defaultTo(&c.Grace, DefaultGrace)
-	defaultTo(&c.Fresh, DefaultFresh)
-	defaultTo(&c.Idle, DefaultIdle)
-	defaultTo(&c.Hot, DefaultHot)
-	defaultTo(&c.Rest, DefaultRest)
-	defaultTo(&c.Backoff, DefaultBackoff)
-	defaultTo(&c.Stuck, DefaultStuck)
+	defaults.Set(&c.Grace, DefaultGrace)
+	defaults.Set(&c.Fresh, DefaultFresh)
+	defaults.Set(&c.Idle, DefaultIdle)
+	defaults.Set(&c.Hot, DefaultHot)
+	defaults.Set(&c.Rest, DefaultRest)
+	defaults.Set(&c.Backoff, DefaultBackoff)
+	defaults.Set(&c.Stuck, DefaultStuck)
 	return c
 }
 
-func defaultTo(v *time.Duration, d time.Duration) {
-	if *v <= 0 {
-		*v = d
-	}
-}
-
 // Engine is one live engine as its beats and its own word show it.
 type Engine struct {
 	Name string
--- a/core/sched/types.go
+++ b/core/sched/types.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/comfreyladder/comfreyladder/core/announce"
+	"github.com/comfreyladder/comfreyladder/core/defaults"
 )
 
 // The codec names below are short, as tickets and grants travel between instances
@@ -178,19 +179,13 @@
 )
 
 func (c Config) withDefaults() Config {
-	defaultTo(&c.MaxQueued, DefaultMaxQueued)
-	defaultTo(&c.MaxQueuedClass, DefaultMaxQueuedClass)
-	defaultTo(&c.MaxQueuedShare, DefaultMaxQueuedShare)
-	defaultTo(&c.MaxQueuedTokens, DefaultMaxQueuedTokens)
-	defaultTo(&c.Headroom, DefaultHeadroom)
-	defaultTo(&c.PromptWeight, DefaultPromptWeight)
-	defaultTo(&c.PriorTokenRate, DefaultPriorTokenRate)
-	defaultTo(&c.PriorTokens, DefaultPriorTokens)
+	defaults.Set(&c.MaxQueued, DefaultMaxQueued)
+	defaults.Set(&c.MaxQueuedClass, DefaultMaxQueuedClass)
+	defaults.Set(&c.MaxQueuedShare, DefaultMaxQueuedShare)
+	defaults.Set(&c.MaxQueuedTokens, DefaultMaxQueuedTokens)
+	defaults.Set(&c.Headroom, DefaultHeadroom)
+	defaults.Set(&c.PromptWeight, DefaultPromptWeight)
+	defaults.Set(&c.PriorTokenRate, DefaultPriorTokenRate)
+	defaults.Set(&c.PriorTokens, DefaultPriorTokens)
 	return c
 }
-
-func defaultTo[T int | float64](v *T, def T) {
-	if *v == 0 {
-		*v = def
-	}
-}
--- a/instance/link/link.go
+++ b/instance/link/link.go
@@ -15,6 +15,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/comfreyladder/comfreyladder/core/defaults"
 	"github.com/comfreyladder/comfreyladder/core/fault"
 	"github.com/comfreyladder/comfreyladder/instance/gnetconn"
 )
@@ -86,23 +87,17 @@
 	TotalBytes  int
 }
 
-func orDefault[T int | time.Duration](v *T, d T) {
-	if *v <= 0 {
-		*v = d
-	}
-}
-
 func (c *Config) fill() {
-	orDefault(&c.Heartbeat, DefaultHeartbeat)
-	orDefault(&c.Timeout, DefaultTimeout)
-	orDefault(&c.DialTimeout, DefaultDialTimeout)
-	orDefault(&c.MinBackoff, DefaultMinBackoff)
-	orDefault(&c.MaxBackoff, DefaultMaxBackoff)
-	orDefault(&c.IdleAfter, DefaultIdleAfter)
-	orDefault(&c.MaxMessage, DefaultMaxMessage)
-	orDefault(&c.QueueItems, DefaultQueueItems)
-	orDefault(&c.QueueBytes, DefaultQueueBytes)
-	orDefault(&c.TotalBytes, DefaultTotalBytes)
+	defaults.Set(&c.Heartbeat, DefaultHeartbeat)
+	defaults.Set(&c.Timeout, DefaultTimeout)
+	defaults.Set(&c.DialTimeout, DefaultDialTimeout)
+	defaults.Set(&c.MinBackoff, DefaultMinBackoff)
+	defaults.Set(&c.MaxBackoff, DefaultMaxBackoff)
+	defaults.Set(&c.IdleAfter, DefaultIdleAfter)
+	defaults.Set(&c.MaxMessage, DefaultMaxMessage)
+	defaults.Set(&c.QueueItems, DefaultQueueItems)
+	defaults.Set(&c.QueueBytes, DefaultQueueBytes)
+	defaults.Set(&c.TotalBytes, DefaultTotalBytes)
 }
 
 // Message is what a handler receives.
--- a/instance/order/order.go
+++ b/instance/order/order.go
@@ -28,6 +28,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/comfreyladder/comfreyladder/core/defaults"
 	"github.com/comfreyladder/comfreyladder/core/intent"
 	core "github.com/comfreyladder/comfreyladder/core/order"
 	"github.com/comfreyladder/comfreyladder/core/registry"
@@ -85,20 +86,14 @@
 }
 
 func (c *Config) fill() {
-	defaultTo(&c.Tick, DefaultTick)
-	defaultTo(&c.TTL, DefaultTTL)
-	defaultTo(&c.Margin, DefaultMargin)
-	defaultTo(&c.Flight, DefaultFlight)
-	defaultTo(&c.ReadEvery, DefaultReadEvery)
-	defaultTo(&c.ReadLoading, DefaultReadLoading)
-	defaultTo(&c.CallTimeout, DefaultCallTimeout)
-	defaultTo(&c.Keep, DefaultKeep)
-}
-
-func defaultTo(v *time.Duration, d time.Duration) {
-	if *v <= 0 {
-		*v = d
-	}
+	defaults.Set(&c.Tick, DefaultTick)
+	defaults.Set(&c.TTL, DefaultTTL)
+	defaults.Set(&c.Margin, DefaultMargin)
+	defaults.Set(&c.Flight, DefaultFlight)
+	defaults.Set(&c.ReadEvery, DefaultReadEvery)
+	defaults.Set(&c.ReadLoading, DefaultReadLoading)
+	defaults.Set(&c.CallTimeout, DefaultCallTimeout)
+	defaults.Set(&c.Keep, DefaultKeep)
 }
 
 // Status tells how the domain's engines stand, as this instance knows it.
--- /dev/null
+++ b/instance/relay/exchange.go
@@ -0,0 +1,108 @@
+package relay
+
+import (
+	"time"
+
+	"github.com/comfreyladder/comfreyladder/core/balance"
+	servingsvc "github.com/comfreyladder/comfreyladder/instance/serving"
+)
+
+// maxPlaced bounds the prompts that wait for the next report.
+const maxPlaced = 1024
+
+// othersAge is for how long the loads of other instances count.
+const othersAge = 2 * time.Second
+
+func (f *fleet) takeReport(r *servingsvc.Report) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	clear(f.others)
+	routes := map[string]map[string]balance.RouteLoad{}
+	for _, l := range r.Loads {
+		if l.Route == "" {
+			f.others[l.ID] = l
+			continue
+		}
+		if routes[l.ID] == nil {
+			routes[l.ID] = map[string]balance.RouteLoad{}
+		}
+		routes[l.ID][l.Route] = loadOfRoute(&l)
+	}
+	f.othersAt = time.Now()
+	for _, p := range r.Placed {
+		if u := f.upstreams[p.Upstream]; u != nil {
+			u.kept.Note(f.othersAt, p.Prompt)
+		}
+	}
+	for service, loads := range routes {
+		f.poolsOf(service).SetOthers(loads)
+	}
+	for service, p := range f.pools {
+		if routes[service] == nil {
+			p.SetOthers(nil)
+		}
+	}
+}
+
+// Loads travel in whole numbers: requests in thousandths, places in hundredths.
+const (
+	requestUnit = 1000
+	placeUnit   = 100
+)
+
+func loadOfRoute(l *servingsvc.Load) balance.RouteLoad {
+	return balance.RouteLoad{
+		Tokens: float64(l.Tokens), Unread: float64(l.Unread), Requests: float64(l.Requests) / requestUnit, Recent: float64(l.Recent),
+		Gap: time.Duration(l.Gap) * time.Millisecond, Place: float64(l.Place) / placeUnit,
+	}
+}
+
+func routeLoad(service, name string, l *balance.RouteLoad) servingsvc.Load {
+	return servingsvc.Load{
+		ID: service, Route: name, Tokens: int(l.Tokens), Unread: int(l.Unread), Requests: int(l.Requests * requestUnit), Recent: int(l.Recent),
+		Gap: int(l.Gap.Milliseconds()), Place: int(l.Place * placeUnit),
+	}
+}
+
+func (f *fleet) report() servingsvc.Report {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	r := servingsvc.Report{Placed: f.placed}
+	f.placed = nil
+	list := r.Loads
+	for id, u := range f.upstreams {
+		if u.active > 0 {
+			list = append(list, servingsvc.Load{ID: id, Active: u.active, Reading: u.reading, Held: u.held})
+		}
+	}
+	now := time.Now()
+	for service, p := range f.pools {
+		for name, l := range p.Own(now) {
+			list = append(list, routeLoad(service, name, l))
+		}
+	}
+	r.Loads, r.Busy = list, f.busy(now)
+	return r
+}
+
+// busyReading is how many prompt tokens must wait at the mean engine for news of loads
+// to matter.
+const busyReading = 1500
+
+// busy reports whether engines have much to read; it needs mu.
+func (f *fleet) busy(now time.Time) bool {
+	reading, engines := 0, 0
+	for service, p := range f.pools {
+		if p == nil {
+			continue
+		}
+		for _, u := range f.services[service] {
+			engines++
+			reading += u.reading
+			if now.Sub(f.othersAt) < othersAge {
+				reading += f.others[u.id].Reading
+			}
+		}
+	}
+	return reading > busyReading*engines
+}
--- /dev/null
+++ b/instance/relay/split.go
@@ -0,0 +1,78 @@
+package relay
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/comfreyladder/comfreyladder/core/balance"
+)
+
+// rate needs mu.
+func (f *fleet) rate(service string) *balance.Rate {
+	r := f.rates[service]
+	if r == nil {
+		r = &balance.Rate{}
+		f.rates[service] = r
+	}
+	return r
+}
+
+// split says which upstreams are for quick requests, and notes whether this is one.
+func (f *fleet) split(r *request, list []*upstream, now time.Time) (quick map[string]bool) {
+	if r.tokens == 0 {
+		return nil
+	}
+	p := f.poolsOf(r.service)
+	f.ids = f.ids[:0]
+	for _, u := range list {
+		f.ids = append(f.ids, u.id)
+	}
+	quick = p.Split(now, f.ids)
+	if len(quick) != f.quickCount[r.service] {
+		f.quickCount[r.service] = len(quick)
+		f.log.Event("pools").Str("service", r.service).Int("quick", int64(len(quick))).Int("upstreams", int64(len(list))).
+			Int("tokens_per_s", int64(1000*f.rate(r.service).PerMS())).End()
+	}
+	o := r.offer()
+	r.quick = p.Quick(&o, f.rate(r.service).PerMS())
+	return quick
+}
+
+// offer describes the request to the pools.
+func (r *request) offer() balance.Offer {
+	return balance.Offer{Route: r.route.Name, Tokens: r.tokens, Gap: r.route.Gap, Place: r.place}
+}
+
+// poolsOf returns the pools of a service; it needs mu.
+func (f *fleet) poolsOf(service string) *balance.Pools {
+	p := f.pools[service]
+	if p == nil {
+		p = balance.NewPools()
+		f.pools[service] = p
+	}
+	return p
+}
+
+// offer counts a request, once, and decides whether it is among those that can't be
+// borne.
+func (f *fleet) offer(r *request, q *balance.Request, c balance.Choice, now time.Time) {
+	if r.offered {
+		return
+	}
+	r.offered = true
+	p := f.pools[r.service]
+	o := r.offer()
+	o.Unread = int(balance.Unread(&f.scratch[c.Index], q))
+	p.Note(now, &o)
+	if r.quick {
+		return
+	}
+	able := 0.0
+	for i := range f.scratch {
+		if u := &f.scratch[i]; !u.Suspect && !u.Excluded {
+			able += 1 / max(1, u.Slowness)
+		}
+	}
+	part := p.Admitted(now, r.route.Name, able, q.Rate*1000)
+	r.shed = part < 1 && rand.Float64() > part
+}
--- a/instance/schedule/service.go
+++ b/instance/schedule/service.go
@@ -19,6 +19,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/comfreyladder/comfreyladder/core/defaults"
 	"github.com/comfreyladder/comfreyladder/core/fault"
 	"github.com/comfreyladder/comfreyladder/core/intent"
 	"github.com/comfreyladder/comfreyladder/core/sched"
@@ -59,20 +60,14 @@
 }
 
 func (c Config) withDefaults() Config {
-	defaultTo(&c.Tick, DefaultTick)
-	defaultTo(&c.Beat, DefaultBeat)
-	defaultTo(&c.Silence, DefaultSilence)
-	defaultTo(&c.HandOver, DefaultHandOver)
-	defaultTo(&c.Lease, DefaultLease)
+	defaults.Set(&c.Tick, DefaultTick)
+	defaults.Set(&c.Beat, DefaultBeat)
+	defaults.Set(&c.Silence, DefaultSilence)
+	defaults.Set(&c.HandOver, DefaultHandOver)
+	defaults.Set(&c.Lease, DefaultLease)
 	return c
 }
 
-func defaultTo(v *time.Duration, def time.Duration) {
-	if *v == 0 {
-		*v = def
-	}
-}
-
 // Service is the part of the scheduler that runs on each instance.
 type Service struct {
 	cfg   Config
--- a/operator/standin/engine/config.go
+++ b/operator/standin/engine/config.go
@@ -6,6 +6,7 @@
 package engine
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/comfreyladder/comfreyladder/operator/standin/host"
@@ -91,24 +92,16 @@
 	Crash bool `json:"crash"`
 }
 
-func or[T comparable](v, fallback T) T {
-	var zero T
-	if v == zero {
-		return fallback
-	}
-	return v
-}
-
 func (c Config) withDefaults() Config {
-	c.Slots = or(c.Slots, DefaultSlots)
-	c.Speed = or(c.Speed, 1)
-	c.Prefill = or(c.Prefill, DefaultPrefill)
-	c.Step = or(c.Step, DefaultStep)
-	c.StepEach = or(c.StepEach, DefaultStepEach)
-	c.CacheTokens = or(c.CacheTokens, DefaultCacheTokens)
-	c.KVTokens = or(c.KVTokens, DefaultKVTokens)
-	c.ReadTimeout = or(c.ReadTimeout, DefaultReadTimeout)
-	c.Keep = or(c.Keep, DefaultKeep)
-	c.LoadTime = or(c.LoadTime, DefaultLoadTime)
+	c.Slots = cmp.Or(c.Slots, DefaultSlots)
+	c.Speed = cmp.Or(c.Speed, 1)
+	c.Prefill = cmp.Or(c.Prefill, DefaultPrefill)
+	c.Step = cmp.Or(c.Step, DefaultStep)
+	c.StepEach = cmp.Or(c.StepEach, DefaultStepEach)
+	c.CacheTokens = cmp.Or(c.CacheTokens, DefaultCacheTokens)
+	c.KVTokens = cmp.Or(c.KVTokens, DefaultKVTokens)
+	c.ReadTimeout = cmp.Or(c.ReadTimeout, DefaultReadTimeout)
+	c.Keep = cmp.Or(c.Keep, DefaultKeep)
+	c.LoadTime = cmp.Or(c.LoadTime, DefaultLoadTime)
 	return c
 }
--- a/operator/standin/engine/step.go
+++ b/operator/standin/engine/step.go
@@ -52,7 +52,7 @@
 	}
 	work := e.config.Step + time.Duration(len(e.running))*e.config.StepEach
 	work += time.Duration(e.prefillStep()) * e.config.Prefill
-	factor := or(e.faults.Straggler, 1) / e.config.Speed
+	factor := cmp.Or(e.faults.Straggler, 1) / e.config.Speed
 	e.counters.BusyMillis += uint64(work.Milliseconds())
 	return max(time.Duration(float64(work)*factor), time.Microsecond)
 }
