--- a/instance/follow/follow.go
+++ b/instance/follow/follow.go
@@ -200,10 +200,8 @@
 		return false
 	}
 	f.take(view, &a)
-	f.told, f.toldBy, f.othersBusy = a.Told, name, a.Report.Busy
-	if f.cfg.OnReport != nil {
-		f.cfg.OnReport(&a.Report)
-	}
+	f.told, f.toldBy, f.othersBusy = a.Told, name, a.Summary.Busy
+	f.tellOthers(&a.Summary, &q.Report.Work)
 	if !a.Confirmed {
 		return false
 	}
@@ -214,6 +212,19 @@
 	return true
 }
 
+// tellOthers passes on what all other instances have under way.
+func (f *Follower) tellOthers(s *servingsvc.Summary, own *servingsvc.Work) {
+	if f.cfg.OnReport == nil {
+		return
+	}
+	others, err := s.Others(own)
+	if err != nil {
+		f.cfg.Log.Error().Err(err).Str("event", "loads_unreadable").Str("peer", f.current).Msg("the loads of all can't be read")
+		return
+	}
+	f.cfg.OnReport(others)
+}
+
 // hold returns for how long the next question may be held.
 func (f *Follower) hold(own *servingsvc.Report) time.Duration {
 	switch {
--- a/instance/relay/admit_test.go
+++ b/instance/relay/admit_test.go
@@ -23,7 +23,7 @@
 	b := start(t, up)
 	b.engines()
 	const reading = 60_000 // tokens: 1.2 s at the pace that is taken at first
-	b.service.TakeReport(&serving.Report{Loads: []serving.Load{{ID: "u", Active: 4, Reading: reading, Held: reading}}})
+	b.service.TakeReport(&serving.Report{Work: serving.Work{Loads: []serving.Load{{ID: "u", Active: 4, Reading: reading, Held: reading}}}})
 	c := b.caller()
 	c.send(prompt("last", "1"))
 	r := c.receive()
--- a/instance/relay/exchange.go
+++ b/instance/relay/exchange.go
@@ -17,16 +17,16 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	clear(f.others)
+	for _, l := range r.Work.Loads {
+		f.others[l.ID] = l
+	}
 	routes := map[string]map[string]balance.RouteLoad{}
-	for _, l := range r.Loads {
-		if l.Route == "" {
-			f.others[l.ID] = l
-			continue
-		}
-		if routes[l.ID] == nil {
-			routes[l.ID] = map[string]balance.RouteLoad{}
+	for i := range r.Work.Routes {
+		l := &r.Work.Routes[i]
+		if routes[l.Service] == nil {
+			routes[l.Service] = map[string]balance.RouteLoad{}
 		}
-		routes[l.ID][l.Route] = loadOfRoute(&l)
+		routes[l.Service][l.Route] = loadOfRoute(l)
 	}
 	f.othersAt = time.Now()
 	for _, p := range r.Placed {
@@ -50,16 +50,16 @@
 	placeUnit   = 100
 )
 
-func loadOfRoute(l *servingsvc.Load) balance.RouteLoad {
+func loadOfRoute(l *servingsvc.RouteLoad) balance.RouteLoad {
 	return balance.RouteLoad{
 		Tokens: float64(l.Tokens), Unread: float64(l.Unread), Requests: float64(l.Requests) / requestUnit, Recent: float64(l.Recent),
 		Gap: time.Duration(l.Gap) * time.Millisecond, Place: float64(l.Place) / placeUnit,
 	}
 }
 
-func routeLoad(service, name string, l *balance.RouteLoad) servingsvc.Load {
-	return servingsvc.Load{
-		ID: service, Route: name, Tokens: int(l.Tokens), Unread: int(l.Unread), Requests: int(l.Requests * requestUnit), Recent: int(l.Recent),
+func routeLoad(service, name string, l *balance.RouteLoad) servingsvc.RouteLoad {
+	return servingsvc.RouteLoad{
+		Service: service, Route: name, Tokens: int(l.Tokens), Unread: int(l.Unread), Requests: int(l.Requests * requestUnit), Recent: int(l.Recent),
 		Gap: int(l.Gap.Milliseconds()), Place: int(l.Place * placeUnit),
 	}
 }
@@ -69,19 +69,18 @@
 	defer f.mu.Unlock()
 	r := servingsvc.Report{Placed: f.placed}
 	f.placed = nil
-	list := r.Loads
 	for id, u := range f.upstreams {
 		if u.active > 0 {
-			list = append(list, servingsvc.Load{ID: id, Active: u.active, Reading: u.reading, Held: u.held})
+			r.Work.Loads = append(r.Work.Loads, servingsvc.Load{ID: id, Active: u.active, Reading: u.reading, Held: u.held})
 		}
 	}
 	now := time.Now()
 	for service, p := range f.pools {
 		for name, l := range p.Own(now) {
-			list = append(list, routeLoad(service, name, l))
+			r.Work.Routes = append(r.Work.Routes, routeLoad(service, name, l))
 		}
 	}
-	r.Loads, r.Busy = list, f.busy(now)
+	r.Busy = f.busy(now)
 	return r
 }
 
--- a/instance/serving/loads.go
+++ b/instance/serving/loads.go
@@ -21,42 +21,9 @@
 	loadsAge = 1500 * time.Millisecond
 )
 
-// Load is the work that one instance, or several, have under way at an upstream, or
-// bring to a service by one of its routes.
-// Upstreams' own reports lag and cost; what was sent to them is known at once.
-type Load struct {
-	// ID is the upstream's or the service's; Route is set for a service.
-	ID    string `codec:"i"`
-	Route string `codec:"t,omitempty"`
-	// Active counts requests at an upstream, Reading the prompt tokens that wait to be
-	// read for them, Held those that they hold in memory.
-	Active  int `codec:"a,omitempty"`
-	Reading int `codec:"r,omitempty"`
-	Held    int `codec:"h,omitempty"`
-	// The others are the fields of balance.RouteLoad: prompt tokens, requests in
-	// thousandths, the gap in milliseconds, the place in hundredths.
-	Tokens   int `codec:"k,omitempty"`
-	Unread   int `codec:"u,omitempty"`
-	Requests int `codec:"n,omitempty"`
-	Recent   int `codec:"e,omitempty"`
-	Gap      int `codec:"g,omitempty"`
-	Place    int `codec:"p,omitempty"`
-}
-
-// plus adds what another instance reports of the same.
-func (l *Load) plus(o *Load) {
-	l.Active += o.Active
-	l.Reading += o.Reading
-	l.Held += o.Held
-	l.Tokens += o.Tokens
-	l.Unread += o.Unread
-	l.Requests += o.Requests
-	l.Recent += o.Recent
-	l.Gap, l.Place = o.Gap, o.Place
-}
-
-// loadKey is what the loads of several instances are added up by.
-type loadKey struct{ id, route string }
+// totalFor is for how long one sum of all loads serves all who ask: encoding it anew for
+// each answer was most of a member's work with 300 instances and 3,000 upstreams.
+const totalFor = 50 * time.Millisecond
 
 // Placed says that the shared parts of a prompt, by their hash, were sent to an
 // upstream, which keeps them from then on.
@@ -65,19 +32,41 @@
 	Upstream string `codec:"u"`
 }
 
-// Report is what an instance tells of its work, and what it is told of the others'.
+// Report is what an instance tells of its work, or of that of all others.
 type Report struct {
-	Loads []Load `codec:"l,omitempty"`
+	Work Work `codec:"w"`
 	// Placed lists what was placed since the last report.
 	Placed []Placed `codec:"p,omitempty"`
 	// Busy says that upstreams have much to read, so that news of loads matter.
 	Busy bool `codec:"b,omitempty"`
 }
 
+// Summary is what a member tells of the work of all instances.
+type Summary struct {
+	// Total is the encoded Work of all, of the one that asks as well.
+	Total []byte `codec:"w,omitempty"`
+	// Placed lists what others placed since the last answer.
+	Placed []Placed `codec:"p,omitempty"`
+	Busy   bool     `codec:"b,omitempty"`
+}
+
+// Others returns the work of all but one instance, which has reported own.
+func (s *Summary) Others(own *Work) (*Report, error) {
+	r := &Report{Placed: s.Placed, Busy: s.Busy}
+	if len(s.Total) == 0 {
+		return r, nil
+	}
+	if err := link.Decode(s.Total, &r.Work); err != nil {
+		return nil, err
+	}
+	r.Work.subtract(own)
+	return r, nil
+}
+
 type loadReport struct {
-	at    time.Time
-	loads []Load
-	busy  bool
+	at   time.Time
+	work Work
+	busy bool
 }
 
 // placedNote is one Placed with who told it.
@@ -134,58 +123,29 @@
 	return loadBook{watchers: map[string]loadReport{}, members: map[string]loadReport{}}
 }
 
-// sum adds up the loads of all but one instance, and those of the other members if
-// asked for.
-func (b *loadBook) sum(now time.Time, but string, others bool) []Load {
-	total := map[loadKey]*Load{}
-	add(total, now, b.watchers, but)
+// sum adds up the loads of the instances that ask here, and those of the other members
+// if asked for.
+func (b *loadBook) sum(now time.Time, others bool) Work {
+	total := newSum()
+	total.addAll(now, b.watchers)
 	if others {
-		add(total, now, b.members, "")
+		total.addAll(now, b.members)
 	}
-	list := make([]Load, 0, len(total))
-	for _, l := range total {
-		list = append(list, *l)
-	}
-	return list
+	return total.work()
 }
 
-// busy reports whether any instance but one finds upstreams busy.
-func (b *loadBook) busy(now time.Time, but string, others bool) bool {
-	for name, r := range b.watchers {
-		if r.busy && name != but && now.Sub(r.at) < loadsAge {
-			return true
-		}
-	}
-	if others {
-		for _, r := range b.members {
-			if r.busy && now.Sub(r.at) < loadsAge {
-				return true
-			}
-		}
-	}
-	return false
+// busy reports whether any instance finds upstreams busy.
+func (b *loadBook) busy(now time.Time, others bool) bool {
+	return anyBusy(now, b.watchers) || others && anyBusy(now, b.members)
 }
 
-func add(total map[loadKey]*Load, now time.Time, reports map[string]loadReport, but string) {
-	for name, report := range reports {
-		if now.Sub(report.at) > loadsAge {
-			delete(reports, name)
-			continue
-		}
-		if name == but {
-			continue
-		}
-		for i := range report.loads {
-			l := &report.loads[i]
-			key := loadKey{l.ID, l.Route}
-			t := total[key]
-			if t == nil {
-				t = &Load{ID: l.ID, Route: l.Route}
-				total[key] = t
-			}
-			t.plus(l)
+func anyBusy(now time.Time, reports map[string]loadReport) bool {
+	for _, r := range reports {
+		if r.busy && now.Sub(r.at) < loadsAge {
+			return true
 		}
 	}
+	return false
 }
 
 // shareLoads tells the other members what the instances that ask here have under way,
@@ -207,16 +167,16 @@
 		}
 		s.mu.Lock()
 		now := clock.Now()
-		busy := s.loads.busy(now, "", false)
+		busy := s.loads.busy(now, false)
 		if !busy && now.Sub(last) < loadsSeldom {
 			s.mu.Unlock()
 			continue
 		}
 		last = now
-		r := Report{Loads: s.loads.sum(now, "", false), Placed: s.unsent, Busy: busy}
+		r := Report{Work: s.loads.sum(now, false), Placed: s.unsent, Busy: busy}
 		s.unsent = nil
 		s.mu.Unlock()
-		quiet := len(r.Loads) == 0 && len(r.Placed) == 0
+		quiet := r.Work.empty() && len(r.Placed) == 0
 		if quiet && idle {
 			continue
 		}
@@ -250,7 +210,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.loads.members[from] = loadReport{at: clock.Now(), loads: r.Loads, busy: r.Busy}
+	s.loads.members[from] = loadReport{at: clock.Now(), work: r.Work, busy: r.Busy}
 	s.placed.add(from, r.Placed)
 	return nil, nil
 }
@@ -259,18 +219,34 @@
 func (s *Service) noteReport(from string, r *Report) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.loads.watchers[from] = loadReport{at: clock.Now(), loads: r.Loads, busy: r.Busy}
+	s.loads.watchers[from] = loadReport{at: clock.Now(), work: r.Work, busy: r.Busy}
 	s.placed.add(from, r.Placed)
 	if len(s.unsent) < maxPlaced {
 		s.unsent = append(s.unsent, r.Placed...)
 	}
 }
 
-// reportFor returns what all others told, and the number from which on the next
-// answer goes.
-func (s *Service) reportFor(name string, since uint64) (r Report, next uint64) {
+// summaryFor returns what all told, and the number from which on the next answer goes.
+func (s *Service) summaryFor(name string, since uint64) (out Summary, next uint64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := clock.Now()
-	return Report{Loads: s.loads.sum(now, name, true), Placed: s.placed.since(since, name), Busy: s.loads.busy(now, name, true)}, s.placed.next
+	if now.Sub(s.totalAt) >= totalFor {
+		s.total, s.totalAt = s.encodeTotal(now), now
+	}
+	return Summary{Total: s.total, Placed: s.placed.since(since, name), Busy: s.loads.busy(now, true)}, s.placed.next
+}
+
+// encodeTotal needs mu.
+func (s *Service) encodeTotal(now time.Time) []byte {
+	work := s.loads.sum(now, true)
+	if work.empty() {
+		return nil
+	}
+	encoded, err := link.Encode(&work)
+	if err != nil {
+		s.cfg.Log.Error().Err(err).Str("event", "loads_unreadable").Msg("the loads of all can't be told")
+		return nil
+	}
+	return encoded
 }
--- a/instance/serving/loads_test.go
+++ b/instance/serving/loads_test.go
@@ -2,25 +2,55 @@
 
 import (
 	"testing"
-	"time"
 
 	. "github.com/onsi/gomega"
+
+	"github.com/comfreyladder/comfreyladder/instance/clock"
+	"github.com/comfreyladder/comfreyladder/instance/link"
 )
 
+func work(active int) Work {
+	return Work{
+		Loads:  []Load{{ID: "u", Active: active, Reading: 10 * active, Held: 100 * active}},
+		Routes: []RouteLoad{{Service: "s", Route: "r", Tokens: active, Requests: active, Gap: 250, Place: 100}},
+	}
+}
+
 // Instances ask different members, and each must see the work of all the others but
 // not its own twice. What an instance that died had under way fades.
 func TestLoadsOfOthersAddUp(t *testing.T) {
 	g := NewWithT(t)
-	b := newLoadBook()
-	now := time.Unix(100, 0)
-	b.watchers["a"] = loadReport{at: now, loads: []Load{{ID: "u", Active: 1, Reading: 10, Held: 100}}}
-	b.watchers["b"] = loadReport{at: now, loads: []Load{{ID: "u", Active: 2, Reading: 20, Held: 200}}}
-	b.members["m"] = loadReport{at: now, loads: []Load{{ID: "u", Active: 4, Reading: 40, Held: 400}}}
-	g.Expect(b.sum(now, "a", true)).To(Equal([]Load{{ID: "u", Active: 6, Reading: 60, Held: 600}}))
-	g.Expect(b.sum(now, "", false)).To(Equal([]Load{{ID: "u", Active: 3, Reading: 30, Held: 300}}))
-	g.Expect(b.sum(now.Add(2*loadsAge), "", true)).To(BeEmpty())
+	s := New(Config{Links: noLinks{}})
+	now := clock.Now()
+	s.loads.watchers["a"] = loadReport{at: now, work: work(1)}
+	s.loads.watchers["b"] = loadReport{at: now, work: work(2)}
+	s.loads.members["m"] = loadReport{at: now, work: work(4)}
+	told, _ := s.summaryFor("a", 0)
+	own := work(1)
+	others, err := told.Others(&own)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(others.Work).To(Equal(work(6)))
+	g.Expect(s.loads.sum(now, false)).To(Equal(work(3)))
+	gone := s.loads.sum(now.Add(2*loadsAge), true)
+	g.Expect(gone.empty()).To(BeTrue())
+}
+
+// The sum that an instance is told may be older than its latest report. Taken off, that
+// must leave nothing below zero, or the upstream would look idler than any other.
+func TestOwnWorkBeyondTheSumLeavesNothing(t *testing.T) {
+	g := NewWithT(t)
+	total, own := work(1), work(3)
+	total.subtract(&own)
+	g.Expect(total.empty()).To(BeTrue())
 }
 
+// noLinks are links to nobody.
+type noLinks struct{}
+
+func (noLinks) Send(string, string, any) error { return nil }
+
+func (noLinks) Handle(string, link.Handler, ...link.ChannelOption) {}
+
 func TestPlacedPromptsReachTheOthersOnce(t *testing.T) {
 	g := NewWithT(t)
 	var l placedLog
--- a/instance/serving/serving.go
+++ b/instance/serving/serving.go
@@ -65,6 +65,9 @@
 	watched map[string]time.Time
 	own     map[string]bool
 	loads   loadBook
+	// total is the encoded work of all instances, as of totalAt.
+	total   []byte
+	totalAt time.Time
 	placed  placedLog
 	// unsent are the notes that the other members were not told yet.
 	unsent []Placed
--- a/instance/serving/watch.go
+++ b/instance/serving/watch.go
@@ -49,9 +49,9 @@
 	Members []string `codec:"m"`
 	// Forwarders is how many instances forward requests, as far as is known.
 	Forwarders int `codec:"f"`
-	// Report is the work of all other instances, and Told the number to ask from next.
-	Report Report `codec:"r"`
-	Told   uint64 `codec:"t"`
+	// Summary is the work of all instances, and Told the number to ask from next.
+	Summary Summary `codec:"r"`
+	Told    uint64  `codec:"t"`
 }
 
 // watch holds a question until there is news or its time is over. The confirmation
@@ -80,7 +80,7 @@
 	st := g.Status()
 	a.Members = names(st.Members)
 	a.Forwarders = s.forwarders()
-	a.Report, a.Told = s.reportFor(from, q.Told)
+	a.Summary, a.Told = s.summaryFor(from, q.Told)
 	return a, nil
 }
 
--- /dev/null
+++ b/instance/serving/work.go
@@ -0,0 +1,115 @@
+package serving
+
+import (
+	"time"
+
+	"github.com/comfreyladder/comfreyladder/core/wire"
+)
+
+// Load is what one instance, or several, have under way at an upstream. Upstreams' own
+// reports lag and cost; what was sent to them is known at once.
+type Load struct {
+	wire.Array
+	// ID is the upstream's.
+	ID string
+	// Active counts requests, Reading the prompt tokens that wait to be read for them,
+	// Held those that they hold in memory.
+	Active, Reading, Held int
+}
+
+func (l *Load) add(o *Load, sign int) {
+	l.Active = max(0, l.Active+sign*o.Active)
+	l.Reading = max(0, l.Reading+sign*o.Reading)
+	l.Held = max(0, l.Held+sign*o.Held)
+}
+
+// RouteLoad is what one instance, or several, see of a route's requests to a service: the
+// fields of balance.RouteLoad in whole numbers.
+type RouteLoad struct {
+	wire.Array
+	Service, Route string
+	// Tokens, Unread and Recent are prompt tokens, Requests thousandths of one.
+	Tokens, Unread, Requests, Recent int
+	// Gap is in milliseconds, Place in hundredths; they are the route's, not added up.
+	Gap, Place int
+}
+
+func (l *RouteLoad) add(o *RouteLoad, sign int) {
+	l.Tokens = max(0, l.Tokens+sign*o.Tokens)
+	l.Unread = max(0, l.Unread+sign*o.Unread)
+	l.Requests = max(0, l.Requests+sign*o.Requests)
+	l.Recent = max(0, l.Recent+sign*o.Recent)
+	l.Gap, l.Place = o.Gap, o.Place
+}
+
+// Work is what one instance, or several, have under way and see coming.
+type Work struct {
+	Loads  []Load      `codec:"l,omitempty"`
+	Routes []RouteLoad `codec:"r,omitempty"`
+}
+
+func (w *Work) empty() bool { return len(w.Loads)+len(w.Routes) == 0 }
+
+// subtract takes off the part of one instance. A sum that was made before its latest
+// report may lack something of it, so nothing falls below zero.
+func (w *Work) subtract(part *Work) {
+	s := newSum()
+	s.add(w, 1)
+	s.add(part, -1)
+	*w = s.work()
+}
+
+type routeKey struct{ service, route string }
+
+// sum adds up work.
+type sum struct {
+	loads  map[string]*Load
+	routes map[routeKey]*RouteLoad
+}
+
+func newSum() sum { return sum{map[string]*Load{}, map[routeKey]*RouteLoad{}} }
+
+// add adds work, or with a sign of -1 takes it off.
+func (s sum) add(w *Work, sign int) {
+	for i := range w.Loads {
+		l := &w.Loads[i]
+		if s.loads[l.ID] == nil {
+			s.loads[l.ID] = &Load{ID: l.ID}
+		}
+		s.loads[l.ID].add(l, sign)
+	}
+	for i := range w.Routes {
+		l := &w.Routes[i]
+		key := routeKey{l.Service, l.Route}
+		if s.routes[key] == nil {
+			s.routes[key] = &RouteLoad{Service: l.Service, Route: l.Route}
+		}
+		s.routes[key].add(l, sign)
+	}
+}
+
+// addAll adds the reports that are not too old, and forgets the others.
+func (s sum) addAll(now time.Time, reports map[string]loadReport) {
+	for name, r := range reports {
+		if now.Sub(r.at) > loadsAge {
+			delete(reports, name)
+			continue
+		}
+		s.add(&r.work, 1)
+	}
+}
+
+// work returns the sum, without what is nothing.
+func (s sum) work() (w Work) {
+	for _, l := range s.loads {
+		if l.Active+l.Reading+l.Held > 0 {
+			w.Loads = append(w.Loads, *l)
+		}
+	}
+	for _, l := range s.routes {
+		if l.Requests > 0 {
+			w.Routes = append(w.Routes, *l)
+		}
+	}
+	return w
+}
