--- /dev/null
+++ b/instance/relay/bodies_test.go
@@ -0,0 +1,59 @@
+package relay_test
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"testing"
+
+	. "github.com/onsi/gomega"
+)
+
+// chunkedBody is a request whose body comes in chunks of a megabyte.
+func chunkedBody(id string, megabytes int) string {
+	var m strings.Builder
+	fmt.Fprintf(&m, "POST /once/ HTTP/1.1\r\nHost: h\r\nX-Id: %s\r\nX-Key: k\r\nX-Left: 1500\r\nTransfer-Encoding: chunked\r\n\r\n", id)
+	for range megabytes {
+		m.WriteString(chunk(strings.Repeat("b", 1<<20)))
+	}
+	return m.String() + "0\r\n\r\n"
+}
+
+// post sends beside what the test goes on with. It fails where the answer comes first.
+func (c *caller) post(text string) {
+	go func() { _, _ = io.WriteString(c, text) }()
+}
+
+// A process is killed for its memory, and cuts off all that it has under way: many
+// callers send large bodies at once, each within the limit. One that finds no room is
+// told that it did not run and when to come back; small requests pass meanwhile, and
+// there is room again afterwards.
+func TestManyLargeBodiesAtOnceAreRefusedInTime(t *testing.T) {
+	held := make(chan struct{})
+	up := startUpstream(t, "u", func(n int, r *received, c net.Conn) bool {
+		if r.header.Get("X-Id") == "first" {
+			<-held
+		}
+		return whole(c, r, 200, fmt.Sprint(len(r.body)))
+	})
+	b := start(t, up)
+	first := b.caller()
+	first.post(message("POST", "/once/", "first", strings.Repeat("b", 14<<20)))
+	Eventually(up.requests).Should(HaveLen(1))
+	for _, large := range []string{message("POST", "/once/", "second", strings.Repeat("b", 14<<20)), chunkedBody("third", 14)} {
+		c := b.caller()
+		c.post(large)
+		r := c.receive()
+		Expect(r.status).To(Equal(503))
+		Expect(r.header.Get("Retry-After")).NotTo(BeEmpty())
+		Expect(r.closes).To(BeTrue())
+	}
+	Expect(b.caller().call("POST", "/once/", "small", "x").status).To(Equal(200))
+	close(held)
+	Expect(first.receive().body).To(Equal(fmt.Sprint(14 << 20)))
+	again := b.caller()
+	again.post(chunkedBody("again", 14))
+	Expect(again.receive().body).To(Equal(fmt.Sprint(14 << 20)))
+	Expect(up.requests()).To(HaveLen(3))
+}
--- a/instance/relay/config.go
+++ b/instance/relay/config.go
@@ -70,7 +70,10 @@
 	// Announce is for how long an instance that drains goes on as before, so that
 	// the balancer sees that it isn't ready; DrainTimeout bounds the whole drain.
 	Announce, DrainTimeout time.Duration
-	Log                    *eventlog.Sink
+	// BodyBytes bounds the request bodies that are held at the same time; zero means no
+	// bound.
+	BodyBytes int64
+	Log       *eventlog.Sink
 }
 
 const (
--- a/instance/relay/conn.go
+++ b/instance/relay/conn.go
@@ -67,6 +67,7 @@
 		select {
 		case c.requests <- r:
 		case <-c.finished:
+			c.s.bodies.release(r)
 			c.drop()
 			return
 		}
@@ -97,7 +98,8 @@
 	}
 	var body http1.Body
 	body.Reset(c.in, &r.head)
-	r.body, r.fail = body.ReadAll(r.body[:0], lim.BodyBytes)
+	r.body = r.body[:0]
+	r.fail = c.s.bodies.readBody(r, &body, lim.BodyBytes)
 	r.arrived = clock.Now()
 	return r.fail != nil || r.head.Close
 }
@@ -193,6 +195,7 @@
 	for r := range c.requests {
 		c.begin(r)
 		keep := c.s.serve(c, r)
+		c.s.bodies.release(r)
 		if !c.answered(keep) {
 			c.finish(r)
 			return
--- a/instance/relay/request.go
+++ b/instance/relay/request.go
@@ -41,6 +41,8 @@
 	id, key, parts, lastEvent []byte
 	wait                      time.Duration
 	tokens                    int
+	// booked is how many bytes are booked for the body.
+	booked int64
 
 	route        *route.Route
 	organisation *route.Organisation
--- a/instance/relay/suite_test.go
+++ b/instance/relay/suite_test.go
@@ -156,6 +156,9 @@
 
 const limit = 2 * time.Second
 
+// bodyRoom is the room for bodies: for one of the largest, not for two.
+const bodyRoom = 24 << 20
+
 func routes() *route.Table {
 	to := []route.Backend{{Service: "s", Weight: 1}}
 	return &route.Table{
@@ -191,7 +194,7 @@
 	b.service = relay.New(relay.Config{
 		Listen: "127.0.0.1:0", Headers: headers, State: b.state, FailClosed: true,
 		Budget:   relay.Budget{Ratio: 0.2, Window: 10 * time.Second, Slack: 20},
-		Announce: 200 * time.Millisecond, DrainTimeout: 2 * time.Second,
+		Announce: 200 * time.Millisecond, DrainTimeout: 2 * time.Second, BodyBytes: bodyRoom,
 	}, metrics.NewSet())
 	b.service.Update(v)
 	if err := b.service.Start(context.Background()); err != nil {
--- a/instance/roles/edge.go
+++ b/instance/roles/edge.go
@@ -37,6 +37,7 @@
 		s := relay.New(relay.Config{
 			Listen: p.cfg.Callers, Domain: p.cfg.Domain, Headers: p.dialect.Headers, State: state, FailClosed: p.cfg.FailClosed,
 			Budget: p.cfg.Budget, Announce: p.cfg.Announce, DrainTimeout: p.cfg.Grace - 2*stopMargin, Log: p.events,
+			BodyBytes: int64(bodyShare * float64(p.cfg.MemoryMB) * (1 << 20)),
 		}, tel.Set())
 		state.Subscribe(s.Update)
 		p.forwarder.Store(s)
@@ -44,6 +45,10 @@
 	}}
 }
 
+// bodyShare is the part of the memory limit that request bodies may take. Each is held
+// twice while it is sent, and a buffer that grows is copied.
+const bodyShare = 0.125
+
 func (p *Process) ready() kernel.Module {
 	return kernel.Module{Name: nameReady, Needs: []string{nameRelay}, New: func(k *kernel.Kernel) (kernel.Service, error) {
 		s, err := kernel.Lookup[*relay.Service](k, nameRelay)
