--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -28,8 +28,42 @@
 	Slowness float64
 	// Errors is the part of its latest answers that failed.
 	Errors float64
-	// Suspect upstreams are picked only when no other is left, Excluded ones never.
-	Suspect, Excluded bool
+	// Elsewhere says that the upstream is for other requests than this one: it is picked
+	// when none of the request's own can be used. Suspect upstreams are picked only when
+	// no other is left, Excluded ones never.
+	Elsewhere, Suspect, Excluded bool
+}
+
+// standing is how well an upstream suits a request, by what is known of its health and
+// of what it is for; lower is better.
+type standing int
+
+const (
+	own standing = iota
+	elsewhere
+	suspect
+	unusable
+)
+
+func (u *Upstream) standing() standing {
+	switch {
+	case u.Excluded:
+		return unusable
+	case u.Suspect:
+		return suspect
+	case u.Elsewhere:
+		return elsewhere
+	}
+	return own
+}
+
+// bestStanding is that of the candidates among which the choice is made.
+func bestStanding(list []Upstream) standing {
+	best := unusable
+	for i := range list {
+		best = min(best, list[i].standing())
+	}
+	return best
 }
 
 // Request is what is known of a request.
@@ -90,21 +124,21 @@
 
 // Choose picks the upstream to use.
 func Choose(list []Upstream, r *Request) Choice {
-	suspects := countUsable(list, false) == 0
-	if suspects && countUsable(list, true) == 0 {
+	best := bestStanding(list)
+	if best == unusable {
 		return Choice{Index: None}
 	}
 	lowest := math.Inf(1)
-	c := costs{request: r, common: commonErrors(list, suspects), homeScore: homeScore(list, r, suspects)}
+	c := costs{request: r, common: commonErrors(list, best), homeScore: homeScore(list, r, best)}
 	for i := range list {
-		if usable(&list[i], suspects) {
+		if list[i].standing() == best {
 			lowest = min(lowest, c.of(&list[i]))
 		}
 	}
-	best := pick(list, r, func(u *Upstream) bool {
-		return usable(u, suspects) && c.of(u) <= lowest*(1+near)+nearMS
+	at := pick(list, r, func(u *Upstream) bool {
+		return u.standing() == best && c.of(u) <= lowest*(1+near)+nearMS
 	})
-	return Choice{Index: best, Wait: wait(&list[best], r), Ahead: ahead(&list[best], r)}
+	return Choice{Index: at, Wait: wait(&list[at], r), Ahead: ahead(&list[at], r)}
 }
 
 // pick takes one of the near candidates: the first one in the order of the affinity,
@@ -132,18 +166,6 @@
 	return best
 }
 
-func usable(u *Upstream, suspects bool) bool { return !u.Excluded && (suspects || !u.Suspect) }
-
-func countUsable(list []Upstream, suspects bool) int {
-	n := 0
-	for i := range list {
-		if usable(&list[i], suspects) {
-			n++
-		}
-	}
-	return n
-}
-
 // Unread is how many tokens of the request an upstream would have to read.
 func Unread(u *Upstream, r *Request) float64 {
 	return float64(r.Own) + (1-u.Kept)*float64(r.Shared)
@@ -165,10 +187,10 @@
 }
 
 // commonErrors is the smallest part of failed answers among the candidates.
-func commonErrors(list []Upstream, suspects bool) float64 {
+func commonErrors(list []Upstream, best standing) float64 {
 	common := 1.0
 	for i := range list {
-		if usable(&list[i], suspects) {
+		if list[i].standing() == best {
 			common = min(common, list[i].Errors)
 		}
 	}
@@ -209,13 +231,13 @@
 // homeScore returns the least score of a prompt's homes: the first upstreams in its
 // order. Instances that meet a new prompt in the same moment don't know of each
 // other; choosing among the same few, they mostly choose the same one.
-func homeScore(list []Upstream, r *Request, suspects bool) uint64 {
+func homeScore(list []Upstream, r *Request, best standing) uint64 {
 	if r.Affinity == 0 {
 		return 0
 	}
 	var top [homes]uint64
 	for i := range list {
-		if !usable(&list[i], suspects) {
+		if list[i].standing() != best {
 			continue
 		}
 		s := rendezvous(r.Affinity, list[i].ID)
--- a/core/balance/balance_test.go
+++ b/core/balance/balance_test.go
@@ -52,6 +52,25 @@
 // One prompt is asked for by everybody. Its engine must not drown while the others
 // idle: once the wait there costs more than reading the shared part anew, the next
 // engine in the prompt's order takes over, the same one for all instances.
+// A zone is cut off together with all engines that are set apart for quick requests. A
+// question goes to an engine that reads long prompts, not to one that nobody reaches.
+func TestHealthGoesBeforeWhatAnUpstreamIsFor(t *testing.T) {
+	g := NewWithT(t)
+	list := engines(4)
+	for i := range list {
+		list[i].Elsewhere = i >= 2
+	}
+	r := &balance.Request{Domain: "d0", Own: 1400, Rate: 50}
+	g.Expect(balance.Choose(list, r).Index).To(BeNumerically("<", 2))
+	list[0].Suspect, list[1].Suspect = true, true
+	for range 8 {
+		g.Expect(balance.Choose(list, r).Index).To(BeNumerically(">=", 2))
+		r.Draw += 0.12
+	}
+	list[2].Suspect, list[3].Suspect = true, true
+	g.Expect(balance.Choose(list, r).Index).NotTo(Equal(balance.None))
+}
+
 func TestHotPromptSpillsWhenItsEngineIsBusy(t *testing.T) {
 	g := NewWithT(t)
 	list := engines(6)
--- a/instance/relay/fleet.go
+++ b/instance/relay/fleet.go
@@ -136,8 +136,8 @@
 	return u, false
 }
 
-// describe fills scratch with what is known of the candidates. With pools, those that
-// are for the other kind of requests are suspects.
+// describe fills scratch with what is known of the candidates; with pools, also which of
+// them are for the other kind of requests.
 func (f *fleet) describe(r *request, list []*upstream, now time.Time, domain string, avoid []*upstream, pools bool) {
 	f.scratch = f.scratch[:0]
 	quick := f.split(r, list, now)
@@ -150,7 +150,8 @@
 			b.Held += others.Held
 		}
 		b.Capacity = r.capacity
-		b.Suspect = b.Suspect || u.domain != domain && f.domains.suspect(now, u.domain) || pools && quick != nil && quick[u.id] != r.quick
+		b.Suspect = b.Suspect || u.domain != domain && f.domains.suspect(now, u.domain)
+		b.Elsewhere = pools && quick != nil && quick[u.id] != r.quick
 		b.Excluded = u.active >= u.maxConns || slices.Contains(avoid, u)
 		f.scratch = append(f.scratch, b)
 	}
--- a/instance/relay/split.go
+++ b/instance/relay/split.go
@@ -69,7 +69,7 @@
 	}
 	able := 0.0
 	for i := range f.scratch {
-		if u := &f.scratch[i]; !u.Suspect && !u.Excluded {
+		if u := &f.scratch[i]; !u.Elsewhere && !u.Suspect && !u.Excluded {
 			able += 1 / max(1, u.Slowness)
 		}
 	}
