--- a/core/balance/pools.go
+++ b/core/balance/pools.go
@@ -51,8 +51,11 @@
 	// quickShare is up to which part of the longest route's mean prompt another
 	// route's prompts are quick, and notable which part of all tokens a route must
 	// bring to be that longest one.
+	// Less than leastSeen requests tell no mean: where one instance's part is taken off a
+	// sum that is a moment older, some tokens may be left of hardly any request.
 	quickShare = 0.4
 	notable    = 0.05
+	leastSeen  = 0.5
 	// briefShare is up to which part of its pause the reading of a prompt is brief.
 	briefShare = 1.0 / 6
 	// roominess is how much more room a token of a quick request gets than one of a
@@ -172,7 +175,7 @@
 		tokens += l.Tokens
 	}
 	for _, l := range loads {
-		if l.Tokens > notable*tokens {
+		if l.Tokens > notable*tokens && l.Requests >= leastSeen {
 			most = max(most, l.Tokens/l.Requests)
 		}
 	}
--- a/core/balance/pools_test.go
+++ b/core/balance/pools_test.go
@@ -60,6 +60,17 @@
 	g.Expect(empty.Quick(&report, 50)).To(BeFalse())
 }
 
+// All requests are taken for quick ones for a moment, reports among them: the sum of the
+// others is a moment older than the own part that was taken off it, and some tokens of
+// hardly any request are left, as of a prompt that is longer than any.
+func TestResidueOfASumIsNoRoute(t *testing.T) {
+	g := NewWithT(t)
+	p, _ := seen(time.Unix(100, 0), 20, 20)
+	p.SetOthers(map[string]balance.RouteLoad{"rest": {Tokens: 60_000, Requests: 0.001, Gap: time.Second}})
+	g.Expect(p.Quick(&report, 50)).To(BeFalse())
+	g.Expect(p.Quick(&question, 50)).To(BeTrue())
+}
+
 func TestPoolsFollowTheLoad(t *testing.T) {
 	g := NewWithT(t)
 	p := balance.NewPools()
