--- a/instance/relay/fleet.go
+++ b/instance/relay/fleet.go
@@ -169,12 +169,12 @@
 }
 
 // describeKept says which candidates keep the request's prompt, and whether the others
-// can take it over from one of them.
+// can take it over from one of them: not from one that just failed the request.
 func (f *fleet) describeKept(r *request, list []*upstream, now time.Time) {
 	for i, u := range list {
 		b := &f.scratch[i]
 		b.Kept = u.kept.Part(now, r.affinity)
-		if r.fetchRate > 0 && !b.Suspect && (f.holder == nil || u.active < f.holder.active) && u.kept.Ripe(now, r.affinity) {
+		if r.fetchRate > 0 && !b.Suspect && !b.Excluded && (f.holder == nil || u.active < f.holder.active) && u.kept.Ripe(now, r.affinity) {
 			f.holder = u
 		}
 	}
--- a/instance/relay/report.go
+++ b/instance/relay/report.go
@@ -26,6 +26,9 @@
 		l.Int("tokens", int64(r.tokens)).Int("unread", int64(r.unread)).Int("ahead", int64(r.ahead)).
 			Int("predicted", int64(r.predicted)).Int("max_ahead", int64(r.maxAhead)).MS("first_event", r.first).MS("pause", r.pause)
 	}
+	if r.fetchFrom != "" {
+		l.Str("fetch_from", r.fetchFrom)
+	}
 	if reason != "" {
 		l.Str("reason", reason)
 	}
