--- a/instance/relay/stream.go
+++ b/instance/relay/stream.go
@@ -226,6 +226,12 @@
 				Bytes("after_event", st.lastID).MS("left", r.left(clock.Now())).Err(cause).End()
 			return a
 		}
+		if o == answered {
+			// A failure is an answer too: the upstream has run the request, and that counts.
+			o = unknown
+			a.err = fault.New(fault.Internal, "the upstream answered %d", a.head.Status)
+			a.up.answeredFailure()
+		}
 		a.end()
 		s.noteAttempt(r, a, o)
 		if r.isGone() {
--- a/instance/relay/stream_test.go
+++ b/instance/relay/stream_test.go
@@ -44,6 +44,29 @@
 	Expect(b.requests()).To(HaveLen(1))
 }
 
+// A stream breaks off, and all other upstreams fail at once what is resumed there. Each of
+// them has run the request: it must not go to more of them than its route allows, in the
+// minute in which they have trouble anyway.
+func TestFailedResumptionsCountAsAttempts(t *testing.T) {
+	script := func(_ int, r *received, c net.Conn) bool {
+		if r.header.Get("X-Last") != "" {
+			return whole(c, r, 500, "no")
+		}
+		return events(c, r, 1, 2, false)
+	}
+	var ups []*fakeUpstream
+	for _, id := range []string{"a", "b", "c", "d", "e"} {
+		ups = append(ups, startUpstream(t, id, script))
+	}
+	r := start(t, ups...).caller().call("POST", "/stream/", "1", "x")
+	Expect(r.err).To(HaveOccurred())
+	sent := 0
+	for _, u := range ups {
+		sent += len(u.requests())
+	}
+	Expect(sent).To(Equal(2), "the route allows two")
+}
+
 // A stream that may not be resumed breaks off. Its caller must see that it isn't
 // whole, and no other upstream may run it.
 func TestBrokenStreamThatMayNotGoOnIsCut(t *testing.T) {
