Upstreams: an incarnation under the same ID is told apart by its start; reports of another writer name nobody

Cause: heartbeats were ordered by their sequence alone, so an upstream that started again under its ID was taken for late heartbeats of the old one until it had sent more of them, and never came back after a drain or a leave. A report without its fields, or with others' types, was taken with zeros in their place. Now the start that an incarnation tells orders incarnations before the sequence; edges forget what they knew of the one before. Where a leave says no start, one that started before the leave came is the one that left. Ruled out: taking a smaller sequence for a restart (a late heartbeat looks the same). Before: with processes, a runner that drained and started again under its ID served nothing (test seen to fail at 3 s without compare); after: served within 3 s.

--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -26,6 +26,9 @@
 	// Fetched says that the rest can be taken over from another upstream.
 	Kept    float64
 	Fetched bool
+	// Residence is for how long a request holds one of its slots, in milliseconds; zero
+	// means that it is not known.
+	Residence float64
 	// Slowness is how much longer than predicted its answers have taken; 1 is normal.
 	Slowness float64
 	// Errors is the part of its latest answers that failed.
@@ -82,6 +85,8 @@
 	Domain string
 	// Draw is a number drawn uniformly from [0, 1).
 	Draw float64
+	// MaxAhead is how much may wait before it, in milliseconds; zero means any.
+	MaxAhead float64
 }
 
 // Choice is an upstream with what is predicted of the request there.
@@ -110,8 +115,11 @@
 	// memoryLimit is the part of an engine's memory that requests may hold before
 	// more of them push each other and what is kept out.
 	memoryLimit = 0.85
-	// crowded multiplies the cost of an engine without a free slot or memory.
+	// crowded multiplies the cost of an engine without free memory.
 	crowded = 6.0
+	// sample is how many upstreams are weighed besides those that keep the prompt and its
+	// homes. See considered.
+	sample = 2
 	// homes is how many upstreams a prompt that nobody keeps may well go to, and strange
 	// weighs what it costs to read it anywhere else.
 	homes   = 3
@@ -131,19 +139,46 @@
 	if best == unusable {
 		return Choice{Index: None}
 	}
+	candidate := func(u *Upstream) bool { return u.standing() == best }
+	c := costs{request: r, common: commonErrors(list, best)}
+	if r.Affinity != 0 {
+		c.homeScore = leastOfTop(list, r.Affinity, homes, candidate)
+	}
+	c.sampleScore = leastOfTop(list, c.drawn(), sample, func(u *Upstream) bool { return candidate(u) && !c.isHome(u) })
+	at := c.cheapest(list, func(u *Upstream) bool { return candidate(u) && c.considered(u) })
+	if r.MaxAhead > 0 && ahead(&list[at], r) > r.MaxAhead {
+		at = c.cheapest(list, candidate)
+	}
+	return Choice{Index: at, Wait: wait(&list[at], r), Ahead: ahead(&list[at], r)}
+}
+
+// cheapest picks among the near ones of the upstreams that may be taken.
+func (c *costs) cheapest(list []Upstream, may func(*Upstream) bool) int {
 	lowest := math.Inf(1)
-	c := costs{request: r, common: commonErrors(list, best), homeScore: homeScore(list, r, best)}
 	for i := range list {
-		if list[i].standing() == best {
+		if may(&list[i]) {
 			lowest = min(lowest, c.of(&list[i]))
 		}
 	}
-	at := pick(list, r, func(u *Upstream) bool {
-		return u.standing() == best && c.of(u) <= lowest*(1+near)+nearMS
-	})
-	return Choice{Index: at, Wait: wait(&list[at], r), Ahead: ahead(&list[at], r)}
+	return pick(list, c.request, func(u *Upstream) bool { return may(u) && c.of(u) <= lowest*(1+near)+nearMS })
+}
+
+// considered reports whether an engine is weighed at all. All instances see the same
+// loads some hundred milliseconds late; if all weighed all engines, all would send what
+// comes in that time to the one that looked idle. So each request weighs those that keep
+// its prompt, the homes of it, and a few drawn by lot.
+func (c *costs) considered(u *Upstream) bool {
+	return u.Capacity == 0 || u.Kept > 0 || c.isHome(u) || rendezvous(c.drawn(), u.ID) >= c.sampleScore
 }
 
+// isHome reports whether an upstream is a home of the request's prompt.
+func (c *costs) isHome(u *Upstream) bool {
+	return c.request.Affinity != 0 && rendezvous(c.request.Affinity, u.ID) >= c.homeScore
+}
+
+// drawn is the draw as a seed for scores.
+func (c *costs) drawn() uint64 { return math.Float64bits(c.request.Draw) }
+
 // pick takes one of the near candidates: the first one in the order of the affinity,
 // or else one in the own failure domain, or else any, in turns.
 func pick(list []Upstream, r *Request, isNear func(*Upstream) bool) int {
@@ -198,11 +233,25 @@
 	return ahead(u, r) + Unread(u, r)/r.Rate*u.Slowness + fetching(u, r)
 }
 
+// ahead predicts how long the request waits before its prompt is read, in milliseconds:
+// for what is to be read before it, or for a slot, whichever is longer.
 func ahead(u *Upstream, r *Request) float64 {
 	if u.Capacity == 0 || r.Rate <= 0 {
 		return 0
 	}
-	return float64(u.Reading) / r.Rate * u.Slowness
+	return max(float64(u.Reading)/r.Rate, slotWait(u)) * u.Slowness
+}
+
+// slotWait predicts the time until a slot is free for one more request: an engine with all
+// slots taken frees them at the pace at which requests end. Where engines have 12 slots,
+// requests that found 8 more than that on the way waited for a second and more beside
+// engines with free ones.
+func slotWait(u *Upstream) float64 {
+	over := u.Active + 1 - u.Slots
+	if over <= 0 || u.Slots == 0 {
+		return 0
+	}
+	return float64(over) * u.Residence / float64(u.Slots)
 }
 
 // commonErrors is the smallest part of failed answers among the candidates.
@@ -219,10 +268,14 @@
 // costs works out what a request costs at each candidate.
 type costs struct {
 	request *Request
-	// common is the smallest part of failed answers among the candidates, homeScore
-	// the least score of the homes of the request's prompt.
+	// common is the smallest part of failed answers among the candidates. homeScore is the
+	// least score of the homes of the request's prompt: the first upstreams in its order.
+	// Instances that meet a new prompt in the same moment don't know of each other;
+	// choosing among the same few, they mostly choose the same one.
 	common    float64
 	homeScore uint64
+	// sampleScore is the least score of the upstreams that are drawn.
+	sampleScore uint64
 }
 
 // of returns the cost at an upstream, in milliseconds.
@@ -236,10 +289,10 @@
 		// memory and moves gigabytes. At its own cost, prompts went wherever least waited:
 		// 1,112 GB moved in a minute of high load for 0.3 of 13 million tokens less to read.
 		cost = ahead(u, r) + wholeUnread(u, r)/r.Rate*u.Slowness + rereading*(1-u.Kept)*float64(r.Shared)/r.Rate
-		if u.Kept == 0 && r.Affinity != 0 && rendezvous(r.Affinity, u.ID) < c.homeScore {
+		if u.Kept == 0 && r.Affinity != 0 && !c.isHome(u) {
 			cost += strange * float64(r.Shared) / r.Rate
 		}
-		if u.Active >= u.Slots || float64(u.Held+r.Shared+r.Own) > memoryLimit*float64(u.Capacity) {
+		if float64(u.Held+r.Shared+r.Own) > memoryLimit*float64(u.Capacity) {
 			cost *= crowded
 		}
 	}
@@ -250,26 +303,22 @@
 	return cost
 }
 
-// homeScore returns the least score of a prompt's homes: the first upstreams in its
-// order. Instances that meet a new prompt in the same moment don't know of each
-// other; choosing among the same few, they mostly choose the same one.
-func homeScore(list []Upstream, r *Request, best standing) uint64 {
-	if r.Affinity == 0 {
-		return 0
-	}
+// leastOfTop returns the least of the k highest scores that a seed gives the candidates;
+// zero if there are not as many.
+func leastOfTop(list []Upstream, seed uint64, k int, candidate func(*Upstream) bool) uint64 {
 	var top [homes]uint64
 	for i := range list {
-		if list[i].standing() != best {
+		if !candidate(&list[i]) {
 			continue
 		}
-		s := rendezvous(r.Affinity, list[i].ID)
-		for k := range top {
-			if s > top[k] {
-				s, top[k] = top[k], s
+		s := rendezvous(seed, list[i].ID)
+		for j := range top[:k] {
+			if s > top[j] {
+				s, top[j] = top[j], s
 			}
 		}
 	}
-	return top[homes-1]
+	return top[k-1]
 }
 
 func rendezvous(affinity uint64, id string) uint64 {
--- a/core/balance/learn.go
+++ b/core/balance/learn.go
@@ -43,6 +43,35 @@
 	r.perMS = pace
 }
 
+// Residence learns for how long requests hold a slot of an engine.
+type Residence struct {
+	ms   float64
+	seen int
+}
+
+const (
+	// firstResidence is taken until a request has shown it, in milliseconds: an answer of
+	// some hundred tokens.
+	firstResidence = 1000.0
+	// residenceOf is how many requests the mean is over: enough that answers of any length
+	// are among them.
+	residenceOf = 50
+)
+
+// MS returns the mean in milliseconds.
+func (r *Residence) MS() float64 {
+	if r.seen == 0 {
+		return firstResidence
+	}
+	return r.ms
+}
+
+// Observe takes in for how long a request held its slot.
+func (r *Residence) Observe(took time.Duration) {
+	r.seen = min(r.seen+1, residenceOf)
+	r.ms += (float64(took)/float64(time.Millisecond) - r.ms) / float64(r.seen)
+}
+
 const (
 	// slowWeight is the weight of the latest answer, and slowFade after what time
 	// without answers an upstream counts as normal again, so that it is tried anew.
--- a/core/control/serving/machine.go
+++ b/core/control/serving/machine.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/comfreyladder/comfreyladder/core/control"
+	"github.com/comfreyladder/comfreyladder/core/route"
 )
 
 // Name of the sub-machine.
@@ -40,13 +41,19 @@
 
 // Upstream is one incarnation of an upstream process.
 type Upstream struct {
-	ID       string `codec:"i"`
-	Service  string `codec:"s"`
-	Address  string `codec:"a"`
-	Domain   string `codec:"d"`
-	Slots    int    `codec:"n"`
-	State    State  `codec:"t"`
+	ID      string `codec:"i"`
+	Service string `codec:"s"`
+	Address string `codec:"a"`
+	Domain  string `codec:"d"`
+	Slots   int    `codec:"n"`
+	State   State  `codec:"t"`
+	// Born is the Unix millisecond at which the incarnation started, by its own word; zero
+	// where it does not say. Sequence orders its heartbeats.
+	Born     int64  `codec:"b,omitempty"`
 	Sequence uint64 `codec:"q"`
+	// Begun is the log index at which the incarnation was first heard of. It tells two
+	// incarnations under one ID apart for those who remember anything by the ID.
+	Begun uint64 `codec:"g,omitempty"`
 	// Silent means that no heartbeat came for a while. It may still serve those
 	// that reach it.
 	Silent bool `codec:"x"`
@@ -72,7 +79,9 @@
 type Command struct {
 	Put      *Put      `codec:"p,omitempty"`
 	Announce *Upstream `codec:"a,omitempty"`
-	Leave    string    `codec:"l,omitempty"`
+	// Leave is the ID of an incarnation that leaves, LeaveBorn when it started if it says so.
+	Leave     string `codec:"l,omitempty"`
+	LeaveBorn int64  `codec:"b,omitempty"`
 	// Silent lists incarnations that no member has heard for a while.
 	Silent []string `codec:"x,omitempty"`
 }
@@ -101,6 +110,8 @@
 type Machine struct {
 	s  state
 	by map[string]*Upstream
+	// services are those that the table in force names.
+	services map[string]bool
 }
 
 // New returns a machine without a table and upstreams.
@@ -119,7 +130,7 @@
 	case c.Announce != nil:
 		m.announce(index, at, c.Announce)
 	case c.Leave != "":
-		m.leave(index, at, c.Leave)
+		m.leave(index, at, c.Leave, c.LeaveBorn)
 	default:
 		m.silence(index, at, c.Silent)
 	}
@@ -136,44 +147,79 @@
 	}
 	m.s.Version, m.s.Table, m.s.Source = p.Version, p.Table, p.Source
 	m.s.TableAt, m.s.Index = index, index
+	m.services = servicesOf(p.Table)
 }
 
-func (m *Machine) announce(index uint64, at time.Time, u *Upstream) {
-	old := m.by[u.ID]
-	if old != nil && (old.State == Gone || u.Sequence <= old.Sequence) {
-		return
+// servicesOf returns the names of an encoded table's services; none if it can't be read.
+func servicesOf(encoded []byte) map[string]bool {
+	var t route.Table
+	if control.Unmarshal(encoded, &t) != nil {
+		return nil
 	}
+	names := make(map[string]bool, len(t.Services))
+	for i := range t.Services {
+		names[t.Services[i].Name] = true
+	}
+	return names
+}
+
+func (m *Machine) announce(index uint64, at time.Time, u *Upstream) {
+	known := m.by[u.ID]
 	next := *u
-	if old != nil && old.State == Draining {
-		// An incarnation that began to drain does not come back.
-		next.State = Draining
+	next.Begun = index
+	if known != nil {
+		switch compare(known, u) {
+		case older:
+			return
+		case same:
+			if known.State == Gone || u.Sequence <= known.Sequence {
+				return
+			}
+			next.Begun, next.Born = known.Begun, max(known.Born, u.Born)
+			if known.State == Draining {
+				// An incarnation that began to drain does not come back.
+				next.State = Draining
+			}
+		}
 	}
-	m.supersede(index, at, &next)
+	m.claimAddress(index, at, &next)
 	m.set(index, at, &next)
 }
 
-// supersede ends the other incarnations at an address. They are not gone for good:
-// a late heartbeat of a dead one may have come after its successor's first, and the
-// successor's next heartbeat must win the address back.
-func (m *Machine) supersede(index uint64, at time.Time, by *Upstream) {
+// claimAddress settles who has the address of an upstream. The other incarnations there
+// are superseded, but not gone for good: a late heartbeat of a dead one may have come
+// after its successor's first, and the successor's next heartbeat must win the address
+// back. Where both say when they started, the later one has the address at once, and an
+// upstream of a service that the table does not name takes it from nobody.
+func (m *Machine) claimAddress(index uint64, at time.Time, by *Upstream) {
 	for id, u := range m.by {
-		if id != by.ID && u.Address == by.Address && (u.State == Ready || u.State == Draining) {
-			u.State = Superseded
-			u.Changed, u.At = index, at.UnixNano()
+		if id == by.ID || u.Address != by.Address || (u.State != Ready && u.State != Draining) {
+			continue
 		}
+		if by.Born > 0 && u.Born > by.Born || m.named(u.Service) && !m.named(by.Service) {
+			by.State = Superseded
+			continue
+		}
+		u.State = Superseded
+		u.Changed, u.At = index, at.UnixNano()
 	}
 }
 
-func (m *Machine) leave(index uint64, at time.Time, id string) {
-	old := m.by[id]
-	if old == nil {
+// named reports whether the table in force names a service.
+func (m *Machine) named(service string) bool { return m.services[service] }
+
+// leave ends an incarnation. Where the leave does not say which one under the ID it is
+// of, it ends the one that is known: work must not go on to an upstream that left.
+func (m *Machine) leave(index uint64, at time.Time, id string, born int64) {
+	known := m.by[id]
+	if known == nil || born > 0 && compare(known, &Upstream{Born: born}) == newer {
 		// The leave may overtake the announcement; it has to outlive it.
-		old = &Upstream{ID: id}
+		known = &Upstream{ID: id, Born: born, Begun: index}
 	}
-	if old.State == Gone {
+	if known.State == Gone || born > 0 && born < known.Born {
 		return
 	}
-	next := *old
+	next := *known
 	next.State = Gone
 	m.set(index, at, &next)
 }
@@ -237,6 +283,7 @@
 	}
 	s.Upstreams = nil
 	m.s = s
+	m.services = servicesOf(s.Table)
 	return nil
 }
 
--- a/instance/relay/fleet.go
+++ b/instance/relay/fleet.go
@@ -26,7 +26,7 @@
 	// holder keeps the prompt of the request that scratch is about; nil means nobody.
 	holder *upstream
 	pools  map[string]*balance.Pools
-	rates  map[string]*balance.Rate
+	paces  map[string]*pace
 	ids    []string
 	// quickCount is how many upstreams are set apart, by service.
 	quickCount map[string]int
@@ -39,7 +39,7 @@
 
 func newFleet(log *eventlog.Sink) *fleet {
 	return &fleet{log: log, upstreams: map[string]*upstream{}, services: map[string][]*upstream{}, domains: domains{}, pools: map[string]*balance.Pools{},
-		rates: map[string]*balance.Rate{}, others: map[string]servingsvc.Load{}, quickCount: map[string]int{}}
+		paces: map[string]*pace{}, others: map[string]servingsvc.Load{}, quickCount: map[string]int{}}
 }
 
 // update takes in which incarnations there are. One that is not usable any more
@@ -57,7 +57,13 @@
 	f.services = map[string][]*upstream{}
 	for id, info := range v.Upstreams {
 		u := f.upstreams[id]
-		if u == nil || u.address != info.Address {
+		if u == nil || u.address != info.Address || u.begun != info.Begun {
+			// An upstream that started again keeps nothing, is as fast as any, and has none
+			// of the work that its ID had before.
+			if u != nil {
+				u.retire()
+				f.log.Event("upstream_restarted").Str("upstream", id).Str("address", info.Address).Int("born", info.Born).Int("index", int64(v.Index)).End()
+			}
 			u = newUpstream(info)
 			f.upstreams[id] = u
 		}
@@ -103,9 +109,9 @@
 	list := f.services[r.service]
 	now := time.Now()
 	f.describe(r, list, now, domain, avoid, true)
-	q := &balance.Request{Affinity: r.affinity, Shared: r.shared, Own: r.tokens - r.shared, Domain: domain, Draw: rand.Float64(), FetchRate: r.fetchRate}
+	q := &balance.Request{Affinity: r.affinity, Shared: r.shared, Own: r.tokens - r.shared, Domain: domain, Draw: rand.Float64(), FetchRate: r.fetchRate, MaxAhead: r.maxAhead}
 	if r.tokens > 0 {
-		q.Rate = f.rate(r.service).PerMS()
+		q.Rate = f.pace(r.service).rate.PerMS()
 	}
 	c := balance.Choose(f.scratch, q)
 	if c.Index == balance.None {
@@ -148,6 +154,7 @@
 	f.scratch = f.scratch[:0]
 	quick := f.split(r, list, now)
 	fresh := now.Sub(f.othersAt) < othersAge
+	pace := f.pace(r.service)
 	for _, u := range list {
 		b := u.describe(now)
 		if others := f.others[u.id]; fresh {
@@ -156,6 +163,7 @@
 			b.Held += others.Held
 		}
 		b.Capacity = r.capacity
+		b.Residence = pace.residence(quick[u.id]).MS()
 		b.Suspect = b.Suspect || u.domain != domain && f.domains.suspect(now, u.domain)
 		b.Elsewhere = pools && quick != nil && quick[u.id] != r.quick
 		b.Excluded = u.active >= u.maxConns || slices.Contains(avoid, u)
--- a/instance/relay/split.go
+++ b/instance/relay/split.go
@@ -7,14 +7,29 @@
 	"github.com/comfreyladder/comfreyladder/core/balance"
 )
 
-// rate needs mu.
-func (f *fleet) rate(service string) *balance.Rate {
-	r := f.rates[service]
-	if r == nil {
-		r = &balance.Rate{}
-		f.rates[service] = r
+// pace is what this instance has learned of a service's engines: how fast they read, and
+// for how long requests hold their slots, by what they are for.
+type pace struct {
+	rate        balance.Rate
+	quick, long balance.Residence
+}
+
+// residence returns the mean of the engines for quick requests, or of the others.
+func (p *pace) residence(quick bool) *balance.Residence {
+	if quick {
+		return &p.quick
 	}
-	return r
+	return &p.long
+}
+
+// pace needs mu.
+func (f *fleet) pace(service string) *pace {
+	p := f.paces[service]
+	if p == nil {
+		p = &pace{}
+		f.paces[service] = p
+	}
+	return p
 }
 
 // split says which upstreams are for quick requests, and notes whether this is one.
@@ -31,10 +46,10 @@
 	if len(quick) != f.quickCount[r.service] {
 		f.quickCount[r.service] = len(quick)
 		f.log.Event("pools").Str("service", r.service).Int("quick", int64(len(quick))).Int("upstreams", int64(len(list))).
-			Int("tokens_per_s", int64(1000*f.rate(r.service).PerMS())).End()
+			Int("tokens_per_s", int64(1000*f.pace(r.service).rate.PerMS())).End()
 	}
 	o := r.offer()
-	r.quick = p.Quick(&o, f.rate(r.service).PerMS())
+	r.quick = p.Quick(&o, f.pace(r.service).rate.PerMS())
 	return quick
 }
 
--- a/instance/relay/upstream.go
+++ b/instance/relay/upstream.go
@@ -13,10 +13,12 @@
 // the fields up to mu; mu guards those up to pool, which has a mutex of its own.
 type upstream struct {
 	id, address, domain string
-	state               serving.State
-	silent              bool
-	slots               int
-	maxConns            int
+	// begun tells incarnations under one ID apart.
+	begun    uint64
+	state    serving.State
+	silent   bool
+	slots    int
+	maxConns int
 
 	// active counts requests under way, held their prompt tokens, and reading those
 	// that are to be read for requests whose first event has not come.
@@ -38,7 +40,7 @@
 }
 
 func newUpstream(info *serving.Upstream) *upstream {
-	u := &upstream{id: info.ID, address: info.Address}
+	u := &upstream{id: info.ID, address: info.Address, begun: info.Begun}
 	u.pool.address = info.Address
 	return u
 }
@@ -73,7 +75,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	a.up.reading -= a.unread
-	f.rate(a.r.service).Observe(float64(a.unread+a.ahead), took)
+	f.pace(a.r.service).rate.Observe(float64(a.unread+a.ahead), took)
 	a.up.slowness.Observe(time.Now(), a.predicted+slownessFloor, float64(took.Milliseconds())+slownessFloor)
 }
 
@@ -89,7 +91,11 @@
 	a.up.held -= a.r.tokens
 	if !a.begunEvents {
 		a.up.reading -= a.unread
+		return
 	}
+	p := f.pace(a.r.service)
+	reading := time.Duration(float64(a.unread) / p.rate.PerMS() * float64(time.Millisecond))
+	p.residence(a.r.quick).Observe(time.Since(a.begun) - a.r.first + reading)
 }
 
 const (
--- a/instance/roles/config.go
+++ b/instance/roles/config.go
@@ -68,7 +68,7 @@
 	Put(ctx context.Context, t *route.Table, source []byte) error
 	Newest(ctx context.Context) (version uint64, source []byte, err error)
 	Announce(ctx context.Context, u serving.Upstream) error
-	Leave(ctx context.Context, id string) error
+	Leave(ctx context.Context, id string, born int64) error
 }
 
 // Dialect is how the deployment speaks.
--- a/instance/roles/core.go
+++ b/instance/roles/core.go
@@ -5,6 +5,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/valyala/fasthttp"
+
 	"github.com/comfreyladder/comfreyladder/instance/consensus"
 	"github.com/comfreyladder/comfreyladder/instance/control"
 	"github.com/comfreyladder/comfreyladder/instance/kernel"
@@ -87,10 +89,31 @@
 		if err != nil {
 			return nil, err
 		}
-		return newListener(p.cfg.Control, p.dialect.Control(s)), nil
+		return newListener(p.cfg.Control, p.logRefusals(p.dialect.Control(s))), nil
 	}}
 }
 
+// maxReason bounds what a refused call's line says of the reason, in bytes: it may quote
+// what a stranger sent.
+const maxReason = 200
+
+// logRefusals writes a line for each call that is refused as faulty. The sender is told
+// as well, but it may be nobody who reads answers.
+func (p *Process) logRefusals(h fasthttp.RequestHandler) fasthttp.RequestHandler {
+	return func(ctx *fasthttp.RequestCtx) {
+		h(ctx)
+		status := ctx.Response.StatusCode()
+		if status < fasthttp.StatusBadRequest || status >= fasthttp.StatusInternalServerError {
+			return
+		}
+		reason := ctx.Response.Body()
+		p.events.Event("call_refused").Bytes("method", ctx.Method()).Str("path", truncate(string(ctx.Path()))).Int("status", int64(status)).
+			Str("from", ctx.RemoteAddr().String()).Str("reason", truncate(string(reason))).End()
+	}
+}
+
+func truncate(text string) string { return text[:min(len(text), maxReason)] }
+
 // replica returns the member of the control group that runs here, or nil.
 func (s *servingService) replica() *consensus.Service {
 	if c := s.control.Load(); c != nil {
--- a/instance/serving/serving.go
+++ b/instance/serving/serving.go
@@ -215,32 +215,22 @@
 	var ok bool
 	machine(g, func(m *serving.Machine) { known, ok = m.Upstream(u.ID) })
 	s.note(u.ID)
-	if ok && !tellsNews(&known, &u) {
+	if ok && !serving.TellsNews(&known, &u) {
 		return nil
 	}
 	err = s.propose(ctx, &serving.Command{Announce: &u})
 	s.cfg.Log.Info().Str("event", "upstream_announced").Str("upstream", u.ID).Str("service", u.Service).Str("address", u.Address).
-		Str("state", u.State.String()).Uint64("sequence", u.Sequence).Str("before", known.State.String()).Bool("was_silent", known.Silent).
+		Str("state", u.State.String()).Int64("born", u.Born).Uint64("sequence", u.Sequence).Str("before", known.State.String()).Bool("was_silent", known.Silent).
 		Str("outcome", outcome(err)).Err(err).Msg("heartbeat of an upstream")
 	return err
 }
 
-func tellsNews(known, u *serving.Upstream) bool {
-	if known.State == serving.Gone || u.Sequence <= known.Sequence {
-		return false
-	}
-	if known.Silent || known.State == serving.Superseded {
-		return true
-	}
-	return known.State != serving.Draining && known.State != u.State ||
-		known.Address != u.Address || known.Service != u.Service || known.Slots != u.Slots
-}
-
-// Leave takes the leave of an upstream. When it returns without a failure, every
-// confirmed answer from then on has it.
-func (s *Service) Leave(ctx context.Context, id string) error {
-	err := s.propose(ctx, &serving.Command{Leave: id})
-	s.cfg.Log.Info().Str("event", "upstream_left").Str("upstream", id).Str("outcome", outcome(err)).Err(err).Msg("an upstream leaves")
+// Leave takes the leave of an upstream that started at a Unix millisecond; zero where it
+// does not say when. When it returns without a failure, every confirmed answer from then
+// on has it.
+func (s *Service) Leave(ctx context.Context, id string, born int64) error {
+	err := s.propose(ctx, &serving.Command{Leave: id, LeaveBorn: born})
+	s.cfg.Log.Info().Str("event", "upstream_left").Str("upstream", id).Int64("born", born).Str("outcome", outcome(err)).Err(err).Msg("an upstream leaves")
 	return err
 }
 
--- a/proof/deployed/deployed_test.go
+++ b/proof/deployed/deployed_test.go
@@ -176,3 +176,54 @@
 		}
 	}
 }
+
+// A runner that has sent some heartbeats crashes and starts again under its ID, at another
+// port and with its count of heartbeats from the start. Callers would wait until it had
+// sent as many again if only the count ordered them, and for good after a drain. What
+// the dead one sent before is delivered late; it must not take the new one's place.
+func TestRunnerThatStartsAgainUnderItsID(t *testing.T) {
+	s := newTrio(t)
+	s.runner.sequence.Store(10_000)
+	Expect(s.runner.report(s.cores[0], "draining")).To(Equal(200))
+	s.runner.crash()
+	time.Sleep(10 * time.Millisecond)
+	again := s.site.runner(s.runner.id, s.cores...)
+	for _, e := range s.edges {
+		Eventually(func() int { return e.ask("k") }, 3*time.Second, poll).Should(Equal(200), s.logs)
+	}
+	Expect(s.runner.report(s.cores[1], "ready")).To(Equal(200))
+	Expect(s.runner.report(s.cores[2], "draining")).To(Equal(200))
+	served := again.served.Load()
+	for range 5 {
+		for _, e := range s.edges {
+			Expect(e.ask("k")).To(Equal(200))
+		}
+	}
+	Expect(again.served.Load()).To(BeNumerically(">=", served+10))
+}
+
+// Reports of another writer arrive between those of the runner: with its ID, with its
+// address, without fields, as bytes of no sense. Each is refused or names nobody; callers
+// notice nothing, and a line tells who sent them.
+func TestReportsOfAnotherWriter(t *testing.T) {
+	s := newTrio(t)
+	url := "http://" + s.cores[0].at(portControl) + "/instances/"
+	address := s.runner.listener.Addr().String()
+	for path, body := range map[string]string{
+		"i-1": `{"service":"s","address":"` + address + `","zone":"north","slots":"8","state":"ready","sequence":99999}`,
+		"i-2": `{"service":"s","state":"ready","sequence":1}`,
+		"i-3": "\x00\xff{",
+		"i-4": `{"service":"s","address":"` + address + `","zone":"north","version":"v1","slots":8,"state":"resting","warmup-left-ms":0,"sequence":1}`,
+	} {
+		status, _ := call("PUT", url+path, body)
+		Expect(status).To(Equal(400), body)
+	}
+	status, _ := call("PUT", url+"i-5", `{"service":"nobody","address":"`+address+`","zone":"north","version":"v1","slots":8,"state":"ready","warmup-left-ms":0,"sequence":1}`)
+	Expect(status).To(Equal(200))
+	for range 20 {
+		for _, e := range s.edges {
+			Expect(e.ask("k")).To(Equal(200))
+		}
+	}
+	Eventually(s.cores[0].log, patience, poll).Should(ContainSubstring("event=call_refused"))
+}
--- a/proof/deployed/harness_test.go
+++ b/proof/deployed/harness_test.go
@@ -202,16 +202,19 @@
 type runner struct {
 	s        *site
 	id       string
+	born     int64
 	listener net.Listener
 	sequence atomic.Int64
 	served   atomic.Int64
 	stop     chan struct{}
+	// crash ends it without a word.
+	crash func()
 }
 
 func (s *site) runner(id string, cores ...*node) *runner {
 	l, err := net.Listen("tcp4", s.ip(250)+":0")
 	Expect(err).NotTo(HaveOccurred())
-	r := &runner{s: s, id: id, listener: l, stop: make(chan struct{})}
+	r := &runner{s: s, id: id, born: time.Now().UnixMilli(), listener: l, stop: make(chan struct{})}
 	server := &http.Server{ReadHeaderTimeout: time.Second, Handler: http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
 		r.served.Add(1)
 		w.Header().Set("Attempt-Id", req.Header.Get("Attempt-Id"))
@@ -220,10 +223,11 @@
 	})}
 	go func() { _ = server.Serve(l) }()
 	go r.beat(cores)
-	s.t.Cleanup(func() {
+	r.crash = sync.OnceFunc(func() {
 		close(r.stop)
 		_ = server.Close()
 	})
+	s.t.Cleanup(r.crash)
 	return r
 }
 
@@ -239,7 +243,8 @@
 }
 
 func (r *runner) report(to *node, state string) int {
-	body := fmt.Sprintf(`{"service":"s","address":%q,"zone":"north","slots":8,"state":%q,"sequence":%d}`, r.listener.Addr(), state, r.sequence.Add(1))
+	body := fmt.Sprintf(`{"service":"s","address":%q,"zone":"north","version":"v1","slots":8,"state":%q,"warmup-left-ms":0,"sequence":%d,"born":%d}`,
+		r.listener.Addr(), state, r.sequence.Add(1), r.born)
 	status, _ := call("PUT", "http://"+to.at(portControl)+"/instances/"+r.id, body)
 	return status
 }
