Balance: admission by slots as well as by reading

Hypothesis: in a burst of long prompts twice as many requests were on the way as there are slots (2,670 on 1,344), so that the urgent ones waited behind them as well. What is admitted went by reading alone. Change: a route asks for engines by its reading or by its slots, whichever is more; nine tenths of slots.

--- a/core/balance/admission.go
+++ b/core/balance/admission.go
@@ -7,22 +7,23 @@
 )
 
 // Engines that read prompts all the time generate so slowly that streams miss their
-// deadlines and what was read for them is wasted. busiest is the part of the time
-// for which they may read.
+// deadlines and what was read for them is wasted; engines without a free slot let the
+// urgent wait beside the others. busiest is the part of the time for which they may read,
+// fullest the part of their slots that may be taken.
 const (
 	busiest = 0.8
+	fullest = 0.9
 	// leastAdmitted is the part of each route's requests that is taken in any case.
 	leastAdmitted = 0.3
 )
 
 // Admitted returns which part of a long route's requests the upstreams that are not
-// for quick ones can bear, if each of so many reads so many tokens a second. Where it
-// is not all, the most urgent routes come first.
-func (p *Pools) Admitted(now time.Time, route string, upstreams, perSecond float64) float64 {
+// for quick ones can bear. Where it is not all, the most urgent routes come first.
+func (p *Pools) Admitted(now time.Time, route string, upstreams float64) float64 {
 	p.decay(now)
-	left := busiest * upstreams * perSecond
+	left := upstreams
 	for _, l := range longRoutes(p.all()) {
-		demand := l.load.Recent / haste.Seconds()
+		demand := p.engine.asked(&l.load)
 		if demand <= 0 {
 			continue
 		}
@@ -35,6 +36,18 @@
 	return 1
 }
 
+// asked returns how many engines a route asks for at the moment.
+func (e *Engine) asked(l *RouteLoad) float64 {
+	if e.PerMS == 0 {
+		return 0
+	}
+	reading := l.Recent / haste.Seconds() / (busiest * e.PerMS * 1000)
+	if e.Slots == 0 {
+		return reading
+	}
+	return max(reading, l.RecentSlots/haste.Seconds()/(fullest*e.Slots))
+}
+
 type namedLoad struct {
 	name string
 	load RouteLoad
--- a/core/balance/pools.go
+++ b/core/balance/pools.go
@@ -44,8 +44,9 @@
 	Tokens, Unread, Requests float64
 	// SlotTime is for how long its requests hold slots, in seconds; it decays with pace.
 	SlotTime float64
-	// Recent is the work, in prompt tokens, that decays with haste.
-	Recent float64
+	// Recent is the work, in prompt tokens, and RecentSlots the SlotTime, that decay with
+	// haste.
+	Recent, RecentSlots float64
 	// Gap is the longest pause that the route allows; zero means that it does not say.
 	Gap time.Duration
 	// Place is how urgent the route is: 0 for the most urgent ones, 1 for the least.
@@ -123,6 +124,7 @@
 	l.Requests++
 	l.SlotTime += o.Residence.Seconds()
 	l.Recent += float64(o.Unread) + answering
+	l.RecentSlots += o.Residence.Seconds()
 	l.Gap, l.Place = o.Gap, o.Place
 	p.reshare()
 }
@@ -136,6 +138,7 @@
 	p.at = now
 	for name, l := range p.own {
 		l.Recent *= fast
+		l.RecentSlots *= fast
 		l.Tokens *= f
 		l.Unread *= f
 		l.SlotTime *= f
@@ -171,6 +174,7 @@
 		s.Requests += l.Requests
 		s.SlotTime += l.SlotTime
 		s.Recent += l.Recent
+		s.RecentSlots += l.RecentSlots
 		s.Gap, s.Place = l.Gap, l.Place
 		sum[name] = s
 	}
--- a/core/balance/pools_test.go
+++ b/core/balance/pools_test.go
@@ -126,12 +126,13 @@
 		p.Note(now, &balance.Offer{Route: "brief", Tokens: 9000, Unread: 3000, Gap: time.Second, Place: 0})
 		p.Note(now, &balance.Offer{Route: "report", Tokens: 17000, Unread: 9000, Gap: time.Second, Place: 1})
 	}
-	g.Expect(p.Admitted(now, "brief", 100, 60000)).To(Equal(1.0))
-	g.Expect(p.Admitted(now, "report", 100, 60000)).To(Equal(1.0))
-	g.Expect(p.Admitted(now, "brief", 15, 60000)).To(Equal(1.0))
-	part := p.Admitted(now, "report", 15, 60000)
+	p.SetEngine(balance.Engine{PerMS: 60})
+	g.Expect(p.Admitted(now, "brief", 100)).To(Equal(1.0))
+	g.Expect(p.Admitted(now, "report", 100)).To(Equal(1.0))
+	g.Expect(p.Admitted(now, "brief", 15)).To(Equal(1.0))
+	part := p.Admitted(now, "report", 15)
 	g.Expect(part).To(BeNumerically("~", 0.35, 0.1))
-	g.Expect(p.Admitted(now, "report", 1, 60000)).To(BeNumerically(">", 0.2))
+	g.Expect(p.Admitted(now, "report", 1)).To(BeNumerically(">", 0.2))
 }
 
 // Ninety instances meet their first requests, each some other ones. They must draw
--- a/instance/relay/split.go
+++ b/instance/relay/split.go
@@ -103,6 +103,6 @@
 			able += 1 / max(1, u.Slowness)
 		}
 	}
-	part := p.Admitted(now, r.route.Name, able, q.Rate*1000)
+	part := p.Admitted(now, r.route.Name, able)
 	r.shed = part < 1 && rand.Float64() > part
 }
--- a/instance/serving/work.go
+++ b/instance/serving/work.go
@@ -30,8 +30,8 @@
 	Service, Route string
 	// Tokens, Unread and Recent are prompt tokens, Requests thousandths of one.
 	Tokens, Unread, Requests, Recent int
-	// SlotTime is in milliseconds.
-	SlotTime int
+	// SlotTime and RecentSlots are in milliseconds.
+	SlotTime, RecentSlots int
 	// Gap is in milliseconds, Place in hundredths; they are the route's, not added up.
 	Gap, Place int
 }
@@ -42,6 +42,7 @@
 	l.Requests = max(0, l.Requests+sign*o.Requests)
 	l.Recent = max(0, l.Recent+sign*o.Recent)
 	l.SlotTime = max(0, l.SlotTime+sign*o.SlotTime)
+	l.RecentSlots = max(0, l.RecentSlots+sign*o.RecentSlots)
 	l.Gap, l.Place = o.Gap, o.Place
 }
 
