Balance: engines are allotted by urgency where there are too few; quick requests overflow early

Hypothesis: in a burst both sides of the line shared the want alike, so that questions waited for slots beside reports that were on time; a question went to any engine only after three objectives of waiting. Change: what routes need at least is given in order of urgency (the part that is admitted in any case first), the rest by what is ample; a quick request goes to any engine once its own ones keep it waiting for a quarter of its objective.

--- a/core/balance/pools.go
+++ b/core/balance/pools.go
@@ -33,8 +33,9 @@
 // Engine is what an engine of a service can do, as far as it is known.
 type Engine struct {
 	// PerMS is how many prompt tokens it reads in a millisecond, Slots how many requests it
-	// runs at once. Where either is zero, only what is to be read counts.
-	PerMS, Slots float64
+	// runs at once, and Count how many such engines there are. Where one is zero, only the
+	// proportion of what is to be read counts.
+	PerMS, Slots, Count float64
 }
 
 // RouteLoad is what one route brings, as one instance sees it or several.
@@ -230,43 +231,21 @@
 		p.share = leastShare
 		return
 	}
-	most := longest(loads)
-	var long, brief need
-	quickRequests := 0.0
-	for _, l := range loads {
-		if !quick(&l, most) {
-			long.add(&l, 1, 1)
-			continue
-		}
-		brief.add(&l, roominess, slotRoom)
-		quickRequests += l.Requests
+	p.share = quickPart(claimsOf(loads, &p.engine), p.engine.Count)
+	if p.share > 0 {
+		p.share = max(p.share, min(leastShare, quickRequests(loads)/requests/2))
 	}
-	p.share = 0
-	if quickRequests == 0 {
-		return
-	}
-	quickNeed := brief.engines(&p.engine)
-	p.share = max(quickNeed/(quickNeed+long.engines(&p.engine)), min(leastShare, quickRequests/requests/2))
-}
-
-// need is what requests need of engines: prompt tokens to read, with room, and slots.
-type need struct{ work, slots float64 }
-
-func (n *need) add(l *RouteLoad, workRoom, slotRoom float64) {
-	n.work += workRoom*l.Unread + answering*l.Requests
-	n.slots += slotRoom * l.SlotTime / pace.Seconds()
 }
 
-// engines returns how many engines are needed, or where it is not known what an engine can
-// do, a number in proportion to that. Engines with few slots run out of them long before
-// they read all the time: by what is to be read alone, 45 of 112 engines with 12 slots
-// each ran 1 to 5 quick requests, while 13 to 25 long ones were on the way to each other.
-func (n *need) engines(e *Engine) float64 {
-	if e.PerMS == 0 || e.Slots == 0 {
-		return n.work
+// quickRequests returns how many of the requests are quick ones.
+func quickRequests(loads map[string]RouteLoad) float64 {
+	most, sum := longest(loads), 0.0
+	for _, l := range loads {
+		if quick(&l, most) {
+			sum += l.Requests
+		}
 	}
-	reading := n.work / (e.PerMS * float64(pace.Milliseconds()))
-	return max(reading, n.slots/e.Slots)
+	return sum
 }
 
 // line returns how many of so many upstreams are set apart. It follows the share half
--- a/instance/relay/fleet.go
+++ b/instance/relay/fleet.go
@@ -125,15 +125,13 @@
 			return nil, true
 		}
 	}
-	if c.Ahead > r.maxAhead && r.tokens > 0 {
-		if !r.quick {
-			return nil, true
-		}
+	if r.quick && c.Ahead > overflowShare*float64(r.route.Target.Milliseconds()) {
 		// A quick request harms nobody elsewhere; a long one among quick ones would.
 		f.describe(r, list, now, domain, avoid, false)
-		if c = balance.Choose(f.scratch, q); c.Ahead > r.maxAhead {
-			return nil, true
-		}
+		c = balance.Choose(f.scratch, q)
+	}
+	if c.Ahead > r.maxAhead && r.tokens > 0 {
+		return nil, true
 	}
 	u = list[c.Index]
 	r.upstream, r.unread, r.ahead = u.id, int(balance.Unread(&f.scratch[c.Index], q)), f.scratch[c.Index].Reading
@@ -148,6 +146,11 @@
 	return u, false
 }
 
+// overflowShare is the part of its objective that a quick request may wait at the engines
+// for its kind before it goes to any engine: the rest is needed for its own prompt and for
+// what nobody has told yet.
+const overflowShare = 0.25
+
 // describe fills scratch with what is known of the candidates; with pools, also which of
 // them are for the other kind of requests.
 func (f *fleet) describe(r *request, list []*upstream, now time.Time, domain string, avoid []*upstream, pools bool) {
--- a/instance/relay/split.go
+++ b/instance/relay/split.go
@@ -55,7 +55,7 @@
 		f.ids = append(f.ids, u.id)
 		slots += u.slots
 	}
-	p.SetEngine(balance.Engine{PerMS: f.pace(r.service).rate.PerMS(), Slots: float64(slots) / float64(max(1, len(list)))})
+	p.SetEngine(balance.Engine{PerMS: f.pace(r.service).rate.PerMS(), Slots: float64(slots) / float64(max(1, len(list))), Count: float64(len(list))})
 	quick = p.Split(now, f.ids)
 	if len(quick) != f.quickCount[r.service] {
 		f.quickCount[r.service] = len(quick)
