--- a/core/balance/admission.go
+++ b/core/balance/admission.go
@@ -14,7 +14,7 @@
 	busiest = 0.8
 	fullest = 0.9
 	// leastAdmitted is the part of each route's requests that is taken in any case.
-	leastAdmitted = 0.3
+	leastAdmitted = 0.25
 )
 
 // Admitted returns which part of a long route's requests the upstreams that are not
--- a/core/balance/pools.go
+++ b/core/balance/pools.go
@@ -57,7 +57,7 @@
 const (
 	// pace is the time constant of the loads: long enough that the pools don't move
 	// with each request, short enough to follow a burst.
-	pace = 6 * time.Second
+	pace = 3 * time.Second
 	// haste is the time constant of what is admitted: a burst fills engines' queues in
 	// a second or two.
 	haste = 1500 * time.Millisecond
@@ -88,7 +88,7 @@
 	// which part of all, and lineEvery the shortest time between two moves.
 	lineStep  = 0.8
 	lineShare = 0.04
-	lineEvery = 700 * time.Millisecond
+	lineEvery = 400 * time.Millisecond
 	// poolsOrder makes the order of the pools another one than those of prompts.
 	poolsOrder = 1
 )
--- a/instance/follow/follow.go
+++ b/instance/follow/follow.go
@@ -49,6 +49,8 @@
 // Config of a Follower.
 type Config struct {
 	Links Links
+	// Domain is the failure domain of this instance.
+	Domain string
 	// Seeds returns the names of members to begin with.
 	Seeds func() []string
 	// Lease is for how long a confirmed state may be acted on.
@@ -89,6 +91,9 @@
 	members []string
 	current string
 	inTouch bool
+	// domains are the failure domains of members, failed when they last failed to answer.
+	domains map[string]string
+	failed  map[string]time.Time
 	// told is up to where toldBy has told the others' work.
 	told   uint64
 	toldBy string
@@ -104,7 +109,7 @@
 	if cfg.Slack <= 0 {
 		cfg.Slack = DefaultSlack
 	}
-	f := &Follower{cfg: cfg}
+	f := &Follower{cfg: cfg, domains: map[string]string{}, failed: map[string]time.Time{}}
 	f.view.Store(&View{Upstreams: map[string]*serving.Upstream{}, Forwarders: 1})
 	return f
 }
@@ -152,9 +157,11 @@
 		}
 		if f.current != "" && f.ask(ctx, f.current) {
 			failures = 0
+			f.current = f.nearer()
 			continue
 		}
 		f.lost()
+		f.failed[f.current] = clock.Now()
 		f.current = f.next()
 		failures++
 		if failures%max(1, len(f.members)) == 0 || f.current == "" {
@@ -179,6 +186,31 @@
 	return f.members[(i+1)%len(f.members)]
 }
 
+// retryNear is after what time a member that failed to answer is preferred again for its
+// nearness.
+const retryNear = 5 * time.Second
+
+// nearer returns a member of the own failure domain, or one whose domain is not known yet,
+// and else the current one. The answers hold the work of all instances several times a
+// second: from members anywhere, two thirds of them crossed domains among three.
+func (f *Follower) nearer() string {
+	if f.domains[f.current] == f.cfg.Domain {
+		return f.current
+	}
+	best := f.current
+	for _, name := range f.members {
+		domain, known := f.domains[name]
+		if clock.Since(f.failed[name]) < retryNear || known && domain != f.cfg.Domain {
+			continue
+		}
+		best = name
+		if known {
+			break
+		}
+	}
+	return best
+}
+
 // ask puts one question and reports whether the member is one to stay with.
 func (f *Follower) ask(ctx context.Context, name string) bool {
 	view := f.view.Load()
@@ -199,6 +231,7 @@
 		f.cfg.Log.Debug().Str("event", "watch_failed").Str("peer", name).Err(err).Msg("a member did not answer")
 		return false
 	}
+	f.domains[name] = a.Domain
 	f.take(view, &a)
 	f.told, f.toldBy, f.othersBusy = a.Told, name, a.Summary.Busy
 	f.tellOthers(&a.Summary, &q.Report.Work)
--- a/instance/relay/exchange.go
+++ b/instance/relay/exchange.go
@@ -87,23 +87,27 @@
 }
 
 // busyReading is how many prompt tokens must wait at the mean engine for news of loads
-// to matter.
-const busyReading = 1500
+// to matter, and busySlots which part of the slots must be taken.
+const (
+	busyReading = 1500
+	busySlots   = 0.6
+)
 
-// busy reports whether engines have much to read; it needs mu.
+// busy reports whether engines have much to do; it needs mu.
 func (f *fleet) busy(now time.Time) bool {
-	reading, engines := 0, 0
-	for service, p := range f.pools {
-		if p == nil {
-			continue
-		}
+	reading, active, engines, slots := 0, 0, 0, 0
+	fresh := now.Sub(f.othersAt) < othersAge
+	for service := range f.pools {
 		for _, u := range f.services[service] {
 			engines++
+			slots += u.slots
 			reading += u.reading
-			if now.Sub(f.othersAt) < othersAge {
+			active += u.active
+			if fresh {
 				reading += f.others[u.id].Reading
+				active += f.others[u.id].Active
 			}
 		}
 	}
-	return reading > busyReading*engines
+	return reading > busyReading*engines || float64(active) > busySlots*float64(slots)
 }
--- a/instance/roles/edge.go
+++ b/instance/roles/edge.go
@@ -16,7 +16,7 @@
 			return nil, err
 		}
 		return follow.New(follow.Config{
-			Links: links, Seeds: func() []string { return *p.seeds.Load() }, Lease: p.cfg.Lease, Log: p.log,
+			Links: links, Domain: p.cfg.Domain, Seeds: func() []string { return *p.seeds.Load() }, Lease: p.cfg.Lease, Log: p.log,
 			Report:   func() serving.Report { return p.forwarder.Load().Report() },
 			OnReport: func(r *serving.Report) { p.forwarder.Load().TakeReport(r) },
 		}), nil
