--- a/core/balance/claims.go
+++ b/core/balance/claims.go
@@ -69,12 +69,18 @@
 	return scarcePart(claims, engines)
 }
 
+// reservedMost is the part of the engines that may be kept for what is admitted in any
+// case. Without it a flood of the least urgent requests would leave nothing for the others.
+const reservedMost = 0.5
+
 func scarcePart(claims []claim, engines float64) float64 {
-	left, ample := engines, 0.0
+	least, ample := 0.0, 0.0
 	for _, c := range claims {
-		left -= leastAdmitted * c.least
+		least += c.least
 		ample += c.ample
 	}
+	reserved := min(leastAdmitted, reservedMost*engines/least)
+	left := engines - reserved*least
 	quick, all := 0.0, 0.0
 	give := func(c *claim, n float64) {
 		all += n
@@ -84,14 +90,12 @@
 	}
 	for i := range claims {
 		c := &claims[i]
-		more := min((1-leastAdmitted)*c.least, max(0, left))
+		more := min((1-reserved)*c.least, left)
 		left -= more
-		give(c, leastAdmitted*c.least+more)
+		give(c, reserved*c.least+more)
 	}
-	if left > 0 {
-		for i := range claims {
-			give(&claims[i], left*claims[i].ample/ample)
-		}
+	for i := range claims {
+		give(&claims[i], left*claims[i].ample/ample)
 	}
 	return quick / all
 }
--- a/instance/follow/follow_test.go
+++ b/instance/follow/follow_test.go
@@ -146,3 +146,35 @@
 	g.Eventually(func() int { return len(f.View().Upstreams) }).Should(BeZero())
 	g.Expect(version(f)()).To(Equal(uint64(1)))
 }
+
+// Answers hold the work of all instances, several times a second. Asked anywhere, most of
+// them cross failure domains, which costs; the member of the own domain is asked as long as
+// it answers, and others while it does not.
+func TestMemberOfTheOwnDomainIsAsked(t *testing.T) {
+	RegisterTestingT(t)
+	g := &group{members: map[string]*member{}}
+	for _, name := range []string{"a", "b", "c"} {
+		a := answer(1, 1, true, "a", "b", "c")
+		a.Domain = "domain-of-" + name
+		g.set(name, a)
+	}
+	f := follow.New(follow.Config{
+		Links: g, Domain: "domain-of-c", Seeds: func() []string { return []string{"a", "b", "c"} }, Lease: lease,
+		Hold: 20 * time.Millisecond, Slack: 30 * time.Millisecond, Log: zerolog.Nop(),
+	})
+	Expect(f.Start(context.Background())).To(Succeed())
+	t.Cleanup(func() { _ = f.Stop(context.Background()) })
+	last := func() string {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		if len(g.asked) < 6 {
+			return ""
+		}
+		return g.asked[len(g.asked)-1]
+	}
+	Eventually(last, 3*time.Second, 5*time.Millisecond).Should(Equal("c"))
+	Consistently(last, 100*time.Millisecond, 5*time.Millisecond).Should(Equal("c"))
+	g.set("c", nil)
+	Eventually(f.Lease, 3*time.Second, 5*time.Millisecond).Should(BeNumerically(">", 200*time.Millisecond))
+	Eventually(last, 3*time.Second, 5*time.Millisecond).ShouldNot(Equal("c"))
+}
