--- a/operator/commands/explain.go
+++ b/operator/commands/explain.go
@@ -55,6 +55,7 @@
 	}
 	found := logs.Explain(lines, c.Args.ID, c.Context)
 	if len(found) == 0 {
+		tellEnded(w, logs.EndedWithoutAWord(lines))
 		return fault.New(fault.NotFound, "no line names the request %q; look for event=log_dropped, or at the logs of other instances", c.Args.ID)
 	}
 	for _, l := range found {
@@ -67,6 +68,17 @@
 	return nil
 }
 
+// tellEnded prints the processes that ended without a word.
+func tellEnded(w io.Writer, ended []logs.Ended) {
+	for _, e := range ended {
+		again := "has not started since"
+		if !e.Started.IsZero() {
+			again = "started anew at " + e.Started.Format(time.RFC3339Nano)
+		}
+		fmt.Fprintf(w, "! %s ended after %s without a stop and %s: what it had under way then has no line\n", e.Source, e.Last.Format(time.RFC3339Nano), again)
+	}
+}
+
 func readLog(name string) ([]*logs.Line, error) {
 	if name == "-" {
 		return logs.Read(os.Stdin, "stdin")
--- a/operator/logs/logs.go
+++ b/operator/logs/logs.go
@@ -170,3 +170,48 @@
 	}
 	return s.sources[l.Source] || strings.HasPrefix(l.Event(), "member_") || l.Event() == "disk_refuses"
 }
+
+// Ended is a process that ended without a word: it started anew, and no line of a stop
+// stands before that. What it had under way has no line anywhere.
+type Ended struct {
+	// Source is the log, Last the time of its last line before, Started when it began anew;
+	// zero where its log just ends.
+	Source        string
+	Last, Started time.Time
+}
+
+// silence is how long before the end of all logs one of them must end for its process to
+// count as ended: a calm process may write nothing for some seconds.
+const silence = 30 * time.Second
+
+// EndedWithoutAWord returns the processes that ended so, in order of time. A request that
+// no line names may have been at one of them.
+func EndedWithoutAWord(lines []*Line) []Ended {
+	last := map[string]*Line{}
+	var ended []Ended
+	var end time.Time
+	ordered := slices.Clone(lines)
+	slices.SortStableFunc(ordered, func(a, b *Line) int { return a.At.Compare(b.At) })
+	for _, l := range ordered {
+		if before := last[l.Source]; l.Event() == "start" && before != nil && !isStop(before) {
+			ended = append(ended, Ended{l.Source, before.At, l.At})
+		}
+		last[l.Source], end = l, l.At
+	}
+	for source, l := range last {
+		if !isStop(l) && end.Sub(l.At) > silence {
+			ended = append(ended, Ended{Source: source, Last: l.At})
+		}
+	}
+	slices.SortStableFunc(ended, func(a, b Ended) int { return a.Last.Compare(b.Last) })
+	return ended
+}
+
+// isStop reports whether a line may be the last one of a process that was told to stop.
+func isStop(l *Line) bool {
+	switch l.Event() {
+	case "stop", "stopped", "drain", "drain_failed", "start_failed":
+		return true
+	}
+	return false
+}
--- a/operator/logs/logs_test.go
+++ b/operator/logs/logs_test.go
@@ -1,6 +1,7 @@
 package logs_test
 
 import (
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -38,3 +39,28 @@
 	g.Expect(lines[3].Field("error")).To(Equal(`read tcp: i/o "timeout"`))
 	g.Expect(logs.Explain(lines, "none", time.Second)).To(BeEmpty())
 }
+
+// A caller's connection broke and no line anywhere names its request: the instance that had
+// it was killed. On-call must be told which ones ended so, and not those that were stopped.
+func TestProcessesThatWereKilledAreTold(t *testing.T) {
+	g := NewWithT(t)
+	read := func(source, text string) []*logs.Line {
+		lines, err := logs.Read(strings.NewReader(text), source)
+		g.Expect(err).NotTo(HaveOccurred())
+		return lines
+	}
+	lines := slices.Concat(
+		read("killed", "time=2026-01-01T00:00:01Z event=start\ntime=2026-01-01T00:00:09Z event=request_done request=a\ntime=2026-01-01T00:00:11Z event=start\n"),
+		read("stopped", "time=2026-01-01T00:00:01Z event=start\ntime=2026-01-01T00:00:08Z event=stop\ntime=2026-01-01T00:00:12Z event=start\n"),
+		read("lost", "time=2026-01-01T00:00:01Z event=start\ntime=2026-01-01T00:00:20Z event=request_done request=b\n"),
+		read("calm", "time=2026-01-01T00:00:01Z event=start\ntime=2026-01-01T00:01:00Z event=request_done request=c\n"),
+		read("killed", "time=2026-01-01T00:01:00Z event=request_done request=d\n"),
+		read("stopped", "time=2026-01-01T00:01:00Z event=request_done request=e\n"),
+	)
+	ended := logs.EndedWithoutAWord(lines)
+	g.Expect(ended).To(HaveLen(2))
+	g.Expect(ended[0].Source).To(Equal("killed"))
+	g.Expect(ended[0].Started.Sub(ended[0].Last)).To(Equal(2 * time.Second))
+	g.Expect(ended[1].Source).To(Equal("lost"))
+	g.Expect(ended[1].Started).To(BeZero())
+}
