--- a/instance/relay/bodies_test.go
+++ b/instance/relay/bodies_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"strings"
 	"testing"
+	"time"
 
 	. "github.com/onsi/gomega"
 )
@@ -25,6 +26,9 @@
 	go func() { _, _ = io.WriteString(c, text) }()
 }
 
+// unhurried gives a request a minute.
+func unhurried(text string) string { return strings.Replace(text, "X-Left: 1500", "X-Left: 60000", 1) }
+
 // A process is killed for its memory, and cuts off all that it has under way: many
 // callers send large bodies at once, each within the limit. One that finds no room is
 // told that it did not run and when to come back; small requests pass meanwhile, and
@@ -38,12 +42,15 @@
 		return whole(c, r, 200, fmt.Sprint(len(r.body)))
 	})
 	b := start(t, up)
+	// On a busy machine 14 MB take longer than the 300 ms that callers have otherwise, and
+	// all of them longer than the first one would be waited for.
+	b.patient(time.Minute)
 	first := b.caller()
-	first.post(message("POST", "/once/", "first", strings.Repeat("b", 14<<20)))
+	first.post(unhurried(message("POST", "/once/", "first", strings.Repeat("b", 14<<20))))
 	Eventually(up.requests).Should(HaveLen(1))
 	for _, large := range []string{message("POST", "/once/", "second", strings.Repeat("b", 14<<20)), chunkedBody("third", 14)} {
 		c := b.caller()
-		c.post(large)
+		c.post(unhurried(large))
 		r := c.receive()
 		Expect(r.status).To(Equal(503))
 		Expect(r.header.Get("Retry-After")).NotTo(BeEmpty())
@@ -53,7 +60,7 @@
 	close(held)
 	Expect(first.receive().body).To(Equal(fmt.Sprint(14 << 20)))
 	again := b.caller()
-	again.post(chunkedBody("again", 14))
+	again.post(unhurried(chunkedBody("again", 14)))
 	Expect(again.receive().body).To(Equal(fmt.Sprint(14 << 20)))
 	Expect(up.requests()).To(HaveLen(3))
 }
--- a/instance/relay/suite_test.go
+++ b/instance/relay/suite_test.go
@@ -204,6 +204,16 @@
 	return b
 }
 
+// patient gives callers so long to send a request, and upstreams as long to answer it.
+func (b *bed) patient(d time.Duration) {
+	t := routes()
+	t.Limits.HeaderTimeout = d
+	for i := range t.Routes {
+		t.Routes[i].Timeout = d
+	}
+	b.use(t)
+}
+
 // engines makes the service one of engines, with routes of unlike urgency to it.
 func (b *bed) engines() {
 	t := routes()
@@ -214,6 +224,11 @@
 			Target: time.Second, MaxAttempts: 1, Priority: i, Sticky: true,
 		})
 	}
+	b.use(t)
+}
+
+// use puts a table in force.
+func (b *bed) use(t *route.Table) {
 	b.state.mu.Lock()
 	defer b.state.mu.Unlock()
 	v := *b.state.view
