--- a/operator/logs/logs.go
+++ b/operator/logs/logs.go
@@ -193,6 +193,10 @@
 	ordered := slices.Clone(lines)
 	slices.SortStableFunc(ordered, func(a, b *Line) int { return a.At.Compare(b.At) })
 	for _, l := range ordered {
+		if l.Event() == "links_open" {
+			// It is written before the start's own line, so it tells nothing of the process before.
+			continue
+		}
 		if before := last[l.Source]; l.Event() == "start" && before != nil && !isStop(before) {
 			ended = append(ended, Ended{l.Source, before.At, l.At})
 		}
--- a/operator/logs/logs_test.go
+++ b/operator/logs/logs_test.go
@@ -53,7 +53,7 @@
 		read("killed", "time=2026-01-01T00:00:01Z event=start\ntime=2026-01-01T00:00:09Z event=request_done request=a\ntime=2026-01-01T00:00:11Z event=start\n"),
 		read("stopped", "time=2026-01-01T00:00:01Z event=start\ntime=2026-01-01T00:00:08Z event=stop\ntime=2026-01-01T00:00:12Z event=start\n"),
 		read("lost", "time=2026-01-01T00:00:01Z event=start\ntime=2026-01-01T00:00:20Z event=request_done request=b\n"),
-		read("calm", "time=2026-01-01T00:00:01Z event=start\ntime=2026-01-01T00:01:00Z event=request_done request=c\n"),
+		read("calm", "time=2026-01-01T00:00:00Z event=links_open\ntime=2026-01-01T00:00:01Z event=start\ntime=2026-01-01T00:01:00Z event=request_done request=c\n"),
 		read("killed", "time=2026-01-01T00:01:00Z event=request_done request=d\n"),
 		read("stopped", "time=2026-01-01T00:01:00Z event=request_done request=e\n"),
 	)
