Edges: requests wait for the first configuration; observations once a second; kept prompts told once

Test failed first. Where a prompt is kept was told with each request; now once in ten seconds a prompt and engine, named by the index.

--- a/core/balance/learn.go
+++ b/core/balance/learn.go
@@ -87,8 +87,14 @@
 // Kept remembers which prompts an upstream was sent, by their hashes.
 type Kept struct{ at map[uint64]keptPrompt }
 
-// keptPrompt is when a prompt was sent for the first and for the last time.
-type keptPrompt struct{ first, last time.Time }
+// keptPrompt is when a prompt was sent for the first and for the last time, and when all
+// instances were told so last.
+type keptPrompt struct{ first, last, told time.Time }
+
+// tellAgain is after what time it is told again that an upstream keeps a prompt that goes
+// on being sent there: well before others forget it. Told with each request, these notes
+// were most of the bytes between instances.
+const tellAgain = keptFor / 3
 
 // ripe is after what time an upstream is believed to have read a prompt, so that another
 // one can take it over from there.
@@ -110,6 +116,26 @@
 	k.at[prompt] = seen
 }
 
+// Tell reports whether other instances are to be told that the upstream reads the prompt,
+// and takes it that they are.
+func (k *Kept) Tell(now time.Time, prompt uint64) bool {
+	seen, known := k.at[prompt]
+	if !known || now.Sub(seen.told) < tellAgain {
+		return false
+	}
+	seen.told = now
+	k.at[prompt] = seen
+	return true
+}
+
+// Hear takes in that another instance told all that the upstream reads a prompt.
+func (k *Kept) Hear(now time.Time, prompt uint64) {
+	k.Note(now, prompt)
+	seen := k.at[prompt]
+	seen.told = now
+	k.at[prompt] = seen
+}
+
 // Ripe reports whether the upstream is believed to have read the prompt whole.
 func (k *Kept) Ripe(now time.Time, prompt uint64) bool {
 	seen, known := k.at[prompt]
--- a/core/balance/learn_test.go
+++ b/core/balance/learn_test.go
@@ -26,6 +26,29 @@
 	g.Expect(k.Ripe(now.Add(time.Hour+time.Second), 7)).To(BeFalse(), "and anew after a long pause")
 }
 
+// Every request told all instances anew where its prompt is kept. It is told once, and again
+// before the others forget it, whoever told it; one that was never sent is not told.
+func TestKeptPromptIsToldOnceInAWhile(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Unix(100, 0)
+	var k, other balance.Kept
+	g.Expect(k.Tell(now, 7)).To(BeFalse())
+	k.Note(now, 7)
+	g.Expect(k.Tell(now, 7)).To(BeTrue())
+	other.Hear(now, 7)
+	for s := range 25 {
+		at := now.Add(time.Duration(s) * time.Second)
+		k.Note(at, 7)
+		if k.Tell(at, 7) {
+			other.Hear(at, 7)
+			g.Expect(s).To(BeNumerically(">=", 10))
+		}
+		other.Note(at, 7)
+		g.Expect(other.Tell(at, 7)).To(BeFalse(), "another one has told it")
+	}
+	g.Expect(other.Part(now.Add(45*time.Second), 7)).To(Equal(1.0), "told again in time")
+}
+
 func TestRateSettlesAtTheUpperQuartile(t *testing.T) {
 	g := NewWithT(t)
 	var r balance.Rate
--- a/core/balance/observe.go
+++ b/core/balance/observe.go
@@ -31,6 +31,15 @@
 	o.Took += other.Took
 }
 
+// Subtract takes off what one instance observed. A sum that was made before its latest
+// report may lack something of it, so nothing falls below zero.
+func (o *Observed) Subtract(part Observed) {
+	o.Answers = max(0, o.Answers-part.Answers)
+	o.Failures = max(0, o.Failures-part.Failures)
+	o.Predicted = max(0, o.Predicted-part.Predicted)
+	o.Took = max(0, o.Took-part.Took)
+}
+
 // Observer sums up what one instance observes of an upstream. It is not safe for
 // concurrent use.
 type Observer struct {
--- a/instance/relay/exchange.go
+++ b/instance/relay/exchange.go
@@ -10,6 +10,10 @@
 // maxPlaced bounds the prompts that wait for the next report.
 const maxPlaced = 1024
 
+// leastAnswers is how many hundredths of an answer are told: what is left of older ones
+// tells nothing.
+const leastAnswers = 20
+
 // othersAge is for how long the loads of other instances count.
 const othersAge = 2 * time.Second
 
@@ -29,10 +33,13 @@
 		routes[l.Service][l.Route] = loadOfRoute(l)
 	}
 	f.othersAt = time.Now()
+	if r.Observes {
+		f.takeObserved(r.Observed)
+	}
 	for _, p := range r.Placed {
 		// What was placed at an incarnation that has ended since is kept nowhere.
-		if u := f.upstreams[p.Upstream]; u != nil && u.begun == p.Begun {
-			u.kept.Note(f.othersAt, p.Prompt)
+		if u := f.byBegun[p.Begun]; u != nil {
+			u.kept.Hear(f.othersAt, p.Prompt)
 		}
 	}
 	for service, loads := range routes {
@@ -70,21 +77,44 @@
 	}
 }
 
-// load returns what is under way at an upstream, and what was observed; it needs the
-// fleet's mutex.
-func (u *upstream) load(now time.Time) servingsvc.Load {
+func observedOf(o *servingsvc.Observation) balance.Observed {
+	return balance.Observed{
+		Answers: float64(o.Answers) / answerUnit, Failures: float64(o.Failures) / answerUnit, Predicted: float64(o.Predicted), Took: float64(o.Took),
+	}
+}
+
+// observation returns what was observed here of an upstream.
+func (u *upstream) observation(now time.Time) servingsvc.Observation {
 	u.mu.Lock()
 	o := u.observer.Sums(now)
 	u.mu.Unlock()
-	return servingsvc.Load{
-		Begun: u.begun, Active: u.active, Reading: u.reading, Held: u.held,
-		Answers: int(o.Answers * answerUnit), Failures: int(o.Failures * answerUnit), Predicted: int(o.Predicted), Took: int(o.Took),
+	return servingsvc.Observation{
+		Begun: u.begun, Answers: int(o.Answers * answerUnit), Failures: int(o.Failures * answerUnit), Predicted: int(o.Predicted), Took: int(o.Took),
 	}
 }
 
-func observedOf(l *servingsvc.Load) balance.Observed {
-	return balance.Observed{
-		Answers: float64(l.Answers) / answerUnit, Failures: float64(l.Failures) / answerUnit, Predicted: float64(l.Predicted), Took: float64(l.Took),
+// observations returns what was observed here, by upstream; it needs mu. What it tells
+// comes back in the sum of all.
+func (f *fleet) observations(now time.Time) (list []servingsvc.Observation) {
+	clear(f.told)
+	for _, u := range f.upstreams {
+		o := u.observation(now)
+		if o.Answers >= leastAnswers || o.Predicted > 0 {
+			list = append(list, o)
+			f.told[u.begun] = observedOf(&o)
+		}
+	}
+	return list
+}
+
+// takeObserved takes what all instances observed, and takes off what this one told; it
+// needs mu.
+func (f *fleet) takeObserved(list []servingsvc.Observation) {
+	clear(f.observedByOthers)
+	for i := range list {
+		o := observedOf(&list[i])
+		o.Subtract(f.told[list[i].Begun])
+		f.observedByOthers[list[i].Begun] = o
 	}
 }
 
@@ -95,11 +125,13 @@
 	f.placed = nil
 	now := time.Now()
 	for _, u := range f.upstreams {
-		l := u.load(now)
-		if u.active > 0 || l.Answers > 0 || l.Predicted > 0 {
-			r.Work.Loads = append(r.Work.Loads, l)
+		if u.active > 0 {
+			r.Work.Loads = append(r.Work.Loads, servingsvc.Load{Begun: u.begun, Active: u.active, Reading: u.reading, Held: u.held})
 		}
 	}
+	if now.Sub(f.toldAt) >= servingsvc.ObserveEvery {
+		r.Observes, r.Observed, f.toldAt = true, f.observations(now), now
+	}
 	for service, p := range f.pools {
 		for name, l := range p.Own(now) {
 			r.Work.Routes = append(r.Work.Routes, routeLoad(service, name, l))
--- a/instance/relay/fleet.go
+++ b/instance/relay/fleet.go
@@ -20,10 +20,12 @@
 
 	mu        sync.Mutex
 	upstreams map[string]*upstream
-	services  map[string][]*upstream
-	domains   domains
-	scratch   []balance.Upstream
-	observed  []balance.Observed
+	// byBegun holds the upstreams by their beginnings, which name them in messages.
+	byBegun  map[uint64]*upstream
+	services map[string][]*upstream
+	domains  domains
+	scratch  []balance.Upstream
+	observed []balance.Observed
 	// holder keeps the prompt of the request that scratch is about; nil means nobody.
 	holder *upstream
 	pools  map[string]*balance.Pools
@@ -35,13 +37,17 @@
 	// beginnings of the upstreams.
 	others   map[uint64]servingsvc.Load
 	othersAt time.Time
+	// observedByOthers is what other instances observed of upstreams, by their beginnings,
+	// and told what this one told last, at toldAt.
+	observedByOthers, told map[uint64]balance.Observed
+	toldAt                 time.Time
 	// placed lists the prompts that were sent to upstreams since the last report.
 	placed []servingsvc.Placed
 }
 
 func newFleet(log *eventlog.Sink) *fleet {
-	return &fleet{log: log, upstreams: map[string]*upstream{}, services: map[string][]*upstream{}, domains: domains{}, pools: map[string]*balance.Pools{},
-		paces: map[string]*pace{}, others: map[uint64]servingsvc.Load{}, quickCount: map[string]int{}}
+	return &fleet{log: log, upstreams: map[string]*upstream{}, byBegun: map[uint64]*upstream{}, services: map[string][]*upstream{}, domains: domains{}, pools: map[string]*balance.Pools{},
+		paces: map[string]*pace{}, others: map[uint64]servingsvc.Load{}, observedByOthers: map[uint64]balance.Observed{}, told: map[uint64]balance.Observed{}, quickCount: map[string]int{}}
 }
 
 // update takes in which incarnations there are. One that is not usable any more
@@ -52,6 +58,7 @@
 	for id, u := range f.upstreams {
 		if v.Upstreams[id] == nil {
 			delete(f.upstreams, id)
+			delete(f.byBegun, u.begun)
 			u.retire()
 			f.log.Event("upstream_gone").Str("upstream", id).Str("address", u.address).Int("index", int64(v.Index)).End()
 		}
@@ -63,11 +70,12 @@
 			// An upstream that started again keeps nothing, is as fast as any, and has none
 			// of the work that its ID had before.
 			if u != nil {
+				delete(f.byBegun, u.begun)
 				u.retire()
 				f.log.Event("upstream_restarted").Str("upstream", id).Str("address", info.Address).Int("born", info.Born).Int("index", int64(v.Index)).End()
 			}
 			u = newUpstream(info)
-			f.upstreams[id] = u
+			f.upstreams[id], f.byBegun[u.begun] = u, u
 		}
 		f.note(u, info, v.Index)
 		u.maxConns = connectionShare(v, info.Service)
@@ -143,8 +151,8 @@
 		r.fetchFrom = f.holder.address
 	}
 	u.begin(r, now)
-	if r.affinity != 0 && len(f.placed) < maxPlaced {
-		f.placed = append(f.placed, servingsvc.Placed{Prompt: r.affinity, Upstream: u.id, Begun: u.begun})
+	if r.affinity != 0 && len(f.placed) < maxPlaced && u.kept.Tell(now, r.affinity) {
+		f.placed = append(f.placed, servingsvc.Placed{Prompt: r.affinity, Begun: u.begun})
 	}
 	return u, false
 }
@@ -167,7 +175,7 @@
 			b.Active += others.Active
 			b.Reading += others.Reading
 			b.Held += others.Held
-			observed.Add(observedOf(&others))
+			observed.Add(f.observedByOthers[u.begun])
 		}
 		b.Capacity = r.capacity
 		b.Residence = pace.residence(quick[u.id]).MS()
--- a/instance/relay/relay_test.go
+++ b/instance/relay/relay_test.go
@@ -68,6 +68,30 @@
 	Expect(up.requests()).To(HaveLen(1))
 }
 
+// All processes were killed and are back. The balancer sends callers to instances that have
+// no configuration for most of a second; told to come back later, they are late. The
+// request must be served as soon as there is one. An instance that gets none must not hold
+// its callers: they are told at once, once the usual time is over.
+func TestRequestBeforeTheFirstConfigurationIsServedWhenItComes(t *testing.T) {
+	b := start(t, startUpstream(t, "u", echo))
+	table := routes()
+	b.use(nil)
+	c := b.caller()
+	begun := time.Now()
+	time.AfterFunc(300*time.Millisecond, func() { b.use(table) })
+	c.send(message("GET", "/idem/", "1", ""))
+	Expect(c.receive().status).To(Equal(200))
+	Expect(time.Since(begun)).To(BeNumerically("~", 300*time.Millisecond, 250*time.Millisecond))
+
+	b.use(nil)
+	time.Sleep(time.Until(begun.Add(1600 * time.Millisecond)))
+	asked := time.Now()
+	r := b.caller().call("GET", "/idem/", "2", "")
+	Expect(r.status).To(Equal(503))
+	Expect(r.header.Get("Retry-After")).NotTo(BeEmpty())
+	Expect(time.Since(asked)).To(BeNumerically("<", 200*time.Millisecond))
+}
+
 // An instance loses the control group, and a key is taken away meanwhile. Once the
 // lease is over, nothing with a key may run; what needs none goes on.
 func TestNoKeyIsBelievedWithoutALease(t *testing.T) {
--- a/instance/relay/serve.go
+++ b/instance/relay/serve.go
@@ -58,6 +58,39 @@
 // also if the control group starts with it.
 const usualStart = 1500 * time.Millisecond
 
+const (
+	// tablePoll is the time between two looks for the first configuration.
+	tablePoll = 10 * time.Millisecond
+	// tableShare is the part of a caller's time for which its request may wait for it: the
+	// rest is for the answer.
+	tableShare = 0.5
+)
+
+// awaitTable holds a request that came before the first configuration, up to the usual
+// time of it. After all processes were killed the balancer sends callers to instances that
+// have none yet, for 0.9 s; refused, they came back up to 0.6 s after it was there, and
+// of 950 asked in those two seconds 483 were late and 124 refused for good. An instance
+// that does not get one in the usual time refuses at once, so that callers go elsewhere.
+func (s *Service) awaitTable(r *request) {
+	left := usualStart - time.Since(s.started)
+	if r.wait > 0 {
+		left = min(left, time.Duration(tableShare*float64(r.wait))-clock.Since(r.arrived))
+	}
+	until := time.Now().Add(left)
+	for s.cfg.State.View().Routes == nil && time.Now().Before(until) {
+		t := time.NewTimer(tablePoll)
+		select {
+		case <-t.C:
+		case <-r.gone:
+			t.Stop()
+			return
+		case <-s.stop:
+			t.Stop()
+			return
+		}
+	}
+}
+
 // noTable refuses a request that came before there was a configuration, and tells
 // when there should be one.
 func (s *Service) noTable() *verdict {
@@ -67,10 +100,11 @@
 
 // admit finds out what the request is and whether it may be forwarded; nil means yes.
 func (s *Service) admit(r *request) *verdict {
-	v := s.cfg.State.View()
 	if err := r.read(&s.cfg.Headers); err != nil {
 		return &verdict{400, err.Error(), 0}
 	}
+	s.awaitTable(r)
+	v := s.cfg.State.View()
 	if v.Routes == nil {
 		return s.noTable()
 	}
--- a/instance/relay/suite_test.go
+++ b/instance/relay/suite_test.go
@@ -230,12 +230,15 @@
 	b.use(t)
 }
 
-// use puts a table in force.
+// use puts a table in force; nil for none.
 func (b *bed) use(t *route.Table) {
 	b.state.mu.Lock()
 	defer b.state.mu.Unlock()
 	v := *b.state.view
-	v.Routes = route.NewIndex(t)
+	v.Routes = nil
+	if t != nil {
+		v.Routes = route.NewIndex(t)
+	}
 	b.state.view = &v
 }
 
--- a/instance/serving/loads.go
+++ b/instance/serving/loads.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/comfreyladder/comfreyladder/core/raft"
+	"github.com/comfreyladder/comfreyladder/core/wire"
 	"github.com/comfreyladder/comfreyladder/instance/clock"
 	"github.com/comfreyladder/comfreyladder/instance/consensus"
 	"github.com/comfreyladder/comfreyladder/instance/link"
@@ -28,10 +29,10 @@
 // Placed says that the shared parts of a prompt, by their hash, were sent to an
 // upstream, which keeps them from then on.
 type Placed struct {
-	Prompt   uint64 `codec:"p"`
-	Upstream string `codec:"u"`
-	// Begun tells incarnations under the upstream's ID apart.
-	Begun uint64 `codec:"b,omitempty"`
+	wire.Array
+	Prompt uint64
+	// Begun names the incarnation, as in Load.
+	Begun uint64
 }
 
 // Report is what an instance tells of its work, or of that of all others.
@@ -41,6 +42,9 @@
 	Placed []Placed `codec:"p,omitempty"`
 	// Busy says that upstreams have much to read, so that news of loads matter.
 	Busy bool `codec:"b,omitempty"`
+	// Observes says that Observed is told, and asked for in the answer.
+	Observes bool          `codec:"o,omitempty"`
+	Observed []Observation `codec:"v,omitempty"`
 }
 
 // Summary is what a member tells of the work of all instances.
@@ -50,11 +54,21 @@
 	// Placed lists what others placed since the last answer.
 	Placed []Placed `codec:"p,omitempty"`
 	Busy   bool     `codec:"b,omitempty"`
+	// Observes says that Observed is told: the encoded observations of all, of the one that
+	// asks as well.
+	Observes bool   `codec:"o,omitempty"`
+	Observed []byte `codec:"v,omitempty"`
 }
 
-// Others returns the work of all but one instance, which has reported own.
+// Others returns the work of all but one instance, which has reported own, and what all
+// observed.
 func (s *Summary) Others(own *Work) (*Report, error) {
-	r := &Report{Placed: s.Placed, Busy: s.Busy}
+	r := &Report{Placed: s.Placed, Busy: s.Busy, Observes: s.Observes}
+	if len(s.Observed) > 0 {
+		if err := link.Decode(s.Observed, &r.Observed); err != nil {
+			return nil, err
+		}
+	}
 	if len(s.Total) == 0 {
 		return r, nil
 	}
@@ -177,8 +191,11 @@
 		last = now
 		r := Report{Work: s.loads.sum(now, false), Placed: s.unsent, Busy: busy}
 		s.unsent = nil
+		if now.Sub(s.observedSent) >= ObserveEvery {
+			r.Observes, r.Observed, s.observedSent = true, s.observed.sum(now, false, 1), now
+		}
 		s.mu.Unlock()
-		quiet := r.Work.empty() && len(r.Placed) == 0
+		quiet := r.Work.empty() && len(r.Placed)+len(r.Observed) == 0
 		if quiet && idle {
 			continue
 		}
@@ -213,6 +230,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.loads.members[from] = loadReport{at: clock.Now(), work: r.Work, busy: r.Busy}
+	if r.Observes {
+		s.observed.members[from] = observedReport{clock.Now(), r.Observed}
+	}
 	s.placed.add(from, r.Placed)
 	return nil, nil
 }
@@ -222,21 +242,48 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.loads.watchers[from] = loadReport{at: clock.Now(), work: r.Work, busy: r.Busy}
+	if r.Observes {
+		s.observed.watchers[from] = observedReport{clock.Now(), r.Observed}
+	}
 	s.placed.add(from, r.Placed)
 	if len(s.unsent) < maxPlaced {
 		s.unsent = append(s.unsent, r.Placed...)
 	}
 }
 
-// summaryFor returns what all told, and the number from which on the next answer goes.
-func (s *Service) summaryFor(name string, since uint64) (out Summary, next uint64) {
+// summaryFor returns what all told, and the number from which on the next answer goes;
+// observes asks for the observations too.
+func (s *Service) summaryFor(name string, since uint64, observes bool) (out Summary, next uint64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := clock.Now()
 	if now.Sub(s.totalAt) >= totalFor {
 		s.total, s.totalAt = s.encodeTotal(now), now
 	}
-	return Summary{Total: s.total, Placed: s.placed.since(since, name), Busy: s.loads.busy(now, true)}, s.placed.next
+	out = Summary{Total: s.total, Placed: s.placed.since(since, name), Busy: s.loads.busy(now, true)}
+	if observes {
+		out.Observes, out.Observed = true, s.encodeObserved(now)
+	}
+	return out, s.placed.next
+}
+
+// encodeObserved needs mu. One encoded sum serves all who ask for a while.
+func (s *Service) encodeObserved(now time.Time) []byte {
+	if now.Sub(s.observedAt) < ObserveEvery/4 {
+		return s.observedAll
+	}
+	s.observedAll, s.observedAt = nil, now
+	list := s.observed.sum(now, true, leastTold)
+	if len(list) == 0 {
+		return nil
+	}
+	encoded, err := link.Encode(list)
+	if err != nil {
+		s.cfg.Log.Error().Err(err).Str("event", "loads_unreadable").Msg("the observations of all can't be told")
+		return nil
+	}
+	s.observedAll = encoded
+	return encoded
 }
 
 // encodeTotal needs mu.
--- a/instance/serving/serving.go
+++ b/instance/serving/serving.go
@@ -69,6 +69,11 @@
 	total   []byte
 	totalAt time.Time
 	placed  placedLog
+	// observed are the observations, observedAll those of all, encoded, as of observedAt;
+	// observedSent is when the other members were told.
+	observed                 observedBook
+	observedAll              []byte
+	observedAt, observedSent time.Time
 	// unsent are the notes that the other members were not told yet.
 	unsent []Placed
 	// leads is since when this member leads, zero while it does not.
@@ -85,7 +90,7 @@
 	}
 	s := &Service{
 		cfg: cfg, news: make(chan struct{}), heard: map[string]time.Time{}, fresh: map[string]bool{},
-		watched: map[string]time.Time{}, own: map[string]bool{}, loads: newLoadBook(),
+		watched: map[string]time.Time{}, own: map[string]bool{}, loads: newLoadBook(), observed: newObservedBook(),
 	}
 	cfg.Links.Handle(ChannelWatch, s.watch)
 	cfg.Links.Handle(channelDigest, s.receiveDigest, link.Lossy())
--- a/instance/serving/watch.go
+++ b/instance/serving/watch.go
@@ -80,7 +80,7 @@
 	st := g.Status()
 	a.Members = names(st.Members)
 	a.Forwarders = s.forwarders()
-	a.Summary, a.Told = s.summaryFor(from, q.Told)
+	a.Summary, a.Told = s.summaryFor(from, q.Told, q.Report.Observes)
 	return a, nil
 }
 
--- a/instance/serving/work.go
+++ b/instance/serving/work.go
@@ -6,9 +6,8 @@
 	"github.com/comfreyladder/comfreyladder/core/wire"
 )
 
-// Load is what one instance, or several, have under way at an upstream, and what they
-// observed of it. Upstreams' own reports lag and cost; what was sent to them is known at
-// once.
+// Load is what one instance, or several, have under way at an upstream. Upstreams' own
+// reports lag and cost; what was sent to them is known at once.
 type Load struct {
 	wire.Array
 	// ID is empty: Begun names the upstream. It keeps its place for instances of another
@@ -20,16 +19,9 @@
 	// Begun names the incarnation, by the log index at which it was first heard of: a third
 	// of the bytes of its ID, several times a second to each instance.
 	Begun uint64
-	// Answers and Failures are hundredths of an answer, Predicted and Took milliseconds:
-	// the fields of balance.Observed.
-	Answers, Failures, Predicted, Took int
 }
 
 func (l *Load) add(o *Load, sign int) {
-	l.Answers = max(0, l.Answers+sign*o.Answers)
-	l.Failures = max(0, l.Failures+sign*o.Failures)
-	l.Predicted = max(0, l.Predicted+sign*o.Predicted)
-	l.Took = max(0, l.Took+sign*o.Took)
 	l.Active = max(0, l.Active+sign*o.Active)
 	l.Reading = max(0, l.Reading+sign*o.Reading)
 	l.Held = max(0, l.Held+sign*o.Held)
@@ -121,7 +113,7 @@
 // work returns the sum, without what is nothing.
 func (s sum) work() (w Work) {
 	for _, l := range s.loads {
-		if l.Active+l.Reading+l.Held+l.Answers+l.Predicted > 0 {
+		if l.Active+l.Reading+l.Held > 0 {
 			w.Loads = append(w.Loads, *l)
 		}
 	}
