Cores: news in batches, whole states encoded once, a newcomer is told all kept prompts

Cause: during announcements of many upstreams each answer held one log entry and was asked again at once; after a restart of all the whole state was encoded anew for each edge. Answers now wait 20 ms for more news, and an encoded state serves all who ask for the same.

--- a/instance/follow/follow.go
+++ b/instance/follow/follow.go
@@ -231,6 +231,10 @@
 		f.cfg.Log.Debug().Str("event", "watch_failed").Str("peer", name).Err(err).Msg("a member did not answer")
 		return false
 	}
+	if err := a.Decode(); err != nil {
+		f.cfg.Log.Error().Str("event", "watch_unreadable").Str("peer", name).Err(err).Msg("the changes of a member can't be read")
+		return false
+	}
 	f.domains[name] = a.Domain
 	f.take(view, &a)
 	f.told, f.toldBy, f.othersBusy = a.Told, name, a.Summary.Busy
--- /dev/null
+++ b/instance/serving/changes_test.go
@@ -0,0 +1,82 @@
+package serving_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	coreserving "github.com/comfreyladder/comfreyladder/core/control/serving"
+	"github.com/comfreyladder/comfreyladder/instance/serving"
+)
+
+// ask puts a question to a member and returns the answer, decoded.
+func (g *group) ask(at string, q serving.Question) serving.Answer {
+	g.t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	var a serving.Answer
+	other := g.names[0]
+	if other == at {
+		other = g.names[1]
+	}
+	g.Expect(g.nodes[other].links.Call(ctx, at, serving.ChannelWatch, q, &a)).To(Succeed())
+	g.Expect(a.Decode()).To(Succeed())
+	return a
+}
+
+func upstreamAt(i int) coreserving.Upstream {
+	return coreserving.Upstream{ID: fmt.Sprint("u", i), Service: "s", Address: fmt.Sprint("10.0.0.1:", i+1), State: coreserving.Ready, Slots: 8}
+}
+
+// After a restart of all, every instance asks for the whole state at once, and each is told
+// an encoded form that serves them all. An upstream that was announced in between must be in
+// the next answer: one from an older form would send callers to where nobody is.
+func TestWholeStateIsToldAsItIs(t *testing.T) {
+	g := newGroup(t, 3)
+	const many = 20
+	announce := func(i int) {
+		g.Eventually(func() error { return g.nodes["m0"].serving.Announce(context.Background(), upstreamAt(i)) }).Should(Succeed())
+	}
+	for i := range many {
+		announce(i)
+	}
+	var first serving.Answer
+	g.Eventually(func() int {
+		first = g.ask("m1", serving.Question{})
+		return len(first.Changes.Upstreams)
+	}).Should(Equal(many))
+	g.Expect(first.Encoded).NotTo(BeEmpty())
+	g.Expect(first.Changes.Table).NotTo(BeEmpty())
+	g.Expect(g.ask("m1", serving.Question{}).Changes).To(Equal(first.Changes))
+
+	announce(many)
+	g.Eventually(func() int { return len(g.ask("m1", serving.Question{}).Changes.Upstreams) }).Should(Equal(many + 1))
+	g.Expect(g.ask("m1", serving.Question{Index: first.Changes.Index}).Changes.Upstreams).To(HaveLen(1))
+}
+
+// Two hundred upstreams come at once, one log entry each. Told one by one, every instance
+// asks 200 times within that second, of members that are busy enough. Their news must come
+// in a few answers, and none be left out.
+func TestNewsOfManyUpstreamsComeTogether(t *testing.T) {
+	g := newGroup(t, 3)
+	const many = 200
+	begun := time.Now()
+	go func() {
+		for i := range many {
+			go func() { _ = g.nodes["m0"].serving.Announce(context.Background(), upstreamAt(i)) }()
+			time.Sleep(2 * time.Millisecond)
+		}
+	}()
+	known, answers, index := 0, 0, uint64(0)
+	for known < many && time.Since(begun) < patience {
+		a := g.ask("m0", serving.Question{Index: index, HoldMS: 200})
+		known, index = known+len(a.Changes.Upstreams), a.Changes.Index
+		answers++
+	}
+	g.Expect(known).To(Equal(many))
+	g.Expect(answers).To(BeNumerically("<=", 5+int(time.Since(begun)/(20*time.Millisecond))))
+	t.Logf("%d answers in %v", answers, time.Since(begun))
+}
--- a/instance/serving/loads.go
+++ b/instance/serving/loads.go
@@ -91,10 +91,11 @@
 	from string
 }
 
-// maxPlaced bounds the notes that a member holds for instances that ask seldom, and
-// maxPlacedAnswer those in one answer.
+// maxPlaced bounds the notes that a member holds for instances that ask seldom or have just
+// started: those of half a minute at 300 new notes a second. maxPlacedAnswer bounds those in
+// one answer.
 const (
-	maxPlaced       = 4096
+	maxPlaced       = 8192
 	maxPlacedAnswer = 1024
 )
 
@@ -114,21 +115,21 @@
 	}
 }
 
-// since returns the notes from a number on that others than the given one told. A
-// number of another member's log is too high or too low; then all that is held, or
-// nothing, is new, and either is harmless.
-func (l *placedLog) since(number uint64, but string) (list []Placed) {
+// since returns notes from a number on that others than the given one told, the oldest
+// first, and the number from which on to go on. A number of another member's log is too
+// high or too low; then all that is held, or nothing, is new, and either is harmless.
+func (l *placedLog) since(number uint64, but string) (list []Placed, next uint64) {
 	first := l.next - uint64(len(l.notes))
 	from := min(max(number, first), l.next)
-	for _, n := range l.notes[from-first:] {
+	for i, n := range l.notes[from-first:] {
+		if len(list) == maxPlacedAnswer {
+			return list, from + uint64(i)
+		}
 		if n.from != but {
 			list = append(list, n.Placed)
 		}
 	}
-	if extra := len(list) - maxPlacedAnswer; extra > 0 {
-		list = list[extra:]
-	}
-	return list
+	return list, l.next
 }
 
 // loadBook adds up the loads that instances report, by who reported them: instances
@@ -260,11 +261,12 @@
 	if now.Sub(s.totalAt) >= totalFor {
 		s.total, s.totalAt = s.encodeTotal(now), now
 	}
-	out = Summary{Total: s.total, Placed: s.placed.since(since, name), Busy: s.loads.busy(now, true)}
+	out = Summary{Total: s.total, Busy: s.loads.busy(now, true)}
+	out.Placed, next = s.placed.since(since, name)
 	if observes {
 		out.Observes, out.Observed = true, s.encodeObserved(now)
 	}
-	return out, s.placed.next
+	return out, next
 }
 
 // encodeObserved needs mu. One encoded sum serves all who ask for a while.
--- a/instance/serving/loads_test.go
+++ b/instance/serving/loads_test.go
@@ -54,15 +54,39 @@
 func TestPlacedPromptsReachTheOthersOnce(t *testing.T) {
 	g := NewWithT(t)
 	var l placedLog
+	since := func(number uint64, but string) []Placed {
+		list, _ := l.since(number, but)
+		return list
+	}
 	l.add("a", []Placed{{Prompt: 1, Begun: 1}, {Prompt: 2, Begun: 2}})
 	l.add("b", []Placed{{Prompt: 3, Begun: 1}})
-	g.Expect(l.since(0, "a")).To(Equal([]Placed{{Prompt: 3, Begun: 1}}))
-	g.Expect(l.since(0, "c")).To(HaveLen(3))
-	g.Expect(l.since(l.next, "c")).To(BeEmpty())
-	g.Expect(l.since(l.next+99, "c")).To(BeEmpty(), "a number of another member's log")
+	g.Expect(since(0, "a")).To(Equal([]Placed{{Prompt: 3, Begun: 1}}))
+	g.Expect(since(0, "c")).To(HaveLen(3))
+	g.Expect(since(l.next, "c")).To(BeEmpty())
+	g.Expect(since(l.next+99, "c")).To(BeEmpty(), "a number of another member's log")
 	for range 3 * maxPlaced {
 		l.add("a", []Placed{{Prompt: 9, Begun: 3}})
 	}
 	g.Expect(len(l.notes)).To(BeNumerically("<=", 2*maxPlaced))
-	g.Expect(l.since(1, "c")).To(HaveLen(maxPlacedAnswer))
+	g.Expect(since(1, "c")).To(HaveLen(maxPlacedAnswer))
+}
+
+// An instance starts again. Of the prompts that engines keep it is told the latest thousand
+// only; the others it sends to be read anew, or refuses in a burst as too much to read. It
+// must be told all that is held, in a few answers.
+func TestInstanceThatStartedIsToldAllThatIsHeld(t *testing.T) {
+	g := NewWithT(t)
+	var l placedLog
+	const held = 3*maxPlacedAnswer + 10
+	for i := range held {
+		l.add("a", []Placed{{Prompt: uint64(i), Begun: 3}})
+	}
+	told, next := 0, uint64(0)
+	for range 4 {
+		var list []Placed
+		list, next = l.since(next, "c")
+		told += len(list)
+	}
+	g.Expect(told).To(Equal(held))
+	g.Expect(next).To(Equal(l.next))
 }
--- a/instance/serving/serving.go
+++ b/instance/serving/serving.go
@@ -68,6 +68,7 @@
 	// total is the encoded work of all instances, as of totalAt.
 	total   []byte
 	totalAt time.Time
+	encoded encodedChanges
 	placed  placedLog
 	// observed are the observations, observedAll those of all, encoded, as of observedAt;
 	// observedSent is when the other members were told.
--- a/instance/serving/watch.go
+++ b/instance/serving/watch.go
@@ -20,6 +20,11 @@
 	// confirmTimeout bounds the read that an answer rests on. A member that is cut
 	// off must say so soon, so that whoever asked goes to another one.
 	confirmTimeout = 300 * time.Millisecond
+	// newsBatch is for how long an answer waits for more news after the first. Upstreams
+	// come and go by the hundred, one log entry each; answered one by one, instances ask
+	// again and again while a member has least time for it. Short beside the seconds that an
+	// operator or a leaving upstream may wait until all know.
+	newsBatch = 20 * time.Millisecond
 )
 
 // Question is what an instance that follows asks.
@@ -40,6 +45,8 @@
 // Answer is what a member knows.
 type Answer struct {
 	Changes serving.Changes `codec:"c"`
+	// Encoded are the Changes in encoded form, in place of them, where many ask for the same.
+	Encoded []byte `codec:"e,omitempty"`
 	// Confirmed says that a quorum has confirmed that nothing newer was committed,
 	// not earlier than HeldMS milliseconds after the question came.
 	Confirmed bool  `codec:"o"`
@@ -76,7 +83,9 @@
 	_, err = g.Read(confirm)
 	cancel()
 	a.Confirmed = err == nil
-	machine(g, func(m *serving.Machine) { a.Changes = m.Since(q.Index) })
+	if err := s.changes(g, q.Index, &a); err != nil {
+		return nil, err
+	}
 	st := g.Status()
 	a.Members = names(st.Members)
 	a.Forwarders = s.forwarders()
@@ -98,6 +107,9 @@
 	s.mu.Unlock()
 	var index uint64
 	machine(g, func(m *serving.Machine) { index = m.Index() })
+	if index > q.Index && q.Index > 0 {
+		pause(ctx, newsBatch)
+	}
 	if index > q.Index || q.HoldMS <= 0 {
 		return
 	}
@@ -105,6 +117,16 @@
 	defer t.Stop()
 	select {
 	case <-news:
+		pause(ctx, newsBatch)
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
 	case <-t.C:
 	case <-ctx.Done():
 	}
