Balance: windows, weights and ranks have the field's names

pace and haste are loadWindow and admitWindow, roominess quickRoom, rereading prefillAgain, strange awayFromHome, standing preference, Place Rank. No behaviour changed.

--- a/core/balance/admission.go
+++ b/core/balance/admission.go
@@ -64,7 +64,7 @@
 	if e.PerMS == 0 {
 		return 0
 	}
-	return l.Recent / e.haste() / (busiest * e.PerMS * 1000)
+	return l.Recent / e.admitWindow() / (busiest * e.PerMS * 1000)
 }
 
 // slots returns how many engines a route asks for by the slots that its requests hold.
@@ -72,7 +72,7 @@
 	if e.PerMS == 0 || e.Slots == 0 {
 		return 0
 	}
-	return l.RecentSlots / e.haste() / e.Slots
+	return l.RecentSlots / e.admitWindow() / e.Slots
 }
 
 type namedLoad struct {
@@ -89,7 +89,7 @@
 		}
 	}
 	slices.SortFunc(list, func(a, b namedLoad) int {
-		return cmp.Or(cmp.Compare(a.load.Place, b.load.Place), cmp.Compare(a.name, b.name))
+		return cmp.Or(cmp.Compare(a.load.Rank, b.load.Rank), cmp.Compare(a.name, b.name))
 	})
 	return list
 }
--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -39,18 +39,18 @@
 	Elsewhere, Suspect, Excluded bool
 }
 
-// standing is how well an upstream suits a request, by what is known of its health and
+// preference is how well an upstream suits a request, by what is known of its health and
 // of what it is for; lower is better.
-type standing int
+type preference int
 
 const (
-	own standing = iota
+	own preference = iota
 	elsewhere
 	suspect
 	unusable
 )
 
-func (u *Upstream) standing() standing {
+func (u *Upstream) preference() preference {
 	switch {
 	case u.Excluded:
 		return unusable
@@ -62,11 +62,11 @@
 	return own
 }
 
-// bestStanding is that of the candidates among which the choice is made.
-func bestStanding(list []Upstream) standing {
+// bestPreference is that of the candidates among which the choice is made.
+func bestPreference(list []Upstream) preference {
 	best := unusable
 	for i := range list {
-		best = min(best, list[i].standing())
+		best = min(best, list[i].preference())
 	}
 	return best
 }
@@ -105,9 +105,9 @@
 	// otherDomain is what a way to another failure domain costs, in milliseconds:
 	// bytes between domains have a price, and such a way is cut more often.
 	otherDomain = 4.0
-	// rereading weighs what a request makes an engine read that another one keeps,
+	// prefillAgain weighs what a request makes an engine read that another one keeps,
 	// beside its own wait: it delays the others there and pushes out what they share.
-	rereading = 6.0
+	prefillAgain = 6.0
 	// near is up to which cost above the lowest one candidates count as equal, as a
 	// part and in milliseconds. Picking the very lowest would send all instances,
 	// which see the same numbers a moment late, to the same upstream.
@@ -120,10 +120,10 @@
 	// sample is how many upstreams are weighed besides those that keep the prompt and its
 	// homes. See considered.
 	sample = 2
-	// homes is how many upstreams a prompt that nobody keeps may well go to, and strange
+	// homes is how many upstreams a prompt that nobody keeps may well go to, and awayFromHome
 	// weighs what it costs to read it anywhere else.
-	homes   = 3
-	strange = 2.0
+	homes        = 3
+	awayFromHome = 2.0
 	// failing multiplies the cost of an upstream, by what part more of its requests
 	// fail than of its peers'. Failures that all have alike are the requests' own.
 	failing = 25.0
@@ -135,11 +135,11 @@
 
 // Choose picks the upstream to use.
 func Choose(list []Upstream, r *Request) Choice {
-	best := bestStanding(list)
+	best := bestPreference(list)
 	if best == unusable {
 		return Choice{Index: None}
 	}
-	candidate := func(u *Upstream) bool { return u.standing() == best }
+	candidate := func(u *Upstream) bool { return u.preference() == best }
 	c := costs{request: r, common: commonErrors(list, best)}
 	if r.Affinity != 0 {
 		c.homeScore = leastOfTop(list, r.Affinity, homes, candidate)
@@ -263,10 +263,10 @@
 }
 
 // commonErrors is the smallest part of failed answers among the candidates.
-func commonErrors(list []Upstream, best standing) float64 {
+func commonErrors(list []Upstream, best preference) float64 {
 	common := 1.0
 	for i := range list {
-		if list[i].standing() == best {
+		if list[i].preference() == best {
 			common = min(common, list[i].Errors)
 		}
 	}
@@ -296,9 +296,9 @@
 		// What could be taken over from another engine counts as if it were read: it takes
 		// memory and moves gigabytes. At its own cost, prompts went wherever least waited:
 		// 1,112 GB moved in a minute of high load for 0.3 of 13 million tokens less to read.
-		cost = ahead(u, r) + wholeUnread(u, r)/r.Rate*u.Slowness + rereading*(1-u.Kept)*float64(r.Shared)/r.Rate
+		cost = ahead(u, r) + wholeUnread(u, r)/r.Rate*u.Slowness + prefillAgain*(1-u.Kept)*float64(r.Shared)/r.Rate
 		if u.Kept == 0 && r.Affinity != 0 && !c.isHome(u) {
-			cost += strange * float64(r.Shared) / r.Rate
+			cost += awayFromHome * float64(r.Shared) / r.Rate
 		}
 		if float64(u.Held+r.Shared+r.Own) > memoryLimit*float64(u.Capacity) {
 			cost *= crowded
--- a/core/balance/claims.go
+++ b/core/balance/claims.go
@@ -10,7 +10,7 @@
 // beside short pauses.
 type claim struct {
 	name         string
-	place        float64
+	rank         float64
 	quick        bool
 	least, ample float64
 }
@@ -20,22 +20,22 @@
 	most := longest(loads)
 	list := make([]claim, 0, len(loads))
 	for name, l := range loads {
-		c := claim{name: name, place: l.Place, quick: quick(&l, most)}
+		c := claim{name: name, rank: l.Rank, quick: quick(&l, most)}
 		c.least = e.need(l.Unread+answering*l.Requests, l.SlotTime)
 		c.ample = c.least
 		if c.quick {
-			c.ample = e.need(roominess*l.Unread+answering*l.Requests, slotRoom*l.SlotTime)
+			c.ample = e.need(quickRoom*l.Unread+answering*l.Requests, slotRoom*l.SlotTime)
 		}
 		list = append(list, c)
 	}
 	slices.SortFunc(list, func(a, b claim) int {
-		return cmp.Or(cmp.Compare(a.place, b.place), cmp.Compare(a.name, b.name))
+		return cmp.Or(cmp.Compare(a.rank, b.rank), cmp.Compare(a.name, b.name))
 	})
 	return list
 }
 
 // need returns how many engines are needed for so many prompt tokens and so many seconds of
-// slots in the time of pace, or where it is not known what an engine can do, a number in
+// slots in loadWindow, or where it is not known what an engine can do, a number in
 // proportion to that. Engines with few slots run out of them long before they read all the
 // time: by what is to be read alone, 45 of 112 engines with 12 slots each ran 1 to 5 quick
 // requests, while 13 to 25 long ones were on the way to each other.
@@ -43,8 +43,8 @@
 	if e.PerMS == 0 || e.Slots == 0 {
 		return tokens
 	}
-	reading := tokens / (e.PerMS * 1000 * e.pace()) / busiest
-	return max(reading, slotTime/e.pace()/e.Slots)
+	reading := tokens / (e.PerMS * 1000 * e.loadWindow()) / busiest
+	return max(reading, slotTime/e.loadWindow()/e.Slots)
 }
 
 // quickPart returns which part of the engines is for quick requests. While there are enough
--- a/core/balance/claims_test.go
+++ b/core/balance/claims_test.go
@@ -11,7 +11,7 @@
 )
 
 var (
-	longReport   = balance.Offer{Route: "report", Tokens: 12_000, Unread: 6600, Residence: 2 * time.Second, Gap: 600 * time.Millisecond, Place: 1}
+	longReport   = balance.Offer{Route: "report", Tokens: 12_000, Unread: 6600, Residence: 2 * time.Second, Gap: 600 * time.Millisecond, Rank: 1}
 	longQuestion = balance.Offer{Route: "question", Tokens: 800, Unread: 600, Residence: time.Second, Gap: 150 * time.Millisecond}
 	check        = balance.Offer{Route: "check", Tokens: 2400, Unread: 1800, Residence: 100 * time.Millisecond, Gap: 250 * time.Millisecond}
 )
--- a/core/balance/observe.go
+++ b/core/balance/observe.go
@@ -78,7 +78,7 @@
 // can't be reached.
 const hardFailure = 4
 
-// Succeeded, Failed and FailedHard take in an attempt's end.
+// Succeeded takes in an attempt that got its answer.
 func (s *Observer) Succeeded(now time.Time) { s.add(now, Observed{Answers: 1}) }
 
 // Failed takes in an attempt that failed, by the upstream's fault or the request's own.
--- a/core/balance/pools.go
+++ b/core/balance/pools.go
@@ -38,42 +38,42 @@
 	PerMS, Slots, Count float64
 }
 
-// window is which part of the time constants holds before so many engines.
-func (e *Engine) window() float64 {
+// windowPart is which part of the time constants holds before so many engines.
+func (e *Engine) windowPart() float64 {
 	if e.Count == 0 {
 		return 1
 	}
 	return min(1, max(leastWindow, fewEngines/e.Count))
 }
 
-// pace and haste are the time constants of the loads and of what is admitted, in seconds.
-func (e *Engine) pace() float64  { return e.window() * pace.Seconds() }
-func (e *Engine) haste() float64 { return e.window() * haste.Seconds() }
+// loadWindow and admitWindow are the time constants of the loads and of what is admitted, in seconds.
+func (e *Engine) loadWindow() float64  { return e.windowPart() * loadWindow.Seconds() }
+func (e *Engine) admitWindow() float64 { return e.windowPart() * admitWindow.Seconds() }
 
 // RouteLoad is what one route brings, as one instance sees it or several.
 type RouteLoad struct {
 	// Tokens of prompts, Unread, those of them that had to be read, and Requests are
-	// sums that decay with pace.
+	// sums that decay with loadWindow.
 	Tokens, Unread, Requests float64
-	// SlotTime is for how long its requests hold slots, in seconds; it decays with pace.
+	// SlotTime is for how long its requests hold slots, in seconds; it decays with loadWindow.
 	SlotTime float64
 	// Recent is the work, in prompt tokens, and RecentSlots the SlotTime, that decay with
-	// haste. RecentCached is the part of Recent for requests whose shared tokens are cached
+	// admitWindow. RecentCached is the part of Recent for requests whose shared tokens are cached
 	// where they would go.
 	Recent, RecentSlots, RecentCached float64
 	// Gap is the longest pause that the route allows; zero means that it does not say.
 	Gap time.Duration
-	// Place is how urgent the route is: 0 for the most urgent ones, 1 for the least.
-	Place float64
+	// Rank is how urgent the route is: 0 for the most urgent ones, 1 for the least.
+	Rank float64
 }
 
 const (
-	// pace is the time constant of the loads: long enough that the pools don't move
+	// loadWindow is the time constant of the loads: long enough that the pools don't move
 	// with each request, short enough to follow a burst.
-	pace = 3 * time.Second
-	// haste is the time constant of what is admitted: a burst fills engines' queues in
+	loadWindow = 3 * time.Second
+	// admitWindow is the time constant of what is admitted: a burst fills engines' queues in
 	// a second or two.
-	haste = 1500 * time.Millisecond
+	admitWindow = 1500 * time.Millisecond
 	// fewEngines is up to how many engines these time constants hold: more engines get as
 	// many requests in less time, down to a leastWindow of the time. Before 78 and 112
 	// engines the line follows a burst earlier; before 12 and 18 half of the time told
@@ -90,9 +90,9 @@
 	leastSeen  = 0.5
 	// briefShare is up to which part of its pause the reading of a prompt is brief.
 	briefShare = 1.0 / 6
-	// roominess is how much more room a token of a quick request gets than one of a
+	// quickRoom is how much more room a token of a quick request gets than one of a
 	// long request: pauses stay short only while prompts are read a part of the time.
-	roominess = 3.0
+	quickRoom = 3.0
 	// slotRoom is how much more slots than requests hold on the mean there should be for
 	// quick ones: arrivals come unevenly, and one that finds no slot free is late at once.
 	slotRoom = 1.4
@@ -130,8 +130,8 @@
 	Residence time.Duration
 	// Gap is the longest pause that it allows; zero means that it does not say.
 	Gap time.Duration
-	// Place is how urgent its route is: 0 for the most urgent ones, 1 for the least.
-	Place float64
+	// Rank is how urgent its route is: 0 for the most urgent ones, 1 for the least.
+	Rank float64
 }
 
 // Note counts a request.
@@ -151,7 +151,7 @@
 	if o.Cached {
 		l.RecentCached += float64(o.Unread) + answering
 	}
-	l.Gap, l.Place = o.Gap, o.Place
+	l.Gap, l.Rank = o.Gap, o.Rank
 	p.reshare()
 }
 
@@ -159,8 +159,8 @@
 	if p.at.IsZero() {
 		p.at = now
 	}
-	f := math.Exp(-now.Sub(p.at).Seconds() / p.engine.pace())
-	fast := math.Exp(-now.Sub(p.at).Seconds() / p.engine.haste())
+	f := math.Exp(-now.Sub(p.at).Seconds() / p.engine.loadWindow())
+	fast := math.Exp(-now.Sub(p.at).Seconds() / p.engine.admitWindow())
 	p.at = now
 	for name, l := range p.own {
 		l.Recent *= fast
@@ -203,7 +203,7 @@
 		s.Recent += l.Recent
 		s.RecentSlots += l.RecentSlots
 		s.RecentCached += l.RecentCached
-		s.Gap, s.Place = l.Gap, l.Place
+		s.Gap, s.Rank = l.Gap, l.Rank
 		sum[name] = s
 	}
 	return sum
--- a/core/balance/pools_test.go
+++ b/core/balance/pools_test.go
@@ -11,7 +11,7 @@
 )
 
 var (
-	report   = balance.Offer{Route: "report", Tokens: 17000, Unread: 17000, Gap: time.Second, Place: 1}
+	report   = balance.Offer{Route: "report", Tokens: 17000, Unread: 17000, Gap: time.Second, Rank: 1}
 	question = balance.Offer{Route: "question", Tokens: 1400, Unread: 1400, Gap: 250 * time.Millisecond}
 )
 
@@ -123,8 +123,8 @@
 	now := time.Unix(100, 0)
 	for range 2000 {
 		now = now.Add(10 * time.Millisecond)
-		p.Note(now, &balance.Offer{Route: "brief", Tokens: 9000, Unread: 3000, Gap: time.Second, Place: 0})
-		p.Note(now, &balance.Offer{Route: "report", Tokens: 17000, Unread: 9000, Gap: time.Second, Place: 1})
+		p.Note(now, &balance.Offer{Route: "brief", Tokens: 9000, Unread: 3000, Gap: time.Second, Rank: 0})
+		p.Note(now, &balance.Offer{Route: "report", Tokens: 17000, Unread: 9000, Gap: time.Second, Rank: 1})
 	}
 	p.SetEngine(balance.Engine{PerMS: 60})
 	g.Expect(p.Admitted(now, &balance.Offer{Route: "brief"}, 100)).To(Equal(1.0))
@@ -183,7 +183,7 @@
 		p := balance.NewPools()
 		for k := range 3 {
 			if (i>>k)&1 == 0 {
-				p.Note(now, &balance.Offer{Route: "report", Tokens: 17000, Unread: 17000, Gap: time.Second, Place: 1})
+				p.Note(now, &balance.Offer{Route: "report", Tokens: 17000, Unread: 17000, Gap: time.Second, Rank: 1})
 			} else {
 				p.Note(now, &balance.Offer{Route: "question", Tokens: 1400, Unread: 1400, Gap: 300 * time.Millisecond})
 			}
@@ -207,7 +207,7 @@
 	run := func(seconds, questions int) int {
 		for range seconds * 20 {
 			now = now.Add(50 * time.Millisecond)
-			p.Note(now, &balance.Offer{Route: "report", Tokens: 17000, Unread: 5000, Gap: time.Second, Place: 1})
+			p.Note(now, &balance.Offer{Route: "report", Tokens: 17000, Unread: 5000, Gap: time.Second, Rank: 1})
 			for range questions {
 				p.Note(now, &balance.Offer{Route: "question", Tokens: 1400, Unread: 1400, Gap: 300 * time.Millisecond})
 			}
--- a/core/route/index.go
+++ b/core/route/index.go
@@ -77,9 +77,9 @@
 	return place * levels / pairs
 }
 
-// Place returns where a route's priority comes among those of the table, as a part
+// Rank returns where a route's priority comes among those of the table, as a part
 // of all: 0 for the most urgent ones, 1 for the least urgent ones.
-func (x *Index) Place(r *Route) float64 {
+func (x *Index) Rank(r *Route) float64 {
 	if len(x.routeRanks) < 2 {
 		return 0
 	}
--- a/instance/relay/admit.go
+++ b/instance/relay/admit.go
@@ -26,9 +26,9 @@
 )
 
 // maxAhead returns how much may wait before a request of a route, in milliseconds.
-func maxAhead(r *route.Route, place float64) float64 {
+func maxAhead(r *route.Route, rank float64) float64 {
 	part := aheadOthers
-	if place == 1 {
+	if rank == 1 {
 		part = aheadLast
 	}
 	return part * float64(r.Target.Milliseconds())
--- a/instance/relay/exchange.go
+++ b/instance/relay/exchange.go
@@ -53,19 +53,19 @@
 }
 
 // Loads travel in whole numbers: requests in thousandths, answers in hundredths, times in
-// milliseconds, places in hundredths.
+// milliseconds, ranks in hundredths.
 const (
 	requestUnit = 1000
 	answerUnit  = 100
 	millis      = 1000
-	placeUnit   = 100
+	rankUnit    = 100
 )
 
 func loadOfRoute(l *servingsvc.RouteLoad) balance.RouteLoad {
 	return balance.RouteLoad{
 		Tokens: float64(l.Tokens), Unread: float64(l.Unread), Requests: float64(l.Requests) / requestUnit, Recent: float64(l.Recent),
 		SlotTime: float64(l.SlotTime) / millis, RecentSlots: float64(l.RecentSlots) / millis,
-		RecentCached: float64(l.RecentCached), Gap: time.Duration(l.Gap) * time.Millisecond, Place: float64(l.Place) / placeUnit,
+		RecentCached: float64(l.RecentCached), Gap: time.Duration(l.Gap) * time.Millisecond, Rank: float64(l.Rank) / rankUnit,
 	}
 }
 
@@ -73,7 +73,7 @@
 	return servingsvc.RouteLoad{
 		Service: service, Route: name, Tokens: int(l.Tokens), Unread: int(l.Unread), Requests: int(l.Requests * requestUnit), Recent: int(l.Recent),
 		SlotTime: int(l.SlotTime * millis), RecentSlots: int(l.RecentSlots * millis),
-		RecentCached: int(l.RecentCached), Gap: int(l.Gap.Milliseconds()), Place: int(l.Place * placeUnit),
+		RecentCached: int(l.RecentCached), Gap: int(l.Gap.Milliseconds()), Rank: int(l.Rank * rankUnit),
 	}
 }
 
--- a/instance/relay/load_test.go
+++ b/instance/relay/load_test.go
@@ -27,7 +27,7 @@
 // kind is one kind of requests of a load.
 type kind struct {
 	route               route.Route
-	place               float64
+	rank                float64
 	perSecond           float64
 	shared, own, topics int
 	generates           time.Duration
@@ -80,7 +80,7 @@
 }
 
 func (e *simEngine) step(now time.Time, ended func(*job)) {
-	slices.SortStableFunc(e.waiting, func(a, b *job) int { return cmp.Compare(a.kind.place, b.kind.place) })
+	slices.SortStableFunc(e.waiting, func(a, b *job) int { return cmp.Compare(a.kind.rank, b.kind.rank) })
 	for len(e.running) < e.slots && len(e.waiting) > 0 {
 		j := e.waiting[0]
 		e.waiting = e.waiting[1:]
@@ -194,7 +194,7 @@
 	g.asked++
 	r := newRequest()
 	r.service, r.route, r.tokens, r.shared, r.capacity = "s", &k.route, k.shared+k.own, k.shared, 1<<20
-	r.affinity, r.place, r.maxAhead, r.fetchRate = topic<<8|uint64(len(k.route.Name)), k.place, maxAhead(&k.route, k.place), 100
+	r.affinity, r.rank, r.maxAhead, r.fetchRate = topic<<8|uint64(len(k.route.Name)), k.rank, maxAhead(&k.route, k.rank), 100
 	up, busy := s.fleet.choose(r, "d", nil)
 	if busy || up == nil {
 		g.refused++
@@ -234,7 +234,7 @@
 		}
 		for _, l := range r.Work.Routes {
 			if routes[l.Route] == nil {
-				routes[l.Route] = &servingsvc.RouteLoad{Service: l.Service, Route: l.Route, Gap: l.Gap, Place: l.Place}
+				routes[l.Route] = &servingsvc.RouteLoad{Service: l.Service, Route: l.Route, Gap: l.Gap, Rank: l.Rank}
 			}
 			sum := routes[l.Route]
 			sum.Tokens, sum.Unread, sum.Requests = sum.Tokens+l.Tokens, sum.Unread+l.Unread, sum.Requests+l.Requests
@@ -273,11 +273,11 @@
 // 12 slots serve with half of these.
 func threeKinds(engines float64) []kind {
 	return []kind{
-		{route: route.Route{Name: "report", Target: 1200 * time.Millisecond, Gap: 600 * time.Millisecond}, place: 1,
+		{route: route.Route{Name: "report", Target: 1200 * time.Millisecond, Gap: 600 * time.Millisecond}, rank: 1,
 			perSecond: 2.3 * engines, shared: 5000, own: 6600, topics: 60, generates: 1800 * time.Millisecond},
 		{route: route.Route{Name: "question", Target: 200 * time.Millisecond, Gap: 150 * time.Millisecond},
 			perSecond: 1.5 * engines, shared: 200, own: 630, topics: 60, generates: 900 * time.Millisecond},
-		{route: route.Route{Name: "check", Target: 300 * time.Millisecond, Gap: 250 * time.Millisecond}, place: 0.5,
+		{route: route.Route{Name: "check", Target: 300 * time.Millisecond, Gap: 250 * time.Millisecond}, rank: 0.5,
 			perSecond: 3 * engines, shared: 570, own: 1800, topics: 60, generates: 100 * time.Millisecond},
 	}
 }
--- a/instance/relay/request.go
+++ b/instance/relay/request.go
@@ -63,10 +63,10 @@
 	fetchRate     float64
 	fetchFrom     string
 	unread, ahead int
-	// place is how urgent the route is; quick says that it goes to the upstreams for
+	// rank is how urgent the route is; quick says that it goes to the upstreams for
 	// quick requests, offered that it was counted, shed that it is among those that
 	// can't be borne.
-	place                float64
+	rank                 float64
 	quick, offered, shed bool
 	// maxAhead is how much may wait before it at an engine, in milliseconds.
 	maxAhead float64
--- a/instance/relay/serve.go
+++ b/instance/relay/serve.go
@@ -165,8 +165,8 @@
 		return
 	}
 	r.capacity, r.fetchRate = e.KVTokens, e.FetchPerMS
-	r.place = v.Routes.Place(r.route)
-	r.maxAhead = maxAhead(r.route, r.place)
+	r.rank = v.Routes.Rank(r.route)
+	r.maxAhead = maxAhead(r.route, r.rank)
 	if r.route.Sticky {
 		r.affinity, r.shared = sharedParts(r.parts)
 		r.shared = min(r.shared, r.tokens)
--- a/instance/serving/loads_test.go
+++ b/instance/serving/loads_test.go
@@ -12,7 +12,7 @@
 func work(active int) Work {
 	return Work{
 		Loads:  []Load{{Begun: 7, Active: active, Reading: 10 * active, Held: 100 * active}},
-		Routes: []RouteLoad{{Service: "s", Route: "r", Tokens: active, Requests: active, Gap: 250, Place: 100, RecentCached: active}},
+		Routes: []RouteLoad{{Service: "s", Route: "r", Tokens: active, Requests: active, Gap: 250, Rank: 100, RecentCached: active}},
 	}
 }
 
--- a/instance/serving/work.go
+++ b/instance/serving/work.go
@@ -36,8 +36,8 @@
 	Tokens, Unread, Requests, Recent int
 	// SlotTime and RecentSlots are in milliseconds.
 	SlotTime, RecentSlots int
-	// Gap is in milliseconds, Place in hundredths; they are the route's, not added up.
-	Gap, Place int
+	// Gap is in milliseconds, Rank in hundredths; they are the route's, not added up.
+	Gap, Rank int
 	// RecentCached is the part of Recent for requests whose shared tokens are cached.
 	RecentCached int
 }
@@ -50,7 +50,7 @@
 	l.SlotTime = max(0, l.SlotTime+sign*o.SlotTime)
 	l.RecentSlots = max(0, l.RecentSlots+sign*o.RecentSlots)
 	l.RecentCached = max(0, l.RecentCached+sign*o.RecentCached)
-	l.Gap, l.Place = o.Gap, o.Place
+	l.Gap, l.Rank = o.Gap, o.Rank
 }
 
 // Work is what one instance, or several, have under way and see coming.
