--- a/core/control/fence/fence.go
+++ b/core/control/fence/fence.go
@@ -1,6 +1,9 @@
-// Package fence is the sub-machine that issues fencing numbers: per failure
-// domain, one holder at a time under a lease, and with each new holder a greater
-// number. Engines that check the number refuse orders of an earlier holder.
+// Package fence is the sub-machine that issues fencing numbers: for each subject of
+// exclusive work one holder at a time under a lease, and with each new holder a greater
+// number. Those who check the number refuse calls of an earlier holder; for the others a
+// holder waits until no call of an earlier one can arrive any more (Grant.Wait).
+//
+// Held is the holder's own side of a lease.
 package fence
 
 import (
@@ -31,20 +34,25 @@
 
 // Request is the command.
 type Request struct {
-	Verb   Verb   `codec:"v"`
-	Domain string `codec:"d"`
+	Verb Verb `codec:"v"`
+	// Subject names the work that one holder does at a time.
+	Subject string `codec:"d"`
 	// Holder names one start of one process: a process that was restarted has
-	// another one, since it does not know which orders it has under way.
+	// another one, since it does not know which calls it has under way.
 	Holder string `codec:"h"`
+	// Machine names where the process runs, and Return is how long a machine waits that
+	// held the subject before others did. Both may be left out.
+	Machine string        `codec:"m,omitempty"`
+	Return  time.Duration `codec:"r,omitempty"`
 	// TTL is how long the lease lasts from the leader's time stamp.
 	TTL time.Duration `codec:"t"`
 	// Settled says that the holder has waited as its Grant asked for.
 	Settled bool `codec:"s"`
 }
 
-// Lease is the state of one failure domain.
+// Lease is the state of one subject.
 type Lease struct {
-	Domain string `codec:"d"`
+	Subject string `codec:"d"`
 	// Number grows by one with each new holder and is never used again.
 	Number uint64 `codec:"n"`
 	// Holder is empty when nobody holds the lease.
@@ -56,8 +64,16 @@
 	// it: else a holder that releases at once would let the next one act while
 	// the last but one may still count on its lease.
 	Wait time.Duration `codec:"w"`
+	// Machine is the holder's, Earlier lists those that held the lease before it, the
+	// latest last.
+	Machine string   `codec:"m,omitempty"`
+	Earlier []string `codec:"p,omitempty"`
 }
 
+// maxEarlier bounds the machines that are remembered of a lease. A machine is forgotten
+// only after as many others have held it, which takes far longer than any Return.
+const maxEarlier = 32
+
 // Grant is the result of a Request.
 type Grant struct {
 	Granted bool  `codec:"g"`
@@ -88,9 +104,9 @@
 // New returns a machine without leases.
 func New() *Machine { return &Machine{leases: map[string]Lease{}} }
 
-// Lease returns the lease of a failure domain.
-func (m *Machine) Lease(domain string) (Lease, bool) {
-	l, ok := m.leases[domain]
+// Lease returns the lease of a subject.
+func (m *Machine) Lease(subject string) (Lease, bool) {
+	l, ok := m.leases[subject]
 	return l, ok
 }
 
@@ -109,11 +125,11 @@
 }
 
 func (m *Machine) handle(r Request, at int64) Grant {
-	l := m.leases[r.Domain]
-	l.Domain = r.Domain
+	l := m.leases[r.Subject]
+	l.Subject = r.Subject
 	switch {
-	case r.Domain == "" || r.Holder == "":
-		return Grant{Code: fault.Invalid, Detail: "a failure domain and a holder are needed"}
+	case r.Subject == "" || r.Holder == "":
+		return Grant{Code: fault.Invalid, Detail: "a subject and a holder are needed"}
 	case r.Verb == Release:
 		return m.release(l, r)
 	case r.Verb != Acquire || r.TTL <= 0 || r.TTL > MaxTTL:
@@ -135,21 +151,42 @@
 			l.Wait = max(l.Wait, l.TTL)
 		}
 		l.Number++
+		l.moveTo(r)
 	} else if r.Settled {
 		l.Wait = 0
 	}
 	l.Holder, l.TTL = r.Holder, r.TTL
 	l.Expires = max(l.Expires, at+int64(r.TTL))
-	m.leases[l.Domain] = l
+	m.leases[l.Subject] = l
 	return Grant{Granted: true, Lease: l, Wait: l.Wait}
 }
 
+// moveTo notes on which machine the holder runs. Where the lease goes to and fro between
+// two machines faster than a call may take, those who look at who called last, and not at
+// the number, see the two act by turns, each with an order that the other one has replaced.
+// So a machine that held it before another one waits, also when its process has started
+// anew since and remembers nothing.
+func (l *Lease) moveTo(r Request) {
+	if l.Machine == r.Machine {
+		return
+	}
+	if l.Machine != "" {
+		l.Earlier = slices.DeleteFunc(slices.Clone(l.Earlier), func(name string) bool { return name == l.Machine })
+		l.Earlier = append(l.Earlier, l.Machine)
+		l.Earlier = l.Earlier[max(0, len(l.Earlier)-maxEarlier):]
+	}
+	if r.Machine != "" && slices.Contains(l.Earlier, r.Machine) {
+		l.Wait = max(l.Wait, r.Return)
+	}
+	l.Machine = r.Machine
+}
+
 func (m *Machine) release(l Lease, r Request) Grant {
 	if l.Holder != r.Holder {
 		return Grant{Code: fault.Conflict, Lease: l, Detail: "not held by " + r.Holder}
 	}
 	l.Holder, l.Expires, l.TTL = "", 0, 0
-	m.leases[l.Domain] = l
+	m.leases[l.Subject] = l
 	return Grant{Granted: true, Lease: l}
 }
 
@@ -159,7 +196,7 @@
 	for _, l := range m.leases {
 		list = append(list, l)
 	}
-	slices.SortFunc(list, func(a, b Lease) int { return cmp.Compare(a.Domain, b.Domain) })
+	slices.SortFunc(list, func(a, b Lease) int { return cmp.Compare(a.Subject, b.Subject) })
 	return control.Marshal(list)
 }
 
@@ -171,7 +208,7 @@
 	}
 	m.leases = make(map[string]Lease, len(list))
 	for _, l := range list {
-		m.leases[l.Domain] = l
+		m.leases[l.Subject] = l
 	}
 	return nil
 }
--- /dev/null
+++ b/core/control/fence/held.go
@@ -0,0 +1,61 @@
+package fence
+
+import "time"
+
+// Terms are what a holder counts with. All times here are of a clock that goes on while
+// the machine is suspended and is never stepped; by the monotonic clock, or by the time of
+// day, a holder that was suspended would believe in a lease that others have taken over.
+type Terms struct {
+	// TTL is how long a lease lasts, Margin what is kept back of it for clocks that
+	// differ in rate.
+	TTL, Margin time.Duration
+	// Flight is the longest time that a call may take to have its effect after its bytes
+	// have arrived.
+	Flight time.Duration
+}
+
+// Held is a holder's own view of its lease. The zero Held is none.
+type Held struct {
+	// Number is the fencing number, zero without a lease.
+	Number uint64
+	// Until is the end of the lease as the holder may count on it, Renew when it is to
+	// be renewed.
+	Until, Renew time.Time
+	// Settled is when no call of an earlier holder can have an effect any more.
+	Settled time.Time
+	// last is the number that this holder had last.
+	last uint64
+}
+
+// Valid reports whether the lease covers a call that is sent now.
+func (h *Held) Valid(now time.Time) bool { return h.Number > 0 && now.Before(h.Until) }
+
+// IsSettled reports whether calls may go to those who do not check the number.
+func (h *Held) IsSettled(now time.Time) bool { return h.Number > 0 && !now.Before(h.Settled) }
+
+// Expire drops the lease if it is over.
+func (h *Held) Expire(now time.Time) {
+	if h.Number > 0 && !now.Before(h.Until) {
+		h.Drop()
+	}
+}
+
+// Drop ends the lease on the holder's side.
+func (h *Held) Drop() { h.Number, h.Settled = 0, time.Time{} }
+
+// Take takes in a grant or a renewal. The lease counts from asked, the moment before the
+// request was sent, since the group can't have given it earlier. begun says that the number
+// is a new one, and alone that nobody else held the lease since this holder last did.
+func (h *Held) Take(asked, now time.Time, g *Grant, t Terms) (begun, alone bool) {
+	if g.Lease.Number != h.Number {
+		begun, alone = true, h.last != 0 && g.Lease.Number == h.last+1
+		h.Number, h.last = g.Lease.Number, g.Lease.Number
+		h.Settled = now
+		if g.Wait > 0 {
+			h.Settled = now.Add(g.Wait + t.Flight)
+		}
+	}
+	h.Until = asked.Add(t.TTL - t.Margin)
+	h.Renew = asked.Add(t.TTL / 3)
+	return begun, alone
+}
--- a/core/drain/conn.go
+++ b/core/drain/conn.go
@@ -4,6 +4,8 @@
 // answerer what went out; requests may be read while earlier ones are answered.
 type Conn struct {
 	pending int
+	// used says that a request has come on it.
+	used bool
 	// reading says that a request has begun and is not whole yet, finished that the
 	// last answer is out, and gone that the caller has hung up.
 	reading, finished, gone bool
@@ -17,7 +19,7 @@
 func (c *Conn) idle() bool { return c.pending == 0 && !c.reading }
 
 // Begins notes the first byte of a request.
-func (c *Conn) Begins() { c.reading = true }
+func (c *Conn) Begins() { c.reading, c.used = true, true }
 
 // Takes notes that a request was read, or failed to be; both are answered.
 func (c *Conn) Takes() {
@@ -64,6 +66,27 @@
 	return GoOn
 }
 
-// Sweep reports whether a drain closes the connection now. One with a request under way
-// ends with its answer.
-func (c *Conn) Sweep() (closes bool) { return c.idle() && !c.finished }
+// Closing is when a drain closes a connection.
+type Closing int
+
+// When a connection is closed.
+const (
+	// WithAnswer leaves it open: what is under way on it ends it.
+	WithAnswer Closing = iota
+	// Now closes it.
+	Now
+	// Soon gives its caller a moment more. Whoever has just connected is about to send a
+	// request, which a close that crosses it would leave without an answer.
+	Soon
+)
+
+// Sweep returns when a drain that is about to end closes the connection.
+func (c *Conn) Sweep() Closing {
+	switch {
+	case !c.idle() || c.finished:
+		return WithAnswer
+	case !c.used:
+		return Soon
+	}
+	return Now
+}
--- a/instance/daemon/orders.go
+++ b/instance/daemon/orders.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/comfreyladder/comfreyladder/instance/admin"
+	"github.com/comfreyladder/comfreyladder/instance/clock"
 	"github.com/comfreyladder/comfreyladder/instance/config"
 	"github.com/comfreyladder/comfreyladder/instance/kernel"
 	"github.com/comfreyladder/comfreyladder/instance/link"
@@ -64,7 +65,7 @@
 	out := admin.OrdersStatus{Issuer: st.Issuer, Fence: st.Fence}
 	if st.Fence > 0 {
 		out.LeaseUntil = &st.Until
-		if time.Now().Before(st.Settled) {
+		if clock.Now().Before(st.Settled) {
 			out.SettledAt = &st.Settled
 		}
 	}
--- a/instance/order/fakes_test.go
+++ b/instance/order/fakes_test.go
@@ -20,6 +20,7 @@
 	"github.com/comfreyladder/comfreyladder/core/intent"
 	core "github.com/comfreyladder/comfreyladder/core/order"
 	"github.com/comfreyladder/comfreyladder/core/registry"
+	"github.com/comfreyladder/comfreyladder/instance/clock"
 	"github.com/comfreyladder/comfreyladder/instance/order"
 	"github.com/comfreyladder/comfreyladder/instance/upstream"
 )
@@ -45,6 +46,8 @@
 	refused int
 	// cut takes that many orders and closes the connection without an answer.
 	cut int
+	// held, if set, takes orders and answers none until it is closed.
+	held chan struct{}
 	// loading is what it says that it loads; slow holds up the first read.
 	loading []string
 	slow    time.Duration
@@ -60,6 +63,12 @@
 	e.mu.Unlock()
 	time.Sleep(slow)
 	e.mu.Lock()
+	held := e.held
+	e.mu.Unlock()
+	if held != nil && r.Method == http.MethodPost {
+		defer func() { <-held }()
+	}
+	e.mu.Lock()
 	defer e.mu.Unlock()
 	w.Header().Set("X-Request-Id", r.Header.Get("X-Request-Id"))
 	status := http.StatusOK
@@ -238,6 +247,15 @@
 	newest  bool
 	cutOff  bool // from the control group
 	stopped bool
+	// suspended is for how long the machine was suspended so far.
+	suspended time.Duration
+}
+
+// now is a clock that counts suspensions.
+func (n *node) now() time.Time {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return clock.Now().Add(n.suspended)
 }
 
 func (n *node) Do(ctx context.Context, t upstream.Target, c upstream.Call) (*upstream.Answer, error) {
@@ -281,6 +299,7 @@
 			defer n.mu.Unlock()
 			return n.newest
 		},
+		Now:  n.now,
 		Plan: core.Config{Backoff: 50 * time.Millisecond, Idle: 50 * time.Millisecond},
 		Tick: 5 * time.Millisecond, TTL: ttl, Margin: 50 * time.Millisecond, Flight: 100 * time.Millisecond,
 		ReadEvery: 50 * time.Millisecond, ReadLoading: 10 * time.Millisecond, CallTimeout: 2 * time.Second, Keep: 300 * time.Millisecond,
--- a/instance/order/lease.go
+++ b/instance/order/lease.go
@@ -10,46 +10,27 @@
 	core "github.com/comfreyladder/comfreyladder/core/order"
 )
 
-// lease is this instance's right to order the domain's engines.
-type lease struct {
-	// number is the fencing number, 0 without a lease.
-	number uint64
-	// until is the end of the lease as this instance may count on it, renew when
-	// it is to be renewed.
-	until, renew time.Time
-	// settled is when orders of earlier issuers are over.
-	settled time.Time
-	// before is the number that this instance held last.
-	before uint64
+// authority returns which engines may be ordered now.
+func (s *Service) authority(now time.Time) core.Authority {
+	ok := s.lease.Valid(now)
+	return core.Authority{Checking: ok, Ignoring: ok && s.lease.IsSettled(now)}
 }
 
-// valid reports whether the lease covers an order that is sent now. The time of
-// day is looked at besides the monotonic clock, which stands still while a
-// machine is suspended.
-func (l *lease) valid(now time.Time) bool {
-	return l.number > 0 && now.Before(l.until) && now.Round(0).Before(l.until.Round(0))
+func (s *Service) terms() fence.Terms {
+	return fence.Terms{TTL: s.cfg.TTL, Margin: s.cfg.Margin, Flight: s.cfg.Flight}
 }
 
-func (l *lease) authority(now time.Time) core.Authority {
-	ok := l.valid(now)
-	return core.Authority{Checking: ok, Ignoring: ok && !now.Before(l.settled)}
-}
-
-func (l *lease) drop() { l.number, l.settled = 0, time.Time{} }
-
 // tend renews the lease while there are orders to give, takes it when the first
 // one is due, and gives it up when there were none for a while. One that is not
 // settled yet is kept: the next would have to wait all over again.
 func (s *Service) tend(now time.Time) {
-	if s.lease.number > 0 && !now.Before(s.lease.until) {
-		s.lease.drop()
-	}
-	wanted := now.Sub(later(s.active, s.lease.settled)) < s.cfg.Keep
+	s.lease.Expire(now)
+	wanted := now.Sub(later(s.active, s.lease.Settled)) < s.cfg.Keep
 	switch {
 	case s.asking || now.Before(s.askAt):
-	case wanted && (s.lease.number == 0 || !now.Before(s.lease.renew)):
+	case wanted && (s.lease.Number == 0 || !now.Before(s.lease.Renew)):
 		s.ask(s.acquireRequest(now), s.granted)
-	case !wanted && s.lease.number > 0 && !s.uncertain(now):
+	case !wanted && s.lease.Number > 0 && !s.uncertain(now):
 		s.giveUp()
 	}
 }
@@ -58,10 +39,8 @@
 // once nothing is under way any more that was sent under it; else it runs out,
 // and the successor waits.
 func (s *Service) resign(now time.Time) {
-	if s.lease.number > 0 && !now.Before(s.lease.until) {
-		s.lease.drop()
-	}
-	if s.lease.number > 0 && !s.asking && !s.uncertain(now) {
+	s.lease.Expire(now)
+	if s.lease.Number > 0 && !s.asking && !s.uncertain(now) {
 		s.giveUp()
 	}
 	s.forget()
@@ -77,25 +56,25 @@
 // giveUp stops counting on the lease before it is released.
 func (s *Service) giveUp() {
 	r := s.releaseRequest()
-	s.lease.drop()
+	s.lease.Drop()
 	s.ask(r, func(time.Time, time.Time, fence.Grant) {})
 }
 
 func (s *Service) acquireRequest(now time.Time) fence.Request {
 	return fence.Request{
-		Verb: fence.Acquire, Domain: s.cfg.Domain, Holder: s.holder, TTL: s.cfg.TTL,
-		Settled: s.lease.number > 0 && !now.Before(s.lease.settled),
+		Verb: fence.Acquire, Subject: s.cfg.Domain, Holder: s.holder, TTL: s.cfg.TTL,
+		Settled: s.lease.Number > 0 && !now.Before(s.lease.Settled),
 	}
 }
 
 func (s *Service) releaseRequest() fence.Request {
-	return fence.Request{Verb: fence.Release, Domain: s.cfg.Domain, Holder: s.holder}
+	return fence.Request{Verb: fence.Release, Subject: s.cfg.Domain, Holder: s.holder}
 }
 
 // ask sends a request to the control group without holding up the loop.
 func (s *Service) ask(r fence.Request, done func(asked, now time.Time, g fence.Grant)) {
 	s.asking = true
-	asked := time.Now()
+	asked := s.cfg.Now()
 	s.calls.Go(func() {
 		ctx, cancel := context.WithTimeout(s.ctx, s.cfg.CallTimeout)
 		defer cancel()
@@ -131,36 +110,22 @@
 func (s *Service) refused(now time.Time, r fence.Request, err error) {
 	s.askAt = now.Add(s.cfg.TTL / 12)
 	if fault.CodeOf(err) == fault.Conflict && r.Verb == fence.Acquire {
-		s.lease.drop()
+		s.lease.Drop()
 	}
 	s.cfg.Log.Debug().Err(err).Str("verb", string(r.Verb)).Msg("lease for orders not given")
 }
 
-// granted takes a lease or its renewal. It counts from before the request was
-// sent, since the group cannot have given it earlier than that.
+// granted takes a lease or its renewal. Orders of an earlier issuer may be under way at
+// the beginning of a term for as long as that one counted on its lease and their flight
+// takes; engines that check the number refuse them, the others are left alone until then.
 func (s *Service) granted(asked, now time.Time, g fence.Grant) {
-	l := &s.lease
-	if g.Lease.Number != l.number {
-		s.begin(now, g)
-	}
-	l.until = asked.Add(s.cfg.TTL - s.cfg.Margin)
-	l.renew = asked.Add(s.cfg.TTL / 3)
-}
-
-// begin starts a term. Orders of an earlier issuer may be under way for as long as
-// that one counted on its lease and their flight takes; engines that check the
-// number refuse them, the others are left alone until then.
-func (s *Service) begin(now time.Time, g fence.Grant) {
-	l := &s.lease
-	mine := l.before != 0 && g.Lease.Number == l.before+1
-	l.number, l.before = g.Lease.Number, g.Lease.Number
-	l.settled = now
-	if g.Wait > 0 {
-		l.settled = now.Add(g.Wait + s.cfg.Flight)
+	begun, alone := s.lease.Take(asked, now, &g, s.terms())
+	if !begun {
+		return
 	}
-	if !mine {
+	if !alone {
 		s.domain.Begin(now, g.Lease.Number == 1)
 		s.forget()
 	}
-	s.cfg.Log.Info().Uint64("fence", l.number).Dur("wait", l.settled.Sub(now)).Msg("this instance orders the domain's engines")
+	s.cfg.Log.Info().Uint64("fence", s.lease.Number).Dur("wait", s.lease.Settled.Sub(now)).Msg("this instance orders the domain's engines")
 }
--- a/instance/order/order.go
+++ b/instance/order/order.go
@@ -28,10 +28,12 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/comfreyladder/comfreyladder/core/control/fence"
 	"github.com/comfreyladder/comfreyladder/core/defaults"
 	"github.com/comfreyladder/comfreyladder/core/intent"
 	core "github.com/comfreyladder/comfreyladder/core/order"
 	"github.com/comfreyladder/comfreyladder/core/registry"
+	"github.com/comfreyladder/comfreyladder/instance/clock"
 	"github.com/comfreyladder/comfreyladder/instance/upstream"
 )
 
@@ -79,6 +81,9 @@
 	Newest func() bool
 	Log    zerolog.Logger
 	Plan   core.Config
+	// Now is the clock that leases are counted by; nil means clock.Now. It must go on
+	// while the machine is suspended.
+	Now func() time.Time
 
 	Tick, TTL, Margin, Flight time.Duration
 	ReadEvery, ReadLoading    time.Duration
@@ -94,6 +99,9 @@
 	defaults.Set(&c.ReadLoading, DefaultReadLoading)
 	defaults.Set(&c.CallTimeout, DefaultCallTimeout)
 	defaults.Set(&c.Keep, DefaultKeep)
+	if c.Now == nil {
+		c.Now = clock.Now
+	}
 }
 
 // Status tells how the domain's engines stand, as this instance knows it.
@@ -126,7 +134,7 @@
 	// What follows is owned by the goroutine of run.
 	domain  *core.Domain
 	doc     *intent.Document
-	lease   lease
+	lease   fence.Held
 	asking  bool
 	askAt   time.Time
 	active  time.Time // when an order was due last
@@ -171,7 +179,7 @@
 	<-s.ended
 	s.calls.Wait()
 	// A request that was under way may have taken the lease, or not given it up.
-	if (s.lease.number > 0 || s.asking) && !s.uncertain(time.Now()) {
+	if (s.lease.Number > 0 || s.asking) && !s.uncertain(s.cfg.Now()) {
 		bounded, cancel := context.WithTimeout(ctx, s.cfg.CallTimeout)
 		defer cancel()
 		_, _ = s.propose(bounded, s.releaseRequest())
@@ -207,9 +215,9 @@
 		case <-s.ctx.Done():
 			return
 		case <-ticker.C:
-			s.tick(time.Now())
+			s.tick(s.cfg.Now())
 		case f := <-s.inbox:
-			f(time.Now())
+			f(s.cfg.Now())
 		}
 	}
 }
@@ -228,7 +236,7 @@
 	engines := s.look(now)
 	var d core.Decision
 	if s.ready {
-		d = s.domain.Step(now, engines, s.lease.authority(now))
+		d = s.domain.Step(now, engines, s.authority(now))
 	}
 	if d.Pending || len(d.Orders) > 0 {
 		s.active = now
@@ -238,7 +246,7 @@
 		s.send(now, o)
 	}
 	st.Models, st.Engines = d.Models, d.Engines
-	if s.lease.valid(now) {
-		st.Fence, st.Until, st.Settled = s.lease.number, s.lease.until, s.lease.settled
+	if s.lease.Valid(now) {
+		st.Fence, st.Until, st.Settled = s.lease.Number, s.lease.Until, s.lease.Settled
 	}
 }
--- a/instance/order/send.go
+++ b/instance/order/send.go
@@ -6,6 +6,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"github.com/comfreyladder/comfreyladder/core/control/fence"
 	"github.com/comfreyladder/comfreyladder/core/fault"
 	core "github.com/comfreyladder/comfreyladder/core/order"
 	"github.com/comfreyladder/comfreyladder/instance/upstream"
@@ -22,11 +23,11 @@
 // at anew: the decision took some.
 func (s *Service) send(now time.Time, o core.Order) {
 	e := s.engines[o.Engine]
-	if e == nil || e.busy || !s.lease.valid(time.Now()) {
+	if e == nil || e.busy || !s.lease.Valid(s.cfg.Now()) {
 		s.domain.NotSent(now, o.Engine)
 		return
 	}
-	body, err := json.Marshal(message{Fence: s.lease.number, Models: o.Models, Role: o.Role})
+	body, err := json.Marshal(message{Fence: s.lease.Number, Models: o.Models, Role: o.Role})
 	if err != nil {
 		s.domain.NotSent(now, o.Engine)
 		return
@@ -34,9 +35,9 @@
 	l := s.lease
 	c := upstream.Call{
 		Method: fasthttp.MethodPost, Headers: []upstream.Header{{Name: "Content-Type", Value: "application/json"}}, Body: body,
-		NotAfter: l.until,
+		NotAfter: l.Until,
 	}
-	s.cfg.Log.Info().Str("engine", o.Engine).Uint64("fence", l.number).Strs("models", o.Models).Int("cost_mb", o.CostMB).Msg("order")
+	s.cfg.Log.Info().Str("engine", o.Engine).Uint64("fence", l.Number).Strs("models", o.Models).Int("cost_mb", o.CostMB).Msg("order")
 	s.flying++
 	s.call(e, c, func(now time.Time, a *upstream.Answer, err error) {
 		s.flying--
@@ -45,7 +46,7 @@
 			s.followed(o, e, st)
 			return
 		}
-		s.cfg.Log.Warn().Err(err).Str("engine", o.Engine).Uint64("fence", l.number).Msg("order not answered with success")
+		s.cfg.Log.Warn().Err(err).Str("engine", o.Engine).Uint64("fence", l.Number).Msg("order not answered with success")
 		s.notFollowed(now, o, e, l, st, a, err)
 	})
 }
@@ -60,14 +61,14 @@
 // notFollowed takes in an order that failed. When it may have arrived, or may still
 // arrive until the end of its lease, it counts as under way until the engine has
 // been read, and the lease is not given up before it is over.
-func (s *Service) notFollowed(now time.Time, o core.Order, e *engine, l lease, st *core.State, a *upstream.Answer, err error) {
+func (s *Service) notFollowed(now time.Time, o core.Order, e *engine, l fence.Held, st *core.State, a *upstream.Answer, err error) {
 	known := a != nil && a.Status < fasthttp.StatusInternalServerError
 	if !known && upstream.EvidenceOf(err) == upstream.Unknown {
-		s.late = later(s.late, l.until.Add(s.cfg.Flight))
+		s.late = later(s.late, l.Until.Add(s.cfg.Flight))
 		e.failures++ // is read again soon
 		return
 	}
-	if fault.CodeOf(err) == fault.Conflict && st != nil && st.Fence > l.number {
+	if fault.CodeOf(err) == fault.Conflict && st != nil && st.Fence > l.Number {
 		s.superseded(now, l)
 	}
 	if s.engines[o.Engine] != e {
@@ -82,12 +83,12 @@
 
 // superseded ends the lease under which an engine refused an order: it has seen a
 // greater number. The next lease has a greater one than this.
-func (s *Service) superseded(now time.Time, l lease) {
+func (s *Service) superseded(now time.Time, l fence.Held) {
 	switch {
-	case s.lease.number != l.number:
+	case s.lease.Number != l.Number:
 	case s.uncertain(now) || s.asking:
-		s.lease.drop()
-		s.askAt = l.until.Add(s.cfg.Margin)
+		s.lease.Drop()
+		s.askAt = l.Until.Add(s.cfg.Margin)
 	default:
 		s.giveUp()
 	}
--- a/instance/relay/conn.go
+++ b/instance/relay/conn.go
@@ -184,8 +184,11 @@
 func (c *conn) sweep() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.life.Sweep() {
+	switch c.life.Sweep() {
+	case drain.Now:
 		_ = c.nc.SetReadDeadline(time.Now())
+	case drain.Soon:
+		_ = c.nc.SetReadDeadline(time.Now().Add(firstRequest))
 	}
 }
 
--- a/instance/relay/relay.go
+++ b/instance/relay/relay.go
@@ -153,6 +153,9 @@
 // in flight: a request may be on its way on any of them.
 const settle = time.Second
 
+// firstRequest is for how long a new connection may still bring its first request then.
+const firstRequest = settle / 2
+
 func (s *Service) connections() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/instance/relay/relay_test.go
+++ b/instance/relay/relay_test.go
@@ -311,6 +311,24 @@
 	Expect(got).To(Equal(len(up.requests())))
 }
 
+// A caller connects while the balancer still sends callers here, and its request comes a
+// moment after the end of that time, as on a machine that is busy. It had no answer and
+// could not know whether to send again: its connection was closed as an idle one.
+func TestFirstRequestOfANewConnectionIsServedAtTheEndOfADrain(t *testing.T) {
+	up := startUpstream(t, "u", echo)
+	b := start(t, up)
+	drained := make(chan error, 1)
+	go func() { drained <- b.service.Drain(context.Background()) }()
+	Eventually(b.service.Ready).Should(BeFalse())
+	c := b.caller()
+	time.Sleep(450 * time.Millisecond)
+	r := c.call("POST", "/once/x", "a", "first")
+	Expect(r.err).NotTo(HaveOccurred())
+	Expect(r.status).To(Equal(200))
+	Expect(r.closes).To(BeTrue())
+	Expect(<-drained).To(Succeed())
+}
+
 // A stream arrives at the end of a drain, as happens when too few other instances
 // are ready. It would be cut off when the process ends: the caller is told at once
 // that it did not run. Short requests are still served.
--- a/instance/upstream/call.go
+++ b/instance/upstream/call.go
@@ -8,6 +8,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/comfreyladder/comfreyladder/core/fault"
+	"github.com/comfreyladder/comfreyladder/instance/clock"
 )
 
 // Header is one header field of a plain call or its answer.
@@ -30,9 +31,9 @@
 	// AllowNoID accepts an answer that repeats no request ID. Its connection is
 	// closed after the answer. An answer with another ID is always refused.
 	AllowNoID bool
-	// NotAfter, if set, is the time after which no byte of the request may reach
-	// the upstream, such as the end of the lease under which it is sent. The call
-	// ends then as well, and its connection is used for nothing else.
+	// NotAfter, if set, is the time of instance/clock after which no byte of the request
+	// may reach the upstream, such as the end of the lease under which it is sent. The
+	// call ends then as well, and its connection is used for nothing else.
 	NotAfter time.Time
 }
 
@@ -86,7 +87,7 @@
 	req.SetBodyRaw(call.Body)
 	opt := options{fresh: call.Fresh, anonymous: call.AllowNoID, notAfter: call.NotAfter}
 	if !opt.notAfter.IsZero() {
-		bounded, cancel := context.WithDeadline(ctx, opt.notAfter)
+		bounded, cancel := context.WithTimeout(ctx, clock.Until(opt.notAfter))
 		defer cancel()
 		ctx, opt.fresh = bounded, true
 	}
--- a/instance/upstream/conn.go
+++ b/instance/upstream/conn.go
@@ -94,11 +94,12 @@
 	c.sentAt = time.Now()
 	until := c.sentAt.Add(limit)
 	if !c.notAfter.IsZero() {
-		if err = c.limitFlight(); err != nil {
+		left, err := c.limitFlight()
+		if err != nil {
 			return false, err
 		}
-		if c.notAfter.Before(until) {
-			until = c.notAfter
+		if end := time.Now().Add(left); end.Before(until) {
+			until = end
 		}
 	}
 	if err = c.rw.SetWriteDeadline(until); err != nil {
--- a/instance/upstream/flight.go
+++ b/instance/upstream/flight.go
@@ -8,13 +8,14 @@
 	"github.com/pkg/errors"
 
 	"github.com/comfreyladder/comfreyladder/core/fault"
+	"github.com/comfreyladder/comfreyladder/instance/clock"
 )
 
 // tcpUserTimeout is Linux's option TCP_USER_TIMEOUT, in milliseconds.
 const tcpUserTimeout = 0x12
 
 // limitFlight bounds the flight of a request that must not arrive after notAfter.
-// It is called right before the request is written.
+// It is called right before the request is written, and returns the time that is left.
 //
 // It guards against a process that is frozen, or a dial that takes long, after
 // the sender checked that it may still send: it would go on where it stopped and
@@ -27,21 +28,21 @@
 //
 // What is left is a freeze between that check and the system call that follows
 // it, and an upstream that reads its socket late.
-func (c *conn) limitFlight() error {
-	left := time.Until(c.notAfter)
+func (c *conn) limitFlight() (left time.Duration, err error) {
+	left = clock.Until(c.notAfter)
 	if left <= 0 {
-		return fault.New(fault.DeadlineExceeded, "the time until which this request may be sent is over")
+		return 0, fault.New(fault.DeadlineExceeded, "the time until which this request may be sent is over")
 	}
 	tcp, ok := c.raw.Conn.(*net.TCPConn)
 	if !ok {
-		return nil
+		return left, nil
 	}
 	if err := tcp.SetLinger(0); err != nil {
-		return err
+		return 0, err
 	}
 	sys, err := tcp.SyscallConn()
 	if err != nil {
-		return err
+		return 0, err
 	}
 	var failed error
 	err = sys.Control(func(fd uintptr) {
@@ -50,7 +51,7 @@
 	if err == nil && failed != nil {
 		err = errors.WithStack(failed)
 	}
-	return err
+	return left, err
 }
 
 // lingerAgain lets a connection whose answer came whole end in the usual way.
