Duties: usage reports by one holder at a time, agreed on in the log

What: core/timebase (agreed time: median at the start, then a slew; followers within half a round trip), core/usage and core/control/usage (totals by start of an instance, windows closed by a command of the log), instance/meter at the edges, instance/duty at the cores (lease, reports, retries, give-up, hand-over), the provider's calls in platform/. fence: a lease that a member has seen unchanged for its whole TTL by its own clock can be taken at once, whatever the log's time says (Unchanged); so a change of holder takes one TTL, not two.

Guards taken out one by one: killed by a test are the wait of a machine that comes back, the look at the time at the sending, a lease counted from the answer, the connection before the lease is taken, giving up, the settled wait, the end of a lease, waiting for calls under way and for bytes on their way, closing once, waiting for all instances, the bound on that. Not killed, as another guard covers them: the successor's wait after a lease that ran out by the log's time (Unchanged covers it), Valid beside the drop in the same tick.

Not there yet: orders of upstreams; the operators' view; process tests.

--- a/core/control/fence/fence.go
+++ b/core/control/fence/fence.go
@@ -44,6 +44,11 @@
 	// held the subject before others did. Both may be left out.
 	Machine string        `codec:"m,omitempty"`
 	Return  time.Duration `codec:"r,omitempty"`
+	// Unchanged, if not zero, is the Revision that the lease has had for its whole TTL by
+	// the clock of whoever asks. If it still has it, the lease is over whatever the log's
+	// time says, and so for its holder, who counts from before its last renewal: there is
+	// nothing to wait for.
+	Unchanged uint64 `codec:"u,omitempty"`
 	// TTL is how long the lease lasts from the leader's time stamp.
 	TTL time.Duration `codec:"t"`
 	// Settled says that the holder has waited as its Grant asked for.
@@ -68,6 +73,8 @@
 	// latest last.
 	Machine string   `codec:"m,omitempty"`
 	Earlier []string `codec:"p,omitempty"`
+	// Revision grows with each request that changes the lease.
+	Revision uint64 `codec:"r,omitempty"`
 }
 
 // maxEarlier bounds the machines that are remembered of a lease. A machine is forgotten
@@ -142,12 +149,13 @@
 // lease has run out gets a new number as well, though nobody else came between:
 // it has to learn that it acted without a lease.
 func (m *Machine) acquire(l Lease, r Request, at int64) Grant {
-	held := l.Holder != "" && at < l.Expires
+	seenOver := r.Unchanged != 0 && r.Unchanged == l.Revision && l.Holder != r.Holder
+	held := l.Holder != "" && at < l.Expires && !seenOver
 	if held && l.Holder != r.Holder {
 		return Grant{Code: fault.Conflict, Lease: l, Detail: "held by " + l.Holder}
 	}
 	if !held {
-		if l.Holder != "" && l.Holder != r.Holder {
+		if l.Holder != "" && l.Holder != r.Holder && !seenOver {
 			l.Wait = max(l.Wait, l.TTL)
 		}
 		l.Number++
@@ -155,6 +163,7 @@
 	} else if r.Settled {
 		l.Wait = 0
 	}
+	l.Revision++
 	l.Holder, l.TTL = r.Holder, r.TTL
 	l.Expires = max(l.Expires, at+int64(r.TTL))
 	m.leases[l.Subject] = l
@@ -186,6 +195,7 @@
 		return Grant{Code: fault.Conflict, Lease: l, Detail: "not held by " + r.Holder}
 	}
 	l.Holder, l.Expires, l.TTL = "", 0, 0
+	l.Revision++
 	m.leases[l.Subject] = l
 	return Grant{Granted: true, Lease: l}
 }
--- /dev/null
+++ b/core/control/usage/machine_test.go
@@ -0,0 +1,237 @@
+package usage_test
+
+import (
+	"fmt"
+	"maps"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/comfreyladder/comfreyladder/core/control"
+	"github.com/comfreyladder/comfreyladder/core/control/usage"
+	core "github.com/comfreyladder/comfreyladder/core/usage"
+)
+
+const span = 5 * time.Second
+
+func apply(m *usage.Machine, c usage.Command) {
+	b, err := control.Marshal(&c)
+	if err != nil {
+		panic(err)
+	}
+	m.Apply(1, time.Unix(1000, 0), b)
+}
+
+func closeWindow(m *usage.Machine, window int64) { apply(m, usage.Command{Close: &window}) }
+
+func tell(m *usage.Machine, instance uint64, current int64, list ...core.Count) {
+	apply(m, usage.Command{Counts: []core.Report{{Instance: instance, Current: current, Counts: list}}})
+}
+
+func count(window int64, organisation string, n uint64) core.Count {
+	return core.Count{Window: window, Organisation: organisation, Requests: n}
+}
+
+// A holder sends a window's report and dies before the answer; more counts come in, and
+// its successor closes the window as well. An organisation is billed by what was sent
+// first: the second close must change nothing.
+func TestAClosedWindowNeverChanges(t *testing.T) {
+	g := NewWithT(t)
+	m := usage.New()
+	tell(m, 1, 10, count(10, "o", 3))
+	tell(m, 2, 10, count(10, "o", 4))
+	closeWindow(m, 9)
+	g.Expect(m.Closed()).To(BeEmpty(), "windows before the first one are nobody's")
+	closeWindow(m, 10)
+	first := m.Closed()[0]
+	g.Expect(first.Totals).To(Equal([]usage.Total{{Organisation: "o", Requests: 7}}))
+	g.Expect([]int{first.Instances, first.Missing}).To(Equal([]int{2, 2}))
+	tell(m, 2, 11, count(10, "o", 6))
+	closeWindow(m, 10)
+	g.Expect(m.Closed()).To(HaveLen(1))
+	g.Expect(m.Closed()[0].Totals).To(Equal(first.Totals))
+	g.Expect(m.Closed()[0].Late).To(Equal(uint64(2)), "operators see what the report lacks")
+	g.Expect(m.Open()).To(HaveLen(1))
+	apply(m, usage.Command{Settle: &usage.Settle{Window: 10, Outcome: usage.Acknowledged}})
+	apply(m, usage.Command{Settle: &usage.Settle{Window: 10, Outcome: usage.Refused}})
+	g.Expect(m.Open()).To(BeEmpty())
+	g.Expect(m.Closed()[0].Outcome).To(Equal(usage.Acknowledged))
+}
+
+func TestWindowsAreCompleteOnceAllHaveToldThem(t *testing.T) {
+	g := NewWithT(t)
+	m := usage.New()
+	g.Expect(m.Complete(10)).To(BeFalse())
+	tell(m, 1, 10)
+	tell(m, 2, 10)
+	g.Expect(m.Complete(10)).To(BeFalse())
+	tell(m, 1, 11)
+	g.Expect(m.Complete(10)).To(BeFalse())
+	tell(m, 2, 12)
+	g.Expect(m.Complete(10)).To(BeTrue())
+	closeWindow(m, 10)
+	g.Expect(m.Complete(11)).To(BeFalse(), "instance 1 is in window 11")
+	closeWindow(m, 11)
+	tell(m, 2, 13)
+	g.Expect(m.Complete(12)).To(BeTrue(), "who told nothing since window 11 has ended, or is cut off")
+}
+
+// The state is bounded although nobody takes the reports, and instances come and go.
+func TestTheStateIsBounded(t *testing.T) {
+	m := usage.New()
+	for w := range int64(5000) {
+		tell(m, uint64(1+w), w, count(w, "o", 1))
+		closeWindow(m, w)
+	}
+	g := NewWithT(t)
+	g.Expect(len(m.Closed())).To(BeNumerically("<", 3000))
+	g.Expect(m.Closed()[len(m.Closed())-1].Window).To(Equal(int64(4999)))
+	b, err := m.Snapshot()
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(len(b)).To(BeNumerically("<", 300_000))
+}
+
+// source is one start of an instance, with what it counted.
+type source struct {
+	counter *core.Counter
+	truth   map[string]uint64
+	last    []core.Report
+}
+
+// telling is instances that tell two members, which commit to one machine.
+type telling struct {
+	*rapid.T
+	m       *usage.Machine
+	members []*core.Collector
+	sources []*source
+	starts  uint64
+	now     time.Time
+	// ended is what instances counted that have ended.
+	ended map[string]uint64
+}
+
+func newTelling(t *rapid.T) *telling {
+	w := &telling{
+		T: t, m: usage.New(), members: []*core.Collector{core.NewCollector(), core.NewCollector()},
+		now: time.Unix(50, 0), ended: map[string]uint64{},
+	}
+	for range 3 {
+		w.sources = append(w.sources, w.start())
+	}
+	return w
+}
+
+func (w *telling) start() *source {
+	w.starts++
+	return &source{counter: core.NewCounter(w.starts, span), truth: map[string]uint64{}}
+}
+
+func (w *telling) commit(member int) {
+	list, revision := w.members[member].Uncommitted()
+	apply(w.m, usage.Command{Counts: list})
+	w.members[member].Committed(revision)
+}
+
+func (w *telling) tell(s *source, member int) {
+	r, revision := s.counter.Report(w.now, fmt.Sprint(member))
+	w.members[member].Take(&r)
+	s.counter.Told(&r, revision, fmt.Sprint(member))
+	s.last = append(s.last, r)
+}
+
+// add adds what a source counted to a sum.
+func (s *source) add(sum map[string]uint64) {
+	for o, n := range s.truth {
+		sum[o] += n
+	}
+}
+
+// loseMember loses a member with what it has not committed; all it heard is told again to
+// the other one, as to a member that is new to the instance.
+func (w *telling) loseMember(member int) {
+	w.members[member] = core.NewCollector()
+	for _, s := range w.sources {
+		w.tell(s, 1-member)
+		w.tell(s, member)
+	}
+}
+
+// end ends an instance after it has told everything.
+func (w *telling) end(s *source, member int) {
+	w.tell(s, member)
+	s.add(w.ended)
+	w.commit(member)
+	*s = *w.start()
+}
+
+func (w *telling) snapshot() {
+	b, err := w.m.Snapshot()
+	if err != nil {
+		w.Fatal(err)
+	}
+	w.m = usage.New()
+	if err := w.m.Restore(b); err != nil {
+		w.Fatal(err)
+	}
+	if again, _ := w.m.Snapshot(); string(again) != string(b) {
+		w.Fatal("a restored state differs")
+	}
+}
+
+func (w *telling) step() {
+	s := rapid.SampledFrom(w.sources).Draw(w.T, "source")
+	member := rapid.IntRange(0, 1).Draw(w.T, "member")
+	switch rapid.IntRange(0, 7).Draw(w.T, "step") {
+	case 0, 1:
+		o := rapid.SampledFrom([]string{"o", "p"}).Draw(w.T, "organisation")
+		s.counter.Add(w.now, o)
+		s.truth[o]++
+	case 2:
+		w.tell(s, member)
+	case 3:
+		if len(s.last) > 0 {
+			r := rapid.SampledFrom(s.last).Draw(w.T, "doubled")
+			w.members[member].Take(&r)
+		}
+	case 4:
+		w.commit(member)
+	case 5:
+		w.loseMember(member)
+	case 6:
+		w.end(s, member)
+	case 7:
+		w.snapshot()
+	}
+}
+
+// Instances count and tell two members; reports are lost, doubled and late; instances are
+// killed and start anew; members commit what they gathered, or fail to, or are lost with
+// it. Each request that was told to a member that went on is in the totals, once.
+func TestWhatIsToldCountsOnce(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newTelling(t)
+		for range rapid.IntRange(1, 80).Draw(t, "steps") {
+			w.step()
+		}
+		truth := w.ended
+		for _, s := range w.sources {
+			w.tell(s, 0)
+			s.add(truth)
+		}
+		w.commit(0)
+		window, begun := w.m.Next()
+		if !begun {
+			return
+		}
+		closeWindow(w.m, window)
+		totals := map[string]uint64{}
+		for _, total := range w.m.Closed()[0].Totals {
+			totals[total.Organisation] = total.Requests
+		}
+		if !maps.Equal(totals, truth) {
+			t.Fatalf("%v instead of %v", totals, truth)
+		}
+	})
+}
--- /dev/null
+++ b/core/usage/usage_test.go
@@ -0,0 +1,105 @@
+package usage_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/comfreyladder/comfreyladder/core/usage"
+)
+
+const span = 5 * time.Second
+
+func at(window int64, into time.Duration) time.Time {
+	return time.Unix(0, window*int64(span)).Add(into)
+}
+
+func TestWindowsBeginAtTheEpoch(t *testing.T) {
+	g := NewWithT(t)
+	g.Expect(usage.WindowAt(time.Unix(0, 0), span)).To(Equal(int64(0)))
+	g.Expect(usage.WindowAt(time.Unix(1767225604, 999_999_999), span)).To(Equal(int64(353445120)))
+	g.Expect(usage.WindowAt(time.Unix(1767225605, 0), span)).To(Equal(int64(353445121)))
+	g.Expect(usage.WindowAt(time.Unix(-1, 0), span)).To(Equal(int64(-1)))
+	g.Expect(usage.EndOf(353445120, span)).To(Equal(time.Unix(1767225605, 0).UTC()))
+}
+
+func counts(r *usage.Report) map[int64]map[string]uint64 {
+	out := map[int64]map[string]uint64{}
+	for _, n := range r.Counts {
+		if out[n.Window] == nil {
+			out[n.Window] = map[string]uint64{}
+		}
+		out[n.Window][n.Organisation] = n.Requests
+	}
+	return out
+}
+
+// An instance tells one member what has changed, and the member is lost before it passed
+// it on. Whoever is asked next has to hear all of it, or the organisation is billed too
+// little.
+func TestAnotherMemberIsToldAll(t *testing.T) {
+	g := NewWithT(t)
+	c := usage.NewCounter(7, span)
+	c.Add(at(10, time.Second), "o")
+	c.Add(at(10, time.Second), "p")
+	r, rev := c.Report(at(10, 2*time.Second), "a")
+	g.Expect(r.Instance).To(Equal(uint64(7)))
+	g.Expect(r.Current).To(Equal(int64(10)))
+	g.Expect(counts(&r)).To(Equal(map[int64]map[string]uint64{10: {"o": 1, "p": 1}}))
+	again, _ := c.Report(at(10, 2*time.Second), "a")
+	g.Expect(again).To(Equal(r), "nobody has taken it in yet")
+	c.Told(&r, rev, "a")
+	r, _ = c.Report(at(10, 3*time.Second), "a")
+	g.Expect(r.Empty()).To(BeTrue(), "nothing new")
+	c.Add(at(10, 3*time.Second), "o")
+	r, rev = c.Report(at(10, 4*time.Second), "a")
+	g.Expect(counts(&r)).To(Equal(map[int64]map[string]uint64{10: {"o": 2}}))
+	c.Told(&r, rev, "a")
+	r, _ = c.Report(at(11, 0), "a")
+	g.Expect(r.Current).To(Equal(int64(11)), "the window is over: that is news")
+	g.Expect(r.Counts).To(BeEmpty())
+	r, _ = c.Report(at(11, 0), "b")
+	g.Expect(counts(&r)).To(Equal(map[int64]map[string]uint64{10: {"o": 2, "p": 1}}))
+}
+
+// What was told is forgotten after some windows, what was not is kept for ten minutes.
+func TestCountsAreBounded(t *testing.T) {
+	g := NewWithT(t)
+	c := usage.NewCounter(7, span)
+	c.Add(at(10, 0), "o")
+	r, rev := c.Report(at(10, 0), "a")
+	c.Told(&r, rev, "a")
+	c.Add(at(11, 0), "o")
+	r, _ = c.Report(at(100, 0), "b")
+	g.Expect(counts(&r)).To(Equal(map[int64]map[string]uint64{11: {"o": 1}}))
+	r, _ = c.Report(at(200, 0), "b")
+	g.Expect(r.Counts).To(BeEmpty())
+}
+
+// A member could not commit what it gathered. It has to bring all of it again, and only
+// that once it could.
+func TestUncommittedReportsStay(t *testing.T) {
+	g := NewWithT(t)
+	c := usage.NewCollector()
+	c.Take(&usage.Report{Instance: 1, Current: 10, Counts: []usage.Count{{Window: 10, Organisation: "o", Requests: 3}}})
+	c.Take(&usage.Report{Instance: 2, Current: 10})
+	c.Take(&usage.Report{})
+	list, rev := c.Uncommitted()
+	g.Expect(list).To(HaveLen(2))
+	again, _ := c.Uncommitted()
+	g.Expect(again).To(Equal(list))
+	c.Take(&usage.Report{Instance: 1, Current: 10, Counts: []usage.Count{{Window: 10, Organisation: "o", Requests: 5}}})
+	c.Committed(rev)
+	list, rev = c.Uncommitted()
+	g.Expect(list).To(HaveLen(1))
+	g.Expect(list[0].Counts[0].Requests).To(Equal(uint64(5)))
+	c.Committed(rev)
+	c.Take(&usage.Report{Instance: 1, Current: 9, Counts: []usage.Count{{Window: 10, Organisation: "o", Requests: 4}}})
+	list, _ = c.Uncommitted()
+	g.Expect(list).To(BeEmpty(), "a late report takes nothing back")
+	c.Forget(12)
+	c.Take(&usage.Report{Instance: 1, Current: 12})
+	list, _ = c.Uncommitted()
+	g.Expect(list).To(HaveLen(1))
+}
--- a/instance/cmd/comfreyladderd/platform.go
+++ b/instance/cmd/comfreyladderd/platform.go
@@ -10,9 +10,11 @@
 	"syscall"
 	"time"
 
+	"github.com/comfreyladder/comfreyladder/instance/duty"
 	"github.com/comfreyladder/comfreyladder/instance/eventlog"
 	"github.com/comfreyladder/comfreyladder/instance/logline"
 	"github.com/comfreyladder/comfreyladder/instance/roles"
+	"github.com/comfreyladder/comfreyladder/instance/upstream"
 	"github.com/comfreyladder/comfreyladder/platform"
 )
 
@@ -54,7 +56,11 @@
 	if err != nil {
 		return err
 	}
-	dialect := &roles.Dialect{Headers: platform.Headers(), Control: platform.Control, Ready: platform.Ready, Reload: load}
+	dialect := &roles.Dialect{Headers: platform.Headers(), Control: platform.Control, Ready: platform.Ready, Reload: load,
+		Provider: func(address string, client *upstream.Client) duty.Provider {
+			return platform.NewProvider(address, client)
+		},
+	}
 	p, err := roles.New(cfg, dialect, log, events)
 	if err != nil {
 		return err
--- a/instance/control/control.go
+++ b/instance/control/control.go
@@ -20,6 +20,7 @@
 	"github.com/comfreyladder/comfreyladder/core/control/fence"
 	"github.com/comfreyladder/comfreyladder/core/control/revision"
 	"github.com/comfreyladder/comfreyladder/core/control/serving"
+	"github.com/comfreyladder/comfreyladder/core/control/usage"
 	"github.com/comfreyladder/comfreyladder/core/fault"
 	"github.com/comfreyladder/comfreyladder/core/intent"
 	"github.com/comfreyladder/comfreyladder/core/raft"
@@ -244,6 +245,7 @@
 		revision.Name:     revision.New(),
 		fence.Name:        fence.New(),
 		serving.Name:      serving.New(),
+		usage.Name:        usage.New(),
 		plain.MachineName: claim.New(claim.DefaultLimits),
 	})
 }
--- a/instance/follow/follow.go
+++ b/instance/follow/follow.go
@@ -22,6 +22,7 @@
 	"github.com/comfreyladder/comfreyladder/core/control/serving"
 	"github.com/comfreyladder/comfreyladder/core/route"
 	"github.com/comfreyladder/comfreyladder/instance/clock"
+	"github.com/comfreyladder/comfreyladder/instance/meter"
 	servingsvc "github.com/comfreyladder/comfreyladder/instance/serving"
 )
 
@@ -61,7 +62,9 @@
 	// others; both may be nil.
 	Report   func() servingsvc.Report
 	OnReport func(*servingsvc.Report)
-	Log      zerolog.Logger
+	// Meter counts requests for usage reports; nil where there are none.
+	Meter *meter.Meter
+	Log   zerolog.Logger
 }
 
 // View is the state at one moment. It is immutable.
@@ -99,6 +102,8 @@
 	toldBy string
 	// othersBusy says that other instances find upstreams busy.
 	othersBusy bool
+	// settled says that the agreed time of the member that answered last is settled.
+	settled bool
 }
 
 // New returns a follower that has not started.
@@ -223,6 +228,7 @@
 	if f.toldBy == name {
 		q.Told = f.told
 	}
+	revision := f.meter(&q, name)
 	ctx, cancel := context.WithTimeout(ctx, hold+f.cfg.Slack)
 	defer cancel()
 	sent := clock.Now()
@@ -235,6 +241,7 @@
 		f.cfg.Log.Error().Str("event", "watch_unreadable").Str("peer", name).Err(err).Msg("the changes of a member can't be read")
 		return false
 	}
+	f.metered(&q, &a, revision, name, sent)
 	f.domains[name] = a.Domain
 	f.take(view, &a)
 	f.told, f.toldBy, f.othersBusy = a.Told, name, a.Summary.Busy
@@ -249,6 +256,36 @@
 	return true
 }
 
+// meter puts what was counted here into a question.
+func (f *Follower) meter(q *servingsvc.Question, member string) (revision uint64) {
+	if f.cfg.Meter == nil {
+		return 0
+	}
+	report, revision := f.cfg.Meter.Report(member)
+	if !report.Empty() {
+		q.Usage = &report
+	}
+	if !f.settled {
+		q.Wall = time.Now().UnixNano()
+	}
+	return revision
+}
+
+// metered notes that a member has taken in what was counted here, and takes in its agreed
+// time.
+func (f *Follower) metered(q *servingsvc.Question, a *servingsvc.Answer, revision uint64, member string, sent time.Time) {
+	if f.cfg.Meter == nil {
+		return
+	}
+	if q.Usage != nil {
+		f.cfg.Meter.Told(q.Usage, revision, member)
+	}
+	f.settled = a.Settled
+	if a.Agreed != 0 {
+		f.cfg.Meter.Observe(sent, clock.Now(), time.Duration(a.HeldMS)*time.Millisecond, time.Unix(0, a.Agreed))
+	}
+}
+
 // tellOthers passes on what all other instances have under way.
 func (f *Follower) tellOthers(s *servingsvc.Summary, own *servingsvc.Work) {
 	if f.cfg.OnReport == nil {
--- a/instance/relay/attempt.go
+++ b/instance/relay/attempt.go
@@ -47,6 +47,8 @@
 	unread, ahead int
 	nominal       float64
 	begunEvents   bool
+	// counted says that the attempt is in the usage of its organisation.
+	counted bool
 	// writing is closed when all of the request was written, nil if it was at once.
 	writing chan error
 	// dirty says that the connection can't be used again, ended that it was given back.
@@ -239,8 +241,19 @@
 	}
 }
 
+// began counts the attempt as one that began to run: a stream with its first event, any
+// other request once it is answered or may have run.
+func (a *attempt) began() {
+	if a.counted || a.r.organisation == nil || a.s.cfg.Began == nil {
+		return
+	}
+	a.counted = true
+	a.s.cfg.Began(a.r.organisation.Name)
+}
+
 // firstEvent says that the prompt was read.
 func (a *attempt) firstEvent() {
+	a.began()
 	if !a.begunEvents {
 		a.r.first = time.Since(a.begun)
 		a.s.fleet.firstEvent(a, a.r.first)
--- a/instance/relay/config.go
+++ b/instance/relay/config.go
@@ -75,7 +75,10 @@
 	// BodyBytes bounds the request bodies that are held at the same time; zero means no
 	// bound.
 	BodyBytes int64
-	Log       *eventlog.Sink
+	// Began, if set, is told of each request of an organisation that began to run at an
+	// upstream, as often as it did.
+	Began func(organisation string)
+	Log   *eventlog.Sink
 }
 
 const (
--- a/instance/relay/plain.go
+++ b/instance/relay/plain.go
@@ -25,6 +25,9 @@
 // carryPlain passes on an answer that is no stream.
 func (s *Service) carryPlain(c *conn, a *attempt) (again, keep bool) {
 	r := a.r
+	if r.route.Kind != route.Streaming {
+		a.began()
+	}
 	_ = a.conn.nc.SetReadDeadline(time.Now().Add(r.left(clock.Now())))
 	buf := buffers.Get().(*[]byte)
 	defer buffers.Put(buf)
--- a/instance/roles/config.go
+++ b/instance/roles/config.go
@@ -13,7 +13,9 @@
 	"github.com/comfreyladder/comfreyladder/core/control/serving"
 	"github.com/comfreyladder/comfreyladder/core/fault"
 	"github.com/comfreyladder/comfreyladder/core/route"
+	"github.com/comfreyladder/comfreyladder/instance/duty"
 	"github.com/comfreyladder/comfreyladder/instance/relay"
+	"github.com/comfreyladder/comfreyladder/instance/upstream"
 )
 
 // Config of a process.
@@ -42,6 +44,29 @@
 	Announce, Grace time.Duration
 	Budget          relay.Budget
 	MemoryMB        int
+	// Duties are calls that one instance at a time makes; nil for none.
+	Duties *Duties
+}
+
+// Duties says which calls are to be made to a provider by one instance at a time.
+type Duties struct {
+	// Provider is its "ip:port".
+	Provider string
+	// Usage and Scale are nil where there is no such duty; Unknown lists others.
+	Usage   *duty.Usage
+	Scale   *duty.Scale
+	Unknown []string
+	// Lease and PerSecond are as in duty.Config.
+	Lease     time.Duration
+	PerSecond float64
+}
+
+// span returns the span of usage reports, zero for none.
+func (d *Duties) span() time.Duration {
+	if d == nil || d.Usage == nil {
+		return 0
+	}
+	return d.Usage.Span
 }
 
 // Validate reports the first fault, as fault.Invalid.
@@ -78,6 +103,8 @@
 	// whether callers may be sent here.
 	Control func(Serving) fasthttp.RequestHandler
 	Ready   func(func() bool) fasthttp.RequestHandler
+	// Provider speaks to the provider at an address.
+	Provider func(address string, client *upstream.Client) duty.Provider
 	// Reload reads the settings again.
 	Reload func() (*Config, error)
 }
--- /dev/null
+++ b/instance/roles/duties.go
@@ -0,0 +1,51 @@
+package roles
+
+import (
+	"context"
+	"time"
+
+	"github.com/comfreyladder/comfreyladder/instance/duty"
+	"github.com/comfreyladder/comfreyladder/instance/kernel"
+	"github.com/comfreyladder/comfreyladder/instance/upstream"
+)
+
+// providerDial bounds a connect to the provider: one that is cut off answers nothing, and
+// another member may reach it.
+const providerDial = 700 * time.Millisecond
+
+// dutiesService holds the client of the calls besides the service that makes them.
+type dutiesService struct {
+	*duty.Service
+	client *upstream.Client
+}
+
+// Stop implements kernel.Service.
+func (s *dutiesService) Stop(ctx context.Context) error {
+	err := s.Service.Stop(ctx)
+	if closeErr := s.client.Close(ctx); err == nil {
+		err = closeErr
+	}
+	return err
+}
+
+func (p *Process) duties() kernel.Module {
+	return kernel.Module{Name: nameDuties, Needs: []string{nameServing, nameControl}, New: func(k *kernel.Kernel) (kernel.Service, error) {
+		state, err := kernel.Lookup[*servingService](k, nameServing)
+		if err != nil {
+			return nil, err
+		}
+		d := p.cfg.Duties
+		client := upstream.New(upstream.Config{DialTimeout: providerDial, FirstByte: duty.DefaultCallTimeout})
+		s := duty.New(duty.Config{
+			Instance: p.cfg.Instance, Machine: p.cfg.Peer, Agreed: state.Agreed, Provider: p.dialect.Provider(d.Provider, client),
+			Usage: d.Usage, Scale: d.Scale, Lease: d.Lease, PerSecond: d.PerSecond, Log: p.log,
+			Group: func() duty.Group {
+				if g := state.replica(); g != nil {
+					return g
+				}
+				return nil
+			},
+		})
+		return &dutiesService{s, client}, nil
+	}}
+}
--- a/instance/roles/edge.go
+++ b/instance/roles/edge.go
@@ -19,6 +19,7 @@
 			Links: links, Domain: p.cfg.Domain, Seeds: func() []string { return *p.seeds.Load() }, Lease: p.cfg.Lease, Log: p.log,
 			Report:   func() serving.Report { return p.forwarder.Load().Report() },
 			OnReport: func(r *serving.Report) { p.forwarder.Load().TakeReport(r) },
+			Meter:    p.meter,
 		}), nil
 	}}
 }
@@ -34,11 +35,15 @@
 		if err != nil {
 			return nil, err
 		}
-		s := relay.New(relay.Config{
+		cfg := relay.Config{
 			Listen: p.cfg.Callers, Domain: p.cfg.Domain, Headers: p.dialect.Headers, State: state, FailClosed: p.cfg.FailClosed,
 			Budget: p.cfg.Budget, Announce: p.cfg.Announce, DrainTimeout: p.cfg.Grace - 2*stopMargin, Log: p.events,
 			BodyBytes: int64(bodyShare * float64(p.cfg.MemoryMB) * (1 << 20)),
-		}, tel.Set())
+		}
+		if p.meter != nil {
+			cfg.Began = p.meter.Began
+		}
+		s := relay.New(cfg, tel.Set())
 		state.Subscribe(s.Update)
 		p.forwarder.Store(s)
 		return s, nil
--- a/instance/roles/process.go
+++ b/instance/roles/process.go
@@ -15,6 +15,7 @@
 	"github.com/comfreyladder/comfreyladder/instance/eventlog"
 	"github.com/comfreyladder/comfreyladder/instance/kernel"
 	"github.com/comfreyladder/comfreyladder/instance/link"
+	"github.com/comfreyladder/comfreyladder/instance/meter"
 	"github.com/comfreyladder/comfreyladder/instance/relay"
 	"github.com/comfreyladder/comfreyladder/instance/telemetry"
 )
@@ -25,6 +26,7 @@
 	nameLinks     = "links"
 	nameControl   = "control"
 	nameServing   = "serving"
+	nameDuties    = "duties"
 	nameFollow    = "follow"
 	nameRelay     = "relay"
 	nameCalls     = "listener.control"
@@ -42,16 +44,24 @@
 	seeds   atomic.Pointer[[]string]
 	// forwarder is set before the follower starts, which tells it the others' loads.
 	forwarder atomic.Pointer[relay.Service]
-	fatal     chan error
+	// meter counts requests for usage reports; nil where there are none.
+	meter *meter.Meter
+	fatal chan error
 }
 
 // New returns a process that has not started.
 func New(cfg *Config, dialect *Dialect, log zerolog.Logger, events *eventlog.Sink) (*Process, error) {
 	p := &Process{cfg: cfg, dialect: dialect, log: log, events: events, kernel: kernel.New(), fatal: make(chan error, 1)}
 	p.seeds.Store(&cfg.Seeds)
+	if span := cfg.Duties.span(); span > 0 {
+		p.meter = meter.New(span)
+	}
 	modules := []kernel.Module{p.telemetry(), p.links()}
 	if cfg.Control != "" {
 		modules = append(modules, p.control(), p.serving(), p.calls())
+		if d := cfg.Duties; d != nil && (d.Usage != nil || d.Scale != nil) {
+			modules = append(modules, p.duties())
+		}
 	} else {
 		modules = append(modules, p.follow(), p.relay(), p.ready())
 	}
@@ -83,6 +93,11 @@
 	}
 	p.events.Event("start").Str("instance", p.cfg.Instance).Str("domain", p.cfg.Domain).Str("peer", p.cfg.Peer).
 		Str("callers", p.cfg.Callers).Str("control", p.cfg.Control).Bool("bootstrap", p.cfg.Bootstrap).End()
+	if d := p.cfg.Duties; d != nil {
+		for _, name := range d.Unknown {
+			p.events.Event("duty_unknown").Str("duty", name).Str("outcome", "passed over").End()
+		}
+	}
 	return nil
 }
 
--- a/instance/serving/digest.go
+++ b/instance/serving/digest.go
@@ -28,6 +28,8 @@
 	// Heard lists upstreams, Watchers instances that forward requests.
 	Heard    []string `codec:"h"`
 	Watchers []string `codec:"w"`
+	// Clocks are those of the member, where anything goes by the agreed time.
+	Clocks *clocks `codec:"c,omitempty"`
 }
 
 func (s *Service) exchange(ctx context.Context) {
@@ -51,6 +53,7 @@
 
 func (s *Service) tell(st *consensus.Status) {
 	d := s.takeDigest()
+	d.Clocks = s.metering.clocks(clock.Now())
 	for _, name := range otherNames(st.Members, st.ID) {
 		if err := s.cfg.Links.Send(name, channelDigest, d); err != nil {
 			s.cfg.Log.Debug().Err(err).Str("peer", name).Msg("digest not sent")
@@ -73,11 +76,12 @@
 	return d
 }
 
-func (s *Service) receiveDigest(_ context.Context, _ string, msg link.Message) (any, error) {
+func (s *Service) receiveDigest(_ context.Context, from string, msg link.Message) (any, error) {
 	var d digest
 	if err := msg.Decode(&d); err != nil {
 		return nil, err
 	}
+	s.metering.observe(clock.Now(), from, d.Clocks)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := clock.Now()
--- a/instance/serving/serving.go
+++ b/instance/serving/serving.go
@@ -16,6 +16,7 @@
 
 	corecontrol "github.com/comfreyladder/comfreyladder/core/control"
 	"github.com/comfreyladder/comfreyladder/core/control/serving"
+	"github.com/comfreyladder/comfreyladder/core/control/usage"
 	"github.com/comfreyladder/comfreyladder/core/fault"
 	"github.com/comfreyladder/comfreyladder/core/route"
 	"github.com/comfreyladder/comfreyladder/instance/clock"
@@ -47,7 +48,9 @@
 	Links   Links
 	// Silence and Timeout; zero means the defaults.
 	Silence, Timeout time.Duration
-	Log              zerolog.Logger
+	// Usage has the instances' counts of requests committed.
+	Usage bool
+	Log   zerolog.Logger
 }
 
 // Service is the serving state at one member. It is safe for concurrent use.
@@ -79,6 +82,8 @@
 	unsent []Placed
 	// leads is since when this member leads, zero while it does not.
 	leads time.Time
+	// metering has a mutex of its own; nil where nothing is counted.
+	metering *metering
 }
 
 // New returns a service that is not started; it registers its channels.
@@ -93,6 +98,9 @@
 		cfg: cfg, news: make(chan struct{}), heard: map[string]time.Time{}, fresh: map[string]bool{},
 		watched: map[string]time.Time{}, own: map[string]bool{}, loads: newLoadBook(), observed: newObservedBook(),
 	}
+	if cfg.Usage {
+		s.metering = newMetering()
+	}
 	cfg.Links.Handle(ChannelWatch, s.watch)
 	cfg.Links.Handle(channelDigest, s.receiveDigest, link.Lossy())
 	cfg.Links.Handle(channelLoads, s.receiveLoads, link.Lossy())
@@ -105,6 +113,9 @@
 	s.cancel = cancel
 	s.done.Go(func() { s.exchange(ctx) })
 	s.done.Go(func() { s.shareLoads(ctx) })
+	if s.metering != nil {
+		s.done.Go(func() { s.commitUsage(ctx) })
+	}
 	return nil
 }
 
@@ -132,6 +143,11 @@
 	g.View(func(_ uint64, m *corecontrol.Mux) { f(m.Machine(serving.Name).(*serving.Machine)) })
 }
 
+// usageMachine runs f on the counts; f must not keep what it gets.
+func usageMachine(g *consensus.Service, f func(*usage.Machine)) {
+	g.View(func(_ uint64, m *corecontrol.Mux) { f(m.Machine(usage.Name).(*usage.Machine)) })
+}
+
 // Applied is told of each entry of the control log that this member applied.
 func (s *Service) Applied(uint64) {
 	g := s.cfg.Replica()
--- a/instance/serving/watch.go
+++ b/instance/serving/watch.go
@@ -6,6 +6,7 @@
 
 	"github.com/comfreyladder/comfreyladder/core/control/serving"
 	"github.com/comfreyladder/comfreyladder/core/raft"
+	"github.com/comfreyladder/comfreyladder/core/usage"
 	"github.com/comfreyladder/comfreyladder/instance/clock"
 	"github.com/comfreyladder/comfreyladder/instance/consensus"
 	"github.com/comfreyladder/comfreyladder/instance/link"
@@ -40,6 +41,11 @@
 	// by this member.
 	Report Report `codec:"r"`
 	Told   uint64 `codec:"t"`
+	// Usage is what the instance has counted, where usage is reported, and Wall its time
+	// of day in nanoseconds since the Unix epoch, as long as the member's agreed time is
+	// not settled.
+	Usage *usage.Report `codec:"u,omitempty"`
+	Wall  int64         `codec:"l,omitempty"`
 }
 
 // Answer is what a member knows.
@@ -59,6 +65,10 @@
 	// Summary is the work of all instances, and Told the number to ask from next.
 	Summary Summary `codec:"r"`
 	Told    uint64  `codec:"t"`
+	// Agreed is the agreed time in nanoseconds since the Unix epoch; zero where nothing
+	// goes by it. Settled says that it will not be set any more.
+	Agreed  int64 `codec:"g,omitempty"`
+	Settled bool  `codec:"s,omitempty"`
 }
 
 // watch holds a question until there is news or its time is over. The confirmation
@@ -76,6 +86,7 @@
 	if q.Forwards {
 		s.noteWatcher(from)
 		s.noteReport(from, &q.Report)
+		s.metering.take(from, arrived, &q)
 	}
 	s.hold(ctx, g, &q)
 	a := Answer{Domain: s.cfg.Domain, HeldMS: clock.Since(arrived).Milliseconds()}
@@ -90,6 +101,7 @@
 	a.Members = names(st.Members)
 	a.Forwarders = s.forwarders()
 	a.Summary, a.Told = s.summaryFor(from, q.Told, q.Report.Observes)
+	a.Agreed, a.Settled = s.metering.agreed(clock.Now())
 	return a, nil
 }
 
--- a/instance/upstream/call.go
+++ b/instance/upstream/call.go
@@ -35,6 +35,8 @@
 	// may reach the upstream, such as the end of the lease under which it is sent. The
 	// call ends then as well, and its connection is used for nothing else.
 	NotAfter time.Time
+	// AnswerLater lets the answer come after NotAfter, to a request that was sent before.
+	AnswerLater bool
 }
 
 // Answer is the whole answer to a Call, whatever its status.
@@ -86,10 +88,11 @@
 	}
 	req.SetBodyRaw(call.Body)
 	opt := options{fresh: call.Fresh, anonymous: call.AllowNoID, notAfter: call.NotAfter}
-	if !opt.notAfter.IsZero() {
+	opt.fresh = opt.fresh || !opt.notAfter.IsZero()
+	if !opt.notAfter.IsZero() && !call.AnswerLater {
 		bounded, cancel := context.WithTimeout(ctx, clock.Until(opt.notAfter))
 		defer cancel()
-		ctx, opt.fresh = bounded, true
+		ctx = bounded
 	}
 	a, failed := c.start(ctx, t, call.RequestID, req, opt)
 	if failed != nil {
