--- a/core/balance/claims.go
+++ b/core/balance/claims.go
@@ -34,6 +34,19 @@
 	return list
 }
 
+// Need is how many engines some requests need: Least if these are as busy as they may be,
+// Ample if nothing waits and the pauses of quick requests stay short.
+type Need struct{ Least, Ample float64 }
+
+// NeedOf returns what the loads of a service's routes need.
+func NeedOf(loads map[string]RouteLoad, e *Engine) (n Need) {
+	for _, c := range claimsOf(loads, e) {
+		n.Least += c.least
+		n.Ample += c.ample
+	}
+	return n
+}
+
 // need returns how many engines are needed for so many prompt tokens and so many seconds of
 // slots in loadWindow, or where it is not known what an engine can do, a number in
 // proportion to that. Engines with few slots run out of them long before they read all the
--- a/core/control/serving/machine.go
+++ b/core/control/serving/machine.go
@@ -59,6 +59,10 @@
 	Silent bool `codec:"x"`
 	// WarmMS is for how many milliseconds from the announcement on it is slow.
 	WarmMS int64 `codec:"w"`
+	// Preemptible upstreams may be taken back by whoever lends them. LeavesMS is for how many
+	// milliseconds from the announcement on one that drains stays, if it says so.
+	Preemptible bool  `codec:"p,omitempty"`
+	LeavesMS    int64 `codec:"l,omitempty"`
 	// Changed is the log index of the last change, At its time.
 	Changed uint64 `codec:"c"`
 	At      int64  `codec:"e"`
--- a/core/route/route.go
+++ b/core/route/route.go
@@ -100,6 +100,22 @@
 	MaxConnections int `codec:"m"`
 	// Engine is nil for plain services.
 	Engine *Engine `codec:"e"`
+	// Scaling is nil for services of which no upstreams can be ordered.
+	Scaling *Scaling `codec:"c,omitempty"`
+}
+
+// Scaling says how many upstreams of a service may be ordered, and what they cost.
+type Scaling struct {
+	// Min and Max bound the upstreams in a failure domain, of both kinds together.
+	Min int `codec:"m"`
+	Max int `codec:"x"`
+	// Boot is how long one takes to serve after it was ordered.
+	Boot time.Duration `codec:"b"`
+	// PreemptiblePrice is the price of an upstream that may be taken back, as a part of
+	// that of the others; zero where there are none. Prices are those of a second of an
+	// upstream, by failure domain.
+	PreemptiblePrice float64            `codec:"p"`
+	Prices           map[string]float64 `codec:"d"`
 }
 
 // Organisation holds keys.
--- a/instance/relay/exchange.go
+++ b/instance/relay/exchange.go
@@ -30,7 +30,7 @@
 		if routes[l.Service] == nil {
 			routes[l.Service] = map[string]balance.RouteLoad{}
 		}
-		routes[l.Service][l.Route] = loadOfRoute(l)
+		routes[l.Service][l.Route] = l.Load()
 	}
 	f.othersAt = time.Now()
 	if r.Observes {
@@ -52,30 +52,8 @@
 	}
 }
 
-// Loads travel in whole numbers: requests in thousandths, answers in hundredths, times in
-// milliseconds, ranks in hundredths.
-const (
-	requestUnit = 1000
-	answerUnit  = 100
-	millis      = 1000
-	rankUnit    = 100
-)
-
-func loadOfRoute(l *servingsvc.RouteLoad) balance.RouteLoad {
-	return balance.RouteLoad{
-		Tokens: float64(l.Tokens), Unread: float64(l.Unread), Requests: float64(l.Requests) / requestUnit, Recent: float64(l.Recent),
-		SlotTime: float64(l.SlotTime) / millis, RecentSlots: float64(l.RecentSlots) / millis,
-		RecentCached: float64(l.RecentCached), Gap: time.Duration(l.Gap) * time.Millisecond, Rank: float64(l.Rank) / rankUnit,
-	}
-}
-
-func routeLoad(service, name string, l *balance.RouteLoad) servingsvc.RouteLoad {
-	return servingsvc.RouteLoad{
-		Service: service, Route: name, Tokens: int(l.Tokens), Unread: int(l.Unread), Requests: int(l.Requests * requestUnit), Recent: int(l.Recent),
-		SlotTime: int(l.SlotTime * millis), RecentSlots: int(l.RecentSlots * millis),
-		RecentCached: int(l.RecentCached), Gap: int(l.Gap.Milliseconds()), Rank: int(l.Rank * rankUnit),
-	}
-}
+// answerUnit is the unit in which answers travel: hundredths.
+const answerUnit = 100
 
 func observedOf(o *servingsvc.Observation) balance.Observed {
 	return balance.Observed{
@@ -133,8 +111,9 @@
 		r.Observes, r.Observed, f.toldAt = true, f.observations(now), now
 	}
 	for service, p := range f.pools {
+		perMS := f.pace(service).rate.PerMS()
 		for name, l := range p.Own(now) {
-			r.Work.Routes = append(r.Work.Routes, routeLoad(service, name, l))
+			r.Work.Routes = append(r.Work.Routes, servingsvc.RouteLoadOf(service, name, l, perMS))
 		}
 	}
 	r.Busy = f.busy(now)
--- a/instance/roles/duties.go
+++ b/instance/roles/duties.go
@@ -35,6 +35,9 @@
 			return nil, err
 		}
 		d := p.cfg.Duties
+		if d.Scale != nil {
+			d.Scale.Look = state.Scalable
+		}
 		client := upstream.New(upstream.Config{DialTimeout: providerDial, FirstByte: duty.DefaultCallTimeout})
 		s := duty.New(duty.Config{
 			Instance: p.cfg.Instance, Machine: p.cfg.Peer, Agreed: state.Agreed, Provider: p.dialect.Provider(d.Provider, client),
--- a/instance/serving/work.go
+++ b/instance/serving/work.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/comfreyladder/comfreyladder/core/balance"
 	"github.com/comfreyladder/comfreyladder/core/wire"
 )
 
@@ -40,9 +41,41 @@
 	Gap, Rank int
 	// RecentCached is the part of Recent for requests whose shared tokens are cached.
 	RecentCached int
+	// PerMS is how many prompt tokens an engine reads in a millisecond, in hundredths, as
+	// instances have learned it: the mean over their requests.
+	PerMS int
+}
+
+// Loads travel in whole numbers: requests in thousandths, times in milliseconds, ranks and
+// paces in hundredths.
+const (
+	requestUnit = 1000
+	millis      = 1000
+	hundredths  = 100
+)
+
+// RouteLoadOf returns a load in the form in which it travels.
+func RouteLoadOf(service, route string, l *balance.RouteLoad, perMS float64) RouteLoad {
+	return RouteLoad{
+		Service: service, Route: route, Tokens: int(l.Tokens), Unread: int(l.Unread), Requests: int(l.Requests * requestUnit), Recent: int(l.Recent),
+		SlotTime: int(l.SlotTime * millis), RecentSlots: int(l.RecentSlots * millis),
+		RecentCached: int(l.RecentCached), Gap: int(l.Gap.Milliseconds()), Rank: int(l.Rank * hundredths), PerMS: int(perMS * hundredths),
+	}
+}
+
+// Load returns the load that was told.
+func (l *RouteLoad) Load() balance.RouteLoad {
+	return balance.RouteLoad{
+		Tokens: float64(l.Tokens), Unread: float64(l.Unread), Requests: float64(l.Requests) / requestUnit, Recent: float64(l.Recent),
+		SlotTime: float64(l.SlotTime) / millis, RecentSlots: float64(l.RecentSlots) / millis,
+		RecentCached: float64(l.RecentCached), Gap: time.Duration(l.Gap) * time.Millisecond, Rank: float64(l.Rank) / hundredths,
+	}
 }
 
 func (l *RouteLoad) add(o *RouteLoad, sign int) {
+	if all := l.Requests + o.Requests; sign > 0 && all > 0 {
+		l.PerMS = (l.PerMS*l.Requests + o.PerMS*o.Requests) / all
+	}
 	l.Tokens = max(0, l.Tokens+sign*o.Tokens)
 	l.Unread = max(0, l.Unread+sign*o.Unread)
 	l.Requests = max(0, l.Requests+sign*o.Requests)
--- /dev/null
+++ b/proof/deployed/duties_test.go
@@ -0,0 +1,251 @@
+package deployed_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/comfreyladder/comfreyladder/operator/standin/provider"
+)
+
+// providerSpan is the window of usage reports here, providerLease the time in which duties
+// may not go to and fro.
+const (
+	providerSpan  = time.Second
+	providerDelay = 6 * time.Second
+	providerLease = 1200 * time.Millisecond
+)
+
+// cloud is a provider's API before the judge.
+type cloud struct {
+	*provider.Judge
+	server *httptest.Server
+
+	mu sync.Mutex
+	// meet is called with the machine of each report that was taken, before it is answered.
+	meet func(machine string)
+	// silent leaves calls without an answer.
+	silent bool
+}
+
+func newCloud(t *testing.T) *cloud {
+	c := &cloud{Judge: provider.NewJudge(provider.Rules{Lease: providerLease, PerSecond: 50})}
+	c.server = httptest.NewServer(c)
+	t.Cleanup(c.server.Close)
+	return c
+}
+
+// ServeHTTP implements http.Handler.
+func (c *cloud) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	number, _ := strconv.ParseUint(r.Header.Get("Fencing-Token"), 10, 64)
+	by := provider.Caller{Machine: r.Header.Get("Duty-Owner"), Number: number}
+	var body struct {
+		Window int64             `json:"window-id"`
+		Counts map[string]uint64 `json:"counts"`
+	}
+	if r.URL.Path != "/usage" || json.NewDecoder(r.Body).Decode(&body) != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	if c.Report(time.Now(), by, body.Window, body.Counts) == provider.TooFast {
+		w.WriteHeader(http.StatusTooManyRequests)
+		return
+	}
+	c.mu.Lock()
+	meet, silent := c.meet, c.silent
+	c.mu.Unlock()
+	if meet != nil {
+		meet(by.Machine)
+	}
+	if silent {
+		<-r.Context().Done()
+	}
+}
+
+func (c *cloud) set(f func(*cloud)) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	f(c)
+}
+
+// billed returns all that was reported of the organisation.
+func (c *cloud) billed() (n uint64) {
+	for _, window := range c.Windows() {
+		n += c.Reported(window)["o"]
+	}
+	return n
+}
+
+// newDutiful is a trio whose usage is reported.
+func newDutiful(t *testing.T) (*trio, *cloud) {
+	var c *cloud
+	s := newTrio(t, func(s *site) {
+		c = newCloud(t)
+		s.bounds = fmt.Sprintf(", lease-ms: %d, report-window-s: %d, usage-delay-s: %d",
+			providerLease.Milliseconds(), int(providerSpan.Seconds()), int(providerDelay.Seconds()))
+		s.settings = fmt.Sprintf("cloud-api: {address: %q, duty-per-s: 50, duties: [usage_report]}\n", strings.TrimPrefix(c.server.URL, "http://"))
+	})
+	return s, c
+}
+
+// load sends requests through the edges until stopped, and counts those that were answered.
+func (s *trio) load() (stop func() (answered uint64)) {
+	done := make(chan struct{})
+	var group sync.WaitGroup
+	var mu sync.Mutex
+	var answered uint64
+	for _, e := range s.edges {
+		group.Go(func() {
+			for {
+				select {
+				case <-done:
+					return
+				default:
+				}
+				if e.ask("k") == 200 {
+					mu.Lock()
+					answered++
+					mu.Unlock()
+				}
+				time.Sleep(5 * time.Millisecond)
+			}
+		})
+	}
+	return func() uint64 {
+		close(done)
+		group.Wait()
+		return answered
+	}
+}
+
+// reportedUntil waits until the windows up to a time have been reported, and checks that
+// none was left out and that the provider's rules hold.
+func (s *trio) reportedUntil(c *cloud, until time.Time) {
+	last := until.UnixNano() / int64(providerSpan)
+	Eventually(func() bool { return c.Reported(last) != nil }, patience, poll).Should(BeTrue(), s.logs)
+	windows := c.Windows()
+	for window := windows[0]; window <= last; window++ {
+		Expect(c.Reported(window)).NotTo(BeNil(), "window %d was left out of %v", window, windows)
+	}
+	Expect(c.Broken()).To(BeEmpty(), s.logs)
+}
+
+// holder returns the core that made the latest calls.
+func (s *trio) holder(c *cloud) *node {
+	for _, n := range s.cores {
+		log := n.log()
+		if strings.LastIndex(log, "event=duties_held") > strings.LastIndex(log, "event=duties_lost") {
+			return n
+		}
+	}
+	return nil
+}
+
+// Each request is in one report, and an organisation pays for what it asked for: no more,
+// though edges tell several cores, and no less.
+func TestRequestsAreBilledOnce(t *testing.T) {
+	s, c := newDutiful(t)
+	before := s.runner.served.Load()
+	stop := s.load()
+	time.Sleep(4 * time.Second)
+	answered := stop()
+	s.reportedUntil(c, time.Now())
+	Expect(c.billed()).To(Equal(answered + uint64(before)))
+}
+
+// The core that reports is killed once its report has arrived and before the answer, three
+// times, and more is counted meanwhile. Whoever comes next must send the same report again,
+// not what it would add up itself.
+func TestTheReportOfAKilledHolderIsSentAgain(t *testing.T) {
+	s, c := newDutiful(t)
+	stop := s.load()
+	for range 3 {
+		killed := make(chan string, 1)
+		var once sync.Once
+		c.set(func(c *cloud) {
+			c.meet = func(machine string) {
+				once.Do(func() {
+					_ = s.nodes[machine].process.Process.Kill()
+					killed <- machine
+				})
+			}
+		})
+		name := <-killed
+		s.nodes[name].kill()
+		c.set(func(c *cloud) { c.meet = nil })
+		time.Sleep(time.Second)
+		s.nodes[name].start(false)
+		time.Sleep(2 * time.Second)
+	}
+	answered := stop()
+	s.reportedUntil(c, time.Now())
+	Expect(c.billed()).To(BeNumerically(">=", answered*99/100))
+	_, number := c.Calls()
+	Expect(number).To(BeNumerically(">=", 4), "each holder has a greater number")
+}
+
+// The core that reports stands still for longer than its lease, wakes up after another one
+// has taken over, and must not act any more.
+func TestAFrozenCoreDoesNotReport(t *testing.T) {
+	s, c := newDutiful(t)
+	stop := s.load()
+	for range 3 {
+		var n *node
+		Eventually(func() *node { n = s.holder(c); return n }, patience, poll).ShouldNot(BeNil(), s.logs)
+		n.signal(syscall.SIGSTOP)
+		time.Sleep(3 * time.Second)
+		n.signal(syscall.SIGCONT)
+		time.Sleep(time.Second)
+	}
+	stop()
+	s.reportedUntil(c, time.Now())
+}
+
+// All processes are killed at once, and one core's disk is lost. What was agreed on stays,
+// numbers go on, and nothing is billed again.
+func TestReportsOutliveTheLossOfAll(t *testing.T) {
+	s, c := newDutiful(t)
+	stop := s.load()
+	time.Sleep(3 * time.Second)
+	answered := stop()
+	time.Sleep(time.Second)
+	_, before := c.Calls()
+	for _, n := range s.nodes {
+		_ = n.process.Process.Kill()
+	}
+	for _, n := range s.nodes {
+		n.kill()
+	}
+	s.cores[1].wipe()
+	for _, n := range s.nodes {
+		n.start(false)
+	}
+	s.reportedUntil(c, time.Now())
+	_, after := c.Calls()
+	Expect(after).To(BeNumerically(">", before))
+	Expect(c.billed()).To(BeNumerically(">=", answered))
+	Expect(c.billed()).To(BeNumerically("<=", answered+10), "what the trio asked before the load")
+}
+
+// The provider takes calls and answers none for a while. Nobody gives the duties up for it,
+// and all windows are reported.
+func TestASilentProviderIsWaitedFor(t *testing.T) {
+	s, c := newDutiful(t)
+	Eventually(func() int { return len(c.Windows()) }, patience, poll).Should(BeNumerically(">", 1), s.logs)
+	c.set(func(c *cloud) { c.silent = true })
+	time.Sleep(5 * time.Second)
+	_, number := c.Calls()
+	c.set(func(c *cloud) { c.silent = false })
+	s.reportedUntil(c, time.Now())
+	_, after := c.Calls()
+	Expect(after).To(Equal(number), "another holder would fare no better")
+}
--- a/proof/deployed/harness_test.go
+++ b/proof/deployed/harness_test.go
@@ -39,6 +39,9 @@
 	net   int64
 	nodes map[string]*node
 	seeds []string
+	// settings are lines that all machines' settings files have besides, bounds those of
+	// their bounds.
+	settings, bounds string
 }
 
 // node is one machine with its process.
@@ -96,8 +99,8 @@
 data-dir: %s
 limits: {memory-mb: 284}
 heartbeat-ms: 1200
-bounds: {fail-closed: true, revoke-ms: 3000, grace-s: 8, retry-budget-ratio: 0.2, retry-window-s: 10, retry-slack: 58}
-`, n.name, role, n.ip, listen, portPeer, portPeer+15, seeds, bootstrap, data)
+bounds: {fail-closed: true, revoke-ms: 3000, grace-s: 8, retry-budget-ratio: 0.2, retry-window-s: 10, retry-slack: 58%s}
+%s`, n.name, role, n.ip, listen, portPeer, portPeer+15, seeds, bootstrap, data, n.s.bounds, n.s.settings)
 	Expect(os.WriteFile(n.settingsFile(), []byte(text), 0o600)).To(Succeed())
 }
 
@@ -262,8 +265,11 @@
 	runner       *runner
 }
 
-func newTrio(t *testing.T) *trio {
+func newTrio(t *testing.T, prepare ...func(*site)) *trio {
 	s := &trio{site: newSite(t)}
+	for _, f := range prepare {
+		f(s.site)
+	}
 	for i := range 3 {
 		n := s.add(fmt.Sprint("core-", i+1), 1+i, true)
 		s.cores = append(s.cores, n)
