Autoscaling: orders follow the demand, preemptible upstreams first, standing a reclaim; a request is billed once

core/scale decides without a network: Level (demand at half utilisation, grown at once, held 30 s, given back at 2 % a second), spread (preemptible ones evenly, more elsewhere where a domain has none, standard ones only for a need that lasts and could not be borne else), Planner (losses at the notice, refusals until more was had, what stands is held until others serve). instance/duty gives the orders under the lease of the duties; instance/serving says what there is.

--- a/instance/duty/duty_test.go
+++ b/instance/duty/duty_test.go
@@ -86,6 +86,9 @@
 		w.reported(begun)
 		seen := map[int64]int{}
 		for _, a := range w.provider.arrivals() {
+			if a.order != nil {
+				continue
+			}
 			seen[a.window]++
 			Expect(a.number).To(Equal(uint64(1)))
 			Expect(seen[a.window]).To(Equal(1), "calls cost")
@@ -385,6 +388,7 @@
 	for range 40 {
 		time.Sleep(time.Duration(r.IntN(1500)) * time.Millisecond)
 		name := names[r.IntN(3)]
+		w.fleet.set(func(f *fleet) { f.need = float64(r.IntN(60)) })
 		w.mu.Lock()
 		n := w.nodes[name]
 		w.mu.Unlock()
--- a/instance/duty/fakes_test.go
+++ b/instance/duty/fakes_test.go
@@ -50,12 +50,13 @@
 	nodes map[string]*node
 	// counting ends the instances' counting.
 	counting chan struct{}
+	fleet    *fleet
 	// silent is the instance that tells nothing, zero for none.
 	silent uint64
 }
 
 func newWorld(t testing.TB, members ...string) *world {
-	w := &world{t: t, nodes: map[string]*node{}, all: newMux(), counting: make(chan struct{})}
+	w := &world{t: t, nodes: map[string]*node{}, all: newMux(), counting: make(chan struct{}), fleet: newFleet()}
 	go w.count()
 	w.provider = &provider{world: w, reports: map[int64]string{}, unreachable: map[string]bool{}}
 	for _, name := range members {
@@ -142,7 +143,7 @@
 	n.Service = duty.New(duty.Config{
 		Instance: name, Machine: name, Group: func() duty.Group { return n }, Provider: &path{n},
 		Agreed: func() (time.Time, bool) { return time.Now(), true },
-		Usage:  &duty.Usage{Span: span, Delay: delay}, Lease: lease, PerSecond: 50,
+		Usage:  &duty.Usage{Span: span, Delay: delay}, Scale: &duty.Scale{Look: w.fleet.look}, Lease: lease, PerSecond: 50,
 		// Ticks in step with each other would let everything happen in one order.
 		Tick: 20*time.Millisecond + time.Duration(rand.IntN(20))*time.Millisecond,
 		Now:  n.now, Log: zerolog.Nop(),
@@ -365,6 +366,16 @@
 	number  uint64
 	window  int64
 	body    string
+	// order is nil for a report.
+	order *duty.Order
+}
+
+// subject is what the call is about, as far as holders are concerned.
+func (a *arrival) subject() string {
+	if a.order == nil {
+		return "usage"
+	}
+	return a.order.Service + " " + a.order.Domain
 }
 
 // arrives judges a call.
@@ -373,6 +384,9 @@
 	defer p.mu.Unlock()
 	for i := len(p.calls) - 1; i >= 0; i-- {
 		b := &p.calls[i]
+		if b.subject() != a.subject() {
+			continue
+		}
 		if b.number > a.number {
 			p.broken = append(p.broken, fmt.Sprintf("%s calls with %d after %d of %s", a.machine, a.number, b.number, b.machine))
 		}
@@ -383,6 +397,10 @@
 	if p.toAndFro(&a) {
 		p.broken = append(p.broken, fmt.Sprintf("%s, another one and %s act within %v", a.machine, a.machine, lease))
 	}
+	if a.order != nil {
+		p.calls = append(p.calls, a)
+		return
+	}
 	if first, ok := p.reports[a.window]; ok && first != a.body {
 		p.broken = append(p.broken, fmt.Sprintf("window %d: %s after %s", a.window, a.body, first))
 	}
@@ -399,6 +417,9 @@
 		if a.at.Sub(b.at) >= lease {
 			return false
 		}
+		if b.subject() != a.subject() {
+			continue
+		}
 		if b.machine != a.machine {
 			between = true
 		} else if between {
@@ -449,27 +470,27 @@
 
 // Report implements duty.Provider.
 func (c *path) Report(ctx context.Context, a duty.Authority, r *duty.Report) error {
-	return c.send(ctx, a, r.Window, fmt.Sprint(r.Totals))
+	return c.send(ctx, arrival{number: a.Number, window: r.Window, body: fmt.Sprint(r.Totals)}, a.NotAfter)
 }
 
 // Order implements duty.Provider.
 func (c *path) Order(ctx context.Context, a duty.Authority, o *duty.Order) error {
-	return c.send(ctx, a, 0, fmt.Sprint(*o))
+	return c.send(ctx, arrival{number: a.Number, order: o}, a.NotAfter)
 }
 
-func (c *path) send(ctx context.Context, a duty.Authority, window int64, body string) error {
+func (c *path) send(ctx context.Context, a arrival, notAfter time.Time) error {
 	c.n.pass()
 	if !c.reaches() {
 		wait(ctx, 700*time.Millisecond)
 		return fault.New(fault.NotRun, "no connection")
 	}
 	c.n.comes(sending)
-	if c.n.isKilled() || !time.Now().Before(a.NotAfter) {
+	if c.n.isKilled() || !time.Now().Before(notAfter) {
 		return fault.New(fault.NotRun, "the lease is over")
 	}
 	// Bytes that have left arrive, also if the caller waits no longer.
 	done := make(chan error, 1)
-	go func() { done <- c.fly(ctx, a, window, body) }()
+	go func() { done <- c.fly(ctx, a) }()
 	select {
 	case err := <-done:
 		return err
@@ -479,7 +500,7 @@
 }
 
 // fly takes a call to the provider and its answer back.
-func (c *path) fly(ctx context.Context, a duty.Authority, window int64, body string) error {
+func (c *path) fly(ctx context.Context, a arrival) error {
 	c.n.flies(1)
 	time.Sleep(c.n.trip)
 	c.n.flies(-1)
@@ -497,7 +518,11 @@
 	if busy {
 		return fault.New(fault.Overloaded, "too many calls")
 	}
-	p.arrives(arrival{time.Now(), c.n.name, a.Number, window, body})
+	a.at, a.machine = time.Now(), c.n.name
+	if a.order != nil && !c.n.w.fleet.take(a.order) {
+		return fault.New(fault.Conflict, "none left")
+	}
+	p.arrives(a)
 	if !wait(ctx, answer+trip) || lost {
 		return fault.New(fault.OutcomeUnknown, "no answer")
 	}
--- a/instance/relay/attempt.go
+++ b/instance/relay/attempt.go
@@ -47,8 +47,6 @@
 	unread, ahead int
 	nominal       float64
 	begunEvents   bool
-	// counted says that the attempt is in the usage of its organisation.
-	counted bool
 	// writing is closed when all of the request was written, nil if it was at once.
 	writing chan error
 	// dirty says that the connection can't be used again, ended that it was given back.
@@ -241,13 +239,14 @@
 	}
 }
 
-// began counts the attempt as one that began to run: a stream with its first event, any
-// other request once it is answered or may have run.
+// began counts the request as one that began to run: a stream with its first event, any
+// other request once it is answered or may have run. One that goes on at another upstream,
+// or is repeated there, is still the same request.
 func (a *attempt) began() {
-	if a.counted || a.r.organisation == nil || a.s.cfg.Began == nil {
+	if a.r.counted || a.r.organisation == nil || a.s.cfg.Began == nil {
 		return
 	}
-	a.counted = true
+	a.r.counted = true
 	a.s.cfg.Began(a.r.organisation.Name)
 }
 
--- a/instance/relay/config.go
+++ b/instance/relay/config.go
@@ -75,8 +75,7 @@
 	// BodyBytes bounds the request bodies that are held at the same time; zero means no
 	// bound.
 	BodyBytes int64
-	// Began, if set, is told of each request of an organisation that began to run at an
-	// upstream, as often as it did.
+	// Began, if set, is told of each request of an organisation that began to run, once.
 	Began func(organisation string)
 	Log   *eventlog.Sink
 }
--- a/instance/relay/request.go
+++ b/instance/relay/request.go
@@ -80,6 +80,8 @@
 	// them may have run it.
 	sent int
 	ran  bool
+	// counted says that it is in the usage of its organisation.
+	counted bool
 	// leaseLost says that it was not sent since keys can't be told any more.
 	leaseLost bool
 	// broken says that a part of an answer is out and the rest will not come.
--- a/instance/relay/suite_test.go
+++ b/instance/relay/suite_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -183,6 +184,21 @@
 	t       *testing.T
 	state   *state
 	service *relay.Service
+	// began counts the requests that began to run, by organisation.
+	began sync.Map
+}
+
+func (b *bed) count(organisation string) {
+	n, _ := b.began.LoadOrStore(organisation, &atomic.Int64{})
+	n.(*atomic.Int64).Add(1)
+}
+
+// counted returns how many requests of the organisation began to run.
+func (b *bed) counted() int64 {
+	if n, ok := b.began.Load("org"); ok {
+		return n.(*atomic.Int64).Load()
+	}
+	return 0
 }
 
 // start runs a relay before the given upstreams.
@@ -197,7 +213,7 @@
 	b.service = relay.New(relay.Config{
 		Listen: "127.0.0.1:0", Headers: headers, State: b.state, FailClosed: true,
 		Budget:   relay.Budget{Ratio: 0.2, Window: 10 * time.Second, Slack: 20},
-		Announce: 200 * time.Millisecond, DrainTimeout: 2 * time.Second, BodyBytes: bodyRoom,
+		Announce: 200 * time.Millisecond, DrainTimeout: 2 * time.Second, BodyBytes: bodyRoom, Began: b.count,
 	}, metrics.NewSet())
 	b.service.Update(v)
 	if err := b.service.Start(context.Background()); err != nil {
--- /dev/null
+++ b/instance/relay/usage_test.go
@@ -0,0 +1,59 @@
+package relay_test
+
+import (
+	"net"
+	"testing"
+
+	. "github.com/onsi/gomega"
+)
+
+// An organisation is billed for a request that begins at one upstream, breaks off and goes
+// on at another one. It asked once.
+func TestARequestThatGoesOnElsewhereIsCountedOnce(t *testing.T) {
+	breaks := func(n int, r *received, c net.Conn) bool { return events(c, r, 1, 3, false) }
+	goesOn := func(n int, r *received, c net.Conn) bool {
+		if r.header.Get("X-Last") == "" {
+			return events(c, r, 1, 3, false)
+		}
+		return events(c, r, 4, 5, true)
+	}
+	b := start(t, startUpstream(t, "u", goesOn), startUpstream(t, "v", goesOn))
+	Expect(b.caller().call("POST", "/stream/x", "a", "").err).NotTo(HaveOccurred())
+	Expect(b.counted()).To(Equal(int64(1)))
+	broken := start(t, startUpstream(t, "u", breaks))
+	Expect(broken.caller().call("POST", "/stream/x", "a", "").err).To(HaveOccurred())
+	Expect(broken.counted()).To(Equal(int64(1)), "it began, though nobody could end it")
+}
+
+// An idempotent request fails at one upstream and is repeated at another one.
+func TestARepeatedRequestIsCountedOnce(t *testing.T) {
+	fails := func(_ int, r *received, c net.Conn) bool { return whole(c, r, 500, "") }
+	b := start(t, startUpstream(t, "u", fails), startUpstream(t, "v", fails))
+	Expect(b.caller().call("GET", "/idem/x", "a", "").status).To(Equal(500))
+	Expect(b.counted()).To(Equal(int64(1)))
+}
+
+// What did not run is not billed: an upstream that refused it, or a stream that broke before
+// its first event.
+func TestWhatDidNotRunIsNotCounted(t *testing.T) {
+	refuses := func(_ int, r *received, c net.Conn) bool { return notRun(c, r) }
+	b := start(t, startUpstream(t, "u", refuses))
+	Expect(b.caller().call("POST", "/once/x", "a", "").status).To(Equal(503))
+	Expect(b.counted()).To(BeZero())
+	silent := func(_ int, r *received, c net.Conn) bool {
+		_, _ = c.Write([]byte(streamHead(r)))
+		return false
+	}
+	b = start(t, startUpstream(t, "u", silent))
+	b.caller().call("POST", "/brief/x", "a", "")
+	Expect(b.counted()).To(BeZero())
+}
+
+// The answer of a request that may not be repeated is lost. It has run as far as anybody can
+// tell, and is billed.
+func TestAnUnknownOutcomeIsCounted(t *testing.T) {
+	lost := func(int, *received, net.Conn) bool { return false }
+	b := start(t, startUpstream(t, "u", lost))
+	Expect(b.caller().call("POST", "/once/x", "a", "").status).To(Equal(502))
+	Expect(b.counted()).To(Equal(int64(1)))
+}
--- a/instance/serving/demand.go
+++ b/instance/serving/demand.go
@@ -13,12 +13,14 @@
 	PerMS float64
 }
 
-// Demand returns the demand by service, as far as it was told lately.
-func (s *Service) Demand() map[string]Demand {
+// Demand returns the demand by service; known says that any instance told lately what it
+// sees.
+func (s *Service) Demand() (demand map[string]Demand, known bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	work := s.loads.sum(clock.Now(), true)
-	demand := map[string]Demand{}
+	known = len(s.loads.watchers)+len(s.loads.members) > 0
+	demand = map[string]Demand{}
 	for i := range work.Routes {
 		l := &work.Routes[i]
 		d, known := demand[l.Service]
@@ -29,5 +31,5 @@
 		d.PerMS = max(d.PerMS, float64(l.PerMS)/hundredths)
 		demand[l.Service] = d
 	}
-	return demand
+	return demand, known
 }
--- a/instance/serving/fleet.go
+++ b/instance/serving/fleet.go
@@ -1,71 +1,94 @@
 package serving
 
 import (
+	"cmp"
+	"maps"
 	"slices"
-	"strings"
 
-	corecontrol "github.com/comfreyladder/comfreyladder/core/control"
 	"github.com/comfreyladder/comfreyladder/core/balance"
+	corecontrol "github.com/comfreyladder/comfreyladder/core/control"
 	"github.com/comfreyladder/comfreyladder/core/control/serving"
 	"github.com/comfreyladder/comfreyladder/core/route"
 	"github.com/comfreyladder/comfreyladder/core/scale"
+	"github.com/comfreyladder/comfreyladder/instance/consensus"
 )
 
+// tableCache holds the decoded table of a version.
+type tableCache struct {
+	version uint64
+	table   route.Table
+}
+
 // Scalable returns what is known of the services of which upstreams can be ordered.
 func (s *Service) Scalable() (list []scale.Service) {
 	g := s.cfg.Replica()
 	if g == nil {
 		return nil
 	}
-	var table route.Table
-	var ups []serving.Upstream
-	machine(g, func(m *serving.Machine) {
-		c := m.Since(0)
-		ups = c.Upstreams
-		if len(c.Table) > 0 {
-			_ = corecontrol.Unmarshal(c.Table, &table)
-		}
-	})
-	demand := s.Demand()
+	table, upstreams := s.tableAndUpstreams(g)
+	demand, told := s.Demand()
 	for i := range table.Services {
 		v := &table.Services[i]
 		if v.Scaling == nil {
 			continue
 		}
-		out := scale.Service{Name: v.Name, Min: v.Scaling.Min, Max: v.Scaling.Max, PreemptiblePrice: v.Scaling.PreemptiblePrice}
-		count := 0.0
-		for name, price := range v.Scaling.Prices {
-			d := scale.Domain{Name: name, Price: price}
-			for j := range ups {
-				u := &ups[j]
-				if u.Service != v.Name || u.Domain != name || u.Silent {
-					continue
-				}
-				c := &d.Ready
-				if u.State == serving.Draining {
-					c = &d.Leaving
-				} else if u.State != serving.Ready {
-					continue
-				} else {
-					count++
-				}
-				if u.Preemptible {
-					c.Preemptible++
-				} else {
-					c.Standard++
-				}
-			}
-			out.Domains = append(out.Domains, d)
+		out := scale.Service{
+			Name: v.Name, Min: v.Scaling.Min, Max: v.Scaling.Max, Boot: v.Scaling.Boot, PreemptiblePrice: v.Scaling.PreemptiblePrice,
+		}
+		for _, name := range slices.Sorted(maps.Keys(v.Scaling.Prices)) {
+			out.Domains = append(out.Domains, scale.Domain{Name: name, Price: v.Scaling.Prices[name]})
 		}
-		slices.SortFunc(out.Domains, func(a, b scale.Domain) int { return strings.Compare(a.Name, b.Name) })
-		if d, ok := demand[v.Name]; ok {
-			slots := 64.0
-			if v.Engine != nil {
-				slots = float64(v.Engine.Slots)
-			}
-			out.Need = balance.NeedOf(d.Loads, &balance.Engine{PerMS: d.PerMS, Slots: slots, Count: count})
+		ready := countUpstreams(&out, upstreams)
+		out.Known = told
+		if d, known := demand[v.Name]; known && v.Engine != nil {
+			engine := &balance.Engine{PerMS: d.PerMS, Slots: float64(v.Engine.Slots), Count: float64(ready)}
+			out.Need = balance.NeedOf(d.Loads, engine).Ample
 		}
 		list = append(list, out)
 	}
 	return list
 }
+
+// tableAndUpstreams returns the table in force and all upstreams.
+func (s *Service) tableAndUpstreams(g *consensus.Service) (*route.Table, []serving.Upstream) {
+	var c serving.Changes
+	machine(g, func(m *serving.Machine) { c = m.Since(0) })
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if c.Version != s.table.version {
+		next := tableCache{version: c.Version}
+		if err := corecontrol.Unmarshal(c.Table, &next.table); err != nil {
+			s.cfg.Log.Error().Err(err).Str("event", "table_unreadable").Uint64("version", c.Version).Msg("a table can't be read; the one before stays")
+			next.table = s.table.table
+		}
+		s.table = next
+	}
+	return &s.table.table, c.Upstreams
+}
+
+// countUpstreams counts a service's upstreams by domain and kind, and returns how many
+// are ready.
+func countUpstreams(v *scale.Service, upstreams []serving.Upstream) (ready int) {
+	for i := range upstreams {
+		u := &upstreams[i]
+		at, known := slices.BinarySearchFunc(v.Domains, u.Domain, func(d scale.Domain, name string) int { return cmp.Compare(d.Name, name) })
+		if u.Service != v.Name || !known || u.Silent {
+			continue
+		}
+		d := &v.Domains[at]
+		switch {
+		case u.State == serving.Draining && u.Preemptible:
+			d.Leaving.Preemptible++
+		case u.State == serving.Draining:
+			d.Leaving.Standard++
+		case u.State != serving.Ready:
+		case u.Preemptible:
+			d.Ready.Preemptible++
+			ready++
+		default:
+			d.Ready.Standard++
+			ready++
+		}
+	}
+	return ready
+}
--- a/instance/serving/serving.go
+++ b/instance/serving/serving.go
@@ -80,6 +80,8 @@
 	observedAt, observedSent time.Time
 	// unsent are the notes that the other members were not told yet.
 	unsent []Placed
+	// table is the table in force.
+	table tableCache
 	// leads is since when this member leads, zero while it does not.
 	leads time.Time
 	// metering has a mutex of its own; nil where nothing is counted.
@@ -242,7 +244,7 @@
 	}
 	err = s.propose(ctx, &serving.Command{Announce: &u})
 	s.cfg.Log.Info().Str("event", "upstream_announced").Str("upstream", u.ID).Str("service", u.Service).Str("address", u.Address).
-		Str("state", u.State.String()).Int64("born", u.Born).Uint64("sequence", u.Sequence).Str("before", known.State.String()).Bool("was_silent", known.Silent).
+		Str("state", u.State.String()).Int64("born", u.Born).Uint64("sequence", u.Sequence).Str("before", known.State.String()).Bool("was_silent", known.Silent).Bool("preemptible", u.Preemptible).Int64("leaves_ms", u.LeavesMS).
 		Str("outcome", outcome(err)).Err(err).Msg("heartbeat of an upstream")
 	return err
 }
