--- a/proof/system/once_test.go
+++ b/proof/system/once_test.go
@@ -35,6 +35,28 @@
 	return in.post("/services/booking/bookings", fmt.Sprintf(`{"customer":%q}`, content), withKey(key))
 }
 
+// comeBack fails unless the answer says that this request was not run, and when to send it
+// again: between two leaders of the control group nobody knows what became of a booking.
+func (r *reply) comeBack() error {
+	if r.err != nil {
+		return r.err
+	}
+	if r.status != http.StatusServiceUnavailable || r.header.Get("X-Not-Run") != "true" || r.header.Get("Retry-After") == "" {
+		return fmt.Errorf("answered %d %v %s", r.status, r.header, r.body)
+	}
+	return nil
+}
+
+// learn sends a booking again until its outcome is known, and returns that answer.
+func (in *instance) learn(key, content string) (last *reply) {
+	GinkgoHelper()
+	Eventually(func() bool {
+		last = in.book(key, content)
+		return last.status == http.StatusConflict || last.comeBack() == nil
+	}, patience, poll).Should(BeFalse())
+	return last
+}
+
 var _ = Describe("A booking that may run at most once", func() {
 	var s *site
 	var svc *standIn
@@ -116,15 +138,35 @@
 		north.process.kill()
 		<-done
 		Eventually(func() int { return svc.effects("k4") }, patience, poll).Should(Equal(1))
-		var last *reply
-		Eventually(func() int {
-			last = south.book("k4", "4711")
-			return last.status
-		}, patience, poll).ShouldNot(Equal(409))
+		last := south.learn("k4", "4711")
 		Expect(last.status).To(BeElementOf(201, 502), last.body)
 		Expect(svc.effects("k4") + svc2.effects("k4")).To(Equal(1))
 	})
 
+	// The claiming instance dies, and the two that are left have no leader yet: one of them
+	// is frozen. The resend can't learn what became of the booking. It must hear that it was
+	// not run itself and when to come back, and get the outcome once there is a leader.
+	It("tells a resend to come back while nobody can say what became of the booking", func() {
+		svc2 := s.service("s-south", "south")
+		Eventually(south.liveUpstreams, patience, poll).Should(Equal(1))
+		svc.faults(`{"delay_ms":1500}`)
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			defer GinkgoRecover()
+			_ = north.book("k6", "4711")
+		}()
+		Eventually(func() int { return svc.operation("k6") }, patience, poll).Should(Equal(202))
+		east.process.signal(syscall.SIGSTOP)
+		north.process.kill()
+		<-done
+		Expect(south.book("k6", "4711").comeBack()).To(Succeed())
+		east.process.signal(syscall.SIGCONT)
+		last := south.learn("k6", "4711")
+		Expect(last.status).To(BeElementOf(201, 502), last.body)
+		Expect(svc.effects("k6") + svc2.effects("k6")).To(Equal(1))
+	})
+
 	// Two of three instances with disks are frozen: the third cannot claim. It
 	// must say "not run" at once, with Retry-After, and that must be true.
 	It("says not run when it cannot claim, and nothing ran", func() {
