Duties for operators: comfreyladder duties, /duties and gauges at the cores, a walk from a wrong bill to its cause

A member tells beside its metrics who holds the duties, what was reported of each window that is remembered and what is overdue or lacks counts, and how orders stand. `comfreyladder duties` prints it, or one window with the counts of each organisation, or that window's lines from the members' logs.

TestTheViewTellsReportsAndWhatIsOverdue (virtual time), TestRequestsAreBilledOnce (real daemons: each core tells the counts that the provider got), TestOneWindowsLines. Series: 5 gauges a core, none at edges or without duties.

--- /dev/null
+++ b/instance/duty/view.go
@@ -0,0 +1,106 @@
+package duty
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	usagestate "github.com/comfreyladder/comfreyladder/core/control/usage"
+	"github.com/comfreyladder/comfreyladder/core/usage"
+)
+
+// View is a Status for operators, as JSON.
+type View struct {
+	// Instance is the one that tells; Holder is the machine that holds the duties by the state
+	// that was replicated to it, empty for none.
+	Instance string `json:"instance"`
+	Holder   string `json:"holder,omitempty"`
+	// Number is the fencing number under which this instance acts, zero if it doesn't, and
+	// LeaseLeftMS for how long.
+	Number      uint64 `json:"number,omitempty"`
+	LeaseLeftMS int64  `json:"lease_left_ms,omitempty"`
+	// UnreachableMS is for how long the provider can't be reached from this instance.
+	UnreachableMS int64 `json:"unreachable_ms,omitempty"`
+	// Windows are those that were closed last, the oldest first.
+	Windows []WindowView `json:"windows,omitempty"`
+	Orders  []OrderView  `json:"orders,omitempty"`
+}
+
+// WindowView is the report of a window.
+type WindowView struct {
+	Window int64     `json:"window"`
+	Begins time.Time `json:"begins"`
+	// State is "open" until the report was taken, then "acknowledged", or "refused" as faulty.
+	State string `json:"state"`
+	// Overdue says that it is open after it was due.
+	Overdue  bool   `json:"overdue,omitempty"`
+	Requests uint64 `json:"requests"`
+	// Missing of the Instances had not told all of their counts when the window was closed,
+	// and Late requests were told after that: the report lacks them.
+	Instances     int               `json:"instances"`
+	Missing       int               `json:"missing,omitempty"`
+	Late          uint64            `json:"late,omitempty"`
+	Organisations map[string]uint64 `json:"organisations,omitempty"`
+}
+
+// OrderView is the order of one kind of upstream in a failure domain.
+type OrderView struct {
+	Service     string `json:"service"`
+	Domain      string `json:"domain"`
+	Preemptible bool   `json:"preemptible,omitempty"`
+	// Wanted is what the plan asks for, Given what the provider took last, Ready what serves.
+	Wanted int    `json:"wanted"`
+	Given  int    `json:"given"`
+	Ready  int    `json:"ready"`
+	Failed string `json:"failed,omitempty"`
+}
+
+// Path is where a member tells its View, beside its metrics.
+const Path = "/duties"
+
+// StateOpen is how an open window is told; its outcome has no text.
+const StateOpen = "open"
+
+// View returns the latest status for operators.
+func (s *Service) View() *View {
+	st := s.Status()
+	v := &View{
+		Instance: s.cfg.Instance, Holder: st.Holder, Number: st.Number,
+		LeaseLeftMS: st.Left.Milliseconds(), UnreachableMS: st.Unreachable.Milliseconds(),
+	}
+	if s.cfg.Usage != nil {
+		now, _ := s.cfg.Agreed()
+		for i := range st.Windows {
+			v.Windows = append(v.Windows, s.viewWindow(now, &st.Windows[i]))
+		}
+	}
+	for _, o := range st.Orders {
+		v.Orders = append(v.Orders, OrderView{o.Service, o.Domain, o.Preemptible, o.Count, o.Given, o.Ready, o.Last})
+	}
+	slices.SortFunc(v.Orders, func(a, b OrderView) int {
+		return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.Domain, b.Domain), cmp.Compare(rank(a), rank(b)))
+	})
+	return v
+}
+
+// rank puts standard upstreams before preemptible ones.
+func rank(o OrderView) int {
+	if o.Preemptible {
+		return 1
+	}
+	return 0
+}
+
+func (s *Service) viewWindow(now time.Time, c *usagestate.Closed) WindowView {
+	end := usage.EndOf(c.Window, s.cfg.Usage.Span)
+	w := WindowView{
+		Window: c.Window, Begins: end.Add(-s.cfg.Usage.Span), State: cmp.Or(string(c.Outcome), StateOpen),
+		Overdue:   c.Outcome == usagestate.Open && now.After(end.Add(s.cfg.Usage.Delay)),
+		Instances: c.Instances, Missing: c.Missing, Late: c.Late, Organisations: make(map[string]uint64, len(c.Totals)),
+	}
+	for _, t := range c.Totals {
+		w.Requests += t.Requests
+		w.Organisations[t.Organisation] = t.Requests
+	}
+	return w
+}
--- /dev/null
+++ b/instance/duty/view_test.go
@@ -0,0 +1,59 @@
+package duty_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/comfreyladder/comfreyladder/instance/duty"
+)
+
+// An organisation says that its bill is wrong. An operator must see at any member who holds
+// the duties, what was reported of each window, and what has been open for too long.
+func TestTheViewTellsReportsAndWhatIsOverdue(t *testing.T) {
+	play(t, func(w *world) {
+		time.Sleep(40 * time.Second)
+		holder := w.holder()
+		v := holder.Service.View()
+		Expect(v.Holder).To(Equal(holder.name))
+		Expect(v.Number).To(Equal(uint64(1)))
+		Expect(v.LeaseLeftMS).To(BeNumerically(">", 0))
+		Expect(v.Windows).NotTo(BeEmpty())
+		told := v.Windows[0]
+		Expect(told.State).To(Equal("acknowledged"))
+		body, _ := w.provider.got(told.Window)
+		Expect(body).NotTo(BeEmpty())
+		Expect(told.Requests).To(BeNumerically(">", 0))
+		var sum uint64
+		for _, n := range told.Organisations {
+			sum += n
+		}
+		Expect(sum).To(Equal(told.Requests))
+		Expect(told.Begins).To(Equal(time.Unix(told.Window*int64(span.Seconds()), 0).UTC()))
+		for _, n := range w.live() {
+			Expect(n.Service.View().Windows).NotTo(BeEmpty(), n.name)
+			Expect(n.Service.View().Holder).To(Equal(holder.name))
+		}
+
+		w.provider.set(func(p *provider) {
+			for _, n := range w.live() {
+				p.unreachable[n.name] = true
+			}
+		})
+		time.Sleep(delay + 3*span)
+		overdue := 0
+		for _, x := range w.live()[0].Service.View().Windows {
+			if x.Overdue {
+				Expect(x.State).To(Equal(duty.StateOpen))
+				overdue++
+			}
+		}
+		Expect(overdue).To(BeNumerically(">", 0))
+		w.provider.set(func(p *provider) { p.unreachable = map[string]bool{} })
+		time.Sleep(30 * time.Second)
+		for _, x := range w.live()[0].Service.View().Windows {
+			Expect(x.Overdue).To(BeFalse(), "window %d", x.Window)
+		}
+	})
+}
--- a/instance/roles/duties.go
+++ b/instance/roles/duties.go
@@ -6,6 +6,7 @@
 
 	"github.com/comfreyladder/comfreyladder/instance/duty"
 	"github.com/comfreyladder/comfreyladder/instance/kernel"
+	"github.com/comfreyladder/comfreyladder/instance/telemetry"
 	"github.com/comfreyladder/comfreyladder/instance/upstream"
 )
 
@@ -28,6 +29,12 @@
 	return err
 }
 
+// hasDuties reports whether this process may hold duties.
+func (p *Process) hasDuties() bool {
+	d := p.cfg.Duties
+	return p.cfg.Control != "" && d != nil && (d.Usage != nil || d.Scale != nil)
+}
+
 func (p *Process) duties() kernel.Module {
 	return kernel.Module{Name: nameDuties, Needs: []string{nameServing, nameControl}, New: func(k *kernel.Kernel) (kernel.Service, error) {
 		state, err := kernel.Lookup[*servingService](k, nameServing)
@@ -52,3 +59,25 @@
 		return &dutiesService{s, client}, nil
 	}}
 }
+
+// dutyGauges tell how the duties stand, as this member knows it.
+func dutyGauges(tel *telemetry.Service, s *duty.Service) {
+	gauge := func(name string, value func(*duty.View) float64) {
+		tel.Set().NewGauge(name, func() float64 { return value(s.View()) })
+	}
+	gauge("duty_number", func(v *duty.View) float64 { return float64(v.Number) })
+	gauge("duty_provider_unreachable_seconds", func(v *duty.View) float64 { return float64(v.UnreachableMS) / 1000 })
+	windows := func(counts func(w *duty.WindowView) bool) func(*duty.View) float64 {
+		return func(v *duty.View) (n float64) {
+			for i := range v.Windows {
+				if counts(&v.Windows[i]) {
+					n++
+				}
+			}
+			return n
+		}
+	}
+	gauge(`duty_windows{state="open"}`, windows(func(w *duty.WindowView) bool { return w.State == duty.StateOpen }))
+	gauge(`duty_windows{state="overdue"}`, windows(func(w *duty.WindowView) bool { return w.Overdue }))
+	gauge(`duty_windows{state="incomplete"}`, windows(func(w *duty.WindowView) bool { return w.Missing > 0 || w.Late > 0 }))
+}
--- a/instance/roles/process.go
+++ b/instance/roles/process.go
@@ -12,7 +12,9 @@
 	"github.com/rs/zerolog"
 	"github.com/valyala/fasthttp"
 
+	"github.com/comfreyladder/comfreyladder/instance/duty"
 	"github.com/comfreyladder/comfreyladder/instance/eventlog"
+	"github.com/comfreyladder/comfreyladder/instance/httpapi"
 	"github.com/comfreyladder/comfreyladder/instance/kernel"
 	"github.com/comfreyladder/comfreyladder/instance/link"
 	"github.com/comfreyladder/comfreyladder/instance/meter"
@@ -59,7 +61,7 @@
 	modules := []kernel.Module{p.telemetry(), p.links()}
 	if cfg.Control != "" {
 		modules = append(modules, p.control(), p.serving(), p.calls())
-		if d := cfg.Duties; d != nil && (d.Usage != nil || d.Scale != nil) {
+		if p.hasDuties() {
 			modules = append(modules, p.duties())
 		}
 	} else {
@@ -169,6 +171,9 @@
 	if p.cfg.Control != "" {
 		needs = append(needs, nameServing)
 	}
+	if p.hasDuties() {
+		needs = append(needs, nameDuties)
+	}
 	return kernel.Module{Name: nameMetrics, Needs: needs, New: func(k *kernel.Kernel) (kernel.Service, error) {
 		tel, err := kernel.Lookup[*telemetry.Service](k, nameTelemetry)
 		if err != nil {
@@ -177,6 +182,17 @@
 		if s, err := kernel.Lookup[*servingService](k, nameServing); err == nil {
 			memberGauges(tel, s)
 		}
-		return newListener(p.cfg.Metrics, func(ctx *fasthttp.RequestCtx) { tel.Write(ctx) }), nil
+		duties, err := kernel.Lookup[*dutiesService](k, nameDuties)
+		if err != nil {
+			return newListener(p.cfg.Metrics, func(ctx *fasthttp.RequestCtx) { tel.Write(ctx) }), nil
+		}
+		dutyGauges(tel, duties.Service)
+		return newListener(p.cfg.Metrics, func(ctx *fasthttp.RequestCtx) {
+			if string(ctx.Path()) == duty.Path {
+				httpapi.WriteJSON(ctx, fasthttp.StatusOK, duties.View())
+				return
+			}
+			tel.Write(ctx)
+		}), nil
 	}}
 }
--- a/operator/client/client.go
+++ b/operator/client/client.go
@@ -12,6 +12,7 @@
 	"github.com/comfreyladder/comfreyladder/core/fault"
 	"github.com/comfreyladder/comfreyladder/core/intent"
 	"github.com/comfreyladder/comfreyladder/instance/admin"
+	"github.com/comfreyladder/comfreyladder/instance/duty"
 	"github.com/comfreyladder/comfreyladder/instance/httpapi"
 )
 
@@ -92,6 +93,12 @@
 	return out, err
 }
 
+// Duties asks a member, at the address of its metrics, how the duties stand.
+func (c *Client) Duties() (*duty.View, error) {
+	out := &duty.View{}
+	return out, c.do(fasthttp.MethodGet, duty.Path, nil, out)
+}
+
 func (c *Client) do(method, path string, body, into any) error {
 	var req fasthttp.Request
 	var resp fasthttp.Response
--- a/operator/commands/commands.go
+++ b/operator/commands/commands.go
@@ -24,7 +24,12 @@
 	Address string `short:"a" long:"address" env:"COMFREYLADDER_ADDRESS" default:"127.0.0.1:8081" description:"operators' address of any instance"`
 	KeyFile string `short:"k" long:"key-file" env:"COMFREYLADDER_KEY_FILE" description:"file with the operator's key"`
 	CA      string `long:"ca" env:"COMFREYLADDER_CA" description:"file with the certificate authority of https addresses; empty: the system's"`
-	JSON    bool   `long:"json" description:"print JSON"`
+	Printing
+}
+
+// Printing says how a command prints.
+type Printing struct {
+	JSON bool `long:"json" description:"print JSON"`
 }
 
 func (c *Connection) client() (*client.Client, error) {
@@ -42,7 +47,7 @@
 	return &client.Client{Address: c.Address, Key: key, TLS: conf}, nil
 }
 
-func (c *Connection) print(out io.Writer, v any, text func(io.Writer)) error {
+func (c *Printing) print(out io.Writer, v any, text func(io.Writer)) error {
 	if !c.JSON {
 		text(out)
 		return nil
@@ -67,6 +72,7 @@
 		{"confirm", "put an intent file in force", "Example:\n  comfreyladder confirm --key-file ops.key --number 42 --base 7 intent.ini", &Confirm{}},
 		{"status", "show revisions, failure domains, instances and upstreams", "Example:\n  comfreyladder status --key-file ops.key", &Status{}},
 		{"explain", "tell what became of a request and why", explainHelp, &Explain{}},
+		{"duties", "show who makes the calls to the provider, usage reports and orders of upstreams", dutiesHelp, &Duties{}},
 		{"drain", "have the instance at --address finish its work and stop", "Example:\n  comfreyladder drain --key-file ops.key --address 10.0.0.7:8081", &Drain{}},
 		{"unknown", "list at-most-once calls whose outcome is unknown", "Example:\n  comfreyladder unknown --key-file ops.key", &Unknown{}},
 		{"resolve", "say what became of a call whose outcome is unknown", resolveHelp, &Resolve{}},
--- a/operator/commands/explain.go
+++ b/operator/commands/explain.go
@@ -45,13 +45,9 @@
 
 // fromLogs prints the request's lines of all processes in order of time.
 func (c *Explain) fromLogs(w io.Writer) error {
-	var lines []*logs.Line
-	for _, name := range c.Logs {
-		more, err := readLog(name)
-		if err != nil {
-			return err
-		}
-		lines = append(lines, more...)
+	lines, err := readLogs(c.Logs)
+	if err != nil {
+		return err
 	}
 	found := logs.Explain(lines, c.Args.ID, c.Context)
 	if len(found) == 0 {
@@ -68,6 +64,18 @@
 	return nil
 }
 
+// readLogs reads several logs.
+func readLogs(names []string) (lines []*logs.Line, err error) {
+	for _, name := range names {
+		more, err := readLog(name)
+		if err != nil {
+			return nil, err
+		}
+		lines = append(lines, more...)
+	}
+	return lines, nil
+}
+
 // tellEnded prints the processes that ended without a word.
 func tellEnded(w io.Writer, ended []logs.Ended) {
 	for _, e := range ended {
--- a/operator/logs/logs.go
+++ b/operator/logs/logs.go
@@ -6,6 +6,7 @@
 	"bufio"
 	"io"
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 
@@ -103,9 +104,13 @@
 // beliefs are the events by which a process changes what it acts on.
 var beliefs = []string{
 	"start", "stop", "drain", "reload", "control_lost", "control_regained", "table_in_force", "upstream_state", "upstream_gone",
-	"upstream_announced", "upstream_left", "upstreams_silent", "pools", "member_change", "member_joins", "disk_refuses", "log_dropped",
+	"upstream_announced", "upstream_left", "upstreams_silent", "pools", "member_change", "member_joins", "disk_refuses", "log_dropped", "upstreams_ordered",
 }
 
+// everywhere are the events that concern requests at all processes: a refusal for want of
+// upstreams is explained by what was ordered.
+var everywhere = []string{"disk_refuses", "upstreams_ordered"}
+
 // Explain returns the lines of a request, with those by which the processes that
 // wrote them, or any process about the same upstreams, changed what they believed
 // while it was under way or for as long as context before. They are in order of time.
@@ -130,6 +135,34 @@
 	return out
 }
 
+// tenures are the events by which the duties change hands.
+var tenures = []string{"duties_held", "duties_lost"}
+
+// Window returns the lines about the usage report of a window, with those by which the
+// duties changed hands in between, in order of time.
+func Window(lines []*Line, window int64) []*Line {
+	number := strconv.FormatInt(window, 10)
+	var own, out []*Line
+	for _, l := range lines {
+		if l.Field("window") == number {
+			own = append(own, l)
+		}
+	}
+	if len(own) == 0 {
+		return nil
+	}
+	byTime := func(a, b *Line) int { return a.At.Compare(b.At) }
+	from, to := slices.MinFunc(own, byTime).At, slices.MaxFunc(own, byTime).At
+	out = own
+	for _, l := range lines {
+		if slices.Contains(tenures, l.Event()) && !l.At.Before(from) && !l.At.After(to) {
+			out = append(out, l)
+		}
+	}
+	slices.SortStableFunc(out, byTime)
+	return out
+}
+
 // scope says which lines matter beside a request's own.
 type scope struct {
 	from, to  time.Time
@@ -168,7 +201,7 @@
 	if u := l.Field("upstream"); u != "" {
 		return s.upstreams[u]
 	}
-	return s.sources[l.Source] || strings.HasPrefix(l.Event(), "member_") || l.Event() == "disk_refuses"
+	return s.sources[l.Source] || strings.HasPrefix(l.Event(), "member_") || slices.Contains(everywhere, l.Event())
 }
 
 // Ended is a process that ended without a word: it started anew, and no line of a stop
--- a/operator/logs/logs_test.go
+++ b/operator/logs/logs_test.go
@@ -64,3 +64,29 @@
 	g.Expect(ended[1].Source).To(Equal("lost"))
 	g.Expect(ended[1].Started).To(BeZero())
 }
+
+// A bill is disputed. The lines of its window tell when it was closed, who sent it and who
+// took over meanwhile, and nothing of other windows.
+func TestOneWindowsLines(t *testing.T) {
+	g := NewWithT(t)
+	lines, err := logs.Read(strings.NewReader(`time=2026-01-01T00:00:01Z event=duties_held fence=3
+time=2026-01-01T00:00:05Z event=usage_window_closed window=42 requests=7
+time=2026-01-01T00:00:05Z event=usage_window_closed window=43 requests=9
+time=2026-01-01T00:00:06Z event=usage_report window=42 error="no answer"
+time=2026-01-01T00:00:07Z event=duties_lost fence=3
+`), "core-1.log")
+	g.Expect(err).NotTo(HaveOccurred())
+	more, err := logs.Read(strings.NewReader(`time=2026-01-01T00:00:08Z event=duties_held fence=4
+time=2026-01-01T00:00:09Z event=usage_report window=42
+time=2026-01-01T00:00:20Z event=duties_lost fence=4
+`), "core-2.log")
+	g.Expect(err).NotTo(HaveOccurred())
+	var got []string
+	for _, l := range logs.Window(append(more, lines...), 42) {
+		got = append(got, l.Source+" "+l.Event())
+	}
+	g.Expect(got).To(Equal([]string{
+		"core-1.log usage_window_closed", "core-1.log usage_report", "core-1.log duties_lost", "core-2.log duties_held", "core-2.log usage_report",
+	}))
+	g.Expect(logs.Window(lines, 41)).To(BeEmpty())
+}
--- a/proof/deployed/duties_test.go
+++ b/proof/deployed/duties_test.go
@@ -14,6 +14,8 @@
 
 	. "github.com/onsi/gomega"
 
+	operators "github.com/comfreyladder/comfreyladder/operator/client"
+	"github.com/comfreyladder/comfreyladder/operator/commands/show"
 	"github.com/comfreyladder/comfreyladder/operator/standin/provider"
 )
 
@@ -160,6 +162,29 @@
 	answered := stop()
 	s.reportedUntil(c, time.Now())
 	Expect(c.billed()).To(Equal(answered + uint64(before)))
+	s.told(c)
+}
+
+// told checks that each core tells operators what the provider was told.
+func (s *trio) told(c *cloud) {
+	for _, n := range s.cores {
+		v, err := (&operators.Client{Address: n.at(portMetrics)}).Duties()
+		Expect(err).NotTo(HaveOccurred())
+		Expect(v.Holder).NotTo(BeEmpty())
+		acknowledged := 0
+		for _, w := range v.Windows {
+			if w.State == "acknowledged" {
+				acknowledged++
+				Expect(w.Organisations).To(Equal(c.Reported(w.Window)), "window %d", w.Window)
+			}
+		}
+		Expect(acknowledged).To(BeNumerically(">", 2))
+		text := &strings.Builder{}
+		show.Duties(text, v)
+		Expect(text.String()).To(ContainSubstring("acknowledged"))
+		_, series := call("GET", "http://"+n.at(portMetrics)+"/metrics", "")
+		Expect(series).To(ContainSubstring(`duty_windows{state="overdue"} 0`))
+	}
 }
 
 // The core that reports is killed once its report has arrived and before the answer, three
--- a/proof/deployed/harness_test.go
+++ b/proof/deployed/harness_test.go
@@ -10,6 +10,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -26,7 +27,7 @@
 	poll     = 20 * time.Millisecond
 	// The ports are the same on all machines. They lie below the range from which the
 	// system takes the ports of outgoing connections.
-	portControl, portFrontend, portReady, portPeer = 17229, 17227, 17220, 17340
+	portControl, portFrontend, portReady, portPeer, portMetrics = 17229, 17227, 17220, 17340, 17230
 )
 
 // nets gives each test a part of the loopback range of its own.
@@ -111,7 +112,7 @@
 	if n.core {
 		Expect(os.MkdirAll(n.dataDir(), 0o700)).To(Succeed())
 	}
-	cmd := exec.Command(binary, "--platform")
+	cmd := exec.Command(binary, "--platform", "--metrics-port", strconv.Itoa(portMetrics))
 	cmd.Env = append(os.Environ(), "COMFREYLADDER_CONFIG="+n.settingsFile())
 	cmd.Stdout, cmd.Stderr = n, n
 	Expect(cmd.Start()).To(Succeed())
