Raft: a restart timeout, shorter than the election timeout, so that a group elects sooner after all were killed

Cause: a member that restarts ignores votes, and does not campaign, for an election timeout (0.6 s, up to twice that), as it has forgotten whether it granted a leader's lease. After a loss of power of all nobody leads, and nobody is served until somebody does.

Now leases rest on the restart timeout (280 ms, two heartbeats and a little; lease 252 ms), which a member that goes on exceeds by far and one that restarts waits out. What it costs: where replies take longer than 252 ms, a leader's reads ask a quorum. TestRestartTimeoutBoundsLeasesAndTheWaitAfterARestart; the default is the election timeout, as before.

--- a/core/raft/doc.go
+++ b/core/raft/doc.go
@@ -45,7 +45,7 @@
 	// foundingHaste divides the election timeout until the first election, which
 	// disturbs nobody, so that a new group serves soon.
 	foundingHaste = 5
-	// leaseShare is the share of the election timeout that a lease lasts. The
+	// leaseShare is the share of the restart timeout that a lease lasts. The
 	// rest covers clocks that run at different rates, up to a tenth apart.
 	leaseShare = 0.9
 )
@@ -59,6 +59,12 @@
 	// ElectionTimeout is the least silence after which a member campaigns; the
 	// actual one is drawn between it and twice it.
 	ElectionTimeout time.Duration
+	// RestartTimeout is for how long a member ignores votes, and does not campaign, that
+	// was restarted and so has forgotten when it last heard a leader. Leases of leaders are
+	// shorter: while a leader may count on one, nobody who granted it may elect another.
+	// Zero means the election timeout. A shorter one lets a group elect sooner after all
+	// members were killed; below two heartbeats, leases lapse and reads ask a quorum.
+	RestartTimeout time.Duration
 	// MaxBatch bounds the entries of one append.
 	MaxBatch int
 	// MaxWindow bounds the entries that are sent to a member but unacknowledged.
@@ -80,6 +86,7 @@
 	}
 	setDefault(&c.Heartbeat, DefaultHeartbeat)
 	setDefault(&c.ElectionTimeout, DefaultElectionTimeout)
+	setDefault(&c.RestartTimeout, c.ElectionTimeout)
 	setDefault(&c.MaxBatch, DefaultMaxBatch)
 	setDefault(&c.MaxWindow, DefaultMaxWindow)
 	setDefault(&c.MaxUncommitted, DefaultMaxUncommitted)
@@ -88,6 +95,9 @@
 	if c.ElectionTimeout < 2*c.Heartbeat {
 		return fault.New(fault.Invalid, "election timeout %v is below two heartbeats of %v", c.ElectionTimeout, c.Heartbeat)
 	}
+	if c.RestartTimeout > c.ElectionTimeout || c.RestartTimeout < 0 {
+		return fault.New(fault.Invalid, "restart timeout %v is above the election timeout of %v, or below zero", c.RestartTimeout, c.ElectionTimeout)
+	}
 	return nil
 }
 
--- a/core/raft/node.go
+++ b/core/raft/node.go
@@ -86,12 +86,13 @@
 	}
 	n.log.stable = n.log.last()
 	// A restarted member has forgotten whether it acknowledged a heartbeat, on
-	// which a leader's lease rests. Until an election timeout has passed it
+	// which a leader's lease rests. Until the restart timeout has passed it
 	// acts as if it had, or it could elect another leader within the lease.
+	n.resetCampaign(now)
 	if !n.unled() {
-		n.heard = now
+		n.heard = now.Add(cfg.RestartTimeout - cfg.ElectionTimeout)
+		n.drawCampaign(now, cfg.RestartTimeout)
 	}
-	n.resetCampaign(now)
 	return n, nil
 }
 
@@ -147,6 +148,11 @@
 	if n.unled() {
 		timeout /= foundingHaste
 	}
+	n.drawCampaign(now, timeout)
+}
+
+// drawCampaign lets this member campaign after a silence between a timeout and twice it.
+func (n *Node) drawCampaign(now time.Time, timeout time.Duration) {
 	spread := time.Duration(n.cfg.Rand.Int63n(int64(timeout)))
 	n.campaignAt = now.Add(timeout + spread)
 }
--- a/core/raft/node_test.go
+++ b/core/raft/node_test.go
@@ -18,6 +18,8 @@
 	node *raft.Node
 	disk disk
 	id   raft.MemberID
+	// restartTimeout is raft.Config's; zero means the election timeout.
+	restartTimeout time.Duration
 }
 
 func voters(ids ...raft.MemberID) raft.Members {
@@ -45,7 +47,7 @@
 
 func (s *single) restart() {
 	node, err := raft.New(s.now, raft.Config{ID: s.id, Cluster: "c", Heartbeat: heartbeat, ElectionTimeout: election,
-		Rand: rand.New(rand.NewSource(1))}, s.disk.hard, s.disk.snap, s.disk.entries)
+		RestartTimeout: s.restartTimeout, Rand: rand.New(rand.NewSource(1))}, s.disk.hard, s.disk.snap, s.disk.entries)
 	NewWithT(s.t).Expect(err).NotTo(HaveOccurred())
 	s.node = node
 }
@@ -158,6 +160,42 @@
 	g.Expect(s.step(vote).Messages).To(HaveLen(1))
 }
 
+// What a user would see: after all instances of control were killed nobody is served for
+// an election timeout and more, though nobody leads. With a shorter restart timeout members
+// elect sooner, and leaders count on their leases for less than that.
+func TestRestartTimeoutBoundsLeasesAndTheWaitAfterARestart(t *testing.T) {
+	g := NewWithT(t)
+	s := newSingle(t, voters(1, 2, 3))
+	s.restartTimeout = election / 2
+	r := s.step(raft.Message{Kind: raft.MsgHeartbeat, From: 3, Term: 2, Round: 1})
+	g.Expect(r.Messages[0].Kind).To(Equal(raft.MsgHeartbeatReply))
+	s.restart()
+	vote := raft.Message{Kind: raft.MsgVote, From: 2, Term: 5, Index: 1, LogTerm: 1}
+	s.now = s.now.Add(election/2 - 1)
+	s.node.Tick(s.now)
+	g.Expect(s.out().Messages).To(BeEmpty(), "it may have granted a lease right before its end")
+	g.Expect(s.step(vote).Messages).To(BeEmpty())
+	s.now = s.now.Add(1)
+	g.Expect(s.step(vote).Messages).To(HaveLen(1))
+	s.restart()
+	s.now = s.now.Add(election)
+	s.node.Tick(s.now)
+	g.Expect(s.out().Messages).To(ContainElement(HaveField("Kind", raft.MsgPreVote)))
+
+	s = newSingle(t, voters(1, 2, 3))
+	s.restartTimeout = election / 2
+	s.restart()
+	s.lead(2)
+	s.ack(2, s.status().Last)
+	s.echo(2, roundOf(s.wait(heartbeat)))
+	s.now = s.now.Add(election/2*9/10 - 1)
+	g.Expect(s.node.ReadIndex(s.now, 1)).To(Succeed())
+	g.Expect(s.out().Reads).To(HaveLen(1))
+	s.now = s.now.Add(1)
+	g.Expect(s.node.ReadIndex(s.now, 2)).To(Succeed())
+	g.Expect(s.out().Reads).To(BeEmpty(), "by then a member that was restarted may vote")
+}
+
 // What a user would see: a new site serves nobody for seconds. What happens: its
 // founders wait for a leader that nobody has been yet. Only the founding's term
 // may skip the wait; see the test above.
--- a/core/raft/read.go
+++ b/core/raft/read.go
@@ -50,14 +50,15 @@
 
 // hasLease reports whether nobody else can lead now. A quorum has heard this
 // leader since the start of a recent round, and such members ignore votes for
-// an election timeout (see sticky). The lease is counted from the sending, and
+// an election timeout, or for the restart timeout if they have started anew since
+// (see sticky and New). The lease is counted from the sending, and
 // shortened for clocks that differ in rate. It guards against a leader that was
 // cut off or frozen and still answers reads while another one accepts changes.
 func (n *Node) hasLease(now time.Time) bool {
 	if n.leaseLost {
 		return false
 	}
-	lease := time.Duration(leaseShare * float64(n.cfg.ElectionTimeout))
+	lease := time.Duration(leaseShare * float64(n.cfg.RestartTimeout))
 	return n.members().quorum(func(id MemberID) bool {
 		if id == n.cfg.ID {
 			return true
--- a/instance/consensus/config.go
+++ b/instance/consensus/config.go
@@ -51,9 +51,10 @@
 	// Mux holds the sub-machines in their initial state.
 	Mux       *control.Mux
 	Transport Transport
-	// Heartbeat and ElectionTimeout are as in raft.Config.
+	// Heartbeat, ElectionTimeout and RestartTimeout are as in raft.Config.
 	Heartbeat       time.Duration
 	ElectionTimeout time.Duration
+	RestartTimeout  time.Duration
 	SnapshotEvery   uint64
 	SnapshotBytes   int
 	Tail            uint64
--- a/instance/consensus/service.go
+++ b/instance/consensus/service.go
@@ -76,7 +76,7 @@
 	}
 	store.snap.Data = nil
 	node, err := raft.New(clock.Now(), raft.Config{ID: s.cfg.Identity.ID, Cluster: s.cfg.Identity.Cluster, Heartbeat: s.cfg.Heartbeat,
-		ElectionTimeout: s.cfg.ElectionTimeout, Rand: rand.New(rand.NewSource(s.cfg.Seed))}, store.hard, store.snap, store.entries)
+		ElectionTimeout: s.cfg.ElectionTimeout, RestartTimeout: s.cfg.RestartTimeout, Rand: rand.New(rand.NewSource(s.cfg.Seed))}, store.hard, store.snap, store.entries)
 	if err != nil {
 		_ = store.log.Close()
 		return err
--- a/instance/control/control.go
+++ b/instance/control/control.go
@@ -97,9 +97,9 @@
 	// WaitOutDisk keeps the process when its disk refuses writes: the member stops
 	// to vote, and starts again from the disk every diskRetry.
 	WaitOutDisk bool
-	// Heartbeat and ElectionTimeout are those of the raft member; zero means raft's
-	// defaults, which suit regions that are far apart.
-	Heartbeat, ElectionTimeout time.Duration
+	// Heartbeat, ElectionTimeout and RestartTimeout are those of the raft member; zero means
+	// raft's defaults, which suit regions that are far apart.
+	Heartbeat, ElectionTimeout, RestartTimeout time.Duration
 	// OnApplied, if set, is called for each change of the replicated state, from the
 	// member's goroutine: it must not block.
 	OnApplied func(index uint64)
@@ -221,6 +221,7 @@
 	g, err := consensus.New(consensus.Config{
 		FS: s.cfg.Disk, Dir: s.cfg.DataFolder, Identity: id, Mux: newMux(), Transport: transport{s},
 		Seed: int64(id.ID), OnFatal: s.failed, Heartbeat: s.cfg.Heartbeat, ElectionTimeout: s.cfg.ElectionTimeout,
+		RestartTimeout: s.cfg.RestartTimeout,
 	})
 	if err != nil {
 		return err
--- a/instance/roles/core.go
+++ b/instance/roles/core.go
@@ -22,6 +22,8 @@
 const (
 	heartbeat       = 120 * time.Millisecond
 	electionTimeout = 600 * time.Millisecond
+	// restartTimeout lets leases outlast two heartbeats by a little.
+	restartTimeout = 280 * time.Millisecond
 )
 
 func (p *Process) control() kernel.Module {
@@ -38,7 +40,7 @@
 			Name: p.cfg.Peer, DataFolder: p.cfg.DataFolder, Founders: p.founders(), Bootstrap: p.cfg.Bootstrap,
 			Links: links, Members: func() []string { return p.otherSeeds() }, Log: p.log, OnFatal: p.fail,
 			MendMembers: true, WaitOutDisk: true, OnApplied: state.Applied,
-			Heartbeat: heartbeat, ElectionTimeout: electionTimeout,
+			Heartbeat: heartbeat, ElectionTimeout: electionTimeout, RestartTimeout: restartTimeout,
 		})
 		state.control.Store(s)
 		return s, nil
