Edges: a request waits until the configuration is confirmed for the first time, as it waits for the configuration

Cause: after all were killed an edge hears the configuration from a core before the control group has a leader that confirms it.

Only before the first confirmation since the start, for as long as a start usually takes and at most half of a caller's time. A lease that was lost later is refused at once, as before: TestNoKeyIsBelievedWithoutALease now checks that too. TestRequestBeforeTheFirstConfirmationIsServedWhenItComes fails without (503).

--- a/instance/relay/relay_test.go
+++ b/instance/relay/relay_test.go
@@ -92,6 +92,22 @@
 	Expect(time.Since(asked)).To(BeNumerically("<", 200*time.Millisecond))
 }
 
+// All processes were killed. An instance has heard the configuration again, but the control
+// group has no leader yet that could confirm it, for some tenths of a second. Told that keys
+// can't be told any more, callers came back after a second; the request must be served as soon
+// as the configuration is confirmed.
+func TestRequestBeforeTheFirstConfirmationIsServedWhenItComes(t *testing.T) {
+	b := start(t, startUpstream(t, "u", echo))
+	b.state.setLease(0)
+	b.state.setAge(time.Hour)
+	c := b.caller()
+	begun := time.Now()
+	time.AfterFunc(300*time.Millisecond, func() { b.state.setLease(time.Minute) })
+	c.send(message("GET", "/idem/", "1", ""))
+	Expect(c.receive().status).To(Equal(200))
+	Expect(time.Since(begun)).To(BeNumerically("~", 300*time.Millisecond, 250*time.Millisecond))
+}
+
 // An instance loses the control group, and a key is taken away meanwhile. Once the
 // lease is over, nothing with a key may run; what needs none goes on.
 func TestNoKeyIsBelievedWithoutALease(t *testing.T) {
@@ -100,6 +116,7 @@
 	b.state.setLease(0)
 	r := b.caller().call("GET", "/idem/", "1", "")
 	Expect(r.status).To(Equal(503))
+	Expect(r.took).To(BeNumerically("<", 200*time.Millisecond))
 	Expect(r.header.Get("Retry-After")).NotTo(BeEmpty())
 	Expect(b.service.Ready()).To(BeFalse())
 	c := b.caller()
--- a/instance/relay/serve.go
+++ b/instance/relay/serve.go
@@ -59,26 +59,26 @@
 const usualStart = 1500 * time.Millisecond
 
 const (
-	// tablePoll is the time between two looks for the first configuration.
-	tablePoll = 10 * time.Millisecond
-	// tableShare is the part of a caller's time for which its request may wait for it: the
+	// firstPoll is the time between two looks for the first configuration.
+	firstPoll = 10 * time.Millisecond
+	// firstShare is the part of a caller's time for which its request may wait for it: the
 	// rest is for the answer.
-	tableShare = 0.5
+	firstShare = 0.5
 )
 
-// awaitTable holds a request that came before the first configuration, up to the usual
-// time of it. After all processes were killed the balancer sends callers to instances that
-// have none yet, for 0.9 s; refused, they came back up to 0.6 s after it was there, and
-// of 950 asked in those two seconds 483 were late and 124 refused for good. An instance
-// that does not get one in the usual time refuses at once, so that callers go elsewhere.
-func (s *Service) awaitTable(r *request) {
+// awaitFirst holds a request that came before the first configuration, or before that was
+// confirmed for the first time, up to the usual time of it. After all processes were killed
+// the balancer sends callers to instances that have none yet, for most of a second; refused,
+// they come back when it is long there, late or for good. An instance that does not get one
+// in the usual time refuses at once, so that callers go elsewhere.
+func (s *Service) awaitFirst(r *request, there func() bool) {
 	left := usualStart - time.Since(s.started)
 	if r.wait > 0 {
-		left = min(left, time.Duration(tableShare*float64(r.wait))-clock.Since(r.arrived))
+		left = min(left, time.Duration(firstShare*float64(r.wait))-clock.Since(r.arrived))
 	}
 	until := time.Now().Add(left)
-	for s.cfg.State.View().Routes == nil && time.Now().Before(until) {
-		t := time.NewTimer(tablePoll)
+	for !there() && time.Now().Before(until) {
+		t := time.NewTimer(firstPoll)
 		select {
 		case <-t.C:
 		case <-r.gone:
@@ -91,6 +91,12 @@
 	}
 }
 
+// hasTable reports whether there is a configuration.
+func (s *Service) hasTable() bool { return s.cfg.State.View().Routes != nil }
+
+// neverConfirmed reports whether the configuration was not confirmed since the start.
+func (s *Service) neverConfirmed() bool { return s.cfg.State.Age() > time.Since(s.started) }
+
 // noTable refuses a request that came before there was a configuration, and tells
 // when there should be one.
 func (s *Service) noTable() *verdict {
@@ -103,7 +109,7 @@
 	if err := r.read(&s.cfg.Headers); err != nil {
 		return &verdict{400, err.Error(), 0}
 	}
-	s.awaitTable(r)
+	s.awaitFirst(r, s.hasTable)
 	v := s.cfg.State.View()
 	if v.Routes == nil {
 		return s.noTable()
@@ -144,6 +150,9 @@
 		}
 		return &verdict{401, "unknown key", 0}
 	}
+	if !s.mayAct() && s.neverConfirmed() {
+		s.awaitFirst(r, s.mayAct)
+	}
 	if !s.mayAct() {
 		return &verdict{503, errLease.Error(), errLease.RetryAfter}
 	}
--- a/instance/relay/suite_test.go
+++ b/instance/relay/suite_test.go
@@ -33,6 +33,8 @@
 	mu    sync.Mutex
 	view  *follow.View
 	lease time.Duration
+	// age is how long ago the view was confirmed.
+	age time.Duration
 	// looks is after how many looks at the lease it is over; zero means never.
 	looks int
 }
@@ -56,7 +58,17 @@
 	return s.lease
 }
 
-func (s *state) Age() time.Duration { return 0 }
+func (s *state) Age() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.age
+}
+
+func (s *state) setAge(d time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.age = d
+}
 
 func (s *state) setLease(d time.Duration) {
 	s.mu.Lock()
