Reload: a core that makes calls to a provider told each time that it needs a restart

Cause: the way to look at the demand was written into the settings that a reload compares with; functions are never equal. TestACoreThatMakesCallsReadsItsSettingsAgain fails before (needs_restart=true), found by reading.

--- a/instance/roles/duties.go
+++ b/instance/roles/duties.go
@@ -42,13 +42,17 @@
 			return nil, err
 		}
 		d := p.cfg.Duties
-		if d.Scale != nil {
-			d.Scale.Look = state.Scalable
+		orders := d.Scale
+		if orders != nil {
+			// A copy: what the settings say is compared with what they say later.
+			known := *orders
+			known.Look = state.Scalable
+			orders = &known
 		}
 		client := upstream.New(upstream.Config{DialTimeout: providerDial, FirstByte: duty.DefaultCallTimeout})
 		s := duty.New(duty.Config{
 			Instance: p.cfg.Instance, Machine: p.cfg.Peer, Agreed: state.Agreed, Provider: p.dialect.Provider(d.Provider, client),
-			Usage: d.Usage, Scale: d.Scale, Lease: d.Lease, PerSecond: d.PerSecond, Log: p.log,
+			Usage: d.Usage, Scale: orders, Lease: d.Lease, PerSecond: d.PerSecond, Log: p.log,
 			Group: func() duty.Group {
 				if g := state.replica(); g != nil {
 					return g
--- a/proof/deployed/duties_test.go
+++ b/proof/deployed/duties_test.go
@@ -274,3 +274,16 @@
 	_, after := c.Calls()
 	Expect(after).To(Equal(number), "another holder would fare no better")
 }
+
+// An operator has the settings read again, and nothing in them has changed. A core that makes
+// calls to a provider must not tell that it needs a restart.
+func TestACoreThatMakesCallsReadsItsSettingsAgain(t *testing.T) {
+	s := newTrio(t, func(s *site) {
+		c := newCloud(t)
+		s.bounds = ", lease-ms: 1200, report-window-s: 1, usage-delay-s: 6"
+		s.settings = fmt.Sprintf("cloud-api: {address: %q, duty-per-s: 50, duties: [usage_report, autoscale]}\n", strings.TrimPrefix(c.server.URL, "http://"))
+	})
+	// The first start was with bootstrap, which does not count.
+	s.cores[0].signal(syscall.SIGHUP)
+	Eventually(s.cores[0].log, patience, poll).Should(ContainSubstring("event=reload why=signal outcome=done seeds_changed=false needs_restart=false"))
+}
