--- a/instance/cmd/comfreyladderd/main.go
+++ b/instance/cmd/comfreyladderd/main.go
@@ -22,6 +22,7 @@
 	Check    bool   `long:"check" description:"check the settings and exit"`
 	Platform bool   `long:"platform" description:"run as a member of the users' platform, which names the settings file; see docs/PLATFORM.md"`
 	Metrics  int    `long:"metrics-port" value-name:"PORT" description:"with --platform: the port of the metrics"`
+	Scaling  string `long:"scaling" value-name:"FILE" description:"with --platform: the settings of autoscaling (INI); without it the defaults hold"`
 	Describe bool   `long:"help-settings" description:"print all settings with their defaults and exit; with --platform those of its file"`
 }
 
@@ -51,6 +52,8 @@
 	switch {
 	case opts.Describe && opts.Platform:
 		platform.DescribeSettings(os.Stdout)
+		fmt.Println("\nThe file of --scaling, with its defaults:")
+		settings.DescribeScaling(os.Stdout)
 		return nil
 	case opts.Describe:
 		settings.Describe(os.Stdout)
--- a/instance/cmd/comfreyladderd/platform.go
+++ b/instance/cmd/comfreyladderd/platform.go
@@ -14,6 +14,7 @@
 	"github.com/comfreyladder/comfreyladder/instance/eventlog"
 	"github.com/comfreyladder/comfreyladder/instance/logline"
 	"github.com/comfreyladder/comfreyladder/instance/roles"
+	"github.com/comfreyladder/comfreyladder/instance/settings"
 	"github.com/comfreyladder/comfreyladder/instance/upstream"
 	"github.com/comfreyladder/comfreyladder/platform"
 )
@@ -41,10 +42,13 @@
 	}
 	load := func() (*roles.Config, error) {
 		cfg, err := platform.LoadSettings(path)
-		if err == nil && opts.Metrics > 0 {
+		if err != nil {
+			return nil, err
+		}
+		if opts.Metrics > 0 {
 			cfg.Metrics = net.JoinHostPort(cfg.IP, strconv.Itoa(opts.Metrics))
 		}
-		return cfg, err
+		return cfg, loadScaling(cfg, opts.Scaling)
 	}
 	cfg, err := load()
 	if err != nil || opts.Check {
@@ -76,6 +80,20 @@
 	return supervise(p, path, signals)
 }
 
+// loadScaling fills in an operator's settings of the autoscaling. They are checked also where
+// there is none.
+func loadScaling(cfg *roles.Config, path string) error {
+	if path == "" {
+		return nil
+	}
+	s, err := settings.LoadScaling(path)
+	if err != nil || cfg.Duties == nil || cfg.Duties.Scale == nil {
+		return err
+	}
+	cfg.Duties.Scale.Plan, cfg.Duties.Scale.DryRun = s.Plan(), s.DryRun
+	return nil
+}
+
 // supervise runs until the process is told to end.
 func supervise(p *roles.Process, path string, signals <-chan os.Signal) error {
 	last, _ := os.ReadFile(path)
--- a/instance/duty/fleet_test.go
+++ b/instance/duty/fleet_test.go
@@ -161,3 +161,28 @@
 		Expect(w.fleet.least()).To(BeNumerically(">=", 29))
 	})
 }
+
+// An operator tries the settings of autoscaling: all members plan, and nothing is ordered.
+// Usage is reported as ever.
+func TestADryRunOrdersNothing(t *testing.T) {
+	play(t, func(w *world) {
+		for _, n := range w.live() {
+			n.kill()
+		}
+		w.dryRun = true
+		for _, name := range []string{"a", "b", "c"} {
+			w.run(name)
+		}
+		before, _ := w.fleet.counts()
+		begun := time.Now()
+		w.fleet.set(func(f *fleet) { f.need = 45 })
+		time.Sleep(30 * time.Second)
+		taken, refused := w.fleet.counts()
+		Expect(taken).To(Equal(before))
+		Expect(refused).To(BeZero())
+		orders := w.holder().Service.View().Orders
+		Expect(orders).NotTo(BeEmpty())
+		Expect(orders[1].Wanted).To(BeNumerically(">=", 29), "what would be ordered is told")
+		w.reported(begun)
+	})
+}
--- a/instance/duty/scale.go
+++ b/instance/duty/scale.go
@@ -13,6 +13,8 @@
 	// Look returns what is known of the services of which upstreams can be ordered.
 	Look func() []scale.Service
 	Plan scale.Config
+	// DryRun logs what would be ordered, and orders nothing.
+	DryRun bool
 }
 
 // Order is how many upstreams of a service are wanted in a failure domain.
@@ -170,6 +172,13 @@
 	if !o.dueAt(now) {
 		return
 	}
+	if s.cfg.Scale.DryRun {
+		s.cfg.Log.Info().Str("event", "upstreams_planned").Str("service", k.service).Str("domain", k.domain).Bool("preemptible", k.preemptible).
+			Int("count", count).Int("ready", ready).Float64("need", v.Need).Msg("an order that a dry run does not give")
+		// As if it was taken, so that the next line tells a change.
+		o.given, o.known, o.givenAt = count, true, now
+		return
+	}
 	call := &Order{Service: k.service, Domain: k.domain, Count: count, Preemptible: k.preemptible}
 	sent := now
 	s.call(now, &o.attempt, func(ctx context.Context, by Authority) error { return s.cfg.Provider.Order(ctx, by, call) }, func(now time.Time, err error) {
--- a/instance/duty/view.go
+++ b/instance/duty/view.go
@@ -24,6 +24,8 @@
 	// Windows are those that were closed last, the oldest first.
 	Windows []WindowView `json:"windows,omitempty"`
 	Orders  []OrderView  `json:"orders,omitempty"`
+	// DryRun says that orders are planned and not given.
+	DryRun bool `json:"dry_run,omitempty"`
 }
 
 // WindowView is the report of a window.
@@ -68,6 +70,7 @@
 		Instance: s.cfg.Instance, Holder: st.Holder, Number: st.Number,
 		LeaseLeftMS: st.Left.Milliseconds(), UnreachableMS: st.Unreachable.Milliseconds(),
 	}
+	v.DryRun = s.cfg.Scale != nil && s.cfg.Scale.DryRun
 	if s.cfg.Usage != nil {
 		now, _ := s.cfg.Agreed()
 		for i := range st.Windows {
--- /dev/null
+++ b/instance/settings/scaling_test.go
@@ -0,0 +1,30 @@
+package settings_test
+
+import (
+	"bytes"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/comfreyladder/comfreyladder/core/scale"
+	"github.com/comfreyladder/comfreyladder/instance/settings"
+)
+
+var _ = Describe("Settings of the autoscaling", func() {
+	It("has the defaults of the decision, which the description can be loaded as", func() {
+		var out bytes.Buffer
+		settings.DescribeScaling(&out)
+		s, err := settings.LoadScaling(write(out.String()))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(s.Plan()).To(Equal(scale.Config{
+			Utilisation: scale.DefaultUtilisation, Start: scale.DefaultStart, StartFor: scale.DefaultStartFor, Hold: scale.DefaultHold,
+			Pace: scale.DefaultPace, Base: scale.DefaultBase, Bearable: scale.DefaultBearable,
+		}))
+		Expect(s.DryRun).To(BeFalse())
+	})
+
+	It("tells all faults at once", func() {
+		_, err := settings.LoadScaling(write("[scaling]\nutilisation = 0\nhold = soon\nbase = -1\ndry_run = perhaps\nprice = 3\n[more]\n"))
+		Expect(keys(err)).To(ConsistOf("scaling.utilisation", "scaling.hold", "scaling.base", "scaling.dry_run", "scaling.price", "more."))
+	})
+})
--- a/operator/commands/show/duties.go
+++ b/operator/commands/show/duties.go
@@ -21,6 +21,9 @@
 	if v.UnreachableMS > 0 {
 		fmt.Fprintf(w, " The provider can't be reached from here for %d ms.", v.UnreachableMS)
 	}
+	if v.DryRun {
+		fmt.Fprint(w, " Upstreams are planned, and none is ordered: dry_run is on.")
+	}
 	fmt.Fprint(w, "\n\n")
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
 	fmt.Fprintln(t, "WINDOW\tBEGINS\tREPORT\tREQUESTS\tORGANISATIONS\tINSTANCES\tNOT HEARD\tTOO LATE")
