--- a/core/control/fence/model_test.go
+++ b/core/control/fence/model_test.go
@@ -213,67 +213,83 @@
 	return ""
 }
 
+// step returns the state after a change.
+func (m *model) step(change func(n *model)) *model {
+	n := m.copy()
+	change(n)
+	return n
+}
+
 // next returns the states that may follow, or what is wrong in one of them.
 func (m *model) next() (list []*model, wrong string) {
-	step := func(change func(n *model)) {
-		n := m.copy()
-		change(n)
-		list = append(list, n)
-	}
 	if m.now < modelEnd {
-		step((*model).tick)
+		list = append(list, m.step((*model).tick))
 	}
-	if m.jumps > 0 {
-		for _, ahead := range []int{-modelJump, 0, modelJump} {
-			if ahead != m.ahead {
-				step(func(n *model) { n.ahead, n.jumps = ahead, n.jumps-1 })
-			}
+	for _, ahead := range []int{-modelJump, 0, modelJump} {
+		if m.jumps > 0 && ahead != m.ahead {
+			list = append(list, m.step(func(n *model) { n.ahead, n.jumps = ahead, n.jumps-1 }))
 		}
 	}
 	if m.late != nil {
-		step(func(n *model) { n.apply(*n.late); n.late = nil })
+		list = append(list, m.step(func(n *model) { n.apply(*n.late); n.late = nil }))
 	}
 	for i := range m.processes {
+		list = append(list, m.asks(i)...)
+		list = append(list, m.ends(i)...)
 		p := &m.processes[i]
-		at := moment(m.now)
-		switch {
-		case p.request == nil && (p.held.Valid(at) && !at.Before(p.held.Renew) || p.held.Number == 0 && m.free(p)):
-			step(func(n *model) {
-				q := &n.processes[i]
-				n.ask(q)
-				q.request = n.apply(*q.request)
-			})
-			if m.delays > 0 {
-				step(func(n *model) { n.ask(&n.processes[i]); n.delays-- })
-			}
-		case p.request != nil && !p.request.committed:
-			step(func(n *model) { n.processes[i].request = n.apply(*p.request) })
-		case p.request != nil:
-			step(func(n *model) { n.answer(&n.processes[i]) })
-		}
-		if m.releases > 0 && p.request == nil && p.held.Valid(at) {
-			step(func(n *model) { n.release(&n.processes[i]); n.releases-- })
+		if at := moment(m.now); !p.held.Valid(at) || !p.held.IsSettled(at) {
+			continue
 		}
-		if p.held.Valid(at) && p.held.IsSettled(at) {
-			n := m.copy()
-			if wrong = n.act(&n.processes[i]); wrong != "" {
-				return nil, wrong
-			}
-			list = append(list, n)
-		}
-		if m.restarts > 0 {
-			step(func(n *model) {
-				if p.request != nil && !p.request.committed {
-					n.late = p.request
-				}
-				n.processes[i] = process{machine: p.machine, start: p.start + 1}
-				n.restarts--
-			})
+		n := m.copy()
+		if wrong = n.act(&n.processes[i]); wrong != "" {
+			return nil, wrong
 		}
+		list = append(list, n)
 	}
 	return list, ""
 }
 
+// asks returns the states after a process's next step toward the lease.
+func (m *model) asks(i int) (list []*model) {
+	p := &m.processes[i]
+	at := moment(m.now)
+	renews := p.held.Valid(at) && !at.Before(p.held.Renew)
+	switch {
+	case p.request == nil && (renews || p.held.Number == 0 && m.free(p)):
+		list = append(list, m.step(func(n *model) {
+			q := &n.processes[i]
+			n.ask(q)
+			q.request = n.apply(*q.request)
+		}))
+		if m.delays > 0 {
+			list = append(list, m.step(func(n *model) { n.ask(&n.processes[i]); n.delays-- }))
+		}
+	case p.request != nil && !p.request.committed:
+		list = append(list, m.step(func(n *model) { n.processes[i].request = n.apply(*p.request) }))
+	case p.request != nil:
+		list = append(list, m.step(func(n *model) { n.answer(&n.processes[i]) }))
+	}
+	return list
+}
+
+// ends returns the states after a process gave up, or started anew.
+func (m *model) ends(i int) (list []*model) {
+	p := &m.processes[i]
+	if m.releases > 0 && p.request == nil && p.held.Valid(moment(m.now)) {
+		list = append(list, m.step(func(n *model) { n.release(&n.processes[i]); n.releases-- }))
+	}
+	if m.restarts > 0 {
+		list = append(list, m.step(func(n *model) {
+			if p.request != nil && !p.request.committed {
+				n.late = p.request
+			}
+			n.processes[i] = process{machine: p.machine, start: p.start + 1}
+			n.restarts--
+		}))
+	}
+	return list
+}
+
 // Every order in which two machines ask, hear, freeze, start anew, give up, have a request
 // held up, and make calls, while the log's time jumps. An organisation is billed twice, or
 // an order undone, if a call bears a lower number than one before it, if two machines use one
