Usage: a stream whose answer was lost counts if its upstream is still there

Cause: a request counts once its first event is seen. Where an upstream crashed, most of what it had was still waiting: a count of all lost streams, or of those past their predicted first event, would be as wrong.

Now an upstream whose answer to a stream was lost is tried 0.2 s later (a connection, no request; 32 at a time at most); if it is there the request counts in the window of the loss. A request that goes on elsewhere counts once.

--- a/instance/meter/meter.go
+++ b/instance/meter/meter.go
@@ -32,11 +32,11 @@
 	return time.Now()
 }
 
-// Began counts a request that has begun to run.
-func (m *Meter) Began(organisation string) {
+// Began counts a request that began to run some time ago.
+func (m *Meter) Began(organisation string, ago time.Duration) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.counter.Add(m.now(), organisation)
+	m.counter.Add(m.now().Add(-ago), organisation)
 }
 
 // Report returns what a member has not been told yet, and the revision for Told.
--- a/instance/relay/attempt.go
+++ b/instance/relay/attempt.go
@@ -243,11 +243,10 @@
 // other request once it is answered or may have run. One that goes on at another upstream,
 // or is repeated there, is still the same request.
 func (a *attempt) began() {
-	if a.r.counted || a.r.organisation == nil || a.s.cfg.Began == nil {
+	if a.r.organisation == nil || a.s.cfg.Began == nil || a.r.counted.Swap(true) {
 		return
 	}
-	a.r.counted = true
-	a.s.cfg.Began(a.r.organisation.Name)
+	a.s.cfg.Began(a.r.organisation.Name, 0)
 }
 
 // firstEvent says that the prompt was read.
--- a/instance/relay/config.go
+++ b/instance/relay/config.go
@@ -75,8 +75,9 @@
 	// BodyBytes bounds the request bodies that are held at the same time; zero means no
 	// bound.
 	BodyBytes int64
-	// Began, if set, is told of each request of an organisation that began to run, once.
-	Began func(organisation string)
+	// Began, if set, is told of each request of an organisation that began to run, once, and
+	// how long ago.
+	Began func(organisation string, ago time.Duration)
 	Log   *eventlog.Sink
 }
 
--- a/instance/relay/pool.go
+++ b/instance/relay/pool.go
@@ -79,6 +79,16 @@
 		return
 	}
 	c.until = now.Add(keep)
+	p.keep(c)
+}
+
+// putUnused keeps a connection that has carried nothing yet.
+func (p *pool) putUnused(c *upstreamConn, now time.Time) {
+	c.until = now.Add(defaultIdle)
+	p.keep(c)
+}
+
+func (p *pool) keep(c *upstreamConn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.closed {
--- a/instance/relay/relay.go
+++ b/instance/relay/relay.go
@@ -30,6 +30,8 @@
 	stopOnce sync.Once
 	started  time.Time
 	inFlight atomic.Int64
+	// losses counts the upstreams that are tried since an answer of theirs was lost.
+	losses atomic.Int64
 	// drain is the course of the drain, nil before one.
 	drain atomic.Pointer[drain.Schedule]
 
--- a/instance/relay/request.go
+++ b/instance/relay/request.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -80,8 +81,8 @@
 	// them may have run it.
 	sent int
 	ran  bool
-	// counted says that it is in the usage of its organisation.
-	counted bool
+	// counted is set once it is in the usage of its organisation. It outlives the request.
+	counted *atomic.Bool
 	// leaseLost says that it was not sent since keys can't be told any more.
 	leaseLost bool
 	// broken says that a part of an answer is out and the rest will not come.
@@ -99,6 +100,7 @@
 func newRequest() *request {
 	r := requests.Get().(*request)
 	r.gone = make(chan struct{})
+	r.counted = &atomic.Bool{}
 	return r
 }
 
--- a/instance/relay/serve.go
+++ b/instance/relay/serve.go
@@ -258,9 +258,7 @@
 	case unknown:
 		r.sent++
 		r.ran = true
-		if r.route.Kind != route.Streaming {
-			a.began()
-		}
+		s.countLost(a)
 		if fault.CodeOf(a.err) != fault.Internal || a.head.Status < statusServerError {
 			pause = a.up.failed(false)
 		}
