Usage: a lost answer counts when its request should have begun, also where its caller left

Cause, traced with reports doubled on purpose (the provider's side then tells true counts): where answers are lost in silence the loss shows at the deadline, up to two windows later; and callers who leave while waiting for what will not come were not counted.

TestALateLossIsCountedWhenTheRequestBegan and TestACallerWhoLeavesALostAnswerIsCounted fail before. Deployments without usage reports: nothing of it runs.

--- a/instance/relay/attempt.go
+++ b/instance/relay/attempt.go
@@ -242,11 +242,13 @@
 // began counts the request as one that began to run: a stream with its first event, any
 // other request once it is answered or may have run. One that goes on at another upstream,
 // or is repeated there, is still the same request.
-func (a *attempt) began() {
+func (a *attempt) began() { a.beganAgo(0) }
+
+func (a *attempt) beganAgo(ago time.Duration) {
 	if a.r.organisation == nil || a.s.cfg.Began == nil || a.r.counted.Swap(true) {
 		return
 	}
-	a.s.cfg.Began(a.r.organisation.Name, 0)
+	a.s.cfg.Began(a.r.organisation.Name, ago)
 }
 
 // firstEvent says that the prompt was read.
--- a/instance/relay/serve.go
+++ b/instance/relay/serve.go
@@ -265,6 +265,10 @@
 		if isTimeout(a.err) || errors.Is(a.err, syscall.ETIMEDOUT) {
 			s.fleet.unreachable(a.up)
 		}
+	case callerGone:
+		if a.overdue() {
+			s.countLost(a)
+		}
 	case rejected:
 		r.sent++
 		if a.head.Status == statusMisdirected {
--- a/instance/relay/suite_test.go
+++ b/instance/relay/suite_test.go
@@ -198,9 +198,12 @@
 	service *relay.Service
 	// began counts the requests that began to run, by organisation.
 	began sync.Map
+	// ago is how long before it was counted the latest one began.
+	ago atomic.Int64
 }
 
-func (b *bed) count(organisation string, _ time.Duration) {
+func (b *bed) count(organisation string, ago time.Duration) {
+	b.ago.Store(int64(ago))
 	n, _ := b.began.LoadOrStore(organisation, &atomic.Int64{})
 	n.(*atomic.Int64).Add(1)
 }
--- a/instance/relay/usage_test.go
+++ b/instance/relay/usage_test.go
@@ -90,3 +90,31 @@
 	Expect(b.caller().call("POST", "/once/x", "a", "").status).To(Equal(502))
 	Expect(b.counted()).To(Equal(int64(1)))
 }
+
+// An upstream takes a request and is silent; the loss shows much later, in the next window.
+// The organisation is billed in the window in which the request began to run.
+func TestALateLossIsCountedWhenTheRequestBegan(t *testing.T) {
+	const silence = 700 * time.Millisecond
+	silent := func(int, *received, net.Conn) bool { time.Sleep(silence); return false }
+	for _, path := range []string{"/brief/x", "/once/x"} {
+		b := start(t, startUpstream(t, "u", silent))
+		b.caller().call("POST", path, "a", "")
+		Eventually(b.counted, 2*time.Second).Should(Equal(int64(1)))
+		Expect(time.Duration(b.ago.Load())).To(BeNumerically("~", silence, 450*time.Millisecond), path)
+	}
+}
+
+// Answers are lost, and callers leave who wait for what will not come. Their requests ran, and
+// are billed.
+func TestACallerWhoLeavesALostAnswerIsCounted(t *testing.T) {
+	silent := func(_ int, r *received, _ net.Conn) bool { time.Sleep(3 * time.Second); return false }
+	for _, path := range []string{"/brief/x", "/once/x"} {
+		b := start(t, startUpstream(t, "u", silent))
+		c := b.caller()
+		c.send(message("POST", path, "a", ""))
+		time.Sleep(500 * time.Millisecond)
+		_ = c.Close()
+		Eventually(b.counted, 2*time.Second).Should(Equal(int64(1)), path)
+		Consistently(b.counted, 300*time.Millisecond).Should(Equal(int64(1)), path)
+	}
+}
