--- a/instance/loop/loop_test.go
+++ b/instance/loop/loop_test.go
@@ -25,6 +25,7 @@
 			l.Post(func(time.Time) { did = append(did, i) })
 		}
 		time.Sleep(3500 * time.Millisecond)
+		synctest.Wait()
 		g.Expect(did).To(Equal([]int{0, 1, 2, 3, 4, 5, 6, 7, 8, 9}))
 		g.Expect(steps).To(Equal(3))
 		cancel()
