--- a/core/balance/admission.go
+++ b/core/balance/admission.go
@@ -39,6 +39,15 @@
 	return 1
 }
 
+// Asked returns how many upstreams all long routes together ask for at the moment.
+func (p *Pools) Asked(now time.Time) (sum float64) {
+	p.decay(now)
+	for _, l := range longRoutes(p.all()) {
+		sum += p.engine.asked(&l.load)
+	}
+	return sum
+}
+
 // byCost divides the admitted part of a route's reading among its requests: those whose
 // shared tokens are cached come first, for they cost a fraction of the others. Drawn by
 // lot, engines in a burst read 1,394 uncached prompts while 2,637 cached ones were
--- a/instance/relay/report.go
+++ b/instance/relay/report.go
@@ -8,6 +8,9 @@
 	"github.com/comfreyladder/comfreyladder/instance/clock"
 )
 
+// percent turns a part into percent.
+const percent = 100
+
 // logDone writes the line of a request's end and counts it.
 func (s *Service) logDone(r *request, status int, reason string) {
 	kind, name := "none", ""
@@ -26,6 +29,10 @@
 		l.Int("tokens", int64(r.tokens)).Int("unread", int64(r.unread)).Int("ahead", int64(r.ahead)).
 			Int("predicted", int64(r.predicted)).Int("max_ahead", int64(r.maxAhead)).MS("first_event", r.first).MS("pause", r.pause)
 	}
+	if r.shed {
+		l.Int("admitted_percent", int64(percent*r.admission.part)).Int("engines_able", int64(r.admission.able)).
+			Int("engines_asked", int64(r.admission.asked)).Bool("cached", r.admission.cached)
+	}
 	if r.fetchFrom != "" {
 		l.Str("fetch_from", r.fetchFrom)
 	}
--- a/instance/relay/request.go
+++ b/instance/relay/request.go
@@ -69,6 +69,8 @@
 	// can't be borne.
 	rank                 float64
 	quick, offered, shed bool
+	// admission is what decided that it is shed.
+	admission admission
 	// maxAhead is how much may wait before it at an engine, in milliseconds.
 	maxAhead float64
 	// first is the time from the last sending to the first event.
@@ -94,6 +96,14 @@
 
 var requests = sync.Pool{New: func() any { return &request{} }}
 
+// admission is what a request was refused by for want of reading: the part of its like that
+// was taken, how many upstreams could read and how many were asked for, and whether its shared
+// parts were kept.
+type admission struct {
+	part, able, asked float64
+	cached            bool
+}
+
 // maxKeptBody bounds the buffers that are used again.
 const maxKeptBody = 128 << 10
 
