Autoscaling: many upstreams come in parts, and there is a most of them

There 3,000 upstreams are to be exchanged for preemptible ones at once: 3,000 more report to six cores, and 6,000 changes are told to 300 edges, each with the loads of all; the cores fell behind, edges lost touch, asked for whole states, and so on.

Now at most 240 more than serve are ordered at a time, or a tenth (settings `coming`, `most` = 4000). Where a domain has at most 80 upstreams nothing changes. TestManyUpstreamsComeInParts fails without.

--- a/core/scale/level.go
+++ b/core/scale/level.go
@@ -55,17 +55,20 @@
 	if next < l.count {
 		next = max(next, l.count*(1-l.cfg.Pace*now.Sub(l.at).Seconds()))
 	}
-	l.count, l.at = min(float64(s.most()), max(float64(s.least()), next)), now
+	l.count, l.at = min(float64(l.most(s)), max(float64(s.least()), next)), now
 	return int(math.Ceil(l.count))
 }
 
+// most returns how many upstreams there may be.
+func (l *Level) most(s *Service) int { return max(s.least(), min(s.most(), l.cfg.Most)) }
+
 // ask returns how many upstreams are asked for now. Without news of the demand what stands
 // is held; before the first demand as much is ordered as may come.
 func (l *Level) ask(now time.Time, s *Service) float64 {
 	l.seen = l.seen || s.Need > 0
 	switch {
 	case !l.seen && now.Sub(l.begun) < l.cfg.StartFor:
-		return max(l.count, l.cfg.Start*float64(s.most()))
+		return max(l.count, l.cfg.Start*float64(l.most(s)))
 	case !s.Known:
 		return l.count
 	}
--- a/core/scale/planner.go
+++ b/core/scale/planner.go
@@ -81,6 +81,7 @@
 		addStandard(rooms, int(p.extra.most(now.Add(-extraBoots*s.Boot))), p.chosen)
 	}
 	keepServing(s, rooms, bearable)
+	limitComing(s, rooms, p.cfg.Coming)
 	plan := Plan{Level: level, Bearable: bearable, Arriving: now.Before(p.arriving)}
 	for _, r := range rooms {
 		p.chosen[r.Name] = r.want.Standard
@@ -134,3 +135,15 @@
 		r.want.Preemptible = min(r.want.Preemptible, r.max-r.want.Standard)
 	}
 }
+
+// comingPart is which part of those that serve may always come at a time.
+const comingPart = 10
+
+// limitComing bounds how many more than serve are ordered in each domain, of each kind.
+func limitComing(s *Service, rooms []*room, coming int) {
+	part := max(coming, s.standing()/comingPart) / max(1, len(rooms))
+	for _, r := range rooms {
+		r.want.Standard = min(r.want.Standard, r.Ready.Standard+part)
+		r.want.Preemptible = min(r.want.Preemptible, r.Ready.Preemptible+part)
+	}
+}
--- a/core/scale/scale_test.go
+++ b/core/scale/scale_test.go
@@ -81,6 +81,35 @@
 	}
 }
 
+// A deployment has a thousand upstreams a domain, and all are to be exchanged for others. Were
+// all ordered at once, the control group would hear from twice as many upstreams, and tell
+// thousands of changes to hundreds of instances: these lost touch with it and refused callers.
+func TestManyUpstreamsComeInParts(t *testing.T) {
+	g := NewWithT(t)
+	p := scale.NewPlanner(scale.Config{})
+	s := service(1000, 0, 0)
+	s.Max = 2000
+	most := 0
+	for i := range 1200 {
+		plan := p.Plan(at(float64(i)/4), s)
+		ordered := sum(&plan)
+		most = max(most, ordered.Total())
+		g.Expect(ordered.Total()).To(BeNumerically("<=", 4000+400))
+		if i%20 != 0 {
+			continue
+		}
+		for d := range s.Domains {
+			ready, want := &s.Domains[d].Ready, plan.Wants[d]
+			g.Expect(want.Preemptible-ready.Preemptible).To(BeNumerically("<=", 140), "at a time, in a domain")
+			*ready = want.Counts
+		}
+	}
+	plan := p.Plan(at(301), s)
+	g.Expect(plan.Level).To(Equal(4000))
+	g.Expect(sum(&plan).Standard).To(Equal(3), "all are exchanged in the end")
+	g.Expect(most).To(BeNumerically(">", 3900))
+}
+
 // Demand triples within a second and falls again. Upstreams are ordered at once, and given
 // back slowly: the next burst mostly comes soon.
 func TestTheLevelGrowsAtOnceAndFallsSlowly(t *testing.T) {
--- a/instance/settings/scaling.go
+++ b/instance/settings/scaling.go
@@ -26,6 +26,10 @@
 	Pace float64       `ini:"pace" default:"0.02" allow:"0.0001..1"`
 	// Base is how many standard upstreams each failure domain keeps.
 	Base int `ini:"base" default:"1" allow:"1..10000"`
+	// Most is how many upstreams of a service there may be, Coming how many more than serve
+	// may be ordered at a time, or a tenth of them if that is more.
+	Most   int `ini:"most" default:"4000" allow:"1..1000000"`
+	Coming int `ini:"coming" default:"240" allow:"1..1000000"`
 	// Bearable is the part of the upstreams that the demand may need while preemptible ones
 	// are taken back; beyond it standard ones are ordered.
 	Bearable float64 `ini:"bearable" default:"1" allow:"0.1..2"`
@@ -47,7 +51,7 @@
 // Plan returns the settings of the decision.
 func (s *Scaling) Plan() scale.Config {
 	return scale.Config{
-		Utilisation: s.Utilisation, Start: s.Start, StartFor: s.StartFor, Hold: s.Hold, Pace: s.Pace, Base: s.Base, Bearable: s.Bearable,
+		Utilisation: s.Utilisation, Start: s.Start, StartFor: s.StartFor, Hold: s.Hold, Pace: s.Pace, Base: s.Base, Bearable: s.Bearable, Most: s.Most, Coming: s.Coming,
 	}
 }
 
