Usage: a window waits for instances that were missing in the one before

A domain was cut off over two windows. The first was closed without 15 of its instances, as late as may be; the next one right away, 1.8 s after its end, since nobody had told anything of it from there. They came back half a second later.

TestInstancesThatWereMissingAreWaitedForInTheNextWindow fails before; TestWindowsAreCompleteOnceAllHaveToldThem expected the fault ("who told nothing since ... or is cut off") and now expects the wait, and its end a window later.

--- a/core/control/usage/machine.go
+++ b/core/control/usage/machine.go
@@ -42,8 +42,8 @@
 type Closed struct {
 	Window int64   `codec:"w"`
 	Totals []Total `codec:"t"`
-	// Instances told counts of the window or that it was over; Missing of them had not told
-	// all of it when it was closed.
+	// Instances told counts of the window, that it was over, or something of the window before;
+	// Missing of them had not told all of it when it was closed.
 	Instances int `codec:"i"`
 	Missing   int `codec:"m"`
 	// Late is how many requests were told after that. They are in no report.
@@ -212,15 +212,20 @@
 	return list
 }
 
-// told returns how many instances told anything during a window or since, and how many of
-// them may still tell something of it.
+// awaited is for how many windows an instance is waited for that tells nothing any more: it
+// may be cut off for some seconds, and come back with what it counted meanwhile. One that has
+// ended is waited for as long.
+const awaited = 1
+
+// told returns how many instances told anything during a window or since, or lately before, and
+// how many of them may still tell something of it.
 func (m *Machine) told(window int64) (instances, missing int) {
 	for _, current := range m.instances {
-		if current < window {
+		if current < window-awaited {
 			continue
 		}
 		instances++
-		if current == window {
+		if current <= window {
 			missing++
 		}
 	}
@@ -264,8 +269,8 @@
 // Next returns the window to be closed next; false while nobody has counted.
 func (m *Machine) Next() (int64, bool) { return m.next, m.begun }
 
-// Complete reports whether every instance that told anything during a window has told all
-// of it.
+// Complete reports whether every instance that told anything during a window, or the one
+// before, has told all of it.
 func (m *Machine) Complete(window int64) bool {
 	instances, missing := m.told(window)
 	return instances > 0 && missing == 0
--- a/core/control/usage/machine_test.go
+++ b/core/control/usage/machine_test.go
@@ -75,7 +75,28 @@
 	g.Expect(m.Complete(11)).To(BeFalse(), "instance 1 is in window 11")
 	closeWindow(m, 11)
 	tell(m, 2, 13)
-	g.Expect(m.Complete(12)).To(BeTrue(), "who told nothing since window 11 has ended, or is cut off")
+	g.Expect(m.Complete(12)).To(BeFalse(), "instance 1 may be cut off, and come back with counts of 12")
+	closeWindow(m, 12)
+	tell(m, 2, 14)
+	g.Expect(m.Complete(13)).To(BeTrue(), "who told nothing since window 11 has ended")
+}
+
+// A failure domain is cut off from the middle of a window to the middle of the next but one.
+// The first window is closed without its instances, as late as may be; the next one must wait
+// for them too, or their organisations are billed for less than they used.
+func TestInstancesThatWereMissingAreWaitedForInTheNextWindow(t *testing.T) {
+	g := NewWithT(t)
+	m := usage.New()
+	tell(m, 1, 10, count(10, "o", 3))
+	tell(m, 2, 10, count(10, "o", 4))
+	tell(m, 2, 12, count(11, "o", 5))
+	closeWindow(m, 10)
+	g.Expect(m.Complete(11)).To(BeFalse(), "instance 1 has told nothing of window 11")
+	tell(m, 1, 12, count(10, "o", 6), count(11, "o", 7))
+	g.Expect(m.Complete(11)).To(BeTrue())
+	closeWindow(m, 11)
+	g.Expect(m.Closed()[1].Totals).To(Equal([]usage.Total{{Organisation: "o", Requests: 12}}))
+	g.Expect(m.Closed()[1].Missing).To(BeZero())
 }
 
 // The state is bounded although nobody takes the reports, and instances come and go.
