Connections: a deadline that is over hides nothing that has arrived

Cause: a Go read with a deadline that is over fails without looking at the socket.

Fix: tcpconn.Conn looks once more at the socket when a deadline is over, and gnetconn's Read returns what it holds first and waits for what the event loop has yet to take. Used by callers' connections, connections to upstreams (edge and own daemon) and links.

flight_test.go asserts the interface that flight.go uses in place of the concrete type, which is wrapped now; it checks the same.

--- a/instance/gnetconn/conn.go
+++ b/instance/gnetconn/conn.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/panjf2000/gnet/v2"
+
+	"github.com/comfreyladder/comfreyladder/instance/tcpconn"
 )
 
 // keptBuffer is the largest inbound buffer that an idle connection keeps.
@@ -99,7 +101,7 @@
 }
 
 // Read implements net.Conn. After the peer hung up, it first returns what was
-// received before.
+// received before. Bytes that have arrived are returned also when the deadline is over.
 func (c *Conn) Read(p []byte) (int, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -107,14 +109,14 @@
 		switch {
 		case c.closed:
 			return 0, net.ErrClosed
-		case !c.readBy.IsZero() && !time.Now().Before(c.readBy):
-			return 0, os.ErrDeadlineExceeded
 		case c.off < len(c.in):
 			return c.take(p), nil
 		case c.end != nil:
 			return 0, c.end
 		case len(p) == 0:
 			return 0, nil
+		case c.overdue() && !c.arriving():
+			return 0, os.ErrDeadlineExceeded
 		}
 		c.armReadTimer()
 		c.readable.Wait()
@@ -135,11 +137,28 @@
 	return n
 }
 
+// overdue reports whether the read deadline is over; it needs mu.
+func (c *Conn) overdue() bool { return !c.readBy.IsZero() && !time.Now().Before(c.readBy) }
+
+// arrivingPoll is how often a read that is overdue looks whether the event loop has taken
+// what waits in the socket.
+const arrivingPoll = time.Millisecond
+
+// arriving reports whether the socket holds bytes that the event loop has yet to take, as
+// after a freeze. It needs mu, which it gives up meanwhile.
+func (c *Conn) arriving() bool {
+	c.mu.Unlock()
+	defer c.mu.Lock()
+	c.socket.Lock()
+	defer c.socket.Unlock()
+	return !c.gone && tcpconn.FDReadable(c.fd)
+}
+
 func (c *Conn) armReadTimer() {
 	if c.readBy.IsZero() {
 		return
 	}
-	left := time.Until(c.readBy)
+	left := max(time.Until(c.readBy), arrivingPoll)
 	if c.readTimer == nil {
 		c.readTimer = time.AfterFunc(left, c.wakeReaders)
 		return
--- a/instance/gnetconn/gnetconn_test.go
+++ b/instance/gnetconn/gnetconn_test.go
@@ -285,3 +285,33 @@
 	_, err = gnetconn.Listen(taken.Addr().String(), gnetconn.Options{})
 	g.Expect(err).To(MatchError(syscall.EADDRINUSE))
 }
+
+var _ = Describe("a read deadline", func() {
+	// Guards against a read that gives up on bytes which came before it was called.
+	It("hides nothing that has arrived", func() {
+		got := make(chan string, 1)
+		l := serve(gnetconn.Options{}, func(c net.Conn) {
+			b := make([]byte, 8)
+			_, _ = io.ReadFull(c, b[:1])
+			Expect(c.SetReadDeadline(time.Now().Add(-time.Second))).To(Succeed())
+			for begun := time.Now(); time.Since(begun) < limit; time.Sleep(time.Millisecond) {
+				n, err := c.Read(b)
+				if err == nil {
+					got <- string(b[:n])
+					return
+				}
+				if !errors.Is(err, os.ErrDeadlineExceeded) {
+					break
+				}
+			}
+			close(got)
+		})
+		c := dial(l)
+		_, err := io.WriteString(c, "1")
+		Expect(err).NotTo(HaveOccurred())
+		time.Sleep(20 * time.Millisecond)
+		_, err = io.WriteString(c, "late")
+		Expect(err).NotTo(HaveOccurred())
+		Eventually(got, limit).Should(Receive(Equal("late")))
+	})
+})
--- a/instance/link/peer.go
+++ b/instance/link/peer.go
@@ -12,6 +12,7 @@
 
 	"github.com/comfreyladder/comfreyladder/core/fault"
 	"github.com/comfreyladder/comfreyladder/instance/clock"
+	"github.com/comfreyladder/comfreyladder/instance/tcpconn"
 )
 
 // peer is another instance to which this one dials.
@@ -160,7 +161,7 @@
 	if err != nil {
 		return nil, fault.Wrap(err, fault.Unavailable, "dial %s at %s", p.name, addr)
 	}
-	w := p.s.newWire(conn, p.name, p.out, p.receive)
+	w := p.s.newWire(tcpconn.Wrap(conn), p.name, p.out, p.receive)
 	w.dialer = true
 	w.idleAfter = p.s.cfg.IdleAfter
 	w.awaits = p.awaits
--- a/instance/relay/conn.go
+++ b/instance/relay/conn.go
@@ -191,7 +191,8 @@
 	return c.life.Open()
 }
 
-// sweep ends a connection in the last phase of a drain if nothing is under way on it.
+// sweep ends a connection in the last phase of a drain if nothing is under way on it. What
+// has arrived is still read: see tcpconn.Conn.
 func (c *conn) sweep(ran time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/instance/relay/pool.go
+++ b/instance/relay/pool.go
@@ -13,6 +13,7 @@
 
 	"github.com/comfreyladder/comfreyladder/core/fault"
 	"github.com/comfreyladder/comfreyladder/instance/http1"
+	"github.com/comfreyladder/comfreyladder/instance/tcpconn"
 )
 
 // upstreamConn is one connection to an upstream. It carries one request at a time.
@@ -166,6 +167,7 @@
 		return nil, fault.Wrap(err, fault.Unavailable, "connect to %s", p.address)
 	}
 	setUserTimeout(nc, userTimeout)
+	nc = tcpconn.Wrap(nc)
 	return &upstreamConn{nc: nc, in: bufio.NewReaderSize(nc, ioBuffer)}, nil
 }
 
--- a/instance/tcpconn/tcpconn.go
+++ b/instance/tcpconn/tcpconn.go
@@ -1,9 +1,11 @@
-// Package tcpconn accepts TCP connections and ends without cutting off what has arrived: a
-// listener is closed only when no connection waits in its queue. That matters to a process
-// that was frozen while callers went on.
+// Package tcpconn accepts TCP connections and ends them without cutting off what has
+// arrived: a listener is closed only when no connection waits in its queue, and a read
+// whose deadline is over still returns the bytes that are there. Both matter to a process
+// that was frozen, where deadlines pass while callers go on.
 package tcpconn
 
 import (
+	"io"
 	"net"
 	"os"
 	"sync/atomic"
@@ -71,19 +73,69 @@
 	if err != nil {
 		return false
 	}
-	ready := 0
+	ready := false
+	err = raw.Control(func(fd uintptr) { ready = FDReadable(int(fd)) })
+	return err == nil && ready
+}
+
+// FDReadable reports, without waiting, whether a socket has something to accept or read.
+func FDReadable(fd int) bool {
+	fds := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}
+	for {
+		n, err := unix.Poll(fds, 0)
+		if err != unix.EINTR {
+			return n > 0
+		}
+	}
+}
+
+// Conn is a TCP connection whose deadlines hide nothing that has arrived.
+type Conn struct{ *net.TCPConn }
+
+// Wrap returns a connection that was dialled as a Conn; one that is not of TCP stays as it
+// is.
+func Wrap(c net.Conn) net.Conn {
+	if tcp, ok := c.(*net.TCPConn); ok {
+		return &Conn{TCPConn: tcp}
+	}
+	return c
+}
+
+// Read implements net.Conn. Unlike that of net.TCPConn it returns bytes that have arrived
+// also when the deadline is over.
+func (c *Conn) Read(p []byte) (int, error) {
+	n, err := c.TCPConn.Read(p)
+	if err == nil || !errors.Is(err, os.ErrDeadlineExceeded) {
+		return n, err
+	}
+	if late, lateErr := c.readNow(p); lateErr != unix.EAGAIN {
+		return late, lateErr
+	}
+	return n, err
+}
+
+// readNow reads without waiting; unix.EAGAIN means that nothing is there.
+func (c *Conn) readNow(p []byte) (n int, err error) {
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return 0, err
+	}
+	var readErr error
 	err = raw.Control(func(fd uintptr) {
-		fds := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}
 		for {
-			n, pollErr := unix.Poll(fds, 0)
-			if pollErr != unix.EINTR {
-				ready = n
+			n, readErr = unix.Read(int(fd), p)
+			if readErr != unix.EINTR {
 				return
 			}
 		}
 	})
-	return err == nil && ready > 0
+	switch {
+	case err != nil:
+		return 0, err
+	case readErr != nil:
+		return 0, readErr
+	case n == 0 && len(p) > 0:
+		return 0, io.EOF
+	}
+	return n, nil
 }
-
-// Conn is a connection of a Listener.
-type Conn struct{ *net.TCPConn }
--- a/instance/tcpconn/tcpconn_test.go
+++ b/instance/tcpconn/tcpconn_test.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net"
+	"os"
 	"testing"
 	"time"
 
@@ -65,3 +66,26 @@
 	l.CloseWhenEmpty()
 	Eventually(ended).Should(Receive(MatchError(net.ErrClosed)))
 }
+
+// Guards against a read that gives up on bytes which came before it was called.
+func TestAnOldDeadlineHidesNothingThatHasArrived(t *testing.T) {
+	l := listen(t)
+	caller := dial(t, l)
+	c, err := l.Accept()
+	Expect(err).NotTo(HaveOccurred())
+	Expect(c.SetReadDeadline(time.Now().Add(-time.Second))).To(Succeed())
+	b := make([]byte, 8)
+	_, err = c.Read(b)
+	Expect(err).To(MatchError(os.ErrDeadlineExceeded))
+	_, err = caller.Write([]byte("late"))
+	Expect(err).NotTo(HaveOccurred())
+	Eventually(func() string {
+		n, _ := c.Read(b)
+		return string(b[:n])
+	}).Should(Equal("late"))
+	_ = caller.Close()
+	Eventually(func() error {
+		_, err := c.Read(b)
+		return err
+	}).Should(MatchError(io.EOF))
+}
--- a/instance/upstream/flight.go
+++ b/instance/upstream/flight.go
@@ -1,7 +1,6 @@
 package upstream
 
 import (
-	"net"
 	"syscall"
 	"time"
 
@@ -14,6 +13,12 @@
 // tcpUserTimeout is Linux's option TCP_USER_TIMEOUT, in milliseconds.
 const tcpUserTimeout = 0x12
 
+// lingerer is a TCP connection, wrapped or not.
+type lingerer interface {
+	syscall.Conn
+	SetLinger(seconds int) error
+}
+
 // limitFlight bounds the flight of a request that must not arrive after notAfter.
 // It is called right before the request is written, and returns the time that is left.
 //
@@ -33,7 +38,7 @@
 	if left <= 0 {
 		return 0, fault.New(fault.DeadlineExceeded, "the time until which this request may be sent is over")
 	}
-	tcp, ok := c.raw.Conn.(*net.TCPConn)
+	tcp, ok := c.raw.Conn.(lingerer)
 	if !ok {
 		return left, nil
 	}
@@ -56,7 +61,7 @@
 
 // lingerAgain lets a connection whose answer came whole end in the usual way.
 func (c *conn) lingerAgain() {
-	if tcp, ok := c.raw.Conn.(*net.TCPConn); ok && !c.notAfter.IsZero() {
+	if tcp, ok := c.raw.Conn.(lingerer); ok && !c.notAfter.IsZero() {
 		_ = tcp.SetLinger(-1)
 	}
 }
--- a/instance/upstream/flight_test.go
+++ b/instance/upstream/flight_test.go
@@ -57,7 +57,7 @@
 		left, err := near.send(request(), time.Minute)
 		Expect(left).To(BeTrue())
 		Expect(err).NotTo(HaveOccurred())
-		sys, err := near.raw.Conn.(*net.TCPConn).SyscallConn()
+		sys, err := near.raw.Conn.(lingerer).SyscallConn()
 		Expect(err).NotTo(HaveOccurred())
 		millis := 0
 		Expect(sys.Control(func(fd uintptr) { millis, err = syscall.GetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout) })).To(Succeed())
--- a/instance/upstream/pool.go
+++ b/instance/upstream/pool.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/comfreyladder/comfreyladder/core/fault"
+	"github.com/comfreyladder/comfreyladder/instance/tcpconn"
 )
 
 // pool keeps idle connections by address and counts the open ones.
@@ -55,7 +56,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c := newConn(raw, p, t.Address)
+	c := newConn(tcpconn.Wrap(raw), p, t.Address)
 	if p.cfg.TLS == nil {
 		return c, nil
 	}
--- a/proof/deployed/harness_test.go
+++ b/proof/deployed/harness_test.go
@@ -216,7 +216,9 @@
 	listener net.Listener
 	sequence atomic.Int64
 	served   atomic.Int64
-	stop     chan struct{}
+	// delay is for how long the runner works on each request, in nanoseconds.
+	delay atomic.Int64
+	stop  chan struct{}
 	// crash ends it without a word.
 	crash func()
 }
@@ -227,6 +229,7 @@
 	r := &runner{s: s, id: id, born: time.Now().UnixMilli(), listener: l, stop: make(chan struct{})}
 	server := &http.Server{ReadHeaderTimeout: time.Second, Handler: http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
 		r.served.Add(1)
+		time.Sleep(time.Duration(r.delay.Load()))
 		w.Header().Set("Attempt-Id", req.Header.Get("Attempt-Id"))
 		w.Header().Set("Runner-Seal", "s")
 		_, _ = io.WriteString(w, "done")
--- a/proof/deployed/stop_test.go
+++ b/proof/deployed/stop_test.go
@@ -98,6 +98,29 @@
 	}
 }
 
+// Guards against a drain that closes idle connections on which a request has arrived.
+func TestRequestsOnIdleConnectionsOfAFrozenDrainAreServed(t *testing.T) {
+	for _, thaw := range []time.Duration{2300 * time.Millisecond, 2600 * time.Millisecond} {
+		t.Run(thaw.String(), func(t *testing.T) {
+			s := newTrio(t)
+			var callers []*caller
+			for range frozenCallers {
+				c := dialEdge(s.edges[0])
+				Expect(c.send()).To(Succeed())
+				status, told := c.answer()
+				Expect(status).To(Equal(200), told)
+				callers = append(callers, c)
+			}
+			frozenStop(s.edges[0], thaw, func() {
+				for _, c := range callers {
+					Expect(c.send()).To(Succeed())
+				}
+			})
+			expectAnswers(s.edges[0], callers)
+		})
+	}
+}
+
 // Guards against a drain that resets connections which were accepted and silent.
 func TestSilentConnectionsOfAFrozenDrainAreServed(t *testing.T) {
 	s := newTrio(t)
@@ -112,3 +135,22 @@
 	})
 	expectAnswers(s.edges[0], callers)
 }
+
+// Guards against an answer that came in time and is thrown away because the process did
+// not run until the deadline was over.
+func TestAnswerThatCameDuringAFreezeIsDelivered(t *testing.T) {
+	s := newTrio(t)
+	e := s.edges[0]
+	s.runner.delay.Store(int64(200 * time.Millisecond))
+	c := dialEdge(e)
+	_, err := fmt.Fprint(c, "GET /a/x HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: late\r\nKey: k\r\nDeadline-Ms: 1000\r\n\r\n")
+	Expect(err).NotTo(HaveOccurred())
+	time.Sleep(100 * time.Millisecond)
+	served := s.runner.served.Load()
+	e.signal(syscall.SIGSTOP)
+	time.Sleep(1200 * time.Millisecond)
+	e.signal(syscall.SIGCONT)
+	status, told := c.answer()
+	Expect(status).To(Equal(200), "%s\n%s", told, e.log())
+	Expect(s.runner.served.Load()).To(Equal(served), "it is not asked for again")
+}
