Edge: a request that has begun is served or refused before a drain ends

What callers saw: a request whose last bytes came a second after the end of the announcement met a closed connection, and its caller could not know whether it had run. Which promise it gets stood nowhere.

Cause: a drain waited for requests that were read, and gave connections one second; a request that was begun and not whole was in neither count, and the stop closed it.

Evidence: TestRequestThatIsNotWholeAtTheEndOfADrainIsServedOrNotRun, "unexpected EOF" on.

--- a/instance/relay/conn.go
+++ b/instance/relay/conn.go
@@ -191,12 +191,13 @@
 	return c.life.Open()
 }
 
-// sweep ends a connection in the last phase of a drain if nothing is under way on it. What
-// has arrived is still read: see tcpconn.Conn.
-func (c *conn) sweep(ran time.Duration) {
+// sweep ends a connection in the last phase of a drain if nothing is under way on it, and
+// at its last call the reading of a request that is not whole. What has arrived is still
+// read: see tcpconn.Conn.
+func (c *conn) sweep(ran time.Duration, lastCall bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.life.Sweep(ran) == drain.Now {
+	if c.life.Sweep(ran) == drain.Now || lastCall && c.life.Reading() {
 		_ = c.nc.SetReadDeadline(time.Now())
 	}
 }
--- a/instance/relay/drain.go
+++ b/instance/relay/drain.go
@@ -30,7 +30,7 @@
 	f := drain.NewLastPhase(course, drainPoll)
 	for {
 		now := clock.Now()
-		s.sweep(f.Look(now))
+		s.sweep(f.Look(now), course.LastCall(now))
 		w := s.work()
 		switch f.Next(now, w) {
 		case drain.CloseListener:
@@ -77,11 +77,17 @@
 	return course == nil || course.Takes(clock.Now(), r.route.Kind == route.Streaming, r.deadline)
 }
 
+// lastCall reports whether a drain takes nothing new any more.
+func (s *Service) lastCall() bool {
+	course := s.drain.Load()
+	return course != nil && course.LastCall(clock.Now())
+}
+
 // sweep closes idle connections.
-func (s *Service) sweep(ran time.Duration) {
+func (s *Service) sweep(ran time.Duration, lastCall bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for c := range s.conns {
-		c.sweep(ran)
+		c.sweep(ran, lastCall)
 	}
 }
--- a/instance/relay/relay_test.go
+++ b/instance/relay/relay_test.go
@@ -402,3 +402,32 @@
 	Expect(r.took).To(BeNumerically("<", 200*time.Millisecond))
 	Expect(up.requests()).To(HaveLen(1))
 }
+
+// Guards against a drain that resets a connection on which a request has begun.
+func TestRequestThatIsNotWholeAtTheEndOfADrainIsServedOrNotRun(t *testing.T) {
+	up := startUpstream(t, "u", echo)
+	b := start(t, up)
+	b.patient(5 * time.Second)
+	whole, half := b.caller(), b.caller()
+	text := strings.Replace(message("POST", "/idem/", "1", "body"), "X-Left: 1500", "X-Left: 400", 1)
+	whole.send(text[:len(text)-2])
+	half.send(text[:20])
+	drained := make(chan error, 1)
+	go func() {
+		drained <- b.service.Drain(context.Background())
+		_ = b.service.Stop(context.Background())
+	}()
+	time.Sleep(1400 * time.Millisecond)
+	whole.send(text[len(text)-2:])
+	r := whole.receive()
+	Expect(r.err).NotTo(HaveOccurred())
+	Expect(r.status).To(Equal(200))
+	Expect(r.closes).To(BeTrue())
+	r = half.receive()
+	Expect(r.err).NotTo(HaveOccurred())
+	Expect(r.status).To(Equal(503))
+	Expect(r.header.Get("Retry-After")).NotTo(BeEmpty())
+	Expect(r.closes).To(BeTrue())
+	Expect(<-drained).To(Succeed())
+	Expect(up.requests()).To(HaveLen(1))
+}
--- a/instance/relay/serve.go
+++ b/instance/relay/serve.go
@@ -47,6 +47,8 @@
 		return s.refuse(c, r, &verdict{400, r.fail.Error(), 0})
 	case fault.CodeOf(r.fail) == fault.Overloaded:
 		return s.refuse(c, r, &verdict{503, errNoRoom.Error(), errNoRoom.RetryAfter})
+	case isTimeout(r.fail) && s.lastCall():
+		return s.refuse(c, r, errEnding)
 	case isTimeout(r.fail):
 		return s.refuse(c, r, &verdict{408, "the request did not come whole in time", 0})
 	}
