Core: a listener ends in order, after the calls under way

What callers saw: 18 calls of operators reset in six stops of a core beside eight clients, three of them PUTs whose writer could not know whether they took effect. Calls that waited at a core that did not run when its SIGTERM came were all reset, at the listeners of control and of metrics.

Cause: the listeners of calls, readiness and metrics were closed without waiting for what was under way, and had no drain of their own; the process ended while calls were answered.

Fix: roles.listener ends by the same decisions as an edge's connections (core/drain, now carried out by instance/shutdown): each answer ends its connection, what has arrived is answered, then the listener is closed. The listener of calls drains before the member hands over: it goes on until no call has come for 300 ms of the time that it ran, at most seed-lag-s, as callers choose by a list that is so old; then two seconds for the calls under way.

Ruled out: a shorter way without seed-lag-s.

--- a/instance/daemon/http.go
+++ b/instance/daemon/http.go
@@ -19,6 +19,7 @@
 	"github.com/comfreyladder/comfreyladder/instance/member"
 	"github.com/comfreyladder/comfreyladder/instance/order"
 	"github.com/comfreyladder/comfreyladder/instance/registry"
+	"github.com/comfreyladder/comfreyladder/instance/shutdown"
 	"github.com/comfreyladder/comfreyladder/instance/spread"
 	"github.com/comfreyladder/comfreyladder/instance/telemetry"
 	"github.com/comfreyladder/comfreyladder/instance/tlsconf"
@@ -112,10 +113,7 @@
 
 // quiet is how long nothing may be in flight before a drain counts as done: the
 // balancer may still send a last request on a connection that it keeps.
-const (
-	quiet     = 300 * time.Millisecond
-	drainPoll = 10 * time.Millisecond
-)
+const quiet = 300 * time.Millisecond
 
 // Drain says "not ready", goes on serving for the delay, then waits until
 // nothing is in flight, queued requests and streams included.
@@ -132,16 +130,7 @@
 		return err
 	}
 	listener.CloseAfterAnswer()
-	idleSince := time.Now()
-	for time.Since(idleSince) < quiet {
-		if g.InFlight() > 0 || listener.Busy() > 0 {
-			idleSince = time.Now()
-		}
-		if err := sleep(ctx, drainPoll); err != nil {
-			return err
-		}
-	}
-	return nil
+	return shutdown.AwaitQuiet(ctx, quiet, func() bool { return g.InFlight() > 0 || listener.Busy() > 0 })
 }
 
 func (d *Daemon) callers() kernel.Module {
--- a/instance/roles/config.go
+++ b/instance/roles/config.go
@@ -42,8 +42,10 @@
 	Silence time.Duration
 	// Announce and Grace bound a stop; see relay.Config.
 	Announce, Grace time.Duration
-	Budget          relay.Budget
-	MemoryMB        int
+	// CallsLag is how old the list of instances may be by which callers of Control choose.
+	CallsLag time.Duration
+	Budget   relay.Budget
+	MemoryMB int
 	// Duties are calls that one instance at a time makes; nil for none.
 	Duties *Duties
 }
--- a/instance/roles/core.go
+++ b/instance/roles/core.go
@@ -92,7 +92,7 @@
 		if err != nil {
 			return nil, err
 		}
-		return newListener(p.cfg.Control, p.logRefusals(p.dialect.Control(s))), nil
+		return callsListener{newListener(p.cfg.Control, p.logRefusals(p.dialect.Control(s))), p.cfg.CallsLag}, nil
 	}}
 }
 
--- a/proof/deployed/harness_test.go
+++ b/proof/deployed/harness_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -100,7 +101,7 @@
 data-dir: %s
 limits: {memory-mb: 284}
 heartbeat-ms: 1200
-bounds: {fail-closed: true, revoke-ms: 3000, grace-s: 8, retry-budget-ratio: 0.2, retry-window-s: 10, retry-slack: 58%s}
+bounds: {fail-closed: true, revoke-ms: 3000, grace-s: 8, seed-lag-s: 3, retry-budget-ratio: 0.2, retry-window-s: 10, retry-slack: 58%s}
 %s`, n.name, role, n.ip, listen, portPeer, portPeer+15, seeds, bootstrap, data, n.s.bounds, n.s.settings)
 	Expect(os.WriteFile(n.settingsFile(), []byte(text), 0o600)).To(Succeed())
 }
@@ -155,6 +156,24 @@
 
 // call makes one call; status 0 means that there was no answer.
 func call(method, url, body string, headers ...string) (int, string) {
+	return callWith(client, method, url, body, headers...)
+}
+
+// neverConnected reports whether a call failed before its connection was made: nothing of
+// it was sent.
+func neverConnected(told string) bool { return strings.Contains(told, ": dial tcp") }
+
+// refusesConnections reports whether a core no longer listens for calls.
+func refusesConnections(core *node) bool {
+	c, err := net.Dial("tcp4", core.at(portControl))
+	if err == nil {
+		_ = c.Close()
+	}
+	return errors.Is(err, syscall.ECONNREFUSED)
+}
+
+// callWith makes one call with a client of its own.
+func callWith(client *http.Client, method, url, body string, headers ...string) (int, string) {
 	req, err := http.NewRequest(method, url, strings.NewReader(body))
 	if err != nil {
 		return 0, err.Error()
--- a/proof/deployed/stop_test.go
+++ b/proof/deployed/stop_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -23,19 +24,21 @@
 	frozenCallers = 10
 )
 
-// caller is one connection of a caller to an edge.
+// caller is one connection of a caller.
 type caller struct {
 	net.Conn
 	in *bufio.Reader
 }
 
-func dialEdge(e *node) *caller {
-	c, err := net.Dial("tcp4", e.at(portFrontend))
+func dial(n *node, port int) *caller {
+	c, err := net.Dial("tcp4", n.at(port))
 	Expect(err).NotTo(HaveOccurred())
-	e.s.t.Cleanup(func() { _ = c.Close() })
+	n.s.t.Cleanup(func() { _ = c.Close() })
 	return &caller{c, bufio.NewReader(c)}
 }
 
+func dialEdge(e *node) *caller { return dial(e, portFrontend) }
+
 // send writes a request of the usual kind.
 func (c *caller) send() error {
 	_, err := fmt.Fprintf(c, "GET /a/x HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: a%d\r\nKey: k\r\nDeadline-Ms: 5000\r\n\r\n", attempts.Add(1))
@@ -154,3 +157,109 @@
 	Expect(status).To(Equal(200), "%s\n%s", told, e.log())
 	Expect(s.runner.served.Load()).To(Equal(served), "it is not asked for again")
 }
+
+// operator calls one core again and again until it is told to leave or can't connect.
+type operator struct {
+	core   *node
+	client *http.Client
+	calls  int
+	// cut lists the calls that lost their connection with the request on its way.
+	cut []string
+}
+
+func (o *operator) run(first int, leave <-chan struct{}) {
+	for version := first; ; version++ {
+		method, body := http.MethodGet, ""
+		if version%2 == 0 {
+			method, body = http.MethodPut, desired(version, "k", "l")
+		}
+		status, told := callWith(o.client, method, "http://"+o.core.at(portControl)+"/config", body)
+		switch {
+		case status > 0:
+			o.calls++
+		case neverConnected(told):
+			return
+		default:
+			o.cut = append(o.cut, method+": "+told)
+			return
+		}
+		select {
+		case <-leave:
+			return
+		default:
+		}
+	}
+}
+
+// Guards against a core that closes its listener without waiting for the calls under way.
+// Operators choose by a list, from which the core is gone a second after its SIGTERM.
+func TestCoreStopsInOrder(t *testing.T) {
+	const operators, stops = 8, 6
+	s := newTrio(t)
+	version := 1000
+	for stop := range stops {
+		core := s.cores[stop%len(s.cores)]
+		leave := make(chan struct{})
+		var running sync.WaitGroup
+		all := make([]*operator, operators)
+		for i := range all {
+			all[i] = &operator{core: core, client: &http.Client{Timeout: answerWithin, Transport: &http.Transport{DisableKeepAlives: i%2 == 0}}}
+			version += 10_000
+			first := version
+			running.Go(func() { all[i].run(first, leave) })
+		}
+		time.Sleep(500 * time.Millisecond)
+		core.signal(syscall.SIGTERM)
+		time.Sleep(time.Second)
+		close(leave)
+		running.Wait()
+		Eventually(core.exited, 8*time.Second).Should(BeClosed())
+		for _, o := range all {
+			Expect(o.calls).NotTo(BeZero())
+			Expect(o.cut).To(BeEmpty(), "stop %d\n%s", stop+1, core.log())
+		}
+		Expect(core.log()).To(ContainSubstring("event=stopped"))
+		core.start(false)
+		Eventually(func() int { status, _ := core.get(); return status }, patience, poll).Should(Equal(200))
+	}
+}
+
+// Guards against listeners that close while calls wait, at a core that does not run when
+// its SIGTERM comes.
+func TestCallsThatWaitAtAFrozenCoreAreAnswered(t *testing.T) {
+	s := newTrio(t)
+	core := s.cores[0]
+	body := desired(2, "k", "l")
+	texts := map[int][]string{
+		portControl: {
+			"GET /config HTTP/1.1\r\nHost: c\r\n\r\n",
+			fmt.Sprintf("PUT /config HTTP/1.1\r\nHost: c\r\nContent-Length: %d\r\n\r\n%s", len(body), body),
+		},
+		portMetrics: {"GET /metrics HTTP/1.1\r\nHost: c\r\n\r\n"},
+	}
+	var callers []*caller
+	call := func(c *caller, text string) {
+		_, err := io.WriteString(c, text)
+		Expect(err).NotTo(HaveOccurred())
+		callers = append(callers, c)
+	}
+	kept := map[int]*caller{}
+	for port, list := range texts {
+		kept[port] = dial(core, port)
+		call(kept[port], list[0])
+		status, told := kept[port].answer()
+		Expect(status).To(Equal(200), told)
+	}
+	callers = nil
+	core.signal(syscall.SIGSTOP)
+	for port, list := range texts {
+		for i := range frozenCallers {
+			call(dial(core, port), list[i%len(list)])
+		}
+		call(kept[port], list[0])
+	}
+	core.signal(syscall.SIGTERM)
+	time.Sleep(time.Second)
+	core.signal(syscall.SIGCONT)
+	expectAnswers(core, callers)
+}
