--- a/proof/system/drain_test.go
+++ b/proof/system/drain_test.go
@@ -1,8 +1,11 @@
 package system_test
 
 import (
+	"bufio"
 	"errors"
 	"fmt"
+	"io"
+	"net"
 	"net/http"
 	"strings"
 	"sync"
@@ -158,4 +161,81 @@
 		Expect(n).To(BeNumerically(">", bigSize))
 		Eventually(in.process.done, patience).Should(BeClosed())
 	})
+
+	// Guards against an end that is decided at the first look after a freeze, before what
+	// has come meanwhile is seen.
+	It("serves what has come while the process was frozen", func() {
+		const callers = 10
+		for _, freezeAt := range []time.Duration{700 * time.Millisecond, 1150 * time.Millisecond} {
+			s := newSiteWith(siteOptions{drainDelay: "1s", settings: quickLimits}, 1, "north")
+			s.startAll()
+			in := s.instances["north-1"]
+			s.service("s-one", "north")
+			s.see("north", 1)
+			var conns []*rawCaller
+			for i := range callers {
+				c := in.dial()
+				if i%2 == 0 {
+					c.book(fmt.Sprintf("before-%v-%d", freezeAt, i))
+					status, err := c.answer()
+					Expect(err).NotTo(HaveOccurred())
+					Expect(status).To(Equal(201))
+					conns = append(conns, c)
+				}
+			}
+			in.process.signal(syscall.SIGTERM)
+			time.Sleep(freezeAt)
+			in.process.signal(syscall.SIGSTOP)
+			for len(conns) < callers {
+				conns = append(conns, in.dial())
+			}
+			for i, c := range conns {
+				c.book(fmt.Sprintf("during-%v-%d", freezeAt, i))
+			}
+			time.Sleep(time.Second)
+			in.process.signal(syscall.SIGCONT)
+			for i, c := range conns {
+				status, err := c.answer()
+				Expect(err).NotTo(HaveOccurred(), "caller %d, frozen at %v", i, freezeAt)
+				Expect(status).To(Equal(201), "caller %d, frozen at %v", i, freezeAt)
+			}
+			Eventually(in.process.done, patience).Should(BeClosed())
+		}
+	})
 })
+
+// rawCaller is one connection of a caller that sends what it is told to.
+type rawCaller struct {
+	in   *instance
+	conn net.Conn
+	read *bufio.Reader
+}
+
+func (in *instance) dial() *rawCaller {
+	GinkgoHelper()
+	conn, err := net.Dial("tcp", in.callers)
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(func() { _ = conn.Close() })
+	return &rawCaller{in, conn, bufio.NewReader(conn)}
+}
+
+// book sends a booking under a key.
+func (c *rawCaller) book(key string) {
+	GinkgoHelper()
+	const body = `{"customer":"c"}`
+	_, err := fmt.Fprintf(c.conn, "POST /services/booking/bookings HTTP/1.1\r\nHost: i\r\nAuthorization: Bearer %s\r\nIdempotency-Key: %s\r\nContent-Length: %d\r\n\r\n%s",
+		c.in.site.keys["ward"], key, len(body), body)
+	Expect(err).NotTo(HaveOccurred())
+}
+
+// answer returns the status of the next answer.
+func (c *rawCaller) answer() (int, error) {
+	_ = c.conn.SetReadDeadline(time.Now().Add(patience))
+	resp, err := http.ReadResponse(c.read, nil)
+	if err != nil {
+		return 0, err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	_, err = io.Copy(io.Discard, resp.Body)
+	return resp.StatusCode, err
+}
