Own daemon: a stop answers the operators' calls under way

What operators saw: a confirm that waited for a quorum or for a silent domain lost its connection when its instance was told to stop ("EOF"), so that they could not know whether the revision is accepted.

Cause: the operators' listener was closed without a look at what is under way; only the callers' listener had a drain.

Evidence: "answers a confirm that waits when the instance is told to stop", EOF on.

Fix: at the end of the callers' drain answers of the operators' listener end their connections, and a stop waits up to five seconds for those on their way. A stop without a drain (a failed disk, a lost name) waits for nothing, as before.

Open: gnet can't close a listener and keep its connections. Operators that go on calling an instance until it is gone can still be cut off by the last close.

--- a/instance/daemon/http.go
+++ b/instance/daemon/http.go
@@ -130,6 +130,9 @@
 		return err
 	}
 	listener.CloseAfterAnswer()
+	if operators, err := kernel.Lookup[*httpserver.Server](g.kernel, nameOperators); err == nil {
+		operators.CloseAfterAnswer()
+	}
 	return shutdown.AwaitQuiet(ctx, quiet, func() bool { return g.InFlight() > 0 || listener.Busy() > 0 })
 }
 
--- a/instance/httpserver/httpserver.go
+++ b/instance/httpserver/httpserver.go
@@ -19,6 +19,7 @@
 	"github.com/comfreyladder/comfreyladder/instance/gnetconn"
 	"github.com/comfreyladder/comfreyladder/instance/httpapi"
 	"github.com/comfreyladder/comfreyladder/instance/settings"
+	"github.com/comfreyladder/comfreyladder/instance/shutdown"
 )
 
 // inboundMargin is what a connection may hold unread beyond one largest request.
@@ -84,11 +85,25 @@
 	return nil
 }
 
-// Stop closes the listener and all connections.
+const (
+	// lastAnswers bounds the wait of a stop for answers that are on their way, and lastQuiet
+	// is for how long none may be.
+	lastAnswers = 5 * time.Second
+	lastQuiet   = 100 * time.Millisecond
+)
+
+// Stop closes the listener and all connections. After CloseAfterAnswer it first waits for
+// the answers that are on their way.
 func (s *Server) Stop(ctx context.Context) error {
 	if s.listener == nil {
 		return nil
 	}
+	if s.closing.Load() {
+		last, cancel := context.WithTimeout(ctx, lastAnswers)
+		defer cancel()
+		// What takes longer is cut off by the close.
+		_ = shutdown.AwaitQuiet(last, lastQuiet, func() bool { return s.busy.Load() > 0 })
+	}
 	err := s.listener.Close(ctx)
 	<-s.served
 	return err
--- a/proof/system/control_test.go
+++ b/proof/system/control_test.go
@@ -1,6 +1,9 @@
 package system_test
 
 import (
+	"bytes"
+	"encoding/json"
+	"net/http"
 	"os"
 	"path/filepath"
 	"regexp"
@@ -8,6 +11,7 @@
 	"strings"
 	"sync"
 	"syscall"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -319,6 +323,32 @@
 		}, patience, poll).Should(Succeed())
 		Expect(north.status().Revision).To(Equal(base + 1))
 	})
+
+	// Guards against a stop that cuts off an operator's call under way.
+	It("answers a confirm that waits when the instance is told to stop", func() {
+		s := newControlSite(1)
+		north := s.instances["north-1"]
+		base, doc := north.withFloor(0.41)
+		s.instances["south-1"].process.signal(syscall.SIGSTOP)
+		s.instances["east-1"].process.signal(syscall.SIGSTOP)
+		body, err := json.Marshal(admin.ConfirmRequest{Number: 1, Base: base, Document: doc})
+		Expect(err).NotTo(HaveOccurred())
+		req, err := http.NewRequest(http.MethodPost, "http://"+north.operators+admin.PathConfirm, bytes.NewReader(body))
+		Expect(err).NotTo(HaveOccurred())
+		req.Header.Set("Authorization", "Bearer "+s.keys["alice"])
+		failed := make(chan error, 1)
+		go func() {
+			resp, err := httpClient.Do(req)
+			if err == nil {
+				_ = resp.Body.Close()
+			}
+			failed <- err
+		}()
+		time.Sleep(200 * time.Millisecond)
+		north.process.signal(syscall.SIGTERM)
+		Eventually(failed, patience).Should(Receive(BeNil()), north.process.out.String)
+		Eventually(north.process.done, patience).Should(BeClosed())
+	})
 })
 
 var inForce = regexp.MustCompile(`revision=(\d+) .*message="revision in force"`)
