Tests of guards that no removal had broken

Not found, and found now by a new test or case each: a newcomer's agreed time, delayed readings, steps back, the first readings, machines that are gone (core/timebase); a second transfer coding and one in HTTP/1.0; a silent near member that is tried again at once.

Not found: the early return for a member of the own domain; the loop after it comes to the same.

--- a/core/timebase/timebase_test.go
+++ b/core/timebase/timebase_test.go
@@ -116,6 +116,72 @@
 	g.Expect(w.off(2)).To(BeNumerically("~", 0, 20*time.Millisecond))
 }
 
+// Guards against a machine that starts and goes by clocks that the others have left behind.
+func TestANewcomerTakesOverWhatIsAgreed(t *testing.T) {
+	g := NewWithT(t)
+	w := newGroup(3)
+	w.steps = []time.Duration{200 * time.Millisecond, 200 * time.Millisecond, 200 * time.Millisecond}
+	w.run(5 * time.Second)
+	w.steps = make([]time.Duration, 3)
+	w.clocks[2] = w.start(2)
+	w.run(300 * time.Millisecond)
+	g.Expect(w.off(2)).To(BeNumerically("~", w.off(0), 20*time.Millisecond))
+	g.Expect(w.off(2)).To(BeNumerically(">", 150*time.Millisecond))
+}
+
+// tell lets a clock hear two others whose times of day are off, by readings that took a
+// while.
+func tell(c *timebase.Clock, now time.Time, wall time.Time, off, took time.Duration) {
+	for _, name := range []string{"a", "b"} {
+		c.Observe(now.Add(took), name, timebase.Reading{Wall: wall.Add(off), Agreed: wall})
+	}
+}
+
+// Guards against readings on a slow way that are taken for clocks behind the others.
+func TestADelayedReadingIsNoClockThatIsBehind(t *testing.T) {
+	g := NewWithT(t)
+	now, wall := time.Unix(100, 0), time.Unix(1_790_000_000, 0)
+	c := timebase.New(func() time.Time { return wall.Add(time.Second) })
+	tell(c, now, wall, 0, time.Millisecond)
+	tell(c, now, wall, 0, 300*time.Millisecond)
+	g.Expect(c.Now(now).Sub(wall)).To(BeNumerically("~", 0, 5*time.Millisecond))
+}
+
+// Guards against steps of clocks that are taken for delays.
+func TestAStepBackIsNoDelay(t *testing.T) {
+	g := NewWithT(t)
+	now, wall := time.Unix(100, 0), time.Unix(1_790_000_000, 0)
+	c := timebase.New(func() time.Time { return wall })
+	tell(c, now, wall, 2*time.Second, time.Millisecond)
+	tell(c, now, wall, 0, time.Millisecond)
+	g.Expect(c.Now(now).Sub(wall)).To(BeNumerically("~", 0, 5*time.Millisecond))
+}
+
+// Guards against a time that is agreed on by the first two machines, one of them wrong.
+func TestTheFirstReadingsDoNotSettle(t *testing.T) {
+	g := NewWithT(t)
+	now, wall := time.Unix(100, 0), time.Unix(1_790_000_000, 0)
+	c := timebase.New(func() time.Time { return wall })
+	c.Observe(now, "a", timebase.Reading{Wall: wall.Add(2 * time.Second)})
+	c.Observe(now, "b", timebase.Reading{Wall: wall.Add(2 * time.Second)})
+	c.Now(now)
+	now, wall = now.Add(time.Second), wall.Add(time.Second)
+	for _, name := range []string{"c", "d", "e"} {
+		c.Observe(now, name, timebase.Reading{Wall: wall})
+	}
+	g.Expect(c.Now(now).Sub(wall)).To(BeNumerically("~", 0, 5*time.Millisecond))
+}
+
+// Guards against machines that are gone and still have a voice.
+func TestMachinesThatAreGoneAreForgotten(t *testing.T) {
+	g := NewWithT(t)
+	now, wall := time.Unix(100, 0), time.Unix(1_790_000_000, 0)
+	c := timebase.New(func() time.Time { return wall })
+	tell(c, now, wall, 400*time.Millisecond, time.Millisecond)
+	now, wall = now.Add(40*time.Second), wall.Add(40*time.Second)
+	g.Expect(c.Now(now).Sub(wall)).To(BeNumerically("~", 0, 5*time.Millisecond))
+}
+
 // An instance that only asks is as near to the agreed time as half of what its latest
 // question took, however long that was held, or nearer.
 func TestAFollowerIsWithinHalfARoundTrip(t *testing.T) {
--- a/instance/follow/follow_test.go
+++ b/instance/follow/follow_test.go
@@ -177,4 +177,5 @@
 	g.set("c", nil)
 	Eventually(f.Lease, 3*time.Second, 5*time.Millisecond).Should(BeNumerically(">", 200*time.Millisecond))
 	Eventually(last, 3*time.Second, 5*time.Millisecond).ShouldNot(Equal("c"))
+	Consistently(last, 300*time.Millisecond, time.Millisecond).ShouldNot(Equal("c"), "it is not tried again at once")
 }
--- a/instance/http1/http1_test.go
+++ b/instance/http1/http1_test.go
@@ -42,6 +42,8 @@
 		"POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 3\r\nContent-Length: 3\r\n\r\n",
 		"POST / HTTP/1.1\r\nHost: x\r\nContent-Length: +3\r\n\r\n",
 		"POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: xchunked\r\n\r\n",
+		"POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n\r\n",
+		"POST / HTTP/1.0\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n",
 		"POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding : chunked\r\n\r\n",
 		"POST / HTTP/1.1\r\nHost: x\r\nA: b\r\n c\r\n\r\n",
 		"POST / HTTP/1.1\r\nHost: x\nContent-Length: 3\r\n\r\n",
