--- a/instance/consensus/config.go
+++ b/instance/consensus/config.go
@@ -63,6 +63,9 @@
 	Seed int64
 	// OnFatal, if set, is told once when the member had to stop.
 	OnFatal func(error)
+	// OnRole, if set, is told each change of role or leader, from the service's goroutine:
+	// it must not block.
+	OnRole func(raft.Status)
 }
 
 func (c *Config) complete() error {
--- a/instance/consensus/service.go
+++ b/instance/consensus/service.go
@@ -271,10 +271,19 @@
 		}
 		s.node.Advance(clock.Now(), r)
 	}
+	s.noteStatus(s.node.Status(clock.Now()))
+	return s.maybeSnapshot()
+}
+
+// noteStatus makes a status the one that others see.
+func (s *Service) noteStatus(st raft.Status) {
 	s.mu.Lock()
-	s.status = s.node.Status(clock.Now())
+	before := s.status
+	s.status = st
 	s.mu.Unlock()
-	return s.maybeSnapshot()
+	if s.cfg.OnRole != nil && (st.Role != before.Role || st.Leader != before.Leader) {
+		s.cfg.OnRole(st)
+	}
 }
 
 func (s *Service) sendAll(messages []raft.Message) error {
