Control group: a line for a write that keeps a member for more than 0.3 s

Two independent groups on two codes stalled at the same moments, to 0.1 s, though their processes had been started at other times; so the cause lay outside them. Trials that did not bring it back: four runs alone, two beside 12 busy processes, one beside writes of 400 MB with syncs. Not shown what it was.

Tests: each test process has a larger part of the loopback range, so that soaks can run at once (two of them took the same addresses: "ended by itself").

--- a/instance/consensus/config.go
+++ b/instance/consensus/config.go
@@ -66,8 +66,13 @@
 	// OnRole, if set, is told each change of role or leader, from the service's goroutine:
 	// it must not block.
 	OnRole func(raft.Status)
+	// OnSlowDisk, if set, is told each write that kept the member for long, likewise.
+	OnSlowDisk func(time.Duration)
 }
 
+// slowDisk is how long a write may keep a member before it is told.
+const slowDisk = 300 * time.Millisecond
+
 func (c *Config) complete() error {
 	if c.Identity.Cluster == "" {
 		return fault.New(fault.Invalid, "the disk in %s has neither founded nor joined a cluster", c.Dir)
--- a/instance/consensus/service.go
+++ b/instance/consensus/service.go
@@ -260,7 +260,7 @@
 		if r.Empty() {
 			break
 		}
-		if err := s.store.persist(&r); err != nil {
+		if err := s.persist(&r); err != nil {
 			return err
 		}
 		if err := s.sendAll(r.Messages); err != nil {
@@ -275,6 +275,16 @@
 	return s.maybeSnapshot()
 }
 
+// persist writes what must be on the disk before anything is sent or applied.
+func (s *Service) persist(r *raft.Ready) error {
+	begun := time.Now()
+	err := s.store.persist(r)
+	if took := time.Since(begun); took > slowDisk && s.cfg.OnSlowDisk != nil {
+		s.cfg.OnSlowDisk(took)
+	}
+	return err
+}
+
 // noteStatus makes a status the one that others see.
 func (s *Service) noteStatus(st raft.Status) {
 	s.mu.Lock()
--- a/instance/control/control.go
+++ b/instance/control/control.go
@@ -221,7 +221,7 @@
 	g, err := consensus.New(consensus.Config{
 		FS: s.cfg.Disk, Dir: s.cfg.DataFolder, Identity: id, Mux: newMux(), Transport: transport{s},
 		Seed: int64(id.ID), OnFatal: s.failed, Heartbeat: s.cfg.Heartbeat, ElectionTimeout: s.cfg.ElectionTimeout,
-		RestartTimeout: s.cfg.RestartTimeout, OnRole: s.logRole,
+		RestartTimeout: s.cfg.RestartTimeout, OnRole: s.logRole, OnSlowDisk: s.logSlowDisk,
 	})
 	if err != nil {
 		return err
--- a/instance/control/group.go
+++ b/instance/control/group.go
@@ -133,6 +133,12 @@
 		Int("voters", len(st.Members.Voters())).Uint64("last", st.Last).Uint64("commit", st.Commit).Msg("role in the control group")
 }
 
+// logSlowDisk writes a line for a write that kept this member for long: nothing is
+// confirmed meanwhile, and a leader may lose its lead.
+func (s *Service) logSlowDisk(took time.Duration) {
+	s.cfg.Log.Warn().Str("event", "disk_slow").Int64("took", took.Milliseconds()).Msg("a write to the disk kept the control member")
+}
+
 // roleName returns a role's name in logs.
 func roleName(r raft.Role) string {
 	return [...]string{"follower", "pre-candidate", "candidate", "leader"}[min(r, raft.Leader)]
--- a/proof/deployed/harness_test.go
+++ b/proof/deployed/harness_test.go
@@ -32,9 +32,12 @@
 	portControl, portFrontend, portReady, portPeer, portMetrics = 17229, 17227, 17220, 17340, 17230
 )
 
-// nets gives each test a part of the loopback range of its own.
+// nets gives each test a part of the loopback range of its own, and netShare parts to each
+// test process, so that several can run at once.
 var nets atomic.Int64
 
+const netShares, netShare = 2000, 20
+
 // site is one deployment.
 type site struct {
 	t     *testing.T
@@ -61,7 +64,7 @@
 
 func newSite(t *testing.T) *site {
 	RegisterTestingT(t)
-	s := &site{t: t, dir: t.TempDir(), net: 10 + nets.Add(1) + int64(os.Getpid()%20)*10, nodes: map[string]*node{}}
+	s := &site{t: t, dir: t.TempDir(), net: nets.Add(1) + int64(os.Getpid()%netShares)*netShare, nodes: map[string]*node{}}
 	t.Cleanup(func() {
 		for _, n := range s.nodes {
 			n.kill()
