--- a/core/drain/conn.go
+++ b/core/drain/conn.go
@@ -104,9 +104,9 @@
 	Soon
 )
 
-// FirstRequest is for how long a drain that is about to end waits for the first request
+// firstRequest is for how long a drain that is about to end waits for the first request
 // of a connection, in time that the process has run.
-const FirstRequest = 500 * time.Millisecond
+const firstRequest = 500 * time.Millisecond
 
 // Sweep returns when a drain that is about to end closes the connection. ran is for how
 // long the process has run since that phase began. What has arrived is read before a
@@ -120,7 +120,7 @@
 	case !c.swept:
 		c.swept, c.sweptAt = true, ran
 	}
-	if ran-c.sweptAt < FirstRequest {
+	if ran-c.sweptAt < firstRequest {
 		return Soon
 	}
 	return Now
--- a/core/raft/node.go
+++ b/core/raft/node.go
@@ -17,6 +17,11 @@
 	Leader
 )
 
+// String returns the role's name in logs.
+func (r Role) String() string {
+	return [...]string{"follower", "pre-candidate", "candidate", "leader"}[min(r, Leader)]
+}
+
 // Node is one member. It is not safe for concurrent use. All its times come from
 // its caller and must carry a monotonic clock reading outside tests.
 type Node struct {
--- a/instance/control/group.go
+++ b/instance/control/group.go
@@ -129,7 +129,7 @@
 // logRole writes a line for each change of this member's role, or of the leader it follows.
 func (s *Service) logRole(st raft.Status) {
 	leader, _ := st.Members.Get(st.Leader)
-	s.cfg.Log.Info().Str("event", "control_role").Str("role", roleName(st.Role)).Uint64("term", st.Term).Str("leader", leader.Name).
+	s.cfg.Log.Info().Str("event", "control_role").Str("role", st.Role.String()).Uint64("term", st.Term).Str("leader", leader.Name).
 		Int("voters", len(st.Members.Voters())).Uint64("last", st.Last).Uint64("commit", st.Commit).Msg("role in the control group")
 }
 
@@ -139,11 +139,6 @@
 	s.cfg.Log.Warn().Str("event", "disk_slow").Int64("took", took.Milliseconds()).Msg("a write to the disk kept the control member")
 }
 
-// roleName returns a role's name in logs.
-func roleName(r raft.Role) string {
-	return [...]string{"follower", "pre-candidate", "candidate", "leader"}[min(r, raft.Leader)]
-}
-
 func (s *Service) receiveFounding(_ context.Context, _ string, m link.Message) (any, error) {
 	f := s.founder.Load()
 	if f == nil {
