Soak: callers look whether a connection is still open

By the edge's log the connection had carried a stream that began 0.4 s before the SIGTERM, ran for 2.9 s beside a silent runner, and ended in the last phase of the drain; its head had gone out without Connection: close, so the edge closed the connection after the whole answer. The caller sent 1.3 s after that close. A server may close a connection after an answer; the caller's fault was not to look. Callers look before they send now, an end out of order fails, and what crosses a close still has to be in the log.

--- a/proof/deployed/soak_callers_test.go
+++ b/proof/deployed/soak_callers_test.go
@@ -114,6 +114,9 @@
 func (c *soakCaller) run(ended <-chan struct{}) {
 	defer c.drop()
 	every(ended, 0, func() {
+		if c.closed() {
+			c.drop()
+		}
 		if c.conn == nil && !c.connect() {
 			time.Sleep(20 * time.Millisecond)
 			return
@@ -140,6 +143,24 @@
 	return true
 }
 
+// closed reports whether the far end has closed the connection while it was idle, as it
+// may after an answer. It does so in order unless it was killed.
+func (c *soakCaller) closed() bool {
+	if c.conn == nil {
+		return false
+	}
+	_ = c.conn.SetReadDeadline(time.Now().Add(time.Millisecond))
+	_, err := c.in.Peek(1)
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return false
+	}
+	if !errors.Is(err, io.EOF) && !c.edge.wasKilled(time.Now().Add(-callerPatience), time.Now()) {
+		c.w.ledger.fail("an idle connection to %s from %s ended out of order: %v", c.edge.name, c.conn.LocalAddr(), err)
+	}
+	c.w.ledger.closed.Add(1)
+	return true
+}
+
 func (c *soakCaller) drop() {
 	if c.conn != nil {
 		_ = c.conn.Close()
--- a/proof/deployed/soak_ledger_test.go
+++ b/proof/deployed/soak_ledger_test.go
@@ -61,7 +61,7 @@
 	// failed counts all failures, of which some are kept.
 	failed int
 
-	served, refused, unknown, crossed, broken, cutByKill, puts atomic.Int64
+	served, refused, unknown, closed, crossed, broken, cutByKill, puts atomic.Int64
 }
 
 // mostFailures is how many failures are kept.
@@ -172,6 +172,6 @@
 }
 
 func (l *ledger) summary() string {
-	return fmt.Sprintf("%d requests: %d served, %d refused, %d unknown, %d crossed an idle close, %d streams broken, %d cut by a kill; %d changes acknowledged",
-		len(l.kinds), l.served.Load(), l.refused.Load(), l.unknown.Load(), l.crossed.Load(), l.broken.Load(), l.cutByKill.Load(), l.puts.Load())
+	return fmt.Sprintf("%d requests: %d served, %d refused, %d unknown, %d idle connections closed, %d requests crossed that, %d streams broken, %d cut by a kill; %d changes acknowledged",
+		len(l.kinds), l.served.Load(), l.refused.Load(), l.unknown.Load(), l.closed.Load(), l.crossed.Load(), l.broken.Load(), l.cutByKill.Load(), l.puts.Load())
 }
