--- a/instance/tcpconn/tcpconn.go
+++ b/instance/tcpconn/tcpconn.go
@@ -83,7 +83,7 @@
 	fds := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}
 	for {
 		n, err := unix.Poll(fds, 0)
-		if err != unix.EINTR {
+		if !errors.Is(err, unix.EINTR) {
 			return n > 0
 		}
 	}
@@ -108,7 +108,7 @@
 	if err == nil || !errors.Is(err, os.ErrDeadlineExceeded) {
 		return n, err
 	}
-	if late, lateErr := c.readNow(p); lateErr != unix.EAGAIN {
+	if late, lateErr := c.readNow(p); !errors.Is(lateErr, unix.EAGAIN) {
 		return late, lateErr
 	}
 	return n, err
@@ -124,7 +124,7 @@
 	err = raw.Control(func(fd uintptr) {
 		for {
 			n, readErr = unix.Read(int(fd), p)
-			if readErr != unix.EINTR {
+			if !errors.Is(readErr, unix.EINTR) {
 				return
 			}
 		}
--- a/proof/deployed/harness_test.go
+++ b/proof/deployed/harness_test.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -169,15 +168,6 @@
 // it was sent.
 func neverConnected(told string) bool { return strings.Contains(told, ": dial tcp") }
 
-// refusesConnections reports whether a core no longer listens for calls.
-func refusesConnections(core *node) bool {
-	c, err := net.Dial("tcp4", core.at(portControl))
-	if err == nil {
-		_ = c.Close()
-	}
-	return errors.Is(err, syscall.ECONNREFUSED)
-}
-
 // callWith makes one call with a client of its own.
 func callWith(client *http.Client, method, url, body string, headers ...string) (int, string) {
 	req, err := http.NewRequest(method, url, strings.NewReader(body))
--- a/proof/deployed/soak_runner_test.go
+++ b/proof/deployed/soak_runner_test.go
@@ -93,8 +93,8 @@
 	}
 	known := time.Unix(0, at).Add(drainKnown + drainSlack)
 	now := time.Now()
-	if now.After(known) && !l.r.w.unclear.within(time.Unix(0, at).Add(-5*time.Second), now) {
-		l.r.w.ledger.fail("%s got %s %v after its drain was acknowledged", l.r.id, attempt, now.Sub(time.Unix(0, at)))
+	if drained := time.Unix(0, at); now.After(known) && !l.r.w.edgesLag(drained, now) {
+		l.r.w.ledger.fail("%s got %s %v after its drain was acknowledged", l.r.id, attempt, now.Sub(drained))
 	}
 }
 
--- a/proof/deployed/soak_world_test.go
+++ b/proof/deployed/soak_world_test.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"math/rand/v2"
 	"sync"
-	"syscall"
 	"testing"
 	"time"
 
@@ -22,23 +21,6 @@
 )
 
 // soakNode is a machine whose process faults end and start again.
-type soakNode struct {
-	*node
-	w *soakWorld
-	// mu guards the process and what follows.
-	mu    sync.Mutex
-	wants bool // an end of the process is wanted
-	wipes bool
-	down  time.Duration
-	// killed and frozen are when the process was killed and in which spans it did not run;
-	// stopped is when it got SIGTERM last.
-	killed  []time.Time
-	frozen  []span
-	stopped time.Time
-}
-
-type span struct{ from, to time.Time }
-
 // soakWorld is a deployment under faults.
 type soakWorld struct {
 	*site
@@ -56,7 +38,7 @@
 	invalid chan struct{}
 	ready   *balance
 	faulty  marks // when anything was done to runners or to connections to them
-	unclear marks // when edges may not have known the newest state
+	unclear marks // when a core was killed or did not run: edges may lag behind
 }
 
 func newSoakWorld(t *testing.T, seed int64, cores, edges int) *soakWorld {
@@ -134,118 +116,13 @@
 }
 
 // supervise starts the process again whenever it ends.
-func (n *soakNode) supervise() {
-	for {
-		n.mu.Lock()
-		exited, process := n.exited, n.process
-		n.mu.Unlock()
-		<-exited
-		n.mu.Lock()
-		wanted, wipes, down := n.wants, n.wipes, n.down
-		n.mu.Unlock()
-		if !wanted {
-			n.w.ledger.fail("%s ended by itself: %v", n.name, process.ProcessState)
-		}
-		select {
-		case <-n.w.ending:
-			return
-		case <-time.After(max(down, restartAfter)):
-		}
-		n.mu.Lock()
-		if wipes {
-			n.wipe()
-		}
-		n.wants, n.wipes, n.down = false, false, 0
-		n.node.start(false)
-		n.mu.Unlock()
-	}
-}
-
 // send signals the process; it needs mu.
-func (n *soakNode) send(sig syscall.Signal) { _ = n.process.Process.Signal(sig) }
-
 // sigkill ends the process at once; it stays down for a while.
-func (n *soakNode) sigkill(down time.Duration, wipe bool) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	n.killed = append(n.killed, time.Now())
-	n.wants, n.down = true, down
-	n.wipes = n.wipes || wipe
-	n.send(syscall.SIGKILL)
-}
-
 // sigterm asks the process to end, and checks that it does in time.
-func (n *soakNode) sigterm(down time.Duration) {
-	n.mu.Lock()
-	begun, exited := time.Now(), n.exited
-	first := !n.wants
-	n.wants, n.down = true, down
-	if first {
-		n.stopped = begun
-	}
-	n.send(syscall.SIGTERM)
-	n.mu.Unlock()
-	if !first {
-		return
-	}
-	n.w.running.Go(func() {
-		select {
-		case <-exited:
-		case <-time.After(soakGrace + 3*time.Second):
-			n.w.ledger.fail("%s has not ended %v after SIGTERM", n.name, time.Since(begun))
-			n.sigkill(down, false)
-		}
-	})
-}
-
 // freeze keeps the process from running for a while.
-func (n *soakNode) freeze(lasts time.Duration) {
-	n.mu.Lock()
-	n.frozen = append(n.frozen, span{from: time.Now(), to: time.Now().Add(lasts + time.Second)})
-	at := len(n.frozen) - 1
-	n.send(syscall.SIGSTOP)
-	n.mu.Unlock()
-	time.Sleep(lasts)
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	n.send(syscall.SIGCONT)
-	n.frozen[at].to = time.Now()
-}
-
 // wasKilled reports whether the process was killed in a span.
-func (n *soakNode) wasKilled(from, to time.Time) bool {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	for _, at := range n.killed {
-		if !at.Before(from) && !at.After(to) {
-			return true
-		}
-	}
-	return false
-}
-
 // wasFrozen reports whether the process did not run for a part of a span.
-func (n *soakNode) wasFrozen(from, to time.Time) bool {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	for _, s := range n.frozen {
-		if s.from.Before(to) && s.to.After(from) {
-			return true
-		}
-	}
-	return false
-}
-
 // stopsSince returns for how long the process has been asked to end; zero if it is not.
-func (n *soakNode) stopsSince() time.Duration {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	if !n.wants {
-		return 0
-	}
-	return time.Since(n.stopped)
-}
-
 // play does all steps at their times; they overlap.
 func (w *soakWorld) play(steps []soakStep) {
 	begun := time.Now()
@@ -258,24 +135,15 @@
 }
 
 func (w *soakWorld) step(s soakStep) {
-	n, r := w.byName[s.target], w.runners[s.target]
+	if n := w.byName[s.target]; n != nil {
+		n.step(s)
+		return
+	}
+	if r := w.runners[s.target]; r != nil {
+		r.step(s)
+		return
+	}
 	switch s.kind {
-	case stepStop:
-		n.sigterm(s.lasts)
-	case stepFrozenStop:
-		n.sigterm(s.lasts)
-		time.Sleep(s.delay)
-		n.freeze(s.lasts)
-	case stepKill, stepWipe:
-		w.unclear.add()
-		n.sigkill(s.lasts, s.kind == stepWipe)
-	case stepFreeze:
-		w.unclear.add()
-		n.freeze(s.lasts)
-	case stepReload:
-		n.mu.Lock()
-		n.send(syscall.SIGHUP)
-		n.mu.Unlock()
 	case stepKillCores, stepKillAll:
 		w.unclear.add()
 		for _, n := range w.nodes {
@@ -283,6 +151,17 @@
 				n.sigkill(0, false)
 			}
 		}
+	case stepRevoke:
+		w.revokes <- struct{}{}
+	case stepInvalid:
+		w.invalid <- struct{}{}
+	}
+}
+
+// step does what is done to one machine.
+// step does what is done to one runner.
+func (r *soakRunner) step(s soakStep) {
+	switch s.kind {
 	case stepRunnerGone:
 		r.crashAndReturn(s.lasts)
 	case stepRunnerDown:
@@ -292,12 +171,25 @@
 	case stepSilence:
 		r.silence()
 	case stepForeign:
-		w.foreignReport(r)
-	case stepRevoke:
-		w.revokes <- struct{}{}
-	case stepInvalid:
-		w.invalid <- struct{}{}
+		r.w.foreignReport(r)
+	}
+}
+
+// noteCore notes a trouble of a core.
+func (w *soakWorld) noteCore(n *soakNode) {
+	if n.core {
+		w.unclear.add()
+	}
+}
+
+// edgesLag reports whether edges may not have known for all of a span what cores told them.
+func (w *soakWorld) edgesLag(from, to time.Time) bool {
+	for _, e := range w.edges {
+		if e.wasFrozen(from, to) {
+			return true
+		}
 	}
+	return w.unclear.within(from.Add(-time.Second), to)
 }
 
 // foreignReport sends a report of another writer under a runner's ID: it names nobody.
