--- a/proof/deployed/soak_node_test.go
+++ b/proof/deployed/soak_node_test.go
@@ -6,6 +6,7 @@
 	"time"
 )
 
+// soakNode is a machine whose process faults end and start again.
 type soakNode struct {
 	*node
 	w *soakWorld
@@ -23,6 +24,7 @@
 
 type span struct{ from, to time.Time }
 
+// supervise starts the process again whenever it ends.
 func (n *soakNode) supervise() {
 	for {
 		n.mu.Lock()
@@ -50,8 +52,10 @@
 	}
 }
 
+// send signals the process; it needs mu.
 func (n *soakNode) send(sig syscall.Signal) { _ = n.process.Process.Signal(sig) }
 
+// sigkill ends the process at once; it stays down for a while.
 func (n *soakNode) sigkill(down time.Duration, wipe bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -61,6 +65,7 @@
 	n.send(syscall.SIGKILL)
 }
 
+// sigterm asks the process to end, and checks that it does in time.
 func (n *soakNode) sigterm(down time.Duration) {
 	n.mu.Lock()
 	begun, exited := time.Now(), n.exited
@@ -84,6 +89,7 @@
 	})
 }
 
+// freeze keeps the process from running for a while.
 func (n *soakNode) freeze(lasts time.Duration) {
 	n.mu.Lock()
 	n.frozen = append(n.frozen, span{from: time.Now(), to: time.Now().Add(lasts + time.Second)})
@@ -97,6 +103,7 @@
 	n.frozen[at].to = time.Now()
 }
 
+// wasKilled reports whether the process was killed in a span.
 func (n *soakNode) wasKilled(from, to time.Time) bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -108,6 +115,7 @@
 	return false
 }
 
+// wasFrozen reports whether the process did not run for a part of a span.
 func (n *soakNode) wasFrozen(from, to time.Time) bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -119,6 +127,7 @@
 	return false
 }
 
+// stopsSince returns for how long the process has been asked to end; zero if it is not.
 func (n *soakNode) stopsSince() time.Duration {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -128,6 +137,7 @@
 	return time.Since(n.stopped)
 }
 
+// step does what is done to one machine.
 func (n *soakNode) step(s soakStep) {
 	switch s.kind {
 	case stepStop:
--- a/proof/deployed/soak_world_test.go
+++ b/proof/deployed/soak_world_test.go
@@ -20,7 +20,6 @@
 	firstEdgeHost, firstRunnerHost = 30, 240
 )
 
-// soakNode is a machine whose process faults end and start again.
 // soakWorld is a deployment under faults.
 type soakWorld struct {
 	*site
@@ -115,14 +114,6 @@
 	}
 }
 
-// supervise starts the process again whenever it ends.
-// send signals the process; it needs mu.
-// sigkill ends the process at once; it stays down for a while.
-// sigterm asks the process to end, and checks that it does in time.
-// freeze keeps the process from running for a while.
-// wasKilled reports whether the process was killed in a span.
-// wasFrozen reports whether the process did not run for a part of a span.
-// stopsSince returns for how long the process has been asked to end; zero if it is not.
 // play does all steps at their times; they overlap.
 func (w *soakWorld) play(steps []soakStep) {
 	begun := time.Now()
@@ -158,7 +149,6 @@
 	}
 }
 
-// step does what is done to one machine.
 // step does what is done to one runner.
 func (r *soakRunner) step(s soakStep) {
 	switch s.kind {
