Control group: a call is answered at its deadline while a disk hangs

Cause: the member's goroutine waits for a sync and answers nothing meanwhile, also after the deadlines of calls.

Fix: a call that was taken and is not answered 0.3 s after its deadline ends with "outcome unknown", a read with "unavailable". Both are true whatever the goroutine does with it later.

Evidence: TestAHangingDiskKeepsNoCallWaiting; without the change it waits until the disk is released.

--- a/instance/consensus/calls.go
+++ b/instance/consensus/calls.go
@@ -125,13 +125,40 @@
 	case <-ctx.Done():
 		return reply{err: fault.New(fault.NotRun, "the control member is busy").After(s.cfg.Heartbeat)}
 	}
-	// The goroutine answers every call that it took, also after its deadline:
-	// only it knows whether the command was appended.
+	return s.await(ctx, c)
+}
+
+// keptFor is for how long after its deadline a call waits for its answer.
+const keptFor = 300 * time.Millisecond
+
+// await returns the answer to a call that the goroutine took. It answers every one at its
+// deadline at the latest: only it knows whether the command was appended. While a disk
+// keeps it, it answers nothing.
+func (s *Service) await(ctx context.Context, c *call) reply {
+	select {
+	case r := <-c.reply:
+		return r
+	case <-s.done:
+		return ended(c)
+	case <-ctx.Done():
+	}
+	kept := time.NewTimer(keptFor)
+	defer kept.Stop()
 	select {
 	case r := <-c.reply:
 		return r
 	case <-s.done:
+		return ended(c)
+	case <-kept.C:
 	}
+	if c.kind == callRead {
+		return reply{err: fault.New(fault.Unavailable, "the disk keeps the control member")}
+	}
+	return reply{err: unknown("the disk keeps the control member")}
+}
+
+// ended returns the answer to a call when the goroutine has ended.
+func ended(c *call) reply {
 	select {
 	case r := <-c.reply:
 		return r
--- a/instance/serving/faults_test.go
+++ b/instance/serving/faults_test.go
@@ -45,6 +45,27 @@
 	}
 }
 
+// Guards against calls that hang for as long as a disk does: their callers are told at the
+// deadline that nobody knows, and go elsewhere.
+func TestAHangingDiskKeepsNoCallWaiting(t *testing.T) {
+	t.Parallel()
+	g := newGroup(t, 3)
+	g.acknowledge(2, g.names...)
+	for _, name := range g.names {
+		release := make(chan struct{})
+		g.nodes[name].disk.SetSyncFails(func(string) error { <-release; return nil })
+		answered := make(chan bool, 2)
+		go func() { answered <- g.put(9, name) }()
+		go func() { answered <- g.put(9, name) }()
+		for range cap(answered) {
+			g.Eventually(answered, 2*changeFor).Should(Receive(BeFalse()))
+		}
+		close(release)
+		g.nodes[name].disk.SetSyncFails(nil)
+		g.Eventually(func() bool { return g.put(9, name) }).Should(BeTrue())
+	}
+}
+
 // Operators on the two sides of a split each see their change acknowledged, and one of
 // them is gone afterwards. Only a side with a quorum may acknowledge or call what it
 // has the newest, wherever the leader was; all that was acknowledged is there in the end.
