Platform's roles: a signal during the start is no end

Cause: the process asked for signals after it had read its settings and put its services together; a SIGHUP before that ends it.

Fix: it asks for signals first. Until then, some milliseconds from exec on, the system's default holds, which no program can change; the soak sends SIGHUP only to a process that has run for 0.3 s.

Evidence: TestReloadDuringTheStartIsNoEnd (the settings come through a pipe, the signal before them), ends on the code before.

--- a/instance/cmd/comfreyladderd/platform.go
+++ b/instance/cmd/comfreyladderd/platform.go
@@ -33,6 +33,10 @@
 
 // runOnPlatform runs the process that the platform's settings file describes.
 func runOnPlatform(opts options) error {
+	// A closed log must not end the process, nor a signal that comes while it starts.
+	signal.Ignore(syscall.SIGPIPE)
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	path := opts.Settings
 	if path == "" {
 		var err error
@@ -69,10 +73,6 @@
 	if err != nil {
 		return err
 	}
-	// A closed log must not end the process.
-	signal.Ignore(syscall.SIGPIPE)
-	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	if err := p.Start(context.Background()); err != nil {
 		events.Event("start_failed").Err(err).End()
 		return err
--- a/proof/deployed/harness_test.go
+++ b/proof/deployed/harness_test.go
@@ -87,12 +87,16 @@
 func (n *node) dataDir() string      { return filepath.Join(n.s.dir, n.name) }
 
 func (n *node) writeSettings(bootstrap bool) {
+	Expect(os.WriteFile(n.settingsFile(), []byte(n.settingsText(bootstrap)), 0o600)).To(Succeed())
+}
+
+func (n *node) settingsText(bootstrap bool) string {
 	role, listen, data := "edge", fmt.Sprintf("{frontend: %q, ready: %q}", n.at(portFrontend), n.at(portReady)), "null"
 	if n.core {
 		role, listen, data = "controller", fmt.Sprintf("{control-plane: %q}", n.at(portControl)), n.dataDir()
 	}
 	seeds, _ := json.Marshal(n.s.seeds)
-	text := fmt.Sprintf(`
+	return fmt.Sprintf(`
 node-name: %q
 serves: [%q]
 ip: %q
@@ -106,13 +110,18 @@
 heartbeat-ms: 1200
 bounds: {fail-closed: true, revoke-ms: 3000, grace-s: 8, seed-lag-s: 3, retry-budget-ratio: 0.2, retry-window-s: 10, retry-slack: 58%s}
 %s`, n.name, role, n.ip, listen, portPeer, portPeer+15, seeds, bootstrap, data, n.s.bounds, n.s.settings)
-	Expect(os.WriteFile(n.settingsFile(), []byte(text), 0o600)).To(Succeed())
 }
 
-// start runs the process.
+// start writes the settings and runs the process.
 func (n *node) start(bootstrap bool) *node {
 	n.s.t.Helper()
 	n.writeSettings(bootstrap)
+	return n.run()
+}
+
+// run runs the process with the settings as they are.
+func (n *node) run() *node {
+	n.s.t.Helper()
 	if n.core {
 		Expect(os.MkdirAll(n.dataDir(), 0o700)).To(Succeed())
 	}
--- a/proof/deployed/soak_node_test.go
+++ b/proof/deployed/soak_node_test.go
@@ -20,6 +20,8 @@
 	killed  []time.Time
 	frozen  []span
 	stopped time.Time
+	// begun is when the process was started last.
+	begun time.Time
 }
 
 type span struct{ from, to time.Time }
@@ -48,6 +50,7 @@
 		}
 		n.wants, n.wipes, n.down = false, false, 0
 		n.start(false)
+		n.begun = time.Now()
 		n.mu.Unlock()
 	}
 }
@@ -137,6 +140,19 @@
 	return time.Since(n.stopped)
 }
 
+// signalsFrom is for how long after its start a process takes no signals: until it asks for
+// them, the system ends it.
+const signalsFrom = 300 * time.Millisecond
+
+// reload sends SIGHUP, unless the process has just started or does not run.
+func (n *soakNode) reload() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if time.Since(n.begun) >= signalsFrom {
+		n.send(syscall.SIGHUP)
+	}
+}
+
 // step does what is done to one machine.
 func (n *soakNode) step(s soakStep) {
 	switch s.kind {
@@ -154,8 +170,6 @@
 		n.w.noteCore(n)
 		n.freeze(s.lasts)
 	case stepReload:
-		n.mu.Lock()
-		defer n.mu.Unlock()
-		n.send(syscall.SIGHUP)
+		n.reload()
 	}
 }
--- a/proof/deployed/stop_test.go
+++ b/proof/deployed/stop_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"syscall"
 	"testing"
@@ -263,3 +264,23 @@
 	core.signal(syscall.SIGCONT)
 	expectAnswers(core, callers)
 }
+
+// Guards against a signal to read the settings again that ends a process which starts.
+func TestReloadDuringTheStartIsNoEnd(t *testing.T) {
+	s := newTrio(t)
+	n := s.add("edge-3", 103, false)
+	Expect(syscall.Mkfifo(n.settingsFile(), 0o600)).To(Succeed())
+	n.run()
+	// The process waits for its settings from the time it opens the pipe.
+	pipe, err := os.OpenFile(n.settingsFile(), os.O_WRONLY, 0)
+	Expect(err).NotTo(HaveOccurred())
+	n.signal(syscall.SIGHUP)
+	Consistently(n.exited, 200*time.Millisecond).ShouldNot(BeClosed())
+	Expect(os.Remove(n.settingsFile())).To(Succeed())
+	n.writeSettings(false)
+	_, err = pipe.WriteString(n.settingsText(false))
+	Expect(err).NotTo(HaveOccurred())
+	Expect(pipe.Close()).To(Succeed())
+	Eventually(n.ready, patience, poll).Should(BeTrue(), n.log)
+	Eventually(n.log, patience, poll).Should(ContainSubstring("event=reload why=signal"))
+}
