--- a/proof/deployed/soak_node_test.go
+++ b/proof/deployed/soak_node_test.go
@@ -45,6 +45,12 @@
 		case <-time.After(max(down, restartAfter)):
 		}
 		n.mu.Lock()
+		select {
+		case <-n.w.ending:
+			n.mu.Unlock()
+			return
+		default:
+		}
 		if wipes {
 			n.wipe()
 		}
