Relay: a request's content in the logs, and which contents were under way at a crash

A crash is a connection that ended and nothing that listens 30 ms later, or a successor at the address without a leave; a reset connection, a cut-off answer, a silence or a drain is none. Nothing is decided by it yet. A request without a lost connection is not hashed.

Ruled out as a mark of a crash: the connection's end alone (resets, garbled answers), silence alone (cuts, freezes).

--- /dev/null
+++ b/core/quarantine/fingerprint_test.go
@@ -0,0 +1,39 @@
+package quarantine_test
+
+import (
+	"strings"
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/comfreyladder/comfreyladder/core/fault"
+	"github.com/comfreyladder/comfreyladder/core/quarantine"
+)
+
+// Guards against two different requests that are taken for one, and one that is taken for two.
+func TestFingerprintTellsContentsApart(t *testing.T) {
+	g := NewWithT(t)
+	f := quarantine.FingerprintOf("h.example", "/a/x", "o", []byte("body"))
+	g.Expect(quarantine.FingerprintOf("H.Example", "/a/x", "o", []byte("body"))).To(Equal(f))
+	for name, other := range map[string]quarantine.Fingerprint{
+		"host":         quarantine.FingerprintOf("i.example", "/a/x", "o", []byte("body")),
+		"target":       quarantine.FingerprintOf("h.example", "/a/x?q", "o", []byte("body")),
+		"organisation": quarantine.FingerprintOf("h.example", "/a/x", "p", []byte("body")),
+		"body":         quarantine.FingerprintOf("h.example", "/a/x", "o", []byte("bodz")),
+		"boundary":     quarantine.FingerprintOf("h.example", "/a/", "xo", []byte("body")),
+	} {
+		g.Expect(other).NotTo(Equal(f), name)
+	}
+}
+
+func TestFingerprintIsReadAsItIsWritten(t *testing.T) {
+	g := NewWithT(t)
+	f := quarantine.FingerprintOf("h", "/", "", nil)
+	read, err := quarantine.ParseFingerprint(f.String())
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(read).To(Equal(f))
+	for _, text := range []string{"", "0", f.String()[1:], f.String() + "00", strings.Repeat("x", 32)} {
+		_, err := quarantine.ParseFingerprint(text)
+		g.Expect(fault.CodeOf(err)).To(Equal(fault.Invalid), text)
+	}
+}
--- /dev/null
+++ b/instance/relay/crash_test.go
@@ -0,0 +1,86 @@
+package relay_test
+
+import (
+	"net"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/comfreyladder/comfreyladder/core/control/serving"
+	"github.com/comfreyladder/comfreyladder/core/quarantine"
+)
+
+// crashes ends the upstream with each request: nothing listens there any more.
+func (u *fakeUpstream) crashes(_ int, _ *received, c net.Conn) bool {
+	_ = u.listener.Close()
+	return false
+}
+
+// startCrashing starts an upstream that crashes with its first request.
+func startCrashing(t *testing.T, id string) *fakeUpstream {
+	var u *fakeUpstream
+	ready := make(chan struct{})
+	u = startUpstream(t, id, func(n int, r *received, c net.Conn) bool {
+		<-ready
+		return u.crashes(n, r, c)
+	})
+	close(ready)
+	return u
+}
+
+const crashLine = "event=upstream_crashed"
+
+// Guards against crashes that nobody can trace to the requests under way at them.
+func TestCrashOfAnUpstreamNamesWhatWasUnderWay(t *testing.T) {
+	b := start(t, startCrashing(t, "a"), startCrashing(t, "b"))
+	Expect(b.caller().call("POST", "/idem/x", "r1", "poison").status).To(Equal(502))
+	f := quarantine.FingerprintOf("h", "/idem/x", "org", []byte("poison")).String()
+	for _, id := range []string{"a", "b"} {
+		Eventually(b.log.String, limit).Should(ContainSubstring(crashLine + " upstream=" + id))
+	}
+	Expect(b.log.String()).To(ContainSubstring("under_way=1 fingerprints=" + f))
+	Expect(b.log.String()).To(MatchRegexp("event=request_failed .* fingerprint=" + f))
+}
+
+// Guards against connections that are reset, or answers that are cut short, taken for crashes.
+func TestLostConnectionToALivingUpstreamIsNoCrash(t *testing.T) {
+	a := startUpstream(t, "a", func(int, *received, net.Conn) bool { return false })
+	b := start(t, a)
+	Expect(b.caller().call("POST", "/once/x", "r1", "x").status).To(Equal(502))
+	Consistently(b.log.String, 500*time.Millisecond).ShouldNot(ContainSubstring(crashLine))
+	Expect(b.log.String()).To(ContainSubstring("event=attempt"))
+}
+
+// Guards against a crash that nobody sees since the upstream's host falls silent with it:
+// the successor at its address shows it.
+func TestCrashThatIsSilentShowsWithItsSuccessor(t *testing.T) {
+	silent := startUpstream(t, "a", func(int, *received, net.Conn) bool { time.Sleep(3 * limit); return false })
+	b := start(t, silent)
+	Expect(b.caller().call("POST", "/once/x", "r1", "x").status).To(BeElementOf(502, 504))
+	b.replace("a", serving.Superseded)
+	Eventually(b.log.String, limit).Should(ContainSubstring(crashLine + " upstream=a"))
+}
+
+// Guards against an upstream that leaves in order taken for one that has crashed.
+func TestEndOfADrainingUpstreamIsNoCrash(t *testing.T) {
+	silent := startUpstream(t, "a", func(int, *received, net.Conn) bool { time.Sleep(3 * limit); return false })
+	b := start(t, silent)
+	Expect(b.caller().call("POST", "/once/x", "r1", "x").status).To(BeElementOf(502, 504))
+	b.replace("a", serving.Draining)
+	b.replace("a", serving.Superseded)
+	Consistently(b.log.String, 500*time.Millisecond).ShouldNot(ContainSubstring(crashLine))
+}
+
+// replace gives an upstream another state in the view.
+func (b *bed) replace(id string, s serving.State) {
+	b.state.mu.Lock()
+	v := *b.state.view
+	u := *v.Upstreams[id]
+	u.State = s
+	v.Upstreams = map[string]*serving.Upstream{id: &u}
+	v.Index++
+	b.state.view = &v
+	b.state.mu.Unlock()
+	b.service.Update(&v)
+}
--- a/instance/relay/fleet.go
+++ b/instance/relay/fleet.go
@@ -50,9 +50,10 @@
 		paces: map[string]*pace{}, others: map[uint64]servingsvc.Load{}, observedByOthers: map[uint64]balance.Observed{}, told: map[uint64]balance.Observed{}, quickCount: map[string]int{}}
 }
 
-// update takes in which incarnations there are. One that is not usable any more
-// gets no new work from here on; its work under way goes on.
-func (f *fleet) update(v *follow.View) {
+// update takes in which incarnations there are, and returns those that have ended without a
+// leave. One that is not usable any more gets no new work from here on; its work under way
+// goes on.
+func (f *fleet) update(v *follow.View) (crashed []*upstream) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for id, u := range f.upstreams {
@@ -70,6 +71,9 @@
 			// An upstream that started again keeps nothing, is as fast as any, and has none
 			// of the work that its ID had before.
 			if u != nil {
+				if u.state == serving.Ready {
+					crashed = append(crashed, u)
+				}
 				delete(f.byBegun, u.begun)
 				u.retire()
 				f.log.Event("upstream_restarted").Str("upstream", id).Str("address", info.Address).Int("born", info.Born).Int("index", int64(v.Index)).End()
@@ -77,6 +81,9 @@
 			u = newUpstream(info)
 			f.upstreams[id], f.byBegun[u.begun] = u, u
 		}
+		if u.state == serving.Ready && info.State == serving.Superseded {
+			crashed = append(crashed, u)
+		}
 		f.note(u, info, v.Index)
 		u.maxConns = connectionShare(v, info.Service)
 		if u.state == serving.Ready {
@@ -85,6 +92,7 @@
 			u.closeIdle(time.Time{})
 		}
 	}
+	return crashed
 }
 
 func (f *fleet) note(u *upstream, info *serving.Upstream, index uint64) {
--- a/instance/relay/lost.go
+++ b/instance/relay/lost.go
@@ -45,8 +45,8 @@
 		a.beganAgo(time.Since(a.begun))
 		return
 	}
-	if s.losses.Add(1) > maxLost {
-		s.losses.Add(-1)
+	if s.lostTries.Add(1) > maxLost {
+		s.lostTries.Add(-1)
 		return
 	}
 	// A loss may show long after the request began, as at its deadline, in another window of
@@ -54,7 +54,7 @@
 	ago := max(0, time.Since(a.begun)-a.expected())
 	up, organisation, counted := a.up, r.organisation.Name, r.counted
 	s.running.Go(func() {
-		defer s.losses.Add(-1)
+		defer s.lostTries.Add(-1)
 		ctx, cancel := context.WithTimeout(context.Background(), lostPause+dialTimeout)
 		defer cancel()
 		if !s.pause(lostPause) {
--- a/instance/relay/relay.go
+++ b/instance/relay/relay.go
@@ -32,8 +32,8 @@
 	inFlight atomic.Int64
 	// listening says that connections may still be accepted.
 	listening atomic.Bool
-	// losses counts the upstreams that are tried since an answer of theirs was lost.
-	losses atomic.Int64
+	// lostTries counts the upstreams that are tried since an answer of theirs was lost.
+	lostTries atomic.Int64
 	// drain is the course of the drain, nil before one.
 	drain atomic.Pointer[drain.Schedule]
 
@@ -58,7 +58,12 @@
 func (s *Service) TakeReport(r *serving.Report) { s.fleet.takeReport(r) }
 
 // Update takes a new view of the serving state.
-func (s *Service) Update(v *follow.View) { s.fleet.update(v) }
+func (s *Service) Update(v *follow.View) {
+	for _, up := range s.fleet.update(v) {
+		up.losses.superseded()
+		s.reportCrash(up)
+	}
+}
 
 // Start listens for callers. It fails with fault.Unavailable.
 func (s *Service) Start(context.Context) error {
--- a/instance/relay/report.go
+++ b/instance/relay/report.go
@@ -5,6 +5,7 @@
 	"strings"
 	"time"
 
+	"github.com/comfreyladder/comfreyladder/core/quarantine"
 	"github.com/comfreyladder/comfreyladder/instance/clock"
 )
 
@@ -39,6 +40,9 @@
 	if reason != "" {
 		l.Str("reason", reason)
 	}
+	if r.content != (quarantine.Fingerprint{}) {
+		l.Str("fingerprint", r.content.String())
+	}
 	if r.organisation != nil {
 		l.Str("organisation", r.organisation.Name)
 	}
--- a/instance/relay/request.go
+++ b/instance/relay/request.go
@@ -10,6 +10,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/comfreyladder/comfreyladder/core/fault"
+	"github.com/comfreyladder/comfreyladder/core/quarantine"
 	"github.com/comfreyladder/comfreyladder/core/route"
 	"github.com/comfreyladder/comfreyladder/instance/http1"
 )
@@ -89,6 +90,8 @@
 	leaseLost bool
 	// broken says that a part of an answer is out and the rest will not come.
 	broken bool
+	// content is the fingerprint, zero as long as nobody asked for it.
+	content quarantine.Fingerprint
 	// upstream is the last one used, last what became of it.
 	upstream string
 	last     error
@@ -307,6 +310,18 @@
 	return append(b, "\r\n"...)
 }
 
+// fingerprint returns the fingerprint of a request whose route is known.
+func (r *request) fingerprint() quarantine.Fingerprint {
+	if r.content == (quarantine.Fingerprint{}) {
+		organisation := ""
+		if r.organisation != nil {
+			organisation = r.organisation.Name
+		}
+		r.content = quarantine.FingerprintOf(r.route.Host, string(r.head.Target), organisation, r.body)
+	}
+	return r.content
+}
+
 // urgencyLevels is how many ranks upstreams know.
 const urgencyLevels = 10
 
--- a/instance/relay/serve.go
+++ b/instance/relay/serve.go
@@ -261,6 +261,7 @@
 		r.sent++
 		r.ran = true
 		s.countLost(a)
+		s.noteLoss(a)
 		if fault.CodeOf(a.err) != fault.Internal || a.head.Status < statusServerError {
 			pause = a.up.failed(false)
 		}
@@ -278,9 +279,13 @@
 		}
 	}
 	s.set.GetOrCreateCounter(`relay_attempts_total{outcome="` + o.String() + `"}`).Inc()
-	s.cfg.Log.Event("attempt").Bytes("request", r.id).Str("route", r.route.Name).Str("upstream", a.up.id).
+	l := s.cfg.Log.Event("attempt").Bytes("request", r.id).Str("route", r.route.Name).Str("upstream", a.up.id).
 		Str("outcome", o.String()).Int("sent", int64(r.sent)).MS("took", time.Since(a.begun)).MS("left", r.left(clock.Now())).
-		MS("set_aside", pause).MS("view_age", s.cfg.State.Age()).Err(a.err).End()
+		MS("set_aside", pause).MS("view_age", s.cfg.State.Age())
+	if o == unknown {
+		l.Str("fingerprint", r.fingerprint().String())
+	}
+	l.Err(a.err).End()
 }
 
 // mayTryAgain decides whether another upstream is tried. What left for an upstream
--- a/instance/relay/suite_test.go
+++ b/instance/relay/suite_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"fmt"
 	"io"
@@ -18,6 +19,7 @@
 
 	"github.com/comfreyladder/comfreyladder/core/control/serving"
 	"github.com/comfreyladder/comfreyladder/core/route"
+	"github.com/comfreyladder/comfreyladder/instance/eventlog"
 	"github.com/comfreyladder/comfreyladder/instance/follow"
 	"github.com/comfreyladder/comfreyladder/instance/relay"
 )
@@ -200,6 +202,26 @@
 	began sync.Map
 	// ago is how long before it was counted the latest one began.
 	ago atomic.Int64
+	// log gathers the lines.
+	log lockedBuffer
+}
+
+// lockedBuffer is a buffer for a writer and a reader at the same time.
+type lockedBuffer struct {
+	mu sync.Mutex
+	b  bytes.Buffer
+}
+
+func (b *lockedBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.b.Write(p)
+}
+
+func (b *lockedBuffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.b.String()
 }
 
 func (b *bed) count(organisation string, ago time.Duration) {
@@ -229,6 +251,7 @@
 		Listen: "127.0.0.1:0", Headers: headers, State: b.state, FailClosed: true,
 		Budget:   relay.Budget{Ratio: 0.2, Window: 10 * time.Second, Slack: 20},
 		Announce: 200 * time.Millisecond, DrainTimeout: 2 * time.Second, BodyBytes: bodyRoom, Began: b.count,
+		Log: eventlog.New(&b.log, nil),
 	}, metrics.NewSet())
 	b.service.Update(v)
 	if err := b.service.Start(context.Background()); err != nil {
--- a/instance/relay/upstream.go
+++ b/instance/relay/upstream.go
@@ -35,7 +35,8 @@
 	// observer sums up how its answers went.
 	observer balance.Observer
 
-	pool pool
+	pool   pool
+	losses losses
 }
 
 func newUpstream(info *serving.Upstream) *upstream {
