Quarantine: the decision, without a network, and its replicated state

Which requests crash the upstreams that run them is decided from which were under way at which crash: one crash counts once, whoever tells; a success clears; crashes that a quarantined request explains count for nobody else; upstreams that end at the same moment count as one unless the request was sent after the first end; requests that can't be told apart wait for one crash more; a quarantined request gets one trial.

Nothing uses it yet.

--- /dev/null
+++ b/core/control/quarantine/view.go
@@ -0,0 +1,116 @@
+package quarantine
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/comfreyladder/comfreyladder/core/control"
+	"github.com/comfreyladder/comfreyladder/core/quarantine"
+	"github.com/comfreyladder/comfreyladder/core/wire"
+)
+
+// Snapshot implements control.Machine.
+func (m *Machine) Snapshot() ([]byte, error) {
+	s := state{Index: m.index, Pruned: m.pruned, At: nanos(m.at), LastTrial: nanos(m.lastTrial), Entries: m.Entries(), Crashes: m.ledger.State(), Suspects: m.suspects}
+	return control.Marshal(&s)
+}
+
+func nanos(at time.Time) int64 {
+	if at.IsZero() {
+		return 0
+	}
+	return at.UnixNano()
+}
+
+func fromNanos(n int64) time.Time {
+	if n == 0 {
+		return time.Time{}
+	}
+	return time.Unix(0, n).UTC()
+}
+
+// Restore implements control.Machine.
+func (m *Machine) Restore(snapshot []byte) error {
+	var s state
+	if err := control.Unmarshal(snapshot, &s); err != nil {
+		return err
+	}
+	m.index, m.pruned, m.at, m.lastTrial, m.suspects = s.Index, s.Pruned, fromNanos(s.At), fromNanos(s.LastTrial), s.Suspects
+	m.ledger.Restore(s.Crashes)
+	m.entries = make(map[quarantine.Fingerprint]*Entry, len(s.Entries))
+	for i := range s.Entries {
+		e := &s.Entries[i]
+		m.entries[e.Fingerprint] = e
+		if !e.Released {
+			m.ledger.Quarantine(e.Fingerprint)
+		}
+	}
+	return nil
+}
+
+// Entries returns the list, the oldest change first.
+func (m *Machine) Entries() []Entry {
+	list := make([]Entry, 0, len(m.entries))
+	for _, e := range m.entries {
+		list = append(list, *e)
+	}
+	slices.SortFunc(list, func(a, b Entry) int {
+		return cmp.Or(cmp.Compare(a.Changed, b.Changed), slices.Compare(a.Fingerprint[:], b.Fingerprint[:]))
+	})
+	return list
+}
+
+// Suspects returns the requests that are suspected.
+func (m *Machine) Suspects() []quarantine.Fingerprint { return m.suspects }
+
+// Describe returns whose request it is, where it went, and at how many crashes it was under
+// way.
+func (m *Machine) Describe(f quarantine.Fingerprint) (organisation, target string, crashes int) {
+	return m.ledger.Describe(f)
+}
+
+// At returns the log's time at the last command.
+func (m *Machine) At() time.Time { return m.at }
+
+// Judge returns the requests that are to be quarantined at a time of the log, and whether
+// there are crashes that can't be judged yet. It does not change the state.
+func (m *Machine) Judge(now time.Time) (verdict []quarantine.Fingerprint, unsettled bool) {
+	return m.ledger.Judge(now), !m.ledger.Settled(now)
+}
+
+// Held is what instances are told of an entry.
+type Held struct {
+	wire.Array
+	Fingerprint quarantine.Fingerprint
+	// Released says that it is not quarantined any more, Trial that a trial may be asked for.
+	Released, Trial bool
+}
+
+// Changes is what an instance is behind by.
+type Changes struct {
+	// Index is up to where an instance is that has taken them in.
+	Index uint64 `codec:"n"`
+	// Full says that Held lists all there are, not only changed ones.
+	Full bool   `codec:"f,omitempty"`
+	Held []Held `codec:"h,omitempty"`
+	// Suspects are all that are suspected now.
+	Suspects []quarantine.Fingerprint `codec:"s,omitempty"`
+}
+
+// Index returns the log index of the last change that instances need to hear of.
+func (m *Machine) Index() uint64 { return m.index }
+
+// Since returns what has changed after an index; nil for nothing.
+func (m *Machine) Since(index uint64) *Changes {
+	if m.index <= index {
+		return nil
+	}
+	c := &Changes{Index: m.index, Full: index < m.pruned, Suspects: m.suspects}
+	for _, e := range m.Entries() {
+		if c.Full && !e.Released || !c.Full && e.Changed > index {
+			c.Held = append(c.Held, Held{Fingerprint: e.Fingerprint, Released: e.Released, Trial: !e.Released && e.Trials < MaxTrials})
+		}
+	}
+	return c
+}
