Fix: a request that crashes upstreams is known again at every instance and kept from them

What callers saw: repeats of one request ended one upstream after the other (26 and 24 arrivals later than 3 s after the third end, 50 and 48 ends; up to 24 of 30 harmless requests a second failed beside it).

Cause: nothing remembered a request from one attempt to the next. Each arrival, at any instance, was a new one; the retry doubled its harm, and a lost connection was laid on the upstream, which was gone, not on the request. Class of fault: query of death without a quarantine.

Why this works: an instance tells a member of the control group at once which requests were under way at a crash; that is committed, so it adds up whichever instances saw it and survives any process; the leader judges (core/quarantine) and the list travels with the serving state, which every instance holds a question for. A suspect is not sent to a second upstream, a quarantined request is answered 400 (not run, not to be sent again) and has one trial in all; a success clears it.

--- a/core/quarantine/compare_test.go
+++ b/core/quarantine/compare_test.go
@@ -316,7 +316,8 @@
 		x.tell(edge, func(j judge) { j.Crashed(life, at, []quarantine.Attempt{a}) })
 	}
 	for _, r := range lost {
-		if r.sent < edgeTries && !(x.w.spare && x.suspects[r.edge][r.f]) && !x.known[r.edge][r.f] {
+		spared := x.w.spare && x.suspects[r.edge][r.f]
+		if r.sent < edgeTries && !spared && !x.known[r.edge][r.f] {
 			x.after(time.Millisecond, func() { x.send(r) })
 			continue
 		}
--- a/instance/control/control.go
+++ b/instance/control/control.go
@@ -18,6 +18,7 @@
 	"github.com/comfreyladder/comfreyladder/core/claim"
 	corecontrol "github.com/comfreyladder/comfreyladder/core/control"
 	"github.com/comfreyladder/comfreyladder/core/control/fence"
+	"github.com/comfreyladder/comfreyladder/core/control/quarantine"
 	"github.com/comfreyladder/comfreyladder/core/control/revision"
 	"github.com/comfreyladder/comfreyladder/core/control/serving"
 	"github.com/comfreyladder/comfreyladder/core/control/usage"
@@ -247,6 +248,7 @@
 		fence.Name:        fence.New(),
 		serving.Name:      serving.New(),
 		usage.Name:        usage.New(),
+		quarantine.Name:   quarantine.New(),
 		plain.MachineName: claim.New(claim.DefaultLimits),
 	})
 }
--- a/instance/follow/follow.go
+++ b/instance/follow/follow.go
@@ -77,6 +77,8 @@
 	Upstreams map[string]*serving.Upstream
 	// Forwarders is how many instances forward requests, at least one.
 	Forwarders int
+	// Quarantine lists the requests that are kept from upstreams; nil for none.
+	Quarantine *Quarantine
 }
 
 // Follower is the state at this instance. It is safe for concurrent use.
@@ -90,6 +92,9 @@
 	until, confirmed atomic.Int64
 	subscribers      []func(*View)
 
+	// reachable are the members, the one that is asked now first.
+	reachable atomic.Pointer[[]string]
+
 	// The rest belongs to the goroutine.
 	members []string
 	current string
@@ -137,6 +142,27 @@
 	return time.Duration(clock.Now().UnixNano() - f.confirmed.Load())
 }
 
+// Members returns the members that are known, the one that is asked now first.
+func (f *Follower) Members() []string {
+	if list := f.reachable.Load(); list != nil {
+		return *list
+	}
+	return nil
+}
+
+func (f *Follower) publishMembers() {
+	if list := f.Members(); f.current == "" || len(list) == len(f.members) && list[0] == f.current {
+		return
+	}
+	list := []string{f.current}
+	for _, name := range f.members {
+		if name != f.current {
+			list = append(list, name)
+		}
+	}
+	f.reachable.Store(&list)
+}
+
 // Start implements kernel.Service.
 func (f *Follower) Start(context.Context) error {
 	ctx, cancel := context.WithCancel(context.Background())
@@ -160,6 +186,7 @@
 		if f.current == "" {
 			f.current = f.next()
 		}
+		f.publishMembers()
 		if f.current != "" && f.ask(ctx, f.current) {
 			failures = 0
 			f.current = f.nearer()
@@ -219,7 +246,7 @@
 // ask puts one question and reports whether the member is one to stay with.
 func (f *Follower) ask(ctx context.Context, name string) bool {
 	view := f.view.Load()
-	q := servingsvc.Question{Index: view.Index, Forwards: true}
+	q := servingsvc.Question{Index: view.Index, Forwards: true, Quarantine: view.Quarantine.index()}
 	if f.cfg.Report != nil {
 		q.Report = f.cfg.Report()
 	}
@@ -316,10 +343,13 @@
 	if len(a.Members) > 0 {
 		f.learnMembers(a.Members)
 	}
-	if a.Changes.Index <= old.Index && a.Forwarders == old.Forwarders {
+	if a.Changes.Index <= old.Index && a.Forwarders == old.Forwarders && a.Quarantine == nil {
 		return
 	}
-	next := &View{Index: max(old.Index, a.Changes.Index), Routes: old.Routes, Upstreams: old.Upstreams, Forwarders: max(1, a.Forwarders)}
+	next := &View{
+		Index: max(old.Index, a.Changes.Index), Routes: old.Routes, Upstreams: old.Upstreams, Forwarders: max(1, a.Forwarders),
+		Quarantine: old.Quarantine.merge(a.Quarantine),
+	}
 	if a.Changes.Index > old.Index {
 		if !f.takeTable(next, &a.Changes) {
 			return
--- /dev/null
+++ b/instance/follow/quarantine.go
@@ -0,0 +1,66 @@
+package follow
+
+import (
+	"maps"
+
+	state "github.com/comfreyladder/comfreyladder/core/control/quarantine"
+	"github.com/comfreyladder/comfreyladder/core/quarantine"
+)
+
+// Quarantine lists the requests that are kept from upstreams at one moment. It is immutable;
+// a nil one lists nothing.
+type Quarantine struct {
+	// Index is the log index of the list.
+	Index    uint64
+	held     map[quarantine.Fingerprint]state.Held
+	suspects map[quarantine.Fingerprint]bool
+}
+
+// NewQuarantine returns a list of requests that are quarantined, and of suspected ones.
+func NewQuarantine(index uint64, held []state.Held, suspects []quarantine.Fingerprint) *Quarantine {
+	return (*Quarantine)(nil).merge(&state.Changes{Index: index, Held: held, Suspects: suspects})
+}
+
+// Empty reports whether nothing is suspected or quarantined.
+func (q *Quarantine) Empty() bool { return q == nil || len(q.held)+len(q.suspects) == 0 }
+
+// Held returns what is known of a request that is quarantined.
+func (q *Quarantine) Held(f quarantine.Fingerprint) (h state.Held, held bool) {
+	if q == nil {
+		return h, false
+	}
+	h, held = q.held[f]
+	return h, held
+}
+
+// Suspects reports whether a request may turn out to be one to quarantine.
+func (q *Quarantine) Suspects(f quarantine.Fingerprint) bool { return q != nil && q.suspects[f] }
+
+func (q *Quarantine) index() uint64 {
+	if q == nil {
+		return 0
+	}
+	return q.Index
+}
+
+// merge returns the list with changes taken in.
+func (q *Quarantine) merge(c *state.Changes) *Quarantine {
+	if c == nil || c.Index <= q.index() {
+		return q
+	}
+	next := &Quarantine{Index: c.Index, held: map[quarantine.Fingerprint]state.Held{}, suspects: map[quarantine.Fingerprint]bool{}}
+	if q != nil && !c.Full {
+		next.held = maps.Clone(q.held)
+	}
+	for _, h := range c.Held {
+		if h.Released {
+			delete(next.held, h.Fingerprint)
+			continue
+		}
+		next.held[h.Fingerprint] = h
+	}
+	for _, f := range c.Suspects {
+		next.suspects[f] = true
+	}
+	return next
+}
--- /dev/null
+++ b/instance/quarantine/recorder.go
@@ -0,0 +1,295 @@
+// Package quarantine carries what instances see of crashes to the replicated list of
+// quarantined requests, and judges it there (core/quarantine, core/control/quarantine).
+//
+// Instances tell of a crash at once, and only of crashes: days without one cost nothing. What
+// is quarantined comes back with the serving state (package follow).
+package quarantine
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/comfreyladder/comfreyladder/core/quarantine"
+	"github.com/comfreyladder/comfreyladder/instance/clock"
+	"github.com/comfreyladder/comfreyladder/instance/eventlog"
+)
+
+// The channels between instances and members of the control group.
+const (
+	// ChannelReport carries a core quarantine.Report to a member.
+	ChannelReport = "quarantine.report"
+	// ChannelTrial carries a TrialQuestion and its TrialAnswer.
+	ChannelTrial = "quarantine.trial"
+)
+
+// TrialQuestion asks for the trial of a quarantined request, or gives it back unused.
+type TrialQuestion struct {
+	Fingerprint quarantine.Fingerprint `codec:"f"`
+	Unused      bool                   `codec:"u,omitempty"`
+}
+
+// TrialAnswer says whether the trial is granted.
+type TrialAnswer struct {
+	Granted bool `codec:"g,omitempty"`
+}
+
+// Caller is what a Recorder needs of instance/link.
+type Caller interface {
+	Call(ctx context.Context, to, channel string, req, resp any) error
+}
+
+// RecorderConfig of a Recorder.
+type RecorderConfig struct {
+	Links Caller
+	// Members returns the members of the control group, the one to ask first at the front.
+	Members func() []string
+	// Alone reports whether the control group can't be reached.
+	Alone func() bool
+	Log   *eventlog.Sink
+}
+
+const (
+	// reportTimeout bounds a report: a member that is cut off answers nothing.
+	reportTimeout = 400 * time.Millisecond
+	// reportPause is the pause after a report that no member took.
+	reportPause = 100 * time.Millisecond
+	// maxUnsent bounds the crashes, and successes, that wait to be reported; the newest are
+	// dropped. maxReported bounds the crashes in one report.
+	maxUnsent   = 256
+	maxReported = 32
+	// aloneMore is how many crashes more it takes for an instance that can't reach the control
+	// group: what was under way at others would explain some.
+	aloneMore = 1
+)
+
+// Recorder tells the control group which requests were under way at crashes that this
+// instance saw. It is safe for concurrent use.
+type Recorder struct {
+	cfg    RecorderConfig
+	cancel context.CancelFunc
+	done   sync.WaitGroup
+	wake   chan struct{}
+
+	mu     sync.Mutex
+	unsent quarantine.Report
+	// at are the times of the unsent crashes, which their ages are counted from.
+	at      []time.Time
+	dropped int
+	// own holds the crashes that this instance saw, suspects and guilty what follows from
+	// them alone.
+	own              *quarantine.Ledger
+	suspects, guilty map[quarantine.Fingerprint]bool
+}
+
+// NewRecorder returns a recorder that has not started.
+func NewRecorder(cfg RecorderConfig) *Recorder {
+	policy := quarantine.DefaultPolicy
+	policy.Crashes += aloneMore
+	policy.Settle = 0
+	return &Recorder{cfg: cfg, wake: make(chan struct{}, 1), own: quarantine.NewLedger(policy)}
+}
+
+// Start implements kernel.Service.
+func (r *Recorder) Start(context.Context) error {
+	ctx, cancel := context.WithCancel(context.Background())
+	r.cancel = cancel
+	r.done.Go(func() { r.run(ctx) })
+	return nil
+}
+
+// Stop implements kernel.Service.
+func (r *Recorder) Stop(context.Context) error {
+	if r.cancel != nil {
+		r.cancel()
+		r.done.Wait()
+	}
+	return nil
+}
+
+// Crashed tells that an upstream has crashed at a time of the instance's clock, and what was
+// under way there.
+func (r *Recorder) Crashed(upstream uint64, at time.Time, underWay []quarantine.Attempt) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.own.Crashed(upstream, at, underWay)
+	r.own.Forget(clock.Now())
+	r.judge()
+	if len(r.at) >= maxUnsent {
+		r.dropped++
+		return
+	}
+	r.unsent.Crashes = append(r.unsent.Crashes, quarantine.Crash{Upstream: upstream, UnderWay: underWay})
+	r.at = append(r.at, at)
+	r.signal()
+}
+
+// Succeeded tells that an upstream ran a suspected or quarantined request to its end.
+func (r *Recorder) Succeeded(f quarantine.Fingerprint) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.own.Succeeded(f)
+	r.judge()
+	if slices.Contains(r.unsent.Succeeded, f) {
+		return
+	}
+	if len(r.unsent.Succeeded) >= maxUnsent {
+		r.dropped++
+		return
+	}
+	r.unsent.Succeeded = append(r.unsent.Succeeded, f)
+	r.signal()
+}
+
+// Alive tells that an upstream has answered that was told to have crashed.
+func (r *Recorder) Alive(upstream uint64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.own.Alive(upstream)
+	r.judge()
+	if len(r.unsent.Alive) >= maxUnsent {
+		return
+	}
+	r.unsent.Alive = append(r.unsent.Alive, upstream)
+	r.signal()
+}
+
+// judge needs mu.
+func (r *Recorder) judge() {
+	now := clock.Now()
+	r.suspects, r.guilty = nil, nil
+	if r.own.Empty() {
+		return
+	}
+	r.suspects, r.guilty = set(r.own.Suspects(now)), set(r.own.Judge(now))
+}
+
+func set(list []quarantine.Fingerprint) map[quarantine.Fingerprint]bool {
+	if len(list) == 0 {
+		return nil
+	}
+	m := make(map[quarantine.Fingerprint]bool, len(list))
+	for _, f := range list {
+		m[f] = true
+	}
+	return m
+}
+
+// signal needs mu.
+func (r *Recorder) signal() {
+	select {
+	case r.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Idle reports whether this instance suspects nothing.
+func (r *Recorder) Idle() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.suspects) == 0
+}
+
+// Suspects reports whether this instance suspects a request by what it saw alone.
+func (r *Recorder) Suspects(f quarantine.Fingerprint) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.suspects[f]
+}
+
+// Holds reports whether this instance keeps a request from upstreams by what it saw alone: as
+// long as the control group can't be reached.
+func (r *Recorder) Holds(f quarantine.Fingerprint) bool {
+	r.mu.Lock()
+	guilty := r.guilty[f]
+	r.mu.Unlock()
+	return guilty && r.cfg.Alone()
+}
+
+// Trial asks for the trial of a quarantined request.
+func (r *Recorder) Trial(ctx context.Context, f quarantine.Fingerprint) bool {
+	var a TrialAnswer
+	return r.ask(ctx, &TrialQuestion{Fingerprint: f}, &a) == nil && a.Granted
+}
+
+// ReturnTrial gives a trial back that was not made.
+func (r *Recorder) ReturnTrial(ctx context.Context, f quarantine.Fingerprint) {
+	// A trial that can't be given back is lost; an operator may release the request.
+	_ = r.ask(ctx, &TrialQuestion{Fingerprint: f, Unused: true}, &TrialAnswer{})
+}
+
+func (r *Recorder) ask(ctx context.Context, q *TrialQuestion, a *TrialAnswer) error {
+	members := r.cfg.Members()
+	if len(members) == 0 {
+		return errNoMember
+	}
+	return r.cfg.Links.Call(ctx, members[0], ChannelTrial, q, a)
+}
+
+func (r *Recorder) run(ctx context.Context) {
+	for {
+		select {
+		case <-r.wake:
+		case <-ctx.Done():
+			return
+		}
+		for failures := 0; !r.report(ctx, failures); failures++ {
+			if !clock.Sleep(ctx, reportPause) {
+				return
+			}
+		}
+	}
+}
+
+// report tells a member what is unsent, another one after a failure, and reports whether it
+// was taken.
+func (r *Recorder) report(ctx context.Context, failures int) bool {
+	members := r.cfg.Members()
+	next, crashes := r.next()
+	if next.Empty() {
+		return true
+	}
+	if len(members) == 0 {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
+	defer cancel()
+	member := members[failures%len(members)]
+	if err := r.cfg.Links.Call(ctx, member, ChannelReport, next, nil); err != nil {
+		r.cfg.Log.Event("crash_report_failed").Str("peer", member).Int("crashes", int64(crashes)).Err(err).End()
+		return false
+	}
+	r.sent(next)
+	return true
+}
+
+// next returns what is to be told now.
+func (r *Recorder) next() (*quarantine.Report, int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := clock.Now()
+	next := r.unsent
+	next.Crashes = append([]quarantine.Crash(nil), r.unsent.Crashes[:min(len(r.at), maxReported)]...)
+	for i := range next.Crashes {
+		next.Crashes[i].AgeMS = now.Sub(r.at[i]).Milliseconds()
+	}
+	return &next, len(next.Crashes)
+}
+
+// sent forgets what was told.
+func (r *Recorder) sent(told *quarantine.Report) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.at = r.at[len(told.Crashes):]
+	r.unsent.Crashes = r.unsent.Crashes[len(told.Crashes):]
+	r.unsent.Succeeded = r.unsent.Succeeded[len(told.Succeeded):]
+	r.unsent.Alive = r.unsent.Alive[len(told.Alive):]
+	if r.dropped > 0 {
+		r.cfg.Log.Event("crash_reports_dropped").Int("reports", int64(r.dropped)).End()
+		r.dropped = 0
+	}
+	if !r.unsent.Empty() {
+		r.signal()
+	}
+}
--- /dev/null
+++ b/instance/quarantine/service.go
@@ -0,0 +1,254 @@
+package quarantine
+
+import (
+	"bytes"
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	corecontrol "github.com/comfreyladder/comfreyladder/core/control"
+	state "github.com/comfreyladder/comfreyladder/core/control/quarantine"
+	"github.com/comfreyladder/comfreyladder/core/fault"
+	"github.com/comfreyladder/comfreyladder/core/quarantine"
+	"github.com/comfreyladder/comfreyladder/core/raft"
+	"github.com/comfreyladder/comfreyladder/instance/clock"
+	"github.com/comfreyladder/comfreyladder/instance/consensus"
+	"github.com/comfreyladder/comfreyladder/instance/link"
+)
+
+var errNoMember = fault.New(fault.Unavailable, "no member of the control group is known").After(time.Second)
+
+// Links is what a Service needs of instance/link.
+type Links interface {
+	Handle(channel string, h link.Handler, options ...link.ChannelOption)
+}
+
+// Config of a Service.
+type Config struct {
+	// Replica returns the member of the control group that runs here, or nil.
+	Replica func() *consensus.Service
+	Links   Links
+	Log     zerolog.Logger
+}
+
+const (
+	// proposeTimeout bounds a change of the list.
+	proposeTimeout = time.Second
+	// judgeEvery is the time between two looks at crashes that are not settled, and lookEvery
+	// that between two looks at all: a new leader may find some that nobody has judged.
+	judgeEvery = 25 * time.Millisecond
+	lookEvery  = time.Second
+)
+
+// Service keeps the list at one member of the control group. It is safe for concurrent use.
+type Service struct {
+	cfg    Config
+	cancel context.CancelFunc
+	done   sync.WaitGroup
+	wake   chan struct{}
+
+	mu sync.Mutex
+	// at is the log's time at the last command, appliedAt when that was applied here.
+	at, appliedAt time.Time
+	// told is up to where changes were logged, suspects who was suspected then.
+	told     uint64
+	suspects []quarantine.Fingerprint
+}
+
+// New returns a service that has not started; it registers its channels.
+func New(cfg Config) *Service {
+	s := &Service{cfg: cfg, wake: make(chan struct{}, 1)}
+	cfg.Links.Handle(ChannelReport, s.report)
+	cfg.Links.Handle(ChannelTrial, s.trial)
+	return s
+}
+
+// Start implements kernel.Service.
+func (s *Service) Start(context.Context) error {
+	ctx, cancel := context.WithCancel(context.Background())
+	s.cancel = cancel
+	s.done.Go(func() { s.run(ctx) })
+	return nil
+}
+
+// Stop implements kernel.Service.
+func (s *Service) Stop(context.Context) error {
+	if s.cancel != nil {
+		s.cancel()
+		s.done.Wait()
+	}
+	return nil
+}
+
+func machine(g *consensus.Service, f func(*state.Machine)) {
+	g.View(func(_ uint64, m *corecontrol.Mux) { f(m.Machine(state.Name).(*state.Machine)) })
+}
+
+// Applied is told of each entry of the control log that this member applied.
+func (s *Service) Applied(uint64) {
+	g := s.cfg.Replica()
+	if g == nil {
+		return
+	}
+	var at time.Time
+	machine(g, func(m *state.Machine) { at = m.At() })
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if at.Equal(s.at) {
+		return
+	}
+	s.at, s.appliedAt = at, clock.Now()
+	select {
+	case s.wake <- struct{}{}:
+	default:
+	}
+}
+
+// now returns the log's time by this member's clock.
+func (s *Service) now() time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.at.Add(clock.Since(s.appliedAt))
+}
+
+func (s *Service) propose(ctx context.Context, c *state.Command) ([]byte, error) {
+	g := s.cfg.Replica()
+	if g == nil {
+		return nil, errNoMember
+	}
+	data, err := corecontrol.Marshal(c)
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
+	defer cancel()
+	result, _, err := g.Propose(ctx, state.Name, data)
+	return result, err
+}
+
+// report takes what an instance tells. It is in the log when the instance is answered; told
+// twice it counts once.
+func (s *Service) report(ctx context.Context, _ string, msg link.Message) (any, error) {
+	var r quarantine.Report
+	if err := msg.Decode(&r); err != nil {
+		return nil, err
+	}
+	_, err := s.propose(ctx, &state.Command{Reports: []quarantine.Report{r}})
+	return nil, err
+}
+
+func (s *Service) trial(ctx context.Context, from string, msg link.Message) (any, error) {
+	var q TrialQuestion
+	if err := msg.Decode(&q); err != nil {
+		return nil, err
+	}
+	c := &state.Command{Trial: &q.Fingerprint}
+	if q.Unused {
+		c = &state.Command{Return: &q.Fingerprint}
+	}
+	result, err := s.propose(ctx, c)
+	if err != nil {
+		return nil, err
+	}
+	granted := bytes.Equal(result, state.Done)
+	s.cfg.Log.Info().Str("event", "quarantine_trial").Str("fingerprint", q.Fingerprint.String()).Str("instance", from).
+		Bool("unused", q.Unused).Bool("granted", granted).Msg("trial of a quarantined request")
+	return TrialAnswer{Granted: granted}, nil
+}
+
+// Release ends the quarantine of a request. It fails with fault.NotFound where there is none.
+func (s *Service) Release(ctx context.Context, f quarantine.Fingerprint) error {
+	result, err := s.propose(ctx, &state.Command{Release: &f})
+	if err == nil && !bytes.Equal(result, state.Done) {
+		err = fault.New(fault.NotFound, "the request %s is not quarantined", f)
+	}
+	return err
+}
+
+func (s *Service) run(ctx context.Context) {
+	ticker := time.NewTicker(lookEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-s.wake:
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+		for s.judge(ctx) {
+			if !clock.Sleep(ctx, judgeEvery) {
+				return
+			}
+		}
+	}
+}
+
+// judge proposes, at the leader, what is to be quarantined, and reports whether there are
+// crashes that can't be judged yet.
+func (s *Service) judge(ctx context.Context) bool {
+	g := s.cfg.Replica()
+	if g == nil {
+		return false
+	}
+	leads := g.Status().Role == raft.Leader
+	s.logChanges(g, leads)
+	if !leads {
+		return false
+	}
+	var verdict []quarantine.Fingerprint
+	var unsettled bool
+	now := s.now()
+	machine(g, func(m *state.Machine) { verdict, unsettled = m.Judge(now) })
+	if len(verdict) == 0 {
+		return unsettled
+	}
+	if _, err := s.propose(ctx, &state.Command{Verdict: verdict}); err != nil {
+		s.cfg.Log.Warn().Err(err).Str("event", "quarantine_failed").Int("requests", len(verdict)).Msg("a verdict is not replicated yet")
+		return true
+	}
+	s.logChanges(g, true)
+	return unsettled
+}
+
+// logChanges writes a line for each request that is suspected, quarantined or released, at the
+// leader; the others only note that it was told.
+func (s *Service) logChanges(g *consensus.Service, leads bool) {
+	type line struct {
+		event string
+		state.Entry
+	}
+	var lines []line
+	machine(g, func(m *state.Machine) {
+		if m.Index() <= s.told {
+			return
+		}
+		for _, f := range m.Suspects() {
+			if !slices.Contains(s.suspects, f) {
+				e := state.Entry{Fingerprint: f}
+				e.Organisation, e.Target, e.Crashes = m.Describe(f)
+				lines = append(lines, line{"request_suspected", e})
+			}
+		}
+		s.suspects = slices.Clone(m.Suspects())
+		for _, e := range m.Entries() {
+			switch {
+			case e.Changed <= s.told:
+			case e.Released:
+				lines = append(lines, line{"quarantine_released", e})
+			case e.Trials == 0:
+				lines = append(lines, line{"request_quarantined", e})
+			}
+		}
+		s.told = m.Index()
+	})
+	if !leads {
+		return
+	}
+	for _, l := range lines {
+		s.cfg.Log.Warn().Str("event", l.event).Str("fingerprint", l.Fingerprint.String()).Str("organisation", l.Organisation).
+			Str("target", l.Target).Int("crashes", l.Crashes).Msg("a request was under way at crashes of upstreams")
+	}
+}
--- /dev/null
+++ b/instance/quarantine/view.go
@@ -0,0 +1,69 @@
+package quarantine
+
+import (
+	"context"
+	"time"
+
+	state "github.com/comfreyladder/comfreyladder/core/control/quarantine"
+)
+
+// Path is where a member tells operators its View; with a fingerprint as a further part of the
+// path, DELETE releases a request.
+const Path = "/v1/operator/quarantine"
+
+// The states of a request in a RequestView.
+const (
+	StateSuspected   = "suspected"
+	StateQuarantined = "quarantined"
+)
+
+// View is the list for operators, as JSON.
+type View struct {
+	Requests []RequestView `json:"requests"`
+}
+
+// RequestView is one request of the list.
+type RequestView struct {
+	Fingerprint  string `json:"fingerprint"`
+	State        string `json:"state"`
+	Organisation string `json:"organisation,omitempty"`
+	Target       string `json:"target,omitempty"`
+	// Crashes is at how many crashes it was under way.
+	Crashes int `json:"crashes"`
+	// Since is when it was quarantined.
+	Since time.Time `json:"since,omitzero"`
+	// Trials is how often it was run since to see whether it still crashes its upstream.
+	Trials int `json:"trials,omitempty"`
+}
+
+// List returns the list after a quorum has confirmed that it is the newest. It fails with
+// fault.Unavailable.
+func (s *Service) List(ctx context.Context) (*View, error) {
+	g := s.cfg.Replica()
+	if g == nil {
+		return nil, errNoMember
+	}
+	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
+	defer cancel()
+	if _, err := g.Read(ctx); err != nil {
+		return nil, err
+	}
+	v := &View{Requests: []RequestView{}}
+	machine(g, func(m *state.Machine) {
+		for _, e := range m.Entries() {
+			if e.Released {
+				continue
+			}
+			v.Requests = append(v.Requests, RequestView{
+				Fingerprint: e.Fingerprint.String(), State: StateQuarantined, Organisation: e.Organisation, Target: e.Target, Crashes: e.Crashes,
+				Since: time.Unix(0, e.Since).UTC(), Trials: e.Trials,
+			})
+		}
+		for _, f := range m.Suspects() {
+			r := RequestView{Fingerprint: f.String(), State: StateSuspected}
+			r.Organisation, r.Target, r.Crashes = m.Describe(f)
+			v.Requests = append(v.Requests, r)
+		}
+	})
+	return v, nil
+}
--- a/instance/relay/config.go
+++ b/instance/relay/config.go
@@ -78,7 +78,9 @@
 	// Began, if set, is told of each request of an organisation that began to run, once, and
 	// how long ago.
 	Began func(organisation string, ago time.Duration)
-	Log   *eventlog.Sink
+	// Quarantine keeps requests from upstreams that crash them; nil for none.
+	Quarantine Quarantine
+	Log        *eventlog.Sink
 }
 
 const (
--- a/instance/relay/crash.go
+++ b/instance/relay/crash.go
@@ -11,6 +11,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/comfreyladder/comfreyladder/core/quarantine"
+	"github.com/comfreyladder/comfreyladder/instance/clock"
 )
 
 const (
@@ -20,16 +21,16 @@
 	// lossMemory is for how long a lost attempt is kept while it is not known whether the
 	// upstream has crashed.
 	lossMemory = 10 * time.Second
-	// maxLosses bounds the lost attempts that are kept of one upstream.
-	maxLosses = 512
+	// maxLosses bounds the lost attempts that are kept of one upstream; more are dropped.
+	maxLosses = 128
 	// maxNamed bounds the fingerprints in one line of the log.
 	maxNamed = 16
 )
 
-// loss is an attempt that lost its upstream.
+// loss is an attempt that lost its upstream at a time.
 type loss struct {
-	fingerprint quarantine.Fingerprint
-	at          time.Time
+	quarantine.Attempt
+	at time.Time
 }
 
 // losses are the attempts that lost one incarnation of an upstream.
@@ -37,17 +38,18 @@
 	mu      sync.Mutex
 	list    []loss
 	probing bool
-	// crashed says that the incarnation has ended without a leave.
-	crashed bool
+	// crashed is when it was found that the incarnation has ended without a leave, zero while
+	// it was not.
+	crashed time.Time
 }
 
 // add notes a loss, and reports whether a look at the upstream is to be begun.
-func (l *losses) add(now time.Time, f quarantine.Fingerprint, probe bool) bool {
+func (l *losses) add(x loss, probe bool) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.expire(now)
+	l.expire(x.at)
 	if len(l.list) < maxLosses {
-		l.list = append(l.list, loss{f, now})
+		l.list = append(l.list, x)
 	}
 	if !probe || l.probing {
 		return false
@@ -74,7 +76,7 @@
 	l.probing = false
 	switch p {
 	case probeRefused:
-		l.crashed = true
+		l.crashed = time.Now()
 	case probeListens:
 		l.list = nil
 	}
@@ -84,7 +86,7 @@
 func (l *losses) takeCrashed(now time.Time) []loss {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if !l.crashed {
+	if l.crashed.IsZero() {
 		return nil
 	}
 	l.expire(now)
@@ -97,7 +99,19 @@
 func (l *losses) superseded() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.crashed = true
+	l.crashed = time.Now()
+}
+
+// alive notes that the incarnation has answered an attempt that begun at a time, and reports
+// whether it was believed to have crashed before that.
+func (l *losses) alive(begun time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.crashed.IsZero() || begun.Before(l.crashed) {
+		return false
+	}
+	l.crashed = time.Time{}
+	return true
 }
 
 // lostConnection reports whether an attempt failed since its connection ended.
@@ -115,8 +129,13 @@
 	if !lost && !wentSilent(a.err) {
 		return
 	}
-	up := a.up
-	if !up.losses.add(time.Now(), a.r.fingerprint(), lost) {
+	up, now := a.up, time.Now()
+	organisation := ""
+	if a.r.organisation != nil {
+		organisation = a.r.organisation.Name
+	}
+	x := loss{quarantine.NewAttempt(a.r.fingerprint(), now.Sub(a.begun), organisation, string(a.r.head.Target)), now}
+	if !up.losses.add(x, lost) {
 		s.reportCrash(up)
 		return
 	}
@@ -162,15 +181,29 @@
 	if len(list) == 0 {
 		return
 	}
+	at := list[0].at
+	underWay := make([]quarantine.Attempt, len(list))
+	for i, x := range list {
+		underWay[i] = x.Attempt
+		if x.at.Before(at) {
+			at = x.at
+		}
+	}
+	for i, x := range list {
+		underWay[i].RanMS = max(0, x.RanMS-x.at.Sub(at).Milliseconds())
+	}
 	s.set.GetOrCreateCounter("relay_lost_to_crashes_total").Add(len(list))
 	s.cfg.Log.Event("upstream_crashed").Str("upstream", up.id).Str("address", up.address).Int("under_way", int64(len(list))).
-		Str("fingerprints", nameFingerprints(list)).End()
+		Str("fingerprints", nameFingerprints(underWay)).End()
+	if s.cfg.Quarantine != nil {
+		s.cfg.Quarantine.Crashed(up.begun, clock.Now().Add(-time.Since(at)), underWay)
+	}
 }
 
-func nameFingerprints(list []loss) string {
+func nameFingerprints(list []quarantine.Attempt) string {
 	names := make([]string, 0, maxNamed)
-	for _, l := range list[:min(len(list), maxNamed)] {
-		names = append(names, l.fingerprint.String())
+	for _, a := range list[:min(len(list), maxNamed)] {
+		names = append(names, a.Fingerprint.String())
 	}
 	return strings.Join(names, ",")
 }
--- a/instance/relay/plain.go
+++ b/instance/relay/plain.go
@@ -40,6 +40,7 @@
 		a.err = err
 		return true, false
 	}
+	s.completed(a)
 	if a.head.Status >= statusServerError {
 		a.up.answeredFailure()
 		if s.worthRepeating(r) {
@@ -92,10 +93,12 @@
 		n, err := a.body.Read(piece[:])
 		b = appendChunk(b[:0], piece[:n])
 		if a.body.Whole() {
+			s.completed(a)
 			break
 		}
 		if err != nil {
 			a.err, a.r.broken = err, true
+			s.noteLoss(a)
 			s.logDone(a.r, a.head.Status, "the answer broke off")
 			return false
 		}
--- a/instance/relay/relay.go
+++ b/instance/relay/relay.go
@@ -34,6 +34,9 @@
 	listening atomic.Bool
 	// lostTries counts the upstreams that are tried since an answer of theirs was lost.
 	lostTries atomic.Int64
+	// trialAsked is when the trial of a quarantined request was asked for last, in nanoseconds
+	// of clock.Now.
+	trialAsked atomic.Int64
 	// drain is the course of the drain, nil before one.
 	drain atomic.Pointer[drain.Schedule]
 
--- a/instance/relay/request.go
+++ b/instance/relay/request.go
@@ -92,6 +92,8 @@
 	broken bool
 	// content is the fingerprint, zero as long as nobody asked for it.
 	content quarantine.Fingerprint
+	// trial says that it is quarantined and may be tried once.
+	trial bool
 	// upstream is the last one used, last what became of it.
 	upstream string
 	last     error
--- a/instance/relay/serve.go
+++ b/instance/relay/serve.go
@@ -194,7 +194,13 @@
 // tried.
 func (s *Service) forward(c *conn, r *request) bool {
 	var avoid []*upstream
+	defer s.endTrial(r)
 	for {
+		if v := s.screen(r); v != nil && r.ran {
+			return s.giveUp(c, r)
+		} else if v != nil {
+			return s.refuse(c, r, v)
+		}
 		up, busy := s.acquire(r, avoid)
 		switch {
 		case r.isGone():
@@ -301,6 +307,9 @@
 	if r.sent >= max(1, r.route.MaxAttempts) || r.ran && !r.route.Repeatable() {
 		return false
 	}
+	if r.ran && !s.mayRunElsewhere(r) {
+		return false
+	}
 	return s.mayRepeat(r.service)
 }
 
--- a/instance/relay/stream.go
+++ b/instance/relay/stream.go
@@ -78,6 +78,7 @@
 		}
 		if whole {
 			a.up.succeeded()
+			st.s.completed(a)
 			return nil
 		}
 		if err != nil {
--- a/instance/roles/core.go
+++ b/instance/roles/core.go
@@ -11,6 +11,7 @@
 	"github.com/comfreyladder/comfreyladder/instance/control"
 	"github.com/comfreyladder/comfreyladder/instance/kernel"
 	"github.com/comfreyladder/comfreyladder/instance/link"
+	"github.com/comfreyladder/comfreyladder/instance/quarantine"
 	"github.com/comfreyladder/comfreyladder/instance/serving"
 	"github.com/comfreyladder/comfreyladder/instance/telemetry"
 )
@@ -27,7 +28,7 @@
 )
 
 func (p *Process) control() kernel.Module {
-	return kernel.Module{Name: nameControl, Needs: []string{nameLinks, nameServing}, New: func(k *kernel.Kernel) (kernel.Service, error) {
+	return kernel.Module{Name: nameControl, Needs: []string{nameLinks, nameServing, nameQuarantine}, New: func(k *kernel.Kernel) (kernel.Service, error) {
 		links, err := kernel.Lookup[*link.Service](k, nameLinks)
 		if err != nil {
 			return nil, err
@@ -36,10 +37,18 @@
 		if err != nil {
 			return nil, err
 		}
+		list, err := kernel.Lookup[*quarantine.Service](k, nameQuarantine)
+		if err != nil {
+			return nil, err
+		}
+		applied := func(index uint64) {
+			state.Applied(index)
+			list.Applied(index)
+		}
 		s := control.New(control.Config{
 			Name: p.cfg.Peer, DataFolder: p.cfg.DataFolder, Founders: p.founders(), Bootstrap: p.cfg.Bootstrap,
 			Links: links, Members: func() []string { return p.otherSeeds() }, Log: p.log, OnFatal: p.fail,
-			MendMembers: true, WaitOutDisk: true, OnApplied: state.Applied,
+			MendMembers: true, WaitOutDisk: true, OnApplied: applied,
 			Heartbeat: heartbeat, ElectionTimeout: electionTimeout, RestartTimeout: restartTimeout,
 		})
 		state.control.Store(s)
@@ -86,13 +95,32 @@
 	}}
 }
 
+func (p *Process) quarantine() kernel.Module {
+	return kernel.Module{Name: nameQuarantine, Needs: []string{nameLinks, nameServing}, New: func(k *kernel.Kernel) (kernel.Service, error) {
+		links, err := kernel.Lookup[*link.Service](k, nameLinks)
+		if err != nil {
+			return nil, err
+		}
+		state, err := kernel.Lookup[*servingService](k, nameServing)
+		if err != nil {
+			return nil, err
+		}
+		return quarantine.New(quarantine.Config{Replica: state.replica, Links: links, Log: p.log}), nil
+	}}
+}
+
 func (p *Process) calls() kernel.Module {
-	return kernel.Module{Name: nameCalls, Needs: []string{nameServing, nameControl}, New: func(k *kernel.Kernel) (kernel.Service, error) {
+	return kernel.Module{Name: nameCalls, Needs: []string{nameServing, nameControl, nameQuarantine}, New: func(k *kernel.Kernel) (kernel.Service, error) {
 		s, err := kernel.Lookup[*servingService](k, nameServing)
 		if err != nil {
 			return nil, err
 		}
-		return callsListener{newListener(p.cfg.Control, p.logRefusals(p.dialect.Control(s))), p.cfg.CallsLag}, nil
+		list, err := kernel.Lookup[*quarantine.Service](k, nameQuarantine)
+		if err != nil {
+			return nil, err
+		}
+		handler := list.Handler(p.dialect.Control(s))
+		return callsListener{newListener(p.cfg.Control, p.logRefusals(handler)), p.cfg.CallsLag}, nil
 	}}
 }
 
--- a/instance/roles/edge.go
+++ b/instance/roles/edge.go
@@ -1,9 +1,12 @@
 package roles
 
 import (
+	"time"
+
 	"github.com/comfreyladder/comfreyladder/instance/follow"
 	"github.com/comfreyladder/comfreyladder/instance/kernel"
 	"github.com/comfreyladder/comfreyladder/instance/link"
+	"github.com/comfreyladder/comfreyladder/instance/quarantine"
 	"github.com/comfreyladder/comfreyladder/instance/relay"
 	"github.com/comfreyladder/comfreyladder/instance/serving"
 	"github.com/comfreyladder/comfreyladder/instance/telemetry"
@@ -24,8 +27,28 @@
 	}}
 }
 
+// aloneAfter is after what time without a confirmed answer an instance counts as cut off from
+// the control group.
+const aloneAfter = time.Second
+
+func (p *Process) recorder() kernel.Module {
+	return kernel.Module{Name: nameQuarantine, Needs: []string{nameLinks, nameFollow}, New: func(k *kernel.Kernel) (kernel.Service, error) {
+		links, err := kernel.Lookup[*link.Service](k, nameLinks)
+		if err != nil {
+			return nil, err
+		}
+		state, err := kernel.Lookup[*follow.Follower](k, nameFollow)
+		if err != nil {
+			return nil, err
+		}
+		return quarantine.NewRecorder(quarantine.RecorderConfig{
+			Links: links, Members: state.Members, Alone: func() bool { return state.Age() > aloneAfter }, Log: p.events,
+		}), nil
+	}}
+}
+
 func (p *Process) relay() kernel.Module {
-	needs := []string{nameFollow, nameTelemetry}
+	needs := []string{nameFollow, nameTelemetry, nameQuarantine}
 	return kernel.Module{Name: nameRelay, Needs: needs, New: func(k *kernel.Kernel) (kernel.Service, error) {
 		state, err := kernel.Lookup[*follow.Follower](k, nameFollow)
 		if err != nil {
@@ -35,10 +58,15 @@
 		if err != nil {
 			return nil, err
 		}
+		recorder, err := kernel.Lookup[*quarantine.Recorder](k, nameQuarantine)
+		if err != nil {
+			return nil, err
+		}
 		cfg := relay.Config{
 			Listen: p.cfg.Callers, Domain: p.cfg.Domain, Headers: p.dialect.Headers, State: state, FailClosed: p.cfg.FailClosed,
 			Budget: p.cfg.Budget, Announce: p.cfg.Announce, DrainTimeout: p.cfg.Grace - 2*stopMargin, Log: p.events,
-			BodyBytes: int64(bodyShare * float64(p.cfg.MemoryMB) * (1 << 20)),
+			Quarantine: recorder,
+			BodyBytes:  int64(bodyShare * float64(p.cfg.MemoryMB) * (1 << 20)),
 		}
 		if p.meter != nil {
 			cfg.Began = p.meter.Began
--- a/instance/roles/process.go
+++ b/instance/roles/process.go
@@ -24,16 +24,17 @@
 
 // The names of the services.
 const (
-	nameTelemetry = "telemetry"
-	nameLinks     = "links"
-	nameControl   = "control"
-	nameServing   = "serving"
-	nameDuties    = "duties"
-	nameFollow    = "follow"
-	nameRelay     = "relay"
-	nameCalls     = "listener.control"
-	nameReady     = "listener.ready"
-	nameMetrics   = "listener.metrics"
+	nameTelemetry  = "telemetry"
+	nameLinks      = "links"
+	nameControl    = "control"
+	nameServing    = "serving"
+	nameDuties     = "duties"
+	nameQuarantine = "quarantine"
+	nameFollow     = "follow"
+	nameRelay      = "relay"
+	nameCalls      = "listener.control"
+	nameReady      = "listener.ready"
+	nameMetrics    = "listener.metrics"
 )
 
 // Process is one process of the deployment.
@@ -60,12 +61,12 @@
 	}
 	modules := []kernel.Module{p.telemetry(), p.links()}
 	if cfg.Control != "" {
-		modules = append(modules, p.control(), p.serving(), p.calls())
+		modules = append(modules, p.control(), p.serving(), p.quarantine(), p.calls())
 		if p.hasDuties() {
 			modules = append(modules, p.duties())
 		}
 	} else {
-		modules = append(modules, p.follow(), p.relay(), p.ready())
+		modules = append(modules, p.follow(), p.recorder(), p.relay(), p.ready())
 	}
 	if cfg.Metrics != "" {
 		modules = append(modules, p.metrics())
--- a/instance/serving/serving.go
+++ b/instance/serving/serving.go
@@ -15,6 +15,7 @@
 	"github.com/rs/zerolog"
 
 	corecontrol "github.com/comfreyladder/comfreyladder/core/control"
+	"github.com/comfreyladder/comfreyladder/core/control/quarantine"
 	"github.com/comfreyladder/comfreyladder/core/control/serving"
 	"github.com/comfreyladder/comfreyladder/core/control/usage"
 	"github.com/comfreyladder/comfreyladder/core/fault"
@@ -61,13 +62,15 @@
 
 	mu sync.Mutex
 	// news is closed and made anew with each change of the state.
-	news    chan struct{}
-	index   uint64
-	heard   map[string]time.Time
-	fresh   map[string]bool
-	watched map[string]time.Time
-	own     map[string]bool
-	loads   loadBook
+	news  chan struct{}
+	index uint64
+	// quarantined is the index of the list of quarantined requests.
+	quarantined uint64
+	heard       map[string]time.Time
+	fresh       map[string]bool
+	watched     map[string]time.Time
+	own         map[string]bool
+	loads       loadBook
 	// total is the encoded work of all instances, as of totalAt.
 	total   []byte
 	totalAt time.Time
@@ -150,20 +153,31 @@
 	g.View(func(_ uint64, m *corecontrol.Mux) { f(m.Machine(usage.Name).(*usage.Machine)) })
 }
 
+// quarantineMachine runs f on the quarantined requests; f must not keep what it gets.
+func quarantineMachine(g *consensus.Service, f func(*quarantine.Machine)) {
+	g.View(func(_ uint64, m *corecontrol.Mux) { f(m.Machine(quarantine.Name).(*quarantine.Machine)) })
+}
+
+// indexes returns the log indexes of the last changes of the state and of the quarantine.
+func indexes(g *consensus.Service) (index, quarantined uint64) {
+	machine(g, func(m *serving.Machine) { index = m.Index() })
+	quarantineMachine(g, func(m *quarantine.Machine) { quarantined = m.Index() })
+	return index, quarantined
+}
+
 // Applied is told of each entry of the control log that this member applied.
 func (s *Service) Applied(uint64) {
 	g := s.cfg.Replica()
 	if g == nil {
 		return
 	}
-	var index uint64
-	machine(g, func(m *serving.Machine) { index = m.Index() })
+	index, quarantined := indexes(g)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if index == s.index {
+	if index == s.index && quarantined == s.quarantined {
 		return
 	}
-	s.index = index
+	s.index, s.quarantined = index, quarantined
 	close(s.news)
 	s.news = make(chan struct{})
 }
--- a/instance/serving/watch.go
+++ b/instance/serving/watch.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/comfreyladder/comfreyladder/core/control/quarantine"
 	"github.com/comfreyladder/comfreyladder/core/control/serving"
 	"github.com/comfreyladder/comfreyladder/core/raft"
 	"github.com/comfreyladder/comfreyladder/core/usage"
@@ -46,6 +47,8 @@
 	// not settled.
 	Usage *usage.Report `codec:"u,omitempty"`
 	Wall  int64         `codec:"l,omitempty"`
+	// Quarantine is up to where it has the list of quarantined requests; zero for nothing.
+	Quarantine uint64 `codec:"q,omitempty"`
 }
 
 // Answer is what a member knows.
@@ -69,6 +72,8 @@
 	// goes by it. Settled says that it will not be set any more.
 	Agreed  int64 `codec:"g,omitempty"`
 	Settled bool  `codec:"s,omitempty"`
+	// Quarantine is what has changed in the list of quarantined requests; nil for nothing.
+	Quarantine *quarantine.Changes `codec:"q,omitempty"`
 }
 
 // watch holds a question until there is news or its time is over. The confirmation
@@ -97,6 +102,7 @@
 	if err := s.changes(g, q.Index, &a); err != nil {
 		return nil, err
 	}
+	quarantineMachine(g, func(m *quarantine.Machine) { a.Quarantine = m.Since(q.Quarantine) })
 	st := g.Status()
 	a.Members = names(st.Members)
 	a.Forwarders = s.forwarders()
@@ -117,12 +123,13 @@
 	s.mu.Lock()
 	news := s.news
 	s.mu.Unlock()
-	var index uint64
-	machine(g, func(m *serving.Machine) { index = m.Index() })
-	if index > q.Index && q.Index > 0 {
+	index, quarantined := indexes(g)
+	// An instance that has heard of no quarantine hears of the first one with the next news.
+	behind := index > q.Index || quarantined > q.Quarantine && q.Quarantine > 0
+	if behind && q.Index > 0 {
 		clock.Sleep(ctx, newsBatch)
 	}
-	if index > q.Index || q.HoldMS <= 0 {
+	if behind || q.HoldMS <= 0 {
 		return
 	}
 	t := time.NewTimer(min(time.Duration(q.HoldMS)*time.Millisecond, maxHold))
