Quarantine: tests of reports, judgement, trials and refusals; an operator's list and release

comfreyladder quarantine list / release, GET and DELETE /v1/operator/quarantine at a control listener.

--- /dev/null
+++ b/instance/follow/quarantine_test.go
@@ -0,0 +1,46 @@
+package follow_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	state "github.com/comfreyladder/comfreyladder/core/control/quarantine"
+	"github.com/comfreyladder/comfreyladder/core/quarantine"
+)
+
+// Guards against an instance that runs a quarantined request, or that never runs it again,
+// since it took changes of the list for the whole or an older list for a newer one.
+func TestListOfQuarantinedRequestsIsFollowed(t *testing.T) {
+	RegisterTestingT(t)
+	a, b := quarantine.Fingerprint{1}, quarantine.Fingerprint{2}
+	g := &group{members: map[string]*member{}}
+	told := func(c *state.Changes) {
+		next := answer(1, 1, true, "m")
+		next.Quarantine = c
+		g.set("m", next)
+	}
+	told(nil)
+	f := start(t, g, "m")
+	Eventually(version(f)).Should(Equal(uint64(1)))
+	Expect(f.View().Quarantine.Empty()).To(BeTrue())
+	Expect(f.Members()).To(Equal([]string{"m"}))
+	held := func(x quarantine.Fingerprint) func() bool {
+		return func() bool { _, held := f.View().Quarantine.Held(x); return held }
+	}
+	told(&state.Changes{Index: 5, Held: []state.Held{{Fingerprint: a, Trial: true}}, Suspects: []quarantine.Fingerprint{b}})
+	Eventually(held(a)).Should(BeTrue())
+	Expect(f.View().Quarantine.Suspects(b)).To(BeTrue())
+	told(&state.Changes{Index: 6, Held: []state.Held{{Fingerprint: b}}})
+	Eventually(held(b)).Should(BeTrue())
+	Expect(held(a)()).To(BeTrue(), "changes leave the rest")
+	Expect(f.View().Quarantine.Suspects(b)).To(BeFalse())
+	told(&state.Changes{Index: 7, Held: []state.Held{{Fingerprint: a, Released: true}}})
+	Eventually(held(a)).Should(BeFalse())
+	told(&state.Changes{Index: 5, Held: []state.Held{{Fingerprint: a}}})
+	Consistently(held(a), 100*time.Millisecond).Should(BeFalse(), "a member that is behind changes nothing")
+	told(&state.Changes{Index: 8, Full: true})
+	Eventually(held(b)).Should(BeFalse())
+	Expect(f.View().Quarantine.Empty()).To(BeTrue())
+}
--- a/instance/relay/crash_test.go
+++ b/instance/relay/crash_test.go
@@ -11,21 +11,18 @@
 	"github.com/comfreyladder/comfreyladder/core/quarantine"
 )
 
-// crashes ends the upstream with each request: nothing listens there any more.
-func (u *fakeUpstream) crashes(_ int, _ *received, c net.Conn) bool {
-	_ = u.listener.Close()
-	return false
-}
-
-// startCrashing starts an upstream that crashes with its first request.
+// startCrashing starts an upstream that crashes with its first request: nothing listens there
+// any more.
 func startCrashing(t *testing.T, id string) *fakeUpstream {
-	var u *fakeUpstream
-	ready := make(chan struct{})
-	u = startUpstream(t, id, func(n int, r *received, c net.Conn) bool {
-		<-ready
-		return u.crashes(n, r, c)
+	started := make(chan *fakeUpstream, 1)
+	u := startUpstream(t, id, func(n int, r *received, c net.Conn) bool {
+		if n > 1 {
+			return echo(n, r, c)
+		}
+		_ = (<-started).listener.Close()
+		return false
 	})
-	close(ready)
+	started <- u
 	return u
 }
 
--- a/instance/relay/suite_test.go
+++ b/instance/relay/suite_test.go
@@ -109,18 +109,20 @@
 	}
 	u := &fakeUpstream{id: id, listener: l, script: script}
 	t.Cleanup(func() { _ = l.Close() })
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go u.serve(c)
-		}
-	}()
+	go u.accept(l)
 	return u
 }
 
+func (u *fakeUpstream) accept(l net.Listener) {
+	for {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		go u.serve(c)
+	}
+}
+
 // begun is the log index at which the upstream was first heard of: another one for each.
 func (u *fakeUpstream) begun() uint64 { return uint64(u.listener.Addr().(*net.TCPAddr).Port) }
 
@@ -204,6 +206,8 @@
 	ago atomic.Int64
 	// log gathers the lines.
 	log lockedBuffer
+	// list is what the instance tells and knows of requests that crash upstreams.
+	list *fakeQuarantine
 }
 
 // lockedBuffer is a buffer for a writer and a reader at the same time.
@@ -246,12 +250,12 @@
 	for _, u := range ups {
 		v.Upstreams[u.id] = &serving.Upstream{ID: u.id, Service: "s", Address: u.listener.Addr().String(), State: serving.Ready, Slots: 8, Begun: u.begun()}
 	}
-	b := &bed{t: t, state: &state{view: v, lease: time.Minute}}
+	b := &bed{t: t, state: &state{view: v, lease: time.Minute}, list: &fakeQuarantine{}}
 	b.service = relay.New(relay.Config{
 		Listen: "127.0.0.1:0", Headers: headers, State: b.state, FailClosed: true,
 		Budget:   relay.Budget{Ratio: 0.2, Window: 10 * time.Second, Slack: 20},
 		Announce: 200 * time.Millisecond, DrainTimeout: 2 * time.Second, BodyBytes: bodyRoom, Began: b.count,
-		Log: eventlog.New(&b.log, nil),
+		Quarantine: b.list, Log: eventlog.New(&b.log, nil),
 	}, metrics.NewSet())
 	b.service.Update(v)
 	if err := b.service.Start(context.Background()); err != nil {
--- a/operator/client/client.go
+++ b/operator/client/client.go
@@ -4,6 +4,7 @@
 import (
 	"crypto/tls"
 	"encoding/json"
+	"net/url"
 	"strings"
 	"time"
 
@@ -14,6 +15,7 @@
 	"github.com/comfreyladder/comfreyladder/instance/admin"
 	"github.com/comfreyladder/comfreyladder/instance/duty"
 	"github.com/comfreyladder/comfreyladder/instance/httpapi"
+	"github.com/comfreyladder/comfreyladder/instance/quarantine"
 )
 
 const (
@@ -99,6 +101,18 @@
 	return out, c.do(fasthttp.MethodGet, duty.Path, nil, out)
 }
 
+// Quarantine asks a member, at the address of its control listener, which requests are kept
+// from upstreams.
+func (c *Client) Quarantine() (*quarantine.View, error) {
+	out := &quarantine.View{}
+	return out, c.do(fasthttp.MethodGet, quarantine.Path, nil, out)
+}
+
+// ReleaseQuarantine lets a request run again.
+func (c *Client) ReleaseQuarantine(fingerprint string) error {
+	return c.do(fasthttp.MethodDelete, quarantine.Path+"/"+url.PathEscape(fingerprint), nil, &struct{}{})
+}
+
 func (c *Client) do(method, path string, body, into any) error {
 	var req fasthttp.Request
 	var resp fasthttp.Response
--- a/operator/commands/commands.go
+++ b/operator/commands/commands.go
@@ -73,6 +73,7 @@
 		{"status", "show revisions, failure domains, instances and upstreams", "Example:\n  comfreyladder status --key-file ops.key", &Status{}},
 		{"explain", "tell what became of a request and why", explainHelp, &Explain{}},
 		{"duties", "show who makes the calls to the provider, usage reports and orders of upstreams", dutiesHelp, &Duties{}},
+		{"quarantine", "list or release the requests that crash upstreams", quarantineHelp, &QuarantineCommand{}},
 		{"drain", "have the instance at --address finish its work and stop", "Example:\n  comfreyladder drain --key-file ops.key --address 10.0.0.7:8081", &Drain{}},
 		{"unknown", "list at-most-once calls whose outcome is unknown", "Example:\n  comfreyladder unknown --key-file ops.key", &Unknown{}},
 		{"resolve", "say what became of a call whose outcome is unknown", resolveHelp, &Resolve{}},
--- /dev/null
+++ b/operator/commands/show/quarantine.go
@@ -0,0 +1,28 @@
+package show
+
+import (
+	"fmt"
+	"io"
+	"text/tabwriter"
+	"time"
+
+	"github.com/comfreyladder/comfreyladder/instance/quarantine"
+)
+
+// Quarantine prints which requests are kept from upstreams, or suspected.
+func Quarantine(w io.Writer, v *quarantine.View) {
+	if len(v.Requests) == 0 {
+		fmt.Fprintln(w, "No request is quarantined or suspected.")
+		return
+	}
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(t, "FINGERPRINT\tSTATE\tORGANISATION\tTARGET\tCRASHES\tSINCE\tTRIALS")
+	for _, r := range v.Requests {
+		since := "-"
+		if !r.Since.IsZero() {
+			since = r.Since.Format(time.RFC3339)
+		}
+		fmt.Fprintf(t, "%s\t%s\t%s\t%s\t%d\t%s\t%d\n", r.Fingerprint, r.State, orNone(r.Organisation), r.Target, r.Crashes, since, r.Trials)
+	}
+	_ = t.Flush()
+}
--- a/proof/deployed/quarantine_test.go
+++ b/proof/deployed/quarantine_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net"
@@ -255,6 +256,106 @@
 	return b.String()
 }
 
+// awaitQuarantine sends the request that ends upstreams until it is refused at each edge, and
+// has had its trial.
+func (q *quartet) awaitQuarantine() {
+	for _, e := range q.edges {
+		Eventually(func() int { status, _ := e.post("/a/x", "k", poison); return status }, patience, 100*time.Millisecond).Should(Equal(400))
+	}
+	Eventually(func() []quarantined { _, _ = q.edges[0].post("/a/x", "k", poison); return q.list() }, patience, 100*time.Millisecond).
+		Should(ConsistOf(HaveField("Trials", 1)))
+}
+
+// quarantined is what a core tells operators of a request.
+type quarantined struct {
+	Fingerprint, State, Organisation, Target string
+	Crashes, Trials                          int
+}
+
+func (q *quartet) list() []quarantined {
+	_, body := call("GET", "http://"+q.cores[0].at(portControl)+"/v1/operator/quarantine", "")
+	var v struct{ Requests []quarantined }
+	_ = json.Unmarshal([]byte(body), &v)
+	return v.Requests
+}
+
+// Guards against a request that is forgotten with the processes that knew it, and against one
+// that stays quarantined though an operator has released it.
+func TestQuarantineOutlivesAllProcessesUntilItIsReleased(t *testing.T) {
+	q := newQuartet(t)
+	q.awaitQuarantine()
+	Expect(q.list()).To(ConsistOf(And(HaveField("State", "quarantined"), HaveField("Organisation", "o"), HaveField("Target", "/a/x"), HaveField("Crashes", BeNumerically(">=", 3)))))
+
+	q.edges[0].kill()
+	q.edges[0].run()
+	q.awaitService()
+	crashes := q.crashes()
+	for range 3 {
+		for _, e := range q.edges {
+			status, _ := e.post("/a/x", "k", poison)
+			Expect(status).To(Equal(400), "an instance that was started again knows it")
+		}
+	}
+
+	for _, n := range q.nodes {
+		n.kill()
+	}
+	for _, n := range q.nodes {
+		n.start(false)
+	}
+	q.awaitService()
+	for range 3 {
+		for _, e := range q.edges {
+			status, _ := e.post("/a/x", "k", poison)
+			Expect(status).To(Equal(400), "all know it after the end of all")
+		}
+	}
+	Expect(q.crashes()).To(Equal(crashes))
+
+	url := "http://" + q.cores[1].at(portControl) + "/v1/operator/quarantine/"
+	status, _ := call("DELETE", url+"0", "")
+	Expect(status).To(Equal(400))
+	status, _ = call("DELETE", url+strings.Repeat("0", 32), "")
+	Expect(status).To(Equal(404))
+	status, _ = call("DELETE", url+q.list()[0].Fingerprint, "")
+	Expect(status).To(Equal(200))
+	Eventually(func() int { _, _ = q.edges[2].post("/a/x", "k", poison); return q.crashes() }, patience, 50*time.Millisecond).Should(BeNumerically(">", crashes))
+}
+
+// awaitService waits until all edges serve.
+func (q *quartet) awaitService() {
+	for _, e := range q.edges {
+		Eventually(e.ready, patience, poll).Should(BeTrue(), e.log)
+		Eventually(func() int { return e.ask("k") }, patience, poll).Should(Equal(200))
+	}
+}
+
+func (q *quartet) crashes() int {
+	_, n := q.upstreams.repeats()
+	return n
+}
+
+// Guards against a request that arrives at all instances at the same moment, so that many
+// upstreams end before any instance knows of it, and again later.
+func TestRequestThatArrivesEverywhereAtOnceIsStopped(t *testing.T) {
+	q := newQuartet(t)
+	ended := make(chan struct{})
+	harmless, callers := q.harmless(8, 100*time.Millisecond, ended)
+	for range 9 {
+		for range 3 {
+			for _, e := range q.edges {
+				go func() { _, _ = e.post("/a/x", "k", poison) }()
+			}
+		}
+		time.Sleep(time.Second)
+	}
+	close(ended)
+	callers.Wait()
+	late, crashes := q.upstreams.repeats()
+	t.Logf("%d upstreams crashed, %d repeats later than %v after the third; %d of %d harmless requests served", crashes, late, inContact, harmless.served.Load(), harmless.all.Load())
+	Expect(late).To(BeNumerically("<=", mostRepeats), q.crashLines)
+}
+
 // Guards against harmless requests that are taken for the cause of crashes since their like
 // is under way at each of them.
 func TestIdenticalRequestsAreServedThroughCrashes(t *testing.T) {
