--- a/proof/deployed/quarantine_test.go
+++ b/proof/deployed/quarantine_test.go
@@ -41,14 +41,16 @@
 	// work is for how long a harmless request runs, in nanoseconds.
 	work atomic.Int64
 
-	mu       sync.Mutex
-	current  map[string]*runner
+	mu      sync.Mutex
+	current map[string]*runner
+	// named is the limit that the upstream at an address names.
+	named    map[string]*named
 	arrivals []time.Time // of the request that ends upstreams
 	crashes  []time.Time
 }
 
 func (s *site) fragile(count int, cores ...*node) *fragile {
-	f := &fragile{s: s, cores: cores, current: map[string]*runner{}}
+	f := &fragile{s: s, cores: cores, current: map[string]*runner{}, named: map[string]*named{}}
 	f.work.Store(int64(harmlessWork))
 	for i := range count {
 		f.start(fmt.Sprintf("%s:%d", s.ip(200+i), 18000))
@@ -79,6 +81,9 @@
 	server.Handler = http.HandlerFunc(func(out http.ResponseWriter, req *http.Request) { f.serve(r, out, req) })
 	f.mu.Lock()
 	f.current[address] = r
+	if f.named[address] == nil {
+		f.named[address] = &named{}
+	}
 	f.mu.Unlock()
 	go func() { _ = server.Serve(l) }()
 	go r.beat(f.cores)
@@ -97,6 +102,10 @@
 		f.end(r)
 		return
 	}
+	f.mu.Lock()
+	limit := f.named[r.listener.Addr().String()]
+	f.mu.Unlock()
+	limit.arrived(out)
 	time.Sleep(time.Duration(f.work.Load()))
 	out.Header().Set("Attempt-Id", req.Header.Get("Attempt-Id"))
 	out.Header().Set("Runner-Seal", "s")
