--- /dev/null
+++ b/core/ratelimit/book_test.go
@@ -0,0 +1,101 @@
+package ratelimit_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/comfreyladder/comfreyladder/core/ratelimit"
+)
+
+var epoch = time.Unix(1_000_000, 0)
+
+func at(ms int) time.Time { return epoch.Add(time.Duration(ms) * time.Millisecond) }
+
+const upstream = 7
+
+func limitOf(b *ratelimit.Book) float64 {
+	perSecond, _ := b.Limit(upstream)
+	return perSecond
+}
+
+// Guards against a limit that is taken for over since an older answer came late.
+func TestLateAnswerDoesNotEndALimit(t *testing.T) {
+	g := NewWithT(t)
+	b := ratelimit.NewBook()
+	g.Expect(b.Note(upstream, 2, at(100), at(120))).To(BeTrue())
+	g.Expect(b.Note(upstream, 0, at(110), at(500))).To(BeFalse(), "it was sent before the limit was heard")
+	g.Expect(limitOf(b)).To(Equal(2.0))
+	g.Expect(b.Note(upstream, 0, at(120), at(150))).To(BeTrue())
+	g.Expect(limitOf(b)).To(BeZero())
+	g.Expect(b.Limited()).To(BeEmpty())
+}
+
+// Guards against a limit that comes back since an older answer came late.
+func TestLateAnswerDoesNotBringALimitBack(t *testing.T) {
+	g := NewWithT(t)
+	b := ratelimit.NewBook()
+	b.Note(upstream, 2, at(100), at(120))
+	b.Note(upstream, 0, at(200), at(220))
+	b.Note(upstream, 2, at(90), at(190))
+	g.Expect(limitOf(b)).To(BeZero())
+	b.Note(upstream, 3, at(230), at(240))
+	g.Expect(limitOf(b)).To(Equal(3.0))
+}
+
+// Guards against the higher of two limits where it can't be told which is the newer one.
+func TestLowerOfTwoLimitsHoldsUntilOneIsNewer(t *testing.T) {
+	g := NewWithT(t)
+	b := ratelimit.NewBook()
+	b.Note(upstream, 2, at(100), at(200))
+	b.Note(upstream, 5, at(150), at(250))
+	g.Expect(limitOf(b)).To(Equal(2.0))
+	b.Note(upstream, 5, at(250), at(260))
+	g.Expect(limitOf(b)).To(Equal(5.0))
+	b.Note(upstream, 1, at(100), at(255))
+	g.Expect(limitOf(b)).To(Equal(5.0))
+}
+
+// Guards against limits of upstreams that are gone, and ends that are told for ever.
+func TestBookForgets(t *testing.T) {
+	g := NewWithT(t)
+	b := ratelimit.NewBook()
+	b.Note(upstream, 2, at(0), at(1))
+	b.Note(8, 2, at(0), at(1))
+	b.Keep(at(60_000), func(u uint64) bool { return u == upstream })
+	g.Expect(b.Limited()).To(Equal([]uint64{upstream}))
+	b.Note(upstream, 0, at(60_000), at(60_001))
+	b.Keep(at(60_500), func(uint64) bool { return true })
+	g.Expect(b.Statements(at(60_500))).To(HaveLen(1))
+	b.Keep(at(75_000), func(uint64) bool { return true })
+	g.Expect(b.Empty()).To(BeTrue())
+}
+
+// Guards against instances that disagree for good since they heard of the same answers in
+// another order, or by way of others.
+func TestBooksAgreeAfterAnExchange(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		a, b := ratelimit.NewBook(), ratelimit.NewBook()
+		for range rapid.IntRange(1, 12).Draw(t, "answers") {
+			sent := rapid.IntRange(0, 1000).Draw(t, "sent")
+			heard := sent + rapid.IntRange(1, 200).Draw(t, "took")
+			rate := rapid.SampledFrom([]float64{0, 1, 2}).Draw(t, "rate")
+			to := a
+			if rapid.Bool().Draw(t, "at b") {
+				to = b
+			}
+			to.Note(upstream, rate, at(sent), at(heard))
+		}
+		for range 3 {
+			a.Take(at(3000), b.Statements(at(3000)))
+			b.Take(at(3000), a.Statements(at(3000)))
+		}
+		_, limitedA := a.Limit(upstream)
+		_, limitedB := b.Limit(upstream)
+		if limitedA != limitedB {
+			t.Fatalf("%v and %v", a.Statements(at(3000)), b.Statements(at(3000)))
+		}
+	})
+}
--- /dev/null
+++ b/core/ratelimit/holder_test.go
@@ -0,0 +1,158 @@
+package ratelimit_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/comfreyladder/comfreyladder/core/ratelimit"
+)
+
+// rates are limits that a test sets.
+type rates map[uint64]float64
+
+func (r rates) Limit(upstream uint64) (float64, bool) {
+	perSecond, limited := r[upstream]
+	return perSecond, limited
+}
+
+func ask(wants ...ratelimit.Want) *ratelimit.Ask { return &ratelimit.Ask{Wants: wants} }
+
+func want(count, urgency int) ratelimit.Want {
+	return ratelimit.Want{Upstream: upstream, Count: count, Urgency: urgency}
+}
+
+func granted(a *ratelimit.Ask) (n int) {
+	for _, g := range a.Grants {
+		n += g.Count
+	}
+	return n
+}
+
+// Guards against less urgent requests that use up what more urgent ones wait for.
+func TestUrgentWantsAreServedFirst(t *testing.T) {
+	g := NewWithT(t)
+	h := ratelimit.NewHolder()
+	limits := rates{upstream: 2}
+	last, first := ask(want(5, 4)), ask(want(2, 0))
+	h.Serve(epoch, limits, []*ratelimit.Ask{last, first})
+	g.Expect(granted(first)).To(BeZero(), "a new holder has nothing")
+	h.Serve(epoch.Add(time.Second), limits, []*ratelimit.Ask{last, first})
+	g.Expect(granted(first)).To(Equal(2))
+	g.Expect(granted(last)).To(BeZero())
+	g.Expect(first.Open()).To(BeFalse())
+	h.Serve(epoch.Add(2*time.Second), limits, []*ratelimit.Ask{last})
+	g.Expect(granted(last)).To(Equal(2))
+}
+
+// Guards against one instance that gets all, and against one that gets a part that it has no
+// use for while another one waits.
+func TestEquallyUrgentWantsTakeTurns(t *testing.T) {
+	g := NewWithT(t)
+	h := ratelimit.NewHolder()
+	limits := rates{upstream: 10}
+	many, few := ask(want(30, 0)), ask(want(1, 0))
+	h.Serve(epoch, limits, []*ratelimit.Ask{many, few})
+	h.Serve(epoch.Add(time.Second), limits, []*ratelimit.Ask{many, few})
+	g.Expect(granted(few)).To(Equal(1))
+	g.Expect(granted(many)).To(Equal(5))
+}
+
+func TestUpstreamWithoutALimitNeedsNoGrant(t *testing.T) {
+	g := NewWithT(t)
+	a := ask(want(3, 0))
+	h := ratelimit.NewHolder()
+	h.Serve(epoch, rates{}, []*ratelimit.Ask{a})
+	h.Serve(epoch.Add(time.Hour), rates{}, []*ratelimit.Ask{a})
+	g.Expect(granted(a)).To(BeZero())
+}
+
+// Guards against more requests in a window than what the upstream names allows, however
+// unevenly instances ask, and against much less.
+func TestWindowsHoldWhatIsAllowedAndMostOfItIsUsed(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		perSecond := rapid.SampledFrom([]float64{0.3, 1, 2.3, 10, 30}).Draw(t, "limit")
+		instances := rapid.SampledFrom([]int{1, 9, 79, 450}).Draw(t, "instances")
+		limits := rates{upstream: perSecond}
+		h := ratelimit.NewHolder()
+		wallets := make([]*ratelimit.Wallet, instances)
+		for i := range wallets {
+			wallets[i] = ratelimit.NewWallet()
+		}
+		busy := rapid.IntRange(0, instances-1).Draw(t, "busy instance")
+		uneven := rapid.Bool().Draw(t, "uneven")
+		var sent []time.Time
+		const step, span = 20 * time.Millisecond, 40 * time.Second
+		n := 0
+		for d := time.Duration(0); d < span; d += step {
+			now := epoch.Add(d)
+			var asks []*ratelimit.Ask
+			var from []*ratelimit.Wallet
+			// More is asked than is allowed: some instances at a time.
+			for range 1 + int(perSecond)/5 {
+				i := n % instances
+				if n++; uneven {
+					i = busy
+				}
+				w := wallets[i]
+				w.Want(upstream, 0)
+				if w.Take(now, upstream) {
+					sent = append(sent, now)
+					continue
+				}
+				asks, from = append(asks, &ratelimit.Ask{Wants: w.TakeWants()}), append(from, w)
+			}
+			h.Serve(now, limits, asks)
+			for i, a := range asks {
+				from[i].Add(now, a.Grants)
+			}
+			for _, w := range from {
+				for w.Take(now, upstream) {
+					sent = append(sent, now)
+				}
+			}
+		}
+		for i := range sent {
+			count := 0
+			for _, at := range sent[i:] {
+				if at.Sub(sent[i]) <= 4*time.Second {
+					count++
+				}
+			}
+			if float64(count) > 6*perSecond+5 {
+				t.Fatalf("%d in 4 s at %v", count, perSecond)
+			}
+		}
+		if float64(len(sent)) < 0.8*perSecond*span.Seconds()-2 {
+			t.Fatalf("%d of %v used", len(sent), perSecond*span.Seconds())
+		}
+	})
+}
+
+// Guards against rights that are saved up, or used long after they were handed out.
+func TestRightsEndSoon(t *testing.T) {
+	g := NewWithT(t)
+	w := ratelimit.NewWallet()
+	w.Add(epoch, []ratelimit.Grant{{Upstream: upstream, Count: 2}})
+	g.Expect(w.Has(epoch, upstream)).To(BeTrue())
+	g.Expect(w.Take(epoch, upstream)).To(BeTrue())
+	g.Expect(w.Take(epoch.Add(ratelimit.TokenLife), upstream)).To(BeFalse())
+	h := ratelimit.NewHolder()
+	a := ask(want(30, 0))
+	h.Serve(epoch, rates{upstream: 4}, []*ratelimit.Ask{a})
+	h.Serve(epoch.Add(time.Hour), rates{upstream: 4}, []*ratelimit.Ask{a})
+	g.Expect(granted(a)).To(Equal(3), "one and what half a second brings")
+}
+
+func TestWantsAreToldOnceAndBounded(t *testing.T) {
+	g := NewWithT(t)
+	w := ratelimit.NewWallet()
+	for i := range 100 {
+		w.Want(upstream, 100-i)
+	}
+	g.Expect(w.TakeWants()).To(Equal([]ratelimit.Want{want(32, 1)}))
+	g.Expect(w.Wanting()).To(BeFalse())
+	g.Expect(w.TakeWants()).To(BeEmpty())
+}
--- a/instance/eventlog/eventlog.go
+++ b/instance/eventlog/eventlog.go
@@ -229,6 +229,16 @@
 	return l
 }
 
+// Float adds a pair.
+func (l *Line) Float(key string, value float64) *Line {
+	if l == nil {
+		return nil
+	}
+	l.b = append(append(append(l.b, ' '), key...), '=')
+	l.b = strconv.AppendFloat(l.b, value, 'g', -1, 64)
+	return l
+}
+
 // Bool adds a pair.
 func (l *Line) Bool(key string, value bool) *Line { return l.Str(key, strconv.FormatBool(value)) }
 
--- a/instance/relay/attempt.go
+++ b/instance/relay/attempt.go
@@ -54,7 +54,8 @@
 	ended   bool
 	err     error
 	retryIn time.Duration
-	begun   time.Time
+	// begun is when the attempt began, sent when its request left, by clock.Now.
+	begun, sent time.Time
 }
 
 // start sends the request and reads the head of the answer. patience bounds the
@@ -84,6 +85,7 @@
 		until = time.Now().Add(patience)
 	}
 	_ = a.conn.nc.SetDeadline(until)
+	a.sent = now
 	a.write(left, lastEvent)
 	if a.err == nil {
 		a.err = a.readHead()
@@ -160,6 +162,7 @@
 		a.body.Reset(a.conn.in, &a.head)
 		id := a.head.Get(a.s.cfg.Headers.RequestID)
 		if string(id) == string(a.r.id) {
+			a.noteLimit()
 			return nil
 		}
 		a.dirty = true
--- a/instance/relay/config.go
+++ b/instance/relay/config.go
@@ -35,6 +35,9 @@
 	LastEvent string
 	// Parts lists the parts of a prompt, Tokens their number and the longest answer.
 	Parts, Tokens string
+	// Limit, in an answer, is how many requests a second the upstream takes from all
+	// instances together, as a decimal number.
+	Limit string
 	// FetchFrom names the upstream from which another one takes over what it has read.
 	FetchFrom string
 	// Reserved fields are this system's to set: callers' ones are dropped.
@@ -80,7 +83,9 @@
 	Began func(organisation string, ago time.Duration)
 	// Quarantine keeps requests from upstreams that crash them; nil for none.
 	Quarantine Quarantine
-	Log        *eventlog.Sink
+	// Limits keeps to the limits that upstreams name; nil where they name none.
+	Limits Limits
+	Log    *eventlog.Sink
 }
 
 const (
--- a/instance/relay/suite_test.go
+++ b/instance/relay/suite_test.go
@@ -26,7 +26,7 @@
 
 var headers = relay.Headers{
 	RequestID: "X-Id", Deadline: "X-Left", Key: "X-Key", Organisation: "X-Org", ExpectInstance: "X-Expect", Urgency: "X-Urgency",
-	NotRun: "X-Not-Run", Seal: "X-Seal", LastEvent: "X-Last", Parts: "X-Parts", Tokens: "X-Tokens", FetchFrom: "X-Fetch",
+	NotRun: "X-Not-Run", Seal: "X-Seal", LastEvent: "X-Last", Parts: "X-Parts", Tokens: "X-Tokens", FetchFrom: "X-Fetch", Limit: "X-Limit",
 	Reserved: []string{"X-Org", "X-Expect", "X-Urgency", "X-Hold", "X-Fetch"}, EndToEnd: []string{"X-Id"},
 }
 
@@ -207,7 +207,8 @@
 	// log gathers the lines.
 	log lockedBuffer
 	// list is what the instance tells and knows of requests that crash upstreams.
-	list *fakeQuarantine
+	list   *fakeQuarantine
+	limits *fakeLimits
 }
 
 // lockedBuffer is a buffer for a writer and a reader at the same time.
@@ -250,12 +251,12 @@
 	for _, u := range ups {
 		v.Upstreams[u.id] = &serving.Upstream{ID: u.id, Service: "s", Address: u.listener.Addr().String(), State: serving.Ready, Slots: 8, Begun: u.begun()}
 	}
-	b := &bed{t: t, state: &state{view: v, lease: time.Minute}, list: &fakeQuarantine{}}
+	b := &bed{t: t, state: &state{view: v, lease: time.Minute}, list: &fakeQuarantine{}, limits: &fakeLimits{}}
 	b.service = relay.New(relay.Config{
 		Listen: "127.0.0.1:0", Headers: headers, State: b.state, FailClosed: true,
 		Budget:   relay.Budget{Ratio: 0.2, Window: 10 * time.Second, Slack: 20},
 		Announce: 200 * time.Millisecond, DrainTimeout: 2 * time.Second, BodyBytes: bodyRoom, Began: b.count,
-		Quarantine: b.list, Log: eventlog.New(&b.log, nil),
+		Quarantine: b.list, Limits: b.limits, Log: eventlog.New(&b.log, nil),
 	}, metrics.NewSet())
 	b.service.Update(v)
 	if err := b.service.Start(context.Background()); err != nil {
--- a/instance/roles/edge.go
+++ b/instance/roles/edge.go
@@ -7,6 +7,7 @@
 	"github.com/comfreyladder/comfreyladder/instance/kernel"
 	"github.com/comfreyladder/comfreyladder/instance/link"
 	"github.com/comfreyladder/comfreyladder/instance/quarantine"
+	"github.com/comfreyladder/comfreyladder/instance/ratelimit"
 	"github.com/comfreyladder/comfreyladder/instance/relay"
 	"github.com/comfreyladder/comfreyladder/instance/serving"
 	"github.com/comfreyladder/comfreyladder/instance/telemetry"
@@ -47,8 +48,14 @@
 	}}
 }
 
+func (p *Process) limits() kernel.Module {
+	return kernel.Module{Name: nameLimits, New: func(*kernel.Kernel) (kernel.Service, error) {
+		return ratelimit.NewClient(ratelimit.ClientConfig{Log: p.events}), nil
+	}}
+}
+
 func (p *Process) relay() kernel.Module {
-	needs := []string{nameFollow, nameTelemetry, nameQuarantine}
+	needs := []string{nameFollow, nameTelemetry, nameQuarantine, nameLimits}
 	return kernel.Module{Name: nameRelay, Needs: needs, New: func(k *kernel.Kernel) (kernel.Service, error) {
 		state, err := kernel.Lookup[*follow.Follower](k, nameFollow)
 		if err != nil {
@@ -62,11 +69,15 @@
 		if err != nil {
 			return nil, err
 		}
+		limits, err := kernel.Lookup[*ratelimit.Client](k, nameLimits)
+		if err != nil {
+			return nil, err
+		}
 		cfg := relay.Config{
 			Listen: p.cfg.Callers, Domain: p.cfg.Domain, Headers: p.dialect.Headers, State: state, FailClosed: p.cfg.FailClosed,
 			Budget: p.cfg.Budget, Announce: p.cfg.Announce, DrainTimeout: p.cfg.Grace - 2*stopMargin, Log: p.events,
-			Quarantine: recorder,
-			BodyBytes:  int64(bodyShare * float64(p.cfg.MemoryMB) * (1 << 20)),
+			Quarantine: recorder, Limits: limits,
+			BodyBytes: int64(bodyShare * float64(p.cfg.MemoryMB) * (1 << 20)),
 		}
 		if p.meter != nil {
 			cfg.Began = p.meter.Began
--- a/instance/roles/process.go
+++ b/instance/roles/process.go
@@ -30,6 +30,7 @@
 	nameServing    = "serving"
 	nameDuties     = "duties"
 	nameQuarantine = "quarantine"
+	nameLimits     = "limits"
 	nameFollow     = "follow"
 	nameRelay      = "relay"
 	nameCalls      = "listener.control"
@@ -66,7 +67,7 @@
 			modules = append(modules, p.duties())
 		}
 	} else {
-		modules = append(modules, p.follow(), p.recorder(), p.relay(), p.ready())
+		modules = append(modules, p.follow(), p.recorder(), p.limits(), p.relay(), p.ready())
 	}
 	if cfg.Metrics != "" {
 		modules = append(modules, p.metrics())
