Fix: instances keep together to the limits that upstreams name

What was seen: an upstream in need that named 2.3 requests a second got 26 in 4 s, one that named 1 got 12, while 16 others had room; to it the limit made no difference.

Cause: nobody read the limit; placing went by slots, reading and kept prompts (hypothesis 1). Class of fault: an upstream's feedback without a reader; and beneath it, a bound that is common to all kept by nobody, since each instance chooses by itself. Evidence: arrivals before and after are the same, upstream_limit lines show that each instance is told at once (hypothesis 4 is out), no repeats are among them (3 is out). Hypothesis 2 was excluded by design: rights come from one holder.

Why this works: statements of limits travel with the loads and are ordered by when their requests were sent and answered, so that a late answer neither ends a limit nor brings it back; the leader of the control group hands out single rights at the rate that is named, the most urgent wants first, which end after a second; an instance without a right passes the upstream over, waits for a moment if none is left, and refuses with the time that the limits imply. A successor waits until old rights have ended; an instance that reaches no member goes by its part. Admission and the autoscaler count what such an upstream takes.

Ruled out: static parts (uneven demand gets a ninth), each instance by itself (nine times the limit), parts by what was sent lately (half a second of two full parts when the demand moves).

--- a/core/balance/admission.go
+++ b/core/balance/admission.go
@@ -65,6 +65,25 @@
 	return min(1, (part-uncached*(1-share))/share)
 }
 
+// EachPerSecond returns how many requests a second an upstream gets on the mean.
+func (p *Pools) EachPerSecond() float64 { return EachPerSecond(p.all(), &p.engine) }
+
+// EachPerSecond returns how many requests a second an upstream gets on the mean of all.
+func EachPerSecond(loads map[string]RouteLoad, e *Engine) float64 {
+	if e.Count == 0 {
+		return 0
+	}
+	return requestsOf(loads) / e.loadWindow() / e.Count
+}
+
+// TakenPart returns the part of what its peers get that an upstream takes which names a limit.
+func TakenPart(perSecond, each float64) float64 {
+	if each <= perSecond {
+		return 1
+	}
+	return perSecond / each
+}
+
 // asked returns how many engines a route asks for at the moment.
 func (e *Engine) asked(l *RouteLoad) float64 { return max(e.reading(l), e.slots(l)) }
 
--- a/core/balance/balance_test.go
+++ b/core/balance/balance_test.go
@@ -167,3 +167,17 @@
 	list[0].Errors = 0.2
 	g.Expect(balance.Choose(list, &balance.Request{Domain: "d0"}).Index).To(Equal(0))
 }
+
+// Guards against an upstream that counts for as much as its peers though it says that it takes
+// less.
+func TestLimitedUpstreamTakesAPartOfWhatItsPeersGet(t *testing.T) {
+	g := NewWithT(t)
+	e := &balance.Engine{Count: 4, PerMS: 60, Slots: 64}
+	loads := map[string]balance.RouteLoad{"r": {Requests: 120}}
+	each := balance.EachPerSecond(loads, e)
+	g.Expect(each).To(BeNumerically("~", 10, 0.01), "the sum of 3 s, before four upstreams")
+	g.Expect(balance.TakenPart(each/4, each)).To(Equal(0.25))
+	g.Expect(balance.TakenPart(2*each, each)).To(Equal(1.0))
+	g.Expect(balance.EachPerSecond(loads, &balance.Engine{})).To(BeZero())
+	g.Expect(balance.TakenPart(1, 0)).To(Equal(1.0))
+}
--- a/instance/follow/follow.go
+++ b/instance/follow/follow.go
@@ -81,6 +81,16 @@
 	Quarantine *Quarantine
 }
 
+// Knows reports whether an incarnation is known by the log index at which it was first heard of.
+func (v *View) Knows(begun uint64) bool {
+	for _, u := range v.Upstreams {
+		if u.Begun == begun {
+			return true
+		}
+	}
+	return false
+}
+
 // Follower is the state at this instance. It is safe for concurrent use.
 type Follower struct {
 	cfg    Config
--- /dev/null
+++ b/instance/ratelimit/service_test.go
@@ -0,0 +1,178 @@
+package ratelimit_test
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"github.com/rs/zerolog"
+
+	"github.com/comfreyladder/comfreyladder/core/raft"
+	core "github.com/comfreyladder/comfreyladder/core/ratelimit"
+	"github.com/comfreyladder/comfreyladder/instance/consensus"
+	"github.com/comfreyladder/comfreyladder/instance/control"
+	"github.com/comfreyladder/comfreyladder/instance/disk/disktest"
+	"github.com/comfreyladder/comfreyladder/instance/link"
+	"github.com/comfreyladder/comfreyladder/instance/ratelimit"
+)
+
+const patience = 15 * time.Second
+
+// group is a control group in one process.
+type group struct {
+	book  sync.Map
+	names []string
+	nodes map[string]*node
+}
+
+type node struct {
+	links   *link.Service
+	control *control.Service
+}
+
+// Address implements link.AddressBook.
+func (g *group) Address(name string) (string, bool) {
+	v, ok := g.book.Load(name)
+	if !ok {
+		return "", false
+	}
+	return v.(string), true
+}
+
+// limits are what all members know.
+type limits map[uint64]float64
+
+func (l limits) Limit(upstream uint64) (float64, bool) {
+	perSecond, limited := l[upstream]
+	return perSecond, limited
+}
+
+func newGroup(t *testing.T, members int, known limits) *group {
+	RegisterTestingT(t)
+	g := &group{nodes: map[string]*node{}}
+	for i := range members {
+		g.names = append(g.names, fmt.Sprint("m", i))
+	}
+	ctx := context.Background()
+	for _, name := range g.names {
+		n := &node{}
+		var err error
+		n.links, err = link.New(link.Config{Self: name, Listen: "127.0.0.1:0", Open: true, Book: g, Log: zerolog.Nop()})
+		Expect(err).NotTo(HaveOccurred())
+		ratelimit.New(ratelimit.Config{Replica: func() *consensus.Service { return n.control.Replica() }, Links: n.links, Limits: known})
+		n.control = control.New(control.Config{
+			Name: name, DataFolder: "data", Disk: disktest.NewMemory(), Founders: g.names, Bootstrap: true, Links: n.links,
+			Members: func() []string { return g.names }, Log: zerolog.Nop(), OnFatal: func(error) {},
+			Heartbeat: 30 * time.Millisecond, ElectionTimeout: 200 * time.Millisecond,
+		})
+		Expect(n.links.Start(ctx)).To(Succeed())
+		g.book.Store(name, n.links.Addr().String())
+		g.nodes[name] = n
+	}
+	for _, n := range g.nodes {
+		Expect(n.control.Start(ctx)).To(Succeed())
+		t.Cleanup(func() {
+			_ = n.control.Stop(ctx)
+			_ = n.links.Stop(ctx)
+		})
+	}
+	return g
+}
+
+// leader returns the name of the leader, and of another member.
+func (g *group) leader() (leader, other string) {
+	Eventually(func() string {
+		leader, other = "", ""
+		for name, n := range g.nodes {
+			if r := n.control.Replica(); r != nil && r.Status().Role == raft.Leader {
+				leader = name
+				continue
+			}
+			other = name
+		}
+		return leader
+	}, patience).ShouldNot(BeEmpty())
+	return leader, other
+}
+
+// ask puts a question to a member, and returns how many rights it got.
+func (g *group) ask(name string, count int) (int, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	var a ratelimit.Answer
+	q := ratelimit.Question{Wants: []core.Want{{Upstream: upstream, Count: count}}}
+	err := g.nodes[name].links.Call(ctx, name, ratelimit.ChannelRights, &q, &a)
+	n := 0
+	for _, x := range a.Grants {
+		n += x.Count
+	}
+	return n, err
+}
+
+// Guards against members that each hand out the whole of what an upstream takes.
+func TestAllMembersHandOutOneLimitTogether(t *testing.T) {
+	const perSecond, span = 10.0, 4 * time.Second
+	g := newGroup(t, 3, limits{upstream: perSecond})
+	g.leader()
+	var all sync.WaitGroup
+	var mu sync.Mutex
+	total := 0
+	begun := time.Now()
+	for _, name := range g.names {
+		all.Go(func() {
+			for time.Since(begun) < span {
+				n, err := g.ask(name, 5)
+				if err != nil {
+					continue
+				}
+				mu.Lock()
+				total += n
+				mu.Unlock()
+			}
+		})
+	}
+	all.Wait()
+	Expect(total).To(BeNumerically("<=", perSecond*span.Seconds()+1))
+	Expect(total).To(BeNumerically(">=", 0.8*perSecond*(span-core.TokenLife).Seconds()-2), "a new holder waits before it begins")
+}
+
+// Guards against a successor that hands out rights beside those of the one before it.
+func TestASuccessorWaitsUntilOldRightsHaveEnded(t *testing.T) {
+	g := newGroup(t, 3, limits{upstream: 1000})
+	leader, other := g.leader()
+	Eventually(func() int { n, _ := g.ask(other, 1); return n }, patience).Should(Equal(1))
+	r := g.nodes[leader].control.Replica()
+	Expect(r.Transfer(context.Background(), memberOf(r, other))).To(Succeed())
+	Eventually(func() string { name, _ := g.leader(); return name }, patience).Should(Equal(other))
+	begun := time.Now()
+	for {
+		n, _ := g.ask(other, 1)
+		if n > 0 {
+			break
+		}
+	}
+	Expect(time.Since(begun)).To(BeNumerically(">=", core.TokenLife))
+}
+
+func memberOf(r *consensus.Service, name string) raft.MemberID {
+	for _, m := range r.Status().Members {
+		if m.Name == name {
+			return m.ID
+		}
+	}
+	return 0
+}
+
+// Guards against questions that wait for what never comes.
+func TestQuestionWithoutRightsIsAnsweredSoon(t *testing.T) {
+	g := newGroup(t, 1, limits{})
+	name, _ := g.leader()
+	begun := time.Now()
+	n, err := g.ask(name, 5)
+	Expect(err).NotTo(HaveOccurred())
+	Expect(n).To(BeZero())
+	Expect(time.Since(begun)).To(BeNumerically("<", time.Second))
+}
--- a/instance/relay/admit.go
+++ b/instance/relay/admit.go
@@ -37,6 +37,12 @@
 // acquire chooses an upstream, and waits for a moment for one that has room.
 func (s *Service) acquire(r *request, avoid []*upstream) (up *upstream, busy bool) {
 	until := time.Now().Add(time.Duration(holdShare * float64(r.route.Target)))
+	queued := false
+	defer func() {
+		if queued {
+			s.fleet.enqueue(r, -1)
+		}
+	}()
 	for {
 		up, busy = s.fleet.choose(r, s.cfg.Domain, avoid)
 		if up != nil {
@@ -45,6 +51,10 @@
 		if !busy || r.shed || !time.Now().Add(holdStep).Before(until) {
 			return nil, busy
 		}
+		if r.limited && !queued {
+			queued = true
+			s.fleet.enqueue(r, 1)
+		}
 		t := time.NewTimer(holdStep)
 		select {
 		case <-t.C:
@@ -55,10 +65,13 @@
 	}
 }
 
-// busyVerdict refuses a request for which no engine has room, and says which bound it
+// busyVerdict refuses a request for which no upstream has room, and says which bound it
 // met.
-func busyVerdict(r *request) *verdict {
-	if r.shed {
+func (s *Service) busyVerdict(r *request) *verdict {
+	switch {
+	case r.limited:
+		return &verdict{503, "not run: all upstreams are at the limits that they name", s.fleet.limitHint(r, s.cfg.State.View().Forwarders)}
+	case r.shed:
 		return &verdict{503, "not run: more is asked than the engines can read", busyHint(r)}
 	}
 	return &verdict{503, "not run: too much waits before it", busyHint(r)}
--- a/instance/relay/attempt.go
+++ b/instance/relay/attempt.go
@@ -47,6 +47,8 @@
 	unread, ahead int
 	nominal       float64
 	begunEvents   bool
+	// right says that a right of a limited upstream was used for it.
+	right bool
 	// writing is closed when all of the request was written, nil if it was at once.
 	writing chan error
 	// dirty says that the connection can't be used again, ended that it was given back.
@@ -61,7 +63,7 @@
 // start sends the request and reads the head of the answer. patience bounds the
 // wait for it; zero means until the deadline.
 func (s *Service) start(r *request, up *upstream, patience time.Duration, lastEvent []byte) (*attempt, outcome) {
-	a := &attempt{s: s, r: r, up: up, unread: r.unread, ahead: r.ahead, nominal: r.nominal, begun: time.Now()}
+	a := &attempt{s: s, r: r, up: up, unread: r.unread, ahead: r.ahead, nominal: r.nominal, right: r.right, begun: time.Now()}
 	if o := a.connect(); o != answered {
 		return a, o
 	}
--- a/instance/relay/exchange.go
+++ b/instance/relay/exchange.go
@@ -33,6 +33,9 @@
 		routes[l.Service][l.Route] = l.Load()
 	}
 	f.othersAt = time.Now()
+	if f.limits != nil {
+		f.limits.Take(r.Limits)
+	}
 	if r.Observes {
 		f.takeObserved(r.Observed)
 	}
@@ -117,6 +120,10 @@
 		}
 	}
 	r.Busy = f.busy(now)
+	if f.limiting() {
+		// What upstreams in need are sent is to be known soon.
+		r.Limits, r.Busy = f.limits.Statements(), true
+	}
 	return r
 }
 
--- a/instance/relay/fleet.go
+++ b/instance/relay/fleet.go
@@ -43,10 +43,14 @@
 	toldAt                 time.Time
 	// placed lists the prompts that were sent to upstreams since the last report.
 	placed []servingsvc.Placed
+	// limits are those that upstreams name, nil where they name none; queue counts who waits
+	// for them.
+	limits Limits
+	queue  queue
 }
 
-func newFleet(log *eventlog.Sink) *fleet {
-	return &fleet{log: log, upstreams: map[string]*upstream{}, byBegun: map[uint64]*upstream{}, services: map[string][]*upstream{}, domains: domains{}, pools: map[string]*balance.Pools{},
+func newFleet(log *eventlog.Sink, limits Limits) *fleet {
+	return &fleet{log: log, limits: limits, queue: queue{}, upstreams: map[string]*upstream{}, byBegun: map[uint64]*upstream{}, services: map[string][]*upstream{}, domains: domains{}, pools: map[string]*balance.Pools{},
 		paces: map[string]*pace{}, others: map[uint64]servingsvc.Load{}, observedByOthers: map[uint64]balance.Observed{}, told: map[uint64]balance.Observed{}, quickCount: map[string]int{}}
 }
 
@@ -131,9 +135,9 @@
 	if r.tokens > 0 {
 		q.Rate = f.pace(r.service).rate.PerMS()
 	}
-	c := balance.Choose(f.scratch, q)
+	c := f.pick(r, q, list)
 	if c.Index == balance.None {
-		return nil, false
+		return nil, r.limited
 	}
 	r.predicted, r.upstream = c.Wait, list[c.Index].id
 	r.unread, r.ahead = int(balance.Unread(&f.scratch[c.Index], q)), f.scratch[c.Index].Reading
@@ -146,12 +150,17 @@
 	if r.quick && c.Ahead > overflowShare*float64(r.route.Target.Milliseconds()) {
 		// A quick request harms nobody elsewhere; a long one among quick ones would.
 		f.describe(r, list, now, domain, avoid, false)
-		c = balance.Choose(f.scratch, q)
+		if c = f.pick(r, q, list); c.Index == balance.None {
+			return nil, r.limited
+		}
 	}
 	if c.Ahead > r.maxAhead && r.tokens > 0 {
 		return nil, true
 	}
 	u = list[c.Index]
+	if !f.spend(r, u) {
+		return nil, true
+	}
 	r.predicted, r.nominal = c.Wait, balance.Nominal(&f.scratch[c.Index], q)
 	r.upstream, r.unread, r.ahead = u.id, int(balance.Unread(&f.scratch[c.Index], q)), f.scratch[c.Index].Reading
 	r.fetchFrom = ""
@@ -185,7 +194,7 @@
 			b.Held += others.Held
 			observed.Add(f.observedByOthers[u.begun])
 		}
-		b.Capacity = r.capacity
+		b.Capacity, b.Takes = r.capacity, f.takes(r, u)
 		b.Residence = pace.residence(quick[u.id]).MS()
 		b.Suspect = b.Suspect || u.domain != domain && f.domains.suspect(now, u.domain)
 		b.Elsewhere = pools && quick != nil && quick[u.id] != r.quick
--- a/instance/relay/limit_test.go
+++ b/instance/relay/limit_test.go
@@ -3,17 +3,27 @@
 import (
 	"fmt"
 	"net"
+	"strconv"
 	"sync"
 	"testing"
 	"time"
 
 	. "github.com/onsi/gomega"
+
+	"github.com/comfreyladder/comfreyladder/core/ratelimit"
+	"github.com/comfreyladder/comfreyladder/instance/serving"
 )
 
-// fakeLimits notes what upstreams named.
+// fakeLimits holds limits and rights that a test sets.
 type fakeLimits struct {
-	mu    sync.Mutex
-	heard []float64
+	mu     sync.Mutex
+	heard  []float64
+	limits map[uint64]float64
+	rights map[uint64]int
+	wants  map[uint64]int
+	// returned counts rights that were given back.
+	returned int
+	told     []ratelimit.Statement
 }
 
 func (l *fakeLimits) Heard(_ uint64, _ string, perSecond float64, sent, heard time.Time) {
@@ -24,12 +34,80 @@
 	}
 }
 
+func (l *fakeLimits) Known() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.limits) > 0
+}
+
+func (l *fakeLimits) Limit(upstream uint64) (float64, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	perSecond, limited := l.limits[upstream]
+	return perSecond, limited
+}
+
+func (l *fakeLimits) Has(upstream uint64) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.rights[upstream] > 0
+}
+
+func (l *fakeLimits) Spend(upstream uint64, _ int) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.rights[upstream]--
+	return l.rights[upstream] >= 0
+}
+
+func (l *fakeLimits) Return(upstream uint64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.rights[upstream]++
+	l.returned++
+}
+
+func (l *fakeLimits) Want(upstream uint64, _ int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.wants == nil {
+		l.wants = map[uint64]int{}
+	}
+	l.wants[upstream]++
+}
+
+func (l *fakeLimits) Statements() []ratelimit.Statement {
+	return []ratelimit.Statement{{Upstream: 1, PerSecond: 2}}
+}
+
+func (l *fakeLimits) Take(list []ratelimit.Statement) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.told = append(l.told, list...)
+}
+
 func (l *fakeLimits) list() []float64 {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return append([]float64(nil), l.heard...)
 }
 
+// limit gives an upstream a limit and rights.
+func (l *fakeLimits) limit(u *fakeUpstream, rights int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.limits == nil {
+		l.limits, l.rights = map[uint64]float64{}, map[uint64]int{}
+	}
+	l.limits[u.begun()], l.rights[u.begun()] = 2, rights
+}
+
+func (l *fakeLimits) wanted(u *fakeUpstream) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.wants[u.begun()]
+}
+
 // limited answers with a limit as text.
 func limited(c net.Conn, r *received, status int, limit string) bool {
 	_, err := fmt.Fprintf(c, "HTTP/1.1 %d X\r\nX-Id: %s\r\nX-Seal: s\r\nX-Limit: %s\r\nContent-Length: 2\r\n\r\nok", status, r.header.Get("X-Id"), limit)
@@ -53,3 +131,68 @@
 	}
 	Expect(b.limits.list()).To(Equal([]float64{2.5, 0.05, 0, 0}), "what can't be read says nothing, and none is the least")
 }
+
+// Guards against an upstream at its limit that gets requests while another one has room.
+func TestUpstreamAtItsLimitIsPassedOver(t *testing.T) {
+	a, z := startUpstream(t, "a", echo), startUpstream(t, "z", echo)
+	b := start(t, a, z)
+	b.limits.limit(a, 2)
+	c := b.caller()
+	for i := range 20 {
+		Expect(c.call("POST", "/idem/x", fmt.Sprint("r", i), "x").status).To(Equal(200))
+	}
+	Expect(len(a.requests())).To(BeNumerically("<=", 2))
+	Expect(b.limits.wanted(a)).To(BeNumerically(">", 0), "a right is asked for")
+	Expect(b.limits.wanted(z)).To(BeZero())
+}
+
+// Guards against requests that are refused at once though a right is on its way, and against
+// refusals that don't say when to come again.
+func TestRequestWaitsForARightAndIsToldWhenToComeAgain(t *testing.T) {
+	a := startUpstream(t, "a", echo)
+	b := start(t, a)
+	table := routes()
+	for i := range table.Routes {
+		table.Routes[i].Target = 2 * time.Second
+	}
+	b.use(table)
+	b.limits.limit(a, 0)
+	time.AfterFunc(100*time.Millisecond, func() { b.limits.limit(a, 1) })
+	begun := time.Now()
+	Expect(b.caller().call("POST", "/idem/x", "r1", "x").status).To(Equal(200))
+	Expect(time.Since(begun)).To(BeNumerically(">=", 90*time.Millisecond))
+	r := b.caller().call("POST", "/idem/x", "r2", "x")
+	Expect(r.status).To(Equal(503))
+	Expect(r.body).To(ContainSubstring("limits"))
+	after, err := strconv.ParseFloat(r.header.Get("Retry-After"), 64)
+	Expect(err).NotTo(HaveOccurred())
+	Expect(after).To(BeNumerically("~", 0.5, 0.35), "a request waits, and two a second are taken")
+	Expect(a.requests()).To(HaveLen(1))
+}
+
+// Guards against a right that is lost with a connection that could not be made.
+func TestRightOfARequestThatDidNotLeaveIsGivenBack(t *testing.T) {
+	a := startUpstream(t, "a", echo)
+	_ = a.listener.Close()
+	b := start(t, a)
+	b.limits.limit(a, 1)
+	Expect(b.caller().call("POST", "/idem/x", "r1", "x").status).To(Equal(503))
+	b.limits.mu.Lock()
+	defer b.limits.mu.Unlock()
+	Expect(b.limits.returned).To(Equal(1))
+}
+
+// Guards against an instance that does not tell others of a limit, or does not hear of theirs.
+func TestLimitsAreExchangedWithLoads(t *testing.T) {
+	a := startUpstream(t, "a", echo)
+	b := start(t, a)
+	Expect(b.service.Report().Limits).To(BeEmpty(), "without a limit nothing is told")
+	b.limits.limit(a, 0)
+	r := b.service.Report()
+	Expect(r.Limits).To(HaveLen(1))
+	Expect(r.Busy).To(BeTrue())
+	b.service.TakeReport(&serving.Report{Limits: r.Limits})
+	b.limits.mu.Lock()
+	defer b.limits.mu.Unlock()
+	Expect(b.limits.told).To(Equal(r.Limits))
+}
--- a/instance/relay/load_test.go
+++ b/instance/relay/load_test.go
@@ -145,7 +145,7 @@
 	}
 	services := make([]*Service, instances)
 	for i := range services {
-		services[i] = &Service{fleet: newFleet(log)}
+		services[i] = &Service{fleet: newFleet(log, nil)}
 		services[i].fleet.update(view)
 	}
 	result = map[string]*got{}
--- a/instance/relay/relay.go
+++ b/instance/relay/relay.go
@@ -48,7 +48,7 @@
 // New returns a service that does not listen yet.
 func New(cfg Config, set *metrics.Set) *Service {
 	s := &Service{
-		cfg: cfg, set: set, fleet: newFleet(cfg.Log), bodies: newBodies(cfg.BodyBytes), stop: make(chan struct{}), conns: map[*conn]struct{}{}, budgets: map[string]*budget.Window{},
+		cfg: cfg, set: set, fleet: newFleet(cfg.Log, cfg.Limits), bodies: newBodies(cfg.BodyBytes), stop: make(chan struct{}), conns: map[*conn]struct{}{}, budgets: map[string]*budget.Window{},
 	}
 	s.gauges()
 	return s
--- a/instance/relay/request.go
+++ b/instance/relay/request.go
@@ -92,6 +92,11 @@
 	broken bool
 	// content is the fingerprint, zero as long as nobody asked for it.
 	content quarantine.Fingerprint
+	// limited says that upstreams were passed over for their limits and none was left, right
+	// that a right was used to send it, and wanted which upstream's was asked for at wantedAt.
+	limited, right bool
+	wanted         uint64
+	wantedAt       time.Time
 	// trial says that it is quarantined and may be tried once.
 	trial bool
 	// upstream is the last one used, last what became of it.
--- a/instance/relay/serve.go
+++ b/instance/relay/serve.go
@@ -207,7 +207,7 @@
 			s.logDone(r, 0, "the caller hung up")
 			return false
 		case busy:
-			return s.refuse(c, r, busyVerdict(r))
+			return s.refuse(c, r, s.busyVerdict(r))
 		case up == nil:
 			return s.giveUp(c, r)
 		}
@@ -257,6 +257,9 @@
 	var pause time.Duration
 	switch o {
 	case notSent:
+		if a.right {
+			s.cfg.Limits.Return(a.up.begun)
+		}
 		if a.conn == nil {
 			pause = a.up.failed(true)
 			if showsCut(a.err) {
--- a/instance/relay/split.go
+++ b/instance/relay/split.go
@@ -101,7 +101,11 @@
 	}
 	able := 0.0
 	for i := range f.scratch {
-		if u := &f.scratch[i]; !u.Elsewhere && !u.Suspect && !u.Excluded {
+		switch u := &f.scratch[i]; {
+		case u.Elsewhere || u.Suspect:
+		case u.Takes > 0:
+			able += u.Takes / max(1, u.Slowness)
+		case !u.Excluded:
 			able += 1 / max(1, u.Slowness)
 		}
 	}
--- a/instance/roles/core.go
+++ b/instance/roles/core.go
@@ -12,6 +12,7 @@
 	"github.com/comfreyladder/comfreyladder/instance/kernel"
 	"github.com/comfreyladder/comfreyladder/instance/link"
 	"github.com/comfreyladder/comfreyladder/instance/quarantine"
+	"github.com/comfreyladder/comfreyladder/instance/ratelimit"
 	"github.com/comfreyladder/comfreyladder/instance/serving"
 	"github.com/comfreyladder/comfreyladder/instance/telemetry"
 )
@@ -109,6 +110,20 @@
 	}}
 }
 
+func (p *Process) rights() kernel.Module {
+	return kernel.Module{Name: nameLimits, Needs: []string{nameLinks, nameServing}, New: func(k *kernel.Kernel) (kernel.Service, error) {
+		links, err := kernel.Lookup[*link.Service](k, nameLinks)
+		if err != nil {
+			return nil, err
+		}
+		state, err := kernel.Lookup[*servingService](k, nameServing)
+		if err != nil {
+			return nil, err
+		}
+		return ratelimit.New(ratelimit.Config{Replica: state.replica, Links: links, Limits: state}), nil
+	}}
+}
+
 func (p *Process) calls() kernel.Module {
 	return kernel.Module{Name: nameCalls, Needs: []string{nameServing, nameControl, nameQuarantine}, New: func(k *kernel.Kernel) (kernel.Service, error) {
 		s, err := kernel.Lookup[*servingService](k, nameServing)
--- a/instance/roles/edge.go
+++ b/instance/roles/edge.go
@@ -49,8 +49,18 @@
 }
 
 func (p *Process) limits() kernel.Module {
-	return kernel.Module{Name: nameLimits, New: func(*kernel.Kernel) (kernel.Service, error) {
-		return ratelimit.NewClient(ratelimit.ClientConfig{Log: p.events}), nil
+	return kernel.Module{Name: nameLimits, Needs: []string{nameLinks, nameFollow}, New: func(k *kernel.Kernel) (kernel.Service, error) {
+		links, err := kernel.Lookup[*link.Service](k, nameLinks)
+		if err != nil {
+			return nil, err
+		}
+		state, err := kernel.Lookup[*follow.Follower](k, nameFollow)
+		if err != nil {
+			return nil, err
+		}
+		return ratelimit.NewClient(ratelimit.ClientConfig{
+			Links: links, Members: state.Members, Forwarders: func() int { return state.View().Forwarders }, There: func(upstream uint64) bool { return state.View().Knows(upstream) }, Log: p.events,
+		}), nil
 	}}
 }
 
--- a/instance/roles/process.go
+++ b/instance/roles/process.go
@@ -62,7 +62,7 @@
 	}
 	modules := []kernel.Module{p.telemetry(), p.links()}
 	if cfg.Control != "" {
-		modules = append(modules, p.control(), p.serving(), p.quarantine(), p.calls())
+		modules = append(modules, p.control(), p.serving(), p.quarantine(), p.rights(), p.calls())
 		if p.hasDuties() {
 			modules = append(modules, p.duties())
 		}
--- a/instance/serving/digest.go
+++ b/instance/serving/digest.go
@@ -48,6 +48,7 @@
 		st := g.Status()
 		s.tell(&st)
 		s.findSilent(ctx, g, &st)
+		s.forgetLimits(g, clock.Now())
 	}
 }
 
--- a/instance/serving/fleet.go
+++ b/instance/serving/fleet.go
@@ -42,13 +42,28 @@
 		out.Known = told
 		if d, known := demand[v.Name]; known && v.Engine != nil {
 			engine := &balance.Engine{PerMS: d.PerMS, Slots: float64(v.Engine.Slots), Count: float64(ready)}
-			out.Need = balance.NeedOf(d.Loads, engine).Ample
+			out.Need = balance.NeedOf(d.Loads, engine).Ample + s.lack(v.Name, upstreams, balance.EachPerSecond(d.Loads, engine))
 		}
 		list = append(list, out)
 	}
 	return list
 }
 
+// lack returns how many upstreams' work a service's ready ones leave undone by the limits that
+// they name.
+func (s *Service) lack(service string, upstreams []serving.Upstream, eachPerSecond float64) (sum float64) {
+	for i := range upstreams {
+		u := &upstreams[i]
+		if u.Service != service || !u.Usable() || u.Silent {
+			continue
+		}
+		if perSecond, limited := s.Limit(u.Begun); limited {
+			sum += 1 - balance.TakenPart(perSecond, eachPerSecond)
+		}
+	}
+	return sum
+}
+
 // tableAndUpstreams returns the table in force and all upstreams.
 func (s *Service) tableAndUpstreams(g *consensus.Service) (*route.Table, []serving.Upstream) {
 	var c serving.Changes
--- a/instance/serving/loads.go
+++ b/instance/serving/loads.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/comfreyladder/comfreyladder/core/raft"
+	"github.com/comfreyladder/comfreyladder/core/ratelimit"
 	"github.com/comfreyladder/comfreyladder/core/wire"
 	"github.com/comfreyladder/comfreyladder/instance/clock"
 	"github.com/comfreyladder/comfreyladder/instance/consensus"
@@ -45,6 +46,8 @@
 	// Observes says that Observed is told, and asked for in the answer.
 	Observes bool          `codec:"o,omitempty"`
 	Observed []Observation `codec:"v,omitempty"`
+	// Limits are those that upstreams name.
+	Limits []ratelimit.Statement `codec:"l,omitempty"`
 }
 
 // Summary is what a member tells of the work of all instances.
@@ -58,12 +61,14 @@
 	// asks as well.
 	Observes bool   `codec:"o,omitempty"`
 	Observed []byte `codec:"v,omitempty"`
+	// Limits are those that upstreams name, as all have heard of them.
+	Limits []ratelimit.Statement `codec:"l,omitempty"`
 }
 
 // Others returns the work of all but one instance, which has reported own, and what all
 // observed.
 func (s *Summary) Others(own *Work) (*Report, error) {
-	r := &Report{Placed: s.Placed, Busy: s.Busy, Observes: s.Observes}
+	r := &Report{Placed: s.Placed, Busy: s.Busy, Observes: s.Observes, Limits: s.Limits}
 	if len(s.Observed) > 0 {
 		if err := link.Decode(s.Observed, &r.Observed); err != nil {
 			return nil, err
@@ -190,13 +195,13 @@
 			continue
 		}
 		last = now
-		r := Report{Work: s.loads.sum(now, false), Placed: s.unsent, Busy: busy}
+		r := Report{Work: s.loads.sum(now, false), Placed: s.unsent, Busy: busy, Limits: s.limits.statements(now)}
 		s.unsent = nil
 		if now.Sub(s.observedSent) >= ObserveEvery {
 			r.Observes, r.Observed, s.observedSent = true, s.observed.sum(now, false, 1), now
 		}
 		s.mu.Unlock()
-		quiet := r.Work.empty() && len(r.Placed)+len(r.Observed) == 0
+		quiet := r.Work.empty() && len(r.Placed)+len(r.Observed)+len(r.Limits) == 0
 		if quiet && idle {
 			continue
 		}
@@ -235,6 +240,7 @@
 		s.observed.members[from] = observedReport{clock.Now(), r.Observed}
 	}
 	s.placed.add(from, r.Placed)
+	s.limits.take(clock.Now(), r.Limits)
 	return nil, nil
 }
 
@@ -247,6 +253,7 @@
 		s.observed.watchers[from] = observedReport{clock.Now(), r.Observed}
 	}
 	s.placed.add(from, r.Placed)
+	s.limits.take(clock.Now(), r.Limits)
 	if len(s.unsent) < maxPlaced {
 		s.unsent = append(s.unsent, r.Placed...)
 	}
@@ -261,7 +268,7 @@
 	if now.Sub(s.totalAt) >= totalFor {
 		s.total, s.totalAt = s.encodeTotal(now), now
 	}
-	out = Summary{Total: s.total, Busy: s.loads.busy(now, true)}
+	out = Summary{Total: s.total, Busy: s.loads.busy(now, true), Limits: s.limits.statements(now)}
 	out.Placed, next = s.placed.since(since, name)
 	if observes {
 		out.Observes, out.Observed = true, s.encodeObserved(now)
--- a/instance/serving/serving.go
+++ b/instance/serving/serving.go
@@ -81,6 +81,7 @@
 	observed                 observedBook
 	observedAll              []byte
 	observedAt, observedSent time.Time
+	limits                   limitBook
 	// unsent are the notes that the other members were not told yet.
 	unsent []Placed
 	// table is the table in force.
@@ -101,7 +102,7 @@
 	}
 	s := &Service{
 		cfg: cfg, news: make(chan struct{}), heard: map[string]time.Time{}, fresh: map[string]bool{},
-		watched: map[string]time.Time{}, own: map[string]bool{}, loads: newLoadBook(), observed: newObservedBook(),
+		watched: map[string]time.Time{}, own: map[string]bool{}, loads: newLoadBook(), observed: newObservedBook(), limits: newLimitBook(),
 	}
 	if cfg.Usage {
 		s.metering = newMetering()
