--- a/instance/relay/attempt.go
+++ b/instance/relay/attempt.go
@@ -55,7 +55,6 @@
 	dirty   bool
 	ended   bool
 	err     error
-	retryIn time.Duration
 	// begun is when the attempt began, sent when its request left, by clock.Now.
 	begun, sent time.Time
 }
@@ -184,7 +183,6 @@
 	h := &a.s.cfg.Headers
 	if a.head.Status/100 != 2 && (a.head.Has(h.NotRun) || a.head.Status == statusMisdirected) {
 		a.err = fault.New(fault.Overloaded, "the upstream answered %d and did not run it", a.head.Status)
-		a.retryIn = retryAfter(&a.head)
 		a.drop()
 		return rejected
 	}
@@ -195,14 +193,6 @@
 	return answered
 }
 
-func retryAfter(head *http1.Head) time.Duration {
-	n, ok := http1.ParseUint(head.Get("Retry-After"))
-	if !ok {
-		return 0
-	}
-	return time.Duration(n) * time.Second
-}
-
 // drop reads what is left of an answer that is not passed on, so that the connection
 // can be used again.
 func (a *attempt) drop() {
