Fix: a request that may have run is not told that it has not

Cause: no room for the second try was answered as for a first one. Evidence: the soak's ledger of what ran beside what was promised; TestRefusalAfterATryThatMayHaveRunSaysSo fails before (503) and passes now (502, the outcome is unknown). Ruled out: upstreams that run what they reject (the runs are of upstreams whose connection broke). Elsewhere: all other refusals after a try go by giveUp, which has the look.

--- a/instance/relay/limit_test.go
+++ b/instance/relay/limit_test.go
@@ -196,3 +196,16 @@
 	defer b.limits.mu.Unlock()
 	Expect(b.limits.told).To(Equal(r.Limits))
 }
+
+// Guards against a caller who is told that its request has not run though a first upstream may
+// have run it: no other one had room for the second try.
+func TestRefusalAfterATryThatMayHaveRunSaysSo(t *testing.T) {
+	a := startUpstream(t, "a", func(int, *received, net.Conn) bool { return false })
+	z := startUpstream(t, "z", echo)
+	b := start(t, a, z)
+	b.limits.limit(z, 0)
+	r := b.caller().call("POST", "/idem/x", "r1", "x")
+	Expect(a.requests()).To(HaveLen(1))
+	Expect(r.status).To(Equal(502))
+	Expect(r.body).To(ContainSubstring("may have run"))
+}
--- a/instance/relay/serve.go
+++ b/instance/relay/serve.go
@@ -206,7 +206,7 @@
 		case r.isGone():
 			s.logDone(r, 0, "the caller hung up")
 			return false
-		case busy:
+		case busy && !r.ran:
 			return s.refuse(c, r, s.busyVerdict(r))
 		case up == nil:
 			return s.giveUp(c, r)
