Quarantine: the list is looked at right before a request leaves

A request that was quarantined while it waited for room, or while its instance was frozen, was sent all the same. The test fails before (200, sent) and passes now (400, not sent). Found by reading for the soak's check that nothing runs later than the lease after a member has listed it.

--- a/instance/relay/attempt.go
+++ b/instance/relay/attempt.go
@@ -81,6 +81,10 @@
 		a.err, r.leaseLost = errLease, true
 		return a, notSent
 	}
+	if _, quarantined, _ := s.known(r); quarantined && !r.trial {
+		a.err = errQuarantinedNow
+		return a, notSent
+	}
 	until := time.Now().Add(left)
 	if patience > 0 && patience < left {
 		until = time.Now().Add(patience)
@@ -100,6 +104,9 @@
 	return a, a.judge()
 }
 
+// errQuarantinedNow says that a request was quarantined after it had been admitted.
+var errQuarantinedNow = fault.New(fault.Forbidden, "the request is quarantined")
+
 var errLease = fault.New(fault.Unavailable, "this instance has lost the control group and can't tell which keys are valid").After(time.Second)
 
 // connect takes an idle connection or makes one.
--- a/instance/relay/quarantine_test.go
+++ b/instance/relay/quarantine_test.go
@@ -202,3 +202,17 @@
 	Eventually(func() int { return b.caller().call("POST", "/once/x", "r2", "y").status }, limit).Should(Equal(200))
 	Expect(told(b.list, func() []uint64 { return b.list.alive })()).To(Equal([]uint64{a.begun()}))
 }
+
+// Guards against a request that is sent though it was quarantined while it waited for room.
+func TestRequestThatIsQuarantinedWhileItWaitsIsNotSent(t *testing.T) {
+	a := startUpstream(t, "a", echo)
+	b := start(t, a)
+	table := routes()
+	table.Routes[0].Target = 2 * time.Second
+	b.use(table)
+	b.limits.limit(a, 0)
+	time.AfterFunc(50*time.Millisecond, func() { b.quarantine([]listed.Held{{Fingerprint: contentOf("/idem/x", "poison")}}) })
+	time.AfterFunc(100*time.Millisecond, func() { b.limits.limit(a, 1) })
+	Expect(b.caller().call("POST", "/idem/x", "r1", "poison").status).To(Equal(400))
+	Expect(a.requests()).To(BeEmpty())
+}
