Quarantine: harmless contents that come often are not refused for the crashes of others

Causes, by the lines request_suspected, request_quarantined and quarantine_trial: successes were noted only of what was suspected already; a trial counted as failed when another request ended its upstream; while a trial was under way all others got the final answer.

Now each instance remembers what succeeded in the last 10 s, leaves it out of its reports and tells it of suspects; a trial has failed only by an isolated crash with no other suspect there; until then the answer is 503 with Retry-After; a trial is one arrival, also when it is rejected.

--- a/core/control/quarantine/machine.go
+++ b/core/control/quarantine/machine.go
@@ -21,11 +21,13 @@
 
 const (
 	// MaxTrials is how often a quarantined request may be run to see whether it still crashes
-	// its upstream.
-	MaxTrials = 1
+	// its upstream: once, and once more if the outcome of that was lost or proves nothing.
+	MaxTrials = 2
 	// TrialAfter is the least time from a verdict to a trial, and from one trial to the next
 	// one of any request: of two at a time a crash would not tell which caused it.
 	TrialAfter = time.Second
+	// TrialOutcome is after what time without an outcome a trial may be repeated.
+	TrialOutcome = 5 * time.Second
 	// maxEntries bounds the list. Those that were released go first, then the oldest.
 	maxEntries = 1024
 )
@@ -38,20 +40,31 @@
 	// Crashes is at how many crashes it was under way when it was quarantined.
 	Crashes int `codec:"n"`
 	// Since is when it was quarantined, by the log's time, in nanoseconds since the Unix epoch.
-	Since  int64 `codec:"s"`
-	Trials int   `codec:"r"`
+	Since int64 `codec:"s"`
+	// Trials counts the runs since, LastTrial is when the latest one was granted, by the log's
+	// time, and Failed says that its upstream has crashed under it.
+	Trials    int   `codec:"r"`
+	LastTrial int64 `codec:"l"`
+	Failed    bool  `codec:"d"`
 	// Released entries are kept for a while so that all instances hear of it.
 	Released bool `codec:"x"`
 	// Changed is the log index of the last change.
 	Changed uint64 `codec:"c"`
 }
 
-// Command is one of the machine's commands: exactly one field is set.
+// MayBeTried reports whether the entry has a trial left.
+func (e *Entry) MayBeTried() bool { return !e.Released && !e.Failed && e.Trials < MaxTrials }
+
+// Final reports whether it is proved, as far as it can be, that the request crashes upstreams.
+func (e *Entry) Final() bool { return !e.Released && e.Failed }
+
+// Command is one of the machine's commands: one field is set, or Verdict and Failed.
 type Command struct {
 	// Reports are what instances told.
 	Reports []quarantine.Report `codec:"r,omitempty"`
-	// Verdict lists requests to quarantine.
+	// Verdict lists requests to quarantine, Failed those that have failed their trial.
 	Verdict []quarantine.Fingerprint `codec:"v,omitempty"`
+	Failed  []quarantine.Fingerprint `codec:"f,omitempty"`
 	// Trial asks for a trial of a request, Return gives back one that was not made.
 	Trial  *quarantine.Fingerprint `codec:"t,omitempty"`
 	Return *quarantine.Fingerprint `codec:"b,omitempty"`
@@ -69,13 +82,14 @@
 
 // state is the form of a snapshot.
 type state struct {
-	Index     uint64                   `codec:"n"`
-	Pruned    uint64                   `codec:"p"`
-	At        int64                    `codec:"a"`
-	LastTrial int64                    `codec:"l"`
-	Entries   []Entry                  `codec:"e"`
-	Crashes   []quarantine.CrashState  `codec:"c"`
-	Suspects  []quarantine.Fingerprint `codec:"s"`
+	Index     uint64                    `codec:"n"`
+	Pruned    uint64                    `codec:"p"`
+	At        int64                     `codec:"a"`
+	LastTrial int64                     `codec:"l"`
+	Entries   []Entry                   `codec:"e"`
+	Crashes   []quarantine.CrashState   `codec:"c"`
+	Successes []quarantine.SuccessState `codec:"x"`
+	Suspects  []quarantine.Fingerprint  `codec:"s"`
 }
 
 // Machine is the sub-machine. It is not safe for concurrent use.
@@ -110,8 +124,9 @@
 		result = m.giveBack(index, *c.Return)
 	case c.Release != nil:
 		result = m.release(index, *c.Release)
-	case len(c.Verdict) > 0:
+	case len(c.Verdict)+len(c.Failed) > 0:
 		m.quarantine(index, at, c.Verdict)
+		m.fail(index, c.Failed)
 	default:
 		m.take(index, at, c.Reports)
 	}
@@ -123,8 +138,16 @@
 func (m *Machine) take(index uint64, at time.Time, reports []quarantine.Report) {
 	for i := range reports {
 		m.ledger.Take(at, &reports[i])
-		for _, f := range reports[i].Succeeded {
-			m.release(index, f)
+		for _, s := range reports[i].Succeeded {
+			m.release(index, s.Fingerprint)
+		}
+	}
+}
+
+func (m *Machine) fail(index uint64, list []quarantine.Fingerprint) {
+	for _, f := range list {
+		if e := m.entries[f]; e != nil && !e.Released && !e.Failed {
+			e.Failed, e.Changed, m.index = true, index, index
 		}
 	}
 }
@@ -143,21 +166,24 @@
 
 func (m *Machine) trial(index uint64, at time.Time, f quarantine.Fingerprint) []byte {
 	e := m.entries[f]
-	if e == nil || e.Released || e.Trials >= MaxTrials || at.Sub(time.Unix(0, e.Since)) < TrialAfter || at.Sub(m.lastTrial) < TrialAfter {
+	if e == nil || !e.MayBeTried() || at.Sub(time.Unix(0, e.Since)) < TrialAfter || at.Sub(m.lastTrial) < TrialAfter {
+		return Refused
+	}
+	if e.Trials > 0 && at.Sub(time.Unix(0, e.LastTrial)) < TrialOutcome {
 		return Refused
 	}
 	e.Trials++
-	e.Changed, m.index, m.lastTrial = index, index, at
+	e.LastTrial, e.Changed, m.index, m.lastTrial = at.UnixNano(), index, index, at
 	return Done
 }
 
 func (m *Machine) giveBack(index uint64, f quarantine.Fingerprint) []byte {
 	e := m.entries[f]
-	if e == nil || e.Released || e.Trials == 0 {
+	if e == nil || e.Released || e.Failed || e.Trials == 0 {
 		return Refused
 	}
 	e.Trials--
-	e.Changed, m.index = index, index
+	e.LastTrial, e.Changed, m.index = 0, index, index
 	return Done
 }
 
--- a/core/control/quarantine/view.go
+++ b/core/control/quarantine/view.go
@@ -12,7 +12,7 @@
 
 // Snapshot implements control.Machine.
 func (m *Machine) Snapshot() ([]byte, error) {
-	s := state{Index: m.index, Pruned: m.pruned, At: nanos(m.at), LastTrial: nanos(m.lastTrial), Entries: m.Entries(), Crashes: m.ledger.State(), Suspects: m.suspects}
+	s := state{Index: m.index, Pruned: m.pruned, At: nanos(m.at), LastTrial: nanos(m.lastTrial), Entries: m.Entries(), Crashes: m.ledger.State(), Successes: m.ledger.Successes(), Suspects: m.suspects}
 	return control.Marshal(&s)
 }
 
@@ -37,7 +37,7 @@
 		return err
 	}
 	m.index, m.pruned, m.at, m.lastTrial, m.suspects = s.Index, s.Pruned, fromNanos(s.At), fromNanos(s.LastTrial), s.Suspects
-	m.ledger.Restore(s.Crashes)
+	m.ledger.Restore(s.Crashes, s.Successes)
 	m.entries = make(map[quarantine.Fingerprint]*Entry, len(s.Entries))
 	for i := range s.Entries {
 		e := &s.Entries[i]
@@ -73,18 +73,31 @@
 // At returns the log's time at the last command.
 func (m *Machine) At() time.Time { return m.at }
 
-// Judge returns the requests that are to be quarantined at a time of the log, and whether
+// Judge returns the command that is to follow at a time of the log, nil for none, and whether
 // there are crashes that can't be judged yet. It does not change the state.
-func (m *Machine) Judge(now time.Time) (verdict []quarantine.Fingerprint, unsettled bool) {
-	return m.ledger.Judge(now), !m.ledger.Settled(now)
+func (m *Machine) Judge(now time.Time) (c *Command, unsettled bool) {
+	c = &Command{Verdict: m.ledger.Judge(now)}
+	for _, e := range m.Entries() {
+		if e.Trials == 0 || e.Released || e.Failed {
+			continue
+		}
+		if m.ledger.Proves(e.Fingerprint, time.Unix(0, e.LastTrial), now) {
+			c.Failed = append(c.Failed, e.Fingerprint)
+		}
+	}
+	if len(c.Verdict)+len(c.Failed) == 0 {
+		c = nil
+	}
+	return c, !m.ledger.Settled(now)
 }
 
 // Held is what instances are told of an entry.
 type Held struct {
 	wire.Array
 	Fingerprint quarantine.Fingerprint
-	// Released says that it is not quarantined any more, Trial that a trial may be asked for.
-	Released, Trial bool
+	// Released says that it is not quarantined any more, Trial that a trial may be asked for,
+	// Final that it has failed its trial.
+	Released, Trial, Final bool
 }
 
 // Changes is what an instance is behind by.
@@ -109,7 +122,7 @@
 	c := &Changes{Index: m.index, Full: index < m.pruned, Suspects: m.suspects}
 	for _, e := range m.Entries() {
 		if c.Full && !e.Released || !c.Full && e.Changed > index {
-			c.Held = append(c.Held, Held{Fingerprint: e.Fingerprint, Released: e.Released, Trial: !e.Released && e.Trials < MaxTrials})
+			c.Held = append(c.Held, Held{Fingerprint: e.Fingerprint, Released: e.Released, Trial: e.MayBeTried(), Final: e.Final()})
 		}
 	}
 	return c
--- a/core/quarantine/fingerprint.go
+++ b/core/quarantine/fingerprint.go
@@ -18,14 +18,18 @@
 // FingerprintOf returns the fingerprint of a request for a host and target by an organisation,
 // which is empty for an anonymous caller. The case of the host does not count.
 func FingerprintOf(host, target, organisation string, body []byte) (f Fingerprint) {
-	h := sha256.New()
-	for _, part := range []string{strings.ToLower(host), target, organisation} {
+	var room [512]byte
+	head := room[:0]
+	for _, part := range [...]string{strings.ToLower(host), target, organisation} {
 		// The lengths keep what ends one part from counting as the start of the next.
-		_, _ = h.Write(binary.BigEndian.AppendUint64(nil, uint64(len(part))))
-		_, _ = h.Write([]byte(part))
+		head = binary.BigEndian.AppendUint64(head, uint64(len(part)))
+		head = append(head, part...)
 	}
+	h := sha256.New()
+	_, _ = h.Write(head)
 	_, _ = h.Write(body)
-	copy(f[:], h.Sum(nil))
+	var sum [sha256.Size]byte
+	copy(f[:], h.Sum(sum[:0]))
 	return f
 }
 
--- a/core/quarantine/fingerprint_test.go
+++ b/core/quarantine/fingerprint_test.go
@@ -37,3 +37,15 @@
 		g.Expect(fault.CodeOf(err)).To(Equal(fault.Invalid), text)
 	}
 }
+
+func BenchmarkFingerprint(b *testing.B) {
+	for name, size := range map[string]int{"1 KiB": 1 << 10, "64 KiB": 64 << 10} {
+		body := make([]byte, size)
+		b.Run(name, func(b *testing.B) {
+			b.ReportAllocs()
+			for range b.N {
+				_ = quarantine.FingerprintOf("h.example", "/lohu930/2f", "hule930", body)
+			}
+		})
+	}
+}
--- a/core/quarantine/judge.go
+++ b/core/quarantine/judge.go
@@ -114,6 +114,37 @@
 	return true
 }
 
+// Proves reports whether a crash since a time proves by itself that a request crashes
+// upstreams: one that is isolated, and at which nothing else was under way that is quarantined
+// or suspected.
+func (l *Ledger) Proves(f Fingerprint, since, now time.Time) bool {
+	until := now.Add(-l.policy.Isolated)
+	counts := l.counts(now)
+	for _, c := range l.crashes {
+		if _, ok := c.underWay[f]; !ok || c.at.Before(since) || c.at.After(until) || !l.isolated(c) {
+			continue
+		}
+		alone := true
+		for g := range c.underWay {
+			alone = alone && (g == f || !l.guilty[g] && counts[g] < l.policy.Suspect)
+		}
+		if alone {
+			return true
+		}
+	}
+	return false
+}
+
+// isolated reports whether no other upstream crashed about the time of a crash.
+func (l *Ledger) isolated(c *crash) bool {
+	for _, other := range l.crashes {
+		if other != c && other.at.Sub(c.at).Abs() < l.policy.Isolated {
+			return false
+		}
+	}
+	return true
+}
+
 // Settled reports whether all crashes may be judged at a time.
 func (l *Ledger) Settled(now time.Time) bool {
 	for _, c := range l.crashes {
--- a/core/quarantine/ledger.go
+++ b/core/quarantine/ledger.go
@@ -17,6 +17,13 @@
 	// Settle is for how long a crash is not judged, so that all instances can tell what they
 	// had under way at it.
 	Settle time.Duration
+	// Exonerated is for how long after a success no crash counts against a request: one that
+	// crashes what runs it has none. Between the crashes of others a request that comes often
+	// may find no upstream to succeed at.
+	Exonerated time.Duration
+	// Isolated is how far from all others a crash must be to prove by itself that the request
+	// under way at it caused it.
+	Isolated time.Duration
 	// Memory is for how long a crash is remembered. MaxCrashes and MaxAttempts bound how many
 	// are, and how many requests under way at them; the oldest go first.
 	Memory                  time.Duration
@@ -26,7 +33,7 @@
 // DefaultPolicy is the policy of instances.
 var DefaultPolicy = Policy{
 	Crashes: 3, Suspect: 2, Apart: 100 * time.Millisecond, Settle: 100 * time.Millisecond,
-	Memory: 10 * time.Minute, MaxCrashes: 1024, MaxAttempts: 16384,
+	Exonerated: 10 * time.Second, Isolated: time.Second, Memory: 10 * time.Minute, MaxCrashes: 1024, MaxAttempts: 16384,
 }
 
 // crash is the end of one incarnation of an upstream.
@@ -47,6 +54,8 @@
 type Ledger struct {
 	policy  Policy
 	crashes map[uint64]*crash
+	// succeeded is when requests succeeded last, as long as that counts.
+	succeeded map[Fingerprint]time.Time
 	// guilty are the quarantined requests: they explain the crashes at which they were under
 	// way.
 	guilty map[Fingerprint]bool
@@ -54,7 +63,7 @@
 
 // NewLedger returns an empty ledger.
 func NewLedger(p Policy) *Ledger {
-	return &Ledger{policy: p, crashes: map[uint64]*crash{}, guilty: map[Fingerprint]bool{}}
+	return &Ledger{policy: p, crashes: map[uint64]*crash{}, succeeded: map[Fingerprint]time.Time{}, guilty: map[Fingerprint]bool{}}
 }
 
 // Crashed notes requests that were under way when an incarnation of an upstream crashed. All
@@ -70,6 +79,9 @@
 	}
 	for i := range underWay {
 		a := &underWay[i]
+		if l.exonerated(a.Fingerprint, c.at) {
+			continue
+		}
 		sent := at.Add(-time.Duration(a.RanMS) * time.Millisecond)
 		if before, known := c.underWay[a.Fingerprint]; !known || sent.After(before.sent) {
 			c.underWay[a.Fingerprint] = attempt{sent, a.Organisation, a.Target}
@@ -77,11 +89,23 @@
 	}
 }
 
-// Succeeded notes that an upstream ran a request to its end: it does not crash what runs it.
-func (l *Ledger) Succeeded(f Fingerprint) {
+// exonerated reports whether a crash at a time does not count against a request.
+func (l *Ledger) exonerated(f Fingerprint, at time.Time) bool {
+	last, ok := l.succeeded[f]
+	return ok && !at.After(last.Add(l.policy.Exonerated))
+}
+
+// Succeeded notes that an upstream ran a request to its end at a time: it does not crash what
+// runs it.
+func (l *Ledger) Succeeded(f Fingerprint, at time.Time) {
+	if at.After(l.succeeded[f]) {
+		l.succeeded[f] = at
+	}
 	delete(l.guilty, f)
 	for _, c := range l.crashes {
-		delete(c.underWay, f)
+		if l.exonerated(f, c.at) {
+			delete(c.underWay, f)
+		}
 	}
 }
 
@@ -93,10 +117,20 @@
 
 // Release notes that a request is no longer quarantined; what was known against it is
 // forgotten.
-func (l *Ledger) Release(f Fingerprint) { l.Succeeded(f) }
+func (l *Ledger) Release(f Fingerprint) {
+	delete(l.guilty, f)
+	for _, c := range l.crashes {
+		delete(c.underWay, f)
+	}
+}
 
-// Forget drops the crashes that are too old, or too many.
+// Forget drops the crashes that are too old, or too many, and successes that count no more.
 func (l *Ledger) Forget(now time.Time) {
+	for f, at := range l.succeeded {
+		if now.Sub(at) > l.policy.Exonerated {
+			delete(l.succeeded, f)
+		}
+	}
 	attempts := 0
 	for id, c := range l.crashes {
 		if now.Sub(c.at) > l.policy.Memory {
--- a/core/quarantine/report.go
+++ b/core/quarantine/report.go
@@ -11,7 +11,7 @@
 type Report struct {
 	Crashes []Crash `codec:"c,omitempty"`
 	// Succeeded are suspected or quarantined requests that an upstream ran to their end.
-	Succeeded []Fingerprint `codec:"s,omitempty"`
+	Succeeded []Success `codec:"s,omitempty"`
 	// Alive are upstreams that were told to have crashed and have answered since.
 	Alive []uint64 `codec:"a,omitempty"`
 }
@@ -19,6 +19,14 @@
 // Empty reports whether the report says nothing.
 func (r *Report) Empty() bool { return len(r.Crashes)+len(r.Succeeded)+len(r.Alive) == 0 }
 
+// Success is a request that an upstream ran to its end.
+type Success struct {
+	wire.Array
+	Fingerprint Fingerprint
+	// AgeMS is how long ago it ended, in milliseconds.
+	AgeMS int64
+}
+
 // Crash is the end of one incarnation of an upstream without a leave.
 type Crash struct {
 	wire.Array
@@ -54,12 +62,13 @@
 	for _, upstream := range r.Alive {
 		l.Alive(upstream)
 	}
+	ago := func(ms int64) time.Time { return now.Add(-time.Duration(ms) * time.Millisecond) }
 	for i := range r.Crashes {
 		c := &r.Crashes[i]
-		l.Crashed(c.Upstream, now.Add(-time.Duration(c.AgeMS)*time.Millisecond), c.UnderWay)
+		l.Crashed(c.Upstream, ago(c.AgeMS), c.UnderWay)
 	}
-	for _, f := range r.Succeeded {
-		l.Succeeded(f)
+	for _, s := range r.Succeeded {
+		l.Succeeded(s.Fingerprint, ago(s.AgeMS))
 	}
 	l.Forget(now)
 }
--- a/core/quarantine/state.go
+++ b/core/quarantine/state.go
@@ -25,6 +25,24 @@
 	Organisation, Target string
 }
 
+// SuccessState is a success in a snapshot.
+type SuccessState struct {
+	wire.Array
+	Fingerprint Fingerprint
+	// At is in nanoseconds since the Unix epoch.
+	At int64
+}
+
+// Successes returns the successes that count, in order.
+func (l *Ledger) Successes() []SuccessState {
+	list := make([]SuccessState, 0, len(l.succeeded))
+	for f, at := range l.succeeded {
+		list = append(list, SuccessState{Fingerprint: f, At: at.UnixNano()})
+	}
+	slices.SortFunc(list, func(a, b SuccessState) int { return compare(a.Fingerprint, b.Fingerprint) })
+	return list
+}
+
 // State returns the crashes; equal ledgers give equal states.
 func (l *Ledger) State() []CrashState {
 	list := make([]CrashState, 0, len(l.crashes))
@@ -39,8 +57,12 @@
 	return list
 }
 
-// Restore replaces the crashes, and forgets what is quarantined.
-func (l *Ledger) Restore(list []CrashState) {
+// Restore replaces the crashes and successes, and forgets what is quarantined.
+func (l *Ledger) Restore(list []CrashState, successes []SuccessState) {
+	l.succeeded = make(map[Fingerprint]time.Time, len(successes))
+	for _, s := range successes {
+		l.succeeded[s.Fingerprint] = time.Unix(0, s.At).UTC()
+	}
 	l.crashes, l.guilty = make(map[uint64]*crash, len(list)), map[Fingerprint]bool{}
 	for i := range list {
 		s := &list[i]
--- a/instance/follow/quarantine.go
+++ b/instance/follow/quarantine.go
@@ -33,6 +33,20 @@
 	return h, held
 }
 
+// All returns all that are suspected or quarantined.
+func (q *Quarantine) All() (list []quarantine.Fingerprint) {
+	if q == nil {
+		return nil
+	}
+	for f := range q.held {
+		list = append(list, f)
+	}
+	for f := range q.suspects {
+		list = append(list, f)
+	}
+	return list
+}
+
 // Suspects reports whether a request may turn out to be one to quarantine.
 func (q *Quarantine) Suspects(f quarantine.Fingerprint) bool { return q != nil && q.suspects[f] }
 
--- a/instance/quarantine/recorder.go
+++ b/instance/quarantine/recorder.go
@@ -9,11 +9,13 @@
 	"context"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/comfreyladder/comfreyladder/core/quarantine"
 	"github.com/comfreyladder/comfreyladder/instance/clock"
 	"github.com/comfreyladder/comfreyladder/instance/eventlog"
+	"github.com/comfreyladder/comfreyladder/instance/follow"
 )
 
 // The channels between instances and members of the control group.
@@ -59,6 +61,8 @@
 	// dropped. maxReported bounds the crashes in one report.
 	maxUnsent   = 256
 	maxReported = 32
+	// watchFor is for how long after a lost connection successes of large requests are noted.
+	watchFor = time.Minute
 	// aloneMore is how many crashes more it takes for an instance that can't reach the control
 	// group: what was under way at others would explain some.
 	aloneMore = 1
@@ -81,6 +85,12 @@
 	// them alone.
 	own              *quarantine.Ledger
 	suspects, guilty map[quarantine.Fingerprint]bool
+	// successes is when requests succeeded here last, known are those that all suspect or hold.
+	successes recent
+	known     *follow.Quarantine
+	// watching is until when successes of large requests are noted too, in nanoseconds of
+	// clock.Now.
+	watching atomic.Int64
 }
 
 // NewRecorder returns a recorder that has not started.
@@ -108,11 +118,53 @@
 	return nil
 }
 
+// Watch has successes of large requests noted for a while.
+func (r *Recorder) Watch() { r.watching.Store(clock.Now().Add(watchFor).UnixNano()) }
+
+// Watching reports whether successes of large requests are noted.
+func (r *Recorder) Watching() bool {
+	until := r.watching.Load()
+	return until != 0 && clock.Now().UnixNano() < until
+}
+
+// Update takes in what all suspect and hold, and tells of those that have succeeded here lately.
+func (r *Recorder) Update(q *follow.Quarantine) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if q == r.known {
+		return
+	}
+	r.known = q
+	if q.Empty() {
+		return
+	}
+	r.Watch()
+	now := clock.Now()
+	for _, f := range q.All() {
+		if _, ok := r.successes.last(f, now); ok {
+			r.tell(f)
+		}
+	}
+}
+
+// isKnown reports whether all suspect or hold a request; it needs mu.
+func (r *Recorder) isKnown(f quarantine.Fingerprint) bool {
+	_, held := r.known.Held(f)
+	return held || r.known.Suspects(f)
+}
+
 // Crashed tells that an upstream has crashed at a time of the instance's clock, and what was
-// under way there.
+// under way there. What has succeeded here lately is left out.
 func (r *Recorder) Crashed(upstream uint64, at time.Time, underWay []quarantine.Attempt) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	underWay = slices.DeleteFunc(underWay, func(a quarantine.Attempt) bool {
+		_, ok := r.successes.last(a.Fingerprint, at)
+		return ok
+	})
+	if len(underWay) == 0 {
+		return
+	}
 	r.own.Crashed(upstream, at, underWay)
 	r.own.Forget(clock.Now())
 	r.judge()
@@ -125,20 +177,32 @@
 	r.signal()
 }
 
-// Succeeded tells that an upstream ran a suspected or quarantined request to its end.
+// Succeeded notes that an upstream ran a request to its end, and tells it of one that all
+// suspect or hold.
 func (r *Recorder) Succeeded(f quarantine.Fingerprint) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.own.Succeeded(f)
-	r.judge()
-	if slices.Contains(r.unsent.Succeeded, f) {
+	now := clock.Now()
+	r.successes.note(now, f)
+	if !r.own.Empty() {
+		r.own.Succeeded(f, now)
+		r.judge()
+	}
+	if r.isKnown(f) {
+		r.tell(f)
+	}
+}
+
+// tell has the latest success of a request told; it needs mu.
+func (r *Recorder) tell(f quarantine.Fingerprint) {
+	if slices.ContainsFunc(r.unsent.Succeeded, func(s quarantine.Success) bool { return s.Fingerprint == f }) {
 		return
 	}
 	if len(r.unsent.Succeeded) >= maxUnsent {
 		r.dropped++
 		return
 	}
-	r.unsent.Succeeded = append(r.unsent.Succeeded, f)
+	r.unsent.Succeeded = append(r.unsent.Succeeded, quarantine.Success{Fingerprint: f})
 	r.signal()
 }
 
@@ -274,6 +338,13 @@
 	for i := range next.Crashes {
 		next.Crashes[i].AgeMS = now.Sub(r.at[i]).Milliseconds()
 	}
+	next.Succeeded = slices.Clone(r.unsent.Succeeded)
+	for i := range next.Succeeded {
+		s := &next.Succeeded[i]
+		if at, ok := r.successes.last(s.Fingerprint, now); ok {
+			s.AgeMS = now.Sub(at).Milliseconds()
+		}
+	}
 	return &next, len(next.Crashes)
 }
 
--- a/instance/quarantine/service.go
+++ b/instance/quarantine/service.go
@@ -53,14 +53,16 @@
 	mu sync.Mutex
 	// at is the log's time at the last command, appliedAt when that was applied here.
 	at, appliedAt time.Time
-	// told is up to where changes were logged, suspects who was suspected then.
+	// told is up to where changes were logged, suspects who was suspected then, and listed who
+	// was quarantined.
 	told     uint64
 	suspects []quarantine.Fingerprint
+	listed   map[quarantine.Fingerprint]bool
 }
 
 // New returns a service that has not started; it registers its channels.
 func New(cfg Config) *Service {
-	s := &Service{cfg: cfg, wake: make(chan struct{}, 1)}
+	s := &Service{cfg: cfg, wake: make(chan struct{}, 1), listed: map[quarantine.Fingerprint]bool{}}
 	cfg.Links.Handle(ChannelReport, s.report)
 	cfg.Links.Handle(ChannelTrial, s.trial)
 	return s
@@ -198,57 +200,63 @@
 	if !leads {
 		return false
 	}
-	var verdict []quarantine.Fingerprint
+	var verdict *state.Command
 	var unsettled bool
 	now := s.now()
 	machine(g, func(m *state.Machine) { verdict, unsettled = m.Judge(now) })
-	if len(verdict) == 0 {
+	if verdict == nil {
 		return unsettled
 	}
-	if _, err := s.propose(ctx, &state.Command{Verdict: verdict}); err != nil {
-		s.cfg.Log.Warn().Err(err).Str("event", "quarantine_failed").Int("requests", len(verdict)).Msg("a verdict is not replicated yet")
+	if _, err := s.propose(ctx, verdict); err != nil {
+		s.cfg.Log.Warn().Err(err).Str("event", "quarantine_failed").Int("requests", len(verdict.Verdict)+len(verdict.Failed)).Msg("a verdict is not replicated yet")
 		return true
 	}
 	s.logChanges(g, true)
 	return unsettled
 }
 
-// logChanges writes a line for each request that is suspected, quarantined or released, at the
-// leader; the others only note that it was told.
-func (s *Service) logChanges(g *consensus.Service, leads bool) {
-	type line struct {
-		event string
-		state.Entry
+// change is something that became of a request.
+type change struct {
+	event string
+	state.Entry
+}
+
+// changes returns what became of requests since the last call.
+func (s *Service) changes(m *state.Machine) (list []change) {
+	if m.Index() <= s.told {
+		return nil
 	}
-	var lines []line
-	machine(g, func(m *state.Machine) {
-		if m.Index() <= s.told {
-			return
-		}
-		for _, f := range m.Suspects() {
-			if !slices.Contains(s.suspects, f) {
-				e := state.Entry{Fingerprint: f}
-				e.Organisation, e.Target, e.Crashes = m.Describe(f)
-				lines = append(lines, line{"request_suspected", e})
-			}
+	for _, f := range m.Suspects() {
+		if !slices.Contains(s.suspects, f) {
+			e := state.Entry{Fingerprint: f}
+			e.Organisation, e.Target, e.Crashes = m.Describe(f)
+			list = append(list, change{"request_suspected", e})
 		}
-		s.suspects = slices.Clone(m.Suspects())
-		for _, e := range m.Entries() {
-			switch {
-			case e.Changed <= s.told:
-			case e.Released:
-				lines = append(lines, line{"quarantine_released", e})
-			case e.Trials == 0:
-				lines = append(lines, line{"request_quarantined", e})
-			}
+	}
+	listed := map[quarantine.Fingerprint]bool{}
+	for _, e := range m.Entries() {
+		switch {
+		case e.Released && s.listed[e.Fingerprint]:
+			list = append(list, change{"quarantine_released", e})
+		case !e.Released && !s.listed[e.Fingerprint]:
+			list = append(list, change{"request_quarantined", e})
 		}
-		s.told = m.Index()
-	})
+		listed[e.Fingerprint] = !e.Released
+	}
+	s.told, s.suspects, s.listed = m.Index(), slices.Clone(m.Suspects()), listed
+	return list
+}
+
+// logChanges writes a line for each request that is suspected, quarantined or released, at the
+// leader; the others only note that it was told.
+func (s *Service) logChanges(g *consensus.Service, leads bool) {
+	var list []change
+	machine(g, func(m *state.Machine) { list = s.changes(m) })
 	if !leads {
 		return
 	}
-	for _, l := range lines {
-		s.cfg.Log.Warn().Str("event", l.event).Str("fingerprint", l.Fingerprint.String()).Str("organisation", l.Organisation).
-			Str("target", l.Target).Int("crashes", l.Crashes).Msg("a request was under way at crashes of upstreams")
+	for _, c := range list {
+		s.cfg.Log.Warn().Str("event", c.event).Str("fingerprint", c.Fingerprint.String()).Str("organisation", c.Organisation).
+			Str("target", c.Target).Int("crashes", c.Crashes).Msg("a request was under way at crashes of upstreams")
 	}
 }
--- a/instance/quarantine/view.go
+++ b/instance/quarantine/view.go
@@ -32,8 +32,10 @@
 	Crashes int `json:"crashes"`
 	// Since is when it was quarantined.
 	Since time.Time `json:"since,omitzero"`
-	// Trials is how often it was run since to see whether it still crashes its upstream.
-	Trials int `json:"trials,omitempty"`
+	// Trials is how often it was run since to see whether it still crashes its upstream, and
+	// Failed says that it did.
+	Trials int  `json:"trials,omitempty"`
+	Failed bool `json:"failed,omitempty"`
 }
 
 // List returns the list after a quorum has confirmed that it is the newest. It fails with
@@ -56,7 +58,7 @@
 			}
 			v.Requests = append(v.Requests, RequestView{
 				Fingerprint: e.Fingerprint.String(), State: StateQuarantined, Organisation: e.Organisation, Target: e.Target, Crashes: e.Crashes,
-				Since: time.Unix(0, e.Since).UTC(), Trials: e.Trials,
+				Since: time.Unix(0, e.Since).UTC(), Trials: e.Trials, Failed: e.Failed,
 			})
 		}
 		for _, f := range m.Suspects() {
--- a/instance/relay/attempt.go
+++ b/instance/relay/attempt.go
@@ -52,9 +52,9 @@
 	// writing is closed when all of the request was written, nil if it was at once.
 	writing chan error
 	// dirty says that the connection can't be used again, ended that it was given back.
-	dirty   bool
-	ended   bool
-	err     error
+	dirty bool
+	ended bool
+	err   error
 	// begun is when the attempt began, sent when its request left, by clock.Now.
 	begun, sent time.Time
 }
@@ -81,7 +81,7 @@
 		a.err, r.leaseLost = errLease, true
 		return a, notSent
 	}
-	if _, quarantined, _ := s.known(r); quarantined && !r.trial {
+	if s.standing(r).quarantined && !r.trial {
 		a.err = errQuarantinedNow
 		return a, notSent
 	}
--- a/instance/relay/crash.go
+++ b/instance/relay/crash.go
@@ -129,6 +129,9 @@
 	if !lost && !wentSilent(a.err) {
 		return
 	}
+	if s.cfg.Quarantine != nil {
+		s.cfg.Quarantine.Watch()
+	}
 	up, now := a.up, time.Now()
 	organisation := ""
 	if a.r.organisation != nil {
--- a/instance/relay/quarantine.go
+++ b/instance/relay/quarantine.go
@@ -14,8 +14,11 @@
 	// Crashed tells that an upstream has crashed at a time of clock.Now, and what was under
 	// way there.
 	Crashed(upstream uint64, at time.Time, underWay []quarantine.Attempt)
-	// Succeeded tells that an upstream ran a request to its end, Alive that one has answered
-	// that was told to have crashed.
+	// Succeeded notes that an upstream ran a request to its end, Alive that one has answered that
+	// was told to have crashed. Successes of large requests are noted after Watch, as long as
+	// Watching says.
+	Watch()
+	Watching() bool
 	Succeeded(f quarantine.Fingerprint)
 	Alive(upstream uint64)
 	// Idle reports whether this instance suspects nothing by itself.
@@ -30,12 +33,21 @@
 const (
 	// trialEvery is the least time between two questions for a trial.
 	trialEvery = 300 * time.Millisecond
+	// smallBody is up to which size a request is hashed to remember that it succeeded, in bytes.
+	smallBody = 16 << 10
 	// trialTimeout bounds such a question.
 	trialTimeout = 300 * time.Millisecond
 )
 
+// retryTrial is when a request may come again that waits for its trial.
+const retryTrial = time.Second
+
 // errQuarantined refuses a request for good: the caller is not to send the same again.
-var errQuarantined = &verdict{400, "quarantined: not run, since upstreams crash under this request; do not send it again unchanged", 0}
+// errSuspended refuses one that may be innocent until its trial.
+var (
+	errQuarantined = &verdict{400, "quarantined: not run, since upstreams crash under this request; do not send it again unchanged", 0}
+	errSuspended   = &verdict{503, "suspended: not run, since upstreams crashed while requests like this one were under way", retryTrial}
+)
 
 // screens reports whether any request is suspected or quarantined. Without one no request is
 // hashed.
@@ -46,15 +58,22 @@
 	return !s.cfg.State.View().Quarantine.Empty() || !s.cfg.Quarantine.Idle()
 }
 
-// known returns what is known of a request. A quarantined one may have a trial left.
-func (s *Service) known(r *request) (suspected, quarantined, trial bool) {
+// standing is what is known of a request.
+type standing struct {
+	suspected, quarantined bool
+	// trial says that a quarantined one may have a trial, final that it has failed it.
+	trial, final bool
+}
+
+// standing returns what is known of a request.
+func (s *Service) standing(r *request) standing {
 	if !s.screens() {
-		return false, false, false
+		return standing{}
 	}
 	f := r.fingerprint()
 	q := s.cfg.State.View().Quarantine
 	held, quarantined := q.Held(f)
-	return q.Suspects(f) || s.cfg.Quarantine.Suspects(f), quarantined || s.cfg.Quarantine.Holds(f), held.Trial
+	return standing{q.Suspects(f) || s.cfg.Quarantine.Suspects(f), quarantined || s.cfg.Quarantine.Holds(f), held.Trial, held.Final}
 }
 
 // screen decides whether a request may be sent to an upstream; nil means yes. It notes whether
@@ -63,16 +82,19 @@
 	if r.trial {
 		return nil
 	}
-	_, quarantined, trial := s.known(r)
-	if !quarantined {
+	is := s.standing(r)
+	switch {
+	case !is.quarantined:
 		return nil
-	}
-	if trial && s.takeTrial(r.fingerprint()) {
+	case is.trial && s.takeTrial(r.fingerprint()):
 		r.trial = true
 		return nil
 	}
 	s.set.GetOrCreateCounter("relay_quarantined_total").Inc()
-	return errQuarantined
+	if is.final {
+		return errQuarantined
+	}
+	return errSuspended
 }
 
 // takeTrial asks for the trial of a request, not too often.
@@ -103,8 +125,8 @@
 // mayRunElsewhere reports whether a request that may have run may be sent to another upstream,
 // as far as crashes are concerned: one that is suspected ends an upstream with each try.
 func (s *Service) mayRunElsewhere(r *request) bool {
-	suspected, quarantined, _ := s.known(r)
-	return !suspected && !quarantined && !r.trial
+	is := s.standing(r)
+	return !is.suspected && !is.quarantined && !r.trial
 }
 
 // completed notes that an upstream has answered an attempt to its end.
@@ -115,7 +137,7 @@
 	if a.up.losses.alive(a.begun) {
 		s.cfg.Quarantine.Alive(a.up.begun)
 	}
-	if suspected, quarantined, _ := s.known(a.r); suspected || quarantined {
+	if len(a.r.body) <= smallBody || s.cfg.Quarantine.Watching() {
 		s.cfg.Quarantine.Succeeded(a.r.fingerprint())
 	}
 }
--- a/instance/relay/serve.go
+++ b/instance/relay/serve.go
@@ -310,7 +310,7 @@
 	if r.sent >= max(1, r.route.MaxAttempts) || r.ran && !r.route.Repeatable() {
 		return false
 	}
-	if r.ran && !s.mayRunElsewhere(r) {
+	if (r.ran || r.trial) && !s.mayRunElsewhere(r) {
 		return false
 	}
 	return s.mayRepeat(r.service)
--- a/instance/roles/edge.go
+++ b/instance/roles/edge.go
@@ -42,9 +42,11 @@
 		if err != nil {
 			return nil, err
 		}
-		return quarantine.NewRecorder(quarantine.RecorderConfig{
+		r := quarantine.NewRecorder(quarantine.RecorderConfig{
 			Links: links, Members: state.Members, Alone: func() bool { return state.Age() > aloneAfter }, Log: p.events,
-		}), nil
+		})
+		state.Subscribe(func(v *follow.View) { r.Update(v.Quarantine) })
+		return r, nil
 	}}
 }
 
--- a/operator/commands/show/quarantine.go
+++ b/operator/commands/show/quarantine.go
@@ -16,13 +16,13 @@
 		return
 	}
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(t, "FINGERPRINT\tSTATE\tORGANISATION\tTARGET\tCRASHES\tSINCE\tTRIALS")
+	fmt.Fprintln(t, "FINGERPRINT\tSTATE\tORGANISATION\tTARGET\tCRASHES\tSINCE\tTRIALS\tFAILED")
 	for _, r := range v.Requests {
 		since := "-"
 		if !r.Since.IsZero() {
 			since = r.Since.Format(time.RFC3339)
 		}
-		fmt.Fprintf(t, "%s\t%s\t%s\t%s\t%d\t%s\t%d\n", r.Fingerprint, r.State, orNone(r.Organisation), r.Target, r.Crashes, since, r.Trials)
+		fmt.Fprintf(t, "%s\t%s\t%s\t%s\t%d\t%s\t%d\t%t\n", r.Fingerprint, r.State, orNone(r.Organisation), r.Target, r.Crashes, since, r.Trials, r.Failed)
 	}
 	_ = t.Flush()
 }
