Soak: requests that end upstreams, and upstreams that name limits

Seeds from 3000 on draw both troubles besides all others; earlier seeds draw what they drew. Checks: what a member has listed runs no more, but for its trials, once the longest lease is over; limits are kept by instances that were neither killed, stopped nor frozen; harmless contents are never refused for good. Regression seeds 3000 and 3009 (harmless contents refused), 3001 (503 after a try that had run).

--- a/proof/deployed/harness_test.go
+++ b/proof/deployed/harness_test.go
@@ -39,6 +39,8 @@
 
 // site is one deployment.
 type site struct {
+	// g reports to the site's own test: several may run at once.
+	g     *WithT
 	t     *testing.T
 	dir   string
 	net   int64
@@ -63,7 +65,12 @@
 
 func newSite(t *testing.T) *site {
 	RegisterTestingT(t)
-	s := &site{t: t, dir: t.TempDir(), net: nets.Add(1) + int64(os.Getpid()%netShares)*netShare, nodes: map[string]*node{}}
+	return openSite(t)
+}
+
+// openSite makes a site of a test that may run beside others.
+func openSite(t *testing.T) *site {
+	s := &site{g: NewWithT(t), t: t, dir: t.TempDir(), net: nets.Add(1) + int64(os.Getpid()%netShares)*netShare, nodes: map[string]*node{}}
 	t.Cleanup(func() {
 		for _, n := range s.nodes {
 			n.kill()
@@ -87,7 +94,7 @@
 func (n *node) dataDir() string      { return filepath.Join(n.s.dir, n.name) }
 
 func (n *node) writeSettings(bootstrap bool) {
-	Expect(os.WriteFile(n.settingsFile(), []byte(n.settingsText(bootstrap)), 0o600)).To(Succeed())
+	n.s.g.Expect(os.WriteFile(n.settingsFile(), []byte(n.settingsText(bootstrap)), 0o600)).To(Succeed())
 }
 
 func (n *node) settingsText(bootstrap bool) string {
@@ -123,12 +130,12 @@
 func (n *node) run() *node {
 	n.s.t.Helper()
 	if n.core {
-		Expect(os.MkdirAll(n.dataDir(), 0o700)).To(Succeed())
+		n.s.g.Expect(os.MkdirAll(n.dataDir(), 0o700)).To(Succeed())
 	}
 	cmd := exec.Command(binary, "--platform", "--metrics-port", strconv.Itoa(portMetrics))
 	cmd.Env = append(os.Environ(), "COMFREYLADDER_CONFIG="+n.settingsFile())
 	cmd.Stdout, cmd.Stderr = n, n
-	Expect(cmd.Start()).To(Succeed())
+	n.s.g.Expect(cmd.Start()).To(Succeed())
 	started.Store(cmd.Process, true)
 	n.process, n.exited = cmd, make(chan struct{})
 	go func(exited chan struct{}) {
@@ -152,7 +159,7 @@
 	return n.out.String()
 }
 
-func (n *node) signal(sig syscall.Signal) { Expect(n.process.Process.Signal(sig)).To(Succeed()) }
+func (n *node) signal(sig syscall.Signal) { n.s.g.Expect(n.process.Process.Signal(sig)).To(Succeed()) }
 
 // kill ends the process at once, also one that is stopped.
 func (n *node) kill() {
@@ -164,7 +171,7 @@
 	n.process = nil
 }
 
-func (n *node) wipe() { Expect(os.RemoveAll(n.dataDir())).To(Succeed()) }
+func (n *node) wipe() { n.s.g.Expect(os.RemoveAll(n.dataDir())).To(Succeed()) }
 
 var client = &http.Client{Timeout: 2 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
 
--- a/proof/deployed/soak_callers_test.go
+++ b/proof/deployed/soak_callers_test.go
@@ -80,6 +80,9 @@
 	ended := make(chan struct{})
 	var all sync.WaitGroup
 	all.Go(func() { every(ended, probeEvery, w.ready.probe) })
+	if w.seed >= firstTroubled {
+		all.Go(func() { every(ended, listEvery, w.poisons.watch) })
+	}
 	for range soakCallers {
 		all.Go(func() { (&soakCaller{w: w}).run(ended) })
 	}
@@ -181,7 +184,7 @@
 	s := sent{
 		id: fmt.Sprintf("s%d", soakAttempts.Add(1)), key: c.w.config.key(), kind: attemptKind(rand.IntN(3)), at: time.Now(),
 	}
-	c.w.ledger.begin(s.id, s.kind)
+	c.w.ledger.begin(s.id, s.kind, c.edge)
 	text := fmt.Sprintf("POST %s HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: %s\r\nKey: %s\r\nDeadline-Ms: 3000\r\nContent-Length: 4\r\n\r\nbody", s.kind.path(), s.id, s.key)
 	half := len(text)
 	if rand.IntN(10) == 0 {
--- a/proof/deployed/soak_ledger_test.go
+++ b/proof/deployed/soak_ledger_test.go
@@ -54,6 +54,7 @@
 type ledger struct {
 	mu       sync.Mutex
 	kinds    map[string]attemptKind
+	via      map[string]*soakNode // the edge that an attempt was sent to
 	runs     map[string]int
 	promised map[string]int // attempts that were told not to have run, by status
 	arrivals []arrival
@@ -68,7 +69,7 @@
 const mostFailures = 30
 
 func newLedger() *ledger {
-	return &ledger{kinds: map[string]attemptKind{}, runs: map[string]int{}, promised: map[string]int{}}
+	return &ledger{kinds: map[string]attemptKind{}, via: map[string]*soakNode{}, runs: map[string]int{}, promised: map[string]int{}}
 }
 
 func (l *ledger) fail(format string, args ...any) {
@@ -80,10 +81,17 @@
 	}
 }
 
-func (l *ledger) begin(attempt string, kind attemptKind) {
+func (l *ledger) begin(attempt string, kind attemptKind, edge *soakNode) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.kinds[attempt] = kind
+	l.kinds[attempt], l.via[attempt] = kind, edge
+}
+
+// edgeOf returns the edge that an attempt was sent to.
+func (l *ledger) edgeOf(attempt string) *soakNode {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.via[attempt]
 }
 
 // arrived notes a request at a runner, ran that it is carried out.
@@ -126,6 +134,7 @@
 		}
 	}
 	l.judgeBudget()
+	w.poisons.judge()
 }
 
 // judgeBudget checks that repeats stay within their budget in each span.
--- a/proof/deployed/soak_plan_test.go
+++ b/proof/deployed/soak_plan_test.go
@@ -51,11 +51,13 @@
 // soakShape is what a run consists of.
 type soakShape struct{ cores, edges, runners []string }
 
-// weights is how often each kind is drawn.
-var weights = []struct {
+// weight is how often a kind is drawn.
+type weight struct {
 	kind   stepKind
 	weight int
-}{
+}
+
+var weights = []weight{
 	{stepStop, 6}, {stepFrozenStop, 5}, {stepKill, 4}, {stepFreeze, 5}, {stepReload, 1}, {stepWipe, 1}, {stepKillCores, 1},
 	{stepKillAll, 1}, {stepRunnerGone, 3}, {stepRunnerDown, 2}, {stepResets, 2}, {stepSilence, 2}, {stepForeign, 2}, {stepRevoke, 3},
 	{stepInvalid, 1},
@@ -69,7 +71,11 @@
 func drawSteps(seed int64, span time.Duration, shape soakShape) []soakStep {
 	rng := rand.New(rand.NewPCG(uint64(seed), 18))
 	var bag []stepKind
-	for _, w := range weights {
+	all := weights
+	if seed >= firstTroubled {
+		all = slices.Concat(weights, troubledWeights)
+	}
+	for _, w := range all {
 		for range w.weight {
 			bag = append(bag, w.kind)
 		}
@@ -114,6 +120,13 @@
 		s.target = pick(shape.cores)
 	case stepRunnerGone, stepRunnerDown, stepResets, stepSilence, stepForeign:
 		s.target = pick(shape.runners)
+	case stepPoison:
+		s.delay = between(0, 3)
+		s.lasts = between(2*time.Second, 6*time.Second)
+	case stepLimit:
+		s.target = pick(shape.runners)
+		s.delay = between(0, 6*time.Second)
+		s.lasts = between(3*time.Second, 7*time.Second)
 	}
 }
 
--- a/proof/deployed/soak_runner_test.go
+++ b/proof/deployed/soak_runner_test.go
@@ -19,6 +19,8 @@
 	// longestWork bounds the work on a request that is no stream.
 	longestWork = 60 * time.Millisecond
 	reportEvery = 300 * time.Millisecond
+	// longestDown bounds for how long a runner is gone that a request has ended.
+	longestDown = 1500 * time.Millisecond
 	// drainKnown is within what time edges know of a drain; drainSlack is added for the way.
 	drainKnown, drainSlack = 2 * time.Second, 300 * time.Millisecond
 )
@@ -46,6 +48,8 @@
 	// drained is when a core has acknowledged the drain, in Unix nanoseconds.
 	drained atomic.Int64
 	conns   sync.Map
+	// limit is what it names, nil for none.
+	limit atomic.Pointer[limitNamed]
 }
 
 func (r *soakRunner) start() {
@@ -74,6 +78,16 @@
 	}
 	l.judgeDrain(attempt)
 	l.r.w.ledger.ran(attempt)
+	body, err := io.ReadAll(req.Body)
+	if err != nil {
+		return
+	}
+	if l.r.w.poisons.arrives(string(body)) {
+		time.Sleep(poisonRuns)
+		l.r.crashAndReturn(rand.N(longestDown))
+		return
+	}
+	l.limit.Load().arrived(out, l.r.w.ledger.edgeOf(attempt))
 	out.Header().Set("Attempt-Id", attempt)
 	out.Header().Set("Runner-Seal", "seal "+attempt)
 	if req.URL.Path == streamed.path() {
--- a/proof/deployed/soak_test.go
+++ b/proof/deployed/soak_test.go
@@ -8,17 +8,16 @@
 	"strings"
 	"testing"
 	"time"
-
-	. "github.com/onsi/gomega"
 )
 
 var (
-	soakSeed  = flag.Int64("soak.seed", 0, "the seed of a soak; zero plays those of a usual test run")
-	soakSeeds = flag.Int("soak.seeds", 1, "how many seeds to play, from soak.seed on")
-	soakFor   = flag.Duration("soak.for", 12*time.Second, "for how long faults come in each run")
-	soakCores = flag.Int("soak.cores", 3, "instances that hold the control state")
-	soakEdges = flag.Int("soak.edges", 4, "instances that forward requests")
-	soakLogs  = flag.String("soak.logs", "", "folder for the logs of all runs; empty for a temporary one, for those that fail")
+	soakSeed   = flag.Int64("soak.seed", 0, "the seed of a soak; zero plays those of a usual test run")
+	soakSeeds  = flag.Int("soak.seeds", 1, "how many seeds to play, from soak.seed on")
+	soakFor    = flag.Duration("soak.for", 12*time.Second, "for how long faults come in each run")
+	soakCores  = flag.Int("soak.cores", 3, "instances that hold the control state")
+	soakEdges  = flag.Int("soak.edges", 4, "instances that forward requests")
+	soakAtOnce = flag.Int("soak.at-once", 2, "how many seeds to play at the same time")
+	soakLogs   = flag.String("soak.logs", "", "folder for the logs of all runs; empty for a temporary one, for those that fail")
 )
 
 // usualSeeds are played by each test run, besides those that once showed a fault.
@@ -34,19 +33,24 @@
 			seeds = append(seeds, *soakSeed+int64(i))
 		}
 	}
+	places := make(chan struct{}, *soakAtOnce)
 	for _, seed := range seeds {
-		t.Run(fmt.Sprint("seed=", seed), func(t *testing.T) { soak(t, seed) })
+		t.Run(fmt.Sprint("seed=", seed), func(t *testing.T) {
+			t.Parallel()
+			places <- struct{}{}
+			defer func() { <-places }()
+			soak(t, seed)
+		})
 	}
 }
 
 // faultySeeds once showed a fault: each has a line on its cause in docs/PROOFS.md.
-var faultySeeds = []int64{100, 1018, 2006, 2021}
+var faultySeeds = []int64{100, 1018, 2006, 2021, 3000, 3001, 3009}
 
 // settleWithin is the time after the last fault in which all must serve again.
 const settleWithin = 12 * time.Second
 
 func soak(t *testing.T, seed int64) {
-	RegisterTestingT(t)
 	w := newSoakWorld(t, seed, *soakCores, *soakEdges)
 	steps := drawSteps(seed, *soakFor, w.shape())
 	w.start()
@@ -56,7 +60,7 @@
 	stopLoad()
 	w.stopAll()
 	w.judge()
-	t.Logf("seed %d: %s; the machine hung %d times; steps: %s", seed, w.ledger.summary(), w.machine.count(), countKinds(steps))
+	t.Logf("seed %d: %s; %s, %d limits kept; the machine hung %d times; steps: %s", seed, w.ledger.summary(), w.poisons.summary(), w.limits.Load(), w.machine.count(), countKinds(steps))
 	if !w.ledger.clean() || *soakLogs != "" {
 		t.Logf("logs in %s", w.keepLogs())
 	}
--- a/proof/deployed/soak_world_test.go
+++ b/proof/deployed/soak_world_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -44,11 +45,13 @@
 	faulty  marks // when anything was done to runners or to connections to them
 	machine *machineWatch
 	unclear marks // when a core was killed or did not run: edges may lag behind
+	poisons *poisons
+	limits  atomic.Int64 // limits that runners named and that were judged
 }
 
 func newSoakWorld(t *testing.T, seed int64, cores, edges int) *soakWorld {
 	w := &soakWorld{
-		site: newSite(t), seed: seed, ledger: newLedger(), byName: map[string]*soakNode{}, runners: map[string]*soakRunner{},
+		site: openSite(t), seed: seed, ledger: newLedger(), byName: map[string]*soakNode{}, runners: map[string]*soakRunner{},
 		ending: make(chan struct{}), revokes: make(chan struct{}, 64), invalid: make(chan struct{}, 64),
 	}
 	for i := range cores {
@@ -67,6 +70,7 @@
 	}
 	w.config = newConfigs(w)
 	w.ready = newBalance(w)
+	w.poisons = newPoisons(w)
 	w.end = sync.OnceFunc(func() { close(w.ending) })
 	t.Cleanup(w.killAll)
 	return w
@@ -99,7 +103,7 @@
 		n.start(true)
 		w.running.Go(n.supervise)
 	}
-	Eventually(func() int { return w.cores[0].putText(w.config.first()) }, startWithin, poll).Should(Equal(200))
+	w.g.Eventually(func() int { return w.cores[0].putText(w.config.first()) }, startWithin, poll).Should(Equal(200))
 	for _, r := range w.runners {
 		r.start()
 	}
@@ -159,6 +163,8 @@
 		w.revokes <- struct{}{}
 	case stepInvalid:
 		w.invalid <- struct{}{}
+	case stepPoison:
+		w.poisons.send(s)
 	}
 }
 
@@ -175,6 +181,8 @@
 		r.silence()
 	case stepForeign:
 		r.w.foreignReport(r)
+	case stepLimit:
+		r.name(s)
 	}
 }
 
