--- a/proof/deployed/harness_test.go
+++ b/proof/deployed/harness_test.go
@@ -72,6 +72,9 @@
 func openSite(t *testing.T) *site {
 	s := &site{g: NewWithT(t), t: t, dir: t.TempDir(), net: nets.Add(1) + int64(os.Getpid()%netShares)*netShare, nodes: map[string]*node{}}
 	t.Cleanup(func() {
+		if t.Failed() {
+			t.Logf("logs until %s in %s", time.Now().Format(time.StampMilli), s.keepLogs(""))
+		}
 		for _, n := range s.nodes {
 			n.kill()
 		}
@@ -79,6 +82,19 @@
 	return s
 }
 
+// keepLogs writes what all processes printed into a folder, a new one if it is given none,
+// and returns the folder.
+func (s *site) keepLogs(dir string) string {
+	if dir == "" {
+		dir, _ = os.MkdirTemp("", "deployed")
+	}
+	test := strings.NewReplacer("/", "-", "=", "-").Replace(s.t.Name())
+	for _, n := range s.nodes {
+		_ = os.WriteFile(filepath.Join(dir, fmt.Sprintf("%s-%s.log", test, n.name)), []byte(n.log()), 0o600)
+	}
+	return dir
+}
+
 func (s *site) ip(host int) string { return fmt.Sprintf("127.%d.%d.%d", 1+s.net/200, s.net%200, host) }
 
 // add makes a machine; nothing runs on it yet.
--- a/proof/deployed/soak_test.go
+++ b/proof/deployed/soak_test.go
@@ -3,8 +3,6 @@
 import (
 	"flag"
 	"fmt"
-	"os"
-	"path/filepath"
 	"strings"
 	"testing"
 	"time"
@@ -17,7 +15,7 @@
 	soakCores  = flag.Int("soak.cores", 3, "instances that hold the control state")
 	soakEdges  = flag.Int("soak.edges", 4, "instances that forward requests")
 	soakAtOnce = flag.Int("soak.at-once", 2, "how many seeds to play at the same time")
-	soakLogs   = flag.String("soak.logs", "", "folder for the logs of all runs; empty for a temporary one, for those that fail")
+	soakLogs   = flag.String("soak.logs", "", "folder for the logs of all runs; those of a failed one are kept in a temporary one besides")
 )
 
 // usualSeeds are played by each test run, besides those that once showed a fault.
@@ -61,8 +59,8 @@
 	w.stopAll()
 	w.judge()
 	t.Logf("seed %d: %s; %s, %d limits kept; the machine hung %d times; steps: %s", seed, w.ledger.summary(), w.poisons.summary(), w.limits.Load(), w.machine.count(), countKinds(steps))
-	if !w.ledger.clean() || *soakLogs != "" {
-		t.Logf("logs in %s", w.keepLogs())
+	if *soakLogs != "" {
+		t.Logf("logs in %s", w.keepLogs(*soakLogs))
 	}
 	if !w.ledger.clean() {
 		t.Errorf("seed %d: %s\nsteps:\n%s", seed, w.ledger.report(), describe(steps))
@@ -70,17 +68,6 @@
 }
 
 // keepLogs writes what all processes printed to files.
-func (w *soakWorld) keepLogs() string {
-	dir := *soakLogs
-	if dir == "" {
-		dir, _ = os.MkdirTemp("", "soak")
-	}
-	for _, n := range w.nodes {
-		_ = os.WriteFile(filepath.Join(dir, fmt.Sprintf("seed-%d-%s.log", w.seed, n.name)), []byte(n.log()), 0o600)
-	}
-	return dir
-}
-
 func describe(steps []soakStep) string {
 	lines := make([]string, len(steps))
 	for i, s := range steps {
