Serving state: a change costs what changed, not all upstreams

Each applied entry walked all upstreams twice (who owns the address, what has expired), each read of a follower once; 10,000 registrations at the start of a fleet were 10,000 such walks at every member. More than 16,384 upstreams were not kept: the oldest were dropped, also those that serve. And each expiry, ten minutes after an end, sent the whole state to every follower.

Now an index by address, by last change and by age. The bound is on ended incarnations; those that serve are never dropped, further registrations beyond 65,536 are refused with an error. Expired ones are told one by one.

--- a/core/control/serving/machine.go
+++ b/core/control/serving/machine.go
@@ -8,8 +8,6 @@
 package serving
 
 import (
-	"slices"
-	"strings"
 	"time"
 
 	"github.com/comfreyladder/comfreyladder/core/control"
@@ -97,9 +95,12 @@
 	// endedRetention is how long ended incarnations are kept, so that a late heartbeat does not
 	// make them usable again.
 	endedRetention = 10 * time.Minute
-	// maxUpstreams bounds the incarnations in the state. Those whose last change is the
-	// oldest are dropped first.
-	maxUpstreams = 16384
+	// maxEnded bounds the ended incarnations in the state. Those whose last change is the oldest
+	// are dropped first.
+	maxEnded = 16384
+	// MaxUpstreams bounds the incarnations that have not ended. Further ones are not recorded:
+	// dropping one that serves would take its work away.
+	MaxUpstreams = 65536
 )
 
 // snapshotState is the encoded form of a snapshot.
@@ -115,14 +116,15 @@
 
 // Machine is the replicated state machine. It is not safe for concurrent use.
 type Machine struct {
-	s    snapshotState
-	byID map[string]*Upstream
+	s         snapshotState
+	upstreams index
+	removals  removalLog
 	// services holds the names of the services in the current table.
 	services map[string]bool
 }
 
 // New returns a Machine without a table and upstreams.
-func New() *Machine { return &Machine{byID: map[string]*Upstream{}} }
+func New() *Machine { return &Machine{upstreams: newIndex(nil)} }
 
 // Apply implements control.Machine. The result is empty. A command that cannot be
 // decoded changes nothing.
@@ -171,7 +173,10 @@
 }
 
 func (m *Machine) announce(index uint64, at time.Time, u *Upstream) {
-	known := m.byID[u.ID]
+	known := m.upstreams.get(u.ID)
+	if known == nil && m.upstreams.live() >= MaxUpstreams {
+		return
+	}
 	next := *u
 	next.FirstIndex = index
 	if known != nil {
@@ -190,27 +195,27 @@
 		}
 	}
 	m.claimAddress(index, at, &next)
-	m.set(index, at, &next)
+	m.set(index, at, next)
 }
 
-// claimAddress decides which incarnation owns the address of by. The others with this
-// address become Superseded, which is not final: a late heartbeat of a dead incarnation
+// claimAddress decides which incarnation owns the address of by. The other one with this
+// address becomes Superseded, which is not final: a late heartbeat of a dead incarnation
 // may arrive after its successor's first one, and the successor's next heartbeat must
 // regain the address. If both report when they started, the later one owns the address
 // at once. An upstream of a service that the table does not contain cannot take the
 // address from one whose service it contains.
 func (m *Machine) claimAddress(index uint64, at time.Time, by *Upstream) {
-	for id, u := range m.byID {
-		if id == by.ID || u.Address != by.Address || (u.State != Ready && u.State != Draining) {
-			continue
-		}
-		if by.StartedAt > 0 && u.StartedAt > by.StartedAt || m.hasService(u.Service) && !m.hasService(by.Service) {
-			by.State = Superseded
-			continue
-		}
-		u.State = Superseded
-		u.Changed, u.At = index, at.UnixNano()
+	u := m.upstreams.owner(by.Address)
+	if u == nil || u.ID == by.ID {
+		return
 	}
+	if by.StartedAt > 0 && u.StartedAt > by.StartedAt || m.hasService(u.Service) && !m.hasService(by.Service) {
+		by.State = Superseded
+		return
+	}
+	next := *u
+	next.State = Superseded
+	m.set(index, at, next)
 }
 
 // hasService reports whether the current table contains a service.
@@ -219,7 +224,7 @@
 // leave ends an incarnation. A leave without a start ends the known incarnation with this
 // ID, since an upstream that left must not get work.
 func (m *Machine) leave(index uint64, at time.Time, id string, startedAt int64) {
-	known := m.byID[id]
+	known := m.upstreams.get(id)
 	if known == nil || startedAt > 0 && compare(known, &Upstream{StartedAt: startedAt}) == newer {
 		// The leave may arrive before the announcement, which must not undo it.
 		known = &Upstream{ID: id, StartedAt: startedAt, FirstIndex: index}
@@ -229,49 +234,39 @@
 	}
 	next := *known
 	next.State = Gone
-	m.set(index, at, &next)
+	m.set(index, at, next)
 }
 
 func (m *Machine) markSilent(index uint64, at time.Time, ids []string) {
 	for _, id := range ids {
-		if u := m.byID[id]; u != nil && !u.Silent && u.State != Gone {
+		if u := m.upstreams.get(id); u != nil && !u.Silent && u.State != Gone {
 			next := *u
 			next.Silent = true
-			m.set(index, at, &next)
+			m.set(index, at, next)
 		}
 	}
 }
 
-func (m *Machine) set(index uint64, at time.Time, u *Upstream) {
+func (m *Machine) set(index uint64, at time.Time, u Upstream) {
 	u.Changed, u.At = index, at.UnixNano()
-	m.byID[u.ID] = u
+	m.upstreams.put(u)
 	m.s.Index = index
 }
 
+// prune drops the ended incarnations that are old or too many.
 func (m *Machine) prune(index uint64, at time.Time) {
 	limit := at.Add(-endedRetention).UnixNano()
-	for id, u := range m.byID {
-		if u.At < limit && (u.Silent || u.State >= Superseded) {
-			delete(m.byID, id)
-			m.s.Pruned, m.s.Index = index, index
+	for {
+		u := m.upstreams.oldestEnded()
+		if u == nil || u.At >= limit && m.upstreams.ended() <= maxEnded {
+			return
 		}
-	}
-	for len(m.byID) > maxUpstreams {
-		delete(m.byID, m.oldest())
+		m.removals.add(index, u)
+		m.upstreams.remove(u.ID)
 		m.s.Pruned, m.s.Index = index, index
 	}
 }
 
-func (m *Machine) oldest() string {
-	best := ""
-	for id, u := range m.byID {
-		if b := m.byID[best]; b == nil || u.At < b.At || u.At == b.At && id < best {
-			best = id
-		}
-	}
-	return best
-}
-
 // Snapshot implements control.Machine.
 func (m *Machine) Snapshot() ([]byte, error) {
 	s := m.s
@@ -285,10 +280,8 @@
 	if err := control.Unmarshal(snapshot, &s); err != nil {
 		return err
 	}
-	m.byID = make(map[string]*Upstream, len(s.Upstreams))
-	for i := range s.Upstreams {
-		m.byID[s.Upstreams[i].ID] = &s.Upstreams[i]
-	}
+	m.upstreams = newIndex(s.Upstreams)
+	m.removals = removalLog{from: s.Pruned}
 	s.Upstreams = nil
 	m.s = s
 	m.services = servicesOf(s.Table)
@@ -296,18 +289,11 @@
 }
 
 // Upstreams returns the latest incarnation of every upstream, sorted by ID.
-func (m *Machine) Upstreams() []Upstream {
-	list := make([]Upstream, 0, len(m.byID))
-	for _, u := range m.byID {
-		list = append(list, *u)
-	}
-	slices.SortFunc(list, func(a, b Upstream) int { return strings.Compare(a.ID, b.ID) })
-	return list
-}
+func (m *Machine) Upstreams() []Upstream { return m.upstreams.sorted() }
 
 // Upstream returns the latest incarnation with an ID.
 func (m *Machine) Upstream(id string) (Upstream, bool) {
-	u := m.byID[id]
+	u := m.upstreams.get(id)
 	if u == nil {
 		return Upstream{}, false
 	}
@@ -321,7 +307,8 @@
 // Index returns the log index of the last change.
 func (m *Machine) Index() uint64 { return m.s.Index }
 
-// Changes holds the changes that an instance has not received yet.
+// Changes holds the changes that an instance has not received yet. Upstreams in the state Gone
+// are to be dropped.
 type Changes struct {
 	// Index is the log index that the instance has reached once it has applied the changes.
 	Index uint64 `codec:"n"`
@@ -333,16 +320,22 @@
 	Upstreams []Upstream `codec:"u"`
 }
 
-// Since returns the changes after an index.
+// Since returns the changes after an index. Its cost depends on the number of changes, except
+// for a reader that needs the whole state.
 func (m *Machine) Since(index uint64) Changes {
-	c := Changes{Index: m.s.Index, Full: index == 0 || index < m.s.Pruned, Version: m.s.Version}
+	c := Changes{Index: m.s.Index, Full: index == 0 || index < m.removals.from, Version: m.s.Version}
 	if m.s.TableAt > index {
 		c.Table = m.s.Table
 	}
-	for _, u := range m.byID {
-		if c.Full || u.Changed > index {
-			c.Upstreams = append(c.Upstreams, *u)
-		}
+	if c.Full {
+		c.Upstreams = m.upstreams.all()
+		return c
 	}
+	c.Upstreams = m.upstreams.changedSince(index)
+	m.removals.since(index, func(id string) {
+		if m.upstreams.get(id) == nil {
+			c.Upstreams = append(c.Upstreams, Upstream{ID: id, State: Gone})
+		}
+	})
 	return c
 }
--- a/instance/serving/serving.go
+++ b/instance/serving/serving.go
@@ -262,12 +262,21 @@
 		return nil
 	}
 	err = s.propose(ctx, &serving.Command{Announce: &u})
+	if err == nil && !isRecorded(g, u.ID) {
+		err = fault.New(fault.Overloaded, "upstream %s was not recorded: there are %d others already", u.ID, serving.MaxUpstreams)
+	}
 	s.cfg.Log.Info().Str("event", "upstream_announced").Str("upstream", u.ID).Str("service", u.Service).Str("address", u.Address).
 		Str("state", u.State.String()).Int64("born", u.StartedAt).Uint64("sequence", u.Sequence).Str("before", known.State.String()).Bool("was_silent", known.Silent).Bool("preemptible", u.Preemptible).Int64("leaves_ms", u.LeavesMS).
 		Str("outcome", outcome(err)).Err(err).Msg("heartbeat of an upstream")
 	return err
 }
 
+// isRecorded reports whether this member's state contains an upstream.
+func isRecorded(g *consensus.Service, id string) (ok bool) {
+	viewServing(g, func(m *serving.Machine) { _, ok = m.Upstream(id) })
+	return ok
+}
+
 // Leave deregisters an upstream that started at startedAt, in Unix milliseconds; zero if
 // the start is unknown. Once Leave returns without an error, every confirmed response
 // reflects it.
