Control group: every core is a member, seven of them vote, spread over the domains

A group took at most 11 members. Voters were placed without regard to failure domains: the five of a domain could all vote.

Now all join as learners, which serve reads; at most seven become voters, from the domains with the fewest, and a voter moves when domains differ by two. A member's domain is part of the membership; founders and members of an older version report theirs. Joining instances wait for the pending membership change instead of coming back half a second later.

TestEveryControlInstanceServes (14 members, 4 domains, one stopped) fails before; TestVotersAreFewAndSpread plays layouts drawn at random.

--- a/core/raft/explore_test.go
+++ b/core/raft/explore_test.go
@@ -125,7 +125,7 @@
 			s.drain(l)
 			return
 		case !known && !h.joined:
-			_, _ = l.node.AddLearner(now, id, fmt.Sprint("m", id))
+			_, _ = l.node.AddLearner(now, id, fmt.Sprint("m", id), "")
 		case known && !m.Voter:
 			_, _ = l.node.Promote(now, id)
 		}
--- a/core/raft/founding/founding.go
+++ b/core/raft/founding/founding.go
@@ -107,8 +107,8 @@
 func New(name string, id raft.MemberID, founders []string, cluster raft.ClusterID, state State) (*Founder, error) {
 	list := slices.Clone(founders)
 	slices.Sort(list)
-	if len(slices.Compact(slices.Clone(list))) != len(list) || !slices.Contains(list, name) || len(list) > raft.MaxMembers {
-		return nil, fault.New(fault.Invalid, "founders: up to %d different names with %q among them are needed", raft.MaxMembers, name)
+	if len(slices.Compact(slices.Clone(list))) != len(list) || !slices.Contains(list, name) || len(list) > raft.MaxVoters {
+		return nil, fault.New(fault.Invalid, "founders: up to %d different names with %q among them are needed", raft.MaxVoters, name)
 	}
 	return &Founder{name: name, id: id, founders: list, cluster: cluster, state: state,
 		offers: map[string]raft.MemberID{name: id}, accepted: map[string]bool{}, refused: map[string]string{}}, nil
--- a/core/raft/members.go
+++ b/core/raft/members.go
@@ -8,8 +8,12 @@
 	"github.com/comfreyladder/comfreyladder/core/fault"
 )
 
-// MaxMembers limits the size of the control group.
-const MaxMembers = 11
+const (
+	// MaxVoters limits the voters of a control group: each change waits for a majority of them.
+	MaxVoters = 11
+	// MaxMembers limits all members of a control group: the leader sends each entry to each.
+	MaxMembers = 128
+)
 
 // Member is one member of the control group.
 type Member struct {
@@ -18,6 +22,8 @@
 	Name string `codec:"n"`
 	// Voter is false for a learner, which receives the log but does not vote.
 	Voter bool `codec:"v"`
+	// Domain is the failure domain of the instance; empty if it is not known.
+	Domain string `codec:"d,omitempty"`
 }
 
 // Members is a membership, sorted by ID.
@@ -88,7 +94,7 @@
 
 // AddLearner proposes a new non-voting member. It returns the index of the change, or
 // fault.NotRun, fault.Conflict or fault.Invalid.
-func (n *Node) AddLearner(now time.Time, id MemberID, name string) (uint64, error) {
+func (n *Node) AddLearner(now time.Time, id MemberID, name, domain string) (uint64, error) {
 	if err := n.checkChangeAllowed(); err != nil {
 		return 0, err
 	}
@@ -98,7 +104,7 @@
 	if len(n.members()) >= MaxMembers {
 		return 0, fault.New(fault.Invalid, "the group already has the maximum of %d members", MaxMembers)
 	}
-	return n.proposeMembers(now, n.members().with(Member{ID: id, Name: name}))
+	return n.proposeMembers(now, n.members().with(Member{ID: id, Name: name, Domain: domain}))
 }
 
 // Promote proposes to make a learner a voter. It fails with fault.NotRun while the
@@ -120,10 +126,30 @@
 	if p.match < n.commit || now.Sub(p.lastAck) > n.cfg.ElectionTimeout {
 		return 0, fault.New(fault.NotRun, "learner %x has synced the log up to %d of %d", id, p.match, n.commit).WithRetryAfter(n.cfg.ElectionTimeout)
 	}
+	if len(n.members().Voters()) >= MaxVoters {
+		return 0, fault.New(fault.Invalid, "the group already has the maximum of %d voters", MaxVoters)
+	}
 	m.Voter = true
 	return n.proposeMembers(now, n.members().with(m))
 }
 
+// SetDomain proposes to record the failure domain of a member. It fails with fault.Conflict if
+// it is recorded already.
+func (n *Node) SetDomain(now time.Time, id MemberID, domain string) (uint64, error) {
+	if err := n.checkChangeAllowed(); err != nil {
+		return 0, err
+	}
+	m, known := n.members().Get(id)
+	if !known {
+		return 0, fault.New(fault.NotFound, "no member %x", id)
+	}
+	if m.Domain == domain {
+		return 0, fault.New(fault.Conflict, "the failure domain of member %x is already recorded", id)
+	}
+	m.Domain = domain
+	return n.proposeMembers(now, n.members().with(m))
+}
+
 // Remove proposes to remove a member. The last voter cannot be removed.
 func (n *Node) Remove(now time.Time, id MemberID) (uint64, error) {
 	if err := n.checkChangeAllowed(); err != nil {
--- a/core/raft/roster/roster.go
+++ b/core/raft/roster/roster.go
@@ -6,6 +6,10 @@
 // it, or when the number of voters is even. So a group never shrinks because members are
 // partitioned: a minority must not be able to remove the voters of the majority one by one.
 // The quorums of Raft prevent that as well.
+//
+// Voters are spread over the failure domains: otherwise a small group could lose its quorum with
+// one domain. All members beyond Voters stay learners, which serve reads as well; a change waits
+// for a majority of the voters, so its cost does not grow with the members.
 package roster
 
 import (
@@ -42,24 +46,23 @@
 	ID     raft.MemberID
 }
 
+// Voters is the number of voters that a group aims at. Three of them may be lost.
+const Voters = 7
+
 // Next returns the change that the leader with the given status should make next.
 func Next(st *raft.Status) Change {
-	g := group{silent: map[raft.MemberID]time.Duration{}}
-	for _, f := range st.Followers {
-		if f.ID != st.ID {
-			g.silent[f.ID] = f.Silent
-		}
-	}
-	g.collect(st.Members)
+	g := collect(st)
 	if id := g.replacedDisk(st.Members); id != 0 && (id == g.deadVoter || g.voters%2 == 0 || !isVoter(st.Members, id)) {
 		return Change{Remove, id}
 	}
-	switch {
-	case g.voters%2 == 0 && g.deadVoter != 0:
-		return Change{Remove, g.deadVoter}
-	case g.liveLearner != 0 && (g.deadVoter != 0 || g.voters%2 == 0 || g.learners > 1):
-		return Change{Promote, g.liveLearner}
-	case g.deadLearner != 0:
+	if g.voters%2 == 0 {
+		if c := g.completeEven(); c.Action != None {
+			return c
+		}
+	} else if g.needsVoter() {
+		return Change{Promote, g.bestLearner}
+	}
+	if g.deadLearner != 0 {
 		return Change{Remove, g.deadLearner}
 	}
 	return Change{}
@@ -74,30 +77,111 @@
 	silent   map[raft.MemberID]time.Duration
 	voters   int
 	learners int
+	// perDomain counts the voters of each failure domain, dead ones too: a domain that is cut off
+	// is not emptied of voters.
+	perDomain map[string]int
 	// deadVoter is the voter that has been silent longest, if longer than
-	// VoterReplacementTimeout; liveLearner is a learner that is alive, and deadLearner one
-	// that has been silent longer than LearnerRemovalTimeout.
-	deadVoter, liveLearner, deadLearner raft.MemberID
+	// VoterReplacementTimeout; deadLearner is one that has been silent longer than
+	// LearnerRemovalTimeout.
+	deadVoter, deadLearner raft.MemberID
+	// bestLearner is a live learner of the failure domain with the fewest voters, and
+	// crowdedVoter a voter, not the leader, of the one with the most. fewest and most are these
+	// numbers of voters.
+	bestLearner, crowdedVoter raft.MemberID
+	fewest, most              int
 }
 
-func (g *group) collect(members raft.Members) {
-	for _, m := range members {
-		silence := g.silent[m.ID]
-		switch {
-		case m.Voter:
-			g.voters++
-			if silence > VoterReplacementTimeout && silence > g.silent[g.deadVoter] {
-				g.deadVoter = m.ID
-			}
-		case silence < aliveTimeout:
-			g.learners++
-			if g.liveLearner == 0 {
-				g.liveLearner = m.ID
-			}
-		case silence > LearnerRemovalTimeout:
-			g.deadLearner = m.ID
+func collect(st *raft.Status) *group {
+	g := &group{silent: map[raft.MemberID]time.Duration{}, perDomain: map[string]int{}}
+	for _, f := range st.Followers {
+		if f.ID != st.ID {
+			g.silent[f.ID] = f.Silent
+		}
+	}
+	for _, m := range st.Members {
+		if m.Voter {
+			g.perDomain[domainOf(m)]++
 		}
 	}
+	for _, m := range st.Members {
+		if m.Voter {
+			g.addVoter(m, m.ID == st.ID)
+			continue
+		}
+		g.addLearner(m)
+	}
+	return g
+}
+
+// domainOf returns the failure domain of a member. One whose domain is not known counts as the
+// only one of its domain.
+func domainOf(m raft.Member) string {
+	if m.Domain == "" {
+		return m.Name
+	}
+	return m.Domain
+}
+
+func (g *group) addVoter(m raft.Member, leads bool) {
+	g.voters++
+	if silence := g.silent[m.ID]; silence > VoterReplacementTimeout && silence > g.silent[g.deadVoter] {
+		g.deadVoter = m.ID
+	}
+	if n := g.perDomain[domainOf(m)]; !leads && n > g.most {
+		g.crowdedVoter, g.most = m.ID, n
+	}
+}
+
+func (g *group) addLearner(m raft.Member) {
+	switch silence := g.silent[m.ID]; {
+	case silence < aliveTimeout:
+		g.learners++
+		if n := g.perDomain[domainOf(m)]; g.bestLearner == 0 || n < g.fewest {
+			g.bestLearner, g.fewest = m.ID, n
+		}
+	case silence > LearnerRemovalTimeout:
+		g.deadLearner = m.ID
+	}
+}
+
+// completeEven returns the change that makes an even number of voters odd.
+func (g *group) completeEven() Change {
+	switch {
+	case g.deadVoter != 0:
+		return Change{Remove, g.deadVoter}
+	case g.voters > Voters && g.crowdedVoter != 0:
+		return Change{Remove, g.crowdedVoter}
+	case g.bestLearner != 0:
+		return Change{Promote, g.bestLearner}
+	case g.most > g.smallestDomain():
+		return Change{Remove, g.crowdedVoter}
+	}
+	return Change{}
+}
+
+// needsVoter reports whether a learner is to become a voter: in place of a dead voter, to grow
+// while a spare one remains, or because its failure domain has too few.
+func (g *group) needsVoter() bool {
+	switch {
+	case g.bestLearner == 0:
+		return false
+	case g.deadVoter != 0:
+		return true
+	case g.voters < Voters && g.learners > 1:
+		return true
+	}
+	return g.voters <= Voters && g.uneven(g.fewest)
+}
+
+// uneven reports whether the domain with the most voters should give one to a domain that has n.
+func (g *group) uneven(n int) bool { return g.most-n > 1 }
+
+func (g *group) smallestDomain() int {
+	n := g.most
+	for _, k := range g.perDomain {
+		n = min(n, k)
+	}
+	return n
 }
 
 // replacedDisk returns a member that is silent while a voter of the same name is alive: the
--- a/core/raft/roster/roster_test.go
+++ b/core/raft/roster/roster_test.go
@@ -1,10 +1,12 @@
 package roster_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
 	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
 
 	"github.com/comfreyladder/comfreyladder/core/raft"
 	"github.com/comfreyladder/comfreyladder/core/raft/roster"
@@ -76,3 +78,73 @@
 	g := NewWithT(t)
 	g.Expect(next(member{1, "a", true, 0}, member{4, "d", false, time.Hour})).To(Equal(roster.Change{Action: roster.Remove, ID: 4}))
 }
+
+// repair applies the changes that Next asks for until it asks for none.
+func repair(g Gomega, st *raft.Status) {
+	for range 200 {
+		c := roster.Next(st)
+		if c.Action == roster.None {
+			return
+		}
+		for i, m := range st.Members {
+			if m.ID != c.ID {
+				continue
+			}
+			if st.Members[i].Voter = c.Action == roster.Promote; c.Action == roster.Remove {
+				g.Expect(c.ID).NotTo(Equal(st.ID), "the leader must not remove itself")
+			}
+		}
+	}
+	g.Expect(roster.Next(st)).To(Equal(roster.Change{}), "the repair must end")
+}
+
+func votersPerDomain(st *raft.Status) (all int, domains map[string]int) {
+	domains = map[string]int{}
+	for _, m := range st.Members {
+		domains[m.Domain] += 0
+		if m.Voter {
+			domains[m.Domain]++
+			all++
+		}
+	}
+	return all, domains
+}
+
+// A group of any size and layout grows from three founders. A voter in each change's way would
+// make changes slower with each instance; three voters in one failure domain could take the
+// quorum away with it. A voter that is removed stays a learner here, as it joins again.
+func TestVotersAreFewAndSpread(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		g := NewWithT(t)
+		domains, each := rapid.IntRange(3, 6).Draw(t, "domains"), rapid.IntRange(1, 8).Draw(t, "each")
+		st := &raft.Status{ID: 1}
+		for i := range domains * each {
+			st.Members = append(st.Members, raft.Member{ID: raft.MemberID(i + 1), Name: fmt.Sprint("m", i), Domain: fmt.Sprint("d", i%domains), Voter: i < 3})
+		}
+		st.Members = rapid.Permutation(st.Members).Draw(t, "order")
+		repair(g, st)
+		all, perDomain := votersPerDomain(st)
+		g.Expect(all%2).To(Equal(1), "%v", perDomain)
+		g.Expect(all).To(BeNumerically("<=", roster.Voters))
+		g.Expect(all).To(BeNumerically(">=", min(roster.Voters, domains*each-2)))
+		for _, n := range perDomain {
+			g.Expect(2*n).To(BeNumerically("<", all), "%v", perDomain)
+		}
+	})
+}
+
+// All founders are in one failure domain, and the group has voters enough. It must move them
+// without dropping below its size.
+func TestVotersMoveToOtherDomains(t *testing.T) {
+	g := NewWithT(t)
+	st := &raft.Status{ID: 1}
+	for i := range 25 {
+		st.Members = append(st.Members, raft.Member{ID: raft.MemberID(i + 1), Name: fmt.Sprint("m", i), Domain: fmt.Sprint("d", i/5), Voter: i < roster.Voters})
+	}
+	repair(g, st)
+	all, perDomain := votersPerDomain(st)
+	g.Expect(all).To(Equal(roster.Voters))
+	for _, n := range perDomain {
+		g.Expect(n).To(BeNumerically("~", 1, 1), "%v", perDomain)
+	}
+}
--- a/instance/consensus/calls.go
+++ b/instance/consensus/calls.go
@@ -88,8 +88,13 @@
 // AddLearner adds a member without a vote. This and the other membership changes
 // work on the leader only and return once they are committed; they fail like
 // raft.Node's methods, or with fault.OutcomeUnknown.
-func (s *Service) AddLearner(ctx context.Context, id raft.MemberID, name string) error {
-	return s.change(ctx, func(n *raft.Node, now time.Time) (uint64, error) { return n.AddLearner(now, id, name) })
+func (s *Service) AddLearner(ctx context.Context, id raft.MemberID, name, domain string) error {
+	return s.change(ctx, func(n *raft.Node, now time.Time) (uint64, error) { return n.AddLearner(now, id, name, domain) })
+}
+
+// SetDomain records the failure domain of a member.
+func (s *Service) SetDomain(ctx context.Context, id raft.MemberID, domain string) error {
+	return s.change(ctx, func(n *raft.Node, now time.Time) (uint64, error) { return n.SetDomain(now, id, domain) })
 }
 
 // Promote makes a learner a voter, provided that it has stored all committed
--- a/instance/consensus/consensus_test.go
+++ b/instance/consensus/consensus_test.go
@@ -87,7 +87,7 @@
 			change(rest...)
 		}
 		g.onLeader(func(ctx context.Context, s *consensus.Service) error { return s.Remove(ctx, lost) }, fault.NotFound)
-		g.onLeader(func(ctx context.Context, s *consensus.Service) error { return s.AddLearner(ctx, fresh, name) }, fault.Conflict)
+		g.onLeader(func(ctx context.Context, s *consensus.Service) error { return s.AddLearner(ctx, fresh, name, "") }, fault.Conflict)
 		g.onLeader(func(ctx context.Context, s *consensus.Service) error { return s.Promote(ctx, fresh) }, fault.Conflict)
 		gm.Expect(g.revisionAt(name)).To(BeNumerically(">", 0), "promoted only after it has applied the state")
 	}
--- a/instance/control/control.go
+++ b/instance/control/control.go
@@ -64,8 +64,9 @@
 
 // Config configures a Service.
 type Config struct {
-	// Name is this instance's name.
-	Name string
+	// Name is this instance's name, and Domain its failure domain. Voters are spread over the
+	// domains if RepairMembers is set.
+	Name, Domain string
 	// DataFolder is empty on an instance that holds no control state.
 	DataFolder string
 	// Disk holds the data folder; nil means the operating system's filesystem.
--- a/instance/control/group.go
+++ b/instance/control/group.go
@@ -156,6 +156,8 @@
 type joinRequest struct {
 	ID   raft.MemberID `codec:"i"`
 	Name string        `codec:"n"`
+	// Domain is the failure domain of the instance.
+	Domain string `codec:"d,omitempty"`
 	// Relayed is set by a member that forwards the request to the leader.
 	Relayed bool `codec:"y,omitempty"`
 }
@@ -178,7 +180,7 @@
 	for _, name := range s.cfg.Members() {
 		ctx, cancel := context.WithTimeout(s.ctx, callTimeout)
 		var a joinAnswer
-		err := s.cfg.Links.Call(ctx, name, channelJoin, joinRequest{ID: id.ID, Name: id.Name}, &a)
+		err := s.cfg.Links.Call(ctx, name, channelJoin, joinRequest{ID: id.ID, Name: id.Name, Domain: s.cfg.Domain}, &a)
 		cancel()
 		if err != nil {
 			continue
@@ -209,15 +211,52 @@
 		return s.relayJoin(ctx, st, q)
 	}
 	s.learnName(q.ID, q.Name)
-	if _, known := st.Members.Get(q.ID); !known {
-		if err := g.AddLearner(ctx, q.ID, q.Name); err != nil {
-			return nil, err
-		}
-		s.cfg.Log.Info().Str("event", "member_joins").Str("peer", q.Name).Uint64("member", uint64(q.ID)).Msg("new disk added as a learner")
+	if err := s.admitMember(ctx, g, &q); err != nil {
+		return nil, err
 	}
 	return joinAnswer{Cluster: s.cluster()}, nil
 }
 
+const (
+	// admitTimeout bounds the time for which a joining instance waits for other membership
+	// changes, and admitRetryPause is the pause between two attempts.
+	admitTimeout    = callTimeout / 2
+	admitRetryPause = 5 * time.Millisecond
+)
+
+// admitMember adds a disk as a learner, or records its failure domain if it is a member already.
+// Only one membership change at a time may be pending: when many instances start at once, each
+// waits here for those before it.
+func (s *Service) admitMember(ctx context.Context, g *consensus.Service, q *joinRequest) error {
+	ctx, cancel := context.WithTimeout(ctx, admitTimeout)
+	defer cancel()
+	for {
+		members := g.Status().Members
+		m, known := members.Get(q.ID)
+		var err error
+		switch {
+		case !known && !s.cfg.RepairMembers && len(members) >= raft.MaxVoters:
+			// Without automatic repair, each member becomes a voter.
+			return fault.New(fault.Invalid, "the group already has the maximum of %d voters", raft.MaxVoters)
+		case !known:
+			err = g.AddLearner(ctx, q.ID, q.Name, q.Domain)
+		case q.Domain != "" && q.Domain != m.Domain:
+			err = g.SetDomain(ctx, q.ID, q.Domain)
+		default:
+			return nil
+		}
+		switch {
+		case err == nil && !known:
+			s.cfg.Log.Info().Str("event", "member_joins").Str("peer", q.Name).Str("domain", q.Domain).Uint64("member", uint64(q.ID)).Msg("new disk added as a learner")
+			return nil
+		case err == nil, fault.CodeOf(err) == fault.Conflict:
+			return nil
+		case fault.CodeOf(err) != fault.NotRun || !clock.Sleep(ctx, admitRetryPause):
+			return err
+		}
+	}
+}
+
 func (s *Service) relayJoin(ctx context.Context, st consensus.Status, q joinRequest) (any, error) {
 	leader, known := st.Members.Get(st.Leader)
 	if q.Relayed || !known {
--- a/instance/control/lead.go
+++ b/instance/control/lead.go
@@ -26,6 +26,7 @@
 		st := g.Status()
 		if st.Leader != st.ID {
 			leaderlessSince = s.rejoin(g, leaderlessSince)
+			s.reportDomain(st)
 			continue
 		}
 		if s.cfg.Spread != nil {
@@ -35,11 +36,43 @@
 		}
 		if time.Since(maintainedAt) >= joinEvery {
 			maintainedAt = time.Now()
+			s.recordOwnDomain(g, st)
 			s.maintainMembers(g, st)
 		}
 	}
 }
 
+// lacksDomain reports whether the group has recorded another failure domain for this member or
+// none, as for founders and for members that joined under an older version.
+func (s *Service) lacksDomain(st consensus.Status) bool {
+	m, known := st.Members.Get(st.ID)
+	return s.cfg.RepairMembers && known && m.Domain != s.cfg.Domain
+}
+
+// reportDomain tells the leader the failure domain of this member if the group lacks it.
+func (s *Service) reportDomain(st consensus.Status) {
+	leader, known := st.Members.Get(st.Leader)
+	if !known || !s.lacksDomain(st) {
+		return
+	}
+	ctx, cancel := context.WithTimeout(s.ctx, callTimeout)
+	defer cancel()
+	q := joinRequest{ID: st.ID, Name: s.cfg.Name, Domain: s.cfg.Domain}
+	if err := s.cfg.Links.Call(ctx, leader.Name, channelJoin, q, &joinAnswer{}); err != nil {
+		s.cfg.Log.Debug().Err(err).Str("peer", leader.Name).Msg("failure domain not reported yet")
+	}
+}
+
+// recordOwnDomain records the failure domain of the leader itself.
+func (s *Service) recordOwnDomain(g *consensus.Service, st consensus.Status) {
+	if !s.lacksDomain(st) {
+		return
+	}
+	if err := s.admitMember(s.ctx, g, &joinRequest{ID: st.ID, Name: s.cfg.Name, Domain: s.cfg.Domain}); err != nil {
+		s.cfg.Log.Debug().Err(err).Msg("failure domain not recorded yet")
+	}
+}
+
 // renew extends the configuration lease after a quorum confirmed this leader. A leader
 // that is partitioned gets no confirmation, so it cannot extend the lease of an old
 // configuration beside its successor.
--- a/instance/control/recovery.go
+++ b/instance/control/recovery.go
@@ -88,7 +88,7 @@
 	id := g.Identity()
 	for _, name := range s.cfg.Members() {
 		ctx, cancel := context.WithTimeout(s.ctx, callTimeout)
-		err := s.cfg.Links.Call(ctx, name, channelJoin, joinRequest{ID: id.ID, Name: id.Name}, &joinAnswer{})
+		err := s.cfg.Links.Call(ctx, name, channelJoin, joinRequest{ID: id.ID, Name: id.Name, Domain: s.cfg.Domain}, &joinAnswer{})
 		cancel()
 		if err == nil {
 			break
--- a/instance/roles/core.go
+++ b/instance/roles/core.go
@@ -46,7 +46,7 @@
 			list.Applied(index)
 		}
 		s := control.New(control.Config{
-			Name: p.cfg.Peer, DataFolder: p.cfg.DataFolder, Founders: p.founders(), Bootstrap: p.cfg.Bootstrap,
+			Name: p.cfg.Peer, Domain: p.cfg.Domain, DataFolder: p.cfg.DataFolder, Founders: p.founders(), Bootstrap: p.cfg.Bootstrap,
 			Links: links, Members: func() []string { return p.otherSeeds() }, Log: p.log, OnFatal: p.reportFatal,
 			RepairMembers: true, RetryDisk: true, OnApplied: applied,
 			Heartbeat: heartbeat, ElectionTimeout: electionTimeout, RestartTimeout: restartTimeout,
--- a/instance/serving/faults_test.go
+++ b/instance/serving/faults_test.go
@@ -7,6 +7,7 @@
 
 	. "github.com/onsi/gomega"
 
+	"github.com/comfreyladder/comfreyladder/core/raft/roster"
 	"github.com/comfreyladder/comfreyladder/instance/consensus"
 )
 
@@ -151,3 +152,29 @@
 	}
 	return true
 }
+
+// A deployment has more control instances than a control group used to hold. Those beyond it
+// refused every call of operators, upstreams and forwarding instances, and none could take the
+// place of a member that was lost. And a failure domain must not hold a majority of the voters.
+func TestEveryControlInstanceServes(t *testing.T) {
+	t.Parallel()
+	const members, domains = 14, 4
+	g := newGroupIn(t, members, domains)
+	for _, name := range g.names {
+		g.Eventually(func() uint64 { return g.read(name) }).Should(Equal(uint64(1)), "%s is a member", name)
+	}
+	voters := func() int { return len(g.instances[g.names[0]].control.Replica().Status().Members.Voters()) }
+	g.Eventually(voters).Should(Equal(roster.Voters))
+	var rest []string
+	for i, name := range g.names {
+		if i%domains == 0 {
+			g.instances[name].stop()
+			continue
+		}
+		rest = append(rest, name)
+	}
+	g.acknowledge(2, rest...)
+	for _, name := range rest {
+		g.Eventually(func() uint64 { return g.read(name) }).Should(Equal(uint64(2)))
+	}
+}
--- a/instance/serving/group_test.go
+++ b/instance/serving/group_test.go
@@ -41,6 +41,7 @@
 type testInstance struct {
 	g       *group
 	name    string
+	domain  string
 	disk    *disktest.Memory
 	links   *link.Service
 	control *control.Service
@@ -57,13 +58,16 @@
 	return v.(string), true
 }
 
-func newGroup(t *testing.T, members int) *group {
+func newGroup(t *testing.T, members int) *group { return newGroupIn(t, members, 1) }
+
+// newGroupIn returns a group whose members are in several failure domains by turns.
+func newGroupIn(t *testing.T, members, domains int) *group {
 	g := &group{WithT: NewWithT(t), t: t, instances: map[string]*testInstance{}, side: map[string]int{}}
 	g.SetDefaultEventuallyTimeout(timeout)
 	for i := range members {
 		name := fmt.Sprintf("m%d", i)
 		g.names = append(g.names, name)
-		g.instances[name] = &testInstance{g: g, name: name, disk: disktest.NewMemory(), fatal: make(chan error, 1)}
+		g.instances[name] = &testInstance{g: g, name: name, domain: fmt.Sprintf("d%d", i%domains), disk: disktest.NewMemory(), fatal: make(chan error, 1)}
 	}
 	for _, n := range g.instances {
 		n.start(true)
@@ -106,7 +110,7 @@
 	n.links = links
 	wire := splitLinks{links, n}
 	n.serving = serving.New(serving.Config{
-		Name: n.name, Domain: "north", Replica: func() *consensusService { return n.control.Replica() },
+		Name: n.name, Domain: n.domain, Replica: func() *consensusService { return n.control.Replica() },
 		Links: wire, Timeout: changeTimeout, Log: zerolog.Nop(),
 	})
 	var founders []string
@@ -114,7 +118,7 @@
 		founders = g.seeds()
 	}
 	n.control = control.New(control.Config{
-		Name: n.name, DataFolder: "data", Disk: n.disk, Founders: founders, Bootstrap: bootstrap, Links: wire,
+		Name: n.name, Domain: n.domain, DataFolder: "data", Disk: n.disk, Founders: founders, Bootstrap: bootstrap, Links: wire,
 		Members: n.others, Log: zerolog.Nop(), OnFatal: func(err error) { n.fatal <- err },
 		RepairMembers: true, RetryDisk: true, OnApplied: n.serving.Applied,
 		Heartbeat: 30 * time.Millisecond, ElectionTimeout: 200 * time.Millisecond,
