--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -21,6 +21,9 @@
 	// that its requests hold in KV memory, out of Capacity. All three are zero for upstreams that
 	// are not model engines.
 	QueuedTokens, UsedTokens, Capacity int
+	// Home and Sampled are set in a partial list, see Request.Partial: Home for the home upstreams
+	// of the prompt, Sampled for those drawn at random.
+	Home, Sampled bool
 	// CachedShare is the share of the request's shared tokens that the upstream is believed to have
 	// cached. Fetchable says that the rest can be fetched from another upstream.
 	CachedShare float64
@@ -92,6 +95,10 @@
 	// MaxQueueMS is the longest queueing time that the request tolerates, in milliseconds; zero
 	// means no limit.
 	MaxQueueMS float64
+	// Partial says that the list holds only the upstreams to consider, as chosen by an Index, and
+	// not all of the service. PeerErrors is then the failure share of all of them together.
+	Partial    bool
+	PeerErrors float64
 }
 
 // Choice is the chosen upstream with the predicted latency there.
@@ -122,12 +129,12 @@
 	memoryHighWater = 0.85
 	// fullMemoryFactor multiplies the cost of an engine above memoryHighWater.
 	fullMemoryFactor = 6.0
-	// sampleSize is the number of randomly drawn upstreams that are considered besides those that
+	// SampleSize is the number of randomly drawn upstreams that are considered besides those that
 	// cache the prompt and its home upstreams. See isCandidate.
-	sampleSize = 2
-	// homeCount is the number of home upstreams for a prompt that no upstream has cached, and
+	SampleSize = 2
+	// HomeCount is the number of home upstreams for a prompt that no upstream has cached, and
 	// nonHomeWeight weighs the cost of prefilling it elsewhere.
-	homeCount     = 3
+	HomeCount     = 3
 	nonHomeWeight = 2.0
 	// failureWeight multiplies the cost of an upstream by its failure share in excess of the lowest
 	// among the candidates. Failures common to all candidates are attributed to the requests.
@@ -147,10 +154,11 @@
 	}
 	candidate := func(u *Upstream) bool { return u.preference() == best }
 	c := costs{request: r, baselineErrors: minErrorShare(list, best)}
-	if r.Affinity != 0 {
-		c.homeScore = kthHighestScore(list, r.Affinity, homeCount, candidate)
+	if r.Partial {
+		c.baselineErrors = min(c.baselineErrors, r.PeerErrors)
+	} else {
+		c.rankAll(list, candidate)
 	}
-	c.sampleScore = kthHighestScore(list, c.sampleSeed(), sampleSize, func(u *Upstream) bool { return candidate(u) && !c.isHome(u) })
 	at := c.cheapest(list, func(u *Upstream) bool { return candidate(u) && c.isCandidate(u) })
 	if r.MaxQueueMS > 0 && queueMS(&list[at], r) > r.MaxQueueMS {
 		at = c.cheapest(list, candidate)
@@ -158,6 +166,14 @@
 	return Choice{Index: at, FirstEventMS: firstEventMS(&list[at], r), QueueMS: queueMS(&list[at], r)}
 }
 
+// rankAll determines the home and the sampled upstreams of a list that holds all candidates.
+func (c *costs) rankAll(list []Upstream, candidate func(*Upstream) bool) {
+	if c.request.Affinity != 0 {
+		c.homeScore = kthHighestScore(list, c.request.Affinity, HomeCount, candidate)
+	}
+	c.sampleScore = kthHighestScore(list, c.sampleSeed(), SampleSize, func(u *Upstream) bool { return candidate(u) && !c.isHome(u) })
+}
+
 // cheapest picks an upstream for which may returns true, among those whose cost is nearly the
 // lowest.
 func (c *costs) cheapest(list []Upstream, may func(*Upstream) bool) int {
@@ -175,11 +191,21 @@
 // requests of that interval to the one that looked idle. Each request therefore considers only the
 // engines that cache its prompt, its home upstreams and a few random ones.
 func (c *costs) isCandidate(u *Upstream) bool {
-	return u.Capacity == 0 || u.CachedShare > 0 || c.isHome(u) || rendezvous(c.sampleSeed(), u.ID) >= c.sampleScore
+	return u.Capacity == 0 || u.CachedShare > 0 || c.isHome(u) || c.isSampled(u)
+}
+
+func (c *costs) isSampled(u *Upstream) bool {
+	if c.request.Partial {
+		return u.Sampled
+	}
+	return rendezvous(c.sampleSeed(), u.ID) >= c.sampleScore
 }
 
 // isHome reports whether the upstream is one of the prompt's home upstreams.
 func (c *costs) isHome(u *Upstream) bool {
+	if c.request.Partial {
+		return u.Home
+	}
 	return c.request.Affinity != 0 && rendezvous(c.request.Affinity, u.ID) >= c.homeScore
 }
 
@@ -322,7 +348,7 @@
 // kthHighestScore returns the k-th highest rendezvous score of the candidates for a seed; zero if
 // there are fewer than k.
 func kthHighestScore(list []Upstream, seed uint64, k int, candidate func(*Upstream) bool) uint64 {
-	var top [homeCount]uint64
+	var top [HomeCount]uint64
 	for i := range list {
 		if !candidate(&list[i]) {
 			continue
--- a/core/balance/demand_test.go
+++ b/core/balance/demand_test.go
@@ -34,9 +34,9 @@
 		for range briefs / 100 {
 			p.Record(now, &brief)
 		}
-		p.Split(now, ids)
+		p.QuickCount(now, len(ids))
 	}
-	quick = len(p.Split(now, ids))
+	quick = p.QuickCount(now, len(ids))
 	return quick, p.AdmittedShare(now, &balance.Offer{Route: "report"}, engine.Count-float64(quick))
 }
 
--- a/core/balance/observe.go
+++ b/core/balance/observe.go
@@ -96,15 +96,22 @@
 	priorAnswers = 6.0
 )
 
-// ScorePeers sets the Slowness and Errors of a service's upstreams from the observations of each.
-// Slowness is relative to the peers: in a burst all upstreams exceed the prediction, which does not
-// make any one of them slow.
-func ScorePeers(list []Upstream, observed []Observed) {
-	var all Observed
+// SumObserved adds up observations.
+func SumObserved(observed []Observed) (all Observed) {
 	for i := range observed {
 		all.Add(observed[i])
 	}
-	errors := all.Failures / max(1, all.Answers)
+	return all
+}
+
+// ErrorShare returns the share of the answers that failed.
+func (o *Observed) ErrorShare() float64 { return o.Failures / max(1, o.Answers) }
+
+// ScorePeers sets the Slowness and Errors of a service's upstreams from the observations of each
+// and of all upstreams of the service together. Slowness is relative to the peers: in a burst all
+// upstreams exceed the prediction, which does not make any one of them slow.
+func ScorePeers(list []Upstream, observed []Observed, all Observed) {
+	errors := all.ErrorShare()
 	for i := range list {
 		o := &observed[i]
 		peers := (all.Took - o.Took + priorTimeMS) / (all.Predicted - o.Predicted + priorTimeMS)
--- a/core/balance/observe_test.go
+++ b/core/balance/observe_test.go
@@ -12,7 +12,7 @@
 // scored returns upstreams that differ only in their observations.
 func scored(observed ...balance.Observed) []balance.Upstream {
 	list := newUpstreams(len(observed))
-	balance.ScorePeers(list, observed)
+	balance.ScorePeers(list, observed, balance.SumObserved(observed))
 	return list
 }
 
--- a/core/balance/pools.go
+++ b/core/balance/pools.go
@@ -2,7 +2,6 @@
 
 import (
 	"math"
-	"slices"
 	"time"
 )
 
@@ -300,27 +299,11 @@
 // clamp leaves at least one upstream in each pool.
 func clamp(count, upstreams int) int { return min(upstreams-1, max(1, count)) }
 
-// Split returns the upstreams in the quick pool. It returns none if there is only one upstream or if
-// all requests are alike.
-func (p *Pools) Split(now time.Time, ids []string) map[string]bool {
-	if p.share == 0 || len(ids) < 2 {
-		return nil
-	}
-	order := slices.Clone(ids)
-	slices.SortFunc(order, func(a, b string) int {
-		x, y := rendezvous(poolSeed, a), rendezvous(poolSeed, b)
-		switch {
-		case x < y:
-			return -1
-		case x > y:
-			return 1
-		}
+// QuickCount returns how many upstreams are in the quick pool: the first ones in the pool order of
+// an Index. It returns zero if there is only one upstream or if all requests are alike.
+func (p *Pools) QuickCount(now time.Time, upstreams int) int {
+	if p.share == 0 || upstreams < 2 {
 		return 0
-	})
-	k := p.resize(now, len(order))
-	quick := make(map[string]bool, k)
-	for _, id := range order[:k] {
-		quick[id] = true
 	}
-	return quick
+	return p.resize(now, upstreams)
 }
--- a/core/balance/pools_test.go
+++ b/core/balance/pools_test.go
@@ -53,7 +53,7 @@
 	for i := range 12 {
 		ids = append(ids, fmt.Sprint("u", i))
 	}
-	g.Expect(len(fresh.Split(now, ids))).To(Equal(len(old.Split(now, ids))), "all size the pools alike")
+	g.Expect(fresh.QuickCount(now, len(ids))).To(Equal(old.QuickCount(now, len(ids))), "all size the pools alike")
 
 	empty := balance.NewPools()
 	g.Expect(empty.Quick(&question, 50)).To(BeTrue())
@@ -71,6 +71,23 @@
 	g.Expect(p.Quick(&question, 50)).To(BeTrue())
 }
 
+// quickOf returns the upstreams in the quick pool.
+func quickOf(p *balance.Pools, now time.Time, ids []string) map[string]bool {
+	var x balance.Index[string]
+	places := map[string]balance.Place{}
+	for _, id := range ids {
+		places[id] = x.Add(id, id)
+	}
+	limit := x.Limit(p.QuickCount(now, len(ids)))
+	quick := map[string]bool{}
+	for id, at := range places {
+		if at.Before(limit) {
+			quick[id] = true
+		}
+	}
+	return quick
+}
+
 func TestPoolsFollowTheLoad(t *testing.T) {
 	g := NewWithT(t)
 	p := balance.NewPools()
@@ -91,13 +108,13 @@
 	note(2)
 	g.Expect(p.Quick(&question, 50)).To(BeTrue())
 	g.Expect(p.Quick(&report, 50)).To(BeFalse())
-	few := p.Split(now, ids)
+	few := quickOf(p, now, ids)
 	g.Expect(len(few)).To(BeNumerically("~", 9, 2))
 	for range 10 {
 		note(6)
-		p.Split(now, ids)
+		p.QuickCount(now, len(ids))
 	}
-	many := p.Split(now, ids)
+	many := quickOf(p, now, ids)
 	g.Expect(len(many)).To(BeNumerically(">", len(few)))
 	for id := range few {
 		g.Expect(many).To(HaveKey(id), "pool members stay")
@@ -111,7 +128,7 @@
 		p.Record(time.Unix(100, int64(i)), &balance.Offer{Route: "a", Tokens: 3000, UncachedTokens: 3000, MaxPause: time.Second})
 		p.Record(time.Unix(100, int64(i)), &balance.Offer{Route: "b", Tokens: 2500, UncachedTokens: 2500, MaxPause: time.Second})
 	}
-	g.Expect(p.Split(time.Unix(101, 0), []string{"u", "v"})).To(BeEmpty())
+	g.Expect(p.QuickCount(time.Unix(101, 0), 2)).To(BeZero())
 }
 
 // Under overload, engines that admitted everything would spend all their time on prefill, and most
@@ -188,7 +205,7 @@
 				p.Record(now, &balance.Offer{Route: "question", Tokens: 1400, UncachedTokens: 1400, MaxPause: 300 * time.Millisecond})
 			}
 		}
-		n := len(p.Split(now, ids))
+		n := p.QuickCount(now, len(ids))
 		least, most = min(least, n), max(most, n)
 	}
 	g.Expect(most - least).To(BeNumerically("<=", 4))
@@ -211,9 +228,9 @@
 			for range questions {
 				p.Record(now, &balance.Offer{Route: "question", Tokens: 1400, UncachedTokens: 1400, MaxPause: 300 * time.Millisecond})
 			}
-			p.Split(now, ids)
+			p.QuickCount(now, len(ids))
 		}
-		return len(p.Split(now, ids))
+		return p.QuickCount(now, len(ids))
 	}
 	few := run(30, 1)
 	many := run(8, 6)
--- a/instance/follow/follow.go
+++ b/instance/follow/follow.go
@@ -73,24 +73,34 @@
 	Index uint64
 	// Routes is the index of the table in force; nil while there is none.
 	Routes *route.Index
-	// Upstreams holds all incarnations by ID.
-	Upstreams map[string]*serving.Upstream
+	// Upstreams holds all incarnations. Changed lists how they differ from those of the view with
+	// the index Since; it does not hold if Since equals Index.
+	Upstreams *Upstreams
+	Since     uint64
+	Changed   []Change
 	// Forwarders is the number of instances that forward requests, at least one.
 	Forwarders int
 	// Quarantine lists the quarantined and suspected requests; nil for none.
 	Quarantine *Quarantine
 }
 
-// Knows reports whether the view contains the incarnation that was registered at a log index.
-func (v *View) Knows(begun uint64) bool {
-	for _, u := range v.Upstreams {
-		if u.FirstIndex == begun {
-			return true
-		}
-	}
-	return false
+// After returns the view after changes of the upstreams.
+func (v *View) After(c *serving.Changes) *View {
+	next := *v
+	next.Index = c.Index
+	next.applyUpstreams(v, c)
+	return &next
 }
 
+// applyUpstreams sets the upstreams to those of the preceding view with changes.
+func (v *View) applyUpstreams(old *View, c *serving.Changes) {
+	v.Since = old.Index
+	v.Upstreams, v.Changed = old.Upstreams.merge(c)
+}
+
+// Knows reports whether the view contains the incarnation that was registered at a log index.
+func (v *View) Knows(begun uint64) bool { return v.Upstreams.Registered(begun) != nil }
+
 // Follower keeps the serving state of this instance. It is safe for concurrent use.
 type Follower struct {
 	cfg    Config
@@ -131,7 +141,7 @@
 		cfg.Slack = DefaultSlack
 	}
 	f := &Follower{cfg: cfg, domains: map[string]string{}, failedAt: map[string]time.Time{}}
-	f.view.Store(&View{Upstreams: map[string]*serving.Upstream{}, Forwarders: 1})
+	f.view.Store(&View{Upstreams: NewUpstreams(), Forwarders: 1})
 	return f
 }
 
@@ -366,7 +376,7 @@
 		if !f.applyTable(next, &a.Changes) {
 			return
 		}
-		next.Upstreams = merge(old.Upstreams, &a.Changes)
+		next.applyUpstreams(old, &a.Changes)
 	}
 	f.view.Store(next)
 	for _, g := range f.subscribers {
@@ -389,24 +399,6 @@
 	return true
 }
 
-func merge(old map[string]*serving.Upstream, c *serving.Changes) map[string]*serving.Upstream {
-	next := make(map[string]*serving.Upstream, len(old)+len(c.Upstreams))
-	if !c.Full {
-		for id, u := range old {
-			next[id] = u
-		}
-	}
-	for i := range c.Upstreams {
-		u := &c.Upstreams[i]
-		if u.State == serving.Gone {
-			delete(next, u.ID)
-			continue
-		}
-		next[u.ID] = u
-	}
-	return next
-}
-
 func (f *Follower) updateMembers(list []string) {
 	same := len(list) == len(f.members)
 	for _, name := range list {
--- a/instance/follow/follow_test.go
+++ b/instance/follow/follow_test.go
@@ -138,12 +138,12 @@
 	grp := &group{members: map[string]*member{}}
 	grp.set("a", answer(1, 1, true, "a"))
 	f := start(t, grp, "a")
-	g.Eventually(func() int { return len(f.View().Upstreams) }).Should(Equal(1))
+	g.Eventually(func() int { return f.View().Upstreams.Len() }).Should(Equal(1))
 	a := answer(2, 1, true, "a")
 	a.Changes.Full, a.Changes.Table = false, nil
 	a.Changes.Upstreams[0].State = serving.Gone
 	grp.set("a", a)
-	g.Eventually(func() int { return len(f.View().Upstreams) }).Should(BeZero())
+	g.Eventually(func() int { return f.View().Upstreams.Len() }).Should(BeZero())
 	g.Expect(version(f)()).To(Equal(uint64(1)))
 }
 
--- a/instance/relay/crash.go
+++ b/instance/relay/crash.go
@@ -146,7 +146,7 @@
 		if !s.sleep(probeDelay) {
 			return
 		}
-		up.losses.probed(probe(up))
+		up.losses.probed(s.probe(up))
 		s.reportCrash(up)
 	})
 }
@@ -164,13 +164,13 @@
 )
 
 // probe checks whether anything listens at the address of an upstream.
-func probe(up *upstream) probeResult {
+func (s *Service) probe(up *upstream) probeResult {
 	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
 	defer cancel()
 	c, err := up.pool.dial(ctx)
 	switch {
 	case err == nil:
-		up.pool.putUnused(c, time.Now())
+		s.fleet.keepConn(up, c)
 		return probeListens
 	case errors.Is(err, syscall.ECONNREFUSED):
 		return probeRefused
--- a/instance/relay/crash_test.go
+++ b/instance/relay/crash_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/comfreyladder/comfreyladder/core/control/serving"
 	"github.com/comfreyladder/comfreyladder/core/quarantine"
+	"github.com/comfreyladder/comfreyladder/instance/follow"
 )
 
 // startCrashing starts an upstream that crashes at its first request: it closes its listener.
@@ -72,9 +73,9 @@
 func (b *relayTest) replace(id string, s serving.State) {
 	b.state.mu.Lock()
 	v := *b.state.view
-	u := *v.Upstreams[id]
+	u := *v.Upstreams.Get(id)
 	u.State = s
-	v.Upstreams = map[string]*serving.Upstream{id: &u}
+	v.Upstreams = follow.NewUpstreams(&u)
 	v.Index++
 	b.state.view = &v
 	b.state.mu.Unlock()
--- a/instance/relay/exchange.go
+++ b/instance/relay/exchange.go
@@ -41,16 +41,27 @@
 	}
 	for _, p := range r.Placements {
 		// A placement at an incarnation that has ended since is cached nowhere.
-		if u := f.byIncarnation[p.FirstIndex]; u != nil {
-			u.promptCache.RecordAnnounced(f.remoteLoadsAt, p.Prompt)
+		if u := f.byIncarnation[p.FirstIndex]; u != nil && u.service != nil {
+			u.service.prompts.RecordAnnounced(f.remoteLoadsAt, p.Prompt, u)
 		}
 	}
-	for service, loads := range routes {
-		f.poolsOf(service).SetRemoteLoads(loads)
+	for service := range routes {
+		f.service(service).hasEngines = true
 	}
-	for service, p := range f.pools {
-		if routes[service] == nil {
-			p.SetRemoteLoads(nil)
+	for name, s := range f.services {
+		s.pools.SetRemoteLoads(routes[name])
+	}
+	f.sumRemoteQueues()
+}
+
+// sumRemoteQueues sums up the prompt tokens that others have queued, by service. The caller holds mu.
+func (f *fleet) sumRemoteQueues() {
+	for _, s := range f.services {
+		s.remoteQueued = 0
+	}
+	for incarnation, l := range f.remoteLoads {
+		if u := f.byIncarnation[incarnation]; u != nil && u.service != nil {
+			u.service.remoteQueued += l.QueuedTokens
 		}
 	}
 }
@@ -58,6 +69,11 @@
 // answerScale is the factor for answer counts in reports, which are sent in hundredths.
 const answerScale = 100
 
+// negligible reports whether an observation is not worth reporting.
+func negligible(o *servingsvc.Observation) bool {
+	return o.Answers < minReportedAnswers && o.Predicted <= 0
+}
+
 func observedOf(o *servingsvc.Observation) balance.Observed {
 	return balance.Observed{
 		Answers: float64(o.Answers) / answerScale, Failures: float64(o.Failures) / answerScale, Predicted: float64(o.Predicted), Took: float64(o.Took),
@@ -78,9 +94,9 @@
 // included in the sum of all instances that comes back. The caller holds mu.
 func (f *fleet) observations(now time.Time) (list []servingsvc.Observation) {
 	clear(f.reportedObserved)
-	for _, u := range f.upstreams {
+	for u := range f.used {
 		o := u.observation(now)
-		if o.Answers >= minReportedAnswers || o.Predicted > 0 {
+		if !negligible(&o) {
 			list = append(list, o)
 			f.reportedObserved[u.incarnation] = observedOf(&o)
 		}
@@ -92,10 +108,16 @@
 // caller holds mu.
 func (f *fleet) mergeObserved(list []servingsvc.Observation) {
 	clear(f.remoteObserved)
+	for _, s := range f.services {
+		s.remotePeers = balance.Observed{}
+	}
 	for i := range list {
 		o := observedOf(&list[i])
 		o.Subtract(f.reportedObserved[list[i].FirstIndex])
 		f.remoteObserved[list[i].FirstIndex] = o
+		if u := f.byIncarnation[list[i].FirstIndex]; u != nil && u.service != nil {
+			u.service.remotePeers.Add(o)
+		}
 	}
 }
 
@@ -105,7 +127,7 @@
 	r := servingsvc.Report{Placements: f.newPlacements}
 	f.newPlacements = nil
 	now := time.Now()
-	for _, u := range f.upstreams {
+	for u := range f.used {
 		if u.active > 0 {
 			r.Work.Loads = append(r.Work.Loads, servingsvc.Load{FirstIndex: u.incarnation, Active: u.active, QueuedTokens: u.queuedTokens, UsedTokens: u.usedTokens})
 		}
@@ -113,10 +135,9 @@
 	if now.Sub(f.observedReportedAt) >= servingsvc.ObservationInterval {
 		r.HasObserved, r.Observed, f.observedReportedAt = true, f.observations(now), now
 	}
-	for service, p := range f.pools {
-		perMS := f.engineRateOf(service).rate.PerMS()
-		for name, l := range p.LocalLoads(now) {
-			r.Work.Routes = append(r.Work.Routes, servingsvc.RouteLoadOf(service, name, l, perMS))
+	for service, s := range f.services {
+		for name, l := range s.pools.LocalLoads(now) {
+			r.Work.Routes = append(r.Work.Routes, servingsvc.RouteLoadOf(service, name, l, s.rates.rate.PerMS()))
 		}
 	}
 	r.Busy = f.busy(now)
@@ -134,16 +155,18 @@
 // busy reports whether the engines have long prefill queues. The caller holds mu.
 func (f *fleet) busy(now time.Time) bool {
 	queued, engines := 0, 0
-	for service, p := range f.pools {
-		if p == nil {
+	for u := range f.used {
+		if u.service != nil {
+			queued += u.queuedTokens
+		}
+	}
+	for _, s := range f.services {
+		if !s.hasEngines {
 			continue
 		}
-		for _, u := range f.services[service] {
-			engines++
-			queued += u.queuedTokens
-			if now.Sub(f.remoteLoadsAt) < remoteLoadTTL {
-				queued += f.remoteLoads[u.incarnation].QueuedTokens
-			}
+		engines += s.len()
+		if now.Sub(f.remoteLoadsAt) < remoteLoadTTL {
+			queued += s.remoteQueued
 		}
 	}
 	return queued > busyQueuedTokens*engines
--- /dev/null
+++ b/instance/relay/fleet_test.go
@@ -0,0 +1,252 @@
+package relay
+
+import (
+	"fmt"
+	"io"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/comfreyladder/comfreyladder/core/control/serving"
+	"github.com/comfreyladder/comfreyladder/core/route"
+	"github.com/comfreyladder/comfreyladder/instance/eventlog"
+	"github.com/comfreyladder/comfreyladder/instance/follow"
+)
+
+// largeService is a number of upstreams of one service that a choice does not look through.
+const largeService = 2 * scanLimit
+
+// testUpstream returns one of many upstreams in five failure domains.
+func testUpstream(i int, state serving.State) serving.Upstream {
+	return serving.Upstream{
+		ID: fmt.Sprint("e", i), Service: "s", Address: fmt.Sprint("e", i), Domain: fmt.Sprint("d", i%5), Slots: 64, State: state, FirstIndex: uint64(i + 1),
+	}
+}
+
+// fleetOf returns a fleet with the given number of upstreams, and the view that it has applied.
+func fleetOf(tb testing.TB, count int) (*fleet, *follow.View) {
+	log := eventlog.New(io.Discard, nil)
+	tb.Cleanup(func() { log.Close(0) })
+	list := make([]*serving.Upstream, count)
+	for i := range list {
+		u := testUpstream(i, serving.Ready)
+		list[i] = &u
+	}
+	f := newFleet(log, nil)
+	v := &follow.View{Index: 1, Upstreams: follow.NewUpstreams(list...), Forwarders: 1000}
+	f.update(v)
+	return f, v
+}
+
+var (
+	longRoute  = route.Route{Name: "long", Target: 2 * time.Second, MaxPause: time.Second, MaxAttempts: 2}
+	plainRoute = route.Route{Name: "plain", Target: 200 * time.Millisecond, MaxAttempts: 2}
+)
+
+// idle ends all requests at an upstream.
+func (u *upstream) idle() { u.active, u.queuedTokens, u.usedTokens = 0, 0, 0 }
+
+// longRequest returns a request with a prompt that is not subject to admission.
+func longRequest(prompt uint64) *request {
+	r := newRequest()
+	r.service, r.route, r.tokens, r.sharedTokens, r.capacity = "s", &longRoute, 17_000, 13_300, 600_000
+	r.recorded = true
+	r.affinity, r.rank, r.maxQueueMS, r.fetchRate = prompt, 1, queueLimitMS(&longRoute, 1), 100
+	return r
+}
+
+func plainRequest() *request {
+	r := newRequest()
+	r.service, r.route = "s", &plainRoute
+	return r
+}
+
+// Instances that do not look at all upstreams must still send the requests of a prompt to the same
+// few of them, also while pools and loads differ a little; each other one reads it anew.
+func TestLargeServiceKeepsPromptsTogether(t *testing.T) {
+	g := NewWithT(t)
+	var fleets []*fleet
+	for range 4 {
+		f, _ := fleetOf(t, largeService)
+		fleets = append(fleets, f)
+	}
+	for prompt := range uint64(200) {
+		places := map[string]bool{}
+		for _, f := range fleets {
+			u, busy := f.choose(longRequest(prompt+1), "d1", nil)
+			g.Expect(busy).To(BeFalse())
+			places[u.id] = true
+			u.idle()
+		}
+		g.Expect(places).To(HaveLen(1))
+	}
+}
+
+// The upstreams that a choice looks at first are all unusable: those of the own failure domain are
+// excluded, the others suspect. It must look further rather than refuse.
+func TestLargeServiceWithFewUsableUpstreams(t *testing.T) {
+	g := NewWithT(t)
+	f, _ := fleetOf(t, largeService)
+	last := f.upstreams["e7"]
+	for _, u := range f.upstreams {
+		if u != last {
+			u.failed(true)
+		}
+	}
+	for i := range 20 {
+		u, _ := f.choose(longRequest(uint64(i+1)), "d1", nil)
+		g.Expect(u.id).To(Equal(last.id))
+		u.idle()
+		u, _ = f.choose(plainRequest(), "d1", nil)
+		g.Expect(u.id).To(Equal(last.id))
+	}
+	u, _ := f.choose(plainRequest(), "d1", []*upstream{last})
+	g.Expect(u).NotTo(BeNil(), "a suspect upstream is better than none")
+}
+
+// Requests without prompts must be spread over the upstreams of the own failure domain, and avoid
+// one that fails its requests.
+func TestLargePlainServiceIsSpread(t *testing.T) {
+	g := NewWithT(t)
+	f, _ := fleetOf(t, largeService)
+	bad := f.upstreams["e1"]
+	for range 50 {
+		bad.answeredFailure()
+		for i := 6; i < 30; i++ {
+			f.upstreams[fmt.Sprint("e", i)].succeeded()
+		}
+	}
+	count := map[string]int{}
+	for range 2000 {
+		u, _ := f.choose(plainRequest(), "d1", nil)
+		count[u.id]++
+		g.Expect(u.domain).To(Equal("d1"))
+		u.idle()
+	}
+	most := 0
+	for _, n := range count {
+		most = max(most, n)
+	}
+	g.Expect(count["e1"]).To(BeZero())
+	g.Expect(most).To(BeNumerically("<", 60), "of 2,000 requests to some 100 upstreams")
+}
+
+// A fleet that applies differences must know the same upstreams as one that applies whole views, and
+// the same ones must get work.
+func TestDifferencesOfViewsAddUp(t *testing.T) {
+	g := NewWithT(t)
+	f, v := fleetOf(t, 50)
+	changes := []serving.Changes{
+		{Index: 2, Upstreams: []serving.Upstream{testUpstream(3, serving.Draining), {ID: "e4", State: serving.Gone}}},
+		{Index: 3, Upstreams: []serving.Upstream{testUpstream(70, serving.Ready), {ID: "e99", State: serving.Gone}}},
+		{Index: 4, Upstreams: []serving.Upstream{{ID: "e70", State: serving.Gone}, testUpstream(71, serving.Ready)}},
+	}
+	for i := range changes {
+		v = v.After(&changes[i])
+		f.update(v)
+	}
+	whole := newFleet(f.log, nil)
+	whole.update(&follow.View{Index: v.Index, Upstreams: v.Upstreams, Forwarders: 1000})
+	g.Expect(f.upstreams).To(HaveLen(len(whole.upstreams)))
+	g.Expect(f.service("s").len()).To(Equal(48 + 1))
+	for id := range whole.upstreams {
+		g.Expect(f.upstreams).To(HaveKey(id))
+		g.Expect(f.upstreams[id].service == nil).To(Equal(whole.upstreams[id].service == nil), id)
+	}
+	skipped := v.After(&serving.Changes{Index: 5, Upstreams: []serving.Upstream{{ID: "e5", State: serving.Gone}}})
+	v = skipped.After(&serving.Changes{Index: 6, Upstreams: []serving.Upstream{{ID: "e6", State: serving.Gone}}})
+	f.update(v)
+	g.Expect(f.upstreams).NotTo(HaveKey("e5"), "a view that was not seen is not needed")
+	g.Expect(f.upstreams).NotTo(HaveKey("e6"))
+}
+
+// A release that changes hundreds of upstreams at once must not bury the rest of the log, and still
+// tell of those that requests of this instance ran at.
+func TestManyChangesAreSummarised(t *testing.T) {
+	g := NewWithT(t)
+	f, v := fleetOf(t, largeService)
+	var out strings.Builder
+	f.log = eventlog.New(&out, nil)
+	used, _ := f.choose(plainRequest(), "d1", nil)
+	var changes serving.Changes
+	changes.Index = 2
+	for i := range largeService {
+		changes.Upstreams = append(changes.Upstreams, testUpstream(i, serving.Draining))
+	}
+	f.update(v.After(&changes))
+	f.log.Close(time.Second)
+	lines := strings.Split(strings.TrimSpace(out.String()), "\n")
+	g.Expect(lines).To(HaveLen(2))
+	g.Expect(lines).To(ContainElement(And(ContainSubstring("event=upstream_state"), ContainSubstring("upstream="+used.id+" "))))
+	g.Expect(lines).To(ContainElement(And(ContainSubstring("event=upstreams_changed"), ContainSubstring(fmt.Sprintf("draining=%d", largeService-1)))))
+}
+
+var sizes = []int{100, 1000, 10_000, 20_000}
+
+func benchmarkChoose(b *testing.B, next func(i int) *request) {
+	for _, count := range sizes {
+		b.Run(fmt.Sprint(count), func(b *testing.B) {
+			f, _ := fleetOf(b, count)
+			b.ReportAllocs()
+			b.ResetTimer()
+			for i := range b.N {
+				r := next(i)
+				u, _ := f.choose(r, "d1", nil)
+				if u == nil {
+					b.Fatal("nothing chosen")
+				}
+				u.idle()
+				r.release()
+			}
+		})
+	}
+}
+
+func BenchmarkChoosePrompt(b *testing.B) {
+	benchmarkChoose(b, func(i int) *request { return longRequest(uint64(1 + i%2000)) })
+}
+
+func BenchmarkChoosePlain(b *testing.B) {
+	benchmarkChoose(b, func(int) *request { return plainRequest() })
+}
+
+// BenchmarkChange measures the difference of one upstream, from the changes that a member sends to
+// the state by which requests are sent.
+func BenchmarkChange(b *testing.B) {
+	for _, count := range sizes {
+		b.Run(fmt.Sprint(count), func(b *testing.B) {
+			f, v := fleetOf(b, count)
+			b.ReportAllocs()
+			b.ResetTimer()
+			for i := range b.N {
+				state := serving.Ready
+				if i/count%2 == 0 {
+					state = serving.Draining
+				}
+				v = v.After(&serving.Changes{Index: uint64(2 + i), Upstreams: []serving.Upstream{testUpstream(i%count, state)}})
+				f.update(v)
+			}
+		})
+	}
+}
+
+// BenchmarkReport measures what an instance tells and is told several times a second.
+func BenchmarkReport(b *testing.B) {
+	for _, count := range sizes {
+		b.Run(fmt.Sprint(count), func(b *testing.B) {
+			f, _ := fleetOf(b, count)
+			for i := range 50 {
+				f.choose(longRequest(uint64(i+1)), "d1", nil)
+			}
+			b.ReportAllocs()
+			b.ResetTimer()
+			for range b.N {
+				r := f.report()
+				f.mergeReport(&r)
+				f.closeIdle(time.Now())
+			}
+		})
+	}
+}
--- a/instance/relay/limit.go
+++ b/instance/relay/limit.go
@@ -66,8 +66,9 @@
 // chooseWithinLimits chooses among the described upstreams. A limited upstream is skipped while no
 // token for it is available; one is requested if the upstream would have been chosen. The caller
 // holds mu.
-func (f *fleet) chooseWithinLimits(r *request, q *balance.Request, list []*upstream) balance.Choice {
-	c := balance.Choose(f.scratch, q)
+func (f *fleet) chooseWithinLimits(r *request, q *balance.Request) balance.Choice {
+	list, states := f.choice.candidates, f.choice.states
+	c := balance.Choose(states, q)
 	r.allLimited = false
 	if !f.limiting() || c.Index == balance.None || !f.lacksToken(r, list[c.Index]) {
 		return c
@@ -75,10 +76,10 @@
 	f.requestToken(r, list[c.Index])
 	for i, u := range list {
 		if f.lacksToken(r, u) {
-			f.scratch[i].Excluded = true
+			states[i].Excluded = true
 		}
 	}
-	c = balance.Choose(f.scratch, q)
+	c = balance.Choose(states, q)
 	r.allLimited = c.Index == balance.None
 	return c
 }
@@ -118,12 +119,11 @@
 	if !f.limiting() {
 		return 0
 	}
-	p := f.pools[r.service]
 	perSecond, limited := f.limits.Limit(u.incarnation)
-	if !limited || p == nil {
+	if !limited {
 		return 0
 	}
-	return balance.LimitShare(perSecond, p.EachPerSecond())
+	return balance.LimitShare(perSecond, f.service(r.service).pools.EachPerSecond())
 }
 
 // queue counts the requests that wait for a token, by service and urgency.
@@ -162,7 +162,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	perSecond, waiting := 0.0, 1
-	for _, u := range f.services[r.service] {
+	for _, u := range f.service(r.service).ready.list {
 		if limit, limited := f.limits.Limit(u.incarnation); limited {
 			perSecond += limit
 		}
--- a/instance/relay/load_test.go
+++ b/instance/relay/load_test.go
@@ -133,16 +133,18 @@
 	const step = 5 * time.Millisecond
 	log := eventlog.New(io.Discard, nil)
 	defer log.Close(0)
-	view := &follow.View{Index: 1, Upstreams: map[string]*serving.Upstream{}, Forwarders: instances}
+	view := &follow.View{Index: 1, Forwarders: instances}
+	var list []*serving.Upstream
 	sim := map[string]*simEngine{}
 	for i := range engines {
 		id := fmt.Sprint("e", i)
-		view.Upstreams[id] = &serving.Upstream{ID: id, Service: "s", Address: id, Domain: "d", Slots: slots, State: serving.Ready, FirstIndex: uint64(i + 1)}
+		list = append(list, &serving.Upstream{ID: id, Service: "s", Address: id, Domain: "d", Slots: slots, State: serving.Ready, FirstIndex: uint64(i + 1)})
 		sim[id] = &simEngine{id: id, slots: slots, perMS: 80, kept: map[uint64]bool{}}
 		if i < slow {
 			sim[id].slowness = slowTimes
 		}
 	}
+	view.Upstreams = follow.NewUpstreams(list...)
 	services := make([]*Service, instances)
 	for i := range services {
 		services[i] = &Service{fleet: newFleet(log, nil)}
--- a/instance/relay/pool.go
+++ b/instance/relay/pool.go
@@ -114,8 +114,9 @@
 	return defaultKeepAlive
 }
 
-// closeIdle closes expired idle connections, or all of them if now is zero.
-func (p *pool) closeIdle(now time.Time) {
+// closeIdle closes expired idle connections, or all of them if now is zero, and returns how many are
+// left.
+func (p *pool) closeIdle(now time.Time) int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	kept := p.idle[:0]
@@ -127,6 +128,7 @@
 		kept = append(kept, c)
 	}
 	p.idle = kept
+	return len(kept)
 }
 
 func (p *pool) close() {
--- a/instance/relay/pools.go
+++ b/instance/relay/pools.go
@@ -2,7 +2,6 @@
 
 import (
 	"math/rand/v2"
-	"time"
 
 	"github.com/comfreyladder/comfreyladder/core/balance"
 )
@@ -33,38 +32,26 @@
 	return r
 }
 
-// engineRateOf returns the measurements of a service. The caller holds mu.
-func (f *fleet) engineRateOf(service string) *engineRate {
-	p := f.engineRates[service]
-	if p == nil {
-		p = &engineRate{routes: map[string]*balance.SlotTime{}}
-		f.engineRates[service] = p
-	}
-	return p
-}
-
-// assignPool returns the upstreams of the quick pool and sets whether the request belongs to it.
-func (f *fleet) assignPool(r *request, list []*upstream, now time.Time) (quick map[string]bool) {
+// assignPool determines the quick pool and whether the request belongs to it.
+func (f *fleet) assignPool(r *request, sel *selection) {
 	if r.tokens == 0 {
-		return nil
+		return
 	}
-	p := f.poolsOf(r.service)
-	f.ids = f.ids[:0]
-	slots := 0
-	for _, u := range list {
-		f.ids = append(f.ids, u.id)
-		slots += u.slots
+	s := sel.service
+	s.hasEngines = true
+	perMS := s.rates.rate.PerMS()
+	s.pools.SetEngine(balance.Engine{PerMS: perMS, Slots: float64(s.slots) / float64(max(1, s.len())), Count: float64(s.len())})
+	count := s.pools.QuickCount(sel.now, s.len())
+	if count != s.quickCount {
+		s.quickCount = count
+		f.log.Event("pools").Str("service", s.name).Int("quick", int64(count)).Int("upstreams", int64(s.len())).
+			Int("tokens_per_s", int64(1000*perMS)).End()
 	}
-	p.SetEngine(balance.Engine{PerMS: f.engineRateOf(r.service).rate.PerMS(), Slots: float64(slots) / float64(max(1, len(list))), Count: float64(len(list))})
-	quick = p.Split(now, f.ids)
-	if len(quick) != f.quickCount[r.service] {
-		f.quickCount[r.service] = len(quick)
-		f.log.Event("pools").Str("service", r.service).Int("quick", int64(len(quick))).Int("upstreams", int64(len(list))).
-			Int("tokens_per_s", int64(1000*f.engineRateOf(r.service).rate.PerMS())).End()
+	if count > 0 {
+		sel.quickLimit, sel.pools = s.index.Limit(count), true
 	}
 	o := r.offer()
-	r.quick = p.Quick(&o, f.engineRateOf(r.service).rate.PerMS())
-	return quick
+	r.quick = s.pools.Quick(&o, perMS)
 }
 
 // offer describes the request to the pools.
@@ -72,45 +59,86 @@
 	return balance.Offer{Route: r.route.Name, Tokens: r.tokens, MaxPause: r.route.MaxPause, Rank: r.rank}
 }
 
-// poolsOf returns the pools of a service. The caller holds mu.
-func (f *fleet) poolsOf(service string) *balance.Pools {
-	p := f.pools[service]
-	if p == nil {
-		p = balance.NewPools()
-		f.pools[service] = p
-	}
-	return p
-}
-
 // recordAndShed records a request in the load statistics, once, and decides whether it is shed.
-func (f *fleet) recordAndShed(r *request, q *balance.Request, c balance.Choice, now time.Time) {
+func (f *fleet) recordAndShed(r *request, q *balance.Request, c balance.Choice, sel *selection) {
 	if r.recorded {
 		return
 	}
 	r.recorded = true
-	p := f.pools[r.service]
+	s := sel.service
 	o := r.offer()
-	chosen := &f.scratch[c.Index]
+	chosen := &f.choice.states[c.Index]
 	o.UncachedTokens = int(balance.UncachedTokens(chosen, q))
 	o.Cached = chosen.Fetchable || chosen.CachedShare > 0 || r.sharedTokens == 0
-	o.SlotTime = f.engineRateOf(r.service).routeSlotTime(r.route.Name).Duration()
-	p.Record(now, &o)
+	o.SlotTime = s.rates.routeSlotTime(r.route.Name).Duration()
+	s.pools.Record(sel.now, &o)
 	if r.quick {
 		return
 	}
-	availableEngines := 0.0
-	for i := range f.scratch {
-		switch u := &f.scratch[i]; {
-		case u.OtherPool || u.Suspect:
-		case u.LimitShare > 0:
-			availableEngines += u.LimitShare / max(1, u.Slowness)
-		case !u.Excluded:
-			availableEngines += 1 / max(1, u.Slowness)
-		}
-	}
-	share := p.AdmittedShare(now, &o, availableEngines)
+	available := f.availableEngines(sel)
+	share := s.pools.AdmittedShare(sel.now, &o, available)
 	r.shed = share < 1 && rand.Float64() > share
 	if r.shed {
-		r.admission = admission{share: share, availableEngines: availableEngines, requiredEngines: p.RequiredEngines(now), cached: o.Cached}
+		r.admission = admission{share: share, availableEngines: available, requiredEngines: s.pools.RequiredEngines(sel.now), cached: o.Cached}
+	}
+}
+
+// availableEngines returns how many engines outside the quick pool can take requests, in engines of
+// normal speed.
+func (f *fleet) availableEngines(sel *selection) float64 {
+	if f.choice.partial {
+		return f.estimateAvailable(sel)
+	}
+	available := 0.0
+	for i := range f.choice.states {
+		available += capacityShare(&f.choice.states[i])
+	}
+	return available
+}
+
+// capacityShare returns the capacity of an upstream for requests of the current pool, as a share of
+// that of a normal engine.
+func capacityShare(u *balance.Upstream) float64 {
+	switch {
+	case u.OtherPool || u.Suspect:
+		return 0
+	case u.LimitShare > 0:
+		return u.LimitShare / max(1, u.Slowness)
+	case u.Excluded:
+		return 0
+	}
+	return 1 / max(1, u.Slowness)
+}
+
+// estimateAvailable is availableEngines for a service of which only some upstreams are looked at:
+// the others are as able as these.
+func (f *fleet) estimateAvailable(sel *selection) float64 {
+	able, seen := 0.0, 0.0
+	for i := range f.choice.states {
+		if u := &f.choice.states[i]; !u.OtherPool {
+			able += capacityShare(u)
+			seen++
+		}
+	}
+	s := sel.service
+	pool := float64(s.len())
+	if sel.pools {
+		pool -= float64(s.quickCount)
+	}
+	if seen == 0 {
+		return pool
+	}
+	return pool * able / seen * f.reachableShare(sel)
+}
+
+// reachableShare returns the share of a service's upstreams that are not in a failure domain that
+// is avoided.
+func (f *fleet) reachableShare(sel *selection) float64 {
+	avoided := 0
+	for domain, l := range sel.service.byDomain {
+		if domain != sel.domain && f.domains.suspect(sel.now, domain) {
+			avoided += len(l.list)
+		}
 	}
+	return 1 - float64(avoided)/float64(max(1, sel.service.len()))
 }
--- a/instance/relay/report.go
+++ b/instance/relay/report.go
@@ -84,7 +84,7 @@
 	s.set.NewGauge("relay_lease_left_seconds", func() float64 { return s.cfg.State.Lease().Seconds() })
 	s.set.NewGauge("relay_in_flight", func() float64 { return float64(s.inFlight.Load()) })
 	s.set.NewGauge("relay_forwarders", func() float64 { return float64(s.cfg.State.View().Forwarders) })
-	s.set.NewGauge("relay_upstreams", func() float64 { return float64(len(s.cfg.State.View().Upstreams)) })
+	s.set.NewGauge("relay_upstreams", func() float64 { return float64(s.cfg.State.View().Upstreams.Len()) })
 	s.set.NewGauge("relay_table_version", func() float64 {
 		if r := s.cfg.State.View().Routes; r != nil {
 			return float64(r.Table.Version)
--- /dev/null
+++ b/instance/relay/service.go
@@ -0,0 +1,152 @@
+package relay
+
+import (
+	"sync"
+	"time"
+
+	"github.com/comfreyladder/comfreyladder/core/balance"
+	"github.com/comfreyladder/comfreyladder/instance/follow"
+)
+
+// service is the state of one service as known to this instance. The fleet's mutex guards it.
+type service struct {
+	name string
+	// ready holds the upstreams that may get work, in no particular order, and byDomain the same by
+	// failure domain. index orders them for the choice.
+	ready    upstreamList
+	byDomain map[string]*upstreamList
+	index    balance.Index[*upstream]
+	// slots is the sum of the slots of the ready upstreams.
+	slots int
+	// maxConns is how many connections this instance may open to one upstream.
+	maxConns int
+	prompts  balance.PromptIndex[*upstream]
+	pools    *balance.Pools
+	// hasEngines is set once any instance has received a request with a prompt.
+	hasEngines bool
+	// quickCount is the size of the quick pool.
+	quickCount int
+	rates      *engineRate
+	// peers holds the observations of all upstreams by this instance, and remotePeers those by the
+	// others.
+	peers       *peerObserver
+	remotePeers balance.Observed
+	// remoteQueued is the number of prompt tokens that requests of other instances have queued.
+	remoteQueued int
+}
+
+// upstreamList is a list with removal in constant time; at is the place of the positions.
+type upstreamList struct {
+	list []*upstream
+	at   func(*upstream) *int
+}
+
+func (l *upstreamList) add(u *upstream) {
+	*l.at(u) = len(l.list)
+	l.list = append(l.list, u)
+}
+
+func (l *upstreamList) remove(u *upstream) {
+	i, last := *l.at(u), len(l.list)-1
+	l.list[i] = l.list[last]
+	*l.at(l.list[i]) = i
+	l.list[last] = nil
+	l.list = l.list[:last]
+}
+
+// peerObserver sums up what this instance observes of all upstreams of a service. It is safe for
+// concurrent use.
+type peerObserver struct {
+	mu       sync.Mutex
+	observer balance.Observer
+}
+
+func (p *peerObserver) observe(f func(*balance.Observer)) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	f(&p.observer)
+}
+
+func (p *peerObserver) sums(now time.Time) balance.Observed {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.observer.Sums(now)
+}
+
+func newService(name string) *service {
+	return &service{
+		name: name, ready: upstreamList{at: func(u *upstream) *int { return &u.readyAt }}, byDomain: map[string]*upstreamList{},
+		maxConns: unboundedConns, pools: balance.NewPools(), rates: &engineRate{routes: map[string]*balance.SlotTime{}}, peers: &peerObserver{},
+	}
+}
+
+// service returns the state of a service. The caller holds mu.
+func (f *fleet) service(name string) *service {
+	s := f.services[name]
+	if s == nil {
+		s = newService(name)
+		f.services[name] = s
+	}
+	return s
+}
+
+// add makes an upstream eligible for work.
+func (s *service) add(u *upstream) {
+	u.service = s
+	u.peers.Store(s.peers)
+	s.ready.add(u)
+	s.inDomain(u.domain).add(u)
+	s.slots += u.slots
+	u.place = s.index.Add(u.id, u)
+}
+
+// remove is the opposite of add.
+func (s *service) remove(u *upstream) {
+	u.service = nil
+	s.ready.remove(u)
+	s.inDomain(u.domain).remove(u)
+	s.slots -= u.slots
+	s.index.Remove(u.place)
+}
+
+func (s *service) inDomain(domain string) *upstreamList {
+	l := s.byDomain[domain]
+	if l == nil {
+		l = &upstreamList{at: func(u *upstream) *int { return &u.domainAt }}
+		s.byDomain[domain] = l
+	}
+	return l
+}
+
+// len returns the number of upstreams that may get work.
+func (s *service) len() int { return len(s.ready.list) }
+
+// peerObserved returns the observations of all upstreams by all instances.
+func (s *service) peerObserved(now time.Time, fresh bool) balance.Observed {
+	all := s.peers.sums(now)
+	if fresh {
+		all.Add(s.remotePeers)
+	}
+	return all
+}
+
+const (
+	// unboundedConns is the number of connections to an upstream that declares no limit.
+	unboundedConns = 256
+	// connHeadroom allows for an uneven distribution of callers over instances.
+	connHeadroom = 1.5
+	minConns     = 2
+)
+
+// connectionShare is how many connections this instance may open to one upstream of a service: its
+// share of the upstream's limit, plus headroom.
+func connectionShare(v *follow.View, service string) int {
+	if v.Routes == nil {
+		return unboundedConns
+	}
+	s := v.Routes.Service(service)
+	if s == nil || s.MaxConnections <= 0 {
+		return unboundedConns
+	}
+	return max(minConns, int(connHeadroom*float64(s.MaxConnections)/float64(v.Forwarders)))
+}
--- a/instance/relay/suite_test.go
+++ b/instance/relay/suite_test.go
@@ -247,10 +247,12 @@
 func start(t *testing.T, ups ...*fakeUpstream) *relayTest {
 	t.Helper()
 	RegisterTestingT(t)
-	v := &follow.View{Index: 1, Routes: route.NewIndex(routes()), Upstreams: map[string]*serving.Upstream{}, Forwarders: 1}
+	v := &follow.View{Index: 1, Routes: route.NewIndex(routes()), Forwarders: 1}
+	var list []*serving.Upstream
 	for _, u := range ups {
-		v.Upstreams[u.id] = &serving.Upstream{ID: u.id, Service: "s", Address: u.listener.Addr().String(), State: serving.Ready, Slots: 8, FirstIndex: u.begun()}
+		list = append(list, &serving.Upstream{ID: u.id, Service: "s", Address: u.listener.Addr().String(), State: serving.Ready, Slots: 8, FirstIndex: u.begun()})
 	}
+	v.Upstreams = follow.NewUpstreams(list...)
 	b := &relayTest{t: t, state: &state{view: v, lease: time.Minute}, fakeList: &fakeQuarantine{}, limits: &fakeLimits{}}
 	b.service = relay.New(relay.Config{
 		Listen: "127.0.0.1:0", Headers: headers, State: b.state, FailClosed: true,
--- a/instance/relay/upstream.go
+++ b/instance/relay/upstream.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/comfreyladder/comfreyladder/core/balance"
@@ -18,14 +19,23 @@
 	state       serving.State
 	silent      bool
 	slots       int
-	maxConns    int
 
 	// active counts requests in flight, usedTokens their prompt tokens, and queuedTokens the tokens
 	// to prefill for requests without a first event.
 	active       int
 	usedTokens   int
 	queuedTokens int
-	promptCache  balance.PromptCache
+	// service lists the upstream while it may get work, at the given positions.
+	service           *service
+	readyAt, domainAt int
+	place             balance.Place
+	// chosenIn is the round of the latest choice that collected it, and candidateAt its position
+	// in the latest choice that described it.
+	chosenIn    uint64
+	candidateAt int
+
+	// peers sums up the observations of all upstreams of its service; nil until it was ready.
+	peers atomic.Pointer[peerObserver]
 
 	mu sync.Mutex
 	// failures counts consecutive failures; ejectedUntil is when a failed upstream may be tried
@@ -51,17 +61,22 @@
 	b := balance.Upstream{ID: u.id, Domain: u.domain, Active: u.active, Slots: u.slots, QueuedTokens: u.queuedTokens, UsedTokens: u.usedTokens}
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	b.Suspect = u.failures > 0 && (now.Before(u.ejectedUntil) || u.silent)
 	return b, u.observer.Sums(now)
 }
 
-// reserve reserves capacity for a request. The caller holds the fleet's mutex.
-func (u *upstream) reserve(r *request, now time.Time) {
-	u.active++
-	u.queuedTokens += r.uncachedTokens
-	u.usedTokens += r.tokens
-	if r.affinity != 0 {
-		u.promptCache.Record(now, r.affinity)
+// suspect reports whether the upstream is avoided for its failures. The caller holds the fleet's
+// mutex.
+func (u *upstream) suspect(now time.Time) bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.failures > 0 && (now.Before(u.ejectedUntil) || u.silent)
+}
+
+// observe records an observation of the upstream. The caller holds mu.
+func (u *upstream) observe(f func(*balance.Observer)) {
+	f(&u.observer)
+	if p := u.peers.Load(); p != nil {
+		p.observe(f)
 	}
 }
 
@@ -70,7 +85,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	a.up.queuedTokens -= a.uncachedTokens
-	f.engineRateOf(a.r.service).rate.Observe(float64(a.uncachedTokens+a.queuedTokens), took)
+	f.service(a.r.service).rates.rate.Observe(float64(a.uncachedTokens+a.queuedTokens), took)
 	a.up.sawFirstEvent(a.nominalMS+latencyFloorMS, float64(took.Milliseconds())+latencyFloorMS)
 }
 
@@ -81,7 +96,7 @@
 func (u *upstream) sawFirstEvent(predicted, took float64) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	u.observer.FirstEvent(time.Now(), predicted, took)
+	u.observe(func(o *balance.Observer) { o.FirstEvent(time.Now(), predicted, took) })
 }
 
 // release returns the capacity reserved for an attempt.
@@ -94,7 +109,7 @@
 		a.up.queuedTokens -= a.uncachedTokens
 		return
 	}
-	p := f.engineRateOf(a.r.service)
+	p := f.service(a.r.service).rates
 	prefillTime := time.Duration(float64(a.uncachedTokens) / p.rate.PerMS() * float64(time.Millisecond))
 	slotTime := time.Since(a.startedAt) - a.r.firstEventAfter + prefillTime
 	p.slotTime(a.r.quick).Observe(slotTime)
@@ -116,9 +131,9 @@
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	if hard {
-		u.observer.FailedHard(time.Now())
+		u.observe(func(o *balance.Observer) { o.FailedHard(time.Now()) })
 	} else {
-		u.observer.Failed(time.Now())
+		u.observe(func(o *balance.Observer) { o.Failed(time.Now()) })
 	}
 	u.failures++
 	if u.failures <= toleratedFailures && !hard {
@@ -134,7 +149,7 @@
 func (u *upstream) answeredFailure() {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	u.observer.Failed(time.Now())
+	u.observe(func(o *balance.Observer) { o.Failed(time.Now()) })
 	u.failures = 0
 }
 
@@ -142,10 +157,12 @@
 func (u *upstream) succeeded() {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	u.observer.Succeeded(time.Now())
+	u.observe(func(o *balance.Observer) { o.Succeeded(time.Now()) })
 	u.failures = 0
 }
 
-func (u *upstream) closeIdle(now time.Time) { u.pool.closeIdle(now) }
+// closeIdle closes the expired idle connections, or all if now is zero, and returns how many idle
+// ones are left.
+func (u *upstream) closeIdle(now time.Time) int { return u.pool.closeIdle(now) }
 
 func (u *upstream) retire() { u.pool.close() }
--- a/instance/relay/usage.go
+++ b/instance/relay/usage.go
@@ -64,7 +64,7 @@
 		if err != nil {
 			return
 		}
-		up.pool.putUnused(c, time.Now())
+		s.fleet.keepConn(up, c)
 		if !counted.Swap(true) {
 			s.cfg.OnRequestBegun(organisation, ago+livenessDelay)
 		}
--- a/operator/logs/logs.go
+++ b/operator/logs/logs.go
@@ -104,7 +104,7 @@
 // stateEvents are the events that record a change of the state on which a process bases its
 // decisions.
 var stateEvents = []string{
-	"start", "stop", "drain", "reload", "control_lost", "control_regained", "table_in_force", "upstream_state", "upstream_gone",
+	"start", "stop", "drain", "reload", "control_lost", "control_regained", "table_in_force", "upstream_state", "upstream_gone", "upstreams_changed",
 	"upstream_announced", "upstream_left", "upstreams_silent", "pools", "member_change", "member_joins", "disk_refuses", "log_dropped", "upstreams_ordered",
 }
 
