Watch: a large state comes in compressed pages, from the own failure domain

Now at most 1,000 upstreams an answer, compressed, in the order of their changes; a page stays right when the state changes, so one encoding serves all who ask within a second. Only the last page gives a lease. An edge that starts asks its seed for the list of members alone, with their failure domains, and takes the state from its own. An instance that does not ask for pages gets the whole as before.

--- a/core/control/serving/index.go
+++ b/core/control/serving/index.go
@@ -3,9 +3,10 @@
 import (
 	"cmp"
 	"container/heap"
-	"container/list"
 	"slices"
 	"strings"
+
+	"github.com/tidwall/btree"
 )
 
 // index holds the incarnations by ID, by address, in the order of their last changes, and the
@@ -15,19 +16,22 @@
 	byID map[string]*entry
 	// byAddress holds the incarnation that owns an address: the one that is ready or draining.
 	byAddress map[string]*entry
-	// changes lists all entries in the order of their last change, the latest at the back.
-	changes list.List
+	// changes holds all entries in the order of their last change, and by ID within one change.
+	changes *btree.BTreeG[*entry]
 	byAge   endedHeap
 }
 
-// entry is an incarnation with its places in the orders of index.
+// entry is an incarnation with its place in the order by age.
 type entry struct {
 	upstream Upstream
-	change   *list.Element
 	// age is the position in byAge, or notEnded.
 	age int
 }
 
+func earlierChange(a, b *entry) bool {
+	return cmp.Or(cmp.Compare(a.upstream.Changed, b.upstream.Changed), strings.Compare(a.upstream.ID, b.upstream.ID)) < 0
+}
+
 const notEnded = -1
 
 // ended reports whether the incarnation may be dropped once it is old.
@@ -38,10 +42,9 @@
 
 func newIndex(upstreams []Upstream) index {
 	x := index{byID: make(map[string]*entry, len(upstreams)), byAddress: make(map[string]*entry, len(upstreams))}
-	ordered := slices.Clone(upstreams)
-	slices.SortStableFunc(ordered, func(a, b Upstream) int { return cmp.Compare(a.Changed, b.Changed) })
-	for i := range ordered {
-		x.put(ordered[i])
+	x.changes = btree.NewBTreeGOptions(earlierChange, btree.Options{NoLocks: true})
+	for i := range upstreams {
+		x.put(upstreams[i])
 	}
 	return x
 }
@@ -67,13 +70,13 @@
 	e := x.byID[u.ID]
 	if e == nil {
 		e = &entry{age: notEnded}
-		e.change = x.changes.PushBack(e)
 		x.byID[u.ID] = e
 	} else {
-		x.changes.MoveToBack(e.change)
+		x.changes.Delete(e)
 		x.releaseAddress(e)
 	}
 	e.upstream = u
+	x.changes.Set(e)
 	if u.ownsAddress() {
 		x.byAddress[u.Address] = e
 	}
@@ -99,7 +102,7 @@
 
 func (x *index) remove(id string) {
 	e := x.byID[id]
-	x.changes.Remove(e.change)
+	x.changes.Delete(e)
 	x.releaseAddress(e)
 	if e.age != notEnded {
 		heap.Remove(&x.byAge, e.age)
@@ -119,16 +122,29 @@
 	return &x.byAge[0].upstream
 }
 
-// changedSince returns the incarnations whose last change came after a log index.
-func (x *index) changedSince(index uint64) (out []Upstream) {
-	for c := x.changes.Back(); c != nil; c = c.Prev() {
-		u := &c.Value.(*entry).upstream
-		if u.Changed <= index {
-			break
+// changedSince returns the incarnations whose last change came after a log index, in the order of
+// their changes. If there are more than limit, it returns the first ones up to a whole change, and
+// more is true.
+func (x *index) changedSince(index uint64, limit int) (out []Upstream, more bool) {
+	x.changes.Ascend(&entry{upstream: Upstream{Changed: index + 1}}, func(e *entry) bool {
+		if len(out) >= limit && e.upstream.Changed != out[len(out)-1].Changed {
+			more = true
+			return false
 		}
-		out = append(out, *u)
-	}
-	return out
+		out = append(out, e.upstream)
+		return true
+	})
+	return out, more
+}
+
+// exceeds reports whether more than limit incarnations changed after a log index.
+func (x *index) exceeds(index uint64, limit int) bool {
+	count := 0
+	x.changes.Ascend(&entry{upstream: Upstream{Changed: index + 1}}, func(*entry) bool {
+		count++
+		return count <= limit
+	})
+	return count > limit
 }
 
 // all returns all incarnations in no particular order.
--- a/core/control/serving/index_test.go
+++ b/core/control/serving/index_test.go
@@ -16,11 +16,26 @@
 type reader struct {
 	index uint64
 	view  map[string]serving.Upstream
+	table string
 	full  int
 }
 
-func (r *reader) read(m *serving.Machine) {
-	c := m.Since(r.index)
+func (r *reader) read(m *serving.Machine) { r.apply(m.Since(r.index)) }
+
+// readPages reads the whole state in pages of the given size. between is called before each further
+// page.
+func (r *reader) readPages(m *serving.Machine, size int, between func()) {
+	for {
+		c := m.Page(r.index, size)
+		r.apply(c)
+		if !c.More {
+			return
+		}
+		between()
+	}
+}
+
+func (r *reader) apply(c serving.Changes) {
 	if c.Full {
 		r.view = map[string]serving.Upstream{}
 		r.full++
@@ -32,6 +47,9 @@
 		}
 		r.view[u.ID] = u
 	}
+	if len(c.Table) > 0 {
+		r.table = string(c.Table)
+	}
 	r.index = c.Index
 }
 
@@ -91,6 +109,38 @@
 	})
 }
 
+// An instance reads the state in pages while it changes: upstreams that it has just read end, others
+// come, and a table is put. It must end with the whole state.
+func TestPagesAddUpWhileTheStateChanges(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		g := NewWithT(t)
+		l := newLog()
+		step := func() {
+			for range rapid.IntRange(0, 6).Draw(t, "commands") {
+				l.at = l.at.Add(time.Duration(rapid.IntRange(0, 200).Draw(t, "seconds")) * time.Second)
+				c := drawCommand(t)
+				if c.Put != nil {
+					c.Put.Table = []byte(fmt.Sprint("table", c.Put.Version))
+				}
+				l.apply(c)
+			}
+		}
+		for range 8 {
+			step()
+		}
+		var r, all reader
+		changes := 20
+		r.readPages(l.m, rapid.IntRange(1, 4).Draw(t, "size"), func() {
+			if changes--; changes > 0 {
+				step()
+			}
+		})
+		all.read(l.m)
+		g.Expect(r.view).To(Equal(all.view))
+		g.Expect(r.table).To(Equal(all.table))
+	})
+}
+
 // Ended incarnations expire all the time once a fleet has run for long. If each expiry sent the
 // whole state to each follower, a fleet of some size would do little else.
 func TestExpiryDoesNotSendTheWholeState(t *testing.T) {
--- a/core/control/serving/machine.go
+++ b/core/control/serving/machine.go
@@ -8,6 +8,7 @@
 package serving
 
 import (
+	"math"
 	"time"
 
 	"github.com/comfreyladder/comfreyladder/core/control"
@@ -318,24 +319,40 @@
 	Version   uint64     `codec:"v"`
 	Table     []byte     `codec:"t"`
 	Upstreams []Upstream `codec:"u"`
+	// More means that further changes are in the next page, see Page.
+	More bool `codec:"m,omitempty"`
+}
+
+// Exceeds reports whether more than limit incarnations changed after an index.
+func (m *Machine) Exceeds(index uint64, limit int) bool {
+	return m.s.Index > index+uint64(limit) && m.upstreams.exceeds(index, limit)
 }
 
 // Since returns the changes after an index. Its cost depends on the number of changes, except
 // for a reader that needs the whole state.
-func (m *Machine) Since(index uint64) Changes {
+func (m *Machine) Since(index uint64) Changes { return m.Page(index, math.MaxInt) }
+
+// Page is Since for at most some limit of upstreams, more only if they changed together: a reader
+// far behind gets the state in parts that fit into its time limits, in the order of the changes. A
+// page stays right for a reader at its index after later changes, which are in later pages.
+func (m *Machine) Page(index uint64, limit int) Changes {
 	c := Changes{Index: m.s.Index, Full: index == 0 || index < m.removals.from, Version: m.s.Version}
-	if m.s.TableAt > index {
+	from := index
+	if c.Full {
+		from = 0
+	}
+	if c.Upstreams, c.More = m.upstreams.changedSince(from, limit); c.More {
+		c.Index = c.Upstreams[len(c.Upstreams)-1].Changed
+	}
+	if m.s.TableAt > from && m.s.TableAt <= c.Index {
 		c.Table = m.s.Table
 	}
-	if c.Full {
-		c.Upstreams = m.upstreams.all()
-		return c
+	if !c.Full {
+		m.removals.between(index, c.Index, func(id string) {
+			if m.upstreams.get(id) == nil {
+				c.Upstreams = append(c.Upstreams, Upstream{ID: id, State: Gone})
+			}
+		})
 	}
-	c.Upstreams = m.upstreams.changedSince(index)
-	m.removals.since(index, func(id string) {
-		if m.upstreams.get(id) == nil {
-			c.Upstreams = append(c.Upstreams, Upstream{ID: id, State: Gone})
-		}
-	})
 	return c
 }
--- a/core/control/serving/removals.go
+++ b/core/control/serving/removals.go
@@ -31,12 +31,12 @@
 	}
 }
 
-// since calls f for each incarnation that was dropped after a log index and that a reader with the
-// state as of that index may have.
-func (l *removalLog) since(index uint64, f func(id string)) {
+// between calls f for each incarnation that was dropped after a log index, but not after to, and
+// that a reader with the state as of that index may have.
+func (l *removalLog) between(index, to uint64, f func(id string)) {
 	for i := len(l.entries) - 1; i >= 0 && l.entries[i].index > index; i-- {
-		if l.entries[i].known > index {
-			f(l.entries[i].id)
+		if r := &l.entries[i]; r.index <= to && r.known > index {
+			f(r.id)
 		}
 	}
 }
--- a/instance/follow/follow.go
+++ b/instance/follow/follow.go
@@ -128,6 +128,10 @@
 	workSource string
 	// othersBusy is set while other instances report busy upstreams.
 	othersBusy bool
+	// membersSum identifies the list of members that was received last; zero before the first one.
+	membersSum uint64
+	// inPages is set while further pages of the state are to be asked for.
+	inPages bool
 	// settled is set if the agreed time of the member that answered last is settled.
 	settled bool
 }
@@ -268,11 +272,14 @@
 // ask sends one request to a member and reports whether to keep asking this member.
 func (f *Follower) ask(ctx context.Context, name string) bool {
 	view := f.view.Load()
-	q := servingsvc.WatchRequest{Index: view.Index, Forwards: true, Quarantine: view.Quarantine.index()}
+	q := servingsvc.WatchRequest{
+		Index: view.Index, Forwards: true, Quarantine: view.Quarantine.index(), Compact: true, Continue: f.inPages,
+		MembersSum: f.membersSum, MembersOnly: f.membersSum == 0,
+	}
 	if f.cfg.Report != nil {
 		q.Report = f.cfg.Report()
 	}
-	hold := f.holdTime(&q.Report)
+	hold := f.holdTime(&q)
 	q.MaxWaitMS = hold.Milliseconds()
 	if f.workSource == name {
 		q.NextPlacement = f.workSeen
@@ -291,8 +298,14 @@
 		return false
 	}
 	f.handleUsageReply(&q, &a, revision, name, sent)
-	f.domains[name] = a.Domain
+	f.recordMembers(name, &a)
+	if q.MembersOnly && a.MembersSum != 0 {
+		return true
+	}
 	f.applyAnswer(view, &a)
+	if f.inPages = a.Changes.More; f.inPages {
+		return true
+	}
 	f.workSeen, f.workSource, f.othersBusy = a.NextPlacement, name, a.Summary.Busy
 	f.passOthersWork(&a.Summary, &q.Report.Work)
 	if !a.Confirmed {
@@ -349,11 +362,11 @@
 }
 
 // holdTime returns how long the member may hold the next request.
-func (f *Follower) holdTime(own *servingsvc.Report) time.Duration {
+func (f *Follower) holdTime(q *servingsvc.WatchRequest) time.Duration {
 	switch {
-	case f.Lease() <= 0:
+	case f.Lease() <= 0 || q.Continue:
 		return 0
-	case own.Busy || f.othersBusy:
+	case q.Report.Busy || f.othersBusy:
 		return min(f.cfg.Hold, DefaultBusyHold)
 	}
 	return f.cfg.Hold
@@ -362,9 +375,6 @@
 // applyAnswer applies the changes in an answer. Changes older than the view are ignored, so
 // that a view never goes back.
 func (f *Follower) applyAnswer(old *View, a *servingsvc.WatchResponse) {
-	if len(a.Members) > 0 {
-		f.updateMembers(a.Members)
-	}
 	if a.Changes.Index <= old.Index && a.Forwarders == old.Forwarders && a.Quarantine == nil {
 		return
 	}
@@ -399,6 +409,20 @@
 	return true
 }
 
+// recordMembers records what an answer says about the members.
+func (f *Follower) recordMembers(name string, a *servingsvc.WatchResponse) {
+	f.domains[name], f.membersSum = a.Domain, a.MembersSum
+	if len(a.Members) == 0 {
+		return
+	}
+	f.updateMembers(a.Members)
+	for i, domain := range a.Domains {
+		if domain != "" && i < len(a.Members) {
+			f.domains[a.Members[i]] = domain
+		}
+	}
+}
+
 func (f *Follower) updateMembers(list []string) {
 	same := len(list) == len(f.members)
 	for _, name := range list {
--- a/instance/follow/follow_test.go
+++ b/instance/follow/follow_test.go
@@ -65,9 +65,15 @@
 const lease = 300 * time.Millisecond
 
 func start(t *testing.T, g *group, seeds ...string) *follow.Follower {
+	t.Helper()
+	return startIn(t, g, "", seeds...)
+}
+
+// startIn starts a follower in a failure domain.
+func startIn(t *testing.T, links follow.Links, domain string, seeds ...string) *follow.Follower {
 	t.Helper()
 	f := follow.New(follow.Config{
-		Links: g, Seeds: func() []string { return seeds }, Lease: lease, Hold: 20 * time.Millisecond, Slack: 30 * time.Millisecond, Log: zerolog.Nop(),
+		Links: links, Domain: domain, Seeds: func() []string { return seeds }, Lease: lease, Hold: 20 * time.Millisecond, Slack: 30 * time.Millisecond, Log: zerolog.Nop(),
 	})
 	if err := f.Start(context.Background()); err != nil {
 		t.Fatal(err)
--- a/instance/serving/changes_test.go
+++ b/instance/serving/changes_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync"
 	"testing"
 	"time"
 
@@ -80,3 +81,33 @@
 	g.Expect(answers).To(BeNumerically("<=", 5+int(time.Since(startedAt)/(20*time.Millisecond))))
 	t.Logf("%d answers in %v", answers, time.Since(startedAt))
 }
+
+// A fleet larger than a page: an instance that starts must get all of it, in responses that are
+// small enough for its time limits, and none may count as confirmed before the last one.
+func TestLargeStateComesInPages(t *testing.T) {
+	g := newGroup(t, 3)
+	const many = 2100
+	var announced sync.WaitGroup
+	slots := make(chan struct{}, 200)
+	for i := range many {
+		slots <- struct{}{}
+		announced.Go(func() {
+			defer func() { <-slots }()
+			g.Eventually(func() error { return g.instances["m0"].serving.Announce(context.Background(), upstreamAt(i)) }).Should(Succeed())
+		})
+	}
+	announced.Wait()
+	known, index, pages := 0, uint64(0), 0
+	for more := true; more; pages++ {
+		a := g.ask("m0", serving.WatchRequest{Index: index, Compact: true, Continue: index > 0})
+		known, index, more = known+len(a.Changes.Upstreams), a.Changes.Index, a.Changes.More
+		g.Expect(a.Confirmed).To(Equal(!more))
+		g.Expect(len(a.Encoded)).To(BeNumerically("<", 60<<10))
+		g.Expect(len(a.Changes.Upstreams)).To(BeNumerically("<=", 1000))
+	}
+	g.Expect(known).To(Equal(many))
+	g.Expect(pages).To(Equal(3))
+	old := g.ask("m0", serving.WatchRequest{})
+	g.Expect(old.Changes.Upstreams).To(HaveLen(many), "an instance of an older version gets the whole state")
+	g.Expect(old.Confirmed).To(BeTrue())
+}
--- a/instance/serving/digest.go
+++ b/instance/serving/digest.go
@@ -46,6 +46,7 @@
 			continue
 		}
 		st := g.Status()
+		s.forgetWatchers()
 		s.sendDigest(&st)
 		s.proposeSilent(ctx, g, &st)
 		s.pruneLimits(g, clock.Now())
@@ -102,15 +103,23 @@
 	s.unsentWatchers[name] = true
 }
 
+// forwarders returns the number of instances that forward requests. Those that have stopped asking
+// are forgotten with the next digest.
 func (s *Service) forwarders() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	return len(s.watchers)
+}
+
+func (s *Service) forgetWatchers() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := clock.Now()
 	for name, at := range s.watchers {
-		if clock.Since(at) > watcherRetention {
+		if now.Sub(at) > watcherRetention {
 			delete(s.watchers, name)
 		}
 	}
-	return len(s.watchers)
 }
 
 // proposeSilent marks, on the leader, the upstreams that no member received a heartbeat from
--- a/instance/serving/loads.go
+++ b/instance/serving/loads.go
@@ -266,9 +266,9 @@
 	defer s.mu.Unlock()
 	now := clock.Now()
 	if now.Sub(s.encodedTotalAt) >= totalCacheTime {
-		s.encodedTotal, s.encodedTotalAt = s.encodeTotal(now), now
+		s.encodedTotal, s.encodedTotalAt, s.totalBusy = s.encodeTotal(now), now, s.loads.busy(now, true)
 	}
-	out = Summary{Total: s.encodedTotal, Busy: s.loads.busy(now, true), Limits: s.limits.statements(now)}
+	out = Summary{Total: s.encodedTotal, Busy: s.totalBusy, Limits: s.limits.statements(now)}
 	out.Placements, next = s.placements.since(since, name)
 	if observes {
 		out.HasObserved, out.Observed = true, s.encodeObserved(now)
--- a/instance/serving/serving.go
+++ b/instance/serving/serving.go
@@ -74,8 +74,10 @@
 	watchers       map[string]time.Time
 	unsentWatchers map[string]bool
 	loads          loadReports
-	// encodedTotal is the encoded work of all instances, computed at encodedTotalAt.
+	// encodedTotal is the encoded work of all instances, and totalBusy whether any of them considers
+	// upstreams busy, as of encodedTotalAt.
 	encodedTotal   []byte
+	totalBusy      bool
 	encodedTotalAt time.Time
 	encoded        encodedChanges
 	placements     placementLog
--- a/instance/serving/watch.go
+++ b/instance/serving/watch.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/comfreyladder/comfreyladder/core/control/quarantine"
 	"github.com/comfreyladder/comfreyladder/core/control/serving"
 	"github.com/comfreyladder/comfreyladder/core/raft"
@@ -47,6 +49,14 @@
 	Wall  int64         `codec:"l,omitempty"`
 	// Quarantine is the log index up to which the instance has the quarantine list; zero for none.
 	Quarantine uint64 `codec:"q,omitempty"`
+	// Compact means that the instance takes pages and compressed changes. Continue asks for the next
+	// page at once.
+	Compact  bool `codec:"c,omitempty"`
+	Continue bool `codec:"k,omitempty"`
+	// MembersSum identifies the list of members that the instance has. MembersOnly asks for that
+	// list alone.
+	MembersSum  uint64 `codec:"m,omitempty"`
+	MembersOnly bool   `codec:"y,omitempty"`
 }
 
 // WatchResponse holds what a member knows.
@@ -55,13 +65,21 @@
 	// Encoded replaces Changes by their encoded form, which is shared by requests for the
 	// same changes.
 	Encoded []byte `codec:"e,omitempty"`
+	// Deflated means that Encoded is compressed, More that the changes are a page and the instance
+	// has to ask for the next one.
+	Deflated bool `codec:"z,omitempty"`
+	More     bool `codec:"p,omitempty"`
 	// Confirmed reports whether a quorum confirmed that nothing newer was committed, not
 	// earlier than WaitedMS milliseconds after the request arrived.
 	Confirmed bool  `codec:"o"`
 	WaitedMS  int64 `codec:"h"`
-	// Domain is the failure domain of the member, Members the names of all members.
-	Domain  string   `codec:"d"`
-	Members []string `codec:"m"`
+	// Domain is the failure domain of the member. Members are the names of all members and Domains
+	// their failure domains, as far as they are known; both are omitted if the instance has the list
+	// with MembersSum.
+	Domain     string   `codec:"d"`
+	Members    []string `codec:"m"`
+	Domains    []string `codec:"y,omitempty"`
+	MembersSum uint64   `codec:"x,omitempty"`
 	// Forwarders is the known number of instances that forward requests.
 	Forwarders int `codec:"f"`
 	// Summary is the work of all instances. NextPlacement is the number of the placement to
@@ -93,29 +111,47 @@
 		s.recordReport(from, &q.Report)
 		s.metering.record(from, arrived, &q)
 	}
-	s.awaitChange(ctx, g, &q)
 	a := WatchResponse{Domain: s.cfg.Domain}
-	if at, err := s.confirmations.after(ctx, arrived); err == nil {
-		a.Confirmed, a.WaitedMS = true, at.Sub(arrived).Milliseconds()
+	a.addMembers(g.Status().Members, q.MembersSum)
+	if q.MembersOnly {
+		return a, nil
 	}
-	if err := s.changes(g, q.Index, &a); err != nil {
+	s.awaitChange(ctx, g, &q)
+	if !q.Compact || !lacksPages(g, q.Index) {
+		// An instance that lacks more than one page can't use a confirmation.
+		if at, err := s.confirmations.after(ctx, arrived); err == nil {
+			a.Confirmed, a.WaitedMS = true, at.Sub(arrived).Milliseconds()
+		}
+	}
+	if err := s.changes(g, &q, &a); err != nil {
 		return nil, err
 	}
+	a.Confirmed = a.Confirmed && !a.More
 	viewQuarantine(g, func(m *quarantine.Machine) { a.Quarantine = m.Since(q.Quarantine) })
-	st := g.Status()
-	a.Members = memberNames(st.Members)
 	a.Forwarders = s.forwarders()
 	a.Summary, a.NextPlacement = s.summaryFor(from, q.NextPlacement, q.Report.HasObserved)
 	a.Agreed, a.Settled = s.metering.agreed(clock.Now())
 	return a, nil
 }
 
-func memberNames(members raft.Members) []string {
-	var list []string
+// lacksPages reports whether an instance with the state up to an index lacks more than a page.
+func lacksPages(g *consensus.Service, index uint64) (more bool) {
+	viewServing(g, func(m *serving.Machine) { more = m.Exceeds(index, pageUpstreams) })
+	return more
+}
+
+// addMembers adds the list of members unless the instance has the one with the given sum.
+func (a *WatchResponse) addMembers(members raft.Members, known uint64) {
+	var sum xxhash.Digest
+	for _, m := range members {
+		_, _ = sum.WriteString(m.Name + " " + m.Domain + "\n")
+	}
+	if a.MembersSum = sum.Sum64(); a.MembersSum == known {
+		return
+	}
 	for _, m := range members {
-		list = append(list, m.Name)
+		a.Members, a.Domains = append(a.Members, m.Name), append(a.Domains, m.Domain)
 	}
-	return list
 }
 
 func (s *Service) awaitChange(ctx context.Context, g *consensus.Service, q *WatchRequest) {
@@ -125,7 +161,7 @@
 	index, quarantined := stateIndexes(g)
 	// An instance without a quarantine list gets the first entry with the next change.
 	behind := index > q.Index || quarantined > q.Quarantine && q.Quarantine > 0
-	if behind && q.Index > 0 {
+	if behind && q.Index > 0 && !q.Continue {
 		clock.Sleep(ctx, changeBatchDelay)
 	}
 	if behind || q.MaxWaitMS <= 0 {
