Observations: first events are told to all, not only ended streams

What instances measured of an upstream went to all others from three ended answers on. A sum of predicted times of 400 ms is told as well, and members exchange all they have.

--- a/instance/serving/loads.go
+++ b/instance/serving/loads.go
@@ -198,7 +198,7 @@
 		r := Report{Work: s.loads.sum(now, false), Placements: s.unsentPlacements, Busy: busy, Limits: s.limits.statements(now)}
 		s.unsentPlacements = nil
 		if now.Sub(s.observedSentAt) >= ObservationInterval {
-			r.HasObserved, r.Observed, s.observedSentAt = true, s.observed.sum(now, false, 1), now
+			r.HasObserved, r.Observed, s.observedSentAt = true, s.observed.sum(now), now
 		}
 		s.mu.Unlock()
 		quiet := r.Work.empty() && len(r.Placements)+len(r.Observed)+len(r.Limits) == 0
@@ -283,7 +283,7 @@
 		return s.encodedObserved
 	}
 	s.encodedObserved, s.encodedObservedAt = nil, now
-	list := s.observed.sum(now, true, minSharedAnswers)
+	list := s.observed.significant(now)
 	if len(list) == 0 {
 		return nil
 	}
--- a/instance/serving/observed.go
+++ b/instance/serving/observed.go
@@ -30,9 +30,12 @@
 	ObservationInterval = time.Second
 	// maxObservedAge is how long observations count without newer ones.
 	maxObservedAge = 3 * time.Second
-	// minSharedAnswers is the number of answers, in hundredths, from which the observations of an
-	// upstream are sent to all instances. Fewer cannot distinguish an upstream from its peers.
-	minSharedAnswers = 300
+	// minSharedAnswers is the number of answers, in hundredths, and minSharedPredicted the sum of
+	// predicted times to first events, in milliseconds, from which the observations of an upstream
+	// are sent to all instances. Less cannot distinguish an upstream from its peers. Answers alone
+	// would tell of a slow engine only when streams end there, seconds after their first events.
+	minSharedAnswers   = 300
+	minSharedPredicted = 400
 )
 
 type observedReport struct {
@@ -47,18 +50,30 @@
 	return observedReports{watchers: map[string]observedReport{}, members: map[string]observedReport{}}
 }
 
-// sum adds up the observations of the instances that ask this member, and those of the other
-// members if others is set. It omits upstreams with less than least hundredths of an answer
-// and no failure.
-func (b *observedReports) sum(now time.Time, others bool, least int) []Observation {
+// significant reports whether an observation says enough to be sent to all instances.
+func (o *Observation) significant() bool {
+	return o.Answers >= minSharedAnswers || o.Predicted >= minSharedPredicted || o.Failures > 0
+}
+
+// sum adds up the observations of the instances that ask this member.
+func (b *observedReports) sum(now time.Time) []Observation {
 	total := map[uint64]*Observation{}
 	addObserved(total, now, b.watchers)
-	if others {
-		addObserved(total, now, b.members)
+	list := make([]Observation, 0, len(total))
+	for _, o := range total {
+		list = append(list, *o)
 	}
+	return list
+}
+
+// significant adds up the observations of all instances and returns the significant ones.
+func (b *observedReports) significant(now time.Time) []Observation {
+	total := map[uint64]*Observation{}
+	addObserved(total, now, b.watchers)
+	addObserved(total, now, b.members)
 	list := make([]Observation, 0, len(total))
 	for _, o := range total {
-		if o.Answers >= least || o.Failures > 0 {
+		if o.significant() {
 			list = append(list, *o)
 		}
 	}
--- a/instance/serving/observed_test.go
+++ b/instance/serving/observed_test.go
@@ -32,5 +32,21 @@
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(all.HasObserved).To(BeTrue())
 	g.Expect(all.Observed).To(Equal([]Observation{{FirstIndex: bad, Answers: 400, Failures: 300}}), "two answers of the idle one are too few to report")
-	g.Expect(s.observed.sum(clock.Now().Add(2*maxObservedAge), true, 1)).To(BeEmpty(), "observations expire unless they are reported again")
+	g.Expect(s.observed.significant(clock.Now().Add(2*maxObservedAge))).To(BeEmpty(), "observations expire unless they are reported again")
+	g.Expect(s.observed.sum(clock.Now().Add(2 * maxObservedAge))).To(BeEmpty())
+}
+
+// A slow engine shows at its first events, seconds before the first of its streams ends. Without
+// them all instances go on sending it the same share.
+func TestFirstEventsAreShared(t *testing.T) {
+	g := NewWithT(t)
+	s := New(Config{Links: noLinks{}})
+	slow := Observation{FirstIndex: 7, Predicted: 300, Took: 900}
+	s.recordReport("a", &Report{HasObserved: true, Observed: []Observation{slow}})
+	g.Expect(s.observed.sum(clock.Now())).To(Equal([]Observation{slow}), "other members get all")
+	s.observed.members["m"] = observedReport{clock.Now(), []Observation{slow}}
+	told, _ := s.summaryFor("a", 0, true)
+	all, err := told.Others(&Work{})
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(all.Observed).To(Equal([]Observation{{FirstIndex: 7, Predicted: 600, Took: 1800}}))
 }
