Loads: what is sent where is told at once, between members what changed

What an instance believed of the others' loads was 0.2 to 0.4 s old, in which an engine gets and finishes a request: reports came with the held requests, members exchanged sums every 100 ms. Now an instance sends its member the loads that changed as it sends a request or gets its first event (one small message in its own failure domain); members send each other only what changed, every 20 ms in a group of five, less often in a larger one, and a whole report every 0.3 s; while engines are busy, instances are answered after 60 ms instead of 120. A sum is encoded anew after 10 ms or 25 times what that took.

--- a/instance/follow/follow.go
+++ b/instance/follow/follow.go
@@ -33,7 +33,7 @@
 	// are held for DefaultBusyHold only: fresh loads are then worth the processor time
 	// of more frequent requests.
 	DefaultHold     = 250 * time.Millisecond
-	DefaultBusyHold = 120 * time.Millisecond
+	DefaultBusyHold = 60 * time.Millisecond
 	// DefaultSlack is how long an answer may take in addition to the hold time before
 	// the next member is asked.
 	DefaultSlack = 600 * time.Millisecond
@@ -45,6 +45,7 @@
 // Links is what this service needs of instance/link.
 type Links interface {
 	Call(ctx context.Context, to, channel string, req, resp any) error
+	Send(to, channel string, msg any) error
 }
 
 // Config configures a Follower.
@@ -62,6 +63,10 @@
 	// of all others; both may be nil.
 	Report   func() servingsvc.Report
 	OnReport func(*servingsvc.Report)
+	// LoadUpdate returns the loads that changed, for PushLoads, and ToldLoads the loads of this
+	// instance that are part of the sum of all. Both are set together or nil.
+	LoadUpdate func() servingsvc.LoadUpdate
+	ToldLoads  func() []servingsvc.Load
 	// Meter counts requests for usage reports; nil disables reporting.
 	Meter *meter.Meter
 	Log   zerolog.Logger
@@ -107,6 +112,8 @@
 	cancel context.CancelFunc
 	done   sync.WaitGroup
 	view   atomic.Pointer[View]
+	// loadsChanged holds an element while loads are to be sent.
+	loadsChanged chan struct{}
 	// leaseUntil is the end of the lease and leaseStart its start, in nanoseconds of
 	// clock.Now; zero before the first lease.
 	leaseUntil, leaseStart atomic.Int64
@@ -144,7 +151,7 @@
 	if cfg.Slack <= 0 {
 		cfg.Slack = DefaultSlack
 	}
-	f := &Follower{cfg: cfg, domains: map[string]string{}, failedAt: map[string]time.Time{}}
+	f := &Follower{cfg: cfg, loadsChanged: make(chan struct{}, 1), domains: map[string]string{}, failedAt: map[string]time.Time{}}
 	f.view.Store(&View{Upstreams: NewUpstreams(), Forwarders: 1})
 	return f
 }
@@ -193,6 +200,9 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	f.cancel = cancel
 	f.done.Go(func() { f.run(ctx) })
+	if f.cfg.LoadUpdate != nil {
+		f.done.Go(func() { f.pushLoads(ctx) })
+	}
 	return nil
 }
 
@@ -353,7 +363,12 @@
 	if f.cfg.OnReport == nil {
 		return
 	}
-	others, err := s.Others(own)
+	told := servingsvc.Work{Loads: own.Loads, Routes: own.Routes}
+	if f.cfg.ToldLoads != nil {
+		// Updates since the request are in the sum as well.
+		told.Loads = f.cfg.ToldLoads()
+	}
+	others, err := s.Others(&told)
 	if err != nil {
 		f.cfg.Log.Error().Err(err).Str("event", "loads_unreadable").Str("peer", f.current).Msg("cannot decode the loads of other instances")
 		return
--- a/instance/follow/follow_test.go
+++ b/instance/follow/follow_test.go
@@ -48,6 +48,8 @@
 	return nil
 }
 
+func (g *group) Send(string, string, any) error { return nil }
+
 func (g *group) set(name string, a *servingsvc.WatchResponse) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/instance/follow/pages_test.go
+++ b/instance/follow/pages_test.go
@@ -59,6 +59,8 @@
 	return nil
 }
 
+func (g *pagedGroup) Send(string, string, any) error { return nil }
+
 func (g *pagedGroup) asked(name string) (whole, membersOnly int) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/instance/relay/admit.go
+++ b/instance/relay/admit.go
@@ -46,6 +46,7 @@
 	for {
 		up, busy = s.fleet.choose(r, s.cfg.Domain, avoid)
 		if up != nil {
+			s.loadChanged(r)
 			return up, false
 		}
 		if !busy || r.shed || !time.Now().Add(holdPollInterval).Before(until) {
--- a/instance/relay/attempt.go
+++ b/instance/relay/attempt.go
@@ -263,6 +263,7 @@
 	if !a.firstEventSeen {
 		a.r.firstEventAfter = time.Since(a.startedAt)
 		a.s.fleet.firstEvent(a, a.r.firstEventAfter)
+		a.s.loadChanged(a.r)
 		a.firstEventSeen = true
 	}
 }
--- a/instance/relay/choose.go
+++ b/instance/relay/choose.go
@@ -114,6 +114,7 @@
 // reserve reserves capacity at an upstream, and lists its prompt for the next report if that is due.
 func (f *fleet) reserve(u *upstream, r *request, now time.Time) {
 	f.used[u] = struct{}{}
+	f.recordChange(u)
 	u.active++
 	u.queuedTokens += r.uncachedTokens
 	u.usedTokens += r.tokens
--- a/instance/relay/config.go
+++ b/instance/relay/config.go
@@ -85,7 +85,10 @@
 	Quarantine Quarantine
 	// Limits enforces the rate limits that upstreams announce; nil if they announce none.
 	Limits Limits
-	Log    *eventlog.Sink
+	// OnLoadChange, if set, is called when the load of an engine has changed and the other
+	// instances should know soon. It must not block.
+	OnLoadChange func()
+	Log          *eventlog.Sink
 }
 
 const (
--- a/instance/relay/exchange.go
+++ b/instance/relay/exchange.go
@@ -124,14 +124,16 @@
 func (f *fleet) report() servingsvc.Report {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	r := servingsvc.Report{Placements: f.newPlacements}
+	f.sequence++
+	r := servingsvc.Report{Placements: f.newPlacements, Sequence: f.sequence}
 	f.newPlacements = nil
 	now := time.Now()
 	for u := range f.used {
-		if u.active > 0 {
-			r.Work.Loads = append(r.Work.Loads, servingsvc.Load{FirstIndex: u.incarnation, Active: u.active, QueuedTokens: u.queuedTokens, UsedTokens: u.usedTokens})
+		if u.told = u.load(); u.active > 0 {
+			r.Work.Loads = append(r.Work.Loads, u.told)
 		}
 	}
+	clear(f.changed)
 	if now.Sub(f.observedReportedAt) >= servingsvc.ObservationInterval {
 		r.HasObserved, r.Observed, f.observedReportedAt = true, f.observations(now), now
 	}
@@ -148,6 +150,41 @@
 	return r
 }
 
+// load returns the load of the upstream by this instance. The caller holds the fleet's mutex.
+func (u *upstream) load() servingsvc.Load {
+	return servingsvc.Load{FirstIndex: u.incarnation, Active: u.active, QueuedTokens: u.queuedTokens, UsedTokens: u.usedTokens}
+}
+
+// loadUpdate returns the loads that changed since the last report or update.
+func (f *fleet) loadUpdate() servingsvc.LoadUpdate {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.sequence++
+	update := servingsvc.LoadUpdate{Sequence: f.sequence}
+	for u := range f.changed {
+		u.told = u.load()
+		update.Loads = append(update.Loads, u.told)
+	}
+	clear(f.changed)
+	return update
+}
+
+// toldLoads returns the loads that this instance told last, which are part of the sum that it
+// gets.
+func (f *fleet) toldLoads() (list []servingsvc.Load) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for u := range f.used {
+		if u.told.Active+u.told.QueuedTokens+u.told.UsedTokens > 0 {
+			list = append(list, u.told)
+		}
+	}
+	return list
+}
+
+// recordChange notes that the load of an upstream changed. The caller holds mu.
+func (f *fleet) recordChange(u *upstream) { f.changed[u] = struct{}{} }
+
 // busyQueuedTokens is the mean number of queued prompt tokens per engine above which load updates
 // are urgent.
 const busyQueuedTokens = 1500
--- a/instance/relay/fleet.go
+++ b/instance/relay/fleet.go
@@ -27,9 +27,13 @@
 	byIncarnation map[uint64]*upstream
 	services      map[string]*service
 	// used holds the upstreams that this instance has requests, observations or connections at.
-	used    map[*upstream]struct{}
-	domains domains
-	choice  choice
+	used map[*upstream]struct{}
+	// changed holds those whose load has changed since it was told last, and sequence numbers what
+	// is told.
+	changed  map[*upstream]struct{}
+	sequence uint64
+	domains  domains
+	choice   choice
 	// remoteLoads is the work that other instances have in flight as of remoteLoadsAt, by
 	// incarnation.
 	remoteLoads   map[uint64]servingsvc.Load
@@ -49,7 +53,7 @@
 func newFleet(log *eventlog.Sink, limits Limits) *fleet {
 	return &fleet{
 		log: log, limits: limits, queue: queue{}, upstreams: map[string]*upstream{}, byIncarnation: map[uint64]*upstream{}, services: map[string]*service{},
-		used: map[*upstream]struct{}{}, domains: domains{}, remoteLoads: map[uint64]servingsvc.Load{}, remoteObserved: map[uint64]balance.Observed{},
+		used: map[*upstream]struct{}{}, changed: map[*upstream]struct{}{}, domains: domains{}, remoteLoads: map[uint64]servingsvc.Load{}, remoteObserved: map[uint64]balance.Observed{},
 		reportedObserved: map[uint64]balance.Observed{},
 	}
 }
@@ -186,7 +190,7 @@
 	defer f.mu.Unlock()
 	for u := range f.used {
 		open := u.closeIdle(now)
-		if o := u.observation(now); u.active == 0 && open == 0 && negligible(&o) {
+		if o := u.observation(now); u.active == 0 && u.told.Active == 0 && open == 0 && negligible(&o) {
 			delete(f.used, u)
 		}
 	}
--- a/instance/relay/relay.go
+++ b/instance/relay/relay.go
@@ -58,6 +58,19 @@
 // Report returns the load and observations of this instance for the other instances.
 func (s *Service) Report() serving.Report { return s.fleet.report() }
 
+// LoadUpdate returns the loads that changed since the last report or update.
+func (s *Service) LoadUpdate() serving.LoadUpdate { return s.fleet.loadUpdate() }
+
+// ToldLoads returns the loads that this instance told last.
+func (s *Service) ToldLoads() []serving.Load { return s.fleet.toldLoads() }
+
+// loadChanged reports a changed load of an engine.
+func (s *Service) loadChanged(r *request) {
+	if s.cfg.OnLoadChange != nil && r.tokens > 0 {
+		s.cfg.OnLoadChange()
+	}
+}
+
 // TakeReport applies the combined report of all other instances.
 func (s *Service) TakeReport(r *serving.Report) { s.fleet.mergeReport(r) }
 
--- a/instance/relay/upstream.go
+++ b/instance/relay/upstream.go
@@ -7,6 +7,7 @@
 
 	"github.com/comfreyladder/comfreyladder/core/balance"
 	"github.com/comfreyladder/comfreyladder/core/control/serving"
+	servingsvc "github.com/comfreyladder/comfreyladder/instance/serving"
 )
 
 // upstream is the state of one incarnation as known to this instance: its registration, the work
@@ -25,6 +26,8 @@
 	active       int
 	usedTokens   int
 	queuedTokens int
+	// told is the load that this instance told the others last.
+	told servingsvc.Load
 	// service lists the upstream while it may get work, at the given positions.
 	service           *service
 	readyAt, domainAt int
@@ -85,6 +88,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	a.up.queuedTokens -= a.uncachedTokens
+	f.recordChange(a.up)
 	f.service(a.r.service).rates.rate.Observe(float64(a.uncachedTokens+a.queuedTokens), took)
 	a.up.sawFirstEvent(a.nominalMS+latencyFloorMS, float64(took.Milliseconds())+latencyFloorMS)
 }
@@ -103,6 +107,7 @@
 func (f *fleet) release(a *attempt) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.recordChange(a.up)
 	a.up.active--
 	a.up.usedTokens -= a.r.tokens
 	if !a.firstEventSeen {
--- a/instance/roles/edge.go
+++ b/instance/roles/edge.go
@@ -19,11 +19,15 @@
 		if err != nil {
 			return nil, err
 		}
+		links.Handle(serving.ChannelLoadUpdate, nil, link.Lossy())
 		return follow.New(follow.Config{
 			Links: links, Domain: p.cfg.Domain, Seeds: func() []string { return *p.seeds.Load() }, Lease: p.cfg.Lease, Log: p.log,
 			Report:   func() serving.Report { return p.forwarder.Load().Report() },
 			OnReport: func(r *serving.Report) { p.forwarder.Load().TakeReport(r) },
-			Meter:    p.meter,
+
+			LoadUpdate: func() serving.LoadUpdate { return p.forwarder.Load().LoadUpdate() },
+			ToldLoads:  func() []serving.Load { return p.forwarder.Load().ToldLoads() },
+			Meter:      p.meter,
 		}), nil
 	}}
 }
@@ -88,7 +92,7 @@
 		cfg := relay.Config{
 			Listen: p.cfg.Callers, Domain: p.cfg.Domain, Headers: p.dialect.Headers, State: state, FailClosed: p.cfg.FailClosed,
 			Budget: p.cfg.Budget, Announce: p.cfg.Announce, DrainTimeout: p.cfg.Grace - 2*stopMargin, Log: p.events,
-			Quarantine: recorder, Limits: limits,
+			Quarantine: recorder, Limits: limits, OnLoadChange: state.PushLoads,
 			BodyBytes: int64(bodyMemoryShare * float64(p.cfg.MemoryMB) * (1 << 20)),
 		}
 		if p.meter != nil {
--- a/instance/serving/loads.go
+++ b/instance/serving/loads.go
@@ -15,17 +15,23 @@
 const channelLoads = "serving.loads"
 
 const (
-	// loadsInterval is the time between two exchanges of loads among members while upstreams
-	// are busy, and idleLoadsInterval while they are not.
-	loadsInterval     = 100 * time.Millisecond
-	idleLoadsInterval = 300 * time.Millisecond
+	// reportInterval is the time between two whole reports among members, routesInterval that
+	// between two exchanges of the loads of routes while upstreams are busy.
+	reportInterval = 300 * time.Millisecond
+	routesInterval = 100 * time.Millisecond
 	// maxLoadAge is how long a load counts without a newer report.
 	maxLoadAge = 1500 * time.Millisecond
 )
 
-// totalCacheTime is how long one encoded sum of all loads serves all requests. Encoding it for
-// each response was most of a member's work with 300 instances and 3,000 upstreams.
-const totalCacheTime = 50 * time.Millisecond
+const (
+	// minTotalCacheTime is how long one encoded sum of all loads serves all requests, at least.
+	// Encoding it for each response was most of a member's work with 300 instances and 3,000
+	// upstreams.
+	minTotalCacheTime = 10 * time.Millisecond
+	// totalCacheFactor bounds the share of time that encoding takes: it is the shortest time between
+	// two encodings, in durations of one.
+	totalCacheFactor = 25
+)
 
 // PromptPlacement records that the shared segments of a prompt, identified by their hash, were
 // sent to an upstream, which caches them from then on.
@@ -43,6 +49,8 @@
 	Placements []PromptPlacement `codec:"p,omitempty"`
 	// Busy reports that upstreams have many tokens to prefill, so that recent loads matter.
 	Busy bool `codec:"b,omitempty"`
+	// Sequence orders the reports of an instance among its load updates.
+	Sequence uint64 `codec:"q,omitempty"`
 	// HasObserved reports that Observed is included, and requests it in the response.
 	HasObserved bool          `codec:"o,omitempty"`
 	Observed    []Observation `codec:"v,omitempty"`
@@ -85,9 +93,10 @@
 }
 
 type loadReport struct {
-	at   time.Time
-	work Work
-	busy bool
+	at       time.Time
+	work     Work
+	busy     bool
+	sequence uint64
 }
 
 // reportedPlacement is a placement with the name of its sender.
@@ -138,11 +147,14 @@
 }
 
 // loadReports holds the latest load reports by sender: watchers are the instances that ask
-// this member, members the other members.
-type loadReports struct{ watchers, members map[string]loadReport }
+// this member, members the other members. sent holds the loads that other members were told last.
+type loadReports struct {
+	watchers, members map[string]loadReport
+	sent              map[uint64]Load
+}
 
 func newLoadReports() loadReports {
-	return loadReports{watchers: map[string]loadReport{}, members: map[string]loadReport{}}
+	return loadReports{watchers: map[string]loadReport{}, members: map[string]loadReport{}, sent: map[uint64]Load{}}
 }
 
 // sum adds up the loads of the instances that ask this member, and those of the other
@@ -171,47 +183,76 @@
 }
 
 // shareLoads sends the loads and placements of the instances that ask this member to the
-// other members.
+// other members: what changed, and a whole report now and then.
 func (s *Service) shareLoads(ctx context.Context) {
-	ticker := time.NewTicker(loadsInterval)
-	defer ticker.Stop()
 	idle := false
-	last := clock.Now()
-	for {
-		select {
-		case <-ticker.C:
-		case <-ctx.Done():
-			return
-		}
+	var reportedAt, routesAt time.Time
+	members := 1
+	for clock.Sleep(ctx, changesInterval(members)) {
 		g := s.cfg.Replica()
 		if g == nil {
 			continue
 		}
-		s.mu.Lock()
+		st := g.Status()
+		members = len(st.Members)
 		now := clock.Now()
-		busy := s.loads.busy(now, false)
-		if !busy && now.Sub(last) < idleLoadsInterval {
-			s.mu.Unlock()
+		if now.Sub(reportedAt) < reportInterval {
+			routes := now.Sub(routesAt) >= routesInterval
+			if routes {
+				routesAt = now
+			}
+			s.sendChanges(&st, s.takeChanges(now, routes))
 			continue
 		}
-		last = now
-		r := Report{Work: s.loads.sum(now, false), Placements: s.unsentPlacements, Busy: busy, Limits: s.limits.statements(now)}
-		s.unsentPlacements = nil
-		if now.Sub(s.observedSentAt) >= ObservationInterval {
-			r.HasObserved, r.Observed, s.observedSentAt = true, s.observed.sum(now), now
-		}
-		s.mu.Unlock()
+		reportedAt, routesAt = now, now
+		r := s.takeReport(now)
 		quiet := r.Work.empty() && len(r.Placements)+len(r.Observed)+len(r.Limits) == 0
 		if quiet && idle {
 			continue
 		}
 		idle = quiet
-		s.sendReport(g, &r)
+		s.sendReport(&st, &r)
+	}
+}
+
+// takeReport returns the whole report to the other members.
+func (s *Service) takeReport(now time.Time) Report {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	r := Report{Work: s.loads.sum(now, false), Placements: s.unsentPlacements, Busy: s.loads.busy(now, false), Limits: s.limits.statements(now)}
+	s.unsentPlacements = nil
+	s.loads.changedLoads(&r.Work)
+	if now.Sub(s.observedSentAt) >= ObservationInterval {
+		r.HasObserved, r.Observed, s.observedSentAt = true, s.observed.sum(now), now
+	}
+	return r
+}
+
+// takeChanges returns what changed since the last report or update to the other members.
+func (s *Service) takeChanges(now time.Time, routes bool) *LoadUpdate {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	work := s.loads.sum(now, false)
+	u := &LoadUpdate{Loads: s.loads.changedLoads(&work), Placements: s.unsentPlacements}
+	s.unsentPlacements = nil
+	if u.Busy = s.loads.busy(now, false); routes && u.Busy {
+		u.Routes = work.Routes
 	}
+	return u
 }
 
-func (s *Service) sendReport(g *consensus.Service, r *Report) {
-	st := g.Status()
+func (s *Service) sendChanges(st *consensus.Status, u *LoadUpdate) {
+	if u.empty() {
+		return
+	}
+	for _, name := range otherNames(st.Members, st.ID) {
+		if err := s.cfg.Links.Send(name, channelChanges, u); err != nil {
+			s.cfg.Log.Debug().Err(err).Str("peer", name).Msg("changed loads not sent")
+		}
+	}
+}
+
+func (s *Service) sendReport(st *consensus.Status, r *Report) {
 	for _, name := range otherNames(st.Members, st.ID) {
 		if err := s.cfg.Links.Send(name, channelLoads, r); err != nil {
 			s.cfg.Log.Debug().Err(err).Str("peer", name).Msg("loads not sent")
@@ -248,7 +289,9 @@
 func (s *Service) recordReport(from string, r *Report) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.loads.watchers[from] = loadReport{at: clock.Now(), work: r.Work, busy: r.Busy}
+	if r.Sequence >= s.loads.watchers[from].sequence || r.Sequence == 0 {
+		s.loads.watchers[from] = loadReport{at: clock.Now(), work: r.Work, busy: r.Busy, sequence: r.Sequence}
+	}
 	if r.HasObserved {
 		s.observed.watchers[from] = observedReport{clock.Now(), r.Observed}
 	}
@@ -265,8 +308,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := clock.Now()
-	if now.Sub(s.encodedTotalAt) >= totalCacheTime {
+	if now.Sub(s.encodedTotalAt) >= max(minTotalCacheTime, totalCacheFactor*s.encodingTook) {
 		s.encodedTotal, s.encodedTotalAt, s.totalBusy = s.encodeTotal(now), now, s.loads.busy(now, true)
+		s.encodingTook = clock.Since(now)
 	}
 	out = Summary{Total: s.encodedTotal, Busy: s.totalBusy, Limits: s.limits.statements(now)}
 	out.Placements, next = s.placements.since(since, name)
--- a/instance/serving/serving.go
+++ b/instance/serving/serving.go
@@ -75,10 +75,11 @@
 	unsentWatchers map[string]bool
 	loads          loadReports
 	// encodedTotal is the encoded work of all instances, and totalBusy whether any of them considers
-	// upstreams busy, as of encodedTotalAt.
+	// upstreams busy, as of encodedTotalAt; encodingTook is how long that took.
 	encodedTotal   []byte
 	totalBusy      bool
 	encodedTotalAt time.Time
+	encodingTook   time.Duration
 	encoded        encodedChanges
 	placements     placementLog
 	// observed holds the observations; encodedObserved is their encoded sum, computed at
@@ -118,6 +119,8 @@
 	cfg.Links.Handle(ChannelWatch, s.watch)
 	cfg.Links.Handle(channelDigest, s.receiveDigest, link.Lossy())
 	cfg.Links.Handle(channelLoads, s.receiveLoads, link.Lossy())
+	cfg.Links.Handle(ChannelLoadUpdate, s.receiveUpdate, link.Lossy())
+	cfg.Links.Handle(channelChanges, s.receiveChanges, link.Lossy())
 	return s
 }
 
