Election: a pre-candidate repeats its requests until a quorum grants them

After the loss of power of all, each core asks for pre-votes 0.28 to 0.56 s after its start. Requests that find the others' listeners not up yet, or a member that respects a lease for some ms more, were lost or refused, and the next attempt came after a whole election timeout, 0.6 to 1.2 s later. Requests to those that have not granted are repeated each half to whole heartbeat; a pre-vote changes no state. TestPreVoteIsRepeated fails before; the explored faults of the group pass.

--- a/core/raft/election.go
+++ b/core/raft/election.go
@@ -22,10 +22,26 @@
 	}
 	n.votes = map[MemberID]bool{n.cfg.ID: true}
 	n.resetElectionTimeout(now)
+	n.schedulePreVote(now)
 	n.requestVotes(kind, term, transfer)
 	n.countVotes(now)
 }
 
+// repeatPreVote asks again the members that have not granted a pre-vote. After a restart of all
+// members, the first requests find some not reachable yet, and others that respect a lease for a
+// moment longer; waiting for an election timeout would leave the group without a leader for as
+// long. Pre-votes change no state, so repeating them disrupts nothing.
+func (n *Node) repeatPreVote(now time.Time) {
+	n.schedulePreVote(now)
+	n.requestVotes(MsgPreVote, n.term+1, false)
+}
+
+// schedulePreVote sets the time of the next requests, at random so that candidates don't collide.
+func (n *Node) schedulePreVote(now time.Time) {
+	half := int64(n.cfg.Heartbeat) / 2
+	n.preVoteAt = now.Add(time.Duration(half + n.cfg.Rand.Int63n(half)))
+}
+
 func (n *Node) becomeCandidate() {
 	n.role = Candidate
 	n.term++
@@ -35,7 +51,7 @@
 
 func (n *Node) requestVotes(kind MessageKind, term uint64, transfer bool) {
 	for _, id := range n.members().Voters() {
-		if id != n.cfg.ID {
+		if id != n.cfg.ID && !n.votes[id] {
 			n.send(Message{Kind: kind, To: id, Term: term, Index: n.log.last(), LogTerm: n.log.lastTerm(), Transfer: transfer})
 		}
 	}
--- a/core/raft/node.go
+++ b/core/raft/node.go
@@ -41,6 +41,8 @@
 	// electionDeadline is when this member campaigns if it hears from no leader.
 	electionDeadline time.Time
 	votes            map[MemberID]bool
+	// preVoteAt is when a pre-candidate repeats its requests.
+	preVoteAt time.Time
 
 	progress    map[MemberID]*progress
 	heartbeatAt time.Time
@@ -106,8 +108,11 @@
 		n.tickLeader(now)
 		return
 	}
-	if !now.Before(n.electionDeadline) && n.members().voter(n.cfg.ID) {
+	switch {
+	case !now.Before(n.electionDeadline) && n.members().voter(n.cfg.ID):
 		n.campaign(now, false)
+	case n.role == PreCandidate && !now.Before(n.preVoteAt):
+		n.repeatPreVote(now)
 	}
 }
 
--- a/core/raft/node_test.go
+++ b/core/raft/node_test.go
@@ -216,6 +216,26 @@
 	g.Expect(s.processReady().Messages).To(BeEmpty())
 }
 
+// All members restart, and the first requests of a candidate find the others not reachable or
+// bound to a lease that is about to end. Callers wait for the election: it must not take another
+// election timeout once a quorum could grant it.
+func TestPreVoteIsRepeated(t *testing.T) {
+	g := NewWithT(t)
+	s := newSingleMember(t, voters(1, 2, 3), command(2, 2))
+	s.restartTimeout = 2*heartbeat + 1
+	s.restart()
+	s.advance(2 * s.restartTimeout)
+	g.Expect(s.status().Role).To(Equal(raft.PreCandidate))
+	s.step(raft.Message{Kind: raft.MsgPreVoteReply, From: 2, Term: 2, Reject: true})
+	g.Expect(s.status().Role).To(Equal(raft.PreCandidate))
+	r := s.advance(heartbeat)
+	g.Expect(kinds(r, 2)).To(ContainElement(raft.MsgPreVote))
+	g.Expect(kinds(r, 3)).To(ContainElement(raft.MsgPreVote))
+	g.Expect(s.status().Term).To(Equal(uint64(2)), "a pre-vote changes no term")
+	s.step(raft.Message{Kind: raft.MsgPreVoteReply, From: 2, Term: 3})
+	g.Expect(s.status().Role).To(Equal(raft.Candidate))
+}
+
 // Guards against disruption by a member that rejoins after a partition: it requests votes
 // in a higher term, and the others adopt the term although their leader is healthy.
 func TestMemberThatHearsALeaderIgnoresVotes(t *testing.T) {
