--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -31,6 +31,8 @@
 	// SlotTimeMS is the mean time for which a request holds a slot, in milliseconds; zero if
 	// unknown.
 	SlotTimeMS float64
+	// Connected says that the instance has an idle connection to the upstream.
+	Connected bool
 	// LimitShare is the share of its peers' request rate that the upstream accepts under the rate
 	// limit it announced; zero if it announced none.
 	LimitShare float64
@@ -213,8 +215,8 @@
 func (c *costs) sampleSeed() uint64 { return math.Float64bits(c.request.Random) }
 
 // pick chooses among the near-cheapest candidates: the first in the rendezvous order of the affinity
-// or, without one, a candidate in the local failure domain, else any. Ties rotate with the random
-// start.
+// or, without one, a candidate in the local failure domain, else any, and of these one with an idle
+// connection. Ties rotate with the random start.
 func pick(list []Upstream, r *Request, isNear func(*Upstream) bool) int {
 	best, score := None, uint64(0)
 	start := int(r.Random * float64(len(list)))
@@ -224,13 +226,7 @@
 		if !isNear(u) {
 			continue
 		}
-		s := uint64(1)
-		switch {
-		case r.Affinity != 0:
-			s = rendezvous(r.Affinity, u.ID)
-		case u.Domain == r.Domain:
-			s = 2
-		}
+		s := u.rank(r)
 		if best == None || s > score {
 			best, score = i, s
 		}
@@ -238,6 +234,21 @@
 	return best
 }
 
+// rank orders candidates of nearly equal cost; higher is better.
+func (u *Upstream) rank(r *Request) uint64 {
+	if r.Affinity != 0 {
+		return rendezvous(r.Affinity, u.ID)
+	}
+	rank := uint64(1)
+	if u.Domain == r.Domain {
+		rank += 2
+	}
+	if u.Connected {
+		rank++
+	}
+	return rank
+}
+
 // UncachedTokens returns how many of the request's tokens the upstream would have to prefill.
 func UncachedTokens(u *Upstream, r *Request) float64 {
 	if u.Fetchable {
--- a/instance/relay/choose.go
+++ b/instance/relay/choose.go
@@ -119,6 +119,7 @@
 	u.queuedTokens += r.uncachedTokens
 	u.usedTokens += r.tokens
 	if r.affinity == 0 {
+		f.service(r.service).recordUse(u)
 		return
 	}
 	prompts := &f.service(r.service).prompts
@@ -185,6 +186,11 @@
 		})
 	}
 	if r.capacity == 0 {
+		for _, u := range s.recent {
+			if u.service == s && u.domain == sel.domain && eligible(u) {
+				c.add(u)
+			}
+		}
 		local := s.inDomain(sel.domain).list
 		c.draw(localDraws, len(local), func(i int) *upstream { return local[i] }, eligible)
 		draws -= localDraws
@@ -256,6 +262,7 @@
 			b.UsedTokens += others.UsedTokens
 			observed.Add(f.remoteObserved[u.incarnation])
 		}
+		b.Connected = r.affinity == 0 && u.pool.hasIdle()
 		b.Capacity, b.LimitShare = r.capacity, f.limitShare(r, u)
 		b.SlotTimeMS = s.rates.slotTime(u.place.Before(sel.quickLimit)).MS()
 		b.Suspect, b.OtherPool, b.Excluded = f.suspect(sel, u), sel.otherPool(r, u), f.excluded(sel, u)
--- a/instance/relay/fleet_test.go
+++ b/instance/relay/fleet_test.go
@@ -133,6 +133,28 @@
 	g.Expect(most).To(BeNumerically("<", 60), "of 2,000 requests to some 100 upstreams")
 }
 
+// An instance of many sends few requests to each of many upstreams. It must use the connections that
+// it has rather than open one for each request.
+func TestLargePlainServiceReusesConnections(t *testing.T) {
+	g := NewWithT(t)
+	f, _ := fleetOf(t, largeService)
+	connected := f.upstreams["e6"]
+	f.service("s").recordUse(connected)
+	connected.pool.idle = []*upstreamConn{{}}
+	for range 50 {
+		u, _ := f.choose(plainRequest(), "d1", nil)
+		g.Expect(u.id).To(Equal("e6"))
+		u.idle()
+	}
+	connected.active = 10
+	u, _ := f.choose(plainRequest(), "d1", nil)
+	g.Expect(u.id).NotTo(Equal("e6"), "an idle upstream is worth a connection")
+	connected.idle()
+	u, _ = f.choose(plainRequest(), "d2", nil)
+	g.Expect(u.domain).To(Equal("d2"), "the own failure domain comes first")
+	connected.pool.idle = nil
+}
+
 // A fleet that applies differences must know the same upstreams as one that applies whole views, and
 // the same ones must get work.
 func TestDifferencesOfViewsAddUp(t *testing.T) {
--- a/instance/relay/pool.go
+++ b/instance/relay/pool.go
@@ -71,6 +71,13 @@
 	return nil
 }
 
+// hasIdle reports whether there is an idle connection.
+func (p *pool) hasIdle() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.idle) > 0
+}
+
 // put returns a connection to the pool after a complete response, whose head is given.
 func (p *pool) put(c *upstreamConn, head *http1.Head, now time.Time) {
 	keep := keepAlive(head)
--- a/instance/relay/service.go
+++ b/instance/relay/service.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -16,6 +17,10 @@
 	ready    upstreamList
 	byDomain map[string]*upstreamList
 	index    balance.Index[*upstream]
+	// recent holds the upstreams that requests without a prompt were sent to last, in a ring with the
+	// next position recentAt: there are likely connections to them.
+	recent   []*upstream
+	recentAt int
 	// slots is the sum of the slots of the ready upstreams.
 	slots int
 	// maxConns is how many connections this instance may open to one upstream.
@@ -118,6 +123,22 @@
 	return l
 }
 
+// maxRecent is the number of upstreams in service.recent.
+const maxRecent = 16
+
+// recordUse records that a request without a prompt is sent to an upstream.
+func (s *service) recordUse(u *upstream) {
+	if slices.Contains(s.recent, u) {
+		return
+	}
+	if len(s.recent) < maxRecent {
+		s.recent = append(s.recent, u)
+		return
+	}
+	s.recent[s.recentAt] = u
+	s.recentAt = (s.recentAt + 1) % maxRecent
+}
+
 // len returns the number of upstreams that may get work.
 func (s *service) len() int { return len(s.ready.list) }
 
