Digests: heartbeats go to the leader alone, instances are listed now and then

Each core told all others each second which upstreams it had heard and which edges had asked: with 25 cores, 10,000 upstreams and 985 edges some 5,000 and 1,000 names a second to each core, sent 24 times. Edges are listed each 5 s of the 20 s for which they count; a core that has just started asks for all.

--- a/instance/serving/digest.go
+++ b/instance/serving/digest.go
@@ -19,17 +19,23 @@
 	// watcherRetention is how long an instance counts after its last request. It is longer than
 	// the window of a retry budget, of which the instance may have spent its share.
 	watcherRetention = 20 * time.Second
+	// watcherInterval is the time between two digests that list the same instance: two may be lost.
+	watcherInterval = watcherRetention / 4
 	// heartbeatRetention is how long the time of a heartbeat is kept.
 	heartbeatRetention = time.Minute
 )
 
-// digest tells the other members what this member received since its last digest.
+// digest tells the other members what this member received.
 type digest struct {
-	// Heard lists the upstreams that sent heartbeats, Watchers the instances that forward requests.
+	// Heard lists the upstreams that sent heartbeats since the last digest. Only the leader needs
+	// them. Watchers lists instances that forward requests.
 	Heard    []string `codec:"h"`
 	Watchers []string `codec:"w"`
 	// Clocks are the clocks of the member if the agreed time is used.
 	Clocks *clocks `codec:"c,omitempty"`
+	// Starting asks for all instances that follow the recipient: the sender has just started and
+	// would think them fewer than they are.
+	Starting bool `codec:"s,omitempty"`
 }
 
 func (s *Service) exchangeDigests(ctx context.Context) {
@@ -54,28 +60,77 @@
 }
 
 func (s *Service) sendDigest(st *consensus.Status) {
-	d := s.takeDigest()
-	d.Clocks = s.metering.clocks(clock.Now())
-	for _, name := range otherNames(st.Members, st.ID) {
-		if err := s.cfg.Links.Send(name, channelDigest, d); err != nil {
-			s.cfg.Log.Debug().Err(err).Str("peer", name).Msg("digest not sent")
+	now := clock.Now()
+	all := digest{Watchers: s.takeWatchers(now), Clocks: s.metering.clocks(now), Starting: now.Sub(s.startedAt) < watcherInterval}
+	var heard []string
+	if st.Leader != 0 {
+		heard = s.takeHeard()
+	}
+	starting := s.takeStarting()
+	for _, m := range st.Members {
+		d := all
+		if m.ID == st.Leader {
+			d.Heard = heard
+		}
+		if starting[m.Name] {
+			d.Watchers = s.ownWatchers()
+		}
+		if m.ID == st.ID || d.empty() {
+			continue
+		}
+		if err := s.cfg.Links.Send(m.Name, channelDigest, d); err != nil {
+			s.cfg.Log.Debug().Err(err).Str("peer", m.Name).Msg("digest not sent")
 		}
 	}
 }
 
-func (s *Service) takeDigest() digest {
+func (d *digest) empty() bool {
+	return len(d.Heard)+len(d.Watchers) == 0 && d.Clocks == nil && !d.Starting
+}
+
+// takeStarting returns the members that have just started and asked for all instances.
+func (s *Service) takeStarting() map[string]bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	starting := s.starting
+	s.starting = map[string]bool{}
+	return starting
+}
+
+// ownWatchers returns the instances that follow this member.
+func (s *Service) ownWatchers() (list []string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for name := range s.watcherSentAt {
+		list = append(list, name)
+	}
+	return list
+}
+
+// takeHeard returns the upstreams that sent heartbeats since the last call.
+func (s *Service) takeHeard() (list []string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	var d digest
 	for id := range s.unsentHeard {
-		d.Heard = append(d.Heard, id)
+		list = append(list, id)
 	}
+	clear(s.unsentHeard)
+	return list
+}
+
+// takeWatchers returns the instances that asked since the last call and have not been listed for a
+// while.
+func (s *Service) takeWatchers(now time.Time) (list []string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	for name := range s.unsentWatchers {
-		d.Watchers = append(d.Watchers, name)
+		if now.Sub(s.watcherSentAt[name]) >= watcherInterval {
+			list = append(list, name)
+			s.watcherSentAt[name] = now
+		}
 	}
-	clear(s.unsentHeard)
 	clear(s.unsentWatchers)
-	return d
+	return list
 }
 
 func (s *Service) receiveDigest(_ context.Context, from string, msg link.Message) (any, error) {
@@ -86,6 +141,9 @@
 	s.metering.observe(clock.Now(), from, d.Clocks)
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if d.Starting {
+		s.starting[from] = true
+	}
 	now := clock.Now()
 	for _, id := range d.Heard {
 		s.lastHeard[id] = now
@@ -118,6 +176,7 @@
 	for name, at := range s.watchers {
 		if now.Sub(at) > watcherRetention {
 			delete(s.watchers, name)
+			delete(s.watcherSentAt, name)
 		}
 	}
 }
--- a/instance/serving/serving.go
+++ b/instance/serving/serving.go
@@ -68,11 +68,15 @@
 	quarantineIndex uint64
 	// lastHeard maps upstreams to the time of their last heartbeat at any member, and
 	// watchers maps forwarding instances to the time of their last request. unsentHeard and
-	// unsentWatchers hold those that the next digest lists.
+	// unsentWatchers hold those that were heard since the last digest, watcherSentAt when a digest
+	// last listed an instance. starting holds the members that asked for all instances.
 	lastHeard      map[string]time.Time
 	unsentHeard    map[string]bool
 	watchers       map[string]time.Time
 	unsentWatchers map[string]bool
+	watcherSentAt  map[string]time.Time
+	starting       map[string]bool
+	startedAt      time.Time
 	loads          loadReports
 	// encodedTotal is the encoded work of all instances, and totalBusy whether any of them considers
 	// upstreams busy, as of encodedTotalAt; encodingTook is how long that took.
@@ -110,7 +114,7 @@
 	}
 	s := &Service{
 		cfg: cfg, changed: make(chan struct{}), lastHeard: map[string]time.Time{}, unsentHeard: map[string]bool{},
-		watchers: map[string]time.Time{}, unsentWatchers: map[string]bool{}, loads: newLoadReports(), observed: newObservedReports(), limits: newLimitTracker(),
+		watchers: map[string]time.Time{}, unsentWatchers: map[string]bool{}, watcherSentAt: map[string]time.Time{}, starting: map[string]bool{}, startedAt: clock.Now(), loads: newLoadReports(), observed: newObservedReports(), limits: newLimitTracker(),
 	}
 	s.confirmations.read, s.confirmations.now = s.confirm, clock.Now
 	if cfg.Usage {
