--- a/core/control/serving/machine.go
+++ b/core/control/serving/machine.go
@@ -292,6 +292,13 @@
 // Upstreams returns the latest incarnation of every upstream, sorted by ID.
 func (m *Machine) Upstreams() []Upstream { return m.upstreams.sorted() }
 
+// Each calls f for the latest incarnation of every upstream, which f must not change or keep.
+func (m *Machine) Each(f func(*Upstream)) {
+	for _, e := range m.upstreams.byID {
+		f(&e.upstream)
+	}
+}
+
 // Upstream returns the latest incarnation with an ID.
 func (m *Machine) Upstream(id string) (Upstream, bool) {
 	u := m.upstreams.get(id)
--- a/instance/serving/digest.go
+++ b/instance/serving/digest.go
@@ -191,9 +191,8 @@
 		s.mu.Unlock()
 		return
 	}
-	var list []serving.Upstream
-	viewServing(g, func(m *serving.Machine) { list = m.Upstreams() })
-	silent := s.silentUpstreams(list)
+	var silent []string
+	viewServing(g, func(m *serving.Machine) { silent = s.silentUpstreams(m.Each) })
 	if len(silent) == 0 {
 		return
 	}
@@ -202,7 +201,8 @@
 		Str("outcome", outcome(err)).Err(err).Msg("no member receives heartbeats from these upstreams")
 }
 
-func (s *Service) silentUpstreams(list []serving.Upstream) (silent []string) {
+// silentUpstreams returns those of all upstreams that no member has heard from.
+func (s *Service) silentUpstreams(each func(func(*serving.Upstream))) (silent []string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := clock.Now()
@@ -217,11 +217,10 @@
 	if now.Sub(s.leaderSince) < s.cfg.SilenceTimeout {
 		return nil
 	}
-	for i := range list {
-		u := &list[i]
+	each(func(u *serving.Upstream) {
 		if !u.Silent && u.State <= serving.Draining && now.Sub(s.lastHeard[u.ID]) > s.cfg.SilenceTimeout {
 			silent = append(silent, u.ID)
 		}
-	}
+	})
 	return silent
 }
--- a/instance/serving/limits.go
+++ b/instance/serving/limits.go
@@ -46,9 +46,7 @@
 	}
 	current := map[uint64]bool{}
 	viewServing(g, func(m *serving.Machine) {
-		for _, u := range m.Upstreams() {
-			current[u.FirstIndex] = u.State <= serving.Draining
-		}
+		m.Each(func(u *serving.Upstream) { current[u.FirstIndex] = u.State <= serving.Draining })
 	})
 	s.mu.Lock()
 	defer s.mu.Unlock()
