Connections are preferred in large services only; pools with engines to spare stay

The quick pool followed the ratio of the loads also where both pools have twice the engines that they need. TestPoolsWithEnginesToSpareStay fails before.

--- a/core/balance/demand.go
+++ b/core/balance/demand.go
@@ -37,6 +37,32 @@
 // permitted utilisation, Comfortable without queueing and with short pauses in quick streams.
 type Need struct{ Minimum, Comfortable float64 }
 
+// poolNeed is the number of engines that the quick and the other pool need for their comfortable
+// demand; both are zero if the capacity of an engine is unknown.
+type poolNeed struct{ quick, long float64 }
+
+// ampleFactor is how many times its need a pool must have to be left as it is.
+const ampleFactor = 2.0
+
+func needOf(demands []routeDemand, e *Engine) (n poolNeed) {
+	if e.PerMS == 0 || e.Slots == 0 {
+		return poolNeed{}
+	}
+	for i := range demands {
+		if demands[i].quick {
+			n.quick += demands[i].comfortable
+		} else {
+			n.long += demands[i].comfortable
+		}
+	}
+	return n
+}
+
+// amply reports whether both pools have engines to spare, and there is work for both.
+func (n poolNeed) amply(quick, upstreams int) bool {
+	return n.quick > 0 && n.long > 0 && float64(quick) >= ampleFactor*n.quick && float64(upstreams-quick) >= ampleFactor*n.long
+}
+
 // EstimateNeed returns the number of engines that the loads of a service's routes need.
 func EstimateNeed(loads map[string]RouteLoad, e *Engine) (n Need) {
 	for _, c := range demandsByRank(loads, e) {
--- a/core/balance/pools.go
+++ b/core/balance/pools.go
@@ -23,8 +23,10 @@
 	decayedAt time.Time
 	// engine is the capacity of one upstream.
 	engine Engine
-	// share is the target share of upstreams in the quick pool.
+	// share is the target share of upstreams in the quick pool, and need the engines that each pool
+	// needs, zero if unknown.
 	share float64
+	need  poolNeed
 	// count is the current size of the quick pool, and moved when it last changed.
 	count int
 	moved time.Time
@@ -257,10 +259,12 @@
 	if requests < minSampleRequests {
 		// A few requests do not reveal the proportion; an instance that sized the pools by them
 		// would have its prompts cached on other upstreams than its peers.
-		p.share = minQuickShare
+		p.share, p.need = minQuickShare, poolNeed{}
 		return
 	}
-	p.share = quickEngineShare(demandsByRank(loads, &p.engine), p.engine.Count)
+	demands := demandsByRank(loads, &p.engine)
+	p.share = quickEngineShare(demands, p.engine.Count)
+	p.need = needOf(demands, &p.engine)
 	if p.share > 0 {
 		p.share = max(p.share, min(minQuickShare, quickRequests(loads)/requests/2))
 	}
@@ -278,13 +282,18 @@
 }
 
 // resize returns the size of the quick pool. It moves halfway towards the target at a time and
-// ignores small deviations, because an upstream that changes pools loses its cached prompts.
+// ignores small deviations, because an upstream that changes pools loses its cached prompts. For the
+// same reason it stays as it is while both pools have engines to spare: in proportion to a light load,
+// each instance would move it on its own, and send prompts where they are not cached.
 func (p *Pools) resize(now time.Time, upstreams int) int {
 	target := p.share * float64(upstreams)
 	if p.count == 0 || p.count >= upstreams {
 		p.count, p.moved = clamp(int(math.Round(target)), upstreams), now
 		return p.count
 	}
+	if p.need.amply(p.count, upstreams) {
+		return p.count
+	}
 	deviation := target - float64(p.count)
 	if math.Abs(deviation) > max(minResize, minResizeShare*float64(upstreams)) && now.Sub(p.moved) > resizeInterval {
 		step := int(math.Round(deviation / 2))
--- a/core/balance/pools_test.go
+++ b/core/balance/pools_test.go
@@ -237,3 +237,31 @@
 	g.Expect(many).To(BeNumerically(">", few+15))
 	g.Expect(run(30, 6)).To(BeNumerically("~", many, 8))
 }
+
+// A fleet with engines to spare under a load that swings. Each instance sees it a little differently;
+// if each moved its pools in proportion, the same prompt would have other homes at each of them.
+func TestPoolsWithEnginesToSpareStay(t *testing.T) {
+	g := NewWithT(t)
+	const upstreams = 1000
+	now := time.Unix(100, 0)
+	p := balance.NewPools()
+	p.SetEngine(balance.Engine{PerMS: 50, Slots: 64, Count: upstreams})
+	sizes := map[int]bool{}
+	for i := range 2000 {
+		now = now.Add(10 * time.Millisecond)
+		p.Record(now, &balance.Offer{Route: "report", Tokens: 17000, UncachedTokens: 17000, MaxPause: time.Second, Rank: 1})
+		if i/200%2 == 0 {
+			p.Record(now, &balance.Offer{Route: "question", Tokens: 1400, UncachedTokens: 1400, MaxPause: 300 * time.Millisecond})
+		}
+		sizes[p.QuickCount(now, upstreams)] = true
+	}
+	g.Expect(len(sizes)).To(BeNumerically("<=", 2))
+	for range 2000 {
+		now = now.Add(time.Millisecond)
+		for range 20 {
+			p.Record(now, &balance.Offer{Route: "report", Tokens: 17000, UncachedTokens: 17000, MaxPause: time.Second, Rank: 1})
+		}
+		p.QuickCount(now, upstreams)
+	}
+	g.Expect(p.QuickCount(now, upstreams)).To(BeNumerically("<", 100), "a load that needs the engines gets them")
+}
--- a/instance/relay/choose.go
+++ b/instance/relay/choose.go
@@ -262,7 +262,8 @@
 			b.UsedTokens += others.UsedTokens
 			observed.Add(f.remoteObserved[u.incarnation])
 		}
-		b.Connected = r.affinity == 0 && u.pool.hasIdle()
+		// In a small service an instance has connections to all upstreams, and uses them in turn.
+		b.Connected = c.partial && r.affinity == 0 && u.pool.hasIdle()
 		b.Capacity, b.LimitShare = r.capacity, f.limitShare(r, u)
 		b.SlotTimeMS = s.rates.slotTime(u.place.Before(sel.quickLimit)).MS()
 		b.Suspect, b.OtherPool, b.Excluded = f.suspect(sel, u), sel.otherPool(r, u), f.excluded(sel, u)
