--- /dev/null
+++ b/core/backpressure/backpressure.go
@@ -0,0 +1,115 @@
+// Package backpressure tracks what one upstream asks of this instance in its responses: to send it
+// nothing for a time, or nothing more because it is leaving. It does no I/O; the time is passed in.
+package backpressure
+
+import (
+	"math"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+)
+
+// statusUnavailable is the status of a response whose Retry-After applies to the upstream as a
+// whole. Other statuses, such as 429, may concern a single caller.
+const statusUnavailable = 503
+
+// maxPause bounds an accepted pause, far beyond any that an upstream has a use for.
+const maxPause = 24 * time.Hour
+
+// Ask is what one response asks of this instance. The zero value asks for nothing.
+type Ask struct {
+	// Pause is for how long nothing may be sent.
+	Pause time.Duration
+	// Leaving means that no new work may be sent any more.
+	Leaving bool
+}
+
+// Parse returns what a response asks for, given its status and the values of its Retry-After field
+// and of the field that announces a leave; each is empty if absent. Values that cannot be parsed ask
+// for nothing. Dates are relative to wallNow, the time of day.
+func Parse(status int, retryAfter, leaving string, wallNow time.Time) Ask {
+	a := Ask{}
+	a.Leaving, _ = strconv.ParseBool(strings.TrimSpace(leaving))
+	if status == statusUnavailable {
+		a.Pause = parsePause(strings.TrimSpace(retryAfter), wallNow)
+	}
+	return a
+}
+
+// parsePause parses a number of seconds, which may have a fraction, or a date.
+func parsePause(value string, wallNow time.Time) time.Duration {
+	if value == "" {
+		return 0
+	}
+	if seconds, err := strconv.ParseFloat(value, 64); err == nil {
+		if !(seconds > 0) {
+			return 0
+		}
+		return time.Duration(min(seconds, maxPause.Seconds()) * float64(time.Second))
+	}
+	if at, err := http.ParseTime(value); err == nil {
+		return min(max(0, at.Sub(wallNow)), maxPause)
+	}
+	return 0
+}
+
+// never is the opening time of a gate that stays closed.
+const never = math.MaxInt64
+
+// Gate is closed while an upstream wants nothing from this instance. It never opens before the end
+// of any pause that was asked for, and never at all once a leave was announced. The zero value is
+// open. It is safe for concurrent use.
+type Gate struct {
+	// opensAt is in nanoseconds of the Unix time; zero if nothing is asked for.
+	opensAt atomic.Int64
+}
+
+// Apply records what a response received at a given time asks for, and reports whether the gate
+// stays closed for longer than before.
+func (g *Gate) Apply(a Ask, now time.Time) bool {
+	switch {
+	case a.Leaving:
+		return g.closeUntil(never)
+	case a.Pause > 0:
+		return g.closeUntil(now.Add(a.Pause).UnixNano())
+	}
+	return false
+}
+
+func (g *Gate) closeUntil(at int64) bool {
+	for {
+		old := g.opensAt.Load()
+		if at <= old {
+			return false
+		}
+		if g.opensAt.CompareAndSwap(old, at) {
+			return true
+		}
+	}
+}
+
+// Leaving reports whether the upstream has announced that it leaves.
+func (g *Gate) Leaving() bool { return g.opensAt.Load() == never }
+
+// Closed reports whether the upstream wants nothing now. It reads the clock only if something was
+// asked for.
+func (g *Gate) Closed(now func() time.Time) bool { return g.opensAt.Load() != 0 && g.Left(now()) > 0 }
+
+// Left returns how long the gate remains closed, zero if it is open.
+func (g *Gate) Left(now time.Time) time.Duration {
+	at := g.opensAt.Load()
+	switch {
+	case at == 0:
+		return 0
+	case at == never:
+		return math.MaxInt64
+	}
+	if left := at - now.UnixNano(); left > 0 {
+		return time.Duration(left)
+	}
+	// The pause is over: later checks need no clock.
+	g.opensAt.CompareAndSwap(at, 0)
+	return 0
+}
--- a/instance/relay/attempt.go
+++ b/instance/relay/attempt.go
@@ -7,6 +7,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/comfreyladder/comfreyladder/core/backpressure"
 	"github.com/comfreyladder/comfreyladder/core/fault"
 	"github.com/comfreyladder/comfreyladder/instance/clock"
 	"github.com/comfreyladder/comfreyladder/instance/http1"
@@ -58,6 +59,10 @@
 	notReusable bool
 	released    bool
 	err         error
+	// asked is what the response asks of this instance, and closedFor how long the upstream's gate
+	// was to remain closed when the request was sent.
+	asked     backpressure.Ask
+	closedFor time.Duration
 	// startedAt is when the attempt started; sentAt is when its request was sent, by clock.Now.
 	startedAt, sentAt time.Time
 }
@@ -93,7 +98,10 @@
 		until = time.Now().Add(patience)
 	}
 	_ = a.conn.nc.SetDeadline(until)
-	a.sentAt = now
+	a.sentAt, a.closedFor = now, up.gate.Left(now)
+	if a.closedFor > 0 {
+		s.set.GetOrCreateCounter("relay_sent_while_closed_total").Inc()
+	}
 	a.write(left, lastEvent)
 	if a.err == nil {
 		a.err = a.readHead()
@@ -171,6 +179,7 @@
 		if a.head.Status/100 == 1 {
 			continue
 		}
+		a.recordAsk()
 		a.body.Reset(a.conn.in, &a.head)
 		id := a.head.Get(a.s.cfg.Headers.RequestID)
 		if string(id) == string(a.r.id) {
--- a/instance/relay/config.go
+++ b/instance/relay/config.go
@@ -39,6 +39,8 @@
 	// Limit, in a response, is how many requests per second the upstream accepts from all instances
 	// together, as a decimal number.
 	Limit string
+	// Leaving, in a response, is "1" if the upstream is leaving and wants no new requests.
+	Leaving string
 	// FetchFrom names the upstream from which another one can fetch a cached prompt.
 	FetchFrom string
 	// Reserved fields are set by this system only: those that callers send are dropped.
--- a/instance/relay/serve.go
+++ b/instance/relay/serve.go
@@ -291,6 +291,7 @@
 	l := s.cfg.Log.Event("attempt").Bytes("request", r.id).Str("route", r.route.Name).Str("upstream", a.up.id).
 		Str("outcome", o.String()).Int("sent", int64(r.sent)).MS("took", time.Since(a.startedAt)).MS("left", r.left(clock.Now())).
 		MS("set_aside", ejection).MS("view_age", s.cfg.State.Age())
+	a.logAsk(l)
 	if o == unknown {
 		l.Str("fingerprint", r.fingerprint().String())
 	}
--- a/instance/relay/upstream.go
+++ b/instance/relay/upstream.go
@@ -5,6 +5,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/comfreyladder/comfreyladder/core/backpressure"
 	"github.com/comfreyladder/comfreyladder/core/balance"
 	"github.com/comfreyladder/comfreyladder/core/control/serving"
 	servingsvc "github.com/comfreyladder/comfreyladder/instance/serving"
@@ -48,6 +49,9 @@
 	// observer sums up the results of its responses.
 	observer balance.Observer
 
+	// gate is closed while the upstream wants nothing from this instance.
+	gate backpressure.Gate
+
 	pool   pool
 	losses losses
 }
