Tests that fail: requests reach an upstream that has asked for a pause or said that it leaves

Real processes: two of six upstreams answer each request 503 with Retry-After 3; 80 requests a second at four edges. One of the upstreams got 18 requests of one edge in one pause, of which two are allowed. The relay's own tests take each path by itself: first tries, repeats, resumed streams, last resorts, requests that were chosen before, probes.

--- /dev/null
+++ b/instance/relay/backpressure_test.go
@@ -0,0 +1,182 @@
+package relay_test
+
+import (
+	"fmt"
+	"net"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+)
+
+// pause is for how long an upstream of these tests asks to be sent nothing.
+const pause = 800 * time.Millisecond
+
+// asksForPause turns a request away and asks for a pause.
+func asksForPause(c net.Conn, r *received) bool {
+	_, err := fmt.Fprintf(c, "HTTP/1.1 503 X\r\nX-Id: %s\r\nX-Not-Run: 1\r\nRetry-After: %v\r\nContent-Length: 0\r\n\r\n", r.header.Get("X-Id"), pause.Seconds())
+	return err == nil
+}
+
+// asksForPauseUnproved fails a request with 503, without proof that it did not run, and asks for a pause.
+func asksForPauseUnproved(c net.Conn, r *received) bool {
+	_, err := fmt.Fprintf(c, "HTTP/1.1 503 X\r\nX-Id: %s\r\nX-Seal: s\r\nRetry-After: %v\r\nContent-Length: 0\r\n\r\n", r.header.Get("X-Id"), pause.Seconds())
+	return err == nil
+}
+
+// leaves answers a request and says that the upstream leaves.
+func leaves(c net.Conn, r *received) bool {
+	_, err := fmt.Fprintf(c, "HTTP/1.1 200 X\r\nX-Id: %s\r\nX-Seal: s\r\nX-Leaving: 1\r\nContent-Length: 2\r\n\r\nok", r.header.Get("X-Id"))
+	return err == nil
+}
+
+// asks are the ways in which an upstream asks for no requests.
+var asks = map[string]func(net.Conn, *received) bool{"pause": asksForPause, "unproved pause": asksForPauseUnproved, "leave": leaves}
+
+// startAsking runs an upstream that asks for no requests in its first answer and echoes any further
+// request.
+func startAsking(t *testing.T, ask func(net.Conn, *received) bool) *fakeUpstream {
+	return startUpstream(t, "asks", func(n int, r *received, c net.Conn) bool {
+		if n == 1 {
+			return ask(c, r)
+		}
+		return echo(n, r, c)
+	})
+}
+
+// awaitAsk sends requests until the upstream has asked for none.
+func (b *relayTest) awaitAsk(u *fakeUpstream) {
+	for i := 0; len(u.requests()) == 0; i++ {
+		b.caller().call("GET", "/idem/", "ask"+strconv.Itoa(i), "")
+	}
+}
+
+// eachAsk runs a test with an upstream that asks for no requests in each of the ways.
+func eachAsk(t *testing.T, f func(t *testing.T, asking *fakeUpstream)) {
+	for name, ask := range asks {
+		t.Run(name, func(t *testing.T) { f(t, startAsking(t, ask)) })
+	}
+}
+
+// Guards against new requests at an upstream that wants none, on old and new connections.
+func TestUpstreamThatWantsNothingGetsNoFirstTry(t *testing.T) {
+	eachAsk(t, func(t *testing.T, asking *fakeUpstream) {
+		b := start(t, asking, startUpstream(t, "other", echo))
+		b.awaitAsk(asking)
+		var all sync.WaitGroup
+		for i := range 20 {
+			all.Go(func() {
+				c := b.caller()
+				for k := range 3 {
+					Expect(c.call("GET", "/idem/", fmt.Sprint(i, "-", k), "").status).To(Equal(200))
+				}
+			})
+		}
+		all.Wait()
+		Expect(asking.requests()).To(HaveLen(1))
+	})
+}
+
+// Guards against an upstream that stays unused after its pause.
+func TestUpstreamIsUsedAgainAfterItsPause(t *testing.T) {
+	asking := startAsking(t, asksForPause)
+	b := start(t, asking)
+	b.awaitAsk(asking)
+	Eventually(func() int { return b.caller().call("GET", "/idem/", "again", "").status }, 2*pause, 20*time.Millisecond).Should(Equal(200))
+	Expect(asking.requests()).To(HaveLen(2))
+}
+
+// Guards against repeating a failed request at an upstream that wants nothing.
+func TestUpstreamThatWantsNothingGetsNoRepeat(t *testing.T) {
+	eachAsk(t, func(t *testing.T, asking *fakeUpstream) {
+		lose := func(int, *received, net.Conn) bool { return false }
+		other := startUpstream(t, "other", lose)
+		b := start(t, asking, other)
+		b.awaitAsk(asking)
+		before := len(other.requests())
+		Expect(b.caller().call("GET", "/idem/", "1", "").status).To(Equal(502))
+		Expect(other.requests()).To(HaveLen(before + 1))
+		Expect(asking.requests()).To(HaveLen(1))
+	})
+}
+
+// Guards against resuming a broken stream at an upstream that wants nothing.
+func TestUpstreamThatWantsNothingGetsNoResumedStream(t *testing.T) {
+	eachAsk(t, func(t *testing.T, asking *fakeUpstream) {
+		other := startUpstream(t, "other", func(_ int, r *received, c net.Conn) bool { return events(c, r, 1, 2, false) })
+		b := start(t, asking, other)
+		b.awaitAsk(asking)
+		r := b.caller().call("POST", "/stream/", "1", "x")
+		Expect(r.err).To(HaveOccurred())
+		Expect(r.body).To(Equal(event(1) + event(2)))
+		Expect(asking.requests()).To(HaveLen(1))
+	})
+}
+
+// Guards against using an upstream that wants nothing as a last resort when no other is usable, and
+// against a caller who is told to come back too early or much too late.
+func TestUpstreamThatWantsNothingIsNoLastResort(t *testing.T) {
+	eachAsk(t, func(t *testing.T, asking *fakeUpstream) {
+		gone := startUpstream(t, "gone", echo)
+		_ = gone.listener.Close()
+		b := start(t, asking, gone)
+		b.awaitAsk(asking)
+		for i := range 5 {
+			r := b.caller().call("GET", "/idem/", fmt.Sprint(i), "")
+			Expect(r.status).To(Equal(503))
+			Expect(r.took).To(BeNumerically("<", pause/2), "what is given up gets its answer at once")
+			seconds, err := strconv.ParseFloat(r.header.Get("Retry-After"), 64)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(seconds).To(BeNumerically("<=", 1.5*pause.Seconds()))
+		}
+		Expect(asking.requests()).To(HaveLen(1))
+	})
+}
+
+// Guards against a request that was assigned to an upstream before that asked for none, and is sent
+// afterwards.
+func TestRequestThatWaitsWhileItsUpstreamAsksForNothingIsNotSent(t *testing.T) {
+	eachAsk(t, func(t *testing.T, asking *fakeUpstream) {
+		b := start(t, asking)
+		// The lease is checked when a request is admitted and again before it is sent.
+		held, asked := make(chan struct{}), make(chan struct{})
+		b.state.onLeaseCheck(2, func() {
+			close(held)
+			<-asked
+		})
+		waiting := make(chan reply, 1)
+		go func() { waiting <- b.caller().call("GET", "/idem/", "waits", "") }()
+		<-held
+		b.awaitAsk(asking)
+		close(asked)
+		Expect((<-waiting).status).To(Equal(503))
+		Expect(asking.requests()).To(HaveLen(1))
+	})
+}
+
+// Guards against probing an upstream that wants nothing when a connection to it is lost.
+func TestUpstreamThatWantsNothingIsNotProbed(t *testing.T) {
+	for name, ask := range asks {
+		t.Run(name, func(t *testing.T) {
+			lose := make(chan struct{})
+			up := startUpstream(t, "asks", func(n int, r *received, c net.Conn) bool {
+				if n == 1 {
+					<-lose
+					return false
+				}
+				return ask(c, r)
+			})
+			b := start(t, up)
+			lost := make(chan reply, 1)
+			go func() { lost <- b.caller().call("POST", "/once/", "lost", "x") }()
+			Eventually(up.requests).Should(HaveLen(1))
+			b.caller().call("POST", "/once/", "ask", "x")
+			Expect(up.requests()).To(HaveLen(2))
+			close(lose)
+			Expect((<-lost).status).To(Equal(502))
+			Consistently(up.connections, pause/2).Should(Equal(2))
+		})
+	}
+}
--- a/instance/relay/suite_test.go
+++ b/instance/relay/suite_test.go
@@ -39,6 +39,9 @@
 	age time.Duration
 	// leaseChecks is the number of lease checks after which the lease expires; zero means never.
 	leaseChecks int
+	// leaseHook is called by the lease check that counts hookAfter down to zero.
+	hookAfter int
+	leaseHook func()
 }
 
 func (s *state) View() *follow.View {
@@ -48,6 +51,7 @@
 }
 
 func (s *state) Lease() time.Duration {
+	s.runLeaseHook()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.leaseChecks > 0 {
@@ -60,6 +64,24 @@
 	return s.lease
 }
 
+func (s *state) runLeaseHook() {
+	s.mu.Lock()
+	s.hookAfter--
+	hook := s.leaseHook
+	due := s.hookAfter == 0
+	s.mu.Unlock()
+	if due && hook != nil {
+		hook()
+	}
+}
+
+// onLeaseCheck calls f in the lease check with the given number from now on.
+func (s *state) onLeaseCheck(number int, f func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.hookAfter, s.leaseHook = number, f
+}
+
 func (s *state) Age() time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -99,6 +121,7 @@
 	mu       sync.Mutex
 	got      []*received
 	closed   int
+	accepted int
 }
 
 func startUpstream(t *testing.T, id string, script func(n int, r *received, c net.Conn) bool) *fakeUpstream {
@@ -119,6 +142,9 @@
 		if err != nil {
 			return
 		}
+		u.mu.Lock()
+		u.accepted++
+		u.mu.Unlock()
 		go u.serve(c)
 	}
 }
@@ -155,6 +181,13 @@
 	return append([]*received(nil), u.got...)
 }
 
+// connections returns how many connections were accepted.
+func (u *fakeUpstream) connections() int {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.accepted
+}
+
 func (u *fakeUpstream) hangUps() int {
 	u.mu.Lock()
 	defer u.mu.Unlock()
--- a/proof/deployed/quarantine_test.go
+++ b/proof/deployed/quarantine_test.go
@@ -44,13 +44,15 @@
 	mu      sync.Mutex
 	current map[string]*runner
 	// named is the limit that the upstream at an address names.
-	named    map[string]*named
+	named map[string]*named
+	// asks is what the upstream at an address asks for.
+	asks     map[string]*asking
 	arrivals []time.Time // of the request that ends upstreams
 	crashes  []time.Time
 }
 
 func (s *site) fragile(count int, cores ...*node) *fragile {
-	f := &fragile{s: s, cores: cores, current: map[string]*runner{}, named: map[string]*named{}}
+	f := &fragile{s: s, cores: cores, current: map[string]*runner{}, named: map[string]*named{}, asks: map[string]*asking{}}
 	f.work.Store(int64(harmlessWork))
 	for i := range count {
 		f.start(fmt.Sprintf("%s:%d", s.ip(200+i), 18000))
@@ -82,7 +84,7 @@
 	f.mu.Lock()
 	f.current[address] = r
 	if f.named[address] == nil {
-		f.named[address] = &named{}
+		f.named[address], f.asks[address] = &named{}, &asking{}
 	}
 	f.mu.Unlock()
 	go func() { _ = server.Serve(l) }()
@@ -103,8 +105,11 @@
 		return
 	}
 	f.mu.Lock()
-	limit := f.named[r.listener.Addr().String()]
+	limit, asks := f.named[r.listener.Addr().String()], f.asks[r.listener.Addr().String()]
 	f.mu.Unlock()
+	if asks.serve(out, req, instanceOf(body)) {
+		return
+	}
 	limit.arrived(out)
 	time.Sleep(time.Duration(f.work.Load()))
 	out.Header().Set("Attempt-Id", req.Header.Get("Attempt-Id"))
