Relay: an upstream gets nothing while it asks for a pause, and no new work once it says that it leaves

Cause: a response that turns a request away ended one attempt, and nothing of it outlived the request. Retry-After and the word of a leave were not read. An engine that turns all away has nothing under way and so looked the cheapest to the next request. Class of fault: backpressure without memory.

Each upstream has a gate (core/backpressure) that its responses close, whichever request they belong to. A closed gate excludes the upstream from every choice, also the last resort, and is checked once more directly before the write, as a request may wait for a connection in between. A lost connection is not probed while the gate is closed. When all upstreams pause, callers are told at once when the first takes requests again. Capacity counts what pauses as absent. The end of a leaving upstream is no crash.

--- a/instance/relay/admit.go
+++ b/instance/relay/admit.go
@@ -49,7 +49,7 @@
 			s.loadChanged(r)
 			return up, false
 		}
-		if !busy || r.shed || !time.Now().Add(holdPollInterval).Before(until) {
+		if !busy || r.shed || !time.Now().Add(max(holdPollInterval, r.pauseLeft)).Before(until) {
 			return nil, busy
 		}
 		if r.allLimited && !queued {
@@ -72,6 +72,8 @@
 	switch {
 	case r.allLimited:
 		return &refusal{503, "not run: all upstreams are at the limits that they name", s.fleet.limitRetryAfter(r, s.cfg.State.View().Forwarders)}
+	case r.pauseLeft > 0:
+		return &refusal{503, "not run: all upstreams ask for a pause", pauseRetryAfter(r)}
 	case r.shed:
 		return &refusal{503, "not run: more is asked than the engines can read", busyRetryAfter(r)}
 	}
--- a/instance/relay/attempt.go
+++ b/instance/relay/attempt.go
@@ -93,6 +93,10 @@
 		a.err = errQuarantinedNow
 		return a, notSent
 	}
+	if up.gate.Closed(clock.Now) {
+		a.err = errUnwanted
+		return a, notSent
+	}
 	until := time.Now().Add(left)
 	if patience > 0 && patience < left {
 		until = time.Now().Add(patience)
@@ -118,6 +122,9 @@
 // errQuarantinedNow means that a request was quarantined after it had been admitted.
 var errQuarantinedNow = fault.New(fault.Forbidden, "the request is quarantined")
 
+// errUnwanted means that the upstream asked for no requests after it had been chosen.
+var errUnwanted = fault.New(fault.Unavailable, "the upstream asks for no requests")
+
 var errLease = fault.New(fault.Unavailable, "this instance has lost the control group and can't tell which keys are valid").WithRetryAfter(time.Second)
 
 // connect takes an idle connection from the pool or dials a new one.
--- a/instance/relay/backpressure.go
+++ b/instance/relay/backpressure.go
@@ -1,6 +1,8 @@
 package relay
 
 import (
+	"math"
+	"math/rand/v2"
 	"time"
 
 	"github.com/comfreyladder/comfreyladder/core/backpressure"
@@ -24,6 +26,9 @@
 	}
 	a.s.cfg.Log.Event("upstream_asks").Str("upstream", a.up.id).Int("status", int64(a.head.Status)).
 		MS("pause", ask.Pause).Bool("leaving", ask.Leaving).Bytes("request", a.r.id).End()
+	if ask.Leaving {
+		a.up.closeIdle(time.Time{})
+	}
 }
 
 // logAsk adds to a line what the response asked for and whether the request was unwanted when it was
@@ -36,3 +41,23 @@
 		l.MS("closed_for", a.closedFor)
 	}
 }
+
+// pauseLeft returns when the first candidate of the latest choice takes requests again, if all
+// have asked for none; zero otherwise, or if all of them are leaving. The caller holds mu.
+func (f *fleet) pauseLeft() time.Duration {
+	now, least := clock.Now(), time.Duration(math.MaxInt64)
+	for _, u := range f.choice.candidates {
+		least = min(least, u.gate.Left(now))
+	}
+	if least == math.MaxInt64 {
+		return 0
+	}
+	return least
+}
+
+// pauseRetryAfter is when a request that found all upstreams pausing may be retried: when the first
+// of them takes requests again, spread over half of that time so that the callers do not all return
+// at once.
+func pauseRetryAfter(r *request) time.Duration {
+	return r.pauseLeft + time.Duration(rand.Float64()*float64(r.pauseLeft)/2)
+}
--- a/instance/relay/choose.go
+++ b/instance/relay/choose.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/comfreyladder/comfreyladder/core/balance"
+	"github.com/comfreyladder/comfreyladder/instance/clock"
 	servingsvc "github.com/comfreyladder/comfreyladder/instance/serving"
 )
 
@@ -58,6 +59,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := time.Now()
+	r.pauseLeft = 0
 	sel := &selection{service: f.service(r.service), domain: domain, now: now, avoid: avoid, fresh: now.Sub(f.remoteLoadsAt) < remoteLoadTTL}
 	f.assignPool(r, sel)
 	q := &balance.Request{Affinity: r.affinity, Shared: r.sharedTokens, Unshared: r.tokens - r.sharedTokens, Domain: domain, Random: rand.Float64(), FetchRate: r.fetchRate, MaxQueueMS: r.maxQueueMS}
@@ -66,7 +68,8 @@
 	}
 	c := f.pick(r, q, sel)
 	if c.Index == balance.None {
-		return nil, r.allLimited
+		r.pauseLeft = f.pauseLeft()
+		return nil, r.allLimited || r.pauseLeft > 0
 	}
 	f.recordPrediction(r, q, c)
 	if r.tokens > 0 && len(avoid) == 0 {
@@ -242,7 +245,7 @@
 }
 
 func (f *fleet) excluded(sel *selection, u *upstream) bool {
-	return u.active >= sel.service.maxConns || slices.Contains(sel.avoid, u)
+	return u.active >= sel.service.maxConns || slices.Contains(sel.avoid, u) || u.gate.Closed(clock.Now)
 }
 
 func (f *fleet) suspect(sel *selection, u *upstream) bool {
@@ -264,7 +267,10 @@
 		}
 		// In a small service an instance has connections to all upstreams, and uses them in turn.
 		b.Connected = c.partial && r.affinity == 0 && u.pool.hasIdle()
-		b.Capacity, b.LimitShare = r.capacity, f.limitShare(r, u)
+		b.Capacity = r.capacity
+		if !u.gate.Closed(clock.Now) {
+			b.LimitShare = f.limitShare(r, u)
+		}
 		b.SlotTimeMS = s.rates.slotTime(u.place.Before(sel.quickLimit)).MS()
 		b.Suspect, b.OtherPool, b.Excluded = f.suspect(sel, u), sel.otherPool(r, u), f.excluded(sel, u)
 		b.Home, b.Sampled = i < c.homes, i >= c.homes
--- a/instance/relay/crash.go
+++ b/instance/relay/crash.go
@@ -138,12 +138,13 @@
 		organisation = a.r.organisation.Name
 	}
 	x := loss{quarantine.NewAttempt(a.r.fingerprint(), now.Sub(a.startedAt), organisation, string(a.r.head.Target)), now}
-	if !up.losses.add(x, lost) {
+	pause := up.gate.Left(clock.Now())
+	if !up.losses.add(x, lost && pause < lossRetention) {
 		s.reportCrash(up)
 		return
 	}
 	s.running.Go(func() {
-		if !s.sleep(probeDelay) {
+		if !s.sleep(pause + probeDelay) {
 			return
 		}
 		up.losses.probed(s.probe(up))
@@ -163,8 +164,12 @@
 	probeListens
 )
 
-// probe checks whether anything listens at the address of an upstream.
+// probe checks whether anything listens at the address of an upstream, unless the upstream wants
+// nothing from this instance.
 func (s *Service) probe(up *upstream) probeResult {
+	if up.gate.Closed(clock.Now) {
+		return probeUnclear
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
 	defer cancel()
 	c, err := up.pool.dial(ctx)
--- a/instance/relay/fleet.go
+++ b/instance/relay/fleet.go
@@ -7,6 +7,7 @@
 	"github.com/comfreyladder/comfreyladder/core/balance"
 	"github.com/comfreyladder/comfreyladder/core/control/serving"
 	"github.com/comfreyladder/comfreyladder/core/route"
+	"github.com/comfreyladder/comfreyladder/instance/clock"
 	"github.com/comfreyladder/comfreyladder/instance/eventlog"
 	"github.com/comfreyladder/comfreyladder/instance/follow"
 	servingsvc "github.com/comfreyladder/comfreyladder/instance/serving"
@@ -111,7 +112,7 @@
 	if u != nil && (u.address != info.Address || u.incarnation != info.FirstIndex) {
 		// A restarted upstream has an empty cache, no latency history and none of the requests
 		// that were in flight under its ID.
-		if u.state == serving.Ready {
+		if u.expected() {
 			crashed = u
 		}
 		f.drop(u)
@@ -122,7 +123,7 @@
 		u = newUpstream(info)
 		f.upstreams[info.ID], f.byIncarnation[u.incarnation] = u, u
 	}
-	if u.state == serving.Ready && info.State == serving.Superseded {
+	if u.expected() && info.State == serving.Superseded {
 		crashed = u
 	}
 	if u.state != info.State || u.silent != info.Silent {
@@ -176,11 +177,16 @@
 	f.domains.reached(u.domain)
 }
 
-// countUpstreams returns the number of usable upstreams of a service.
-func (f *fleet) countUpstreams(service string) int {
+// hasOther reports whether a service has another upstream than the one given that takes requests.
+func (f *fleet) hasOther(service string, than *upstream) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.service(service).len()
+	for _, u := range f.service(service).ready.list {
+		if u != than && !u.gate.Closed(clock.Now) {
+			return true
+		}
+	}
+	return false
 }
 
 // closeIdle closes the connections that have been idle for too long, and forgets the upstreams that
--- a/instance/relay/plain.go
+++ b/instance/relay/plain.go
@@ -43,7 +43,7 @@
 	s.recordCompletion(a)
 	if a.head.Status >= statusServerError {
 		a.up.answeredFailure()
-		if s.willRepeat(r) {
+		if s.willRepeat(a) {
 			a.err = fault.New(fault.Internal, "the upstream answered %d", a.head.Status)
 			return true, false
 		}
@@ -61,8 +61,9 @@
 
 // willRepeat reports whether an idempotent request that failed at an upstream will be tried at
 // another one.
-func (s *Service) willRepeat(r *request) bool {
-	return r.route.Kind == route.Idempotent && r.sent+1 < r.route.MaxAttempts && s.fleet.countUpstreams(r.service) > 1
+func (s *Service) willRepeat(a *attempt) bool {
+	r := a.r
+	return r.route.Kind == route.Idempotent && r.sent+1 < r.route.MaxAttempts && s.fleet.hasOther(r.service, a.up)
 }
 
 func (s *Service) sendWhole(c *conn, a *attempt, body []byte) bool {
--- a/instance/relay/request.go
+++ b/instance/relay/request.go
@@ -103,6 +103,9 @@
 	allLimited, usedToken bool
 	tokenRequestedFrom    uint64
 	tokenRequestedAt      time.Time
+	// pauseLeft is when the first of the upstreams that asked for a pause takes requests again; zero if
+	// the latest choice found another reason, or an upstream.
+	pauseLeft time.Duration
 	// trial is set if the request is quarantined and may be tried once.
 	trial bool
 	// upstream is the last upstream used, and lastErr the error of the last attempt.
--- a/instance/relay/serve.go
+++ b/instance/relay/serve.go
@@ -211,7 +211,7 @@
 		case up == nil:
 			return s.giveUp(c, r)
 		}
-		a, o := s.start(r, up, s.answerTimeout(r), nil)
+		a, o := s.start(r, up, s.answerTimeout(r, up), nil)
 		if o == answered {
 			s.fleet.reached(up)
 			again, keep := s.forwardAnswer(c, a)
@@ -239,8 +239,8 @@
 // zero if the request must not be repeated. A slow engine is not abandoned: another one would
 // prefill the same prompt again, which increases the overload, and the response would be late as
 // well.
-func (s *Service) answerTimeout(r *request) time.Duration {
-	if r.tokens > 0 || !r.route.Repeatable() || r.sent+1 >= r.route.MaxAttempts || s.fleet.countUpstreams(r.service) < 2 {
+func (s *Service) answerTimeout(r *request, up *upstream) time.Duration {
+	if r.tokens > 0 || !r.route.Repeatable() || r.sent+1 >= r.route.MaxAttempts || !s.fleet.hasOther(r.service, up) {
 		return 0
 	}
 	return max(minAnswerTimeout, answerTimeoutFactor*r.route.Target)
--- a/instance/relay/upstream.go
+++ b/instance/relay/upstream.go
@@ -62,6 +62,10 @@
 	return u
 }
 
+// expected reports whether the upstream has announced neither a drain nor a leave, so that its end
+// is a crash. The caller holds the fleet's mutex.
+func (u *upstream) expected() bool { return u.state == serving.Ready && !u.gate.Leaving() }
+
 // describe returns the load of the upstream known here and the observations of its responses. The
 // caller holds the fleet's mutex.
 func (u *upstream) describe(now time.Time) (balance.Upstream, balance.Observed) {
