Observability: slow writes of a founding are reported like those of a member

A start that took 12.3 s until all three cores founded the group in the same millisecond said nothing of what it waited for; disk_slow appeared only for writes of a running member. Identity, founding and log now report through one function.

--- a/instance/consensus/config.go
+++ b/instance/consensus/config.go
@@ -70,9 +70,6 @@
 	OnSlowDisk func(time.Duration)
 }
 
-// slowWriteThreshold is the duration above which a write is reported as slow.
-const slowWriteThreshold = 300 * time.Millisecond
-
 func (c *Config) validate() error {
 	if c.Identity.Cluster == "" {
 		return fault.New(fault.Invalid, "the data folder %s has neither founded nor joined a cluster", c.Dir)
--- a/instance/consensus/founder.go
+++ b/instance/consensus/founder.go
@@ -22,6 +22,8 @@
 	Cluster raft.ClusterID
 	// Send queues a message to the named instance or drops it; it must not block.
 	Send func(to string, m founding.Message)
+	// OnSlowDisk, if set, is called with the duration of each slow write.
+	OnSlowDisk func(time.Duration)
 }
 
 // Founder runs the founding protocol for one disk. It keeps answering the other
@@ -123,7 +125,8 @@
 func (f *Founder) flush() error {
 	r := f.founder.Ready()
 	if r.State != nil {
-		if err := RecordFounding(f.cfg.FS, f.cfg.Dir, &f.cfg.Identity, *r.State); err != nil {
+		err := disk.ReportSlow(f.cfg.OnSlowDisk, func() error { return RecordFounding(f.cfg.FS, f.cfg.Dir, &f.cfg.Identity, *r.State) })
+		if err != nil {
 			return err
 		}
 	}
--- a/instance/consensus/service.go
+++ b/instance/consensus/service.go
@@ -14,6 +14,7 @@
 	"github.com/comfreyladder/comfreyladder/core/fault"
 	"github.com/comfreyladder/comfreyladder/core/raft"
 	"github.com/comfreyladder/comfreyladder/instance/clock"
+	"github.com/comfreyladder/comfreyladder/instance/disk"
 )
 
 // Service is one member of the control group. It is safe for concurrent use.
@@ -283,12 +284,7 @@
 // persist writes the state that must be durable before messages are sent and
 // entries applied, and reports slow writes.
 func (s *Service) persist(r *raft.Ready) error {
-	begun := time.Now()
-	err := s.store.persist(r)
-	if took := time.Since(begun); took > slowWriteThreshold && s.cfg.OnSlowDisk != nil {
-		s.cfg.OnSlowDisk(took)
-	}
-	return err
+	return disk.ReportSlow(s.cfg.OnSlowDisk, func() error { return s.store.persist(r) })
 }
 
 // publishStatus publishes a status and reports a change of role or leader.
--- a/instance/control/group.go
+++ b/instance/control/group.go
@@ -80,7 +80,7 @@
 // The founder keeps running, since other founders may still need its answers.
 func (s *Service) startFounder(id consensus.Identity) error {
 	f, err := consensus.NewFounder(consensus.FounderConfig{
-		FS: s.cfg.Disk, Dir: s.cfg.DataFolder, Identity: id, Founders: s.cfg.Founders, Cluster: newClusterID(),
+		FS: s.cfg.Disk, Dir: s.cfg.DataFolder, Identity: id, Founders: s.cfg.Founders, Cluster: newClusterID(), OnSlowDisk: s.logSlowDisk,
 		Send: func(to string, m founding.Message) {
 			if err := s.cfg.Links.Send(to, channelFounding, m); err != nil {
 				s.cfg.Log.Debug().Err(err).Str("peer", to).Msg("founding message not sent")
--- a/instance/control/recovery.go
+++ b/instance/control/recovery.go
@@ -6,6 +6,7 @@
 
 	"github.com/comfreyladder/comfreyladder/core/fault"
 	"github.com/comfreyladder/comfreyladder/instance/consensus"
+	"github.com/comfreyladder/comfreyladder/instance/disk"
 )
 
 const (
@@ -50,8 +51,12 @@
 	return id, s.startGroup(id)
 }
 
-func (s *Service) identity() (consensus.Identity, error) {
-	return consensus.Initialise(s.cfg.Disk, s.cfg.DataFolder, newMemberID(), s.cfg.Name)
+func (s *Service) identity() (id consensus.Identity, err error) {
+	err = disk.ReportSlow(s.logSlowDisk, func() error {
+		id, err = consensus.Initialise(s.cfg.Disk, s.cfg.DataFolder, newMemberID(), s.cfg.Name)
+		return err
+	})
+	return id, err
 }
 
 // openWithRetry retries open until it succeeds or the service stops.
