Relay: requests that an upstream rejects count among its results

A rejection now counts like a failed answer in what instances know, and tell each other, of an upstream; it causes no ejection.

--- a/instance/relay/backpressure_test.go
+++ b/instance/relay/backpressure_test.go
@@ -117,6 +117,29 @@
 	})
 }
 
+// Guards against an upstream that rejects all requests, without asking for anything, and attracts the
+// next ones since it has nothing in flight.
+func TestUpstreamThatRejectsAttractsNoFurtherRequests(t *testing.T) {
+	busy := func(n int, r *received, c net.Conn) bool {
+		time.Sleep(20 * time.Millisecond)
+		return echo(n, r, c)
+	}
+	rejecting := startUpstream(t, "rejects", func(_ int, r *received, c net.Conn) bool { return notRun(c, r) })
+	b := start(t, rejecting, startUpstream(t, "a", busy), startUpstream(t, "b", busy), startUpstream(t, "c", busy))
+	const callers, each = 8, 25
+	var all sync.WaitGroup
+	for i := range callers {
+		all.Go(func() {
+			c := b.caller()
+			for k := range each {
+				c.call("GET", "/idem/", fmt.Sprint(i, "-", k), "")
+			}
+		})
+	}
+	all.Wait()
+	Expect(len(rejecting.requests())).To(BeNumerically("<", callers*each/8), "half of an equal share")
+}
+
 // Guards against using an upstream that wants nothing as a last resort when no other is usable, and
 // against a caller who is told to come back too early or much too late.
 func TestUpstreamThatWantsNothingIsNoLastResort(t *testing.T) {
--- a/instance/relay/serve.go
+++ b/instance/relay/serve.go
@@ -285,6 +285,8 @@
 		r.sent++
 		if a.head.Status == statusMisdirected {
 			ejection = a.up.failed(true)
+		} else {
+			a.up.rejected()
 		}
 	}
 	s.set.GetOrCreateCounter(`relay_attempts_total{outcome="` + o.String() + `"}`).Inc()
--- a/instance/relay/upstream.go
+++ b/instance/relay/upstream.go
@@ -166,6 +166,14 @@
 	u.failures = 0
 }
 
+// rejected records a request that the upstream did not run. Having little in flight, an upstream that
+// rejects all requests would otherwise look cheaper than those that serve them.
+func (u *upstream) rejected() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.observe(func(o *balance.Observer) { o.Failed(time.Now()) })
+}
+
 // succeeded records a successful response.
 func (u *upstream) succeeded() {
 	u.mu.Lock()
