Gates: a pause outlives the news of a restart

An upstream that has just started again under its ID can ask for a pause before this instance knows of its start; the gate went with the old incarnation and requests followed within the pause. The pause is inherited at the same ID and address, a leave is not. TestPauseOutlivesTheNewsOfARestart fails without.

--- a/core/backpressure/backpressure.go
+++ b/core/backpressure/backpressure.go
@@ -87,6 +87,10 @@
 	}
 }
 
+// InheritPause applies the pause of the previous incarnation at the same address, which its successor
+// may have asked for before it was known. A leave ends with its incarnation.
+func (g *Gate) InheritPause(previous *Gate) { g.pauseUntil(previous.pausedUntil.Load()) }
+
 // Leaving reports whether the upstream has announced that it leaves.
 func (g *Gate) Leaving() bool { return g.leaving.Load() }
 
--- a/instance/relay/backpressure_test.go
+++ b/instance/relay/backpressure_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net"
 	"strconv"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -11,6 +12,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/comfreyladder/comfreyladder/core/control/serving"
+	"github.com/comfreyladder/comfreyladder/instance/follow"
 )
 
 // pause is for how long an upstream of these tests asks to be sent nothing.
@@ -181,6 +183,36 @@
 	})
 }
 
+// Guards against requests in a pause that an upstream asked for when it had just started again under
+// its ID, before this instance knew of its start; and against one that counts as leaving since then.
+func TestPauseOutlivesTheNewsOfARestart(t *testing.T) {
+	eachAsk(t, func(t *testing.T, asking *fakeUpstream) {
+		b := start(t, asking)
+		b.awaitAsk(asking)
+		b.restarted("asks")
+		status := b.caller().call("GET", "/idem/", "after", "").status
+		if strings.HasSuffix(t.Name(), "/leave") {
+			Expect(status).To(Equal(200))
+			return
+		}
+		Expect(status).To(Equal(503))
+		Expect(asking.requests()).To(HaveLen(1))
+	})
+}
+
+// restarted shows an upstream as a new incarnation at the same address.
+func (b *relayTest) restarted(id string) {
+	b.state.mu.Lock()
+	v := *b.state.view
+	u := *v.Upstreams.Get(id)
+	u.FirstIndex++
+	v.Upstreams = follow.NewUpstreams(&u)
+	v.Index++
+	b.state.view = &v
+	b.state.mu.Unlock()
+	b.service.Update(&v)
+}
+
 // Guards against treating the end of an upstream that said that it leaves as a crash.
 func TestEndOfALeavingUpstreamIsNoCrash(t *testing.T) {
 	b, up, lose := startLosing(t, leaves)
--- a/instance/relay/fleet.go
+++ b/instance/relay/fleet.go
@@ -109,6 +109,7 @@
 	}
 	info := c.New
 	u := f.upstreams[info.ID]
+	previous := u
 	if u != nil && (u.address != info.Address || u.incarnation != info.FirstIndex) {
 		// A restarted upstream has an empty cache, no latency history and none of the requests
 		// that were in flight under its ID.
@@ -121,6 +122,9 @@
 	}
 	if u == nil {
 		u = newUpstream(info)
+		if previous != nil && previous.address == info.Address {
+			u.gate.InheritPause(&previous.gate)
+		}
 		f.upstreams[info.ID], f.byIncarnation[u.incarnation] = u, u
 	}
 	if u.expected() && info.State == serving.Superseded {
--- a/instance/upstream/gates.go
+++ b/instance/upstream/gates.go
@@ -47,14 +47,28 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	e := g.byName[name]
-	if e == nil || e.incarnation < incarnation {
+	if e == nil {
 		e = &gate{incarnation: incarnation}
 		g.byName[name] = e
 	}
-	if e.incarnation == incarnation {
-		e.Apply(a, now)
-		e.askedAt = now
+	e = g.succeed(name, e, incarnation)
+	if e.incarnation > incarnation {
+		a.Leaving = false
 	}
+	e.Apply(a, now)
+	e.askedAt = now
+}
+
+// succeed returns the gate of an upstream if the given incarnation is its current one. The caller holds
+// mu.
+func (g *gates) succeed(name string, e *gate, incarnation uint64) *gate {
+	if e.incarnation >= incarnation {
+		return e
+	}
+	next := &gate{incarnation: incarnation, askedAt: e.askedAt}
+	next.InheritPause(&e.Gate)
+	g.byName[name] = next
+	return next
 }
 
 // get returns the gate of the current incarnation of an upstream, or nil if that has asked for
@@ -72,8 +86,11 @@
 		return nil
 	}
 	incarnation, known := g.incarnation(name)
+	if known {
+		e = g.succeed(name, e, incarnation)
+	}
 	departed := !known && now.Sub(e.askedAt) > departedRetention
-	if e.Left(now) == 0 || known && incarnation > e.incarnation || departed {
+	if e.Left(now) == 0 || departed {
 		delete(g.byName, name)
 		return nil
 	}
