--- a/core/balance/observe.go
+++ b/core/balance/observe.go
@@ -75,7 +75,7 @@
 }
 
 // hardFailureWeight is the number of ordinary failures that equal one that shows the process to be
-// gone or unreachable.
+// gone, unreachable or unwilling to take requests.
 const hardFailureWeight = 4
 
 // Succeeded records a successful attempt.
@@ -84,7 +84,7 @@
 // Failed records a failed attempt, whether the upstream or the request caused it.
 func (s *Observer) Failed(now time.Time) { s.add(now, Observed{Answers: 1, Failures: 1}) }
 
-// FailedHard records an attempt that found the upstream gone.
+// FailedHard records an attempt that the upstream did not take: it is gone, or it rejects requests.
 func (s *Observer) FailedHard(now time.Time) {
 	s.add(now, Observed{Answers: hardFailureWeight, Failures: hardFailureWeight})
 }
--- a/instance/relay/upstream.go
+++ b/instance/relay/upstream.go
@@ -171,7 +171,7 @@
 func (u *upstream) rejected() {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	u.observe(func(o *balance.Observer) { o.Failed(time.Now()) })
+	u.observe(func(o *balance.Observer) { o.FailedHard(time.Now()) })
 }
 
 // succeeded records a successful response.
