Relay: a status that promises "not run" is forwarded only with the upstream's proof

To callers 408, 421 and 429 promise what 503 does: the request has not run and never will. A 503 of an upstream that may have run a request which must not be repeated was answered as 502, its 408 and 429 were passed on, and a booking could be sent again by its caller. All four are now treated alike. TestStatusThatPromisesNotRunNeedsProof fails for 408 and 429 without it.

--- a/instance/relay/plain.go
+++ b/instance/relay/plain.go
@@ -47,18 +47,27 @@
 			a.err = fault.New(fault.Internal, "the upstream answered %d", a.head.Status)
 			return true, false
 		}
-		if a.head.Status == 503 && r.route.Kind != route.Idempotent {
-			// The upstream did not declare that the request was not run, which a forwarded 503
-			// would suggest.
-			r.mayHaveRun = true
-			return false, s.refuse(c, r, &refusal{502, "the upstream failed", 0})
-		}
 	} else {
 		a.up.succeeded()
 	}
+	if r.route.Kind != route.Idempotent && promisesNotRun(a.head.Status) {
+		// The upstream did not declare that the request was not run, which its status would promise.
+		r.mayHaveRun = true
+		return false, s.refuse(c, r, &refusal{502, "the upstream failed", 0})
+	}
 	return false, s.sendWhole(c, a, body)
 }
 
+// promisesNotRun reports whether a response with the given status tells a caller that its request has
+// not run and never will.
+func promisesNotRun(status int) bool {
+	switch status {
+	case 408, statusMisdirected, 429, 503:
+		return true
+	}
+	return false
+}
+
 // willRepeat reports whether an idempotent request that failed at an upstream will be tried at
 // another one.
 func (s *Service) willRepeat(a *attempt) bool {
--- a/instance/relay/relay_test.go
+++ b/instance/relay/relay_test.go
@@ -285,3 +285,18 @@
 	}
 	Expect(alive.requests()).To(HaveLen(8))
 }
+
+// Guards against forwarding a status that promises "not run" from an upstream that may have run a
+// request which must not be repeated.
+func TestStatusThatPromisesNotRunNeedsProof(t *testing.T) {
+	for _, status := range []int{408, 429, 503} {
+		t.Run(fmt.Sprint(status), func(t *testing.T) {
+			up := startUpstream(t, "u", func(_ int, r *received, c net.Conn) bool { return whole(c, r, status, "no") })
+			b := start(t, up)
+			Expect(b.caller().call("POST", "/once/", "1", "x").status).To(Equal(502))
+			Expect(b.caller().call("POST", "/brief/", "2", "x").status).To(Equal(502))
+			Expect(b.caller().call("GET", "/idem/", "3", "").status).To(Equal(status))
+			Expect(up.requests()).To(HaveLen(3))
+		})
+	}
+}
