Relay: the log says for how long an unsent request's upstream wanted nothing

The gate is read once, with the clock reading of the deadline check: a counter of requests sent although the gate was closed could only count the microseconds between two readings.

--- a/instance/relay/attempt.go
+++ b/instance/relay/attempt.go
@@ -59,8 +59,8 @@
 	notReusable bool
 	released    bool
 	err         error
-	// asked is what the response asks of this instance, and closedFor how long the upstream's gate
-	// was to remain closed when the request was sent.
+	// asked is what the response asks of this instance. closedFor is how long the upstream's gate was
+	// to remain closed when the request was not sent for that reason.
 	asked     backpressure.Ask
 	closedFor time.Duration
 	// startedAt is when the attempt started; sentAt is when its request was sent, by clock.Now.
@@ -93,7 +93,7 @@
 		a.err = errQuarantinedNow
 		return a, notSent
 	}
-	if up.gate.Closed(clock.Now) {
+	if a.closedFor = up.gate.Left(now); a.closedFor > 0 {
 		a.err = errUnwanted
 		return a, notSent
 	}
@@ -102,10 +102,7 @@
 		until = time.Now().Add(patience)
 	}
 	_ = a.conn.nc.SetDeadline(until)
-	a.sentAt, a.closedFor = now, up.gate.Left(now)
-	if a.closedFor > 0 {
-		s.set.GetOrCreateCounter("relay_sent_while_closed_total").Inc()
-	}
+	a.sentAt = now
 	a.write(left, lastEvent)
 	if a.err == nil {
 		a.err = a.readHead()
--- a/instance/relay/backpressure.go
+++ b/instance/relay/backpressure.go
@@ -30,13 +30,16 @@
 	}
 }
 
-// logAsk adds to a line what the response asked for and whether the request was unwanted when it was
-// sent.
+// logAsk adds to a line what the response asked for, and how much longer the upstream wanted nothing if
+// the request was not sent for that reason.
 func (a *attempt) logAsk(l *eventlog.Line) {
 	if a.asked != (backpressure.Ask{}) {
 		l.MS("pause", a.asked.Pause).Bool("leaving", a.asked.Leaving)
 	}
-	if a.closedFor > 0 {
+	switch {
+	case a.closedFor == backpressure.Forever:
+		l.Bool("leaving", true)
+	case a.closedFor > 0:
 		l.MS("closed_for", a.closedFor)
 	}
 }
