Soak: upstreams ask for pauses and say that they leave

A runner that pauses turns all requests away with 503 and Retry-After; one that leaves says so in its answers, and reports its drain some seconds later.

--- a/proof/deployed/soak_plan_test.go
+++ b/proof/deployed/soak_plan_test.go
@@ -75,6 +75,9 @@
 	if seed >= firstTroubled {
 		all = slices.Concat(weights, troubledWeights)
 	}
+	if seed >= firstAsking {
+		all = slices.Concat(all, askingWeights)
+	}
 	for _, w := range all {
 		for range w.weight {
 			bag = append(bag, w.kind)
@@ -123,6 +126,10 @@
 	case stepPoison:
 		s.delay = between(0, 3)
 		s.lasts = between(2*time.Second, 6*time.Second)
+	case stepPause, stepLeave:
+		s.target = pick(shape.runners)
+		s.delay = between(600*time.Millisecond, 4*time.Second)
+		s.lasts = between(3*time.Second, 7*time.Second)
 	case stepLimit:
 		s.target = pick(shape.runners)
 		s.delay = between(0, 6*time.Second)
--- a/proof/deployed/soak_runner_test.go
+++ b/proof/deployed/soak_runner_test.go
@@ -50,6 +50,8 @@
 	conns   sync.Map
 	// limit is what it names, nil for none.
 	limit atomic.Pointer[limitNamed]
+	// ask is what it asks for, nil for nothing.
+	ask atomic.Pointer[ask]
 }
 
 func (r *soakRunner) start() {
@@ -77,6 +79,9 @@
 		return
 	}
 	l.judgeDrain(attempt)
+	if l.ask.Load().arrived(out, attempt, l.r.w.ledger.edgeOf(attempt)) {
+		return
+	}
 	l.r.w.ledger.ran(attempt)
 	body, err := io.ReadAll(req.Body)
 	if err != nil {
--- a/proof/deployed/soak_test.go
+++ b/proof/deployed/soak_test.go
@@ -19,7 +19,7 @@
 )
 
 // usualSeeds are played by each test run, besides those that once showed a fault.
-var usualSeeds = []int64{1, 2}
+var usualSeeds = []int64{1, 2, 4000}
 
 // TestSoak runs real processes under faults that a seed draws, beside callers, operators
 // and runners, and checks what they are promised.
--- a/proof/deployed/soak_world_test.go
+++ b/proof/deployed/soak_world_test.go
@@ -183,6 +183,8 @@
 		r.w.foreignReport(r)
 	case stepLimit:
 		r.name(s)
+	case stepPause, stepLeave:
+		r.asks(s)
 	}
 }
 
