--- a/instance/relay/fleet.go
+++ b/instance/relay/fleet.go
@@ -113,7 +113,7 @@
 	if u != nil && (u.address != info.Address || u.incarnation != info.FirstIndex) {
 		// A restarted upstream has an empty cache, no latency history and none of the requests
 		// that were in flight under its ID.
-		if u.expected() {
+		if u.endIsCrash() {
 			crashed = u
 		}
 		f.drop(u)
@@ -127,7 +127,7 @@
 		}
 		f.upstreams[info.ID], f.byIncarnation[u.incarnation] = u, u
 	}
-	if u.expected() && info.State == serving.Superseded {
+	if u.endIsCrash() && info.State == serving.Superseded {
 		crashed = u
 	}
 	if u.state != info.State || u.silent != info.Silent {
--- a/instance/relay/upstream.go
+++ b/instance/relay/upstream.go
@@ -62,9 +62,9 @@
 	return u
 }
 
-// expected reports whether the upstream has announced neither a drain nor a leave, so that its end
+// endIsCrash reports whether the upstream has announced neither a drain nor a leave, so that its end
 // is a crash. The caller holds the fleet's mutex.
-func (u *upstream) expected() bool { return u.state == serving.Ready && !u.gate.Leaving() }
+func (u *upstream) endIsCrash() bool { return u.state == serving.Ready && !u.gate.Leaving() }
 
 // describe returns the load of the upstream known here and the observations of its responses. The
 // caller holds the fleet's mutex.
--- a/proof/deployed/soak_world_test.go
+++ b/proof/deployed/soak_world_test.go
@@ -128,9 +128,6 @@
 	}
 }
 
-// hungFactor is how many times longer things may take if the machine hung.
-const hungFactor = 4
-
 // play does all steps at their times; they overlap.
 func (w *soakWorld) play(steps []soakStep) {
 	begun := time.Now()
