--- a/instance/relay/backpressure.go
+++ b/instance/relay/backpressure.go
@@ -14,8 +14,11 @@
 // recordAsk records what a response asks of this instance. It applies whichever request the response
 // belongs to.
 func (a *attempt) recordAsk() {
-	h := &a.s.cfg.Headers
-	ask := backpressure.Parse(a.head.Status, string(a.head.Get(fieldRetryAfter)), string(a.head.Get(h.Leaving)), time.Now())
+	retryAfter, leaving := a.head.Get(fieldRetryAfter), a.head.Get(a.s.cfg.Headers.Leaving)
+	if len(retryAfter) == 0 && len(leaving) == 0 {
+		return
+	}
+	ask := backpressure.Parse(a.head.Status, string(retryAfter), string(leaving), time.Now())
 	if ask == (backpressure.Ask{}) {
 		return
 	}
