Soak: a reload waits for the start line of its process

The soak took 0.3 s for enough; it now sends the signal only once the process says that it takes signals, so that one that comes later must not end it.

--- a/proof/deployed/soak_node_test.go
+++ b/proof/deployed/soak_node_test.go
@@ -1,6 +1,7 @@
 package deployed_test
 
 import (
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -20,8 +21,9 @@
 	killed  []time.Time
 	frozen  []span
 	stopped time.Time
-	// begun is when the process was started last.
-	begun time.Time
+	// begun is when the process was started last, and starts how many start lines there were before.
+	begun  time.Time
+	starts int
 }
 
 type span struct{ from, to time.Time }
@@ -55,6 +57,7 @@
 			n.wipe()
 		}
 		n.wants, n.wipes, n.down = false, false, 0
+		n.starts = strings.Count(n.log(), startLine)
 		n.start(false)
 		n.begun = time.Now()
 		n.mu.Unlock()
@@ -148,15 +151,14 @@
 	return time.Since(n.stopped)
 }
 
-// signalsFrom is for how long after its start a process takes no signals: until it asks for
-// them, the system ends it.
-const signalsFrom = 300 * time.Millisecond
+// startLine is what a process prints once it takes signals; until then the system ends it for one.
+const startLine = "event=start instance="
 
 // reload sends SIGHUP, unless the process has just started or does not run.
 func (n *soakNode) reload() {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if time.Since(n.begun) >= signalsFrom {
+	if strings.Count(n.log(), startLine) > n.starts {
 		n.send(syscall.SIGHUP)
 	}
 }
