Tests of pauses: what must not be sent has seconds in which it could be

A pause of 0.3 or 0.8 s could end within a test on a busy machine, and the upstream be used again, as it should. The pauses are 2 and 10 s where nobody waits for their end.

--- a/instance/relay/backpressure_test.go
+++ b/instance/relay/backpressure_test.go
@@ -15,12 +15,21 @@
 	"github.com/comfreyladder/comfreyladder/instance/follow"
 )
 
-// pause is for how long an upstream of these tests asks to be sent nothing.
-const pause = 800 * time.Millisecond
+const (
+	// pause is for how long an upstream of these tests asks to be sent nothing, and shortPause the same
+	// where the end of the pause is awaited.
+	pause, shortPause = 10 * time.Second, 800 * time.Millisecond
+	// unchanged is for how long something must stay as it is.
+	unchanged = 400 * time.Millisecond
+)
 
 // asksForPause turns a request away and asks for a pause.
-func asksForPause(c net.Conn, r *received) bool {
-	_, err := fmt.Fprintf(c, "HTTP/1.1 503 X\r\nX-Id: %s\r\nX-Not-Run: 1\r\nRetry-After: %v\r\nContent-Length: 0\r\n\r\n", r.header.Get("X-Id"), pause.Seconds())
+func asksForPause(c net.Conn, r *received) bool { return asksFor(c, r, pause) }
+
+func asksForShortPause(c net.Conn, r *received) bool { return asksFor(c, r, shortPause) }
+
+func asksFor(c net.Conn, r *received, d time.Duration) bool {
+	_, err := fmt.Fprintf(c, "HTTP/1.1 503 X\r\nX-Id: %s\r\nX-Not-Run: 1\r\nRetry-After: %v\r\nContent-Length: 0\r\n\r\n", r.header.Get("X-Id"), d.Seconds())
 	return err == nil
 }
 
@@ -85,10 +94,10 @@
 
 // Guards against an upstream that stays unused after its pause.
 func TestUpstreamIsUsedAgainAfterItsPause(t *testing.T) {
-	asking := startAsking(t, asksForPause)
+	asking := startAsking(t, asksForShortPause)
 	b := start(t, asking)
 	b.awaitAsk(asking)
-	Eventually(func() int { return b.caller().call("GET", "/idem/", "again", "").status }, 2*pause, 20*time.Millisecond).Should(Equal(200))
+	Eventually(func() int { return b.caller().call("GET", "/idem/", "again", "").status }, requestTimeout, 20*time.Millisecond).Should(Equal(200))
 	Expect(asking.requests()).To(HaveLen(2))
 }
 
@@ -153,7 +162,7 @@
 		for i := range 5 {
 			r := b.caller().call("GET", "/idem/", fmt.Sprint(i), "")
 			Expect(r.status).To(Equal(503))
-			Expect(r.took).To(BeNumerically("<", pause/2), "what is given up gets its answer at once")
+			Expect(r.took).To(BeNumerically("<", time.Second), "what is given up gets its answer at once")
 			seconds, err := strconv.ParseFloat(r.header.Get("Retry-After"), 64)
 			Expect(err).NotTo(HaveOccurred())
 			Expect(seconds).To(BeNumerically("<=", 1.5*pause.Seconds()))
@@ -219,7 +228,7 @@
 	lose()
 	Expect(up.requests()).To(HaveLen(2))
 	b.replace("asks", serving.Superseded)
-	Consistently(b.log.String, pause/2).ShouldNot(ContainSubstring(crashLine))
+	Consistently(b.log.String, unchanged).ShouldNot(ContainSubstring(crashLine))
 }
 
 // Guards against probing an upstream that wants nothing when a connection to it is lost.
@@ -228,7 +237,7 @@
 		t.Run(name, func(t *testing.T) {
 			_, up, lose := startLosing(t, ask)
 			lose()
-			Consistently(up.connections, pause/2).Should(Equal(2))
+			Consistently(up.connections, unchanged).Should(Equal(2))
 		})
 	}
 }
--- a/instance/upstream/gates_test.go
+++ b/instance/upstream/gates_test.go
@@ -19,7 +19,7 @@
 )
 
 // pause is for how long an upstream of these tests asks to be sent nothing.
-const pause = 300 * time.Millisecond
+const pause = 2 * time.Second
 
 // The ways in which an upstream asks for no requests.
 var (
