Serving state: a follower that reads in pages hears of a leave that expired meanwhile

To callers: an instance that is far behind, as after a start or a cut, could take an upstream that left for ready for as long as it runs.

Cause: an incarnation that left is gone at one index and dropped from the state at a later one. A page told of the drop only if it reached that later index, while a reader beyond the first one was taken to have heard of the leave from the entry itself, which was dropped before its page came there. Class: two marks of one event compared with one position.

Now a page tells of it when it passes the index of the leave.

--- a/core/control/serving/index_test.go
+++ b/core/control/serving/index_test.go
@@ -141,6 +141,26 @@
 	})
 }
 
+// Guards against an upstream that left and stays in the view of a follower that reads in pages: its
+// entry expired before the follower's page came to the leave.
+func TestPagesTellOfALeaveThatExpiredMeanwhile(t *testing.T) {
+	g := NewWithT(t)
+	l := newLog()
+	l.announce("left", "x:1", 1, serving.Ready)
+	l.announce("stays", "x:2", 1, serving.Ready)
+	r := reader{}
+	r.read(l.m)
+	l.apply(serving.Command{Leave: "left"})
+	for i := range 3 {
+		l.announce(fmt.Sprint("new", i), fmt.Sprint("y:", i), 1, serving.Ready)
+	}
+	l.at = l.at.Add(24 * time.Hour)
+	l.announce("newest", "z:1", 1, serving.Ready)
+	r.readPages(l.m, 1, func() {})
+	g.Expect(r.view).NotTo(HaveKey("left"))
+	g.Expect(r.view).To(Equal(whole(l.m)))
+}
+
 // Ended incarnations expire all the time once a fleet has run for long. If each expiry sent the
 // whole state to each follower, a fleet of some size would do little else.
 func TestExpiryDoesNotSendTheWholeState(t *testing.T) {
--- a/core/control/serving/removals.go
+++ b/core/control/serving/removals.go
@@ -12,8 +12,9 @@
 	entries []removal
 }
 
-// removal is one dropped incarnation. index is the log index at which it was dropped; a reader that
-// has the state as of known has dropped it already.
+// removal is one dropped incarnation. index is the log index at which it was dropped, and known the one
+// from which on a reader must not have it any more: an incarnation that left is gone before it is
+// dropped.
 type removal struct {
 	index, known uint64
 	id           string
@@ -31,11 +32,11 @@
 	}
 }
 
-// between calls f for each incarnation that was dropped after a log index, but not after to, and
-// that a reader with the state as of that index may have.
+// between calls f for each dropped incarnation that a reader with the state as of a log index may have,
+// and a reader with the state as of to must not have.
 func (l *removalLog) between(index, to uint64, f func(id string)) {
 	for i := len(l.entries) - 1; i >= 0 && l.entries[i].index > index; i-- {
-		if r := &l.entries[i]; r.index <= to && r.known > index {
+		if r := &l.entries[i]; r.known <= to && r.known > index {
 			f(r.id)
 		}
 	}
