--- a/proof/deployed/duties_test.go
+++ b/proof/deployed/duties_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"maps"
 	"net/http"
 	"net/http/httptest"
 	"strconv"
@@ -175,7 +176,7 @@
 		for _, w := range v.Windows {
 			if w.State == "acknowledged" {
 				acknowledged++
-				Expect(w.Organisations).To(Equal(c.Reported(w.Window)), "window %d", w.Window)
+				Expect(maps.Equal(w.Organisations, c.Reported(w.Window))).To(BeTrue(), "window %d: %v, reported %v", w.Window, w.Organisations, c.Reported(w.Window))
 			}
 		}
 		Expect(acknowledged).To(BeNumerically(">", 2))
