Duty: the first window to close is no older than the counts that instances keep

Cause: the first report decides where the windows begin, and an instance that has just started reports by its own clock.

Seen to fail: TestClockADayBehindDelaysNoReport, no window of the minute was reported. Now the holder closes from 120 windows before the agreed time on at the earliest (what an instance keeps).

Still open: an instance whose clock is ahead counts as complete until then, so its first counts may be late (docs/OPEN.md).

--- a/core/usage/usage.go
+++ b/core/usage/usage.go
@@ -62,9 +62,9 @@
 	requests, revision uint64
 }
 
-// maxRetentionWindows is the number of windows for which an instance keeps its counts. An
+// RetentionWindows is the number of windows for which an instance keeps its counts. An
 // instance that is cut off reports all of them once it is connected again.
-const maxRetentionWindows = 120
+const RetentionWindows = 120
 
 // ackedRetentionWindows is the number of windows for which acknowledged counts are kept. The
 // member that acknowledged them may be lost before they are committed; another member then gets all.
@@ -133,7 +133,7 @@
 
 func (c *Counter) forget(current int64) {
 	for k, t := range c.totals {
-		if k.window < current-maxRetentionWindows || k.window < current-ackedRetentionWindows && t.revision <= c.acked {
+		if k.window < current-RetentionWindows || k.window < current-ackedRetentionWindows && t.revision <= c.acked {
 			delete(c.totals, k)
 		}
 	}
--- a/instance/duty/duty_test.go
+++ b/instance/duty/duty_test.go
@@ -96,6 +96,17 @@
 	})
 }
 
+// An instance whose clock is a day behind sends the first report. The windows of that day must not
+// be closed one by one before those of the others.
+func TestClockADayBehindDelaysNoReport(t *testing.T) {
+	simulate(t, func(w *simulation) {
+		startedAt := time.Now()
+		w.commitCount(3, usage.WindowAt(startedAt.Add(-24*time.Hour), span), 1)
+		time.Sleep(60 * time.Second)
+		w.checkReported(startedAt)
+	})
+}
+
 // The holder is killed after its report has arrived and before the answer, and more counts are
 // committed. If its successor computed the totals again, the organisation would be billed by two
 // different reports. It must send the agreed totals.
--- a/instance/duty/usage.go
+++ b/instance/duty/usage.go
@@ -54,7 +54,7 @@
 	g.View(func(_ uint64, m *control.Mux) {
 		state := m.Machine(usagestate.Name).(*usagestate.Machine)
 		open = state.Open()
-		next, counts = state.Next()
+		next, counts = s.nextWindow(state)
 		complete = state.Complete(next)
 	})
 	if counts && !s.usage.closing && s.mayClose(next, complete) {
@@ -63,6 +63,18 @@
 	s.sendReports(now, g, open)
 }
 
+// nextWindow returns the window to close next, or false before the first report. The first one
+// is no older than the counts that instances keep: the clock of an instance that has just started
+// may be far behind, and all windows from there on would have to be closed one after the other.
+func (s *Service) nextWindow(state *usagestate.Machine) (window int64, counts bool) {
+	window, counts = state.Next()
+	if len(state.Closed()) > 0 {
+		return window, counts
+	}
+	at, _ := s.cfg.Agreed()
+	return max(window, usage.WindowAt(at, s.cfg.Usage.Span)-usage.RetentionWindows), counts
+}
+
 // mayClose reports whether a window may be closed: the agreed time is settled, the window has ended,
 // and either all instances have sent their counts or it is too late to wait for them.
 func (s *Service) mayClose(window int64, complete bool) bool {
