Relay: responses that callers have not read are bounded, and callers that read slowly are not cut off

Three faults on the way of a response to a caller, of one kind: nothing counted what is held for it.

A response of up to 512 KiB was read whole and copied into the output buffer of its connection, which kept it; nothing bounded how many at once. 24 callers that do not read made the process hold 25.5 MB (TestHeldResponsesAreBounded; a hundred of them are a third of a small edge's memory limit). Now responses have a budget (an eighth of memory-mb); one over it is forwarded as it arrives, and no response is held twice. An event of a stream was held until its end, however long. Now one over the budget or 512 KiB is forwarded as it arrives; such a stream is not continued elsewhere any more, and one that ends inside it is cut (TestEventTooLongToHoldIsForwardedAsItArrives, TestStreamThatBreaksInsideALongEventIsCut: before, nothing arrived, and the second upstream ran it too). The write of a whole response had 5 s, so that a caller reading 50 kB a second lost what it was reading. Now each 16 KiB have them; the kernel holds 64 KiB unsent at most, else a writer wakes only once a third of its buffer of megabytes has left (TestSlowCallerGetsTheWholeResponse: 4.0 of 8.2 MB before, and without either of the two).

Gauges relay_held_bytes. A caller whose receive buffer is so large that its kernel announces no space within 5 s still looks like one that does not read.

--- a/instance/relay/answer.go
+++ b/instance/relay/answer.go
@@ -41,13 +41,40 @@
 	return append(b, "\r\n"...)
 }
 
-const lastChunk = "0\r\n\r\n"
+var (
+	chunkEnd  = []byte("\r\n")
+	lastChunk = []byte("0\r\n\r\n")
+)
 
-func appendChunk(b, data []byte) []byte {
+// writeChunk writes before, then data as one chunk unless it is empty, then after.
+func (c *conn) writeChunk(before, data, after []byte) error {
 	if len(data) == 0 {
-		return b
+		return c.writeLong(before, nil, after)
 	}
-	b = strconv.AppendInt(b, int64(len(data)), 16)
-	b = append(append(b, "\r\n"...), data...)
-	return append(b, "\r\n"...)
+	before = strconv.AppendInt(before, int64(len(data)), 16)
+	before = append(before, "\r\n"...)
+	if len(after) == 0 {
+		return c.writeLong(before, data, chunkEnd)
+	}
+	return c.writeLong(before, data, append(chunkEnd[:len(chunkEnd):len(chunkEnd)], after...))
+}
+
+// writeLong writes before, data and after. Only data of the size of a read buffer is copied: a
+// long response must not be held twice while its caller reads slowly.
+func (c *conn) writeLong(before, data, after []byte) error {
+	n := min(len(data), ioBufferSize)
+	b := append(before, data[:n]...)
+	if n == len(data) {
+		b = append(b, after...)
+		c.out = b[:0]
+		return c.write(b)
+	}
+	c.out = b[:0]
+	if err := c.write(b); err != nil {
+		return err
+	}
+	if err := c.write(data[n:]); err != nil {
+		return err
+	}
+	return c.write(after)
 }
--- a/instance/relay/attempt.go
+++ b/instance/relay/attempt.go
@@ -161,14 +161,14 @@
 	*buf = b
 	if len(b) <= maxInlineWrite {
 		_, a.err = a.conn.nc.Write(b)
-		buffers.Put(buf)
+		putBuffer(buf)
 		return
 	}
 	done := make(chan error, 1)
 	a.writing = done
 	go func() {
 		_, err := a.conn.nc.Write(b)
-		buffers.Put(buf)
+		putBuffer(buf)
 		done <- err
 	}()
 }
--- a/instance/relay/bodies.go
+++ b/instance/relay/bodies.go
@@ -14,9 +14,9 @@
 // bodyReservation is the size by which a body of unknown length is reserved at a time, in bytes.
 const bodyReservation = 64 << 10
 
-// bodyBudget bounds the total size of the request bodies held at the same time. Each body is
-// bounded by the configuration, but many large ones at once could exceed the memory limit of the
-// process, which would be killed with all its requests in flight.
+// bodyBudget bounds the total size of the message bodies held at the same time. Each body is
+// bounded on its own, but many large ones at once could exceed the memory limit of the process,
+// which would be killed with all its requests in flight.
 type bodyBudget struct {
 	limit int64
 	used  atomic.Int64
@@ -83,3 +83,25 @@
 	b.free(r.reservedBytes)
 	r.reservedBytes = 0
 }
+
+// readAnswer reads the body of a response that is held until the caller has read it, and returns
+// how many bytes of the budget it has reserved. It fails with http1.ErrBodyTooLarge, and what has
+// been read so far, if the body exceeds maxBufferedBody or the budget. A body that fits into a read
+// buffer is always held.
+func (b *bodyBudget) readAnswer(body *http1.Body, head *http1.Head, buf []byte) (_ []byte, reserved int64, err error) {
+	step := int64(bodyReservation)
+	if head.Framing == http1.ByLength {
+		step = head.Length
+	}
+	if step > maxBufferedBody {
+		return buf, 0, http1.ErrBodyTooLarge
+	}
+	for limit := int64(ioBufferSize); ; {
+		buf, err = body.ReadAll(buf, limit)
+		if !errors.Is(err, http1.ErrBodyTooLarge) || limit >= maxBufferedBody || !b.reserve(step) {
+			return buf, reserved, err
+		}
+		reserved += step
+		limit = min(int64(ioBufferSize)+reserved, maxBufferedBody)
+	}
+}
--- a/instance/relay/config.go
+++ b/instance/relay/config.go
@@ -78,8 +78,9 @@
 	// Announce is how long a draining instance keeps serving as before, so that the balancer
 	// notices that it is not ready. DrainTimeout bounds the whole drain.
 	Announce, DrainTimeout time.Duration
-	// BodyBytes bounds the total size of request bodies held at the same time; zero means no bound.
-	BodyBytes int64
+	// BodyBytes bounds the total size of request bodies held at the same time, AnswerBytes that of
+	// responses that their callers have not read yet; zero means no bound.
+	BodyBytes, AnswerBytes int64
 	// OnRequestBegun, if set, is called once for each request of an organisation that began to run,
 	// with the time since it began.
 	OnRequestBegun func(organisation string, ago time.Duration)
@@ -102,12 +103,15 @@
 	// lingerTimeout is how long further input from a caller is read and discarded after a final
 	// response. Closing with unread bytes would reset the connection and could lose the response.
 	lingerTimeout = 500 * time.Millisecond
-	// writeTimeout bounds a write to a caller that does not read.
-	writeTimeout = 5 * time.Second
+	// writeTimeout bounds the write of maxWriteBytes to a caller, which may not read at all.
+	writeTimeout  = 5 * time.Second
+	maxWriteBytes = 16 << 10
+	// maxUnsentBytes bounds what the kernel holds of the responses of a caller that reads slowly.
+	maxUnsentBytes = 64 << 10
 	// maxAnswerHeadBytes bounds the head of an upstream's response.
 	maxAnswerHeadBytes = 64 << 10
 	// maxBufferedBody bounds a non-streaming response that is buffered until it is complete. A
-	// longer one is forwarded as it arrives.
+	// longer one, or one over the budget, is forwarded as it arrives.
 	maxBufferedBody = 512 << 10
 	// ioBufferSize is the size of a connection's read buffer.
 	ioBufferSize = 4 << 10
--- a/instance/relay/conn.go
+++ b/instance/relay/conn.go
@@ -48,6 +48,7 @@
 func (c *conn) run() {
 	defer c.s.removeConn(c)
 	setUserTimeout(c.nc, writeTimeout)
+	setUnsentLimit(c.nc, maxUnsentBytes)
 	go c.answerAll()
 	c.readAll()
 	<-c.finished
@@ -262,10 +263,16 @@
 	_ = c.nc.SetReadDeadline(time.Now().Add(lingerTimeout))
 }
 
+// write writes in pieces, each within writeTimeout: a caller that reads slowly gets the whole
+// response.
 func (c *conn) write(b []byte) error {
-	_ = c.nc.SetWriteDeadline(time.Now().Add(writeTimeout))
-	if _, err := c.nc.Write(b); err != nil {
-		return fault.Wrap(err, fault.Canceled, "write the response to the caller")
+	for len(b) > 0 {
+		n := min(len(b), maxWriteBytes)
+		_ = c.nc.SetWriteDeadline(time.Now().Add(writeTimeout))
+		if _, err := c.nc.Write(b[:n]); err != nil {
+			return fault.Wrap(err, fault.Canceled, "write the response to the caller")
+		}
+		b = b[n:]
 	}
 	return nil
 }
--- a/instance/relay/plain.go
+++ b/instance/relay/plain.go
@@ -30,8 +30,9 @@
 	}
 	_ = a.conn.nc.SetReadDeadline(time.Now().Add(r.left(clock.Now())))
 	buf := buffers.Get().(*[]byte)
-	defer buffers.Put(buf)
-	body, err := a.body.ReadAll((*buf)[:0], maxBufferedBody)
+	defer putBuffer(buf)
+	body, reserved, err := s.answers.readAnswer(&a.body, &a.head, (*buf)[:0])
+	defer s.answers.free(reserved)
 	*buf = body[:0]
 	if errors.Is(err, http1.ErrBodyTooLarge) {
 		return false, s.forwardChunked(c, a, body)
@@ -81,9 +82,7 @@
 	if string(a.r.head.Method) != "HEAD" && a.head.Status != 204 && a.head.Status != 304 {
 		b = appendLength(b, len(body))
 	}
-	b = append(append(b, "\r\n"...), body...)
-	c.out = b
-	err := c.write(b)
+	err := c.writeLong(append(b, "\r\n"...), body, nil)
 	s.logDone(a.r, a.head.Status, "")
 	return err == nil && !closing
 }
@@ -93,15 +92,15 @@
 func (s *Service) forwardChunked(c *conn, a *attempt, begun []byte) bool {
 	closing := c.closing(a.r)
 	b := append(appendAnswerHead(c.out[:0], a, closing), "Transfer-Encoding: chunked\r\n\r\n"...)
-	b = appendChunk(b, begun)
-	var piece [ioBufferSize]byte
+	piece := begun
+	var next [ioBufferSize]byte
 	for {
-		if err := c.write(b); err != nil {
+		if err := c.writeChunk(b, piece, nil); err != nil {
 			a.r.broken = true
 			return false
 		}
-		n, err := a.body.Read(piece[:])
-		b = appendChunk(b[:0], piece[:n])
+		n, err := a.body.Read(next[:])
+		b, piece = c.out[:0], next[:n]
 		if a.body.Complete() {
 			s.recordCompletion(a)
 			break
@@ -113,7 +112,7 @@
 			return false
 		}
 	}
-	err := c.write(append(b, lastChunk...))
+	err := c.writeChunk(b, piece, lastChunk)
 	s.logDone(a.r, a.head.Status, "")
 	return err == nil && !closing
 }
--- a/instance/relay/pool.go
+++ b/instance/relay/pool.go
@@ -182,6 +182,15 @@
 
 // setUserTimeout makes a connection fail if sent bytes are not acknowledged in time.
 func setUserTimeout(nc net.Conn, d time.Duration) {
+	setTCPOption(nc, unix.TCP_USER_TIMEOUT, int(d.Milliseconds()))
+}
+
+// setUnsentLimit bounds how many unsent bytes of a connection the kernel holds. A write to a peer
+// that reads slowly then makes progress with every such part, instead of with every third of a send
+// buffer, which may hold megabytes.
+func setUnsentLimit(nc net.Conn, bytes int) { setTCPOption(nc, unix.TCP_NOTSENT_LOWAT, bytes) }
+
+func setTCPOption(nc net.Conn, option, value int) {
 	raw, ok := nc.(syscall.Conn)
 	if !ok {
 		return
@@ -190,8 +199,8 @@
 	if err != nil {
 		return
 	}
-	// Without the option a dead connection is only detected later.
+	// Without an option a dead connection is only detected later, or a slow one is taken for dead.
 	_ = rc.Control(func(fd uintptr) {
-		_ = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(d.Milliseconds()))
+		_ = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, option, value)
 	})
 }
--- a/instance/relay/relay.go
+++ b/instance/relay/relay.go
@@ -20,16 +20,17 @@
 
 // Service forwards requests to upstreams. It is safe for concurrent use.
 type Service struct {
-	cfg      Config
-	set      *metrics.Set
-	fleet    *fleet
-	bodies   *bodyBudget
-	listener *tcpconn.Listener
-	running  sync.WaitGroup
-	stop     chan struct{}
-	stopOnce sync.Once
-	started  time.Time
-	inFlight atomic.Int64
+	cfg   Config
+	set   *metrics.Set
+	fleet *fleet
+	// bodies holds the bodies of requests, answers those of responses.
+	bodies, answers *bodyBudget
+	listener        *tcpconn.Listener
+	running         sync.WaitGroup
+	stop            chan struct{}
+	stopOnce        sync.Once
+	started         time.Time
+	inFlight        atomic.Int64
 	// listening is set while the listener may still accept connections.
 	listening atomic.Bool
 	// livenessChecks counts the running checks whether an upstream is still alive after its answer
@@ -49,7 +50,7 @@
 // New returns a service that does not listen yet.
 func New(cfg Config, set *metrics.Set) *Service {
 	s := &Service{
-		cfg: cfg, set: set, fleet: newFleet(cfg.Log, cfg.Limits), bodies: newBodyBudget(cfg.BodyBytes), stop: make(chan struct{}), conns: map[*conn]struct{}{}, budgets: map[string]*budget.Window{},
+		cfg: cfg, set: set, fleet: newFleet(cfg.Log, cfg.Limits), bodies: newBodyBudget(cfg.BodyBytes), answers: newBodyBudget(cfg.AnswerBytes), stop: make(chan struct{}), conns: map[*conn]struct{}{}, budgets: map[string]*budget.Window{},
 	}
 	s.gauges()
 	return s
--- a/instance/relay/report.go
+++ b/instance/relay/report.go
@@ -83,6 +83,8 @@
 	s.set.NewGauge("relay_view_age_seconds", func() float64 { return s.cfg.State.Age().Seconds() })
 	s.set.NewGauge("relay_lease_left_seconds", func() float64 { return s.cfg.State.Lease().Seconds() })
 	s.set.NewGauge("relay_in_flight", func() float64 { return float64(s.inFlight.Load()) })
+	s.set.NewGauge(`relay_held_bytes{of="requests"}`, func() float64 { return float64(s.bodies.used.Load()) })
+	s.set.NewGauge(`relay_held_bytes{of="responses"}`, func() float64 { return float64(s.answers.used.Load()) })
 	s.set.NewGauge("relay_forwarders", func() float64 { return float64(s.cfg.State.View().Forwarders) })
 	s.set.NewGauge("relay_upstreams", func() float64 { return float64(s.cfg.State.View().Upstreams.Len()) })
 	s.set.NewGauge("relay_table_version", func() float64 {
--- a/instance/relay/serve.go
+++ b/instance/relay/serve.go
@@ -17,6 +17,13 @@
 // buffers holds buffers for encoded messages.
 var buffers = sync.Pool{New: func() any { b := make([]byte, 0, 4<<10); return &b }}
 
+// putBuffer returns a buffer to the pool, unless it has become too large.
+func putBuffer(b *[]byte) {
+	if cap(*b) <= maxPooledBody {
+		buffers.Put(b)
+	}
+}
+
 // refusal is a response by which this instance refuses a request or gives it up.
 type refusal struct {
 	status int
--- a/instance/relay/stream.go
+++ b/instance/relay/stream.go
@@ -24,13 +24,21 @@
 	lastID     []byte
 	lastNumber int64
 	events     int
-	// pending holds bytes that do not form a complete event yet.
-	pending []byte
+	// pending holds bytes that do not form a complete event yet, of which reserved are in the
+	// budget of responses. The first searched ones hold no end of an event.
+	pending  []byte
+	reserved int64
+	searched int
+	// raw is set once an event was too long to be held. From then on the stream is forwarded as it
+	// arrives, and cannot be resumed. tail holds its last bytes.
+	raw  bool
+	tail []byte
 }
 
 // forwardStream forwards a stream and resumes it at another upstream if it breaks.
 func (s *Service) forwardStream(c *conn, a *attempt) (again, keep bool) {
 	st := &stream{s: s, c: c, r: a.r, lastNumber: -1}
+	defer func() { s.answers.free(st.reserved) }()
 	if n, ok := http1.ParseUint(a.r.lastEvent); ok {
 		st.lastNumber = n
 	}
@@ -67,11 +75,11 @@
 // forwardEvents forwards the events of one attempt; nil means that the stream is complete.
 func (st *stream) forwardEvents(a *attempt) error {
 	var piece [ioBufferSize]byte
-	st.pending = st.pending[:0]
+	st.discardPending(len(st.pending))
 	for {
-		a.setStreamDeadline()
+		a.setStreamDeadline(!st.raw)
 		n, err := a.body.Read(piece[:])
-		st.pending = append(st.pending, piece[:n]...)
+		st.hold(piece[:n])
 		whole := a.body.Complete()
 		if werr := st.send(a, whole); werr != nil {
 			return werr
@@ -98,24 +106,51 @@
 	maxResumeShared = 3000
 )
 
-func (a *attempt) setStreamDeadline() {
+func (a *attempt) setStreamDeadline(resumable bool) {
 	left := a.r.left(clock.Now())
-	if a.r.route.Resumable && a.r.sent+1 < a.r.route.MaxAttempts && a.firstEventSeen && a.r.sharedTokens < maxResumeShared {
+	if resumable && a.r.route.Resumable && a.r.sent+1 < a.r.route.MaxAttempts && a.firstEventSeen && a.r.sharedTokens < maxResumeShared {
 		left = min(left, max(minStallTimeout, stallPauses*a.r.route.MaxPause))
 	}
 	_ = a.conn.nc.SetReadDeadline(time.Now().Add(left))
 }
 
+// hold appends to the pending bytes. Those beyond a read buffer are reserved in the budget of
+// responses.
+func (st *stream) hold(piece []byte) {
+	st.pending = append(st.pending, piece...)
+	st.reserve()
+	if st.raw {
+		st.keepTail()
+	}
+}
+
+func (st *stream) reserve() {
+	if st.raw || int64(len(st.pending)) <= ioBufferSize+st.reserved {
+		return
+	}
+	if st.reserved >= maxBufferedBody || !st.s.answers.reserve(bodyReservation) {
+		st.raw = true
+		return
+	}
+	st.reserved += bodyReservation
+}
+
 // send forwards the complete events in pending.
 func (st *stream) send(a *attempt, last bool) error {
-	end := lastEventEnd(st.pending)
+	end := st.findEventEnd()
+	if st.raw {
+		end = len(st.pending)
+	}
 	if end == 0 && !last {
 		return nil
 	}
-	if last && end < len(st.pending) {
+	if last && !st.endsWithEvent(end) {
 		return fault.New(fault.StreamBroken, "stream from %s ends in the middle of an event", a.up.id)
 	}
-	events := st.dropDuplicates(st.pending[:end])
+	events := st.pending[:end]
+	if !st.raw {
+		events = st.dropDuplicates(events)
+	}
 	if len(events) == 0 && !last {
 		st.discardPending(end)
 		return nil
@@ -125,16 +160,34 @@
 		st.closing = st.c.closing(st.r)
 		b = append(appendAnswerHead(b, a, st.closing), "Transfer-Encoding: chunked\r\n\r\n"...)
 	}
-	b = appendChunk(b, events)
+	var after []byte
 	if last {
-		b = append(b, lastChunk...)
+		after = lastChunk
 	}
-	st.discardPending(end)
-	st.c.out = b
 	a.recordFirstEvent()
 	st.r.recordPause(time.Now())
 	st.headSent = true
-	return st.c.write(b)
+	err := st.c.writeChunk(b, events, after)
+	st.discardPending(end)
+	return err
+}
+
+// maxEventEnd is the length of the longest end of an event, in bytes.
+const maxEventEnd = 4
+
+// endsWithEvent reports whether a stream that is over, and whose complete events end at the given
+// offset of the pending bytes, ends with a complete event.
+func (st *stream) endsWithEvent(end int) bool {
+	if !st.raw {
+		return end == len(st.pending)
+	}
+	return lastEventEnd(st.tail) == len(st.tail)
+}
+
+// keepTail updates the last bytes of a raw stream.
+func (st *stream) keepTail() {
+	tail := append(st.tail, st.pending[max(0, len(st.pending)-maxEventEnd):]...)
+	st.tail = append(st.tail[:0], tail[max(0, len(tail)-maxEventEnd):]...)
 }
 
 // recordPause updates the longest pause between forwarded events.
@@ -147,7 +200,18 @@
 
 func (st *stream) discardPending(from int) {
 	n := copy(st.pending, st.pending[from:])
-	st.pending = st.pending[:n]
+	st.pending, st.searched = st.pending[:n], n
+}
+
+// findEventEnd returns the offset after the last complete event in the pending bytes.
+func (st *stream) findEventEnd() int {
+	// An end may begin in the bytes that were searched before.
+	from := max(0, st.searched-maxEventEnd+1)
+	st.searched = len(st.pending)
+	if end := lastEventEnd(st.pending[from:]); end > 0 {
+		return from + end
+	}
+	return 0
 }
 
 // lastEventEnd returns the offset after the last complete event in b.
@@ -215,7 +279,7 @@
 	broken.notReusable = true
 	broken.release()
 	s.recordAttempt(r, broken, unknown)
-	for r.route.Resumable && len(st.lastID) > 0 && s.mayTryAgain(r, unknown) {
+	for r.route.Resumable && len(st.lastID) > 0 && !st.raw && s.mayTryAgain(r, unknown) {
 		r.maxQueueMS = math.MaxInt32
 		up, _ := s.fleet.choose(r, s.cfg.Domain, avoid)
 		if up == nil {
--- a/instance/relay/suite_test.go
+++ b/instance/relay/suite_test.go
@@ -233,6 +233,7 @@
 	t       *testing.T
 	state   *state
 	service *relay.Service
+	set     *metrics.Set
 	// began counts the requests that began to run, by organisation.
 	began sync.Map
 	// ago is how long before it was counted the latest request began.
@@ -286,13 +287,13 @@
 		list = append(list, &serving.Upstream{ID: u.id, Service: "s", Address: u.listener.Addr().String(), State: serving.Ready, Slots: 8, FirstIndex: u.begun()})
 	}
 	v.Upstreams = follow.NewUpstreams(list...)
-	b := &relayTest{t: t, state: &state{view: v, lease: time.Minute}, fakeList: &fakeQuarantine{}, limits: &fakeLimits{}}
+	b := &relayTest{t: t, state: &state{view: v, lease: time.Minute}, fakeList: &fakeQuarantine{}, limits: &fakeLimits{}, set: metrics.NewSet()}
 	b.service = relay.New(relay.Config{
 		Listen: "127.0.0.1:0", Headers: headers, State: b.state, FailClosed: true,
 		Budget:   relay.Budget{Ratio: 0.2, Window: 10 * time.Second, Slack: 20},
-		Announce: 200 * time.Millisecond, DrainTimeout: 2 * time.Second, BodyBytes: bodyLimit, OnRequestBegun: b.count,
+		Announce: 200 * time.Millisecond, DrainTimeout: 2 * time.Second, BodyBytes: bodyLimit, AnswerBytes: answerLimit, OnRequestBegun: b.count,
 		Quarantine: b.fakeList, Limits: b.limits, Log: eventlog.New(&b.log, nil),
-	}, metrics.NewSet())
+	}, b.set)
 	b.service.Update(v)
 	if err := b.service.Start(context.Background()); err != nil {
 		t.Fatal(err)
--- a/instance/roles/edge.go
+++ b/instance/roles/edge.go
@@ -93,7 +93,7 @@
 			Listen: p.cfg.Callers, Domain: p.cfg.Domain, Headers: p.dialect.Headers, State: state, FailClosed: p.cfg.FailClosed,
 			Budget: p.cfg.Budget, Announce: p.cfg.Announce, DrainTimeout: p.cfg.Grace - 2*stopMargin, Log: p.events,
 			Quarantine: recorder, Limits: limits, OnLoadChange: state.PushLoads,
-			BodyBytes: int64(bodyMemoryShare * float64(p.cfg.MemoryMB) * (1 << 20)),
+			BodyBytes: p.memoryShare(bodyMemoryShare), AnswerBytes: p.memoryShare(answerMemoryShare),
 		}
 		if p.meter != nil {
 			cfg.OnRequestBegun = p.meter.RecordStart
@@ -106,8 +106,17 @@
 }
 
 // bodyMemoryShare is the share of the memory limit that request bodies may use. Each body is
-// held twice while it is sent, and a growing buffer is copied.
-const bodyMemoryShare = 0.125
+// held twice while it is sent, and a growing buffer is copied. answerMemoryShare is that of
+// responses; of these a growing buffer is copied.
+const (
+	bodyMemoryShare   = 0.125
+	answerMemoryShare = 0.125
+)
+
+// memoryShare returns a share of the memory limit in bytes.
+func (p *Process) memoryShare(share float64) int64 {
+	return int64(share * float64(p.cfg.MemoryMB) * (1 << 20))
+}
 
 func (p *Process) ready() kernel.Module {
 	return kernel.Module{Name: nameReadyListener, Needs: []string{nameRelay}, New: func(k *kernel.Kernel) (kernel.Service, error) {
