Tests of pauses: a failure is delivered if no other upstream takes a repeat; a pausing upstream adds no capacity

Each test fails without its guard: hasOther without the look at the gate (502 of this instance in place of the upstream's own 500), and a rate limit that counts although the upstream pauses (20 of 20 admitted).

--- a/instance/relay/backpressure_test.go
+++ b/instance/relay/backpressure_test.go
@@ -11,8 +11,9 @@
 
 	. "github.com/onsi/gomega"
 
-	"github.com/comfreyladder/comfreyladder/core/control/serving"
+	controlstate "github.com/comfreyladder/comfreyladder/core/control/serving"
 	"github.com/comfreyladder/comfreyladder/instance/follow"
+	"github.com/comfreyladder/comfreyladder/instance/serving"
 )
 
 const (
@@ -227,7 +228,7 @@
 	b, up, lose := startLosing(t, leaves)
 	lose()
 	Expect(up.requests()).To(HaveLen(2))
-	b.replace("asks", serving.Superseded)
+	b.replace("asks", controlstate.Superseded)
 	Consistently(b.log.String, unchanged).ShouldNot(ContainSubstring(crashLine))
 }
 
@@ -264,3 +265,48 @@
 		Expect((<-lost).status).To(Equal(502))
 	}
 }
+
+// Guards against an answer that is held back for a repeat, although the only other upstream takes
+// none: the caller would get an error of this instance in its place.
+func TestFailureIsDeliveredIfTheOtherUpstreamWantsNothing(t *testing.T) {
+	eachAsk(t, func(t *testing.T, asking *fakeUpstream) {
+		failing := startUpstream(t, "failing", func(n int, r *received, c net.Conn) bool {
+			if r.header.Get("X-Id") == "fails" {
+				return whole(c, r, 500, "why it failed")
+			}
+			return echo(n, r, c)
+		})
+		b := start(t, asking, failing)
+		b.awaitAsk(asking)
+		r := b.caller().call("GET", "/idem/", "fails", "")
+		Expect(r.status).To(Equal(500))
+		Expect(r.body).To(Equal("why it failed"))
+		Expect(asking.requests()).To(HaveLen(1))
+	})
+}
+
+// Guards against admitting what two engines can prefill while one of them takes no requests. It has a
+// rate limit, by which an engine counts as able although it is passed over at the moment.
+func TestUpstreamThatWantsNothingAddsNoCapacity(t *testing.T) {
+	eachAsk(t, func(t *testing.T, asking *fakeUpstream) {
+		b := start(t, asking, startUpstream(t, "other", echo))
+		b.engines()
+		b.awaitAsk(asking)
+		b.limits.limitTo(asking, 1000, 1)
+		const asked = 70_000 // tokens within the window of the admission control: 1.2 engines
+		const requests = 20  // need another half
+		report := &serving.Report{Work: serving.Work{Routes: []serving.RouteLoad{{
+			Service: "s", Route: "last", Tokens: asked, UncachedTokens: asked, Requests: 100_000, Recent: asked, RecentCached: asked, Rank: 100, PerMS: 5000,
+		}}}}
+		c, served := b.caller(), 0
+		for i := range requests {
+			b.service.TakeReport(report)
+			c.send(prompt("last", fmt.Sprint(i)))
+			if c.receive().status == 200 {
+				served++
+			}
+		}
+		Expect(served).To(BeNumerically("<", requests))
+		Expect(asking.requests()).To(HaveLen(1))
+	})
+}
--- a/instance/relay/limit_test.go
+++ b/instance/relay/limit_test.go
@@ -92,14 +92,16 @@
 	return append([]float64(nil), l.heard...)
 }
 
-// limit gives an upstream a limit and tokens.
-func (l *fakeLimits) limit(u *fakeUpstream, tokens int) {
+// limit gives an upstream a limit of 2 requests per second and tokens.
+func (l *fakeLimits) limit(u *fakeUpstream, tokens int) { l.limitTo(u, 2, tokens) }
+
+func (l *fakeLimits) limitTo(u *fakeUpstream, perSecond float64, tokens int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.limits == nil {
 		l.limits, l.tokens = map[uint64]float64{}, map[uint64]int{}
 	}
-	l.limits[u.begun()], l.tokens[u.begun()] = 2, tokens
+	l.limits[u.begun()], l.tokens[u.begun()] = perSecond, tokens
 }
 
 func (l *fakeLimits) wanted(u *fakeUpstream) int {
