--- a/instance/relay/answers_test.go
+++ b/instance/relay/answers_test.go
@@ -6,6 +6,8 @@
 	"net"
 	"runtime"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -18,6 +20,9 @@
 // longAnswer is a response that is held whole if the budget allows it.
 var longAnswer = strings.Repeat("a", 500<<10)
 
+// tooLong is a response that is never held whole.
+var tooLong = strings.Repeat("a", 600<<10)
+
 // sendLong answers a request with longAnswer, without a copy of it.
 func sendLong(c net.Conn, r *received) bool {
 	_, err := fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nX-Id: %s\r\nX-Seal: s\r\nContent-Length: %d\r\n\r\n", r.header.Get("X-Id"), len(longAnswer))
@@ -56,14 +61,20 @@
 		c.pipelined(each)
 		all = append(all, c)
 	}
-	time.Sleep(2 * time.Second)
+	time.Sleep(time.Second)
 	// Connections have read buffers, also those of the test.
 	Expect(heapBytes() - before).To(BeNumerically("<", answerLimit+callers*100<<10))
+	var got atomic.Int64
+	var reading sync.WaitGroup
 	for _, c := range all {
-		for range each {
-			Expect(c.receive().body).To(HaveLen(len(longAnswer)))
-		}
+		reading.Go(func() {
+			for range each {
+				got.Add(int64(len(c.receive().body)))
+			}
+		})
 	}
+	reading.Wait()
+	Expect(got.Load()).To(Equal(int64(callers * each * len(longAnswer))))
 	var text strings.Builder
 	b.set.WritePrometheus(&text)
 	Expect(text.String()).To(ContainSubstring("relay_held_bytes{of=\"responses\"} 0\n"))
@@ -136,3 +147,23 @@
 		Expect(len(a.requests()) + len(b.requests())).To(Equal(1))
 	}
 }
+
+// Guards against forwarding a status that promises "not run", without the upstream's proof, because
+// the response is too long to be held.
+func TestLongResponsePromisesNothingWithoutProof(t *testing.T) {
+	up := startUpstream(t, "u", func(_ int, r *received, c net.Conn) bool { return whole(c, r, 503, tooLong) })
+	r := start(t, up).caller().call("POST", "/once/", "1", "x")
+	Expect(r.err).NotTo(HaveOccurred())
+	Expect(r.status).To(Equal(502))
+}
+
+// Guards against forwarding a failure of an upstream while another one would serve the request,
+// because the response is too long to be held.
+func TestLongFailureIsRepeatedElsewhere(t *testing.T) {
+	script := func(_ int, r *received, c net.Conn) bool { return whole(c, r, 500, tooLong) }
+	failing, other := startUpstream(t, "failing", script), startUpstream(t, "other", echo)
+	b := start(t, failing, other)
+	for i := 0; len(failing.requests()) == 0; i++ {
+		Expect(b.caller().call("GET", "/idem/", fmt.Sprint(i), "").status).To(Equal(200))
+	}
+}
--- a/instance/relay/plain.go
+++ b/instance/relay/plain.go
@@ -34,14 +34,14 @@
 	body, reserved, err := s.answers.readAnswer(&a.body, &a.head, (*buf)[:0])
 	defer s.answers.free(reserved)
 	*buf = body[:0]
-	if errors.Is(err, http1.ErrBodyTooLarge) {
-		return false, s.forwardChunked(c, a, body)
-	}
-	if err != nil {
+	tooLong := errors.Is(err, http1.ErrBodyTooLarge)
+	if err != nil && !tooLong {
 		a.err = err
 		return true, false
 	}
-	s.recordCompletion(a)
+	if !tooLong {
+		s.recordCompletion(a)
+	}
 	if a.head.Status >= statusServerError {
 		a.up.answeredFailure()
 		if s.willRepeat(a) {
@@ -56,6 +56,9 @@
 		r.mayHaveRun = true
 		return false, s.refuse(c, r, &refusal{502, "the upstream failed", 0})
 	}
+	if tooLong {
+		return false, s.forwardChunked(c, a, body)
+	}
 	return false, s.sendWhole(c, a, body)
 }
 
--- a/instance/relay/stream.go
+++ b/instance/relay/stream.go
@@ -114,8 +114,7 @@
 	_ = a.conn.nc.SetReadDeadline(time.Now().Add(left))
 }
 
-// hold appends to the pending bytes. Those beyond a read buffer are reserved in the budget of
-// responses.
+// hold appends to the pending bytes.
 func (st *stream) hold(piece []byte) {
 	st.pending = append(st.pending, piece...)
 	st.reserve()
@@ -124,6 +123,7 @@
 	}
 }
 
+// reserve reserves more for the pending bytes if they need it, or makes the stream raw.
 func (st *stream) reserve() {
 	if st.raw || int64(len(st.pending)) <= ioBufferSize+st.reserved {
 		return
