--- a/instance/relay/config.go
+++ b/instance/relay/config.go
@@ -8,6 +8,8 @@
 package relay
 
 import (
+	"context"
+	"net"
 	"time"
 
 	"github.com/comfreyladder/comfreyladder/core/route"
@@ -88,6 +90,8 @@
 	Quarantine Quarantine
 	// Limits enforces the rate limits that upstreams announce; nil if they announce none.
 	Limits Limits
+	// Dial opens a connection to the upstream at an address; nil selects TCP with keep-alive probes.
+	Dial func(ctx context.Context, address string) (net.Conn, error)
 	// OnLoadChange, if set, is called when the load of an engine has changed and the other
 	// instances should know soon. It must not block.
 	OnLoadChange func()
--- a/instance/relay/fleet.go
+++ b/instance/relay/fleet.go
@@ -1,6 +1,8 @@
 package relay
 
 import (
+	"context"
+	"net"
 	"sync"
 	"time"
 
@@ -17,6 +19,8 @@
 // and a change of the view depends on the upstreams that they concern, not on all that exist.
 type fleet struct {
 	log *eventlog.Sink
+	// connect opens a connection to an upstream's address.
+	connect func(ctx context.Context, address string) (net.Conn, error)
 
 	mu sync.Mutex
 	// viewIndex is the index of the view that was applied last, once one was applied.
@@ -51,9 +55,9 @@
 	queue  queue
 }
 
-func newFleet(log *eventlog.Sink, limits Limits) *fleet {
+func newFleet(cfg *Config) *fleet {
 	return &fleet{
-		log: log, limits: limits, queue: queue{}, upstreams: map[string]*upstream{}, byIncarnation: map[uint64]*upstream{}, services: map[string]*service{},
+		log: cfg.Log, connect: cfg.Dial, limits: cfg.Limits, queue: queue{}, upstreams: map[string]*upstream{}, byIncarnation: map[uint64]*upstream{}, services: map[string]*service{},
 		used: map[*upstream]struct{}{}, changed: map[*upstream]struct{}{}, domains: domains{}, remoteLoads: map[uint64]servingsvc.Load{}, remoteObserved: map[uint64]balance.Observed{},
 		reportedObserved: map[uint64]balance.Observed{},
 	}
@@ -121,7 +125,7 @@
 		u = nil
 	}
 	if u == nil {
-		u = newUpstream(info)
+		u = f.newUpstream(info)
 		if previous != nil && previous.address == info.Address {
 			u.gate.InheritPause(&previous.gate)
 		}
--- a/instance/relay/fleet_test.go
+++ b/instance/relay/fleet_test.go
@@ -34,7 +34,7 @@
 		u := testUpstream(i, serving.Ready)
 		list[i] = &u
 	}
-	f := newFleet(log, nil)
+	f := newFleet(&Config{Log: log})
 	v := &follow.View{Index: 1, Upstreams: follow.NewUpstreams(list...), Forwarders: 1000}
 	f.update(v)
 	return f, v
@@ -169,7 +169,7 @@
 		v = v.After(&changes[i])
 		f.update(v)
 	}
-	whole := newFleet(f.log, nil)
+	whole := newFleet(&Config{Log: f.log})
 	whole.update(&follow.View{Index: v.Index, Upstreams: v.Upstreams, Forwarders: 1000})
 	g.Expect(f.upstreams).To(HaveLen(len(whole.upstreams)))
 	g.Expect(f.service("s").len()).To(Equal(48 + 1))
--- a/instance/relay/load_test.go
+++ b/instance/relay/load_test.go
@@ -147,7 +147,7 @@
 	view.Upstreams = follow.NewUpstreams(list...)
 	services := make([]*Service, instances)
 	for i := range services {
-		services[i] = &Service{fleet: newFleet(log, nil)}
+		services[i] = &Service{fleet: newFleet(&Config{Log: log})}
 		services[i].fleet.update(view)
 	}
 	result = map[string]*results{}
--- a/instance/relay/pool.go
+++ b/instance/relay/pool.go
@@ -28,6 +28,8 @@
 // pool holds the idle connections to one upstream, the most recently used ones last.
 type pool struct {
 	address string
+	// connect opens a connection to an address.
+	connect func(ctx context.Context, address string) (net.Conn, error)
 	mu      sync.Mutex
 	idle    []*upstreamConn
 	closed  bool
@@ -169,14 +171,22 @@
 
 var dialer = net.Dialer{KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: 2 * time.Second, Interval: time.Second, Count: 2}}
 
+// dialTCP is the default of Config.Dial.
+func dialTCP(ctx context.Context, address string) (net.Conn, error) {
+	nc, err := dialer.DialContext(ctx, "tcp4", address)
+	if err != nil {
+		return nil, err
+	}
+	setUserTimeout(nc, userTimeout)
+	return tcpconn.Wrap(nc), nil
+}
+
 // dial opens a new connection.
 func (p *pool) dial(ctx context.Context) (*upstreamConn, error) {
-	nc, err := dialer.DialContext(ctx, "tcp4", p.address)
+	nc, err := p.connect(ctx, p.address)
 	if err != nil {
 		return nil, fault.Wrap(err, fault.Unavailable, "connect to %s", p.address)
 	}
-	setUserTimeout(nc, userTimeout)
-	nc = tcpconn.Wrap(nc)
 	return &upstreamConn{nc: nc, in: bufio.NewReaderSize(nc, ioBufferSize)}, nil
 }
 
--- a/instance/relay/relay.go
+++ b/instance/relay/relay.go
@@ -49,8 +49,11 @@
 
 // New returns a service that does not listen yet.
 func New(cfg Config, set *metrics.Set) *Service {
+	if cfg.Dial == nil {
+		cfg.Dial = dialTCP
+	}
 	s := &Service{
-		cfg: cfg, set: set, fleet: newFleet(cfg.Log, cfg.Limits), bodies: newBodyBudget(cfg.BodyBytes), answers: newBodyBudget(cfg.AnswerBytes), stop: make(chan struct{}), conns: map[*conn]struct{}{}, budgets: map[string]*budget.Window{},
+		cfg: cfg, set: set, fleet: newFleet(&cfg), bodies: newBodyBudget(cfg.BodyBytes), answers: newBodyBudget(cfg.AnswerBytes), stop: make(chan struct{}), conns: map[*conn]struct{}{}, budgets: map[string]*budget.Window{},
 	}
 	s.gauges()
 	return s
--- a/instance/relay/upstream.go
+++ b/instance/relay/upstream.go
@@ -56,9 +56,9 @@
 	losses losses
 }
 
-func newUpstream(info *serving.Upstream) *upstream {
+func (f *fleet) newUpstream(info *serving.Upstream) *upstream {
 	u := &upstream{id: info.ID, address: info.Address, incarnation: info.FirstIndex}
-	u.pool.address = info.Address
+	u.pool.address, u.pool.connect = info.Address, f.connect
 	return u
 }
 
--- a/instance/roles/config.go
+++ b/instance/roles/config.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"net"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -46,6 +47,8 @@
 	CallsLag time.Duration
 	Budget   relay.Budget
 	MemoryMB int
+	// Dial opens connections to upstreams, as in relay.Config; nil selects the default.
+	Dial func(ctx context.Context, address string) (net.Conn, error)
 	// Duties are calls that only one instance at a time makes; nil for none.
 	Duties *Duties
 }
--- a/instance/roles/edge.go
+++ b/instance/roles/edge.go
@@ -92,7 +92,7 @@
 		cfg := relay.Config{
 			Listen: p.cfg.Callers, Domain: p.cfg.Domain, Headers: p.dialect.Headers, State: state, FailClosed: p.cfg.FailClosed,
 			Budget: p.cfg.Budget, Announce: p.cfg.Announce, DrainTimeout: p.cfg.Grace - 2*stopMargin, Log: p.events,
-			Quarantine: recorder, Limits: limits, OnLoadChange: state.PushLoads,
+			Quarantine: recorder, Limits: limits, Dial: p.cfg.Dial, OnLoadChange: state.PushLoads,
 			BodyBytes: p.memoryShare(bodyMemoryShare), AnswerBytes: p.memoryShare(answerMemoryShare),
 		}
 		if p.meter != nil {
