--- /dev/null
+++ b/core/reach/reach.go
@@ -0,0 +1,126 @@
+// Package reach decides whether this instance is cut off from all upstreams while other instances
+// still reach them. It does no I/O; the time is passed in.
+//
+// A failed connect says nothing by itself: the upstream may be gone. So a failure, or silence of
+// all connections on which responses are awaited, calls for a check: connects to several upstreams.
+// If none of them succeeds but another instance reaches one, the cause is the links of this instance.
+package reach
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	// Quiet is for how long nothing may arrive from any upstream, while responses are awaited, before
+	// a check is due. The time doubles, up to MaxQuiet, with each check that finds nothing wrong.
+	Quiet    = 500 * time.Millisecond
+	MaxQuiet = 8 * time.Second
+	// Freshness is how long the result of a check holds: a burst of failures needs one check.
+	Freshness = 300 * time.Millisecond
+	// Recheck is the time between two checks of an instance that is cut off.
+	Recheck = 500 * time.Millisecond
+)
+
+// maxDoublings is enough to reach MaxQuiet.
+const maxDoublings = 4
+
+// Result is what one check found.
+type Result struct {
+	// Reached and Failed count the upstreams that this instance could and could not connect to.
+	Reached, Failed int
+}
+
+// Unreached reports whether no upstream answered, which has one of two causes: the links of this
+// instance, or the end of all upstreams.
+func (r Result) Unreached() bool { return r.Reached == 0 && r.Failed > 0 }
+
+// Monitor holds what is known of the links of this instance. The zero value considers them sound. It
+// is safe for concurrent use.
+type Monitor struct {
+	cutOff atomic.Bool
+	// waiting counts the awaited responses, and heardAt is when something last arrived or began to be
+	// awaited, in nanoseconds of the Unix time.
+	waiting, heardAt atomic.Int64
+
+	mu        sync.Mutex
+	last      Result
+	checkedAt time.Time
+	// calmChecks counts the checks for silence that found nothing wrong since something arrived.
+	calmChecks int
+	calmSince  int64
+}
+
+// CutOff reports whether this instance is known to be cut off from all upstreams.
+func (m *Monitor) CutOff() bool { return m.cutOff.Load() }
+
+// Doubtful reports whether this instance is cut off, or may be: the last check reached no upstream.
+func (m *Monitor) Doubtful() bool {
+	if m.CutOff() {
+		return true
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.last.Unreached()
+}
+
+// Await records that a response is awaited, and Done that it no longer is.
+func (m *Monitor) Await(now time.Time) {
+	if m.waiting.Add(1) == 1 {
+		m.Heard(now)
+	}
+}
+
+// Done is the opposite of Await.
+func (m *Monitor) Done() { m.waiting.Add(-1) }
+
+// Heard records that something arrived from an upstream.
+func (m *Monitor) Heard(now time.Time) { m.heardAt.Store(now.UnixNano()) }
+
+// SilenceLeft returns how long the silence may go on before a check is due, zero if one is due. It
+// reports false if no response is awaited.
+func (m *Monitor) SilenceLeft(now time.Time) (left time.Duration, awaited bool) {
+	if m.waiting.Load() <= 0 {
+		return 0, false
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	heard := m.heardAt.Load()
+	if heard != m.calmSince {
+		m.calmChecks, m.calmSince = 0, heard
+	}
+	from := heard
+	if m.calmChecks > 0 {
+		from = max(from, m.checkedAt.UnixNano())
+	}
+	tolerated := min(MaxQuiet, Quiet<<min(m.calmChecks, maxDoublings))
+	return max(0, time.Duration(from-now.UnixNano())+tolerated), true
+}
+
+// Fresh returns the result of the last check if it still holds.
+func (m *Monitor) Fresh(now time.Time) (Result, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.last, !m.checkedAt.IsZero() && now.Sub(m.checkedAt) < Freshness
+}
+
+// Checked records the result of a check and reports whether it ended a cut.
+func (m *Monitor) Checked(now time.Time, r Result) (healed bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.last, m.checkedAt = r, now
+	if r.Reached == 0 {
+		return false
+	}
+	m.calmChecks++
+	return m.cutOff.Swap(false)
+}
+
+// ReachedByOther records that another instance reaches an upstream. If the last check found none, the
+// links of this instance are the cause; it reports whether that was not known before.
+func (m *Monitor) ReachedByOther() (cutOff bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.last.Unreached() && !m.cutOff.Swap(true)
+}
--- /dev/null
+++ b/core/reach/reach_test.go
@@ -0,0 +1,113 @@
+package reach
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+)
+
+var start = time.Unix(1000, 0)
+
+// Guards against an instance that takes the end of upstreams for the loss of its own links.
+func TestOnlyWhatAnotherInstanceReachesShowsACut(t *testing.T) {
+	RegisterTestingT(t)
+	for _, c := range []struct {
+		name    string
+		result  Result
+		byOther bool
+		cutOff  bool
+	}{
+		{"nothing failed", Result{Reached: 1}, false, false},
+		{"some upstreams are gone", Result{Reached: 1, Failed: 4}, true, false},
+		{"all upstreams are gone, or all instances are cut off", Result{Failed: 5}, false, false},
+		{"another instance reaches them", Result{Failed: 5}, true, true},
+		{"there is only one upstream", Result{Failed: 1}, true, true},
+		{"there are no upstreams", Result{}, true, false},
+	} {
+		m := &Monitor{}
+		m.Checked(start, c.result)
+		if c.byOther {
+			Expect(m.ReachedByOther()).To(Equal(c.cutOff), c.name)
+		}
+		Expect(m.CutOff()).To(Equal(c.cutOff), c.name)
+		Expect(m.Doubtful()).To(Equal(c.result.Unreached()), c.name)
+	}
+}
+
+// Guards against a cut that is forgotten because the other instances do not answer for a moment, and
+// against one that outlives the links' return.
+func TestOnlyAnUpstreamThatIsReachedEndsACut(t *testing.T) {
+	RegisterTestingT(t)
+	m := &Monitor{}
+	m.Checked(start, Result{Failed: 5})
+	m.ReachedByOther()
+	Expect(m.Checked(start, Result{Failed: 5})).To(BeFalse())
+	Expect(m.CutOff()).To(BeTrue())
+	Expect(m.Checked(start, Result{Reached: 1, Failed: 1})).To(BeTrue())
+	Expect(m.CutOff()).To(BeFalse())
+	Expect(m.ReachedByOther()).To(BeFalse(), "an answer through another instance that comes late")
+}
+
+// Guards against connections that hang unnoticed, as requests on them wait without an error.
+func TestSilenceOfAllConnectionsCallsForACheck(t *testing.T) {
+	RegisterTestingT(t)
+	m := &Monitor{}
+	silence := func(after time.Duration) time.Duration {
+		left, awaited := m.SilenceLeft(start.Add(after))
+		Expect(awaited).To(BeTrue())
+		return left
+	}
+	m.Await(start)
+	Expect(silence(0)).To(Equal(Quiet))
+	m.Await(start.Add(Quiet / 2))
+	Expect(silence(Quiet)).To(BeZero(), "a second request does not begin the silence anew")
+	m.Heard(start.Add(Quiet))
+	Expect(silence(Quiet)).To(Equal(Quiet))
+}
+
+// Guards against checks again and again while a single response takes long.
+func TestChecksForSilenceBecomeRare(t *testing.T) {
+	RegisterTestingT(t)
+	m := &Monitor{}
+	m.Await(start)
+	checks, now := 0, start
+	for now.Before(start.Add(20 * time.Second)) {
+		left, _ := m.SilenceLeft(now)
+		if left > 0 {
+			now = now.Add(left)
+			continue
+		}
+		checks++
+		m.Checked(now, Result{Reached: 1})
+	}
+	Expect(checks).To(BeNumerically("<=", 7))
+	m.Heard(now)
+	left, _ := m.SilenceLeft(now)
+	Expect(left).To(Equal(Quiet))
+}
+
+// Guards against a check in an instance that awaits nothing.
+func TestNoCheckWithoutRequests(t *testing.T) {
+	RegisterTestingT(t)
+	m := &Monitor{}
+	_, awaited := m.SilenceLeft(start)
+	Expect(awaited).To(BeFalse())
+	m.Await(start)
+	m.Done()
+	_, awaited = m.SilenceLeft(start.Add(time.Hour))
+	Expect(awaited).To(BeFalse())
+}
+
+// Guards against one check for each of a burst of failures.
+func TestResultOfACheckHoldsForABurst(t *testing.T) {
+	RegisterTestingT(t)
+	m := &Monitor{}
+	_, fresh := m.Fresh(start)
+	Expect(fresh).To(BeFalse())
+	m.Checked(start, Result{Reached: 1})
+	_, fresh = m.Fresh(start.Add(Freshness / 2))
+	Expect(fresh).To(BeTrue())
+	_, fresh = m.Fresh(start.Add(Freshness))
+	Expect(fresh).To(BeFalse())
+}
--- a/instance/follow/follow.go
+++ b/instance/follow/follow.go
@@ -67,6 +67,9 @@
 	// instance that are part of the sum of all. Both are set together or nil.
 	LoadUpdate func() servingsvc.LoadUpdate
 	ToldLoads  func() []servingsvc.Load
+	// Tunnels returns whether other instances may reach upstreams through this one, and whether this
+	// one needs them for that now; nil if there are no tunnels.
+	Tunnels func() (serves, needs bool)
 	// Meter counts requests for usage reports; nil disables reporting.
 	Meter *meter.Meter
 	Log   zerolog.Logger
@@ -122,7 +125,11 @@
 	// reachable lists the members, beginning with the one that is currently asked.
 	reachable atomic.Pointer[[]string]
 
+	// peers lists instances through which upstreams can be reached.
+	peers atomic.Pointer[[]string]
+
 	// The fields below belong to the goroutine.
+	peersAt   time.Time
 	members   []string
 	current   string
 	inContact bool
@@ -294,6 +301,7 @@
 	if f.workSource == name {
 		q.NextPlacement = f.workSeen
 	}
+	f.addTunnels(&q)
 	revision := f.addUsage(&q, name)
 	ctx, cancel := context.WithTimeout(ctx, hold+f.cfg.Slack)
 	defer cancel()
@@ -316,6 +324,7 @@
 	if f.inPages = a.Changes.More; f.inPages {
 		return true
 	}
+	f.takePeers(&q, &a)
 	f.workSeen, f.workSource, f.othersBusy = a.NextPlacement, name, a.Summary.Busy
 	f.passOthersWork(&a.Summary, &q.Report.Work)
 	if !a.Confirmed {
--- a/instance/link/accept.go
+++ b/instance/link/accept.go
@@ -49,12 +49,20 @@
 	if s.cfg.ServerTLS != nil {
 		conn = tls.Server(conn, s.cfg.ServerTLS)
 	}
-	name, err := s.upgrade(conn)
+	name, stream, err := s.upgrade(ctx, conn)
+	if fault.CodeOf(err) == fault.NotRun {
+		s.log.Debug().Err(err).Str("peer", name).Msg("stream rejected")
+		return
+	}
 	if err != nil {
 		s.stats.rejectedLinks.Add(1)
 		s.log.Warn().Err(err).Str("remote", conn.RemoteAddr().String()).Msg("link rejected")
 		return
 	}
+	if stream != nil {
+		stream.Serve(conn)
+		return
+	}
 	w := s.newConnection(conn, name, newQueue(s.cfg.QueueItems, s.cfg.QueueBytes, &s.sendBudget), nil)
 	defer w.sendQueue.close()
 	w.in = bufio.NewReaderSize(deadlineReader{w}, bufferSize)
@@ -68,16 +76,22 @@
 	s.log.Debug().Err(err).Str("peer", name).Msg("accepted link ended")
 }
 
-// upgrade performs the WebSocket handshake, checks the credential and returns the peer's name.
-func (s *Service) upgrade(conn net.Conn) (string, error) {
+// upgrade performs the WebSocket handshake, checks the credential and returns the peer's name. For a
+// byte stream it returns its server as well.
+func (s *Service) upgrade(ctx context.Context, conn net.Conn) (string, Stream, error) {
 	if err := conn.SetDeadline(time.Now().Add(handshakeTimeout)); err != nil {
-		return "", fault.Wrap(err, fault.Unavailable, "handshake")
+		return "", nil, fault.Wrap(err, fault.Unavailable, "handshake")
 	}
-	var name string
+	var name, streamTarget string
+	var isStream, streamRejected bool
+	var stream Stream
 	allowed := s.cfg.AllowUnauthenticated
 	upgrader := ws.Upgrader{
 		OnRequest: func(uri []byte) error {
-			if string(uri) != Path {
+			if string(uri) == Path {
+				return nil
+			}
+			if streamTarget, isStream = target(uri); !isStream || s.streams == nil {
 				return ws.RejectConnectionError(ws.RejectionStatus(statusNotFound))
 			}
 			return nil
@@ -95,20 +109,32 @@
 			if !allowed || name == "" {
 				return nil, ws.RejectConnectionError(ws.RejectionStatus(statusUnauthorized))
 			}
-			return nil, nil
+			if !isStream {
+				return nil, nil
+			}
+			var err error
+			stream, err = s.streams(ctx, name, streamTarget)
+			streamRejected = err != nil
+			return nil, err
 		},
 	}
 	if _, err := upgrader.Upgrade(conn); err != nil {
+		if stream != nil {
+			stream.Close()
+		}
 		code := fault.Unavailable
-		if !allowed {
+		switch {
+		case !allowed:
 			code = fault.Unauthenticated
+		case streamRejected:
+			code = fault.NotRun
 		}
-		return "", fault.Wrap(errors.WithStack(err), code, "handshake")
+		return name, nil, fault.Wrap(errors.WithStack(err), code, "handshake")
 	}
 	if err := conn.SetDeadline(time.Time{}); err != nil {
-		return "", fault.Wrap(err, fault.Unavailable, "handshake")
+		return "", nil, fault.Wrap(err, fault.Unavailable, "handshake")
 	}
-	return name, nil
+	return name, stream, nil
 }
 
 // validCredential compares the hash of a credential with all accepted hashes in constant time, so
--- a/instance/link/link.go
+++ b/instance/link/link.go
@@ -139,6 +139,9 @@
 	sendBudget    budget
 	receiveBudget budget
 
+	// streams opens byte streams; nil if this instance serves none.
+	streams StreamOpener
+
 	mu       sync.RWMutex
 	channels map[string]channelConfig
 	peers    map[string]*peer
--- a/instance/relay/attempt.go
+++ b/instance/relay/attempt.go
@@ -58,7 +58,9 @@
 	// returned or closed.
 	notReusable bool
 	released    bool
-	err         error
+	// awaiting is set while a response is awaited on a direct connection.
+	awaiting bool
+	err      error
 	// asked is what the response asks of this instance. closedFor is how long the upstream's gate was
 	// to remain closed when the request was not sent for that reason.
 	asked     backpressure.Ask
@@ -103,6 +105,7 @@
 	}
 	_ = a.conn.nc.SetDeadline(until)
 	a.sentAt = now
+	a.await()
 	a.write(left, lastEvent)
 	if a.err == nil {
 		a.err = a.readHead()
@@ -129,7 +132,7 @@
 	if a.conn = a.up.pool.take(time.Now()); a.conn != nil {
 		return answered
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), a.r.left(clock.Now()))
 	defer cancel()
 	if !a.r.attach(cancel) {
 		return callerGone
@@ -180,6 +183,7 @@
 		if err := a.head.ReadResponse(a.conn.in, maxAnswerHeadBytes, string(a.r.head.Method)); err != nil {
 			return err
 		}
+		a.heard()
 		if a.head.Status/100 == 1 {
 			continue
 		}
@@ -232,6 +236,7 @@
 		return
 	}
 	a.released = true
+	a.stopAwaiting()
 	a.r.detach()
 	a.s.fleet.release(a)
 	if a.conn == nil {
--- a/instance/relay/config.go
+++ b/instance/relay/config.go
@@ -15,6 +15,7 @@
 	"github.com/comfreyladder/comfreyladder/core/route"
 	"github.com/comfreyladder/comfreyladder/instance/eventlog"
 	"github.com/comfreyladder/comfreyladder/instance/follow"
+	"github.com/comfreyladder/comfreyladder/instance/uplink"
 )
 
 // Headers are the names of the header fields that this instance reads or sets.
@@ -90,6 +91,11 @@
 	Quarantine Quarantine
 	// Limits enforces the rate limits that upstreams announce; nil if they announce none.
 	Limits Limits
+	// Tunnels opens connections through other instances while this one is cut off from all upstreams;
+	// nil if there are none.
+	Tunnels uplink.Tunnels
+	// OnDrain, if set, is called when a drain begins.
+	OnDrain func()
 	// Dial opens a connection to the upstream at an address; nil selects TCP with keep-alive probes.
 	Dial func(ctx context.Context, address string) (net.Conn, error)
 	// OnLoadChange, if set, is called when the load of an engine has changed and the other
--- a/instance/relay/conn.go
+++ b/instance/relay/conn.go
@@ -47,7 +47,7 @@
 
 func (c *conn) run() {
 	defer c.s.removeConn(c)
-	setUserTimeout(c.nc, writeTimeout)
+	tcpconn.SetUserTimeout(c.nc, writeTimeout)
 	setUnsentLimit(c.nc, maxUnsentBytes)
 	go c.answerAll()
 	c.readAll()
--- a/instance/relay/crash.go
+++ b/instance/relay/crash.go
@@ -10,6 +10,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/comfreyladder/comfreyladder/core/fault"
 	"github.com/comfreyladder/comfreyladder/core/quarantine"
 	"github.com/comfreyladder/comfreyladder/instance/clock"
 )
@@ -18,6 +19,8 @@
 	// probeDelay is the time between the loss of a connection and the check whether the upstream
 	// still listens: the sockets of a terminating process are closed one by one.
 	probeDelay = 30 * time.Millisecond
+	// probeTimeout bounds a probe. It covers the check whether this instance's own links are the cause.
+	probeTimeout = 3 * time.Second
 	// lossRetention is how long a lost attempt is kept while it is unknown whether the upstream
 	// crashed.
 	lossRetention = 10 * time.Second
@@ -170,13 +173,15 @@
 	if up.gate.Closed(clock.Now) {
 		return probeUnclear
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
 	defer cancel()
 	c, err := up.pool.dial(ctx)
 	switch {
 	case err == nil:
 		s.fleet.keepConn(up, c)
 		return probeListens
+	case fault.CodeOf(err) == fault.NotRun:
+		return probeUnclear
 	case errors.Is(err, syscall.ECONNREFUSED):
 		return probeRefused
 	}
--- a/instance/relay/domain_test.go
+++ b/instance/relay/domain_test.go
@@ -35,8 +35,7 @@
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(l.Close()).To(Succeed())
-	p := pool{address: l.Addr().String()}
-	_, err = p.dial(t.Context())
+	_, err = dialTCP(t.Context(), l.Addr().String())
 	g.Expect(err).To(HaveOccurred())
 	g.Expect(indicatesPartition(err)).To(BeFalse())
 	g.Expect(indicatesPartition(syscall.ETIMEDOUT)).To(BeTrue())
--- a/instance/relay/drain.go
+++ b/instance/relay/drain.go
@@ -17,6 +17,9 @@
 func (s *Service) Drain(ctx context.Context) error {
 	schedule := drain.NewSchedule(clock.Now(), s.cfg.Announce, s.cfg.DrainTimeout)
 	s.drain.Store(&schedule)
+	if s.cfg.OnDrain != nil {
+		s.cfg.OnDrain()
+	}
 	s.cfg.Log.Event("drain").Int("in_flight", s.inFlight.Load()).MS("announce", s.cfg.Announce).MS("timeout", s.cfg.DrainTimeout).End()
 	return shutdown.Run(ctx, &schedule, (*drainServer)(s))
 }
--- a/instance/relay/exchange.go
+++ b/instance/relay/exchange.go
@@ -136,6 +136,11 @@
 	clear(f.changed)
 	if now.Sub(f.observedReportedAt) >= servingsvc.ObservationInterval {
 		r.HasObserved, r.Observed, f.observedReportedAt = true, f.observations(now), now
+		if f.links.Doubtful() {
+			// What this instance sees of upstreams is coloured by its own links.
+			r.Observed = nil
+			clear(f.reportedObserved)
+		}
 	}
 	for service, s := range f.services {
 		for name, l := range s.pools.LocalLoads(now) {
--- a/instance/relay/fleet.go
+++ b/instance/relay/fleet.go
@@ -1,8 +1,6 @@
 package relay
 
 import (
-	"context"
-	"net"
 	"sync"
 	"time"
 
@@ -13,14 +11,15 @@
 	"github.com/comfreyladder/comfreyladder/instance/eventlog"
 	"github.com/comfreyladder/comfreyladder/instance/follow"
 	servingsvc "github.com/comfreyladder/comfreyladder/instance/serving"
+	"github.com/comfreyladder/comfreyladder/instance/uplink"
 )
 
 // fleet is the state of all upstreams as known to this instance. The work for a request, a report
 // and a change of the view depends on the upstreams that they concern, not on all that exist.
 type fleet struct {
 	log *eventlog.Sink
-	// connect opens a connection to an upstream's address.
-	connect func(ctx context.Context, address string) (net.Conn, error)
+	// links opens the connections to upstreams.
+	links *uplink.Service
 
 	mu sync.Mutex
 	// viewIndex is the index of the view that was applied last, once one was applied.
@@ -56,11 +55,13 @@
 }
 
 func newFleet(cfg *Config) *fleet {
-	return &fleet{
-		log: cfg.Log, connect: cfg.Dial, limits: cfg.Limits, queue: queue{}, upstreams: map[string]*upstream{}, byIncarnation: map[uint64]*upstream{}, services: map[string]*service{},
+	f := &fleet{
+		log: cfg.Log, limits: cfg.Limits, queue: queue{}, upstreams: map[string]*upstream{}, byIncarnation: map[uint64]*upstream{}, services: map[string]*service{},
 		used: map[*upstream]struct{}{}, changed: map[*upstream]struct{}{}, domains: domains{}, remoteLoads: map[uint64]servingsvc.Load{}, remoteObserved: map[uint64]balance.Observed{},
 		reportedObserved: map[uint64]balance.Observed{},
 	}
+	f.links = f.newLinks(cfg)
+	return f
 }
 
 // update applies a view and returns the upstreams that ended without leaving. An upstream that is no
--- /dev/null
+++ b/instance/relay/links.go
@@ -0,0 +1,158 @@
+package relay
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/comfreyladder/comfreyladder/core/balance"
+	"github.com/comfreyladder/comfreyladder/core/control/serving"
+	"github.com/comfreyladder/comfreyladder/core/fault"
+	"github.com/comfreyladder/comfreyladder/core/reach"
+	"github.com/comfreyladder/comfreyladder/instance/clock"
+	"github.com/comfreyladder/comfreyladder/instance/follow"
+	"github.com/comfreyladder/comfreyladder/instance/tunnel"
+	"github.com/comfreyladder/comfreyladder/instance/uplink"
+)
+
+// targetOf identifies an incarnation to other instances.
+func targetOf(info *serving.Upstream) tunnel.Target {
+	return tunnel.Target{Name: strconv.FormatUint(info.FirstIndex, 10), Address: info.Address}
+}
+
+// AllowTunnel reports whether a view contains the target of a tunnel.
+func AllowTunnel(v *follow.View, t tunnel.Target) bool {
+	index, err := strconv.ParseUint(t.Name, 10, 64)
+	if err != nil {
+		return false
+	}
+	u := v.Upstreams.Registered(index)
+	return u != nil && u.Address == t.Address
+}
+
+func (f *fleet) newLinks(cfg *Config) *uplink.Service {
+	return uplink.New(uplink.Config{
+		Direct: cfg.Dial, Timeout: dialTimeout, Tunnels: cfg.Tunnels, Sample: f.sample,
+		OnChange: func(c uplink.Change) {
+			f.log.Event("links_changed").Bool("cut_off", c.CutOff).Int("reached", int64(c.Found.Reached)).Int("failed", int64(c.Found.Failed)).End()
+			f.linksChanged(c.CutOff)
+		},
+		OnUnreached: func(r reach.Result) { f.log.Event("no_upstream_reached").Int("failed", int64(r.Failed)).End() },
+	})
+}
+
+// CutOff reports whether this instance is cut off from all upstreams while others reach them.
+func (s *Service) CutOff() bool { return s.fleet.links.CutOff() }
+
+// ServesTunnels reports whether other instances may reach upstreams through this one.
+func (s *Service) ServesTunnels() bool { return !s.NeedsTunnels() && s.drain.Load() == nil }
+
+// NeedsTunnels reports whether this instance may have to reach upstreams through others.
+func (s *Service) NeedsTunnels() bool { return s.fleet.links.Doubtful() }
+
+// DialFor opens a connection to an upstream for another instance, see uplink.Service.DirectChecked.
+func (s *Service) DialFor(ctx context.Context, t tunnel.Target) (net.Conn, error) {
+	return s.fleet.links.DirectChecked(ctx, t)
+}
+
+// sample implements uplink.Config.Sample. It leaves out upstreams that want nothing from this
+// instance.
+func (f *fleet) sample(n int) (list []uplink.Candidate) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var groups []*upstreamList
+	for _, s := range f.services {
+		for _, l := range s.byDomain {
+			if len(l.list) > 0 {
+				groups = append(groups, l)
+			}
+		}
+	}
+	rand.Shuffle(len(groups), func(i, j int) { groups[i], groups[j] = groups[j], groups[i] })
+	var chosen []*upstream
+	for tries := 0; len(groups) > 0 && len(chosen) < n && tries < drawTries*n; tries++ {
+		group := groups[tries%len(groups)].list
+		u := group[rand.IntN(len(group))]
+		if slices.Contains(chosen, u) || u.gate.Closed(clock.Now) {
+			continue
+		}
+		chosen = append(chosen, u)
+		list = append(list, uplink.Candidate{Target: u.pool.target, Keep: func(c net.Conn) { f.keepConn(u, newUpstreamConn(uplink.Conn{Conn: c})) }})
+	}
+	return list
+}
+
+// linksChanged forgets what this instance believes of upstreams because of its own links, and closes
+// the idle connections of the way that is no longer used.
+func (f *fleet) linksChanged(cutOff bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := time.Now()
+	for u := range f.used {
+		u.closeIdle(now)
+		if cutOff {
+			u.forgetFailures()
+		}
+	}
+	if !cutOff {
+		return
+	}
+	clear(f.domains)
+	for _, s := range f.services {
+		s.peers.reset()
+	}
+}
+
+// forgetFailures forgets what was observed of the upstream.
+func (u *upstream) forgetFailures() {
+	u.losses.forget()
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.failures, u.ejectedUntil, u.observer = 0, time.Time{}, balance.Observer{}
+}
+
+func (p *peerObserver) reset() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.observer = balance.Observer{}
+}
+
+func (l *losses) forget() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.list = nil
+}
+
+// blames reports whether the failure of an attempt says something about its upstream. It does not if
+// this instance could not connect for its own reasons, or lost a direct connection while it is cut off.
+func (s *Service) blames(a *attempt) bool {
+	if a.conn == nil {
+		return fault.CodeOf(a.err) != fault.NotRun
+	}
+	return a.conn.detour || !s.CutOff()
+}
+
+// await records that a response is awaited.
+func (a *attempt) await() {
+	if !a.conn.detour {
+		a.awaiting = true
+		a.s.fleet.links.Await()
+	}
+}
+
+// heard records that some of a response arrived.
+func (a *attempt) heard() {
+	if a.awaiting {
+		a.s.fleet.links.Heard()
+	}
+}
+
+func (a *attempt) stopAwaiting() {
+	if a.awaiting {
+		a.awaiting = false
+		a.s.fleet.links.Done()
+	}
+}
--- a/instance/relay/pool.go
+++ b/instance/relay/pool.go
@@ -11,9 +11,10 @@
 
 	"golang.org/x/sys/unix"
 
-	"github.com/comfreyladder/comfreyladder/core/fault"
 	"github.com/comfreyladder/comfreyladder/instance/http1"
 	"github.com/comfreyladder/comfreyladder/instance/tcpconn"
+	"github.com/comfreyladder/comfreyladder/instance/tunnel"
+	"github.com/comfreyladder/comfreyladder/instance/uplink"
 )
 
 // upstreamConn is one connection to an upstream. It carries one request at a time.
@@ -23,16 +24,17 @@
 	// expiresAt is when the upstream may close the connection as idle.
 	expiresAt time.Time
 	used      bool
+	// detour is set if the connection leads through another instance.
+	detour bool
 }
 
 // pool holds the idle connections to one upstream, the most recently used ones last.
 type pool struct {
-	address string
-	// connect opens a connection to an address.
-	connect func(ctx context.Context, address string) (net.Conn, error)
-	mu      sync.Mutex
-	idle    []*upstreamConn
-	closed  bool
+	target tunnel.Target
+	links  *uplink.Service
+	mu     sync.Mutex
+	idle   []*upstreamConn
+	closed bool
 }
 
 const (
@@ -51,7 +53,7 @@
 		if c == nil {
 			return nil
 		}
-		if c.isUsable() {
+		if c.detour == p.links.CutOff() && c.isUsable() {
 			c.used = true
 			return c
 		}
@@ -130,7 +132,7 @@
 	defer p.mu.Unlock()
 	kept := p.idle[:0]
 	for _, c := range p.idle {
-		if now.IsZero() || !now.Before(c.expiresAt) {
+		if now.IsZero() || !now.Before(c.expiresAt) || c.detour != p.links.CutOff() || c.detour && !c.isUsable() {
 			_ = c.nc.Close()
 			continue
 		}
@@ -151,6 +153,9 @@
 // A request that must not be repeated must not be sent on a connection that the upstream has
 // closed: its outcome would be unknown.
 func (c *upstreamConn) isUsable() bool {
+	if t, ok := c.nc.(*tunnel.Conn); ok && !t.Reusable() {
+		return false
+	}
 	raw, ok := c.nc.(syscall.Conn)
 	if !ok {
 		return true
@@ -177,40 +182,24 @@
 	if err != nil {
 		return nil, err
 	}
-	setUserTimeout(nc, userTimeout)
+	tcpconn.SetUserTimeout(nc, userTimeout)
 	return tcpconn.Wrap(nc), nil
 }
 
-// dial opens a new connection.
+// dial opens a new connection. An error with fault.NotRun says nothing about the upstream.
 func (p *pool) dial(ctx context.Context) (*upstreamConn, error) {
-	nc, err := p.connect(ctx, p.address)
+	c, err := p.links.Dial(ctx, p.target)
 	if err != nil {
-		return nil, fault.Wrap(err, fault.Unavailable, "connect to %s", p.address)
+		return nil, err
 	}
-	return &upstreamConn{nc: nc, in: bufio.NewReaderSize(nc, ioBufferSize)}, nil
+	return newUpstreamConn(c), nil
 }
 
-// setUserTimeout makes a connection fail if sent bytes are not acknowledged in time.
-func setUserTimeout(nc net.Conn, d time.Duration) {
-	setTCPOption(nc, unix.TCP_USER_TIMEOUT, int(d.Milliseconds()))
+func newUpstreamConn(c uplink.Conn) *upstreamConn {
+	return &upstreamConn{nc: c.Conn, in: bufio.NewReaderSize(c.Conn, ioBufferSize), detour: c.Detour}
 }
 
 // setUnsentLimit bounds how many unsent bytes of a connection the kernel holds. A write to a peer
 // that reads slowly then makes progress with every such part, instead of with every third of a send
 // buffer, which may hold megabytes.
-func setUnsentLimit(nc net.Conn, bytes int) { setTCPOption(nc, unix.TCP_NOTSENT_LOWAT, bytes) }
-
-func setTCPOption(nc net.Conn, option, value int) {
-	raw, ok := nc.(syscall.Conn)
-	if !ok {
-		return
-	}
-	rc, err := raw.SyscallConn()
-	if err != nil {
-		return
-	}
-	// Without an option a dead connection is only detected later, or a slow one is taken for dead.
-	_ = rc.Control(func(fd uintptr) {
-		_ = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, option, value)
-	})
-}
+func setUnsentLimit(nc net.Conn, bytes int) { tcpconn.SetOption(nc, unix.TCP_NOTSENT_LOWAT, bytes) }
--- a/instance/relay/relay.go
+++ b/instance/relay/relay.go
@@ -169,6 +169,7 @@
 	}
 	s.mu.Unlock()
 	s.fleet.closeAll()
+	s.fleet.links.Stop()
 	s.running.Wait()
 	return nil
 }
--- a/instance/relay/serve.go
+++ b/instance/relay/serve.go
@@ -267,7 +267,7 @@
 		if a.usedToken {
 			s.cfg.Limits.ReturnToken(a.up.incarnation)
 		}
-		if a.conn == nil {
+		if a.conn == nil && s.blames(a) {
 			ejection = a.up.failed(true)
 			if indicatesPartition(a.err) {
 				s.fleet.unreachable(a.up)
@@ -277,6 +277,9 @@
 		r.sent++
 		r.mayHaveRun = true
 		s.countIfBegun(a)
+		if !s.blames(a) {
+			break
+		}
 		s.recordLoss(a)
 		if fault.CodeOf(a.err) != fault.Internal || a.head.Status < statusServerError {
 			ejection = a.up.failed(false)
--- a/instance/relay/stream.go
+++ b/instance/relay/stream.go
@@ -79,6 +79,7 @@
 	for {
 		a.setStreamDeadline(!st.raw)
 		n, err := a.body.Read(piece[:])
+		a.heard()
 		st.hold(piece[:n])
 		whole := a.body.Complete()
 		if werr := st.send(a, whole); werr != nil {
--- a/instance/relay/upstream.go
+++ b/instance/relay/upstream.go
@@ -58,7 +58,7 @@
 
 func (f *fleet) newUpstream(info *serving.Upstream) *upstream {
 	u := &upstream{id: info.ID, address: info.Address, incarnation: info.FirstIndex}
-	u.pool.address, u.pool.connect = info.Address, f.connect
+	u.pool.target, u.pool.links = targetOf(info), f.links
 	return u
 }
 
--- a/instance/relay/usage.go
+++ b/instance/relay/usage.go
@@ -55,7 +55,7 @@
 	up, organisation, counted := a.up, r.organisation.Name, r.usageCounted
 	s.running.Go(func() {
 		defer s.livenessChecks.Add(-1)
-		ctx, cancel := context.WithTimeout(context.Background(), livenessDelay+dialTimeout)
+		ctx, cancel := context.WithTimeout(context.Background(), livenessDelay+probeTimeout)
 		defer cancel()
 		if !s.sleep(livenessDelay) {
 			return
--- a/instance/roles/edge.go
+++ b/instance/roles/edge.go
@@ -1,6 +1,8 @@
 package roles
 
 import (
+	"context"
+	"net"
 	"time"
 
 	"github.com/comfreyladder/comfreyladder/instance/follow"
@@ -11,6 +13,7 @@
 	"github.com/comfreyladder/comfreyladder/instance/relay"
 	"github.com/comfreyladder/comfreyladder/instance/serving"
 	"github.com/comfreyladder/comfreyladder/instance/telemetry"
+	"github.com/comfreyladder/comfreyladder/instance/tunnel"
 )
 
 func (p *Process) follow() kernel.Module {
@@ -27,7 +30,11 @@
 
 			LoadUpdate: func() serving.LoadUpdate { return p.forwarder.Load().LoadUpdate() },
 			ToldLoads:  func() []serving.Load { return p.forwarder.Load().ToldLoads() },
-			Meter:      p.meter,
+			Tunnels: func() (serves, needs bool) {
+				s := p.forwarder.Load()
+				return s.ServesTunnels(), s.NeedsTunnels()
+			},
+			Meter: p.meter,
 		}), nil
 	}}
 }
@@ -70,8 +77,28 @@
 	}}
 }
 
+// tunnels connects instances that are cut off from the upstreams through those that are not.
+func (p *Process) tunnels() kernel.Module {
+	return kernel.Module{Name: nameTunnels, Needs: []string{nameLinks, nameFollow}, New: func(k *kernel.Kernel) (kernel.Service, error) {
+		links, err := kernel.Lookup[*link.Service](k, nameLinks)
+		if err != nil {
+			return nil, err
+		}
+		state, err := kernel.Lookup[*follow.Follower](k, nameFollow)
+		if err != nil {
+			return nil, err
+		}
+		return tunnel.New(tunnel.Config{
+			Links: links, Peers: state.Peers, Allow: func(t tunnel.Target) bool { return relay.AllowTunnel(state.View(), t) },
+			Dial: func(ctx context.Context, t tunnel.Target) (net.Conn, error) {
+				return p.forwarder.Load().DialFor(ctx, t)
+			},
+		}), nil
+	}}
+}
+
 func (p *Process) relay() kernel.Module {
-	needs := []string{nameFollow, nameTelemetry, nameQuarantine, nameLimits}
+	needs := []string{nameFollow, nameTelemetry, nameQuarantine, nameLimits, nameTunnels}
 	return kernel.Module{Name: nameRelay, Needs: needs, New: func(k *kernel.Kernel) (kernel.Service, error) {
 		state, err := kernel.Lookup[*follow.Follower](k, nameFollow)
 		if err != nil {
@@ -89,10 +116,14 @@
 		if err != nil {
 			return nil, err
 		}
+		tunnels, err := kernel.Lookup[*tunnel.Service](k, nameTunnels)
+		if err != nil {
+			return nil, err
+		}
 		cfg := relay.Config{
 			Listen: p.cfg.Callers, Domain: p.cfg.Domain, Headers: p.dialect.Headers, State: state, FailClosed: p.cfg.FailClosed,
 			Budget: p.cfg.Budget, Announce: p.cfg.Announce, DrainTimeout: p.cfg.Grace - 2*stopMargin, Log: p.events,
-			Quarantine: recorder, Limits: limits, Dial: p.cfg.Dial, OnLoadChange: state.PushLoads,
+			Quarantine: recorder, Limits: limits, Dial: p.cfg.Dial, Tunnels: tunnels, OnDrain: tunnels.Retire, OnLoadChange: state.PushLoads,
 			BodyBytes: p.memoryShare(bodyMemoryShare), AnswerBytes: p.memoryShare(answerMemoryShare),
 		}
 		if p.meter != nil {
--- a/instance/roles/process.go
+++ b/instance/roles/process.go
@@ -33,6 +33,7 @@
 	nameLimits          = "limits"
 	nameFollow          = "follow"
 	nameRelay           = "relay"
+	nameTunnels         = "tunnels"
 	nameControlListener = "listener.control"
 	nameReadyListener   = "listener.ready"
 	nameMetricsListener = "listener.metrics"
@@ -68,7 +69,7 @@
 			modules = append(modules, p.duties())
 		}
 	} else {
-		modules = append(modules, p.follow(), p.recorder(), p.limitClient(), p.relay(), p.ready())
+		modules = append(modules, p.follow(), p.recorder(), p.limitClient(), p.tunnels(), p.relay(), p.ready())
 	}
 	if cfg.Metrics != "" {
 		modules = append(modules, p.metrics())
@@ -160,11 +161,7 @@
 
 func (p *Process) links() kernel.Module {
 	return kernel.Module{Name: nameLinks, New: func(*kernel.Kernel) (kernel.Service, error) {
-		cfg := link.Config{Self: p.cfg.Peer, Book: peerAddressBook{}, AllowUnauthenticated: true, Log: p.log}
-		if p.cfg.Control != "" {
-			cfg.Listen = p.cfg.Peer
-		}
-		return link.New(cfg)
+		return link.New(link.Config{Self: p.cfg.Peer, Listen: p.cfg.Peer, Book: peerAddressBook{}, AllowUnauthenticated: true, Log: p.log})
 	}}
 }
 
--- a/instance/serving/digest.go
+++ b/instance/serving/digest.go
@@ -36,6 +36,8 @@
 	// Starting asks for all instances that follow the recipient: the sender has just started and
 	// would think them fewer than they are.
 	Starting bool `codec:"s,omitempty"`
+	// Tunnels lists some of the instances that follow the sender and serve tunnels.
+	Tunnels []string `codec:"t,omitempty"`
 }
 
 func (s *Service) exchangeDigests(ctx context.Context) {
@@ -61,7 +63,7 @@
 
 func (s *Service) sendDigest(st *consensus.Status) {
 	now := clock.Now()
-	all := digest{Watchers: s.takeWatchers(now), Clocks: s.metering.clocks(now), Starting: now.Sub(s.startedAt) < watcherInterval}
+	all := digest{Watchers: s.takeWatchers(now), Clocks: s.metering.clocks(now), Starting: now.Sub(s.startedAt) < watcherInterval, Tunnels: s.tunnels.announce(now)}
 	var heard []string
 	if st.Leader != 0 {
 		heard = s.takeHeard()
@@ -85,7 +87,7 @@
 }
 
 func (d *digest) empty() bool {
-	return len(d.Heard)+len(d.Watchers) == 0 && d.Clocks == nil && !d.Starting
+	return len(d.Heard)+len(d.Watchers)+len(d.Tunnels) == 0 && d.Clocks == nil && !d.Starting
 }
 
 // takeStarting returns the members that have just started and asked for all instances.
@@ -139,6 +141,7 @@
 		return nil, err
 	}
 	s.metering.observe(clock.Now(), from, d.Clocks)
+	s.tunnels.learn(from, clock.Now(), d.Tunnels)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if d.Starting {
--- a/instance/serving/serving.go
+++ b/instance/serving/serving.go
@@ -100,6 +100,8 @@
 	leaderSince time.Time
 	// confirmations has its own mutex.
 	confirmations confirmations
+	// tunnels has its own mutex.
+	tunnels tunnelServers
 	// metering has its own mutex. It is nil if usage is not counted.
 	metering *metering
 }
@@ -114,7 +116,7 @@
 	}
 	s := &Service{
 		cfg: cfg, changed: make(chan struct{}), lastHeard: map[string]time.Time{}, unsentHeard: map[string]bool{},
-		watchers: map[string]time.Time{}, unsentWatchers: map[string]bool{}, watcherSentAt: map[string]time.Time{}, starting: map[string]bool{}, startedAt: clock.Now(), loads: newLoadReports(), observed: newObservedReports(), limits: newLimitTracker(),
+		watchers: map[string]time.Time{}, unsentWatchers: map[string]bool{}, watcherSentAt: map[string]time.Time{}, starting: map[string]bool{}, startedAt: clock.Now(), loads: newLoadReports(), observed: newObservedReports(), limits: newLimitTracker(), tunnels: newTunnelServers(),
 	}
 	s.confirmations.read, s.confirmations.now = s.confirm, clock.Now
 	if cfg.Usage {
--- a/instance/serving/watch.go
+++ b/instance/serving/watch.go
@@ -57,6 +57,10 @@
 	// list alone.
 	MembersSum  uint64 `codec:"m,omitempty"`
 	MembersOnly bool   `codec:"y,omitempty"`
+	// Tunnels is set if other instances may reach upstreams through this one, and WantsPeers if it
+	// asks for instances through which it may.
+	Tunnels    bool `codec:"o,omitempty"`
+	WantsPeers bool `codec:"p,omitempty"`
 }
 
 // WatchResponse holds what a member knows.
@@ -92,6 +96,8 @@
 	Settled bool  `codec:"s,omitempty"`
 	// Quarantine holds the changes of the quarantine list; nil if there are none.
 	Quarantine *quarantine.Changes `codec:"q,omitempty"`
+	// Peers are names of instances through which upstreams can be reached, if they were asked for.
+	Peers []string `codec:"b,omitempty"`
 }
 
 // watch holds a request until the state changes or its wait is over. The state is confirmed
@@ -108,6 +114,7 @@
 	}
 	if q.Forwards {
 		s.recordWatcher(from)
+		s.tunnels.record(from, arrived, q.Tunnels)
 		s.recordReport(from, &q.Report)
 		s.metering.record(from, arrived, &q)
 	}
@@ -129,6 +136,9 @@
 	a.Confirmed = a.Confirmed && !a.More
 	viewQuarantine(g, func(m *quarantine.Machine) { a.Quarantine = m.Since(q.Quarantine) })
 	a.Forwarders = s.forwarders()
+	if q.WantsPeers {
+		a.Peers = s.tunnels.peers(from, clock.Now())
+	}
 	a.Summary, a.NextPlacement = s.summaryFor(from, q.NextPlacement, q.Report.HasObserved)
 	a.Agreed, a.Settled = s.metering.agreed(clock.Now())
 	return a, nil
--- a/instance/tcpconn/tcpconn.go
+++ b/instance/tcpconn/tcpconn.go
@@ -102,6 +102,29 @@
 	return c
 }
 
+// SetUserTimeout makes a connection fail if sent bytes are not acknowledged within d. It also bounds
+// how long keep-alive probes may go unanswered, whatever their number. Other connections than TCP are
+// left as they are.
+func SetUserTimeout(c net.Conn, d time.Duration) {
+	SetOption(c, unix.TCP_USER_TIMEOUT, int(d.Milliseconds()))
+}
+
+// SetOption sets a TCP option of a connection, if it is one.
+func SetOption(c net.Conn, option, value int) {
+	sc, ok := c.(syscall.Conn)
+	if !ok {
+		return
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return
+	}
+	// Without an option a dead connection is only detected later, or a slow one is taken for dead.
+	_ = raw.Control(func(fd uintptr) {
+		_ = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, option, value)
+	})
+}
+
 // Read implements net.Conn. Unlike net.TCPConn, it returns bytes that have arrived even after the
 // deadline.
 func (c *Conn) Read(p []byte) (int, error) {
--- /dev/null
+++ b/instance/uplink/uplink.go
@@ -0,0 +1,338 @@
+// Package uplink opens the connections of an instance to upstreams: directly, or through another
+// instance while the links of this one are cut. It checks by itself whether they are, so that a
+// failed connection is blamed on an upstream only if it is the upstream's.
+package uplink
+
+import (
+	"context"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/comfreyladder/comfreyladder/core/fault"
+	"github.com/comfreyladder/comfreyladder/core/reach"
+	"github.com/comfreyladder/comfreyladder/instance/tunnel"
+)
+
+const (
+	// checkSize is how many upstreams a check tries to reach, staggered by checkStagger so that one
+	// that answers spares the others a connection.
+	checkSize    = 5
+	checkStagger = 50 * time.Millisecond
+	// confirmSize is how many of them other instances are asked for if none answers, and confirmTimeout
+	// bounds that.
+	confirmSize    = 2
+	confirmTimeout = 2 * time.Second
+)
+
+// Tunnels opens connections through other instances.
+type Tunnels interface {
+	Available() bool
+	Dial(ctx context.Context, t tunnel.Target) (net.Conn, error)
+}
+
+// Candidate is an upstream that a check may connect to. Keep takes over the connection.
+type Candidate struct {
+	tunnel.Target
+	Keep func(net.Conn)
+}
+
+// Change tells that this instance lost or regained its links, and what the check found.
+type Change struct {
+	CutOff bool
+	Found  reach.Result
+}
+
+// Config configures a Service.
+type Config struct {
+	// Direct opens a direct connection, within Timeout.
+	Direct  func(ctx context.Context, address string) (net.Conn, error)
+	Timeout time.Duration
+	// Tunnels is nil if there are no other instances.
+	Tunnels Tunnels
+	// Sample returns up to n different random upstreams, of as many failure domains as possible.
+	Sample func(n int) []Candidate
+	// OnChange is called after each change, and OnUnreached after a check that reached no upstream
+	// though this instance was not known to be cut off.
+	OnChange    func(Change)
+	OnUnreached func(reach.Result)
+}
+
+// Conn is a connection to an upstream. Detour is set if it leads through another instance.
+type Conn struct {
+	net.Conn
+	Detour bool
+}
+
+// Service is safe for concurrent use.
+type Service struct {
+	cfg     Config
+	monitor reach.Monitor
+	ctx     context.Context
+	cancel  context.CancelFunc
+	running sync.WaitGroup
+	// watching is set while a goroutine watches for silence or for the links' return.
+	watching atomic.Bool
+
+	mu      sync.Mutex
+	stopped bool
+	// check is the running check, nil if there is none.
+	check *check
+}
+
+// check is one check, which all that need its result share.
+type check struct {
+	done  chan struct{}
+	found reach.Result
+}
+
+// New returns a service. Stop ends its work.
+func New(cfg Config) *Service {
+	s := &Service{cfg: cfg}
+	s.ctx, s.cancel = context.WithCancel(context.Background())
+	return s
+}
+
+// Stop ends the background work.
+func (s *Service) Stop() {
+	s.mu.Lock()
+	s.stopped = true
+	s.mu.Unlock()
+	s.cancel()
+	s.running.Wait()
+}
+
+// CutOff reports whether this instance is cut off from all upstreams while others reach them.
+func (s *Service) CutOff() bool { return s.monitor.CutOff() }
+
+// Doubtful reports whether this instance is cut off or may be.
+func (s *Service) Doubtful() bool { return s.monitor.Doubtful() }
+
+// Dial opens a connection to an upstream. An error with fault.NotRun says nothing about the upstream.
+func (s *Service) Dial(ctx context.Context, t tunnel.Target) (Conn, error) {
+	if s.CutOff() {
+		return s.detour(ctx, t, nil)
+	}
+	c, err := s.Direct(ctx, t)
+	if err == nil || ctx.Err() != nil || s.checkLinks(ctx).Reached > 0 || !s.tunnels() {
+		return Conn{Conn: c}, err
+	}
+	return s.detour(ctx, t, err)
+}
+
+// Direct opens a direct connection.
+func (s *Service) Direct(ctx context.Context, t tunnel.Target) (net.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, s.cfg.Timeout)
+	defer cancel()
+	c, err := s.cfg.Direct(ctx, t.Address)
+	if err != nil {
+		return nil, fault.Wrap(err, fault.Unavailable, "connect to %s", t.Address)
+	}
+	return c, nil
+}
+
+// DirectChecked is Direct for another instance: it fails with fault.NotRun if the links of this one
+// may be the cause.
+func (s *Service) DirectChecked(ctx context.Context, t tunnel.Target) (net.Conn, error) {
+	if s.CutOff() {
+		return nil, errCutOff
+	}
+	c, err := s.Direct(ctx, t)
+	if err != nil && s.checkLinks(ctx).Reached == 0 {
+		return nil, errCutOff
+	}
+	return c, err
+}
+
+var errCutOff = fault.New(fault.NotRun, "this instance reaches no upstream")
+
+func (s *Service) tunnels() bool { return s.cfg.Tunnels != nil && s.cfg.Tunnels.Available() }
+
+// detour opens a connection through another instance. If none can help, direct is the error of the
+// direct connection, or nil if that was not tried yet.
+func (s *Service) detour(ctx context.Context, t tunnel.Target, direct error) (Conn, error) {
+	if s.tunnels() {
+		c, err := s.cfg.Tunnels.Dial(ctx, t)
+		if err == nil {
+			s.reachedByOther()
+			return Conn{c, true}, nil
+		}
+		if fault.CodeOf(err) != fault.NotRun {
+			return Conn{}, err
+		}
+		if direct != nil || ctx.Err() != nil {
+			return Conn{}, fault.Wrap(direct, fault.NotRun, "neither this instance nor another one reaches %s", t.Address)
+		}
+	}
+	c, err := s.Direct(ctx, t)
+	if err != nil {
+		err = fault.Wrap(err, fault.NotRun, "this instance is cut off")
+	}
+	return Conn{Conn: c}, err
+}
+
+// Await records that a response is awaited on a direct connection, Heard that some of one arrived,
+// and Done that it is no longer awaited.
+func (s *Service) Await() {
+	s.monitor.Await(time.Now())
+	s.watch()
+}
+
+// Heard records that something arrived on a direct connection.
+func (s *Service) Heard() { s.monitor.Heard(time.Now()) }
+
+// Done is the opposite of Await.
+func (s *Service) Done() { s.monitor.Done() }
+
+// checkLinks checks the links, unless that was done a moment ago, and returns what was found.
+func (s *Service) checkLinks(ctx context.Context) reach.Result {
+	s.mu.Lock()
+	if r, fresh := s.monitor.Fresh(time.Now()); fresh || s.stopped {
+		s.mu.Unlock()
+		return r
+	}
+	c := s.check
+	if c == nil {
+		c = &check{done: make(chan struct{})}
+		s.check = c
+		s.running.Go(func() { s.runCheck(c) })
+	}
+	s.mu.Unlock()
+	select {
+	case <-c.done:
+		return c.found
+	case <-ctx.Done():
+		return reach.Result{}
+	}
+}
+
+func (s *Service) runCheck(c *check) {
+	list := s.cfg.Sample(checkSize)
+	c.found = s.probe(list)
+	healed := s.monitor.Checked(time.Now(), c.found)
+	s.mu.Lock()
+	s.check = nil
+	s.mu.Unlock()
+	if healed {
+		s.cfg.OnChange(Change{Found: c.found})
+	}
+	close(c.done)
+	if c.found.Unreached() && !s.CutOff() {
+		s.cfg.OnUnreached(c.found)
+		s.confirm(list[:min(len(list), confirmSize)])
+	}
+}
+
+// confirm asks other instances for upstreams that this one does not reach.
+func (s *Service) confirm(list []Candidate) {
+	if !s.tunnels() {
+		return
+	}
+	ctx, cancel := context.WithTimeout(s.ctx, confirmTimeout)
+	defer cancel()
+	for _, c := range list {
+		if nc, err := s.cfg.Tunnels.Dial(ctx, c.Target); err == nil {
+			_ = nc.Close()
+			s.reachedByOther()
+			return
+		}
+	}
+}
+
+// reachedByOther records that another instance reaches an upstream.
+func (s *Service) reachedByOther() {
+	if !s.monitor.ReachedByOther() {
+		return
+	}
+	found, _ := s.monitor.Fresh(time.Now())
+	s.cfg.OnChange(Change{CutOff: true, Found: found})
+	s.watch()
+}
+
+// probe connects to upstreams until one answers.
+func (s *Service) probe(list []Candidate) (found reach.Result) {
+	ctx, cancel := context.WithCancel(s.ctx)
+	defer cancel()
+	results := make(chan bool, len(list))
+	begin := func(c Candidate) {
+		s.running.Go(func() { results <- s.connect(ctx, c) })
+	}
+	begun := 0
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for found.Failed < len(list) {
+		select {
+		case <-timer.C:
+		case reached := <-results:
+			if reached {
+				found.Reached++
+				return found
+			}
+			found.Failed++
+		}
+		if begun < len(list) {
+			begin(list[begun])
+			begun++
+			timer.Reset(checkStagger)
+		}
+	}
+	return found
+}
+
+func (s *Service) connect(ctx context.Context, c Candidate) bool {
+	nc, err := s.Direct(ctx, c.Target)
+	if err != nil {
+		return false
+	}
+	c.Keep(nc)
+	return true
+}
+
+// watch makes sure that silence, and the return of the links, are noticed.
+func (s *Service) watch() {
+	if s.watching.Load() || s.watching.Swap(true) {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.stopped {
+		return
+	}
+	s.running.Go(s.watchLinks)
+}
+
+func (s *Service) watchLinks() {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case <-timer.C:
+		case <-s.ctx.Done():
+			return
+		}
+		left, awaited := s.monitor.SilenceLeft(time.Now())
+		switch {
+		case s.CutOff():
+			s.checkLinks(s.ctx)
+			timer.Reset(reach.Recheck)
+		case !awaited:
+			if s.endWatch() {
+				return
+			}
+			timer.Reset(reach.Quiet)
+		case left > 0:
+			timer.Reset(left)
+		default:
+			s.checkLinks(s.ctx)
+			timer.Reset(reach.Freshness)
+		}
+	}
+}
+
+// endWatch ends the watch unless something has begun to need it meanwhile.
+func (s *Service) endWatch() bool {
+	s.watching.Store(false)
+	_, awaited := s.monitor.SilenceLeft(time.Now())
+	return !awaited && !s.CutOff() || s.watching.Swap(true)
+}
