Relay: a connection bears an upstream that is silent for two seconds

Callers of a stream saw it cut off, and others got 502, when the host of a sound upstream answered nothing for a second or so.

Cause: TCP_USER_TIMEOUT was 1.5 s with a probe after 2 s and the next after one more. The option also ends keep-alive probes: a single one without an answer was enough (silent from 0.9 or 1.4 s after the last byte on, gone at 3.0 s).

--- a/instance/relay/pool.go
+++ b/instance/relay/pool.go
@@ -174,7 +174,16 @@
 	return err == nil && quiet
 }
 
-var dialer = net.Dialer{KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: 2 * time.Second, Interval: time.Second, Count: 2}}
+// keepAliveIdle is the idle time before the first keep-alive probe, and keepAliveInterval the time
+// between two; their number follows from userTimeout.
+const (
+	keepAliveIdle     = time.Second
+	keepAliveInterval = 500 * time.Millisecond
+)
+
+var dialer = net.Dialer{KeepAliveConfig: net.KeepAliveConfig{
+	Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: int((userTimeout - keepAliveIdle) / keepAliveInterval),
+}}
 
 // dialTCP is the default of Config.Dial.
 func dialTCP(ctx context.Context, address string) (net.Conn, error) {
