Connections to upstreams and tunnels bear two seconds of silence, whenever they begin

The kernel takes the interval of probes in whole seconds, so a half second was one second, and with a limit of 3 s the probe that would have been answered was never sent. Now three probes in three seconds, and a limit just above the third (it ends unacknowledged bytes after 3.1 s, probes at the fourth). One place for both: tcpconn.Dial; tunnels had 2 s and 1 s with a limit of 4 s, and bore 1.1 s.

--- a/instance/link/stream.go
+++ b/instance/link/stream.go
@@ -6,7 +6,6 @@
 	"net"
 	"net/http"
 	"net/url"
-	"time"
 
 	"github.com/gobwas/ws"
 	"github.com/pkg/errors"
@@ -61,9 +60,8 @@
 }
 
 // OpenStream opens a byte stream to a target through another instance: a connection that carries
-// WebSocket frames, of which buffered holds those that have arrived; nil for none. keepAlive and
-// userTimeout bound how long a lost peer goes unnoticed.
-func (s *Service) OpenStream(ctx context.Context, to, target string, keepAlive net.KeepAliveConfig, userTimeout time.Duration) (conn net.Conn, buffered *bufio.Reader, err error) {
+// WebSocket frames, of which buffered holds those that have arrived; nil for none.
+func (s *Service) OpenStream(ctx context.Context, to, target string) (conn net.Conn, buffered *bufio.Reader, err error) {
 	address, ok := s.cfg.Book.Address(to)
 	if !ok {
 		return nil, nil, fault.New(fault.NotFound, "the address of instance %s is unknown", to)
@@ -72,17 +70,9 @@
 	if s.cfg.ClientTLS != nil {
 		scheme = "wss://"
 	}
-	tcp := net.Dialer{KeepAliveConfig: keepAlive}
 	dialer := ws.Dialer{
 		Timeout: s.cfg.DialTimeout, TLSConfig: s.cfg.ClientTLS,
-		NetDial: func(ctx context.Context, network, address string) (net.Conn, error) {
-			c, err := tcp.DialContext(ctx, network, address)
-			if err != nil {
-				return nil, err
-			}
-			tcpconn.SetUserTimeout(c, userTimeout)
-			return tcpconn.Wrap(c), nil
-		},
+		NetDial: tcpconn.Dial,
 		Header: ws.HandshakeHeaderHTTP(http.Header{
 			authHeader: []string{bearer + s.cfg.Credential}, instanceHeader: []string{s.cfg.Self},
 		}),
--- a/instance/relay/config.go
+++ b/instance/relay/config.go
@@ -125,10 +125,6 @@
 	maxBufferedBody = 512 << 10
 	// ioBufferSize is the size of a connection's read buffer.
 	ioBufferSize = 4 << 10
-	// userTimeout closes a connection whose sent bytes, or keep-alive probes, are not acknowledged: it
-	// ends the probes too, whatever their number. It exceeds keepAliveIdle by two seconds, as a sound
-	// upstream may be silent for one or so.
-	userTimeout = 3 * time.Second
 )
 
 // limits returns the limits in force.
--- a/instance/relay/pool.go
+++ b/instance/relay/pool.go
@@ -174,25 +174,9 @@
 	return err == nil && quiet
 }
 
-// keepAliveIdle is the idle time before the first keep-alive probe, and keepAliveInterval the time
-// between two; their number follows from userTimeout.
-const (
-	keepAliveIdle     = time.Second
-	keepAliveInterval = 500 * time.Millisecond
-)
-
-var dialer = net.Dialer{KeepAliveConfig: net.KeepAliveConfig{
-	Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: int((userTimeout - keepAliveIdle) / keepAliveInterval),
-}}
-
 // dialTCP is the default of Config.Dial.
 func dialTCP(ctx context.Context, address string) (net.Conn, error) {
-	nc, err := dialer.DialContext(ctx, "tcp4", address)
-	if err != nil {
-		return nil, err
-	}
-	tcpconn.SetUserTimeout(nc, userTimeout)
-	return tcpconn.Wrap(nc), nil
+	return tcpconn.Dial(ctx, "tcp4", address)
 }
 
 // dial opens a new connection. An error with fault.NotRun says nothing about the upstream.
--- a/instance/tunnel/doc.go
+++ b/instance/tunnel/doc.go
@@ -9,10 +9,7 @@
 // not look complete when the instance between them ends. Tunnels are never opened through tunnels.
 package tunnel
 
-import (
-	"net"
-	"time"
-)
+import "time"
 
 // Target is an upstream to which a tunnel leads.
 type Target struct {
@@ -48,9 +45,3 @@
 	// avoidFor is how long an instance that could not help is tried after all others.
 	avoidFor = time.Second
 )
-
-// userTimeout and keepAlive bound how long the loss of the other instance goes unnoticed. They bear a
-// silence of two seconds.
-const userTimeout = 4 * time.Second
-
-var keepAlive = net.KeepAliveConfig{Enable: true, Idle: 2 * time.Second, Interval: time.Second, Count: 3}
--- a/instance/tunnel/tunnel.go
+++ b/instance/tunnel/tunnel.go
@@ -24,7 +24,7 @@
 // Links is the part of instance/link that this service uses.
 type Links interface {
 	HandleStreams(open link.StreamOpener)
-	OpenStream(ctx context.Context, to, target string, keepAlive net.KeepAliveConfig, userTimeout time.Duration) (net.Conn, *bufio.Reader, error)
+	OpenStream(ctx context.Context, to, target string) (net.Conn, *bufio.Reader, error)
 }
 
 // Config configures a Service.
@@ -169,7 +169,7 @@
 }
 
 func (s *Service) through(ctx context.Context, name string, t Target) (net.Conn, error) {
-	c, buffered, err := s.cfg.Links.OpenStream(ctx, name, t.String(), keepAlive, userTimeout)
+	c, buffered, err := s.cfg.Links.OpenStream(ctx, name, t.String())
 	if err == nil {
 		return newConn(c, buffered), nil
 	}
