--- a/instance/relay/relay.go
+++ b/instance/relay/relay.go
@@ -152,9 +152,10 @@
 }
 
 // Ready reports whether the balancer should send callers here: a route table is present, the view
-// is still leased, and the instance is not draining.
+// is still leased, and the instance is neither draining nor cut off from the upstreams. One that is cut
+// off serves those who come all the same, as the balancer uses it if too few others are ready.
 func (s *Service) Ready() bool {
-	return s.phase() == drain.Serving && s.cfg.State.View().Routes != nil && (!s.cfg.FailClosed || s.cfg.State.Lease() > 0)
+	return s.phase() == drain.Serving && !s.CutOff() && s.cfg.State.View().Routes != nil && (!s.cfg.FailClosed || s.cfg.State.Lease() > 0)
 }
 
 // Stop implements kernel.Service: it closes the listener and all connections.
--- a/proof/deployed/partition_test.go
+++ b/proof/deployed/partition_test.go
@@ -300,3 +300,15 @@
 		Expect(s.networks[i].dialled.Load()).To(BeNumerically(">", 0))
 	}
 }
+
+// Guards against callers that are sent to an instance which reaches no upstream while others do.
+func TestInstanceCutOffFromAllUpstreamsIsNotReady(t *testing.T) {
+	s := newSevered(t)
+	s.networks[0].set(hangs)
+	s.firstTries(20, cutKnown)
+	Expect(s.edges[0].ready()).To(BeFalse())
+	Expect(s.edges[1].ready()).To(BeTrue())
+	s.networks[0].set(whole)
+	Eventually(s.edges[0].ready, 2*time.Second, poll).Should(BeTrue())
+	Expect(s.edges[0].ask("k")).To(Equal(200))
+}
