Relay: brittle upstreams get what their slots take, and a pause after a rejection

Upstreams that say in all their answers how many rejections a second they bear fell over one after the other, since instances filled their queues.

Cause: nothing read the announcement; an instance counted on the queue, and all instances together found a full upstream again and again.

While the upstreams of a service say that they are brittle, an instance sends to one within its share of the slots, or while half of them are known to be free; with fewer slots than instances a lot gives as many instances a share of one. That needs no message. What it rejects nevertheless is followed by a pause of instances / tolerated seconds. It belongs to the service, as an upstream that is back after a fall has not said anything yet.

TestRejectionByABrittleUpstreamIsFollowedByAPause, TestBrittleUpstreamGetsNoMoreThanItsSlots, core/backpressure.

--- /dev/null
+++ b/core/backpressure/brittle.go
@@ -0,0 +1,81 @@
+package backpressure
+
+import (
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	// maxTolerated bounds an accepted number of rejections per second, far beyond any that matters.
+	maxTolerated = 1 << 20
+	// minRejectionPause and maxRejectionPause bound the pause after a rejection by a brittle upstream.
+	minRejectionPause, maxRejectionPause = 100 * time.Millisecond, 5 * time.Second
+)
+
+// ParseBrittle returns how many rejections per second an upstream says that it bears. It reports false
+// if the value is absent or can't be parsed.
+func ParseBrittle(value string) (perSecond int, ok bool) {
+	n, err := strconv.Atoi(strings.TrimSpace(value))
+	if err != nil || n < 0 {
+		return 0, false
+	}
+	return min(n, maxTolerated), true
+}
+
+// RejectionPause returns for how long one of several instances sends nothing to a brittle upstream that
+// has rejected a request of it: together they are rejected no more often than the upstream bears.
+func RejectionPause(perSecond, instances int) time.Duration {
+	pause := time.Duration(max(1, instances)) * time.Second / time.Duration(max(1, perSecond))
+	return min(maxRejectionPause, max(minRejectionPause, pause))
+}
+
+// Brittle holds whether the upstreams of a service say that they are brittle: each fails if it has to
+// reject too many requests. Requests then must not rely on their queues. It belongs to the service, as
+// an upstream that has failed and is back has not said anything yet. The zero value is not brittle. It
+// is safe for concurrent use.
+type Brittle struct {
+	// heard is when an upstream last said that it is brittle, in nanoseconds of the Unix time; zero if
+	// none is.
+	heard atomic.Int64
+}
+
+// brittleRetention is for how long the others are taken to be brittle after one has said so.
+const brittleRetention = time.Second
+
+// Hear records what a response says, which came at a given time to a request sent before. One without
+// the announcement ends the time only if its request was sent some time after the last announcement.
+func (b *Brittle) Hear(brittle bool, sent, now time.Time) {
+	if brittle {
+		b.heard.Store(now.UnixNano())
+		return
+	}
+	if heard := b.heard.Load(); heard != 0 && sent.UnixNano() > heard+int64(brittleRetention) {
+		b.heard.CompareAndSwap(heard, 0)
+	}
+}
+
+// Active reports whether the upstreams are brittle.
+func (b *Brittle) Active() bool { return b.heard.Load() != 0 }
+
+// Room describes the slots of an upstream as one of several instances knows them.
+type Room struct {
+	// Slots is how many requests the upstream runs at once, and Instances how many instances send to it.
+	Slots, Instances int
+	// Own is what this instance has in flight there, and All what all instances have as far as is known.
+	Own, All int
+	// Lot is uniform in [0,1) over the instances and upstreams, and the same for each pair.
+	Lot float64
+}
+
+// Free reports whether a request finds a free slot without doubt: if this instance is within its share
+// of the slots, or if half of them are free even though what is known of the others is not new. With
+// fewer slots than instances, as many instances as there are slots have a share of one.
+func (r Room) Free() bool {
+	share := r.Slots / max(1, r.Instances)
+	if share == 0 && r.Lot*float64(r.Instances) < float64(r.Slots) {
+		share = 1
+	}
+	return r.Own < share || 2*r.All < r.Slots
+}
--- a/instance/relay/backpressure.go
+++ b/instance/relay/backpressure.go
@@ -14,11 +14,16 @@
 // recordAsk records what a response asks of this instance. It applies whichever request the response
 // belongs to.
 func (a *attempt) recordAsk() {
-	retryAfter, leaving := a.head.Get(fieldRetryAfter), a.head.Get(a.s.cfg.Headers.Leaving)
-	if len(retryAfter) == 0 && len(leaving) == 0 {
+	retryAfter, leaving, brittle := a.head.Get(fieldRetryAfter), a.head.Get(a.s.cfg.Headers.Leaving), a.head.Get(a.s.cfg.Headers.Brittle)
+	if len(retryAfter)+len(leaving)+len(brittle) == 0 && !a.up.isBrittle() {
 		return
 	}
 	ask := backpressure.Parse(a.head.Status, string(retryAfter), string(leaving), time.Now())
+	tolerated, isBrittle := backpressure.ParseBrittle(string(brittle))
+	a.hearBrittle(isBrittle, tolerated)
+	if isBrittle && a.rejectedForRoom() {
+		ask.Pause = max(ask.Pause, backpressure.RejectionPause(tolerated, a.s.cfg.State.View().Forwarders))
+	}
 	if ask == (backpressure.Ask{}) {
 		return
 	}
@@ -33,6 +38,55 @@
 	}
 }
 
+// hearBrittle records whether the upstream says that it is brittle, which holds for its service.
+func (a *attempt) hearBrittle(is bool, tolerated int) {
+	peers := a.up.peers.Load()
+	if peers == nil {
+		return
+	}
+	was := peers.brittle.Active()
+	peers.brittle.Hear(is, a.sentAt, clock.Now())
+	if now := peers.brittle.Active(); now != was {
+		a.s.cfg.Log.Event("upstream_brittle").Str("upstream", a.up.id).Bool("brittle", now).Int("tolerated", int64(tolerated)).End()
+	}
+}
+
+// rejectedForRoom reports whether the response says that the upstream had no room for its request.
+func (a *attempt) rejectedForRoom() bool {
+	return a.head.Status == statusUnavailable && a.head.Has(a.s.cfg.Headers.NotRun)
+}
+
+const statusUnavailable = 503
+
+// isBrittle reports whether the upstreams of the service are brittle.
+func (u *upstream) isBrittle() bool {
+	peers := u.peers.Load()
+	return peers != nil && peers.brittle.Active()
+}
+
+// lacksRoom reports whether an upstream is brittle and may have to reject a request. The caller holds mu.
+func (f *fleet) lacksRoom(sel *selection, u *upstream) bool {
+	if !u.isBrittle() {
+		return false
+	}
+	room := backpressure.Room{Slots: u.slots, Instances: f.forwarders, Own: u.active, All: u.active * f.forwarders, Lot: u.lot}
+	if sel.fresh {
+		room.All = u.active + f.remoteLoads[u.incarnation].Active
+	}
+	return !room.Free()
+}
+
+// noRoom reports whether a candidate of the latest choice was left out because it is brittle and has no
+// room. The caller holds mu.
+func (f *fleet) noRoom(sel *selection) bool {
+	for _, u := range f.choice.candidates {
+		if f.lacksRoom(sel, u) {
+			return true
+		}
+	}
+	return false
+}
+
 // logAsk adds to a line what the response asked for, and how much longer the upstream wanted nothing if
 // the request was not sent for that reason.
 func (a *attempt) logAsk(l *eventlog.Line) {
--- a/instance/relay/choose.go
+++ b/instance/relay/choose.go
@@ -69,7 +69,7 @@
 	c := f.pick(r, q, sel)
 	if c.Index == balance.None {
 		r.pauseLeft = f.pauseLeft()
-		return nil, r.allLimited || r.pauseLeft > 0
+		return nil, r.allLimited || r.pauseLeft > 0 || f.noRoom(sel)
 	}
 	f.recordPrediction(r, q, c)
 	if r.tokens > 0 && len(avoid) == 0 {
@@ -83,7 +83,7 @@
 		// quick ones.
 		sel.pools = false
 		if c = f.pick(r, q, sel); c.Index == balance.None {
-			return nil, r.allLimited
+			return nil, r.allLimited || f.noRoom(sel)
 		}
 	}
 	if c.QueueMS > r.maxQueueMS && r.tokens > 0 {
@@ -245,7 +245,7 @@
 }
 
 func (f *fleet) excluded(sel *selection, u *upstream) bool {
-	return u.active >= sel.service.maxConns || slices.Contains(sel.avoid, u) || u.gate.Closed(clock.Now)
+	return u.active >= sel.service.maxConns || slices.Contains(sel.avoid, u) || u.gate.Closed(clock.Now) || f.lacksRoom(sel, u)
 }
 
 func (f *fleet) suspect(sel *selection, u *upstream) bool {
--- a/instance/relay/config.go
+++ b/instance/relay/config.go
@@ -44,6 +44,9 @@
 	Limit string
 	// Leaving, in a response, is "1" if the upstream is leaving and wants no new requests.
 	Leaving string
+	// Brittle, in a response, is how many rejections per second the upstream bears. One that must
+	// reject more fails.
+	Brittle string
 	// FetchFrom names the upstream from which another one can fetch a cached prompt.
 	FetchFrom string
 	// Reserved fields are set by this system only: those that callers send are dropped.
--- a/instance/relay/fleet.go
+++ b/instance/relay/fleet.go
@@ -25,7 +25,9 @@
 	// viewIndex is the index of the view that was applied last, once one was applied.
 	viewIndex uint64
 	applied   bool
-	upstreams map[string]*upstream
+	// forwarders is the number of instances that forward requests.
+	forwarders int
+	upstreams  map[string]*upstream
 	// byIncarnation holds the upstreams by the log index at which they registered, which identifies
 	// them in messages.
 	byIncarnation map[uint64]*upstream
@@ -77,7 +79,7 @@
 		}
 	}
 	log.end()
-	f.viewIndex, f.applied = v.Index, true
+	f.viewIndex, f.applied, f.forwarders = v.Index, true, v.Forwarders
 	for name, s := range f.services {
 		s.maxConns = connectionShare(v, name)
 	}
--- a/instance/relay/service.go
+++ b/instance/relay/service.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/comfreyladder/comfreyladder/core/backpressure"
 	"github.com/comfreyladder/comfreyladder/core/balance"
 	"github.com/comfreyladder/comfreyladder/instance/follow"
 )
@@ -59,9 +60,11 @@
 	l.list = l.list[:last]
 }
 
-// peerObserver sums up what this instance observes of all upstreams of a service. It is safe for
-// concurrent use.
+// peerObserver sums up what this instance observes of all upstreams of a service, and holds whether
+// they are brittle. It is safe for concurrent use.
 type peerObserver struct {
+	brittle backpressure.Brittle
+
 	mu       sync.Mutex
 	observer balance.Observer
 }
--- a/instance/relay/suite_test.go
+++ b/instance/relay/suite_test.go
@@ -26,7 +26,7 @@
 
 var headers = relay.Headers{
 	RequestID: "X-Id", Deadline: "X-Left", Key: "X-Key", Organisation: "X-Org", ExpectInstance: "X-Expect", Urgency: "X-Urgency",
-	NotRun: "X-Not-Run", Seal: "X-Seal", LastEvent: "X-Last", PromptSegments: "X-Parts", TokenCounts: "X-Tokens", FetchFrom: "X-Fetch", Limit: "X-Limit", Leaving: "X-Leaving",
+	NotRun: "X-Not-Run", Seal: "X-Seal", LastEvent: "X-Last", PromptSegments: "X-Parts", TokenCounts: "X-Tokens", FetchFrom: "X-Fetch", Limit: "X-Limit", Leaving: "X-Leaving", Brittle: "X-Brittle",
 	Reserved: []string{"X-Org", "X-Expect", "X-Urgency", "X-Hold", "X-Fetch"}, EndToEnd: []string{"X-Id"},
 }
 
--- a/instance/relay/upstream.go
+++ b/instance/relay/upstream.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -49,6 +50,9 @@
 	// observer sums up the results of its responses.
 	observer balance.Observer
 
+	// lot decides whether this instance has a share of the upstream's slots if there are more
+	// instances than slots.
+	lot float64
 	// gate is closed while the upstream wants nothing from this instance.
 	gate backpressure.Gate
 
@@ -57,7 +61,7 @@
 }
 
 func (f *fleet) newUpstream(info *serving.Upstream) *upstream {
-	u := &upstream{id: info.ID, address: info.Address, incarnation: info.FirstIndex}
+	u := &upstream{id: info.ID, address: info.Address, incarnation: info.FirstIndex, lot: rand.Float64()}
 	u.pool.target, u.pool.links = targetOf(info), f.links
 	return u
 }
--- a/proof/deployed/quarantine_test.go
+++ b/proof/deployed/quarantine_test.go
@@ -46,7 +46,9 @@
 	// named is the limit that the upstream at an address names.
 	named map[string]*named
 	// asks is what the upstream at an address asks for.
-	asks     map[string]*asking
+	asks map[string]*asking
+	// frail is what brittle upstreams bear, nil if they are sound.
+	frail    *frail
 	arrivals []time.Time // of the request that ends upstreams
 	crashes  []time.Time
 }
@@ -111,6 +113,11 @@
 		return
 	}
 	limit.arrived(out)
+	done, taken := f.frail.take(f, r, out, req)
+	defer done()
+	if !taken {
+		return
+	}
 	time.Sleep(time.Duration(f.work.Load()))
 	out.Header().Set("Attempt-Id", req.Header.Get("Attempt-Id"))
 	out.Header().Set("Runner-Seal", "s")
