Own daemon: the same for its upstreams: tunnels, readiness, brittle and silent ones

The same causes as in the edges, found by reading: a connection to an upstream had one way only; a failure that the links of one instance caused was told to the domain's scheduler as the upstream's, so all instances avoided it; an instance that reached no upstream was ready; X-Brittle did not exist, so each rejection was followed by the next.

Connections go by instance/uplink, through instances of the own failure domain and of others (links are authenticated, so any address may be asked for). What must not arrive after a time (orders under a lease) takes no tunnel, which might hold it up. A failure while no upstream is reached blames none. A brittle upstream that rejects gets a pause of instances / tolerated seconds; engines never get more than their slots, as one scheduler counts. Connections use the keep-alive of tcpconn.Dial.

--- a/instance/daemon/base.go
+++ b/instance/daemon/base.go
@@ -5,6 +5,7 @@
 
 	"github.com/comfreyladder/comfreyladder/instance/config"
 	"github.com/comfreyladder/comfreyladder/instance/kernel"
+	"github.com/comfreyladder/comfreyladder/instance/member"
 	"github.com/comfreyladder/comfreyladder/instance/registry"
 	"github.com/comfreyladder/comfreyladder/instance/telemetry"
 	"github.com/comfreyladder/comfreyladder/instance/trace"
@@ -81,8 +82,11 @@
 func (c *clientService) Stop(ctx context.Context) error { return c.Close(ctx) }
 
 func (d *Daemon) client() kernel.Module {
-	return kernel.Module{Name: nameClient, Needs: []string{nameRegistry}, New: func(k *kernel.Kernel) (kernel.Service, error) {
-		upstreams, err := kernel.Lookup[*registry.Service](k, nameRegistry)
+	return kernel.Module{Name: nameClient, Needs: []string{nameRegistry, nameMembers, nameUplinks}, New: func(k *kernel.Kernel) (kernel.Service, error) {
+		var upstreams *registry.Service
+		var members *member.Service
+		var links *uplinkService
+		err := runLookups(lookupInto(k, nameRegistry, &upstreams), lookupInto(k, nameMembers, &members), lookupInto(k, nameUplinks, &links))
 		if err != nil {
 			return nil, err
 		}
@@ -93,6 +97,8 @@
 			ReadTimeout:  u.Silence,
 			MaxIdle:      u.IdleAge,
 			InstanceName: d.cfg.Instance.Name,
+			Links:        links.Service,
+			Instances:    func() int { return 1 + len(d.livePeers(members)) },
 			Incarnation: func(name string) (uint64, bool) {
 				if u := upstreams.View().Find(name); u != nil {
 					return u.Incarnation, true
--- a/instance/daemon/daemon.go
+++ b/instance/daemon/daemon.go
@@ -4,6 +4,8 @@
 
 import (
 	"context"
+	"net"
+	"sync/atomic"
 
 	"github.com/rs/zerolog"
 
@@ -11,6 +13,7 @@
 	"github.com/comfreyladder/comfreyladder/instance/httpserver"
 	"github.com/comfreyladder/comfreyladder/instance/kernel"
 	"github.com/comfreyladder/comfreyladder/instance/settings"
+	"github.com/comfreyladder/comfreyladder/instance/uplink"
 )
 
 // Names under which the services are registered with the kernel.
@@ -24,6 +27,8 @@
 	nameControl   = "control"
 	nameRegistry  = "registry"
 	nameSchedule  = "schedule"
+	nameTunnels   = "tunnels"
+	nameUplinks   = "uplinks"
 	nameClient    = "upstream.client"
 	namePlain     = "plain"
 	nameOrders    = "orders"
@@ -41,8 +46,12 @@
 	log    zerolog.Logger
 	kernel *kernel.Kernel
 	book   *addressBook
-	fatal  chan error
-	drain  chan struct{}
+	// uplink opens the connections to upstreams, once its service is created.
+	uplink atomic.Pointer[uplink.Service]
+	// Dial opens the direct connections to upstreams; nil selects TCP. It is set before Start.
+	Dial  func(ctx context.Context, address string) (net.Conn, error)
+	fatal chan error
+	drain chan struct{}
 }
 
 // New returns a daemon that is not started yet. It fails if two services have the
@@ -52,7 +61,7 @@
 	d.book = d.addresses()
 	err := d.kernel.Register(
 		d.telemetry(), d.trace(), d.config(), d.links(), d.members(), d.spread(), d.control(), d.registry(),
-		d.schedule(), d.client(), d.plain(), d.orders(), d.gateway(), d.callers(), d.operators(),
+		d.schedule(), d.tunnels(), d.uplinks(), d.client(), d.plain(), d.orders(), d.gateway(), d.callers(), d.operators(),
 	)
 	return d, err
 }
--- a/instance/daemon/http.go
+++ b/instance/daemon/http.go
@@ -24,6 +24,7 @@
 	"github.com/comfreyladder/comfreyladder/instance/spread"
 	"github.com/comfreyladder/comfreyladder/instance/telemetry"
 	"github.com/comfreyladder/comfreyladder/instance/tlsconf"
+	"github.com/comfreyladder/comfreyladder/instance/tunnel"
 	"github.com/comfreyladder/comfreyladder/instance/upstream"
 )
 
@@ -79,6 +80,7 @@
 			Trace:     p.trace.Log,
 			Log:       d.log,
 			CutOff:    func() bool { return !p.spread.Lease().Valid },
+			LinksCut:  func() bool { return d.uplink.Load().CutOff() },
 		})
 		return &gatewayService{Gateway: g, d: d, kernel: k, members: p.members}, nil
 	}}
@@ -132,6 +134,9 @@
 // nothing is in flight, including queued requests and streams.
 func (g *gatewayService) Drain(ctx context.Context) error {
 	g.SetReady(false)
+	if tunnels, err := kernel.Lookup[*tunnel.Service](g.kernel, nameTunnels); err == nil {
+		tunnels.Retire()
+	}
 	if err := g.members.Drain(ctx); err != nil {
 		return err
 	}
--- a/instance/gateway/gateway.go
+++ b/instance/gateway/gateway.go
@@ -58,6 +58,8 @@
 	Log       zerolog.Logger
 	// CutOff reports whether the configuration lease of this instance has expired.
 	CutOff func() bool
+	// LinksCut reports whether this instance is cut off from the upstreams; nil if it never is.
+	LinksCut func() bool
 }
 
 // Gateway is the HTTP handler of the callers' listener.
@@ -94,7 +96,7 @@
 }
 
 func (g *Gateway) ready(ctx *fasthttp.RequestCtx) {
-	if _, err := g.cfg.Config.Current(); err != nil || g.notReady.Load() {
+	if _, err := g.cfg.Config.Current(); err != nil || g.notReady.Load() || g.cfg.LinksCut != nil && g.cfg.LinksCut() {
 		ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
 		ctx.SetBodyString("not ready\n")
 		return
--- a/instance/tunnel/tunnel.go
+++ b/instance/tunnel/tunnel.go
@@ -30,8 +30,7 @@
 // Config configures a Service.
 type Config struct {
 	Links Links
-	// Peers returns the names of other instances through which tunnels may be opened, the preferred
-	// ones first.
+	// Peers returns the names of other instances through which tunnels may be opened.
 	Peers func() []string
 	// Allow reports whether this instance serves tunnels to an upstream.
 	Allow func(Target) bool
--- a/instance/uplink/uplink.go
+++ b/instance/uplink/uplink.go
@@ -54,7 +54,7 @@
 	// Sample returns up to n different random upstreams, of as many failure domains as possible.
 	Sample func(n int) []Candidate
 	// OnChange is called after each change, and OnUnreached after a check that reached no upstream
-	// though this instance was not known to be cut off.
+	// though this instance was not known to be cut off. Both may be nil.
 	OnChange    func(Change)
 	OnUnreached func(reach.Result)
 }
@@ -89,6 +89,12 @@
 
 // New returns a service. Stop ends its work.
 func New(cfg Config) *Service {
+	if cfg.OnChange == nil {
+		cfg.OnChange = func(Change) {}
+	}
+	if cfg.OnUnreached == nil {
+		cfg.OnUnreached = func(reach.Result) {}
+	}
 	s := &Service{cfg: cfg}
 	s.ctx, s.cancel = context.WithCancel(context.Background())
 	return s
@@ -121,6 +127,12 @@
 	return s.detour(ctx, t, err)
 }
 
+// Suspect checks the links after a direct connection was lost, and reports whether they are, or may be,
+// the cause.
+func (s *Service) Suspect(ctx context.Context) bool {
+	return s.CutOff() || s.tunnels() && s.checkLinks(ctx).Unreached()
+}
+
 // Direct opens a direct connection.
 func (s *Service) Direct(ctx context.Context, t tunnel.Target) (net.Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, s.cfg.Timeout)
--- a/instance/upstream/attempt.go
+++ b/instance/upstream/attempt.go
@@ -15,6 +15,9 @@
 	HeaderRequestID = "X-Request-Id"
 	HeaderNotRun    = "X-Not-Run"
 
+	// HeaderBrittle, in an answer, is how many rejections per second the upstream bears.
+	HeaderBrittle = "X-Brittle"
+
 	// HeaderLeaving, in an answer, is "1" if the upstream leaves and wants no new work.
 	HeaderLeaving = "X-Leaving"
 
@@ -56,7 +59,7 @@
 	if failed := c.unwanted(t, opt); failed != nil {
 		return nil, failed
 	}
-	cn, failed := c.pool.get(ctx, t, opt.fresh)
+	cn, failed := c.pool.get(ctx, t, opt.fresh, !opt.notAfter.IsZero())
 	if failed != nil {
 		return nil, failed
 	}
@@ -212,7 +215,7 @@
 func (a *attempt) finish() {
 	alive := a.detach()
 	a.conn.restoreLinger()
-	if alive && !a.missingID && a.conn.notAfter.IsZero() && !a.resp.Header.ConnectionClose() && a.conn.br.Buffered() == 0 {
+	if alive && !a.conn.detour && !a.missingID && a.conn.notAfter.IsZero() && !a.resp.Header.ConnectionClose() && a.conn.br.Buffered() == 0 {
 		a.conn.keep()
 		return
 	}
@@ -226,11 +229,18 @@
 	a.conn.drop()
 }
 
+// partitioned reports whether the links of this instance are, or may be, the cause of a failure.
+func (a *attempt) partitioned() bool {
+	links := a.client.cfg.Links
+	return links != nil && !a.conn.detour && links.Suspect(a.ctx)
+}
+
 // abandonFailed abandons an attempt that ended with the given failure. If the upstream timed
 // out, the idle connections of the same age are closed as well.
 func (a *attempt) abandonFailed(failed *AttemptError) {
 	failed.Reused = a.conn.reused
 	a.abandon()
+	failed.Partitioned = a.ctx.Err() == nil && a.partitioned()
 	if a.ctx.Err() == nil && failed.fault.Code == fault.DeadlineExceeded {
 		a.client.pool.closeIdleBefore(a.target.Address, a.conn.sentAt)
 	}
--- a/instance/upstream/client.go
+++ b/instance/upstream/client.go
@@ -10,6 +10,9 @@
 	"crypto/tls"
 	"sync"
 	"time"
+
+	"github.com/comfreyladder/comfreyladder/instance/tunnel"
+	"github.com/comfreyladder/comfreyladder/instance/uplink"
 )
 
 // Target is the destination of a request.
@@ -20,6 +23,9 @@
 	Address string
 }
 
+// tunnelled returns the target as other instances know it.
+func (t Target) tunnelled() tunnel.Target { return tunnel.Target(t) }
+
 // Default values of Config. The timeouts follow from the service levels: the first token is
 // expected within about 1.4 s and later tokens at intervals of tens of milliseconds, so that
 // seconds without data indicate a lost connection and not a slow engine.
@@ -55,10 +61,22 @@
 	// Incarnation returns the current incarnation of an upstream, if it is known: what an earlier one
 	// asked for does not bind it. Nil if incarnations are not distinguished.
 	Incarnation func(upstream string) (uint64, bool)
+	// Links opens the connections, through another instance while the links of this one are cut. Nil if
+	// all are direct.
+	Links *uplink.Service
+	// Instances returns how many instances send to the upstreams; nil stands for one.
+	Instances func() int
 	// IgnoreAsks disables the gates: what answers ask for is left to the caller.
 	IgnoreAsks bool
 }
 
+func (c Config) instances() int {
+	if c.Instances == nil {
+		return 1
+	}
+	return c.Instances()
+}
+
 func (c Config) withDefaults() Config {
 	setDefault(&c.DialTimeout, DefaultDialTimeout)
 	setDefault(&c.FirstByte, DefaultFirstByte)
--- a/instance/upstream/conn.go
+++ b/instance/upstream/conn.go
@@ -30,6 +30,10 @@
 	reused  bool
 	sentAt  time.Time
 	dropped atomic.Bool
+	// detour is set if the connection leads through another instance, awaiting while an answer is
+	// awaited on a direct one.
+	detour   bool
+	awaiting atomic.Bool
 
 	// readDeadline bounds all reads, readTimeout each single one.
 	readDeadline time.Time
@@ -85,13 +89,31 @@
 	if err := c.rw.SetReadDeadline(limit); err != nil {
 		return 0, err
 	}
-	return c.rw.Read(b)
+	n, err := c.rw.Read(b)
+	if n > 0 && c.awaiting.Load() {
+		c.pool.cfg.Links.Heard()
+	}
+	return n, err
+}
+
+// await records that an answer is awaited, and stopAwaiting that it no longer is.
+func (c *conn) await() {
+	if c.pool.cfg.Links != nil && !c.detour && !c.awaiting.Swap(true) {
+		c.pool.cfg.Links.Await()
+	}
+}
+
+func (c *conn) stopAwaiting() {
+	if c.awaiting.Swap(false) {
+		c.pool.cfg.Links.Done()
+	}
 }
 
 // send writes the request and reports whether any byte of it was sent.
 func (c *conn) send(req *fasthttp.Request, limit time.Duration) (sent bool, err error) {
 	before := c.raw.sent.Load()
 	c.sentAt = time.Now()
+	c.await()
 	until := c.sentAt.Add(limit)
 	if !c.notAfter.IsZero() {
 		left, err := c.limitDelivery()
@@ -142,6 +164,7 @@
 // keep returns the connection to the pool. It clears the read deadline of the last request;
 // otherwise reusable would treat the connection as broken once the deadline had passed.
 func (c *conn) keep() {
+	c.stopAwaiting()
 	c.readDeadline, c.readTimeout = time.Time{}, 0
 	_ = c.rw.SetReadDeadline(time.Time{})
 	c.pool.put(c)
@@ -149,7 +172,7 @@
 
 // restore returns a connection that has carried nothing since it was taken.
 func (c *conn) restore() {
-	if c.reused {
+	if c.reused && !c.detour {
 		c.keep()
 		return
 	}
@@ -161,6 +184,7 @@
 	if c.dropped.Swap(true) {
 		return
 	}
+	c.stopAwaiting()
 	_ = c.raw.Close()
 	c.pool.release(c.address)
 }
--- a/instance/upstream/errors.go
+++ b/instance/upstream/errors.go
@@ -44,6 +44,9 @@
 	Reused bool
 	// Unwanted means that nothing was sent because the upstream asks for no requests.
 	Unwanted bool
+	// Partitioned means that the links of this instance are, or may be, the cause, so that the failure
+	// says nothing about the upstream.
+	Partitioned bool
 
 	fault *fault.Error
 }
@@ -83,6 +86,12 @@
 	return errors.As(err, &a) && a.Unwanted
 }
 
+// PartitionedIn reports whether the links of this instance may have caused the failure in err's chain.
+func PartitionedIn(err error) bool {
+	var a *AttemptError
+	return errors.As(err, &a) && a.Partitioned
+}
+
 // maskEOF replaces io.EOF, which Stream.Next reserves for the end of a complete answer. If an
 // upstream closes the connection before its header, the read fails with io.EOF. With that
 // error as a cause, callers took the failure for a complete but empty answer.
--- a/instance/upstream/gates.go
+++ b/instance/upstream/gates.go
@@ -142,6 +142,9 @@
 	}
 	h := &a.resp.Header
 	ask := backpressure.Parse(a.resp.StatusCode(), string(h.Peek(headerRetryAfter)), string(h.Peek(HeaderLeaving)), time.Now())
+	if tolerated, brittle := backpressure.ParseBrittle(string(h.Peek(HeaderBrittle))); brittle && a.reportsNotRun() {
+		ask.Pause = max(ask.Pause, backpressure.RejectionPause(tolerated, a.client.cfg.instances()))
+	}
 	if ask != (backpressure.Ask{}) {
 		a.client.gates.apply(a.target.Name, a.incarnation, ask, clock.Now())
 	}
--- a/instance/upstream/pool.go
+++ b/instance/upstream/pool.go
@@ -2,18 +2,17 @@
 
 import (
 	"context"
-	"net"
 	"sync"
 	"time"
 
 	"github.com/comfreyladder/comfreyladder/core/fault"
 	"github.com/comfreyladder/comfreyladder/instance/tcpconn"
+	"github.com/comfreyladder/comfreyladder/instance/uplink"
 )
 
 // pool keeps idle connections by address and counts the open ones.
 type pool struct {
-	cfg    Config
-	dialer net.Dialer
+	cfg Config
 
 	mu     sync.Mutex
 	closed bool
@@ -26,12 +25,12 @@
 }
 
 func newPool(cfg Config) *pool {
-	return &pool{cfg: cfg, hosts: map[string]*host{}, dialer: net.Dialer{Timeout: cfg.DialTimeout}}
+	return &pool{cfg: cfg, hosts: map[string]*host{}}
 }
 
-// get returns a usable pooled connection or dials one; with fresh it always dials. If it
-// fails, no byte of a request was sent.
-func (p *pool) get(ctx context.Context, t Target, fresh bool) (*conn, *AttemptError) {
+// get returns a usable pooled connection or dials one; with fresh it always dials, and with direct it
+// uses no other instance. If it fails, no byte of a request was sent.
+func (p *pool) get(ctx context.Context, t Target, fresh, direct bool) (*conn, *AttemptError) {
 	if err := ctx.Err(); err != nil {
 		return nil, notSent(t, err, "the request ended before it was sent")
 	}
@@ -43,20 +42,38 @@
 	if !p.reserve(t.Address) {
 		return nil, notSent(t, fault.New(fault.Overloaded, "%d connections are open", p.cfg.MaxConns), "no connection is free")
 	}
-	c, err := p.dial(ctx, t)
+	c, err := p.dial(ctx, t, direct)
 	if err != nil {
 		p.release(t.Address)
-		return nil, notSent(t, err, "connection failed")
+		failed := notSent(t, err, "connection failed")
+		failed.Partitioned = p.cfg.Links != nil && fault.CodeOf(err) == fault.NotRun
+		return nil, failed
 	}
 	return c, nil
 }
 
-func (p *pool) dial(ctx context.Context, t Target) (*conn, error) {
-	raw, err := p.dialer.DialContext(ctx, "tcp", t.Address)
+// connect opens a connection; detour is set if it leads through another instance.
+func (p *pool) connect(ctx context.Context, t Target, direct bool) (c uplink.Conn, err error) {
+	switch {
+	case p.cfg.Links == nil:
+		ctx, cancel := context.WithTimeout(ctx, p.cfg.DialTimeout)
+		defer cancel()
+		c.Conn, err = tcpconn.Dial(ctx, "tcp", t.Address)
+	case direct:
+		c.Conn, err = p.cfg.Links.Direct(ctx, t.tunnelled())
+	default:
+		c, err = p.cfg.Links.Dial(ctx, t.tunnelled())
+	}
+	return c, err
+}
+
+func (p *pool) dial(ctx context.Context, t Target, direct bool) (*conn, error) {
+	raw, err := p.connect(ctx, t, direct)
 	if err != nil {
 		return nil, err
 	}
-	c := newConn(tcpconn.Wrap(raw), p, t.Address)
+	c := newConn(raw.Conn, p, t.Address)
+	c.detour = raw.Detour
 	if p.cfg.TLS == nil {
 		return c, nil
 	}
@@ -75,7 +92,7 @@
 		if c == nil {
 			return nil
 		}
-		if time.Since(c.idleSince) < p.cfg.MaxIdle && c.reusable() {
+		if time.Since(c.idleSince) < p.cfg.MaxIdle && !p.cutOff() && c.reusable() {
 			c.reused = true
 			return c
 		}
@@ -83,6 +100,9 @@
 	}
 }
 
+// cutOff reports whether the idle connections, which are all direct, lead nowhere.
+func (p *pool) cutOff() bool { return p.cfg.Links != nil && p.cfg.Links.CutOff() }
+
 func (p *pool) popIdle(address string) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
