--- a/instance/relay/suite_test.go
+++ b/instance/relay/suite_test.go
@@ -243,6 +243,8 @@
 	// fakeList is the fake quarantine of the instance.
 	fakeList *fakeQuarantine
 	limits   *fakeLimits
+	// links are the ways to the upstreams.
+	links *fakeLinks
 }
 
 // lockedBuffer is a buffer that is safe for concurrent use.
@@ -287,12 +289,12 @@
 		list = append(list, &serving.Upstream{ID: u.id, Service: "s", Address: u.listener.Addr().String(), State: serving.Ready, Slots: 8, FirstIndex: u.begun()})
 	}
 	v.Upstreams = follow.NewUpstreams(list...)
-	b := &relayTest{t: t, state: &state{view: v, lease: time.Minute}, fakeList: &fakeQuarantine{}, limits: &fakeLimits{}, set: metrics.NewSet()}
+	b := &relayTest{t: t, state: &state{view: v, lease: time.Minute}, fakeList: &fakeQuarantine{}, limits: &fakeLimits{}, links: &fakeLinks{}, set: metrics.NewSet()}
 	b.service = relay.New(relay.Config{
 		Listen: "127.0.0.1:0", Headers: headers, State: b.state, FailClosed: true,
 		Budget:   relay.Budget{Ratio: 0.2, Window: 10 * time.Second, Slack: 20},
 		Announce: 200 * time.Millisecond, DrainTimeout: 2 * time.Second, BodyBytes: bodyLimit, AnswerBytes: answerLimit, OnRequestBegun: b.count,
-		Quarantine: b.fakeList, Limits: b.limits, Log: eventlog.New(&b.log, nil),
+		Quarantine: b.fakeList, Limits: b.limits, Dial: b.links.direct, Tunnels: b.links, Log: eventlog.New(&b.log, nil),
 	}, b.set)
 	b.service.Update(v)
 	if err := b.service.Start(context.Background()); err != nil {
--- a/proof/deployed/partition_test.go
+++ b/proof/deployed/partition_test.go
@@ -273,6 +273,9 @@
 				u.delay.Store(int64(slowAnswer))
 			}
 			expectServedAlike(t, s.firstTries(20, 4*time.Second), cutOff)
+			for _, e := range s.edges {
+				Expect(e.log()).NotTo(ContainSubstring("event=upstream_crashed"), "no upstream has crashed")
+			}
 			for i, one := range calm {
 				Expect(one.served.Load()).To(Equal(one.all.Load()), "%s before the cut", s.edges[i].name)
 			}
