--- a/instance/relay/report.go
+++ b/instance/relay/report.go
@@ -85,6 +85,12 @@
 	s.set.NewGauge("relay_in_flight", func() float64 { return float64(s.inFlight.Load()) })
 	s.set.NewGauge(`relay_held_bytes{of="requests"}`, func() float64 { return float64(s.bodies.used.Load()) })
 	s.set.NewGauge(`relay_held_bytes{of="responses"}`, func() float64 { return float64(s.answers.used.Load()) })
+	s.set.NewGauge("relay_links_cut", func() float64 {
+		if s.CutOff() {
+			return 1
+		}
+		return 0
+	})
 	s.set.NewGauge("relay_forwarders", func() float64 { return float64(s.cfg.State.View().Forwarders) })
 	s.set.NewGauge("relay_upstreams", func() float64 { return float64(s.cfg.State.View().Upstreams.Len()) })
 	s.set.NewGauge("relay_table_version", func() float64 {
--- a/instance/roles/edge.go
+++ b/instance/roles/edge.go
@@ -79,7 +79,7 @@
 
 // tunnels connects instances that are cut off from the upstreams through those that are not.
 func (p *Process) tunnels() kernel.Module {
-	return kernel.Module{Name: nameTunnels, Needs: []string{nameLinks, nameFollow}, New: func(k *kernel.Kernel) (kernel.Service, error) {
+	return kernel.Module{Name: nameTunnels, Needs: []string{nameLinks, nameFollow, nameTelemetry}, New: func(k *kernel.Kernel) (kernel.Service, error) {
 		links, err := kernel.Lookup[*link.Service](k, nameLinks)
 		if err != nil {
 			return nil, err
@@ -88,12 +88,19 @@
 		if err != nil {
 			return nil, err
 		}
-		return tunnel.New(tunnel.Config{
+		tel, err := kernel.Lookup[*telemetry.Service](k, nameTelemetry)
+		if err != nil {
+			return nil, err
+		}
+		s := tunnel.New(tunnel.Config{
 			Links: links, Peers: state.Peers, Allow: func(t tunnel.Target) bool { return relay.AllowTunnel(state.View(), t) },
 			Dial: func(ctx context.Context, t tunnel.Target) (net.Conn, error) {
 				return p.forwarder.Load().DialFor(ctx, t)
 			},
-		}), nil
+		})
+		tel.Set().NewGauge("tunnels_serving", func() float64 { return float64(s.Serving()) })
+		tel.Set().NewGauge("tunnels_served", func() float64 { return float64(s.Served()) })
+		return s, nil
 	}}
 }
 
--- a/instance/tunnel/server.go
+++ b/instance/tunnel/server.go
@@ -7,7 +7,6 @@
 	"io"
 	"net"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -24,7 +23,6 @@
 	// writeMu keeps frames whole; out is the end to the other instance, once its handshake is complete.
 	writeMu sync.Mutex
 	out     net.Conn
-	used    atomic.Int64
 }
 
 // open implements link.StreamOpener.
@@ -38,7 +36,7 @@
 		return nil, link.RejectStream(statusUnable, "draining, or too many tunnels")
 	}
 	if v.upstream, err = s.cfg.Dial(ctx, t); err == nil {
-		s.opened.Add(1)
+		s.servedCount.Add(1)
 		return v, nil
 	}
 	s.remove(v)
--- a/instance/tunnel/tunnel.go
+++ b/instance/tunnel/tunnel.go
@@ -41,8 +41,8 @@
 
 // Service opens tunnels through other instances and serves theirs. It is safe for concurrent use.
 type Service struct {
-	cfg    Config
-	opened atomic.Int64
+	cfg         Config
+	servedCount atomic.Int64
 
 	mu       sync.Mutex
 	serving  map[*served]struct{}
@@ -99,15 +99,15 @@
 	}
 }
 
-// Serving returns how many tunnels this instance serves, and Opened how many it has served so far.
+// Serving returns how many tunnels this instance serves.
 func (s *Service) Serving() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return len(s.serving)
 }
 
-// Opened returns how many tunnels this instance has served.
-func (s *Service) Opened() int64 { return s.opened.Load() }
+// Served returns how many tunnels this instance has served so far.
+func (s *Service) Served() int64 { return s.servedCount.Load() }
 
 // errNoPeer means that no other instance could help, which says nothing about the upstream.
 var errNoPeer = fault.New(fault.NotRun, "no other instance could open a connection")
