Tunnels write each frame at once; a request without time left blames no upstream; brittle engines' memory counts

A frame's header was a write and a segment of its own. A connect that ended since its request's time was over was held against the upstream (TestEndOfARequestIsNoFailureOfItsUpstream, red before). A brittle engine that has slots but no memory left has its next requests in the queue, where it may have to reject them: what is held and needed must fit (TestRoomNeedsMemory).

--- a/core/backpressure/brittle.go
+++ b/core/backpressure/brittle.go
@@ -65,14 +65,20 @@
 	Slots, Instances int
 	// Own is what this instance has in flight there, and All what all instances have as far as is known.
 	Own, All int
+	// Tokens is what all instances hold of the Memory of an engine, and Need what the request adds, in
+	// tokens; Memory is zero if the upstream is none.
+	Tokens, Need, Memory int
 	// Lot is uniform in [0,1) over the instances and upstreams, and the same for each pair.
 	Lot float64
 }
 
-// Free reports whether a request finds a free slot without doubt: if this instance is within its share
-// of the slots, or if half of them are free even though what is known of the others is not new. With
-// fewer slots than instances, as many instances as there are slots have a share of one.
+// Free reports whether a request finds room without doubt: if it fits into the memory, and this instance
+// is within its share of the slots, or half of them are free even though what is known of the others is
+// not new. With fewer slots than instances, as many instances as there are slots have a share of one.
 func (r Room) Free() bool {
+	if r.Memory > 0 && r.Tokens+r.Need > r.Memory {
+		return false
+	}
 	share := r.Slots / max(1, r.Instances)
 	if share == 0 && r.Lot*float64(r.Instances) < float64(r.Slots) {
 		share = 1
--- a/core/backpressure/brittle_test.go
+++ b/core/backpressure/brittle_test.go
@@ -66,6 +66,17 @@
 	g.Expect(backpressure.Room{Slots: slots, Instances: instances, All: slots/2 - 1, Lot: 0.9}.Free()).To(BeTrue(), "half of it is free")
 }
 
+// Guards against requests that wait in the queue of a brittle engine for its memory.
+func TestRoomNeedsMemory(t *testing.T) {
+	g := NewWithT(t)
+	room := backpressure.Room{Slots: 64, Instances: 1, Tokens: 9_000, Need: 1_000, Memory: 10_000}
+	g.Expect(room.Free()).To(BeTrue())
+	room.Need++
+	g.Expect(room.Free()).To(BeFalse())
+	room.Memory = 0
+	g.Expect(room.Free()).To(BeTrue(), "no engine")
+}
+
 // Guards against rejections beyond what the upstream bears, over seconds in which every instance finds
 // it full each time.
 func TestRejectionPausesKeepToWhatTheUpstreamBears(t *testing.T) {
--- a/instance/relay/backpressure.go
+++ b/instance/relay/backpressure.go
@@ -69,9 +69,13 @@
 	if !u.isBrittle() {
 		return false
 	}
-	room := backpressure.Room{Slots: u.slots, Instances: f.forwarders, Own: u.active, All: u.active * f.forwarders, Lot: u.lot}
+	room := backpressure.Room{
+		Slots: u.slots, Instances: f.forwarders, Own: u.active, All: u.active * f.forwarders, Lot: u.lot,
+		Tokens: u.usedTokens * f.forwarders, Need: sel.tokens, Memory: sel.memory,
+	}
 	if sel.fresh {
-		room.All = u.active + f.remoteLoads[u.incarnation].Active
+		others := f.remoteLoads[u.incarnation]
+		room.All, room.Tokens = u.active+others.Active, u.usedTokens+others.UsedTokens
 	}
 	return !room.Free()
 }
--- a/instance/relay/choose.go
+++ b/instance/relay/choose.go
@@ -44,6 +44,8 @@
 	domain  string
 	now     time.Time
 	avoid   []*upstream
+	// tokens is what the request needs of an engine's memory, both in tokens; zero for plain services.
+	tokens, memory int
 	// quickLimit is the end of the quick pool, zero if there is none, and pools is set if the request
 	// keeps to its pool.
 	quickLimit uint64
@@ -60,7 +62,7 @@
 	defer f.mu.Unlock()
 	now := time.Now()
 	r.pauseLeft = 0
-	sel := &selection{service: f.service(r.service), domain: domain, now: now, avoid: avoid, fresh: now.Sub(f.remoteLoadsAt) < remoteLoadTTL}
+	sel := &selection{service: f.service(r.service), domain: domain, now: now, avoid: avoid, tokens: r.tokens, memory: r.capacity, fresh: now.Sub(f.remoteLoadsAt) < remoteLoadTTL}
 	f.assignPool(r, sel)
 	q := &balance.Request{Affinity: r.affinity, Shared: r.sharedTokens, Unshared: r.tokens - r.sharedTokens, Domain: domain, Random: rand.Float64(), FetchRate: r.fetchRate, MaxQueueMS: r.maxQueueMS}
 	if r.tokens > 0 {
--- a/instance/tunnel/conn.go
+++ b/instance/tunnel/conn.go
@@ -134,7 +134,7 @@
 func (c *Conn) Write(p []byte) (n int, err error) {
 	for len(p) > 0 {
 		piece := p[:min(len(p), maxFrame)]
-		if err := ws.WriteFrame(c.Conn, ws.MaskFrame(ws.NewBinaryFrame(piece))); err != nil {
+		if err := writeFrame(c.Conn, ws.MaskFrame(ws.NewBinaryFrame(piece))); err != nil {
 			return n, err
 		}
 		n += len(piece)
@@ -142,3 +142,12 @@
 	}
 	return n, nil
 }
+
+// writeFrame writes a frame at once: its header would otherwise be a segment of its own.
+func writeFrame(c net.Conn, f ws.Frame) error {
+	b, err := ws.CompileFrame(f)
+	if err == nil {
+		_, err = c.Write(b)
+	}
+	return err
+}
--- a/instance/tunnel/server.go
+++ b/instance/tunnel/server.go
@@ -147,5 +147,5 @@
 		return nil
 	}
 	v.touch()
-	return ws.WriteFrame(v.out, f)
+	return writeFrame(v.out, f)
 }
--- a/instance/uplink/uplink.go
+++ b/instance/uplink/uplink.go
@@ -121,8 +121,13 @@
 		return s.detour(ctx, t, nil)
 	}
 	c, err := s.Direct(ctx, t)
-	if err == nil || ctx.Err() != nil || s.checkLinks(ctx).Reached > 0 || !s.tunnels() {
-		return Conn{Conn: c}, err
+	switch {
+	case err == nil:
+		return Conn{Conn: c}, nil
+	case ctx.Err() != nil:
+		return Conn{}, fault.Wrap(err, fault.NotRun, "the request ended before the connection was open")
+	case s.checkLinks(ctx).Reached > 0 || !s.tunnels():
+		return Conn{}, err
 	}
 	return s.detour(ctx, t, err)
 }
--- a/instance/uplink/uplink_test.go
+++ b/instance/uplink/uplink_test.go
@@ -178,6 +178,17 @@
 	Expect(fault.CodeOf(err)).To(Equal(fault.Unavailable))
 }
 
+// Guards against an upstream that is blamed since a request had no time left to connect to it.
+func TestEndOfARequestIsNoFailureOfItsUpstream(t *testing.T) {
+	RegisterTestingT(t)
+	w := newWorld("a", "b")
+	w.hangs = true
+	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Millisecond)
+	defer cancel()
+	_, err := w.links(t).Dial(ctx, w.targets[0])
+	Expect(fault.CodeOf(err)).To(Equal(fault.NotRun))
+}
+
 // Guards against a loop: a connection for another instance that leads through a third one.
 func TestConnectionForAnotherInstanceIsDirect(t *testing.T) {
 	RegisterTestingT(t)
