--- a/core/reach/reach.go
+++ b/core/reach/reach.go
@@ -14,8 +14,9 @@
 
 const (
 	// Quiet is for how long nothing may arrive from any upstream, while responses are awaited, before
-	// a check is due. The time doubles, up to MaxQuiet, with each check that finds nothing wrong.
-	Quiet    = 500 * time.Millisecond
+	// a check is due.
+	Quiet = 500 * time.Millisecond
+	// MaxQuiet bounds that time, which doubles with each check that finds nothing wrong.
 	MaxQuiet = 8 * time.Second
 	// Freshness is how long the result of a check holds: a burst of failures needs one check.
 	Freshness = 300 * time.Millisecond
--- a/instance/relay/serve.go
+++ b/instance/relay/serve.go
@@ -277,15 +277,8 @@
 		r.sent++
 		r.mayHaveRun = true
 		s.countIfBegun(a)
-		if !s.blames(a) {
-			break
-		}
-		s.recordLoss(a)
-		if fault.CodeOf(a.err) != fault.Internal || a.head.Status < statusServerError {
-			ejection = a.up.failed(false)
-		}
-		if isTimeout(a.err) || errors.Is(a.err, syscall.ETIMEDOUT) {
-			s.fleet.unreachable(a.up)
+		if s.blames(a) {
+			ejection = s.recordLostAnswer(a)
 		}
 	case callerGone:
 		if a.overdue() {
@@ -310,6 +303,19 @@
 	l.Err(a.err).End()
 }
 
+// recordLostAnswer records an attempt whose answer was lost at the upstream, and returns how long that is
+// avoided.
+func (s *Service) recordLostAnswer(a *attempt) (ejection time.Duration) {
+	s.recordLoss(a)
+	if fault.CodeOf(a.err) != fault.Internal || a.head.Status < statusServerError {
+		ejection = a.up.failed(false)
+	}
+	if isTimeout(a.err) || errors.Is(a.err, syscall.ETIMEDOUT) {
+		s.fleet.unreachable(a.up)
+	}
+	return ejection
+}
+
 // mayTryAgain decides whether another upstream is tried. A request that was sent may have run
 // unless the upstream declared that it did not. A further attempt is taken from the retry budget in
 // both cases, as the budget counts every request that arrives at an upstream; it is free only if
--- a/instance/tunnel/server.go
+++ b/instance/tunnel/server.go
@@ -26,7 +26,7 @@
 }
 
 // open implements link.StreamOpener.
-func (s *Service) open(ctx context.Context, from, target string) (link.Stream, error) {
+func (s *Service) open(ctx context.Context, _, target string) (link.Stream, error) {
 	t, err := parseTarget(target)
 	if err != nil || !s.cfg.Allow(t) {
 		return nil, link.RejectStream(statusUnable, "unknown upstream")
