--- a/instance/relay/exchange.go
+++ b/instance/relay/exchange.go
@@ -137,7 +137,7 @@
 	if now.Sub(f.observedReportedAt) >= servingsvc.ObservationInterval {
 		r.HasObserved, r.Observed, f.observedReportedAt = true, f.observations(now), now
 		if f.links.Doubtful() {
-			// What this instance sees of upstreams is coloured by its own links.
+			// What this instance sees of upstreams is biased by its own links.
 			r.Observed = nil
 			clear(f.reportedObserved)
 		}
