--- a/core/reach/reach.go
+++ b/core/reach/reach.go
@@ -27,6 +27,12 @@
 // maxDoublings is enough to reach MaxQuiet.
 const maxDoublings = 4
 
+// Target is an upstream to connect to, directly or through another instance.
+type Target struct {
+	// Name identifies the upstream to other instances, and Address is its "ip:port".
+	Name, Address string
+}
+
 // Result is what one check found.
 type Result struct {
 	// Reached and Failed count the upstreams that this instance could and could not connect to.
--- a/instance/daemon/uplinks.go
+++ b/instance/daemon/uplinks.go
@@ -26,8 +26,8 @@
 			return nil, err
 		}
 		return tunnel.New(tunnel.Config{
-			Links: links, Peers: func() []string { return d.tunnelPeers(members) }, Allow: func(tunnel.Target) bool { return true },
-			Dial: func(ctx context.Context, t tunnel.Target) (net.Conn, error) {
+			Links: links, Peers: func() []string { return d.tunnelPeers(members) }, Allow: func(reach.Target) bool { return true },
+			Dial: func(ctx context.Context, t reach.Target) (net.Conn, error) {
 				return d.uplink.Load().DirectChecked(ctx, t)
 			},
 		}), nil
@@ -106,7 +106,7 @@
 	all := r.View().Upstreams
 	for _, i := range rand.Perm(len(all))[:min(n, len(all))] {
 		list = append(list, uplink.Candidate{
-			Target: tunnel.Target{Name: all[i].Name, Address: all[i].Address}, Keep: func(c net.Conn) { _ = c.Close() },
+			Target: reach.Target{Name: all[i].Name, Address: all[i].Address}, Keep: func(c net.Conn) { _ = c.Close() },
 		})
 	}
 	return list
--- a/instance/relay/links.go
+++ b/instance/relay/links.go
@@ -14,17 +14,16 @@
 	"github.com/comfreyladder/comfreyladder/core/reach"
 	"github.com/comfreyladder/comfreyladder/instance/clock"
 	"github.com/comfreyladder/comfreyladder/instance/follow"
-	"github.com/comfreyladder/comfreyladder/instance/tunnel"
 	"github.com/comfreyladder/comfreyladder/instance/uplink"
 )
 
 // targetOf identifies an incarnation to other instances.
-func targetOf(info *serving.Upstream) tunnel.Target {
-	return tunnel.Target{Name: strconv.FormatUint(info.FirstIndex, 10), Address: info.Address}
+func targetOf(info *serving.Upstream) reach.Target {
+	return reach.Target{Name: strconv.FormatUint(info.FirstIndex, 10), Address: info.Address}
 }
 
 // AllowTunnel reports whether a view contains the target of a tunnel.
-func AllowTunnel(v *follow.View, t tunnel.Target) bool {
+func AllowTunnel(v *follow.View, t reach.Target) bool {
 	index, err := strconv.ParseUint(t.Name, 10, 64)
 	if err != nil {
 		return false
@@ -54,7 +53,7 @@
 func (s *Service) NeedsTunnels() bool { return s.fleet.links.Doubtful() }
 
 // DialFor opens a connection to an upstream for another instance, see uplink.Service.DirectChecked.
-func (s *Service) DialFor(ctx context.Context, t tunnel.Target) (net.Conn, error) {
+func (s *Service) DialFor(ctx context.Context, t reach.Target) (net.Conn, error) {
 	return s.fleet.links.DirectChecked(ctx, t)
 }
 
--- a/instance/relay/links_test.go
+++ b/instance/relay/links_test.go
@@ -14,9 +14,9 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/comfreyladder/comfreyladder/core/fault"
+	"github.com/comfreyladder/comfreyladder/core/reach"
 	"github.com/comfreyladder/comfreyladder/instance/relay"
 	"github.com/comfreyladder/comfreyladder/instance/tcpconn"
-	"github.com/comfreyladder/comfreyladder/instance/tunnel"
 )
 
 // fakeLinks are the ways of an instance to the upstreams: its own, which can be cut, and that through
@@ -37,7 +37,7 @@
 func (l *fakeLinks) Available() bool { return l.cut.Load() && !l.alone.Load() }
 
 // Dial implements uplink.Tunnels.
-func (l *fakeLinks) Dial(ctx context.Context, t tunnel.Target) (net.Conn, error) {
+func (l *fakeLinks) Dial(ctx context.Context, t reach.Target) (net.Conn, error) {
 	l.detours.Add(1)
 	c, err := tcpconn.Dial(ctx, "tcp4", t.Address)
 	if err != nil {
@@ -125,9 +125,9 @@
 	up := startUpstream(t, "a", echo)
 	b := start(t, up)
 	v := b.state.View()
-	known := tunnel.Target{Name: strconv.FormatUint(up.begun(), 10), Address: up.listener.Addr().String()}
+	known := reach.Target{Name: strconv.FormatUint(up.begun(), 10), Address: up.listener.Addr().String()}
 	Expect(relay.AllowTunnel(v, known)).To(BeTrue())
-	Expect(relay.AllowTunnel(v, tunnel.Target{Name: known.Name, Address: "127.0.0.1:1"})).To(BeFalse())
-	Expect(relay.AllowTunnel(v, tunnel.Target{Name: "7", Address: known.Address})).To(BeFalse())
-	Expect(relay.AllowTunnel(v, tunnel.Target{Name: "x", Address: known.Address})).To(BeFalse())
+	Expect(relay.AllowTunnel(v, reach.Target{Name: known.Name, Address: "127.0.0.1:1"})).To(BeFalse())
+	Expect(relay.AllowTunnel(v, reach.Target{Name: "7", Address: known.Address})).To(BeFalse())
+	Expect(relay.AllowTunnel(v, reach.Target{Name: "x", Address: known.Address})).To(BeFalse())
 }
--- a/instance/relay/pool.go
+++ b/instance/relay/pool.go
@@ -11,9 +11,9 @@
 
 	"golang.org/x/sys/unix"
 
+	"github.com/comfreyladder/comfreyladder/core/reach"
 	"github.com/comfreyladder/comfreyladder/instance/http1"
 	"github.com/comfreyladder/comfreyladder/instance/tcpconn"
-	"github.com/comfreyladder/comfreyladder/instance/tunnel"
 	"github.com/comfreyladder/comfreyladder/instance/uplink"
 )
 
@@ -30,7 +30,7 @@
 
 // pool holds the idle connections to one upstream, the most recently used ones last.
 type pool struct {
-	target tunnel.Target
+	target reach.Target
 	links  *uplink.Service
 	mu     sync.Mutex
 	idle   []*upstreamConn
@@ -149,11 +149,14 @@
 	p.closeIdle(time.Time{})
 }
 
+// reusable is a connection through another instance, which may ask for it not to be used again.
+type reusable interface{ Reusable() bool }
+
 // isUsable checks without blocking whether an idle connection was closed or holds unexpected bytes.
 // A request that must not be repeated must not be sent on a connection that the upstream has
 // closed: its outcome would be unknown.
 func (c *upstreamConn) isUsable() bool {
-	if t, ok := c.nc.(*tunnel.Conn); ok && !t.Reusable() {
+	if t, ok := c.nc.(reusable); ok && !t.Reusable() {
 		return false
 	}
 	raw, ok := c.nc.(syscall.Conn)
--- a/instance/roles/edge.go
+++ b/instance/roles/edge.go
@@ -5,6 +5,7 @@
 	"net"
 	"time"
 
+	"github.com/comfreyladder/comfreyladder/core/reach"
 	"github.com/comfreyladder/comfreyladder/instance/follow"
 	"github.com/comfreyladder/comfreyladder/instance/kernel"
 	"github.com/comfreyladder/comfreyladder/instance/link"
@@ -93,8 +94,8 @@
 			return nil, err
 		}
 		s := tunnel.New(tunnel.Config{
-			Links: links, Peers: state.Peers, Allow: func(t tunnel.Target) bool { return relay.AllowTunnel(state.View(), t) },
-			Dial: func(ctx context.Context, t tunnel.Target) (net.Conn, error) {
+			Links: links, Peers: state.Peers, Allow: func(t reach.Target) bool { return relay.AllowTunnel(state.View(), t) },
+			Dial: func(ctx context.Context, t reach.Target) (net.Conn, error) {
 				return p.forwarder.Load().DialFor(ctx, t)
 			},
 		})
--- a/instance/tunnel/doc.go
+++ b/instance/tunnel/doc.go
@@ -11,12 +11,6 @@
 
 import "time"
 
-// Target is an upstream to which a tunnel leads.
-type Target struct {
-	// Name identifies the upstream to the other instance, and Address is its "ip:port".
-	Name, Address string
-}
-
 // HTTP statuses by which an instance rejects a tunnel.
 const (
 	// statusRefused means that the upstream refused the connection, and statusSilent that it did not
--- a/instance/tunnel/tunnel.go
+++ b/instance/tunnel/tunnel.go
@@ -18,6 +18,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/comfreyladder/comfreyladder/core/fault"
+	"github.com/comfreyladder/comfreyladder/core/reach"
 	"github.com/comfreyladder/comfreyladder/instance/link"
 )
 
@@ -33,10 +34,10 @@
 	// Peers returns the names of other instances through which tunnels may be opened.
 	Peers func() []string
 	// Allow reports whether this instance serves tunnels to an upstream.
-	Allow func(Target) bool
+	Allow func(reach.Target) bool
 	// Dial opens this instance's own connection to an upstream. It fails with fault.NotRun if this
 	// instance can't tell whether the upstream is the cause.
-	Dial func(ctx context.Context, t Target) (net.Conn, error)
+	Dial func(ctx context.Context, t reach.Target) (net.Conn, error)
 }
 
 // Service opens tunnels through other instances and serves theirs. It is safe for concurrent use.
@@ -118,7 +119,7 @@
 // Dial opens a connection to an upstream through another instance. It fails with fault.NotRun if no
 // other instance can help, and with fault.Unavailable if the upstream is the cause; the chain then
 // holds syscall.ECONNREFUSED or a timeout, as for a direct connection.
-func (s *Service) Dial(ctx context.Context, t Target) (net.Conn, error) {
+func (s *Service) Dial(ctx context.Context, t reach.Target) (net.Conn, error) {
 	peers := s.candidates()
 	peers = peers[:min(len(peers), maxTries)]
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
@@ -167,8 +168,8 @@
 	}()
 }
 
-func (s *Service) through(ctx context.Context, name string, t Target) (net.Conn, error) {
-	c, buffered, err := s.cfg.Links.OpenStream(ctx, name, t.String())
+func (s *Service) through(ctx context.Context, name string, t reach.Target) (net.Conn, error) {
+	c, buffered, err := s.cfg.Links.OpenStream(ctx, name, formatTarget(t))
 	if err == nil {
 		return newConn(c, buffered), nil
 	}
@@ -210,15 +211,14 @@
 
 const targetSeparator = "@"
 
-// String returns the encoded form of a target.
-func (t Target) String() string { return t.Name + targetSeparator + t.Address }
+func formatTarget(t reach.Target) string { return t.Name + targetSeparator + t.Address }
 
-func parseTarget(text string) (Target, error) {
+func parseTarget(text string) (reach.Target, error) {
 	i := strings.LastIndex(text, targetSeparator)
 	if i < 0 {
-		return Target{}, fault.New(fault.Invalid, "%.64q names no upstream", text)
+		return reach.Target{}, fault.New(fault.Invalid, "%.64q names no upstream", text)
 	}
-	return Target{Name: text[:i], Address: text[i+1:]}, nil
+	return reach.Target{Name: text[:i], Address: text[i+1:]}, nil
 }
 
 func newBytesReader(b []byte) io.Reader { return bytes.NewReader(bytes.Clone(b)) }
--- a/instance/tunnel/tunnel_test.go
+++ b/instance/tunnel/tunnel_test.go
@@ -15,6 +15,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/comfreyladder/comfreyladder/core/fault"
+	"github.com/comfreyladder/comfreyladder/core/reach"
 	"github.com/comfreyladder/comfreyladder/instance/link"
 	"github.com/comfreyladder/comfreyladder/instance/tunnel"
 )
@@ -30,7 +31,7 @@
 	*tunnel.Service
 	mu    sync.Mutex
 	peers []string
-	dial  func(context.Context, tunnel.Target) (net.Conn, error)
+	dial  func(context.Context, reach.Target) (net.Conn, error)
 }
 
 func (i *instance) name() string { return i.links.Addr().String() }
@@ -39,13 +40,13 @@
 func (i *instance) fail(after time.Duration) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	i.dial = func(context.Context, tunnel.Target) (net.Conn, error) {
+	i.dial = func(context.Context, reach.Target) (net.Conn, error) {
 		time.Sleep(after)
 		return nil, fault.New(fault.NotRun, "cut off")
 	}
 }
 
-func directly(ctx context.Context, t tunnel.Target) (net.Conn, error) {
+func directly(ctx context.Context, t reach.Target) (net.Conn, error) {
 	var d net.Dialer
 	c, err := d.DialContext(ctx, "tcp4", t.Address)
 	if err != nil {
@@ -65,8 +66,8 @@
 	Expect(err).NotTo(HaveOccurred())
 	i.links = links
 	i.Service = tunnel.New(tunnel.Config{
-		Links: links, Peers: func() []string { return i.peers }, Allow: func(t tunnel.Target) bool { return t.Name != "unknown" },
-		Dial: func(ctx context.Context, t tunnel.Target) (net.Conn, error) {
+		Links: links, Peers: func() []string { return i.peers }, Allow: func(t reach.Target) bool { return t.Name != "unknown" },
+		Dial: func(ctx context.Context, t reach.Target) (net.Conn, error) {
 			i.mu.Lock()
 			dial := i.dial
 			i.mu.Unlock()
@@ -86,7 +87,7 @@
 }
 
 // listen starts an upstream that passes each connection to serve.
-func listen(t *testing.T, serve func(*net.TCPConn)) tunnel.Target {
+func listen(t *testing.T, serve func(*net.TCPConn)) reach.Target {
 	t.Helper()
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	Expect(err).NotTo(HaveOccurred())
@@ -100,10 +101,10 @@
 			go serve(c.(*net.TCPConn))
 		}
 	}()
-	return tunnel.Target{Name: "u", Address: l.Addr().String()}
+	return reach.Target{Name: "u", Address: l.Addr().String()}
 }
 
-func open(t *testing.T, i *instance, to tunnel.Target) *tunnel.Conn {
+func open(t *testing.T, i *instance, to reach.Target) *tunnel.Conn {
 	t.Helper()
 	c, err := i.Dial(t.Context(), to)
 	Expect(err).NotTo(HaveOccurred())
@@ -186,7 +187,7 @@
 	RegisterTestingT(t)
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	Expect(err).NotTo(HaveOccurred())
-	gone := tunnel.Target{Name: "u", Address: l.Addr().String()}
+	gone := reach.Target{Name: "u", Address: l.Addr().String()}
 	_ = l.Close()
 	between := newInstance(t)
 	i := newInstance(t, between)
@@ -197,7 +198,7 @@
 	between.fail(0)
 	_, err = i.Dial(t.Context(), gone)
 	Expect(fault.CodeOf(err)).To(Equal(fault.NotRun))
-	_, err = i.Dial(t.Context(), tunnel.Target{Name: "unknown", Address: gone.Address})
+	_, err = i.Dial(t.Context(), reach.Target{Name: "unknown", Address: gone.Address})
 	Expect(fault.CodeOf(err)).To(Equal(fault.NotRun), "it serves no address that is no upstream's")
 	_, err = newInstance(t).Dial(t.Context(), gone)
 	Expect(fault.CodeOf(err)).To(Equal(fault.NotRun), "there is no other instance")
--- a/instance/uplink/uplink.go
+++ b/instance/uplink/uplink.go
@@ -12,7 +12,6 @@
 
 	"github.com/comfreyladder/comfreyladder/core/fault"
 	"github.com/comfreyladder/comfreyladder/core/reach"
-	"github.com/comfreyladder/comfreyladder/instance/tunnel"
 )
 
 const (
@@ -29,12 +28,12 @@
 // Tunnels opens connections through other instances.
 type Tunnels interface {
 	Available() bool
-	Dial(ctx context.Context, t tunnel.Target) (net.Conn, error)
+	Dial(ctx context.Context, t reach.Target) (net.Conn, error)
 }
 
 // Candidate is an upstream that a check may connect to. Keep takes over the connection.
 type Candidate struct {
-	tunnel.Target
+	reach.Target
 	Keep func(net.Conn)
 }
 
@@ -116,7 +115,7 @@
 func (s *Service) Doubtful() bool { return s.monitor.Doubtful() }
 
 // Dial opens a connection to an upstream. An error with fault.NotRun says nothing about the upstream.
-func (s *Service) Dial(ctx context.Context, t tunnel.Target) (Conn, error) {
+func (s *Service) Dial(ctx context.Context, t reach.Target) (Conn, error) {
 	if s.CutOff() {
 		return s.detour(ctx, t, nil)
 	}
@@ -139,7 +138,7 @@
 }
 
 // Direct opens a direct connection.
-func (s *Service) Direct(ctx context.Context, t tunnel.Target) (net.Conn, error) {
+func (s *Service) Direct(ctx context.Context, t reach.Target) (net.Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, s.cfg.Timeout)
 	defer cancel()
 	c, err := s.cfg.Direct(ctx, t.Address)
@@ -151,7 +150,7 @@
 
 // DirectChecked is Direct for another instance: it fails with fault.NotRun if the links of this one
 // may be the cause.
-func (s *Service) DirectChecked(ctx context.Context, t tunnel.Target) (net.Conn, error) {
+func (s *Service) DirectChecked(ctx context.Context, t reach.Target) (net.Conn, error) {
 	if s.CutOff() {
 		return nil, errCutOff
 	}
@@ -168,7 +167,7 @@
 
 // detour opens a connection through another instance. If none can help, direct is the error of the
 // direct connection, or nil if that was not tried yet.
-func (s *Service) detour(ctx context.Context, t tunnel.Target, direct error) (Conn, error) {
+func (s *Service) detour(ctx context.Context, t reach.Target, direct error) (Conn, error) {
 	if s.tunnels() {
 		c, err := s.cfg.Tunnels.Dial(ctx, t)
 		if err == nil {
--- a/instance/uplink/uplink_test.go
+++ b/instance/uplink/uplink_test.go
@@ -13,7 +13,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/comfreyladder/comfreyladder/core/fault"
-	"github.com/comfreyladder/comfreyladder/instance/tunnel"
+	"github.com/comfreyladder/comfreyladder/core/reach"
 	"github.com/comfreyladder/comfreyladder/instance/uplink"
 )
 
@@ -27,14 +27,14 @@
 	direct, detours, kept atomic.Int64
 	// alone is set if there is no other instance, unable if others can't help.
 	alone, unable bool
-	targets       []tunnel.Target
+	targets       []reach.Target
 	changes       chan uplink.Change
 }
 
 func newWorld(names ...string) *world {
 	w := &world{gone: map[string]bool{}, changes: make(chan uplink.Change, 16)}
 	for _, n := range names {
-		w.targets = append(w.targets, tunnel.Target{Name: n, Address: n})
+		w.targets = append(w.targets, reach.Target{Name: n, Address: n})
 	}
 	return w
 }
@@ -74,7 +74,7 @@
 func (w *world) Available() bool { return !w.alone }
 
 // Dial implements uplink.Tunnels.
-func (w *world) Dial(_ context.Context, t tunnel.Target) (net.Conn, error) {
+func (w *world) Dial(_ context.Context, t reach.Target) (net.Conn, error) {
 	w.detours.Add(1)
 	w.mu.Lock()
 	defer w.mu.Unlock()
--- a/instance/upstream/client.go
+++ b/instance/upstream/client.go
@@ -11,7 +11,7 @@
 	"sync"
 	"time"
 
-	"github.com/comfreyladder/comfreyladder/instance/tunnel"
+	"github.com/comfreyladder/comfreyladder/core/reach"
 	"github.com/comfreyladder/comfreyladder/instance/uplink"
 )
 
@@ -24,7 +24,7 @@
 }
 
 // tunnelled returns the target as other instances know it.
-func (t Target) tunnelled() tunnel.Target { return tunnel.Target(t) }
+func (t Target) tunnelled() reach.Target { return reach.Target(t) }
 
 // Default values of Config. The timeouts follow from the service levels: the first token is
 // expected within about 1.4 s and later tokens at intervals of tens of milliseconds, so that
--- a/instance/upstream/links_test.go
+++ b/instance/upstream/links_test.go
@@ -15,8 +15,8 @@
 	"golang.org/x/sys/unix"
 
 	"github.com/comfreyladder/comfreyladder/core/fault"
+	"github.com/comfreyladder/comfreyladder/core/reach"
 	"github.com/comfreyladder/comfreyladder/instance/clock"
-	"github.com/comfreyladder/comfreyladder/instance/tunnel"
 	"github.com/comfreyladder/comfreyladder/instance/uplink"
 	"github.com/comfreyladder/comfreyladder/instance/upstream"
 )
@@ -26,7 +26,7 @@
 
 func (w *otherWay) Available() bool { return true }
 
-func (w *otherWay) Dial(ctx context.Context, t tunnel.Target) (net.Conn, error) {
+func (w *otherWay) Dial(ctx context.Context, t reach.Target) (net.Conn, error) {
 	w.opened.Add(1)
 	var d net.Dialer
 	return d.DialContext(ctx, "tcp", t.Address)
@@ -57,7 +57,7 @@
 			},
 			Timeout: time.Second, Tunnels: way,
 			Sample: func(int) []uplink.Candidate {
-				return []uplink.Candidate{{Target: tunnel.Target(f.target()), Keep: func(c net.Conn) { _ = c.Close() }}}
+				return []uplink.Candidate{{Target: reach.Target(f.target()), Keep: func(c net.Conn) { _ = c.Close() }}}
 			},
 		})
 	})
