--- a/core/budget/window.go
+++ b/core/budget/window.go
@@ -43,16 +43,21 @@
 // this instance's share of the common allowance.
 func (w *Window) Spend(now time.Time, share float64) bool {
 	s := w.currentStep(now)
-	requests, repeats := 0, 0
+	requests, repeats := w.Counts()
+	if float64(repeats+1) > w.ratio*float64(requests)+share {
+		return false
+	}
+	s.repeats++
+	return true
+}
+
+// Counts returns the requests and repeats in the window that ended with the latest call.
+func (w *Window) Counts() (requests, repeats int) {
 	for i := range w.steps {
 		if w.latest-w.steps[i].number <= windowSteps {
 			requests += w.steps[i].requests
 			repeats += w.steps[i].repeats
 		}
 	}
-	if float64(repeats+1) > w.ratio*float64(requests)+share {
-		return false
-	}
-	s.repeats++
-	return true
+	return requests, repeats
 }
--- a/instance/relay/relay.go
+++ b/instance/relay/relay.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -199,8 +200,16 @@
 // spendRepeat takes one repeat from the retry budget and reports whether the budget allowed it. The
 // slack is divided among all forwarding instances plus one that may be about to join.
 func (s *Service) spendRepeat(service string) bool {
-	share := s.cfg.Budget.Slack * budgetShare / float64(s.cfg.State.View().Forwarders+1)
+	forwarders := s.cfg.State.View().Forwarders
+	share := s.cfg.Budget.Slack * budgetShare / float64(forwarders+1)
 	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.budgetWindow(service).Spend(clock.Now(), share)
+	now := clock.Now()
+	w := s.budgetWindow(service)
+	granted := w.Spend(now, share)
+	requests, repeats := w.Counts()
+	s.mu.Unlock()
+	s.set.GetOrCreateCounter(`relay_repeats_total{granted="` + strconv.FormatBool(granted) + `"}`).Inc()
+	s.cfg.Log.Event("repeat").Str("service", service).Bool("granted", granted).Int("requests", int64(requests)).
+		Int("repeats", int64(repeats)).Float("share", share).Int("forwarders", int64(forwarders)).End()
+	return granted
 }
