--- a/proof/deployed/harness_test.go
+++ b/proof/deployed/harness_test.go
@@ -324,10 +324,8 @@
 
 // runnerOf makes a runner of a service.
 func (s *site) runnerOf(service, id string, cores ...*node) *runner {
-	l, err := net.Listen("tcp4", s.ip(250)+":0")
-	Expect(err).NotTo(HaveOccurred())
-	r := &runner{s: s, id: id, service: service, born: time.Now().UnixMilli(), listener: l, stop: make(chan struct{})}
-	server := &http.Server{ReadHeaderTimeout: time.Second, Handler: http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+	r := s.newRunner(service, id)
+	r.begin(func(w http.ResponseWriter, req *http.Request) {
 		if req.URL.Path != healthPath {
 			r.served.Add(1)
 			r.note(req.Header.Get("Attempt-Id"))
@@ -339,15 +337,33 @@
 		w.Header().Set("Attempt-Id", req.Header.Get("Attempt-Id"))
 		w.Header().Set("Runner-Seal", "s")
 		_, _ = io.WriteString(w, "done")
-	})}
-	go func() { _ = server.Serve(l) }()
+	}, cores)
+	return r
+}
+
+// handled makes a runner of service s that answers as a handler does.
+func (s *site) handled(id string, serve http.HandlerFunc, cores ...*node) *runner {
+	r := s.newRunner("s", id)
+	r.begin(serve, cores)
+	return r
+}
+
+func (s *site) newRunner(service, id string) *runner {
+	l, err := net.Listen("tcp4", s.ip(250)+":0")
+	Expect(err).NotTo(HaveOccurred())
+	return &runner{s: s, id: id, service: service, born: time.Now().UnixMilli(), listener: l, stop: make(chan struct{})}
+}
+
+// begin serves and sends heartbeats until the test ends or the runner crashes.
+func (r *runner) begin(serve http.HandlerFunc, cores []*node) {
+	server := &http.Server{ReadHeaderTimeout: time.Second, Handler: serve}
+	go func() { _ = server.Serve(r.listener) }()
 	go r.beat(cores)
 	r.crash = sync.OnceFunc(func() {
 		close(r.stop)
 		_ = server.Close()
 	})
-	s.t.Cleanup(r.crash)
-	return r
+	r.s.t.Cleanup(r.crash)
 }
 
 // note counts a run of an attempt.
--- a/proof/deployed/quarantine_test.go
+++ b/proof/deployed/quarantine_test.go
@@ -186,6 +186,14 @@
 }
 
 func newQuartet(t *testing.T) *quartet {
+	q := newQuartetWithout(t)
+	q.upstreams = q.fragile(6, q.cores...)
+	q.awaitReady()
+	return q
+}
+
+// newQuartetWithout is a quartet that has no upstreams yet.
+func newQuartetWithout(t *testing.T) *quartet {
 	q := &quartet{site: newSite(t)}
 	for i := range 3 {
 		n := q.add(fmt.Sprint("core-", i+1), 1+i, true)
@@ -199,12 +207,15 @@
 		n.start(true)
 	}
 	q.within(patience, func() bool { return q.cores[0].put(1, "k", "l") == 200 }, "the first configuration")
-	q.upstreams = q.fragile(6, q.cores...)
+	return q
+}
+
+// awaitReady waits until each edge is ready and serves.
+func (q *quartet) awaitReady() {
 	for _, e := range q.edges {
 		Eventually(e.ready, patience, poll).Should(BeTrue(), e.log)
 		Eventually(func() int { return e.ask("k") }, patience, poll).Should(Equal(200))
 	}
-	return q
 }
 
 // sendPoison sends the request that ends upstreams to the edges in turn for a while.
--- /dev/null
+++ b/proof/deployed/repeats_test.go
@@ -0,0 +1,147 @@
+package deployed_test
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+)
+
+const (
+	// repeatRatio, repeatSpan and repeatSlack are the bounds in each settings file.
+	repeatRatio, repeatSpan, repeatSlack = 0.2, 10 * time.Second, 58
+	// repeatLoad is how many requests are sent a second, restartPause the time between two restarts.
+	repeatLoad, restartPause, restarts = 40, 2500 * time.Millisecond, 6
+)
+
+// failing is an upstream service that fails the first run of each request, and counts arrivals.
+type failing struct {
+	mu       sync.Mutex
+	seen     map[string]bool
+	sent     []time.Time
+	repeated []time.Time
+	served   atomic.Int64
+}
+
+// serve is the handler of each upstream.
+func (f *failing) serve(out http.ResponseWriter, req *http.Request) {
+	_, _ = io.Copy(io.Discard, req.Body)
+	id := req.Header.Get("Attempt-Id")
+	out.Header().Set("Attempt-Id", id)
+	out.Header().Set("Runner-Seal", "s")
+	if req.URL.Path != healthPath && f.first(id) {
+		out.WriteHeader(http.StatusInternalServerError)
+		return
+	}
+	_, _ = io.WriteString(out, "done")
+}
+
+// first counts an arrival and reports whether it is the first of its request.
+func (f *failing) first(id string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.seen[id] {
+		f.repeated = append(f.repeated, time.Now())
+		return false
+	}
+	f.seen[id] = true
+	return true
+}
+
+// load sends requests to the edges in turn until ended.
+func (f *failing) load(edges []*node, ended <-chan struct{}) {
+	var all sync.WaitGroup
+	defer all.Wait()
+	ticker := time.NewTicker(time.Second / repeatLoad)
+	defer ticker.Stop()
+	for i := 0; ; i++ {
+		f.mu.Lock()
+		f.sent = append(f.sent, time.Now())
+		f.mu.Unlock()
+		all.Go(func() {
+			if status, _ := edges[i%len(edges)].post("/a/x", "k", fmt.Sprint("repeats ", i)); status == http.StatusOK {
+				f.served.Add(1)
+			}
+		})
+		select {
+		case <-ticker.C:
+		case <-ended:
+			return
+		}
+	}
+}
+
+// excess returns by how many repeats the worst window exceeds what it allows, and its repeats.
+func (f *failing) excess() (worst float64, repeats int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	worst = -repeatSlack
+	for _, from := range f.repeated {
+		requests := max(countBetween(f.sent, from), countBetween(f.sent, from.Add(-repeatSpan/2)), countBetween(f.sent, from.Add(-repeatSpan)))
+		count := countBetween(f.repeated, from)
+		if over := float64(count) - repeatRatio*float64(requests) - repeatSlack; over > worst {
+			worst, repeats = over, count
+		}
+	}
+	return worst, repeats
+}
+
+// countBetween returns how many of the times are in the window that begins at from.
+func countBetween(list []time.Time, from time.Time) (n int) {
+	for _, at := range list {
+		if d := at.Sub(from); d >= 0 && d < repeatSpan {
+			n++
+		}
+	}
+	return n
+}
+
+// newFailing is three cores, four edges and two upstreams that fail the first run of each request.
+func newFailing(t *testing.T) (*quartet, *failing) {
+	q, f := newQuartetWithout(t), &failing{seen: map[string]bool{}}
+	for i := range 6 {
+		q.handled(fmt.Sprint("failing-", i), f.serve, q.cores...)
+	}
+	q.awaitReady()
+	return q, f
+}
+
+// Guards against repeats beyond the retry budget of all instances together, because one that starts
+// again has forgotten what it spent.
+func TestRepeatsStayWithinBudgetOverRestarts(t *testing.T) {
+	for name, restarted := range map[string]func(*quartet) []*node{
+		"no restart": func(*quartet) []*node { return nil },
+		"instances":  func(q *quartet) []*node { return q.edges },
+		"everything": func(q *quartet) []*node { return append(append([]*node(nil), q.cores...), q.edges...) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			q, f := newFailing(t)
+			ended, done := make(chan struct{}), make(chan struct{})
+			go func() {
+				defer close(done)
+				f.load(q.edges, ended)
+			}()
+			for range restarts {
+				time.Sleep(restartPause)
+				for _, n := range restarted(q) {
+					n.kill()
+				}
+				for _, n := range restarted(q) {
+					n.start(false)
+				}
+			}
+			time.Sleep(restartPause)
+			close(ended)
+			<-done
+			over, repeats := f.excess()
+			t.Logf("%d repeats in the worst window of %v, %.0f more than allowed; %d of %d served", repeats, repeatSpan, over, f.served.Load(), len(f.sent))
+			Expect(over).To(BeNumerically("<=", 0), "more than allowed")
+			Expect(float64(repeats)).To(BeNumerically(">=", repeatRatio/2*repeatLoad*repeatSpan.Seconds()), "the budget is used")
+		})
+	}
+}
