Retry budget: an instance that starts takes its share for spent

Cause: each process counts its repeats in memory and began with an empty window, so each life had the whole share of its instance. Class of fault: an allowance in force over a window, remembered by one process.

The part that its own requests earn needs no memory: they count in the same window as the repeats they pay for.

--- a/core/budget/window.go
+++ b/core/budget/window.go
@@ -10,11 +10,15 @@
 // span, plus this instance's share of an allowance common to all instances. A sliding
 // window keeps this limit in each span, which a token bucket with refills does not. It
 // is not safe for concurrent use.
+//
+// A process that starts does not know what an earlier process of the same instance spent,
+// so it takes the share for spent until that has left the window.
 type Window struct {
-	ratio  float64
-	span   time.Duration
-	steps  [windowSteps + 1]step
-	latest int64
+	ratio     float64
+	span      time.Duration
+	startedAt time.Time
+	steps     [windowSteps + 1]step
+	latest    int64
 }
 
 type step struct {
@@ -22,8 +26,10 @@
 	requests, repeats int
 }
 
-// NewWindow returns an empty window.
-func NewWindow(ratio float64, span time.Duration) *Window { return &Window{ratio: ratio, span: span} }
+// NewWindow returns an empty window of a process that started at the given time.
+func NewWindow(ratio float64, span time.Duration, startedAt time.Time) *Window {
+	return &Window{ratio: ratio, span: span, startedAt: startedAt}
+}
 
 func (w *Window) currentStep(now time.Time) *step {
 	number := now.UnixNano() / int64(w.span/windowSteps)
@@ -44,6 +50,9 @@
 func (w *Window) Spend(now time.Time, share float64) bool {
 	s := w.currentStep(now)
 	requests, repeats := w.Counts()
+	if now.Sub(w.startedAt) < w.span+w.span/windowSteps {
+		share = 0
+	}
 	if float64(repeats+1) > w.ratio*float64(requests)+share {
 		return false
 	}
--- a/instance/relay/config.go
+++ b/instance/relay/config.go
@@ -71,6 +71,9 @@
 	Ratio  float64
 	Window time.Duration
 	Slack  float64
+	// CountedSince is since when all repeats of this instance are known, by clock.Now: the start of the
+	// service if it is zero.
+	CountedSince time.Time
 }
 
 // Config configures a Service.
--- a/instance/relay/relay.go
+++ b/instance/relay/relay.go
@@ -53,6 +53,9 @@
 	if cfg.Dial == nil {
 		cfg.Dial = dialTCP
 	}
+	if cfg.Budget.CountedSince.IsZero() {
+		cfg.Budget.CountedSince = clock.Now()
+	}
 	s := &Service{
 		cfg: cfg, set: set, fleet: newFleet(&cfg), bodies: newBodyBudget(cfg.BodyBytes), answers: newBodyBudget(cfg.AnswerBytes), stop: make(chan struct{}), conns: map[*conn]struct{}{}, budgets: map[string]*budget.Window{},
 	}
@@ -181,7 +184,7 @@
 func (s *Service) budgetWindow(service string) *budget.Window {
 	w := s.budgets[service]
 	if w == nil {
-		w = budget.NewWindow(s.cfg.Budget.Ratio*budgetShare, s.cfg.Budget.Window)
+		w = budget.NewWindow(s.cfg.Budget.Ratio*budgetShare, s.cfg.Budget.Window, s.cfg.Budget.CountedSince)
 		s.budgets[service] = w
 	}
 	return w
@@ -197,11 +200,19 @@
 	s.budgetWindow(service).RecordRequest(clock.Now())
 }
 
-// spendRepeat takes one repeat from the retry budget and reports whether the budget allowed it. The
-// slack is divided among all forwarding instances plus one that may be about to join.
+// slackShare returns this instance's share of the slack, which is divided among all forwarding
+// instances plus one that may be about to join. An instance that has lost the control group has none.
+func (s *Service) slackShare() (share float64, forwarders int) {
+	forwarders = s.cfg.State.View().Forwarders
+	if s.cfg.State.Age() > serving.ShareLifetime(s.cfg.Budget.Window) {
+		return 0, forwarders
+	}
+	return s.cfg.Budget.Slack * budgetShare / float64(forwarders+1), forwarders
+}
+
+// spendRepeat takes one repeat from the retry budget and reports whether the budget allowed it.
 func (s *Service) spendRepeat(service string) bool {
-	forwarders := s.cfg.State.View().Forwarders
-	share := s.cfg.Budget.Slack * budgetShare / float64(forwarders+1)
+	share, forwarders := s.slackShare()
 	s.mu.Lock()
 	now := clock.Now()
 	w := s.budgetWindow(service)
--- a/instance/roles/core.go
+++ b/instance/roles/core.go
@@ -90,7 +90,7 @@
 		s := &servingService{}
 		s.Service = serving.New(serving.Config{
 			Name: p.cfg.Peer, Domain: p.cfg.Domain, Links: links, SilenceTimeout: p.cfg.Silence, Log: p.log, Replica: s.replica,
-			Usage: p.cfg.Duties.span() > 0,
+			Usage: p.cfg.Duties.span() > 0, BudgetWindow: p.cfg.Budget.Window,
 		})
 		return s, nil
 	}}
--- a/instance/serving/digest.go
+++ b/instance/serving/digest.go
@@ -20,15 +20,25 @@
 	// members know the instances that follow others, these would share budgets among too few.
 	startupDigestInterval = 100 * time.Millisecond
 	startupDigests        = 2 * time.Second
-	// watcherRetention is how long an instance counts after its last request. It is longer than
-	// the window of a retry budget, of which the instance may have spent its share.
-	watcherRetention = 20 * time.Second
-	// watcherInterval is the time between two digests that list the same instance: two may be lost.
-	watcherInterval = watcherRetention / 4
+	// minWatcherRetention is how long an instance counts after its last request, at least.
+	minWatcherRetention = 20 * time.Second
+	// watcherInterval is the time between two digests that list the same instance.
+	watcherInterval = minWatcherRetention / 4
 	// heartbeatRetention is how long the time of a heartbeat is kept.
 	heartbeatRetention = time.Minute
 )
 
+// watcherRetention is how long an instance counts after its last request: longer than the window of
+// the retry budget, of which it may have spent its share.
+func watcherRetention(window time.Duration) time.Duration { return max(minWatcherRetention, 2*window) }
+
+// ShareLifetime is how long after its last confirmed answer an instance may spend its share of a retry
+// budget with the given window. What it spends by then has left the window when the members forget the
+// instance and divide its share among the others.
+func ShareLifetime(window time.Duration) time.Duration {
+	return watcherRetention(window) - watcherInterval - window
+}
+
 // digest tells the other members what this member received.
 type digest struct {
 	// Heard lists the upstreams that sent heartbeats since the last digest. Only the leader needs
@@ -184,7 +194,7 @@
 	defer s.mu.Unlock()
 	now := clock.Now()
 	for name, at := range s.watchers {
-		if now.Sub(at) > watcherRetention {
+		if now.Sub(at) > watcherRetention(s.cfg.BudgetWindow) {
 			delete(s.watchers, name)
 			delete(s.watcherSentAt, name)
 		}
--- a/instance/serving/serving.go
+++ b/instance/serving/serving.go
@@ -49,6 +49,8 @@
 	Links   Links
 	// SilenceTimeout and Timeout default to DefaultSilenceTimeout and DefaultTimeout.
 	SilenceTimeout, Timeout time.Duration
+	// BudgetWindow is the window of the retry budget that instances share; zero if there is none.
+	BudgetWindow time.Duration
 	// Usage makes the members commit the request counts of the instances.
 	Usage bool
 	Log   zerolog.Logger
