Number of instances: a member that missed digests says that it may know too few

A member that joined later than 5 s after its start, was cut off or was suspended told the number of those that had asked it, without saying so, and its followers took a larger share for up to 5 s; a member without a quorum did so for as long as the cut lasted.

A member now asks the others for their instances, and says that there may be more, for 5 s after any time without a leader, a membership or digests. Instances take over a smaller number only from a confirmed answer.

--- a/instance/follow/follow.go
+++ b/instance/follow/follow.go
@@ -457,7 +457,7 @@
 		return true
 	}
 	forwarders := max(1, a.Forwarders)
-	if a.Starting {
+	if a.Starting || !a.Confirmed {
 		forwarders = max(old.Forwarders, forwarders)
 	}
 	if a.Changes.Index == old.Index && forwarders == old.Forwarders && a.Quarantine == nil {
--- a/instance/follow/follow_test.go
+++ b/instance/follow/follow_test.go
@@ -321,3 +321,22 @@
 	grp.set("a", &known)
 	g.Eventually(forwarders).Should(Equal(2))
 }
+
+// Guards against an instance that takes a larger share of the common budgets than its own: a member that
+// is cut off from the others forgets the instances that follow them.
+func TestUnconfirmedAnswerDoesNotLowerTheNumberOfInstances(t *testing.T) {
+	g := NewWithT(t)
+	grp := &group{members: map[string]*member{}}
+	many, few := answer(1, 1, true, "a"), answer(2, 1, false, "a")
+	many.Forwarders, few.Forwarders = 9, 2
+	grp.set("a", many)
+	f := start(t, grp, "a")
+	forwarders := func() int { return f.View().Forwarders }
+	g.Eventually(forwarders).Should(Equal(9))
+	grp.set("a", few)
+	g.Consistently(forwarders).WithTimeout(300 * time.Millisecond).Should(Equal(9))
+	confirmed := *few
+	confirmed.Confirmed = true
+	grp.set("a", &confirmed)
+	g.Eventually(forwarders).Should(Equal(2))
+}
--- a/instance/serving/digest.go
+++ b/instance/serving/digest.go
@@ -24,6 +24,8 @@
 	minWatcherRetention = 20 * time.Second
 	// watcherInterval is the time between two digests that list the same instance.
 	watcherInterval = minWatcherRetention / 4
+	// maxDigestDelay is how late a digest may be before the member counts as suspended meanwhile.
+	maxDigestDelay = 3 * time.Second
 	// heartbeatRetention is how long the time of a heartbeat is kept.
 	heartbeatRetention = time.Minute
 )
@@ -47,8 +49,8 @@
 	Watchers []string `codec:"w"`
 	// Clocks are the clocks of the member if the agreed time is used.
 	Clocks *clocks `codec:"c,omitempty"`
-	// Starting asks for all instances that follow the recipient: the sender has just started and
-	// would think them fewer than they are.
+	// Starting asks for all instances that follow the recipient: the sender has just started, or missed
+	// digests, and would think them fewer than they are.
 	Starting bool `codec:"s,omitempty"`
 	// Tunnels lists some of the instances that follow the sender and serve tunnels.
 	Tunnels []string `codec:"t,omitempty"`
@@ -56,6 +58,7 @@
 
 func (s *Service) exchangeDigests(ctx context.Context) {
 	for {
+		before := clock.Now()
 		interval := digestInterval
 		if clock.Since(s.startedAt) < startupDigests {
 			interval = startupDigestInterval
@@ -65,9 +68,13 @@
 		}
 		g := s.cfg.Replica()
 		if g == nil {
+			s.missDigests()
 			continue
 		}
 		st := g.Status()
+		if st.Leader == 0 || clock.Since(before) > interval+maxDigestDelay {
+			s.missDigests()
+		}
 		s.forgetWatchers()
 		s.sendDigest(&st)
 		s.proposeSilent(ctx, g, &st)
@@ -105,7 +112,19 @@
 }
 
 // isStarting reports whether this member may not know yet of all instances that forward requests.
-func (s *Service) isStarting(now time.Time) bool { return now.Sub(s.startedAt) < watcherInterval }
+func (s *Service) isStarting(now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return now.Sub(s.missedDigestsAt) < watcherInterval
+}
+
+// missDigests records that digests of other members may be missing until now: this process has just
+// started or was suspended, or its replica has not joined or has no leader.
+func (s *Service) missDigests() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.missedDigestsAt = clock.Now()
+}
 
 // takeStarting returns the members that have just started and asked for all instances.
 func (s *Service) takeStarting() map[string]bool {
--- a/instance/serving/digest_test.go
+++ b/instance/serving/digest_test.go
@@ -39,7 +39,7 @@
 	g := NewWithT(t)
 	sent := sentDigests{}
 	s := New(Config{Links: sent})
-	s.startedAt = clock.Now().Add(-time.Hour)
+	s.missedDigestsAt = clock.Now().Add(-time.Hour)
 	s.recordHeartbeat("u1")
 	s.sendDigest(statusOf(0, 5))
 	g.Expect(sent).To(BeEmpty(), "without a leader nobody is told")
@@ -54,7 +54,7 @@
 	g := NewWithT(t)
 	sent := sentDigests{}
 	s := New(Config{Links: sent})
-	s.startedAt = clock.Now().Add(-time.Hour)
+	s.missedDigestsAt = clock.Now().Add(-time.Hour)
 	for range 5 {
 		s.recordWatcher("edge")
 		s.sendDigest(statusOf(0, 3))
@@ -68,7 +68,7 @@
 	s.recordWatcher("edge")
 	s.sendDigest(statusOf(0, 3))
 	g.Expect(sent["m2"]).To(HaveLen(2))
-	s.startedAt = clock.Now()
+	s.missDigests()
 	s.sendDigest(statusOf(0, 3))
 	g.Expect(sent["m2"][2].Starting).To(BeTrue())
 }
--- a/instance/serving/serving.go
+++ b/instance/serving/serving.go
@@ -79,7 +79,9 @@
 	watcherSentAt  map[string]time.Time
 	starting       map[string]bool
 	startedAt      time.Time
-	loads          loadReports
+	// missedDigestsAt is until when digests of other members may be missing.
+	missedDigestsAt time.Time
+	loads           loadReports
 	// encodedTotal is the encoded work of all instances, and totalBusy whether any of them considers
 	// upstreams busy, as of encodedTotalAt; encodingTook is how long that took.
 	encodedTotal   []byte
@@ -118,7 +120,7 @@
 	}
 	s := &Service{
 		cfg: cfg, changed: make(chan struct{}), lastHeard: map[string]time.Time{}, unsentHeard: map[string]bool{},
-		watchers: map[string]time.Time{}, unsentWatchers: map[string]bool{}, watcherSentAt: map[string]time.Time{}, starting: map[string]bool{}, startedAt: clock.Now(), loads: newLoadReports(), observed: newObservedReports(), limits: newLimitTracker(), tunnels: newTunnelServers(),
+		watchers: map[string]time.Time{}, unsentWatchers: map[string]bool{}, watcherSentAt: map[string]time.Time{}, starting: map[string]bool{}, startedAt: clock.Now(), missedDigestsAt: clock.Now(), loads: newLoadReports(), observed: newObservedReports(), limits: newLimitTracker(), tunnels: newTunnelServers(),
 	}
 	if cfg.Usage {
 		s.metering = newMetering()
--- a/instance/serving/watch.go
+++ b/instance/serving/watch.go
@@ -88,7 +88,7 @@
 	MembersSum uint64   `codec:"x,omitempty"`
 	// Forwarders is the known number of instances that forward requests.
 	Forwarders int `codec:"f"`
-	// Starting means that there may be more of them: the member has just started.
+	// Starting means that there may be more of them: the member has just started or missed digests.
 	Starting bool `codec:"j,omitempty"`
 	// Summary is the work of all instances. NextPlacement is the number of the placement to
 	// ask for next.
