--- a/proof/deployed/harness_test.go
+++ b/proof/deployed/harness_test.go
@@ -49,6 +49,8 @@
 	// settings are lines that all machines' settings files have besides, bounds those of
 	// their bounds.
 	settings, bounds string
+	// retryWindow is the window of the retry budget.
+	retryWindow time.Duration
 	// watch notes when this machine or its disk hangs.
 	watch *machineWatch
 }
@@ -79,7 +81,7 @@
 
 // openSite makes a site of a test that may run beside others.
 func openSite(t *testing.T) *site {
-	s := &site{g: NewWithT(t), t: t, dir: t.TempDir(), net: nets.Add(1) + int64(os.Getpid()%netShares)*netShare, nodes: map[string]*node{}}
+	s := &site{g: NewWithT(t), t: t, dir: t.TempDir(), retryWindow: 10 * time.Second, net: nets.Add(1) + int64(os.Getpid()%netShares)*netShare, nodes: map[string]*node{}}
 	t.Cleanup(func() {
 		if t.Failed() {
 			t.Logf("logs until %s in %s", time.Now().Format(time.StampMilli), s.keepLogs(""))
@@ -140,8 +142,8 @@
 data-dir: %s
 limits: {memory-mb: 284}
 heartbeat-ms: 1200
-bounds: {fail-closed: true, revoke-ms: 3000, grace-s: 8, seed-lag-s: 3, retry-budget-ratio: 0.2, retry-window-s: 10, retry-slack: 58%s}
-%s`, n.name, role, n.ip, listen, portPeer, portPeer+15, seeds, bootstrap, data, n.s.bounds, n.s.settings)
+bounds: {fail-closed: true, revoke-ms: 3000, grace-s: 8, seed-lag-s: 3, retry-budget-ratio: 0.2, retry-window-s: %d, retry-slack: 58%s}
+%s`, n.name, role, n.ip, listen, portPeer, portPeer+15, seeds, bootstrap, data, n.s.retryWindow/time.Second, n.s.bounds, n.s.settings)
 }
 
 // start writes the settings and runs the process.
@@ -290,6 +292,13 @@
 	return nil
 }
 
+// putStreams puts a configuration whose route is of streams that may be resumed.
+func (n *node) putStreams(version int, keys ...string) int {
+	body := strings.Replace(desired(version, keys...), `"route-type":"idempotent","timeout-ms":1500`, `"route-type":"streaming","resumable":true,"target-gap-ms":1000,"timeout-ms":5000`, 1)
+	status, _ := call("PUT", "http://"+n.at(portControl)+"/config", body)
+	return status
+}
+
 func desired(version int, keys ...string) string {
 	k, _ := json.Marshal(keys)
 	return fmt.Sprintf(`{"version":%d,"routes":[{"name":"r","host":"h.example","path-prefix":"/a/","route-type":"idempotent","timeout-ms":1500,
@@ -305,6 +314,7 @@
 	s        *site
 	id       string
 	service  string
+	version  string
 	born     int64
 	listener net.Listener
 	sequence atomic.Int64
@@ -348,10 +358,18 @@
 	return r
 }
 
+// versioned makes a runner of service s at a version of its software.
+func (s *site) versioned(id, version string, serve http.HandlerFunc, cores ...*node) *runner {
+	r := s.newRunner("s", id)
+	r.version = version
+	r.begin(serve, cores)
+	return r
+}
+
 func (s *site) newRunner(service, id string) *runner {
 	l, err := net.Listen("tcp4", s.ip(250)+":0")
 	Expect(err).NotTo(HaveOccurred())
-	return &runner{s: s, id: id, service: service, born: time.Now().UnixMilli(), listener: l, stop: make(chan struct{})}
+	return &runner{s: s, id: id, service: service, version: "v1", born: time.Now().UnixMilli(), listener: l, stop: make(chan struct{})}
 }
 
 // begin serves and sends heartbeats until the test ends or the runner crashes.
@@ -384,8 +402,8 @@
 }
 
 func (r *runner) report(to *node, state string) int {
-	body := fmt.Sprintf(`{"service":%q,"address":%q,"zone":"north","version":"v1","slots":8,"state":%q,"warmup-left-ms":0,"sequence":%d,"born":%d}`,
-		r.service, r.listener.Addr(), state, r.sequence.Add(1), r.born)
+	body := fmt.Sprintf(`{"service":%q,"address":%q,"zone":"north","version":%q,"slots":8,"state":%q,"warmup-left-ms":0,"sequence":%d,"born":%d}`,
+		r.service, r.listener.Addr(), r.version, state, r.sequence.Add(1), r.born)
 	status, _ := call("PUT", "http://"+to.at(portControl)+"/instances/"+r.id, body)
 	return status
 }
--- a/proof/deployed/quarantine_test.go
+++ b/proof/deployed/quarantine_test.go
@@ -76,7 +76,7 @@
 	if err != nil || f.ended.Load() {
 		return
 	}
-	r := &runner{s: f.s, id: fmt.Sprint("i-", f.lives.Add(1)), service: "s", born: time.Now().UnixMilli(), listener: l, stop: make(chan struct{})}
+	r := &runner{s: f.s, id: fmt.Sprint("i-", f.lives.Add(1)), service: "s", version: "v1", born: time.Now().UnixMilli(), listener: l, stop: make(chan struct{})}
 	server := &http.Server{ReadHeaderTimeout: time.Second}
 	r.crash = sync.OnceFunc(func() {
 		close(r.stop)
@@ -193,8 +193,11 @@
 }
 
 // newQuartetWithout is a quartet that has no upstreams yet.
-func newQuartetWithout(t *testing.T) *quartet {
+func newQuartetWithout(t *testing.T, prepare ...func(*site)) *quartet {
 	q := &quartet{site: newSite(t)}
+	for _, f := range prepare {
+		f(q.site)
+	}
 	for i := range 3 {
 		n := q.add(fmt.Sprint("core-", i+1), 1+i, true)
 		q.cores = append(q.cores, n)
