--- a/core/control/serving/incarnation.go
+++ b/core/control/serving/incarnation.go
@@ -51,5 +51,5 @@
 		return true
 	}
 	return known.State != Draining && known.State != u.State ||
-		known.Address != u.Address || known.Service != u.Service || known.Slots != u.Slots
+		known.Address != u.Address || known.Service != u.Service || known.Slots != u.Slots || known.Software != u.Software
 }
--- a/core/control/serving/machine.go
+++ b/core/control/serving/machine.go
@@ -56,6 +56,8 @@
 	// Silent means that no heartbeat has arrived for a while. The upstream may still
 	// serve instances that can reach it.
 	Silent bool `codec:"x"`
+	// Software is the version of the software that the incarnation runs; empty if it is unknown.
+	Software string `codec:"v,omitempty"`
 	// WarmMS is how long after the announcement the upstream is slow, in milliseconds.
 	WarmMS int64 `codec:"w"`
 	// Preemptible upstreams may be reclaimed by their provider. LeavesMS is how long after
--- a/instance/relay/attempt.go
+++ b/instance/relay/attempt.go
@@ -48,7 +48,9 @@
 	// reserved at the upstream until the first event.
 	uncachedTokens, queuedTokens int
 	nominalMS                    float64
-	firstEventSeen               bool
+	// software is the software version of the upstream.
+	software       string
+	firstEventSeen bool
 	// usedToken is set if a rate token of a limited upstream was used.
 	usedToken bool
 	// writing receives the result of a write in the background; nil if the request was written
@@ -72,7 +74,7 @@
 // start sends the request and reads the head of the response. patience bounds the wait for it; zero
 // means until the deadline.
 func (s *Service) start(r *request, up *upstream, patience time.Duration, lastEvent []byte) (*attempt, outcome) {
-	a := &attempt{s: s, r: r, up: up, uncachedTokens: r.uncachedTokens, queuedTokens: r.queuedTokens, nominalMS: r.nominalMS, usedToken: r.usedToken, startedAt: time.Now()}
+	a := &attempt{s: s, r: r, up: up, uncachedTokens: r.uncachedTokens, queuedTokens: r.queuedTokens, nominalMS: r.nominalMS, software: r.software, usedToken: r.usedToken, startedAt: time.Now()}
 	if o := a.connect(); o != answered {
 		return a, o
 	}
--- a/instance/relay/choose.go
+++ b/instance/relay/choose.go
@@ -100,6 +100,7 @@
 	if f.choice.states[c.Index].Fetchable {
 		r.fetchFrom = f.choice.fetchSource.address
 	}
+	r.software = u.software
 	f.reserve(u, r, now)
 	return u, false
 }
--- a/instance/relay/fleet.go
+++ b/instance/relay/fleet.go
@@ -149,7 +149,7 @@
 	if u.service != nil {
 		u.service.remove(u)
 	}
-	u.state, u.silent, u.slots, u.domain = info.State, info.Silent, max(1, info.Slots), info.Domain
+	u.state, u.silent, u.slots, u.domain, u.software = info.State, info.Silent, max(1, info.Slots), info.Domain, info.Software
 	if u.state == serving.Ready {
 		f.service(info.Service).add(u)
 	} else {
--- a/instance/relay/request.go
+++ b/instance/relay/request.go
@@ -65,6 +65,8 @@
 	// and nominalMS that time at an upstream as fast as its peers.
 	sharedTokens, capacity int
 	predictedMS, nominalMS float64
+	// software is the software version of the latest chosen upstream.
+	software string
 	// fetchRate is how many prompt tokens per millisecond engines can fetch from each other.
 	// fetchFrom is the address of the engine that has the prompt cached, if the chosen one does
 	// not.
--- a/instance/relay/stream.go
+++ b/instance/relay/stream.go
@@ -289,6 +289,7 @@
 		a, o := s.start(r, up, 0, st.lastID)
 		if o == answered && a.head.Status/100 == 2 {
 			s.cfg.Log.Event("stream_resumed").Bytes("request", r.id).Str("from", broken.up.id).Str("upstream", up.id).
+				Str("from_software", broken.software).Str("software", a.software).
 				Bytes("after_event", st.lastID).MS("left", r.left(clock.Now())).Err(cause).End()
 			return a
 		}
--- a/instance/relay/upstream.go
+++ b/instance/relay/upstream.go
@@ -22,6 +22,8 @@
 	state       serving.State
 	silent      bool
 	slots       int
+	// software is the version of the upstream's software; empty if it is unknown.
+	software string
 
 	// active counts requests in flight, usedTokens their prompt tokens, and queuedTokens the tokens
 	// to prefill for requests without a first event.
