--- a/core/budget/budget.go
+++ b/core/budget/budget.go
@@ -22,9 +22,6 @@
 	PerSecond float64
 	// Burst is the maximum balance.
 	Burst float64
-	// StartedAt is when the process started. Balances are zero then: full ones would let each restart
-	// of an instance add second attempts that no traffic has earned. With the zero time all are full.
-	StartedAt time.Time
 }
 
 // Budgets holds one budget for each class. It is not safe for concurrent use.
@@ -38,7 +35,7 @@
 	updatedAt time.Time
 }
 
-// New returns budgets; zero fields of cfg take the defaults.
+// New returns budgets with a full balance; zero fields of cfg take the defaults.
 func New(cfg Config) *Budgets {
 	if cfg.Ratio == 0 {
 		cfg.Ratio = DefaultRatio
@@ -78,12 +75,9 @@
 func (b *Budgets) account(now time.Time, class string) *account {
 	a, ok := b.classes[class]
 	if !ok {
-		a = &account{updatedAt: b.cfg.StartedAt}
+		a = &account{balance: b.cfg.Burst, updatedAt: now}
 		b.classes[class] = a
 	}
-	if a.updatedAt.IsZero() {
-		a.balance, a.updatedAt = b.cfg.Burst, now
-	}
 	if passed := now.Sub(a.updatedAt); passed > 0 {
 		a.balance = min(a.balance+passed.Seconds()*b.cfg.PerSecond, b.cfg.Burst)
 		a.updatedAt = now
--- a/instance/daemon/http.go
+++ b/instance/daemon/http.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"github.com/comfreyladder/comfreyladder/core/backpressure"
-	"github.com/comfreyladder/comfreyladder/core/budget"
 	"github.com/comfreyladder/comfreyladder/core/fault"
 	"github.com/comfreyladder/comfreyladder/core/intent"
 	"github.com/comfreyladder/comfreyladder/instance/admin"
@@ -71,7 +70,6 @@
 			Config:   p.config,
 			Dispatcher: dispatch.New(dispatch.Config{
 				Queue: p.queue, Client: p.client.Client, Telemetry: p.telemetry, Trace: p.trace.Log, Attempts: d.cfg.Upstream.Attempts,
-				Retries: budget.Config{StartedAt: time.Now()},
 			}),
 			Registry: p.registry,
 			Plain:    p.plain,
--- a/instance/daemon/work.go
+++ b/instance/daemon/work.go
@@ -126,7 +126,7 @@
 // for reads of plain services and reports whether one was left.
 func newRetryBudget() func() bool {
 	var mu sync.Mutex
-	b := budget.New(budget.Config{StartedAt: time.Now()})
+	b := budget.New(budget.Config{})
 	return func() bool {
 		mu.Lock()
 		defer mu.Unlock()
