Streams go on at the software version that began them only

Cause: the version of a heartbeat was checked and dropped, so a stream went on at any upstream of its service; and what a stream began at was remembered, if at all, by the one process that its caller had just lost. Class of fault: interchangeable taken for granted; memory of one process.

Within an answer, another upstream is a choice only if it runs the version that began the stream; a stalled stream is not given up when there is none. Each instance tells two members of the control group where its streams began (core/origin, instance/origin): every 250 ms, within 20 ms while several versions serve. A request that takes a stream up is placed by what is told for the attempt that its caller names; if nobody knows, at the only version of the service if a quorum confirms that there has been no other for ten minutes, else it is refused as not run. Taken-up streams are not shed: part of them is made already.

Component tests in core/origin, instance/origin, relay, serving.

--- /dev/null
+++ b/instance/origin/recorder.go
@@ -0,0 +1,210 @@
+// Package origin shares among instances where streams began (core/origin). An instance tells two members of
+// the control group, so that its callers can go on elsewhere if it ends; an instance that is asked to go on
+// with a stream asks them.
+package origin
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/comfreyladder/comfreyladder/core/fault"
+	"github.com/comfreyladder/comfreyladder/core/origin"
+	"github.com/comfreyladder/comfreyladder/instance/clock"
+	"github.com/comfreyladder/comfreyladder/instance/eventlog"
+)
+
+const (
+	// ChannelBegun carries a Begun to a member.
+	ChannelBegun = "origin.begun"
+	// ChannelFind carries a FindRequest and its FindResponse.
+	ChannelFind = "origin.find"
+)
+
+// Begun lists streams that began, by where they did.
+type Begun struct {
+	Groups []Group `codec:"g"`
+}
+
+// Group holds the streams that began at one service and software version.
+type Group struct {
+	Service  string       `codec:"s"`
+	Software string       `codec:"v"`
+	Streams  []origin.Key `codec:"k"`
+}
+
+// FindRequest asks where a stream began.
+type FindRequest struct {
+	Stream origin.Key `codec:"k"`
+	// Service is where the stream is to go on.
+	Service string `codec:"s"`
+	// Forwarded is set if a member asks another one.
+	Forwarded bool `codec:"f,omitempty"`
+}
+
+// FindResponse says where a stream began.
+type FindResponse struct {
+	// Known is set if the beginning of the stream is known, or if all upstreams of the service run, and
+	// ran for long, the same software version.
+	Known    bool   `codec:"n,omitempty"`
+	Service  string `codec:"s,omitempty"`
+	Software string `codec:"v,omitempty"`
+}
+
+// Links is the part of instance/link that a Recorder uses.
+type Links interface {
+	Send(to, channel string, msg any) error
+	Call(ctx context.Context, to, channel string, req, resp any) error
+}
+
+// RecorderConfig holds the settings of a Recorder.
+type RecorderConfig struct {
+	Links Links
+	// Members returns the members of the control group, the preferred one first.
+	Members func() []string
+	Log     *eventlog.Sink
+}
+
+const (
+	// copies is the number of members that are told of a stream.
+	copies = 2
+	// urgentInterval and interval are the times between two messages, urgentInterval while upstreams of
+	// a service run several versions: a stream that its caller goes on with can be placed by its
+	// recorded origin only.
+	urgentInterval, interval = 20 * time.Millisecond, 250 * time.Millisecond
+	// maxPending bounds the streams of a message.
+	maxPending = 8192
+	// findTimeout bounds a question to a member: one that is cut off does not answer.
+	findTimeout = 300 * time.Millisecond
+)
+
+var errUnknown = fault.New(fault.NotFound, "it is not known where the stream began")
+
+// Recorder records where the streams of an instance begin, and finds where others did. It is safe for
+// concurrent use.
+type Recorder struct {
+	cfg    RecorderConfig
+	cancel context.CancelFunc
+	done   sync.WaitGroup
+	urgent chan struct{}
+
+	mu      sync.Mutex
+	own     *origin.Store
+	pending map[origin.Origin][]origin.Key
+	count   int
+}
+
+// NewRecorder returns a recorder that is not started.
+func NewRecorder(cfg RecorderConfig) *Recorder {
+	return &Recorder{cfg: cfg, urgent: make(chan struct{}, 1), own: origin.NewStore(), pending: map[origin.Origin][]origin.Key{}}
+}
+
+// Start implements kernel.Service.
+func (r *Recorder) Start(context.Context) error {
+	ctx, cancel := context.WithCancel(context.Background())
+	r.cancel = cancel
+	r.done.Go(func() { r.run(ctx) })
+	return nil
+}
+
+// Stop implements kernel.Service.
+func (r *Recorder) Stop(context.Context) error {
+	if r.cancel != nil {
+		r.cancel()
+		r.done.Wait()
+	}
+	return nil
+}
+
+// Began records that a stream began at an origin. Urgent makes it known to members soon.
+func (r *Recorder) Began(id []byte, at origin.Origin, urgent bool) {
+	k := origin.KeyOf(id)
+	r.mu.Lock()
+	r.own.Add(clock.Now(), k, at)
+	if r.count < maxPending {
+		r.pending[at] = append(r.pending[at], k)
+		r.count++
+	}
+	r.mu.Unlock()
+	if !urgent {
+		return
+	}
+	select {
+	case r.urgent <- struct{}{}:
+	default:
+	}
+}
+
+// Find returns where the stream that the attempt with the given request ID began, and that is to go on at a
+// service, began. It fails with fault.NotFound if that is not known, and with fault.Unavailable if no
+// member answers.
+func (r *Recorder) Find(ctx context.Context, id []byte, service string) (origin.Origin, error) {
+	k := origin.KeyOf(id)
+	r.mu.Lock()
+	at, known := r.own.Find(clock.Now(), k)
+	r.mu.Unlock()
+	if known {
+		return at, nil
+	}
+	err := error(fault.New(fault.Unavailable, "no member of the control group is known"))
+	for _, member := range r.targets() {
+		var a FindResponse
+		if err = r.ask(ctx, member, &FindRequest{Stream: k, Service: service}, &a); err != nil {
+			continue
+		}
+		if !a.Known {
+			return origin.Origin{}, errUnknown
+		}
+		return origin.Origin{Service: a.Service, Software: a.Software}, nil
+	}
+	return origin.Origin{}, fault.Wrap(err, fault.Unavailable, "ask members where the stream began")
+}
+
+func (r *Recorder) ask(ctx context.Context, member string, q *FindRequest, a *FindResponse) error {
+	ctx, cancel := context.WithTimeout(ctx, findTimeout)
+	defer cancel()
+	return r.cfg.Links.Call(ctx, member, ChannelFind, q, a)
+}
+
+// targets returns the members that are told of streams, and asked for them.
+func (r *Recorder) targets() []string {
+	members := r.cfg.Members()
+	return members[:min(copies, len(members))]
+}
+
+func (r *Recorder) run(ctx context.Context) {
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-r.urgent:
+			if !clock.Sleep(ctx, urgentInterval) {
+				return
+			}
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+		r.flush()
+	}
+}
+
+// flush tells the members of the streams that began since the last call.
+func (r *Recorder) flush() {
+	r.mu.Lock()
+	pending := r.pending
+	r.pending, r.count = map[origin.Origin][]origin.Key{}, 0
+	r.mu.Unlock()
+	if len(pending) == 0 {
+		return
+	}
+	var begun Begun
+	for at, streams := range pending {
+		begun.Groups = append(begun.Groups, Group{at.Service, at.Software, streams})
+	}
+	for _, member := range r.targets() {
+		if err := r.cfg.Links.Send(member, ChannelBegun, &begun); err != nil {
+			r.cfg.Log.Event("origins_not_sent").Str("member", member).Int("groups", int64(len(begun.Groups))).Err(err).End()
+		}
+	}
+}
--- /dev/null
+++ b/instance/origin/service.go
@@ -0,0 +1,125 @@
+package origin
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/comfreyladder/comfreyladder/core/origin"
+	"github.com/comfreyladder/comfreyladder/instance/clock"
+	"github.com/comfreyladder/comfreyladder/instance/consensus"
+	"github.com/comfreyladder/comfreyladder/instance/link"
+)
+
+// MemberLinks is the part of instance/link that a Service uses.
+type MemberLinks interface {
+	Call(ctx context.Context, to, channel string, req, resp any) error
+	Handle(channel string, h link.Handler, options ...link.ChannelOption)
+}
+
+// Config holds the settings of a Service.
+type Config struct {
+	// Replica returns the control group member that runs on this instance, or nil.
+	Replica func() *consensus.Service
+	Links   MemberLinks
+	// OnlySoftware returns the software version of a service if all its upstreams run, and ran for long,
+	// the same one. It fails unless a quorum confirms that.
+	OnlySoftware func(ctx context.Context, service string) (version string, only bool, err error)
+}
+
+// peerTimeout bounds a question to another member.
+const peerTimeout = 150 * time.Millisecond
+
+// Service answers on a member where streams began. It is safe for concurrent use.
+type Service struct {
+	cfg Config
+
+	mu    sync.Mutex
+	store *origin.Store
+}
+
+// New returns a service and registers its channels.
+func New(cfg Config) *Service {
+	s := &Service{cfg: cfg, store: origin.NewStore()}
+	cfg.Links.Handle(ChannelBegun, s.begun, link.Lossy())
+	cfg.Links.Handle(ChannelFind, s.find)
+	return s
+}
+
+// Start implements kernel.Service.
+func (s *Service) Start(context.Context) error { return nil }
+
+// Stop implements kernel.Service.
+func (s *Service) Stop(context.Context) error { return nil }
+
+func (s *Service) begun(_ context.Context, _ string, msg link.Message) (any, error) {
+	var b Begun
+	if err := msg.Decode(&b); err != nil {
+		return nil, err
+	}
+	now := clock.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for i := range b.Groups {
+		group := &b.Groups[i]
+		for _, k := range group.Streams {
+			s.store.Add(now, k, origin.Origin{Service: group.Service, Software: group.Software})
+		}
+	}
+	return nil, nil
+}
+
+func (s *Service) find(ctx context.Context, _ string, msg link.Message) (any, error) {
+	var q FindRequest
+	if err := msg.Decode(&q); err != nil {
+		return nil, err
+	}
+	s.mu.Lock()
+	at, known := s.store.Find(clock.Now(), q.Stream)
+	s.mu.Unlock()
+	switch {
+	case known:
+		return FindResponse{Known: true, Service: at.Service, Software: at.Software}, nil
+	case q.Forwarded:
+		return FindResponse{}, nil
+	}
+	if a := s.askOthers(ctx, q); a.Known {
+		return a, nil
+	}
+	version, only, err := s.cfg.OnlySoftware(ctx, q.Service)
+	if err != nil {
+		return nil, err
+	}
+	return FindResponse{Known: only, Service: q.Service, Software: version}, nil
+}
+
+// askOthers asks the other members at the same time, and returns the first answer that knows.
+func (s *Service) askOthers(ctx context.Context, q FindRequest) FindResponse {
+	g := s.cfg.Replica()
+	if g == nil {
+		return FindResponse{}
+	}
+	q.Forwarded = true
+	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
+	defer cancel()
+	st := g.Status()
+	answers := make(chan FindResponse, len(st.Members))
+	asked := 0
+	for _, m := range st.Members {
+		if m.ID == st.ID {
+			continue
+		}
+		asked++
+		go func() {
+			var a FindResponse
+			_ = s.cfg.Links.Call(ctx, m.Name, ChannelFind, &q, &a)
+			answers <- a
+		}()
+	}
+	for range asked {
+		if a := <-answers; a.Known {
+			return a
+		}
+	}
+	return FindResponse{}
+}
--- a/instance/relay/choose.go
+++ b/instance/relay/choose.go
@@ -240,15 +240,15 @@
 // eligible reports whether an upstream is preferred for a request: reachable as far as is known, in
 // the request's pool, and with connections left.
 func (f *fleet) eligible(r *request, sel *selection, u *upstream) bool {
-	return !sel.otherPool(r, u) && !f.excluded(sel, u) && !f.suspect(sel, u)
+	return !sel.otherPool(r, u) && !f.excluded(r, sel, u) && !f.suspect(sel, u)
 }
 
 func (sel *selection) otherPool(r *request, u *upstream) bool {
 	return sel.pools && u.place.Before(sel.quickLimit) != r.quick
 }
 
-func (f *fleet) excluded(sel *selection, u *upstream) bool {
-	return u.active >= sel.service.maxConns || slices.Contains(sel.avoid, u) || u.gate.Closed(clock.Now) || f.lacksRoom(sel, u)
+func (f *fleet) excluded(r *request, sel *selection, u *upstream) bool {
+	return r.otherVersion(u) || u.active >= sel.service.maxConns || slices.Contains(sel.avoid, u) || u.gate.Closed(clock.Now) || f.lacksRoom(sel, u)
 }
 
 func (f *fleet) suspect(sel *selection, u *upstream) bool {
@@ -275,7 +275,7 @@
 			b.LimitShare = f.limitShare(r, u)
 		}
 		b.SlotTimeMS = s.rates.slotTime(u.place.Before(sel.quickLimit)).MS()
-		b.Suspect, b.OtherPool, b.Excluded = f.suspect(sel, u), sel.otherPool(r, u), f.excluded(sel, u)
+		b.Suspect, b.OtherPool, b.Excluded = f.suspect(sel, u), sel.otherPool(r, u), f.excluded(r, sel, u)
 		b.Home, b.Sampled = i < c.homes, i >= c.homes
 		u.candidateAt = i
 		c.states = append(c.states, b)
--- a/instance/relay/config.go
+++ b/instance/relay/config.go
@@ -36,6 +36,9 @@
 	NotRun, Seal string
 	// LastEvent is the ID of the last event that the caller of a stream has received.
 	LastEvent string
+	// Resumes is the request ID of the caller's attempt that brought the first event of the stream that
+	// a request goes on with.
+	Resumes string
 	// PromptSegments lists the segments of a prompt. TokenCounts holds the prompt's token count and
 	// the maximum length of the answer.
 	PromptSegments, TokenCounts string
@@ -99,6 +102,8 @@
 	Quarantine Quarantine
 	// Limits enforces the rate limits that upstreams announce; nil if they announce none.
 	Limits Limits
+	// Origins tells where streams of other instances began; nil if streams go on anywhere.
+	Origins Origins
 	// Tunnels opens connections through other instances while this one is cut off from all upstreams;
 	// nil if there are none.
 	Tunnels uplink.Tunnels
--- a/instance/relay/fleet.go
+++ b/instance/relay/fleet.go
@@ -188,12 +188,12 @@
 	f.domains.reached(u.domain)
 }
 
-// hasOther reports whether a service has another upstream than the one given that takes requests.
-func (f *fleet) hasOther(service string, than *upstream) bool {
+// hasOther reports whether another upstream than the one given may take a request.
+func (f *fleet) hasOther(r *request, than *upstream) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	for _, u := range f.service(service).ready.list {
-		if u != than && !u.gate.Closed(clock.Now) {
+	for _, u := range f.service(r.service).ready.list {
+		if u != than && !r.otherVersion(u) && !u.gate.Closed(clock.Now) {
 			return true
 		}
 	}
--- a/instance/relay/plain.go
+++ b/instance/relay/plain.go
@@ -76,7 +76,7 @@
 // another one.
 func (s *Service) willRepeat(a *attempt) bool {
 	r := a.r
-	return r.route.Kind == route.Idempotent && r.sent+1 < r.route.MaxAttempts && s.fleet.hasOther(r.service, a.up)
+	return r.route.Kind == route.Idempotent && r.sent+1 < r.route.MaxAttempts && s.fleet.hasOther(r, a.up)
 }
 
 func (s *Service) sendWhole(c *conn, a *attempt, body []byte) bool {
--- a/instance/relay/pools.go
+++ b/instance/relay/pools.go
@@ -72,7 +72,7 @@
 	o.Cached = chosen.Fetchable || chosen.CachedShare > 0 || r.sharedTokens == 0
 	o.SlotTime = s.rates.routeSlotTime(r.route.Name).Duration()
 	s.pools.Record(sel.now, &o)
-	if r.quick {
+	if r.quick || r.origin != nil {
 		return
 	}
 	available := f.availableEngines(sel)
--- a/instance/relay/request.go
+++ b/instance/relay/request.go
@@ -10,6 +10,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/comfreyladder/comfreyladder/core/fault"
+	"github.com/comfreyladder/comfreyladder/core/origin"
 	"github.com/comfreyladder/comfreyladder/core/quarantine"
 	"github.com/comfreyladder/comfreyladder/core/route"
 	"github.com/comfreyladder/comfreyladder/instance/http1"
@@ -41,9 +42,9 @@
 	abort     func()
 
 	// These fields are taken from the head.
-	id, key, promptSegments, lastEvent []byte
-	timeout                            time.Duration
-	tokens                             int
+	id, key, promptSegments, lastEvent, resumes []byte
+	timeout                                     time.Duration
+	tokens                                      int
 	// reservedBytes is how much of the body budget the request holds.
 	reservedBytes int64
 
@@ -65,6 +66,8 @@
 	// and nominalMS that time at an upstream as fast as its peers.
 	sharedTokens, capacity int
 	predictedMS, nominalMS float64
+	// origin is where the stream that the request goes on with, or began, began; nil before it has.
+	origin *origin.Origin
 	// software is the software version of the latest chosen upstream.
 	software string
 	// fetchRate is how many prompt tokens per millisecond engines can fetch from each other.
@@ -232,6 +235,8 @@
 	case f.Is(h.LastEvent):
 		// encode writes this field again, with a newer ID when this instance resumes the stream.
 		return false, setOnce(&r.lastEvent, f)
+	case f.Is(h.Resumes):
+		return true, setOnce(&r.resumes, f)
 	case f.Is(h.TokenCounts):
 		count, _, _ := bytes.Cut(f.Value, []byte{','})
 		n, _ := http1.ParseUint(bytes.TrimSpace(count))
--- a/instance/relay/serve.go
+++ b/instance/relay/serve.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"math"
 	"math/rand/v2"
 	"sync"
 	"syscall"
@@ -135,6 +136,10 @@
 	if !s.acceptsDuringDrain(r) {
 		return errDraining
 	}
+	if refused := s.findOrigin(r); refused != nil {
+		return refused
+	}
+	s.prepareEngine(r, v)
 	return nil
 }
 
@@ -199,7 +204,7 @@
 	return r.barred == nil
 }
 
-// prepare sets the service, deadline, urgency and prompt data by which the request is forwarded.
+// prepare sets the service, deadline and urgency by which the request is forwarded.
 func (s *Service) prepare(r *request, v *follow.View) {
 	r.service = r.route.Pick(rand.Float64())
 	wait := r.route.Timeout
@@ -208,6 +213,10 @@
 	}
 	r.deadline = r.arrived.Add(wait - deadlineMargin)
 	r.urgency = v.Routes.Urgency(r.route, r.organisation, urgencyLevels)
+}
+
+// prepareEngine sets the prompt data by which the request is forwarded to an engine of its service.
+func (s *Service) prepareEngine(r *request, v *follow.View) {
 	e := engineOf(v, r.service)
 	if e == nil {
 		r.tokens = 0
@@ -216,6 +225,10 @@
 	r.capacity, r.fetchRate = e.KVTokens, e.FetchPerMS
 	r.rank = v.Routes.Rank(r.route)
 	r.maxQueueMS = queueLimitMS(r.route, r.rank)
+	if r.origin != nil {
+		// Refusing the rest of a stream would waste what was made of it.
+		r.maxQueueMS = math.MaxInt32
+	}
 	if r.route.Sticky {
 		r.affinity, r.sharedTokens = sharedPrefix(r.promptSegments)
 		r.sharedTokens = min(r.sharedTokens, r.tokens)
@@ -277,7 +290,7 @@
 // prefill the same prompt again, which increases the overload, and the response would be late as
 // well.
 func (s *Service) answerTimeout(r *request, up *upstream) time.Duration {
-	if r.tokens > 0 || !r.route.Repeatable() || r.sent+1 >= r.route.MaxAttempts || !s.fleet.hasOther(r.service, up) {
+	if r.tokens > 0 || !r.route.Repeatable() || r.sent+1 >= r.route.MaxAttempts || !s.fleet.hasOther(r, up) {
 		return 0
 	}
 	return max(minAnswerTimeout, answerTimeoutFactor*r.route.Target)
--- a/instance/relay/service.go
+++ b/instance/relay/service.go
@@ -22,6 +22,8 @@
 	// next position recentAt: there are likely connections to them.
 	recent   []*upstream
 	recentAt int
+	// versions counts the ready upstreams by the version of their software.
+	versions map[string]int
 	// slots is the sum of the slots of the ready upstreams.
 	slots int
 	// maxConns is how many connections this instance may open to one upstream.
@@ -85,7 +87,7 @@
 
 func newService(name string) *service {
 	return &service{
-		name: name, ready: upstreamList{at: func(u *upstream) *int { return &u.readyAt }}, byDomain: map[string]*upstreamList{},
+		name: name, ready: upstreamList{at: func(u *upstream) *int { return &u.readyAt }}, byDomain: map[string]*upstreamList{}, versions: map[string]int{},
 		maxConns: unboundedConns, pools: balance.NewPools(), rates: &engineRate{routes: map[string]*balance.SlotTime{}}, peers: &peerObserver{},
 	}
 }
@@ -107,6 +109,7 @@
 	s.ready.add(u)
 	s.inDomain(u.domain).add(u)
 	s.slots += u.slots
+	s.versions[u.software]++
 	u.place = s.index.Add(u.id, u)
 }
 
@@ -116,6 +119,9 @@
 	s.ready.remove(u)
 	s.inDomain(u.domain).remove(u)
 	s.slots -= u.slots
+	if s.versions[u.software]--; s.versions[u.software] == 0 {
+		delete(s.versions, u.software)
+	}
 	s.index.Remove(u.place)
 }
 
--- a/instance/relay/stream.go
+++ b/instance/relay/stream.go
@@ -33,6 +33,9 @@
 	// arrives, and cannot be resumed. tail holds its last bytes.
 	raw  bool
 	tail []byte
+	// elsewhere is whether, at checkedAt, another upstream could go on with the stream.
+	elsewhere bool
+	checkedAt time.Time
 }
 
 // forwardStream forwards a stream and resumes it at another upstream if it breaks.
@@ -77,7 +80,7 @@
 	var piece [ioBufferSize]byte
 	st.discardPending(len(st.pending))
 	for {
-		a.setStreamDeadline(!st.raw)
+		a.setStreamDeadline(!st.raw && st.mayGoOnElsewhere(a))
 		n, err := a.body.Read(piece[:])
 		a.heard()
 		st.hold(piece[:n])
@@ -115,6 +118,20 @@
 	_ = a.conn.nc.SetReadDeadline(time.Now().Add(left))
 }
 
+// checkInterval is the time between two checks whether another upstream could go on with a stream.
+const checkInterval = time.Second
+
+// mayGoOnElsewhere reports whether another upstream could go on with the stream, as of a short time ago.
+func (st *stream) mayGoOnElsewhere(a *attempt) bool {
+	if !a.r.route.Resumable {
+		return false
+	}
+	if now := time.Now(); now.Sub(st.checkedAt) >= checkInterval {
+		st.elsewhere, st.checkedAt = st.s.fleet.hasOther(a.r, a.up), now
+	}
+	return st.elsewhere
+}
+
 // hold appends to the pending bytes.
 func (st *stream) hold(piece []byte) {
 	st.pending = append(st.pending, piece...)
@@ -158,6 +175,7 @@
 	}
 	b := st.c.out[:0]
 	if !st.headSent {
+		a.recordOrigin()
 		st.closing = st.c.closing(st.r)
 		b = append(appendAnswerHead(b, a, st.closing), "Transfer-Encoding: chunked\r\n\r\n"...)
 	}
--- a/instance/roles/core.go
+++ b/instance/roles/core.go
@@ -11,6 +11,7 @@
 	"github.com/comfreyladder/comfreyladder/instance/control"
 	"github.com/comfreyladder/comfreyladder/instance/kernel"
 	"github.com/comfreyladder/comfreyladder/instance/link"
+	"github.com/comfreyladder/comfreyladder/instance/origin"
 	"github.com/comfreyladder/comfreyladder/instance/quarantine"
 	"github.com/comfreyladder/comfreyladder/instance/ratelimit"
 	"github.com/comfreyladder/comfreyladder/instance/serving"
@@ -124,6 +125,20 @@
 	}}
 }
 
+func (p *Process) origins() kernel.Module {
+	return kernel.Module{Name: nameOrigins, Needs: []string{nameLinks, nameServing}, New: func(k *kernel.Kernel) (kernel.Service, error) {
+		links, err := kernel.Lookup[*link.Service](k, nameLinks)
+		if err != nil {
+			return nil, err
+		}
+		state, err := kernel.Lookup[*servingService](k, nameServing)
+		if err != nil {
+			return nil, err
+		}
+		return origin.New(origin.Config{Replica: state.replica, Links: links, OnlySoftware: state.OnlySoftware}), nil
+	}}
+}
+
 func (p *Process) controlListener() kernel.Module {
 	return kernel.Module{Name: nameControlListener, Needs: []string{nameServing, nameControl, nameQuarantine}, New: func(k *kernel.Kernel) (kernel.Service, error) {
 		s, err := kernel.Lookup[*servingService](k, nameServing)
--- a/instance/roles/edge.go
+++ b/instance/roles/edge.go
@@ -9,6 +9,7 @@
 	"github.com/comfreyladder/comfreyladder/instance/follow"
 	"github.com/comfreyladder/comfreyladder/instance/kernel"
 	"github.com/comfreyladder/comfreyladder/instance/link"
+	"github.com/comfreyladder/comfreyladder/instance/origin"
 	"github.com/comfreyladder/comfreyladder/instance/quarantine"
 	"github.com/comfreyladder/comfreyladder/instance/ratelimit"
 	"github.com/comfreyladder/comfreyladder/instance/relay"
@@ -78,6 +79,20 @@
 	}}
 }
 
+func (p *Process) originRecorder() kernel.Module {
+	return kernel.Module{Name: nameOrigins, Needs: []string{nameLinks, nameFollow}, New: func(k *kernel.Kernel) (kernel.Service, error) {
+		links, err := kernel.Lookup[*link.Service](k, nameLinks)
+		if err != nil {
+			return nil, err
+		}
+		state, err := kernel.Lookup[*follow.Follower](k, nameFollow)
+		if err != nil {
+			return nil, err
+		}
+		return origin.NewRecorder(origin.RecorderConfig{Links: links, Members: state.Members, Log: p.events}), nil
+	}}
+}
+
 // tunnels connects instances that are cut off from the upstreams through those that are not.
 func (p *Process) tunnels() kernel.Module {
 	return kernel.Module{Name: nameTunnels, Needs: []string{nameLinks, nameFollow, nameTelemetry}, New: func(k *kernel.Kernel) (kernel.Service, error) {
@@ -106,7 +121,7 @@
 }
 
 func (p *Process) relay() kernel.Module {
-	needs := []string{nameFollow, nameTelemetry, nameQuarantine, nameLimits, nameTunnels}
+	needs := []string{nameFollow, nameTelemetry, nameQuarantine, nameLimits, nameOrigins, nameTunnels}
 	return kernel.Module{Name: nameRelay, Needs: needs, New: func(k *kernel.Kernel) (kernel.Service, error) {
 		state, err := kernel.Lookup[*follow.Follower](k, nameFollow)
 		if err != nil {
@@ -124,6 +139,10 @@
 		if err != nil {
 			return nil, err
 		}
+		origins, err := kernel.Lookup[*origin.Recorder](k, nameOrigins)
+		if err != nil {
+			return nil, err
+		}
 		tunnels, err := kernel.Lookup[*tunnel.Service](k, nameTunnels)
 		if err != nil {
 			return nil, err
@@ -131,7 +150,7 @@
 		cfg := relay.Config{
 			Listen: p.cfg.Callers, Domain: p.cfg.Domain, Headers: p.dialect.Headers, State: state, FailClosed: p.cfg.FailClosed,
 			Budget: p.cfg.Budget, Announce: p.cfg.Announce, DrainTimeout: p.cfg.Grace - 2*stopMargin, Log: p.events,
-			Quarantine: recorder, Limits: limits, Dial: p.cfg.Dial, Tunnels: tunnels, OnDrain: tunnels.Retire, OnLoadChange: state.PushLoads,
+			Quarantine: recorder, Limits: limits, Origins: origins, Dial: p.cfg.Dial, Tunnels: tunnels, OnDrain: tunnels.Retire, OnLoadChange: state.PushLoads,
 			BodyBytes: p.memoryShare(bodyMemoryShare), AnswerBytes: p.memoryShare(answerMemoryShare),
 		}
 		if p.meter != nil {
