--- a/instance/origin/recorder.go
+++ b/instance/origin/recorder.go
@@ -66,8 +66,8 @@
 }
 
 const (
-	// copies is the number of members that are told of a stream.
-	copies = 2
+	// copies is the number of members that are told of a stream, and asked those that are asked for one.
+	copies, asked = 2, 3
 	// urgentInterval and interval are the times between two messages, urgentInterval while upstreams of
 	// a service run several versions: a stream that its caller goes on with can be placed by its
 	// recorded origin only.
@@ -75,7 +75,7 @@
 	// maxPending bounds the streams of a message.
 	maxPending = 8192
 	// findTimeout bounds a question to a member: one that is cut off does not answer.
-	findTimeout = 300 * time.Millisecond
+	findTimeout = 250 * time.Millisecond
 )
 
 var errUnknown = fault.New(fault.NotFound, "it is not known where the stream began")
@@ -147,7 +147,7 @@
 		return at, nil
 	}
 	err := error(fault.New(fault.Unavailable, "no member of the control group is known"))
-	for _, member := range r.targets() {
+	for _, member := range r.members(asked) {
 		var a FindResponse
 		if err = r.ask(ctx, member, &FindRequest{Stream: k, Service: service}, &a); err != nil {
 			continue
@@ -166,10 +166,10 @@
 	return r.cfg.Links.Call(ctx, member, ChannelFind, q, a)
 }
 
-// targets returns the members that are told of streams, and asked for them.
-func (r *Recorder) targets() []string {
-	members := r.cfg.Members()
-	return members[:min(copies, len(members))]
+// members returns the first members in the order of preference.
+func (r *Recorder) members(count int) []string {
+	all := r.cfg.Members()
+	return all[:min(count, len(all))]
 }
 
 func (r *Recorder) run(ctx context.Context) {
@@ -202,7 +202,7 @@
 	for at, streams := range pending {
 		begun.Groups = append(begun.Groups, Group{at.Service, at.Software, streams})
 	}
-	for _, member := range r.targets() {
+	for _, member := range r.members(copies) {
 		if err := r.cfg.Links.Send(member, ChannelBegun, &begun); err != nil {
 			r.cfg.Log.Event("origins_not_sent").Str("member", member).Int("groups", int64(len(begun.Groups))).Err(err).End()
 		}
--- a/instance/origin/service.go
+++ b/instance/origin/service.go
@@ -28,7 +28,7 @@
 }
 
 // peerTimeout bounds a question to another member.
-const peerTimeout = 150 * time.Millisecond
+const peerTimeout = 100 * time.Millisecond
 
 // Service answers on a member where streams began. It is safe for concurrent use.
 type Service struct {
