--- a/proof/deployed/harness_test.go
+++ b/proof/deployed/harness_test.go
@@ -69,6 +69,11 @@
 
 func newSite(t *testing.T) *site {
 	RegisterTestingT(t)
+	return watchedSite(t)
+}
+
+// watchedSite makes a site, of a test that may run beside others, that notes when this machine hangs.
+func watchedSite(t *testing.T) *site {
 	s := openSite(t)
 	ended := make(chan struct{})
 	s.watch = watchMachine(s.dir, ended)
@@ -368,7 +373,7 @@
 
 func (s *site) newRunner(service, id string) *runner {
 	l, err := net.Listen("tcp4", s.ip(250)+":0")
-	Expect(err).NotTo(HaveOccurred())
+	s.g.Expect(err).NotTo(HaveOccurred())
 	return &runner{s: s, id: id, service: service, version: "v1", born: time.Now().UnixMilli(), listener: l, stop: make(chan struct{})}
 }
 
--- a/proof/deployed/quarantine_test.go
+++ b/proof/deployed/quarantine_test.go
@@ -194,10 +194,16 @@
 
 // newQuartetWithout is a quartet that has no upstreams yet.
 func newQuartetWithout(t *testing.T, prepare ...func(*site)) *quartet {
-	q := &quartet{site: newSite(t)}
+	s := newSite(t)
 	for _, f := range prepare {
-		f(q.site)
+		f(s)
 	}
+	return newQuartetAt(s)
+}
+
+// newQuartetAt is a quartet at a site, without upstreams.
+func newQuartetAt(s *site) *quartet {
+	q := &quartet{site: s}
 	for i := range 3 {
 		n := q.add(fmt.Sprint("core-", i+1), 1+i, true)
 		q.cores = append(q.cores, n)
@@ -216,8 +222,8 @@
 // awaitReady waits until each edge is ready and serves.
 func (q *quartet) awaitReady() {
 	for _, e := range q.edges {
-		Eventually(e.ready, patience, poll).Should(BeTrue(), e.log)
-		Eventually(func() int { return e.ask("k") }, patience, poll).Should(Equal(200))
+		q.g.Eventually(e.ready, patience, poll).Should(BeTrue(), e.log)
+		q.g.Eventually(func() int { return e.ask("k") }, patience, poll).Should(Equal(200))
 	}
 }
 
--- a/proof/deployed/repeats_test.go
+++ b/proof/deployed/repeats_test.go
@@ -110,7 +110,7 @@
 
 // newFailing is three cores, four edges and six upstreams that fail the first run of each request.
 func newFailing(t *testing.T) (*quartet, *failing) {
-	q, f := newQuartetWithout(t), &failing{seen: map[string]bool{}}
+	q, f := newQuartetAt(watchedSite(t)), &failing{seen: map[string]bool{}}
 	for i := range 6 {
 		q.handled(fmt.Sprint("failing-", i), f.serve, q.cores...)
 	}
@@ -127,6 +127,7 @@
 		"everything": func(q *quartet) []*node { return append(append([]*node(nil), q.cores...), q.edges...) },
 	} {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			q, f := newFailing(t)
 			ended, done := make(chan struct{}), make(chan struct{})
 			go func() {
@@ -147,8 +148,8 @@
 			<-done
 			over, repeats := f.excess()
 			t.Logf("%d repeats in the worst window of %v, %.0f more than allowed; %d of %d served", repeats, repeatSpan, over, f.served.Load(), len(f.sent))
-			Expect(over).To(BeNumerically("<=", 0), "more than allowed")
-			Expect(float64(repeats)).To(BeNumerically(">=", repeatRatio/2*repeatLoad*repeatSpan.Seconds()), "the budget is used")
+			q.g.Expect(over).To(BeNumerically("<=", 0), "more than allowed")
+			q.g.Expect(float64(repeats)).To(BeNumerically(">=", repeatRatio/2*repeatLoad*repeatSpan.Seconds()), "the budget is used")
 		})
 	}
 }
--- a/proof/deployed/versions_test.go
+++ b/proof/deployed/versions_test.go
@@ -174,9 +174,14 @@
 func TestStreamThatIsTakenUpGoesOnAtItsVersion(t *testing.T) {
 	q, s := newStreamer(t)
 	streams := newStreams()
-	killed := time.AfterFunc(breaksAfter*versionEventPause, q.edges[0].kill)
-	defer killed.Stop()
+	killed := make(chan struct{})
+	go func() {
+		defer close(killed)
+		time.Sleep(breaksAfter * versionEventPause)
+		q.edges[0].kill()
+	}()
 	s.takeAll(streams, func(int) *node { return q.edges[0] })
+	<-killed
 	mixed, whole := judge(streams)
 	Expect([]int{mixed, whole}).To(Equal([]int{0, 0}), "the instance ends amid all streams")
 	s.takeAll(streams, func(i int) *node { return q.edges[1+i%3] })
