Upstreams that are short of room get few health checks

Upstreams that name a limit or are brittle are asked last, one at most; what they alone have answered holds for 2 s x the number of instances for these two reasons. All instances together stay under one such check a second. Lost requests, silence and cut-off instances are checked as before. links_checked names the reason.

--- a/core/reach/check.go
+++ b/core/reach/check.go
@@ -48,17 +48,20 @@
 // try is what is known of one upstream.
 type try struct {
 	outcome Outcome
-	begun   time.Time
-	retries int
+	// strained is set if the upstream is short of room.
+	strained bool
+	begun    time.Time
+	retries  int
 	// byOther is when another instance got an answer, zero if none did. acceptedOther is set once another
 	// instance could connect.
 	byOther       time.Time
 	acceptedOther bool
 }
 
-// Begin records that this instance asks another upstream, and returns its number in the check.
-func (c *Check) Begin(now time.Time) int {
-	c.tries = append(c.tries, try{begun: now})
+// Begin records that this instance asks another upstream, which may be short of room, and returns its
+// number in the check.
+func (c *Check) Begin(now time.Time, strained bool) int {
+	c.tries = append(c.tries, try{begun: now, strained: strained})
 	return len(c.tries) - 1
 }
 
@@ -156,12 +159,16 @@
 
 // Result returns what the check has found in numbers.
 func (c *Check) Result() (r Result) {
+	r.Strained = true
 	for i := range c.tries {
-		if c.tries[i].outcome == Answered {
-			r.Reached++
+		t := &c.tries[i]
+		if t.outcome != Answered {
+			r.Failed++
 			continue
 		}
-		r.Failed++
+		r.Reached++
+		r.Strained = r.Strained && t.strained
 	}
+	r.Strained = r.Strained && r.Reached > 0
 	return r
 }
--- a/core/reach/check_test.go
+++ b/core/reach/check_test.go
@@ -27,7 +27,7 @@
 		{"an answer here alone", Pending, 0, time.Second, Sound},
 	} {
 		check := &Check{}
-		i := check.Begin(start)
+		i := check.Begin(start, false)
 		if c.outcome != Pending {
 			check.Ended(i, c.outcome)
 		}
@@ -49,7 +49,7 @@
 func TestGraceEndsByItself(t *testing.T) {
 	RegisterTestingT(t)
 	check := &Check{}
-	i := check.Begin(start)
+	i := check.Begin(start, false)
 	_, left := check.Verdict(start)
 	Expect(left).To(BeZero(), "no other instance was asked")
 	check.AnsweredOther(i, start.Add(Patience))
@@ -66,7 +66,7 @@
 func TestConnectionsThatAreLostAreTriedAgain(t *testing.T) {
 	RegisterTestingT(t)
 	check := &Check{}
-	i := check.Begin(start)
+	i := check.Begin(start, false)
 	check.Ended(i, Lost)
 	Expect(check.Retry(i, start)).To(BeFalse(), "before another instance got an answer")
 	check.AnsweredOther(i, start)
@@ -87,7 +87,7 @@
 func TestOneAnswerIsEnough(t *testing.T) {
 	RegisterTestingT(t)
 	check := &Check{}
-	lost, sound := check.Begin(start), check.Begin(start)
+	lost, sound := check.Begin(start, false), check.Begin(start, false)
 	check.Ended(lost, Unconnected)
 	check.AnsweredOther(lost, start)
 	check.Ended(sound, Answered)
@@ -102,7 +102,7 @@
 func TestConnectElsewhereIsProofOnlyIfNoneSucceedsHere(t *testing.T) {
 	RegisterTestingT(t)
 	check := &Check{}
-	first, second := check.Begin(start), check.Begin(start)
+	first, second := check.Begin(start, false), check.Begin(start, false)
 	check.Ended(first, Unconnected)
 	check.AcceptedOther(first)
 	v, _ := check.Verdict(start)
@@ -114,3 +114,17 @@
 	v, _ = check.Verdict(start)
 	Expect(v).To(Equal(CutOff))
 }
+
+// Guards against a result that spares upstreams checks though one that is not short of room has answered,
+// or none has.
+func TestResultIsStrainedIfStrainedUpstreamsAloneAnswered(t *testing.T) {
+	RegisterTestingT(t)
+	check := &Check{}
+	ended, strained := check.Begin(start, false), check.Begin(start, true)
+	check.Ended(ended, Unconnected)
+	Expect(check.Result().Strained).To(BeFalse())
+	check.Ended(strained, Answered)
+	Expect(check.Result()).To(Equal(Result{Reached: 1, Failed: 1, Strained: true}))
+	check.Ended(ended, Answered)
+	Expect(check.Result().Strained).To(BeFalse())
+}
--- a/core/reach/reach.go
+++ b/core/reach/reach.go
@@ -47,6 +47,8 @@
 type Result struct {
 	// Reached and Failed count the upstreams that answered this instance and those that did not.
 	Reached, Failed int
+	// Strained is set if only upstreams that are short of room answered.
+	Strained bool
 }
 
 // Unreached reports whether no upstream answered, which has one of two causes: the links of this
@@ -170,6 +172,14 @@
 	return max(0, time.Duration(from-now.UnixNano())+tolerated), true
 }
 
+// Spares reports whether a check that strained upstreams alone have answered was not longer ago than a
+// span.
+func (m *Monitor) Spares(now time.Time, span time.Duration) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.last.Strained && m.last.Reached > 0 && now.Sub(m.checkedAt) < span
+}
+
 // Fresh returns the result of the last check if it still holds.
 func (m *Monitor) Fresh(now time.Time) (Result, bool) {
 	m.mu.Lock()
--- a/core/reach/reach_test.go
+++ b/core/reach/reach_test.go
@@ -164,3 +164,18 @@
 	m.Checked(start, Result{Reached: 1})
 	Expect(m.Doubtful()).To(BeFalse())
 }
+
+// Guards against checks that strain an upstream further, and against a result that is held on to though
+// nothing answered, or for longer than it may be.
+func TestStrainedUpstreamIsSparedForASpan(t *testing.T) {
+	RegisterTestingT(t)
+	m := &Monitor{}
+	Expect(m.Spares(start, time.Second)).To(BeFalse())
+	m.Checked(start, Result{Reached: 1, Failed: 2})
+	Expect(m.Spares(start, time.Second)).To(BeFalse(), "others have room")
+	m.Checked(start, Result{Reached: 1, Failed: 2, Strained: true})
+	Expect(m.Spares(start.Add(time.Second-1), time.Second)).To(BeTrue())
+	Expect(m.Spares(start.Add(time.Second), time.Second)).To(BeFalse())
+	m.Checked(start, Result{Failed: 3})
+	Expect(m.Spares(start, time.Second)).To(BeFalse())
+}
--- a/instance/relay/links.go
+++ b/instance/relay/links.go
@@ -39,6 +39,8 @@
 			f.log.Event("links_changed").Bool("cut_off", c.CutOff).Int("reached", int64(c.Found.Reached)).Int("failed", int64(c.Found.Failed)).End()
 			f.linksChanged(c.CutOff)
 		},
+		OnCheck:     func(reason string) { f.log.Event("links_checked").Str("reason", reason).End() },
+		Instances:   cfg.instances,
 		OnUnreached: func(r reach.Result) { f.log.Event("no_upstream_reached").Int("failed", int64(r.Failed)).End() },
 	})
 }
@@ -57,6 +59,9 @@
 	return s.fleet.links.DirectChecked(ctx, t)
 }
 
+// instances returns the number of instances that forward requests.
+func (c *Config) instances() int { return c.State.View().Forwarders }
+
 // sample implements uplink.Config.Sample. It leaves out upstreams that want nothing from this
 // instance.
 func (f *fleet) sample(n int) (list []uplink.Candidate) {
@@ -72,18 +77,39 @@
 	}
 	rand.Shuffle(len(groups), func(i, j int) { groups[i], groups[j] = groups[j], groups[i] })
 	var chosen []*upstream
+	var strained *upstream
 	for tries := 0; len(groups) > 0 && len(chosen) < n && tries < drawTries*n; tries++ {
 		group := groups[tries%len(groups)].list
 		u := group[rand.IntN(len(group))]
-		if slices.Contains(chosen, u) || u.gate.Closed(clock.Now) {
-			continue
+		switch {
+		case slices.Contains(chosen, u) || u.gate.Closed(clock.Now):
+		case f.strained(u):
+			strained = u
+		default:
+			chosen = append(chosen, u)
 		}
-		chosen = append(chosen, u)
-		list = append(list, uplink.Candidate{Target: u.pool.target, HealthPath: u.service.healthPath})
+	}
+	if strained != nil {
+		chosen = append(chosen[:min(len(chosen), n-1)], strained)
+	}
+	for _, u := range chosen {
+		list = append(list, uplink.Candidate{Target: u.pool.target, HealthPath: u.service.healthPath, Strained: u == strained})
 	}
 	return list
 }
 
+// strained reports whether an upstream names a limit or is brittle.
+func (f *fleet) strained(u *upstream) bool {
+	if u.isBrittle() {
+		return true
+	}
+	if !f.limiting() {
+		return false
+	}
+	_, limited := f.limits.Limit(u.incarnation)
+	return limited
+}
+
 // linksChanged forgets what this instance believes of upstreams because of its own links, and closes
 // the idle connections of the way that is no longer used.
 func (f *fleet) linksChanged(cutOff bool) {
--- a/instance/uplink/check.go
+++ b/instance/uplink/check.go
@@ -27,6 +27,9 @@
 	proofHolds = 3 * time.Second
 	// suspectTimeout bounds the wait for a check after a lost connection.
 	suspectTimeout = time.Second
+	// strainedSpan is for how long the answer of upstreams that are short of room holds, for each instance
+	// that may check them: all instances together stay under one check a second.
+	strainedSpan = 2 * time.Second
 )
 
 // check is one check, which all that need its result share.
@@ -50,25 +53,47 @@
 	})
 }
 
+// reason is why a check is due. Its text is that of metrics.
+type reason string
+
+const (
+	// connectFailed: a connection could not be made, which is mostly due to its upstream.
+	connectFailed reason = "connect_failed"
+	// tunnelNeedsProof: another instance wants to reach upstreams through this one.
+	tunnelNeedsProof reason = "tunnel"
+	// requestsLost, silence and suspected: more than one connection, or an important one, got no answer.
+	requestsLost reason = "requests_lost"
+	silence      reason = "silence"
+	suspected    reason = "suspected"
+)
+
+// maySpare reports whether a check may be left out for the sake of upstreams that are short of room.
+func (r reason) maySpare() bool { return r == connectFailed || r == tunnelNeedsProof }
+
 // startCheck returns the running check, or starts one unless the last one was a moment ago; then it
 // returns nil.
-func (s *Service) startCheck() *check {
+func (s *Service) startCheck(why reason) *check {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if _, fresh := s.monitor.Fresh(time.Now()); fresh || s.stopped {
+	now := time.Now()
+	if _, fresh := s.monitor.Fresh(now); fresh || s.stopped {
+		return nil
+	}
+	if s.check == nil && why.maySpare() && s.monitor.Spares(now, strainedSpan*time.Duration(s.cfg.Instances())) {
 		return nil
 	}
 	if s.check == nil {
 		c := newCheck()
 		s.check = c
+		s.cfg.OnCheck(string(why))
 		s.running.Go(func() { s.runCheck(c) })
 	}
 	return s.check
 }
 
 // checkLinks checks the links, unless that was done a moment ago, and returns what was found.
-func (s *Service) checkLinks(ctx context.Context) reach.Result {
-	c := s.startCheck()
+func (s *Service) checkLinks(ctx context.Context, why reason) reach.Result {
+	c := s.startCheck(why)
 	if c == nil {
 		r, _ := s.monitor.Fresh(time.Now())
 		return r
@@ -84,7 +109,7 @@
 // connects reports after a failed connect whether others succeed. It waits for no answer of an
 // upstream, which may be busy.
 func (s *Service) connects(ctx context.Context) bool {
-	c := s.startCheck()
+	c := s.startCheck(connectFailed)
 	if c == nil {
 		r, _ := s.monitor.Fresh(time.Now())
 		return r.Reached > 0
--- a/instance/uplink/examine.go
+++ b/instance/uplink/examine.go
@@ -119,7 +119,7 @@
 		return false
 	}
 	x.begun++
-	x.askDirect(x.check.Begin(time.Now()))
+	x.askDirect(x.check.Begin(time.Now(), x.list[x.begun-1].Strained))
 	return true
 }
 
--- a/instance/uplink/uplink.go
+++ b/instance/uplink/uplink.go
@@ -25,6 +25,8 @@
 type Candidate struct {
 	reach.Target
 	HealthPath string
+	// Strained is set if the upstream is short of room: it is asked last, and seldom.
+	Strained bool
 }
 
 // Change tells that this instance lost or regained its links, and what the check found.
@@ -40,12 +42,17 @@
 	Timeout time.Duration
 	// Tunnels is nil if there are no other instances.
 	Tunnels Tunnels
-	// Sample returns up to n different random upstreams, of as many failure domains as possible.
+	// Sample returns up to n different random upstreams, of as many failure domains as possible, at most
+	// one of them strained and that the last.
 	Sample func(n int) []Candidate
 	// OnChange is called after each change, and OnUnreached after a check that reached no upstream
 	// though this instance was not known to be cut off. Both may be nil.
 	OnChange    func(Change)
 	OnUnreached func(reach.Result)
+	// OnCheck is called at the start of each check with its reason, Instances returns how many instances check the same
+	// upstreams. Both may be nil.
+	OnCheck   func(reason string)
+	Instances func() int
 }
 
 // Conn is a connection to an upstream. Detour is set if it leads through another instance.
@@ -78,6 +85,12 @@
 	if cfg.OnUnreached == nil {
 		cfg.OnUnreached = func(reach.Result) {}
 	}
+	if cfg.OnCheck == nil {
+		cfg.OnCheck = func(string) {}
+	}
+	if cfg.Instances == nil {
+		cfg.Instances = func() int { return 1 }
+	}
 	s := &Service{cfg: cfg}
 	s.ctx, s.cancel = context.WithCancel(context.Background())
 	return s
@@ -123,13 +136,13 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, suspectTimeout)
 	defer cancel()
-	return s.checkLinks(ctx).Unreached()
+	return s.checkLinks(ctx, suspected).Unreached()
 }
 
 // Lost records that a request was lost on a new direct connection before any answer came.
 func (s *Service) Lost(t reach.Target) {
 	if !s.CutOff() && s.monitor.Lost(t.Name) {
-		s.startCheck()
+		s.startCheck(requestsLost)
 	}
 }
 
@@ -171,10 +184,10 @@
 	case s.monitor.HeardWithin(now, reach.Quiet):
 		return true
 	case s.monitor.HeardWithin(now, proofHolds):
-		s.startCheck()
+		s.startCheck(tunnelNeedsProof)
 		return true
 	}
-	return !s.checkLinks(ctx).Unreached()
+	return !s.checkLinks(ctx, tunnelNeedsProof).Unreached()
 }
 
 // carried is a direct connection that this instance opened for another one. Its answers prove the links.
@@ -266,7 +279,7 @@
 		case left > 0:
 			timer.Reset(left)
 		default:
-			s.checkLinks(s.ctx)
+			s.checkLinks(s.ctx, silence)
 			timer.Reset(reach.Freshness)
 		}
 	}
