--- a/instance/relay/origin.go
+++ b/instance/relay/origin.go
@@ -70,7 +70,8 @@
 	} else if len(r.resumes) > 0 {
 		id = r.resumes
 	}
-	if a.s.cfg.Origins != nil {
+	// Requests without an ID can't be named by those that go on with their streams.
+	if a.s.cfg.Origins != nil && len(id) > 0 {
 		a.s.cfg.Origins.Began(id, *r.origin, a.s.fleet.severalVersions(r.service))
 	}
 }
