An upstream that has started since is no sign of cut links

TestUpstreamThatHasStartedSinceIsTriedAgain fails without it. The table of TestOnlyAnAnswerThatAnotherInstanceGetsShowsACut says when a try ended, as the check now needs it; its verdicts are unchanged.

--- a/core/reach/check.go
+++ b/core/reach/check.go
@@ -52,10 +52,9 @@
 	strained bool
 	begun    time.Time
 	retries  int
-	// byOther is when another instance got an answer, zero if none did. acceptedOther is set once another
-	// instance could connect.
-	byOther       time.Time
-	acceptedOther bool
+	// endedAt is when the latest try of this instance ended, acceptedAt when another instance first could
+	// connect, and byOther when another one got an answer; zero if that has not happened.
+	endedAt, acceptedAt, byOther time.Time
 }
 
 // Begin records that this instance asks another upstream, which may be short of room, and returns its
@@ -66,15 +65,21 @@
 }
 
 // Ended records how a try ended.
-func (c *Check) Ended(i int, o Outcome) { c.tries[i].outcome = o }
+func (c *Check) Ended(i int, o Outcome, now time.Time) {
+	c.tries[i].outcome, c.tries[i].endedAt = o, now
+}
 
 // AcceptedOther records that another instance could connect to an upstream that this one asked before.
-// That is proof enough if this one can connect to none.
-func (c *Check) AcceptedOther(i int) { c.tries[i].acceptedOther = true }
+// That is proof enough if this one can connect to none at that time.
+func (c *Check) AcceptedOther(i int, now time.Time) {
+	if c.tries[i].acceptedAt.IsZero() {
+		c.tries[i].acceptedAt = now
+	}
+}
 
 // AnsweredOther records that another instance got an answer from an upstream that this one asked before.
 func (c *Check) AnsweredOther(i int, now time.Time) {
-	c.AcceptedOther(i)
+	c.AcceptedOther(i, now)
 	if c.tries[i].byOther.IsZero() {
 		c.tries[i].byOther = now
 	}
@@ -83,7 +88,7 @@
 // Retry reports whether this instance must ask an upstream again, and records that it does.
 func (c *Check) Retry(i int, now time.Time) bool {
 	t := &c.tries[i]
-	if t.byOther.IsZero() || !t.mayRetry() {
+	if t.byOther.IsZero() && !t.outdated() || !t.mayRetry() {
 		return false
 	}
 	t.outcome, t.begun = Pending, now
@@ -95,6 +100,12 @@
 	return (t.outcome == Lost || t.outcome == Unconnected) && t.retries < maxRetries
 }
 
+// outdated reports whether another instance could connect so long after this one could not that the
+// upstream may have started in between.
+func (t *try) outdated() bool {
+	return t.outcome == Unconnected && !t.acceptedAt.IsZero() && t.acceptedAt.Sub(t.endedAt) > Grace
+}
+
 // unconnected reports whether this instance can connect to no upstream though another one can.
 func (c *Check) unconnected() bool {
 	byOther := false
@@ -102,7 +113,7 @@
 		if c.tries[i].outcome != Unconnected {
 			return false
 		}
-		byOther = byOther || c.tries[i].acceptedOther
+		byOther = byOther || !c.tries[i].acceptedAt.IsZero() && !c.tries[i].outdated()
 	}
 	return byOther
 }
--- a/core/reach/check_test.go
+++ b/core/reach/check_test.go
@@ -29,7 +29,7 @@
 		check := &Check{}
 		i := check.Begin(start, false)
 		if c.outcome != Pending {
-			check.Ended(i, c.outcome)
+			check.Ended(i, c.outcome, start.Add(c.byOther))
 		}
 		if c.byOther > 0 {
 			check.AnsweredOther(i, start.Add(c.byOther))
@@ -38,7 +38,7 @@
 		if c.answered > 0 {
 			v, _ := check.Verdict(start.Add(c.answered - time.Millisecond))
 			Expect(v).To(Equal(Undecided), c.name)
-			check.Ended(i, Answered)
+			check.Ended(i, Answered, start)
 		}
 		v, _ := check.Verdict(now)
 		Expect(v).To(Equal(c.want), c.name)
@@ -67,7 +67,7 @@
 	RegisterTestingT(t)
 	check := &Check{}
 	i := check.Begin(start, false)
-	check.Ended(i, Lost)
+	check.Ended(i, Lost, start)
 	Expect(check.Retry(i, start)).To(BeFalse(), "before another instance got an answer")
 	check.AnsweredOther(i, start)
 	for range maxRetries {
@@ -75,7 +75,7 @@
 		v, left := check.Verdict(start)
 		Expect(v).To(Equal(Undecided))
 		Expect(left).To(Equal(Grace))
-		check.Ended(i, Lost)
+		check.Ended(i, Lost, start)
 	}
 	Expect(check.Retry(i, start)).To(BeFalse())
 	v, _ := check.Verdict(start)
@@ -88,9 +88,9 @@
 	RegisterTestingT(t)
 	check := &Check{}
 	lost, sound := check.Begin(start, false), check.Begin(start, false)
-	check.Ended(lost, Unconnected)
+	check.Ended(lost, Unconnected, start)
 	check.AnsweredOther(lost, start)
-	check.Ended(sound, Answered)
+	check.Ended(sound, Answered, start)
 	v, _ := check.Verdict(start)
 	Expect(v).To(Equal(Sound))
 	Expect(check.Open()).To(BeZero())
@@ -103,14 +103,14 @@
 	RegisterTestingT(t)
 	check := &Check{}
 	first, second := check.Begin(start, false), check.Begin(start, false)
-	check.Ended(first, Unconnected)
-	check.AcceptedOther(first)
+	check.Ended(first, Unconnected, start)
+	check.AcceptedOther(first, start)
 	v, _ := check.Verdict(start)
 	Expect(v).To(Equal(Undecided), "the second upstream may answer")
 	check.AnsweredOther(first, start)
 	Expect(check.Retry(first, start)).To(BeTrue())
-	check.Ended(first, Unconnected)
-	check.Ended(second, Unconnected)
+	check.Ended(first, Unconnected, start)
+	check.Ended(second, Unconnected, start)
 	v, _ = check.Verdict(start)
 	Expect(v).To(Equal(CutOff))
 }
@@ -121,10 +121,32 @@
 	RegisterTestingT(t)
 	check := &Check{}
 	ended, strained := check.Begin(start, false), check.Begin(start, true)
-	check.Ended(ended, Unconnected)
+	check.Ended(ended, Unconnected, start)
 	Expect(check.Result().Strained).To(BeFalse())
-	check.Ended(strained, Answered)
+	check.Ended(strained, Answered, start)
 	Expect(check.Result()).To(Equal(Result{Reached: 1, Failed: 1, Strained: true}))
-	check.Ended(ended, Answered)
+	check.Ended(ended, Answered, start)
 	Expect(check.Result().Strained).To(BeFalse())
 }
+
+// Guards against instances that call themselves cut off because all upstreams had ended and one has started
+// again, where another instance connects first.
+func TestUpstreamThatHasStartedSinceIsTriedAgain(t *testing.T) {
+	RegisterTestingT(t)
+	check := &Check{}
+	i, other := check.Begin(start, false), check.Begin(start, false)
+	check.Ended(i, Unconnected, start)
+	check.Ended(other, Unconnected, start)
+	later := start.Add(2 * Grace)
+	check.AcceptedOther(i, later)
+	v, _ := check.Verdict(later)
+	Expect(v).To(Equal(Undecided))
+	Expect(check.Retry(i, later)).To(BeTrue())
+	check.Ended(i, Unconnected, later)
+	v, _ = check.Verdict(later)
+	Expect(v).To(Equal(CutOff), "it could not connect now either")
+	Expect(check.Retry(other, later)).To(BeFalse(), "nobody could connect there")
+	check.Ended(i, Answered, later)
+	v, _ = check.Verdict(later)
+	Expect(v).To(Equal(Sound))
+}
--- a/instance/uplink/examine.go
+++ b/instance/uplink/examine.go
@@ -78,7 +78,7 @@
 				direct.Reset(checkStagger)
 			}
 		case r := <-x.direct:
-			x.check.Ended(r.number, r.outcome)
+			x.check.Ended(r.number, r.outcome, time.Now())
 			x.retry(r.number)
 			switch {
 			case x.askNext():
@@ -163,7 +163,8 @@
 func (x *examination) takeOther(r otherResult) bool {
 	switch r.progress {
 	case accepted:
-		x.check.AcceptedOther(r.number)
+		x.check.AcceptedOther(r.number, time.Now())
+		x.retry(r.number)
 		return false
 	case answered:
 		x.check.AnsweredOther(r.number, time.Now())
