comfreyladder check: warnings, lines, differences from the intent in force

The check of a file before it is sent named errors alone, without lines, and ended with 1 for all. It now warns of entries that can never take effect and of limits that contradict each other, names the line of each finding, lists what differs from the intent in force by its effect, and ends with 0, 1 (--strict and warnings) or 2.

--- a/operator/cmd/comfreyladder/main.go
+++ b/operator/cmd/comfreyladder/main.go
@@ -6,6 +6,7 @@
 	"os"
 
 	"github.com/jessevdk/go-flags"
+	"github.com/pkg/errors"
 
 	"github.com/comfreyladder/comfreyladder/operator/commands"
 	"github.com/comfreyladder/comfreyladder/operator/load"
@@ -38,5 +39,10 @@
 		return
 	}
 	fmt.Fprintln(os.Stderr, "comfreyladder:", err)
-	os.Exit(1)
+	status := 1
+	var exit *commands.ExitError
+	if errors.As(err, &exit) {
+		status = exit.Status
+	}
+	os.Exit(status)
 }
--- a/operator/commands/commands.go
+++ b/operator/commands/commands.go
@@ -12,7 +12,6 @@
 
 	"github.com/comfreyladder/comfreyladder/core/fault"
 	"github.com/comfreyladder/comfreyladder/instance/config"
-	"github.com/comfreyladder/comfreyladder/instance/intentfile"
 	"github.com/comfreyladder/comfreyladder/instance/settings"
 	"github.com/comfreyladder/comfreyladder/instance/tlsconf"
 	"github.com/comfreyladder/comfreyladder/operator/client"
@@ -78,7 +77,7 @@
 		{"unknown", "list at-most-once calls whose outcome is unknown", "Example:\n  comfreyladder unknown --key-file ops.key", &Unknown{}},
 		{"resolve", "say what became of a call whose outcome is unknown", resolveHelp, &Resolve{}},
 		{"member", "list or remove members of the control group", "", &MemberCommand{}},
-		{"check", "check a settings file or an intent file", "Example:\n  comfreyladder check instance.ini\n  comfreyladder check --intent intent.ini", &Check{}},
+		{"check", "check a settings file or an intent file", checkHelp, &Check{}},
 		{"hash-key", "print the digest of a key that is read from standard input", "Example:\n  comfreyladder hash-key < ward.key", &HashKey{}},
 		{"demo", "run an instance with stand-ins in this process and show what it does", "", &Demo{}},
 	} {
@@ -93,27 +92,6 @@
 	File string `positional-arg-name:"FILE" required:"yes"`
 }
 
-// Check is the subcommand "check".
-type Check struct {
-	Intent bool    `long:"intent" description:"the file is an intent"`
-	Args   fileArg `positional-args:"yes"`
-}
-
-// Execute implements flags.Commander.
-func (c *Check) Execute([]string) error {
-	var err error
-	if c.Intent {
-		_, err = intentfile.Load(c.Args.File)
-	} else {
-		_, err = settings.Load(c.Args.File)
-	}
-	if err != nil {
-		return err
-	}
-	fmt.Printf("%s: no faults\n", c.Args.File)
-	return nil
-}
-
 // HashKey is the subcommand "hash-key".
 type HashKey struct{}
 
