Test: cold upstreams receive no more than the warm-up bound

An upstream that has just started is sent requests by all instances at once, although the desired state names a rate for it while it is cold.

--- a/proof/deployed/harness_test.go
+++ b/proof/deployed/harness_test.go
@@ -328,6 +328,8 @@
 	// takes connections and answers nothing.
 	delay  atomic.Int64
 	frozen atomic.Bool
+	// warmAt is when the runner has warmed up, in nanoseconds since the Unix epoch.
+	warmAt atomic.Int64
 	// runs counts the runs of each attempt.
 	runs sync.Map
 	stop chan struct{}
@@ -407,8 +409,8 @@
 }
 
 func (r *runner) report(to *node, state string) int {
-	body := fmt.Sprintf(`{"service":%q,"address":%q,"zone":"north","version":%q,"slots":8,"state":%q,"warmup-left-ms":0,"sequence":%d,"born":%d}`,
-		r.service, r.listener.Addr(), r.version, state, r.sequence.Add(1), r.born)
+	body := fmt.Sprintf(`{"service":%q,"address":%q,"zone":"north","version":%q,"slots":8,"state":%q,"warmup-left-ms":%d,"sequence":%d,"born":%d}`,
+		r.service, r.listener.Addr(), r.version, state, max(0, time.Until(time.Unix(0, r.warmAt.Load())).Milliseconds()), r.sequence.Add(1), r.born)
 	status, _ := call("PUT", "http://"+to.at(portControl)+"/instances/"+r.id, body)
 	return status
 }
