Warm-up limit: permits for requests to cold upstreams

An upstream that has just started is sent a first request by every instance within a fraction of a second, and crashes above its warm-up rate.

core/warmup derives the rate and burst of permits from the bound warmup-per-s x warmup-overrun + warmup-slack, so that all permits that can be used in one second stay within it, and decides how long an upstream is cold. Each instance knows that from the replicated state and sends a cold upstream nothing without a permit, which the leader grants over a channel of its own (instance/ratelimit). A permit is checked again when the request is sent and keeps its expiry when it is returned. A refused connection means that the next process at the address is cold. Members record when an upstream becomes cold again or warm.

--- a/core/control/serving/index.go
+++ b/core/control/serving/index.go
@@ -16,6 +16,8 @@
 	byID map[string]*entry
 	// byAddress holds the incarnation that owns an address: the one that is ready or draining.
 	byAddress map[string]*entry
+	// byFirst holds the incarnations by their first index.
+	byFirst map[uint64]*entry
 	// changes holds all entries in the order of their last change, and by ID within one change.
 	changes *btree.BTreeG[*entry]
 	byAge   endedHeap
@@ -41,7 +43,7 @@
 func (u *Upstream) ownsAddress() bool { return u.State == Ready || u.State == Draining }
 
 func newIndex(upstreams []Upstream) index {
-	x := index{byID: make(map[string]*entry, len(upstreams)), byAddress: make(map[string]*entry, len(upstreams))}
+	x := index{byID: make(map[string]*entry, len(upstreams)), byAddress: make(map[string]*entry, len(upstreams)), byFirst: make(map[uint64]*entry, len(upstreams))}
 	x.changes = btree.NewBTreeGOptions(earlierChange, btree.Options{NoLocks: true})
 	for i := range upstreams {
 		x.put(upstreams[i])
@@ -74,8 +76,10 @@
 	} else {
 		x.changes.Delete(e)
 		x.releaseAddress(e)
+		delete(x.byFirst, e.upstream.FirstIndex)
 	}
 	e.upstream = u
+	x.byFirst[u.FirstIndex] = e
 	x.changes.Set(e)
 	if u.ownsAddress() {
 		x.byAddress[u.Address] = e
@@ -108,6 +112,16 @@
 		heap.Remove(&x.byAge, e.age)
 	}
 	delete(x.byID, id)
+	delete(x.byFirst, e.upstream.FirstIndex)
+}
+
+// incarnation returns the incarnation that was first recorded at a log index, or nil if it is not the
+// latest one with its ID.
+func (x *index) incarnation(first uint64) *Upstream {
+	if e := x.byFirst[first]; e != nil {
+		return &e.upstream
+	}
+	return nil
 }
 
 // ended returns the number of ended incarnations, and live that of the others.
--- a/core/control/serving/machine.go
+++ b/core/control/serving/machine.go
@@ -58,7 +58,8 @@
 	Silent bool `codec:"x"`
 	// Software is the version of the software that the incarnation runs; empty if it is unknown.
 	Software string `codec:"v,omitempty"`
-	// WarmMS is how long after the announcement the upstream is slow, in milliseconds.
+	// WarmMS is how long after the announcement the upstream stays cold, in milliseconds. See
+	// ChangesWarmUp.
 	WarmMS int64 `codec:"w"`
 	// Preemptible upstreams may be reclaimed by their provider. LeavesMS is how long after
 	// the announcement a draining upstream stays, in milliseconds, if it says so.
@@ -122,8 +123,8 @@
 	s         snapshotState
 	upstreams index
 	removals  removalLog
-	// services holds the names of the services in the current table.
-	services map[string]bool
+	// services holds the warm-up rates of the services in the current table by name, zero for none.
+	services map[string]float64
 }
 
 // New returns a Machine without a table and upstreams.
@@ -162,17 +163,18 @@
 	m.services = servicesOf(p.Table)
 }
 
-// servicesOf returns the names of an encoded table's services, or nil if it cannot be decoded.
-func servicesOf(encoded []byte) map[string]bool {
+// servicesOf returns the warm-up rates of an encoded table's services by name, or nil if it cannot be
+// decoded.
+func servicesOf(encoded []byte) map[string]float64 {
 	var t route.Table
 	if control.Unmarshal(encoded, &t) != nil {
 		return nil
 	}
-	names := make(map[string]bool, len(t.Services))
+	rates := make(map[string]float64, len(t.Services))
 	for i := range t.Services {
-		names[t.Services[i].Name] = true
+		rates[t.Services[i].Name] = t.Services[i].WarmUpPerSecond
 	}
-	return names
+	return rates
 }
 
 func (m *Machine) announce(index uint64, at time.Time, u *Upstream) {
@@ -222,7 +224,10 @@
 }
 
 // hasService reports whether the current table contains a service.
-func (m *Machine) hasService(service string) bool { return m.services[service] }
+func (m *Machine) hasService(service string) bool {
+	_, ok := m.services[service]
+	return ok
+}
 
 // leave ends an incarnation. A leave without a start ends the known incarnation with this
 // ID, since an upstream that left must not get work.
--- a/core/ratelimit/allocator.go
+++ b/core/ratelimit/allocator.go
@@ -60,10 +60,10 @@
 // seconds at most the requests of five and a half seconds, plus one.
 func burst(perSecond float64) float64 { return 1 + perSecond/2 }
 
-func (b *bucket) fill(now time.Time, perSecond float64) {
+func (b *bucket) fill(now time.Time, perSecond, capacity float64) {
 	b.tokens += b.perSecond * now.Sub(b.filledAt).Seconds()
 	b.perSecond, b.filledAt = perSecond, now
-	b.tokens = min(b.tokens, burst(perSecond))
+	b.tokens = min(b.tokens, capacity)
 }
 
 // Allocator allocates the tokens of all instances. Only one may be active at a time, and a successor
@@ -78,12 +78,25 @@
 	Limit(upstream uint64) (perSecond float64, limited bool)
 }
 
+// Bursts is implemented by Limits that set the capacity of the buckets themselves.
+type Bursts interface {
+	Burst(upstream uint64) float64
+}
+
+// capacity returns the capacity of the bucket of an upstream.
+func capacity(limits Limits, upstream uint64, perSecond float64) float64 {
+	if b, ok := limits.(Bursts); ok {
+		return b.Burst(upstream)
+	}
+	return burst(perSecond)
+}
+
 // fill refills the buckets, removes those of upstreams without a limit and adds those of upstreams
 // that are demanded for the first time.
 func (h *Allocator) fill(now time.Time, limits Limits, requests []*TokenRequest) {
 	for upstream, b := range h.buckets {
 		if perSecond, limited := limits.Limit(upstream); limited {
-			b.fill(now, perSecond)
+			b.fill(now, perSecond, capacity(limits, upstream, perSecond))
 			continue
 		}
 		delete(h.buckets, upstream)
--- a/core/ratelimit/token_store.go
+++ b/core/ratelimit/token_store.go
@@ -15,18 +15,23 @@
 	// expiries holds the expiry time of each token by upstream, in ascending order.
 	expiries map[uint64][]time.Time
 	demands  map[uint64]*Demand
+	lifetime time.Duration
 }
 
-// NewTokenStore returns an empty store.
-func NewTokenStore() *TokenStore {
-	return &TokenStore{expiries: map[uint64][]time.Time{}, demands: map[uint64]*Demand{}}
+// NewTokenStore returns an empty store of tokens that last for TokenLifetime.
+func NewTokenStore() *TokenStore { return NewTokenStoreFor(TokenLifetime) }
+
+// NewTokenStoreFor returns an empty store of tokens with a lifetime of their own, which must not
+// exceed TokenLifetime: a new leader waits for that long before it grants any.
+func NewTokenStoreFor(lifetime time.Duration) *TokenStore {
+	return &TokenStore{expiries: map[uint64][]time.Time{}, demands: map[uint64]*Demand{}, lifetime: min(lifetime, TokenLifetime)}
 }
 
 // Add stores tokens that were requested at the given time.
 func (w *TokenStore) Add(requested time.Time, grants []Grant) {
 	for _, g := range grants {
 		for range g.Count {
-			w.expiries[g.Upstream] = append(w.expiries[g.Upstream], requested.Add(TokenLifetime))
+			w.expiries[g.Upstream] = append(w.expiries[g.Upstream], requested.Add(w.lifetime))
 		}
 		slices.SortFunc(w.expiries[g.Upstream], time.Time.Compare)
 	}
@@ -48,11 +53,24 @@
 
 // Use consumes the token that expires first, and reports whether there was one.
 func (w *TokenStore) Use(now time.Time, upstream uint64) bool {
+	_, ok := w.UseUntil(now, upstream)
+	return ok
+}
+
+// UseUntil is Use and returns until when the request may be sent.
+func (w *TokenStore) UseUntil(now time.Time, upstream uint64) (until time.Time, ok bool) {
 	if !w.Available(now, upstream) {
-		return false
+		return time.Time{}, false
 	}
+	until = w.expiries[upstream][0]
 	w.expiries[upstream] = w.expiries[upstream][1:]
-	return true
+	return until, true
+}
+
+// Return stores a token again that was not used. It keeps its expiry time.
+func (w *TokenStore) Return(upstream uint64, until time.Time) {
+	w.expiries[upstream] = append(w.expiries[upstream], until)
+	slices.SortFunc(w.expiries[upstream], time.Time.Compare)
 }
 
 // AddDemand records that a request needs a token for the upstream.
--- a/core/route/route.go
+++ b/core/route/route.go
@@ -102,6 +102,10 @@
 	Engine *Engine `codec:"e"`
 	// Scaling is nil for services that are not scaled automatically.
 	Scaling *Scaling `codec:"c,omitempty"`
+	// WarmUpPerSecond is the rate at which an upstream may receive requests from all instances
+	// together while it is cold; zero means no limit. WarmUpTime is how long it is cold after a start.
+	WarmUpPerSecond float64       `codec:"w,omitempty"`
+	WarmUpTime      time.Duration `codec:"u,omitempty"`
 }
 
 // Scaling holds the limits and prices for ordering upstreams of a service.
@@ -146,6 +150,8 @@
 	Services      []Service      `codec:"s"`
 	Organisations []Organisation `codec:"o"`
 	Limits        Limits         `codec:"l"`
+	// Ignored names the fields whose values are invalid and without effect. It is not replicated.
+	Ignored []string `codec:"-"`
 }
 
 // Validate returns the first error in the table, as fault.Invalid, naming the entry or the field.
--- /dev/null
+++ b/core/warmup/cold.go
@@ -0,0 +1,42 @@
+package warmup
+
+import "time"
+
+// maxCold bounds for how long an upstream counts as cold by one statement. A larger value is an error
+// of the sender.
+const maxCold = time.Hour
+
+// Cold is what an instance knows of how long an incarnation of an upstream stays cold. The zero value
+// is a warm upstream. It is not safe for concurrent use.
+type Cold struct {
+	reported, presumed time.Time
+	// sequence is that of the latest report; applied is set once there was one.
+	sequence uint64
+	applied  bool
+}
+
+// Report applies the time that a liveness report with a sequence number states, in milliseconds from
+// now. The report may have been made earlier, so the upstream counts as cold for longer rather than
+// for shorter. A report that was applied before changes nothing: the replicated state repeats it with
+// each other change.
+func (c *Cold) Report(now time.Time, sequence uint64, leftMS int64) {
+	if c.applied && c.sequence == sequence {
+		return
+	}
+	left := min(max(0, leftMS), maxCold.Milliseconds())
+	c.applied, c.sequence, c.reported = true, sequence, now.Add(time.Duration(left)*time.Millisecond)
+}
+
+// Presume records that the upstream is, or may be, cold for a time: nothing listened at its address,
+// so that whichever process answers next has just started. A report of the incarnation that ended does
+// not revoke this.
+func (c *Cold) Presume(now time.Time, left time.Duration) {
+	if until := now.Add(min(left, maxCold)); until.After(c.presumed) {
+		c.presumed = until
+	}
+}
+
+// Left returns how much longer the upstream counts as cold, zero if it is warm.
+func (c *Cold) Left(now time.Time) time.Duration {
+	return max(0, c.reported.Sub(now), c.presumed.Sub(now))
+}
--- a/instance/ratelimit/client.go
+++ b/instance/ratelimit/client.go
@@ -19,6 +19,10 @@
 // Response.
 const ChannelTokens = "ratelimit.rights"
 
+// ChannelWarmUp is the link channel that carries the same messages for permits to send requests to
+// cold upstreams.
+const ChannelWarmUp = "warmup.permits"
+
 // Request requests tokens: permissions to send requests to upstreams.
 type Request struct {
 	Demands []ratelimit.Demand `codec:"w"`
@@ -46,6 +50,10 @@
 	// UpstreamExists reports whether an upstream is still known.
 	UpstreamExists func(upstream uint64) bool
 	Log            *eventlog.Sink
+	// Channel and Lifetime are those of the tokens; empty and zero mean ChannelTokens and
+	// ratelimit.TokenLifetime.
+	Channel  string
+	Lifetime time.Duration
 }
 
 const (
@@ -81,7 +89,10 @@
 
 // NewClient returns a client that is not started.
 func NewClient(cfg ClientConfig) *Client {
-	return &Client{cfg: cfg, wake: make(chan struct{}, 1), tracker: ratelimit.NewTracker(), tokens: ratelimit.NewTokenStore()}
+	if cfg.Channel == "" {
+		cfg.Channel, cfg.Lifetime = ChannelTokens, ratelimit.TokenLifetime
+	}
+	return &Client{cfg: cfg, wake: make(chan struct{}, 1), tracker: ratelimit.NewTracker(), tokens: ratelimit.NewTokenStoreFor(cfg.Lifetime)}
 }
 
 // Start implements kernel.Service.
@@ -161,13 +172,25 @@
 // Use uses a token for a limited upstream and reports whether there was one. It also requests another
 // one, since the next request will mostly go to the same upstream.
 func (c *Client) Use(upstream uint64, urgency int) bool {
+	_, ok := c.UseUntil(upstream, urgency)
+	return ok
+}
+
+// UseUntil is Use and returns until when, by clock.Now, the request may be sent.
+func (c *Client) UseUntil(upstream uint64, urgency int) (until time.Time, ok bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.tokens.Use(clock.Now(), upstream) {
-		return false
+	if until, ok = c.tokens.UseUntil(clock.Now(), upstream); ok {
+		c.addDemand(upstream, urgency)
 	}
-	c.addDemand(upstream, urgency)
-	return true
+	return until, ok
+}
+
+// ReturnUntil returns the token of a request that was not sent, which keeps its expiry time.
+func (c *Client) ReturnUntil(upstream uint64, until time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.tokens.Return(upstream, until)
 }
 
 // AddDemand records that a request of the given urgency would go to a limited upstream.
@@ -230,7 +253,7 @@
 	if members := c.cfg.Members(); len(members) > 0 {
 		ctx, cancel := context.WithTimeout(ctx, requestTimeout)
 		defer cancel()
-		err = c.cfg.Links.Call(ctx, members[0], ChannelTokens, &Request{Demands: demands}, &a)
+		err = c.cfg.Links.Call(ctx, members[0], c.cfg.Channel, &Request{Demands: demands}, &a)
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/instance/ratelimit/service.go
+++ b/instance/ratelimit/service.go
@@ -29,6 +29,8 @@
 	Links   Links
 	// Limits returns the limits as known to this member.
 	Limits ratelimit.Limits
+	// Channel is the channel of the requests; empty means ChannelTokens.
+	Channel string
 }
 
 const (
@@ -61,8 +63,11 @@
 
 // New returns a service and registers its channel.
 func New(cfg Config) *Service {
+	if cfg.Channel == "" {
+		cfg.Channel = ChannelTokens
+	}
 	s := &Service{cfg: cfg, leadership: newLeadership()}
-	cfg.Links.Handle(ChannelTokens, s.handle)
+	cfg.Links.Handle(cfg.Channel, s.handle)
 	return s
 }
 
@@ -96,7 +101,7 @@
 	ctx, cancel := context.WithTimeout(ctx, leaderTimeout)
 	defer cancel()
 	var a Response
-	return &a, s.cfg.Links.Call(ctx, st.Members[leader].Name, ChannelTokens, &q, &a)
+	return &a, s.cfg.Links.Call(ctx, st.Members[leader].Name, s.cfg.Channel, &q, &a)
 }
 
 var errNoLeader = fault.New(fault.Unavailable, "this member knows no leader of the control group").WithRetryAfter(time.Second)
--- a/instance/relay/attempt.go
+++ b/instance/relay/attempt.go
@@ -57,6 +57,8 @@
 	answeringRecorded bool
 	// usedToken is set if a rate token of a limited upstream was used.
 	usedToken bool
+	// permitUntil is that of the request.
+	permitUntil time.Time
 	// writing receives the result of a write in the background; nil if the request was written
 	// synchronously.
 	writing chan error
@@ -78,7 +80,7 @@
 // start sends the request and reads the head of the response. patience bounds the wait for it; zero
 // means until the deadline.
 func (s *Service) start(r *request, up *upstream, patience time.Duration, lastEvent []byte) (*attempt, outcome) {
-	a := &attempt{s: s, r: r, up: up, uncachedTokens: r.uncachedTokens, queuedTokens: r.queuedTokens, nominalMS: r.nominalMS, software: r.software, usedToken: r.usedToken, startedAt: time.Now()}
+	a := &attempt{s: s, r: r, up: up, uncachedTokens: r.uncachedTokens, queuedTokens: r.queuedTokens, nominalMS: r.nominalMS, software: r.software, usedToken: r.usedToken, permitUntil: r.permitUntil, startedAt: time.Now()}
 	if o := a.connect(); o != answered {
 		return a, o
 	}
@@ -105,6 +107,10 @@
 		a.err = errUnwanted
 		return a, notSent
 	}
+	if !s.fleet.permitted(a, now) {
+		a.err = errNoPermit
+		return a, notSent
+	}
 	if r.sent > 0 && !s.spendRepeat(r.service) {
 		a.err = errOverBudget
 		return a, notSent
--- a/instance/relay/config.go
+++ b/instance/relay/config.go
@@ -102,6 +102,9 @@
 	Quarantine Quarantine
 	// Limits enforces the rate limits that upstreams announce; nil if they announce none.
 	Limits Limits
+	// Permits are the permits of this instance to send requests to cold upstreams; nil if there is no
+	// warm-up limit.
+	Permits Permits
 	// Origins tells where streams of other instances began; nil if streams go on anywhere.
 	Origins Origins
 	// Tunnels opens connections through other instances while this one is cut off from all upstreams;
--- a/instance/relay/crash.go
+++ b/instance/relay/crash.go
@@ -137,6 +137,9 @@
 		s.cfg.Quarantine.TrackLarge()
 	}
 	up, now := a.up, time.Now()
+	if lost && s.cfg.State.Age() > noticedRestart {
+		s.fleet.presumeCold(up)
+	}
 	organisation := ""
 	if a.r.organisation != nil {
 		organisation = a.r.organisation.Name
@@ -154,7 +157,11 @@
 		if !s.sleep(pause + probeDelay) {
 			return
 		}
-		up.losses.probed(s.probe(up))
+		result := s.probe(up)
+		if result == probeRefused {
+			s.fleet.presumeCold(up)
+		}
+		up.losses.probed(result)
 		s.reportCrash(up)
 	})
 }
--- a/instance/relay/fleet.go
+++ b/instance/relay/fleet.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/comfreyladder/comfreyladder/core/balance"
@@ -54,11 +55,15 @@
 	// requests that wait for a token.
 	limits Limits
 	queue  queue
+	// permits are those for cold upstreams, nil if there are none. warming is set if a service has a
+	// warm-up rate.
+	permits Permits
+	warming atomic.Bool
 }
 
 func newFleet(cfg *Config) *fleet {
 	f := &fleet{
-		log: cfg.Log, limits: cfg.Limits, queue: queue{}, upstreams: map[string]*upstream{}, byIncarnation: map[uint64]*upstream{}, services: map[string]*service{},
+		log: cfg.Log, limits: cfg.Limits, permits: cfg.Permits, queue: queue{}, upstreams: map[string]*upstream{}, byIncarnation: map[uint64]*upstream{}, services: map[string]*service{},
 		used: map[*upstream]struct{}{}, changed: map[*upstream]struct{}{}, domains: domains{}, remoteLoads: map[uint64]servingsvc.Load{}, remoteObserved: map[uint64]balance.Observed{},
 		reportedObserved: map[uint64]balance.Observed{},
 	}
@@ -80,9 +85,12 @@
 	}
 	log.end()
 	f.viewIndex, f.applied, f.forwarders = v.Index, true, v.Forwarders
+	warming := false
 	for name, s := range f.services {
-		s.maxConns, s.healthPath = connectionShare(v, name), healthPath(v, name)
+		s.maxConns, s.healthPath, s.warmUp = connectionShare(v, name), healthPath(v, name), warmUpOf(v, name)
+		warming = warming || s.warmUp.perSecond > 0
 	}
+	f.warming.Store(warming)
 	return crashed
 }
 
@@ -150,6 +158,7 @@
 		u.service.remove(u)
 	}
 	u.state, u.silent, u.slots, u.domain, u.software = info.State, info.Silent, max(1, info.Slots), info.Domain, info.Software
+	u.cold.Report(clock.Now(), info.Sequence, info.WarmMS)
 	if u.state == serving.Ready {
 		f.service(info.Service).add(u)
 	} else {
--- a/instance/relay/limit.go
+++ b/instance/relay/limit.go
@@ -70,7 +70,7 @@
 	list, states := f.choice.candidates, f.choice.states
 	c := balance.Choose(states, q)
 	r.allLimited = false
-	if !f.limiting() || c.Index == balance.None || !f.lacksToken(r, list[c.Index]) {
+	if c.Index == balance.None || !f.lacksToken(r, list[c.Index]) {
 		return c
 	}
 	f.requestToken(r, list[c.Index])
@@ -87,39 +87,67 @@
 // lacksToken reports whether the limit of an upstream prevents sending a request. Tokens go to the
 // most urgent waiting requests.
 func (f *fleet) lacksToken(r *request, u *upstream) bool {
+	lacks := f.cold(u) && !f.permits.Available(u.incarnation)
+	limited := f.limited(u)
+	lacks = lacks || limited && !f.limits.Available(u.incarnation)
+	return lacks || (limited || f.cold(u)) && f.moreUrgentWaits(r)
+}
+
+// limited reports whether an upstream announces a limit.
+func (f *fleet) limited(u *upstream) bool {
+	if !f.limiting() {
+		return false
+	}
 	_, limited := f.limits.Limit(u.incarnation)
-	return limited && (!f.limits.Available(u.incarnation) || f.moreUrgentWaits(r))
+	return limited
+}
+
+// limitOf returns the requests per second that an upstream takes from all instances together, because
+// of the limit that it announces or while it is cold.
+func (f *fleet) limitOf(u *upstream) (perSecond float64, limited bool) {
+	if f.limiting() {
+		perSecond, limited = f.limits.Limit(u.incarnation)
+	}
+	if f.cold(u) && (!limited || u.service.warmUp.perSecond < perSecond) {
+		return u.service.warmUp.perSecond, true
+	}
+	return perSecond, limited
 }
 
 func (f *fleet) requestToken(r *request, u *upstream) {
 	if now := time.Now(); r.tokenRequestedFrom != u.incarnation || now.Sub(r.tokenRequestedAt) >= tokenRequestInterval {
 		r.tokenRequestedFrom, r.tokenRequestedAt = u.incarnation, now
-		f.limits.AddDemand(u.incarnation, r.urgency)
+		if f.limited(u) {
+			f.limits.AddDemand(u.incarnation, r.urgency)
+		}
+		if f.cold(u) {
+			f.permits.AddDemand(u.incarnation, r.urgency)
+		}
 	}
 }
 
 // useToken uses a token for the chosen upstream if one is needed, and reports whether the request
 // may be sent.
 func (f *fleet) useToken(r *request, u *upstream) bool {
-	r.usedToken = false
-	if !f.limiting() {
-		return true
+	r.usedToken, r.permitUntil = false, time.Time{}
+	if !f.usePermit(r, u) {
+		r.allLimited = true
+		return false
 	}
-	if _, limited := f.limits.Limit(u.incarnation); !limited {
+	if !f.limited(u) {
 		return true
 	}
-	r.usedToken = f.limits.Use(u.incarnation, r.urgency)
-	r.allLimited = !r.usedToken
+	if r.usedToken = f.limits.Use(u.incarnation, r.urgency); !r.usedToken {
+		f.returnPermit(u, r.permitUntil)
+		r.allLimited = true
+	}
 	return r.usedToken
 }
 
 // limitShare returns the capacity of a limited upstream as a share of that of its peers, zero for
 // one without a limit. The caller holds mu.
 func (f *fleet) limitShare(r *request, u *upstream) float64 {
-	if !f.limiting() {
-		return 0
-	}
-	perSecond, limited := f.limits.Limit(u.incarnation)
+	perSecond, limited := f.limitOf(u)
 	if !limited {
 		return 0
 	}
@@ -163,7 +191,7 @@
 	defer f.mu.Unlock()
 	perSecond, waiting := 0.0, 1
 	for _, u := range f.service(r.service).ready.list {
-		if limit, limited := f.limits.Limit(u.incarnation); limited {
+		if limit, limited := f.limitOf(u); limited {
 			perSecond += limit
 		}
 	}
--- a/instance/relay/links.go
+++ b/instance/relay/links.go
@@ -98,16 +98,10 @@
 	return list
 }
 
-// strained reports whether an upstream names a limit or is brittle.
+// strained reports whether an upstream names a limit, is cold or is brittle.
 func (f *fleet) strained(u *upstream) bool {
-	if u.isBrittle() {
-		return true
-	}
-	if !f.limiting() {
-		return false
-	}
-	_, limited := f.limits.Limit(u.incarnation)
-	return limited
+	_, limited := f.limitOf(u)
+	return limited || u.isBrittle()
 }
 
 // linksChanged forgets what this instance believes of upstreams because of its own links, and closes
--- a/instance/relay/request.go
+++ b/instance/relay/request.go
@@ -115,6 +115,9 @@
 	allLimited, usedToken bool
 	tokenRequestedFrom    uint64
 	tokenRequestedAt      time.Time
+	// permitUntil is until when the request may be sent to the chosen cold upstream, by clock.Now;
+	// zero if that is warm.
+	permitUntil time.Time
 	// pauseLeft is when the first of the upstreams that asked for a pause takes requests again; zero if
 	// the latest choice found another reason, or an upstream.
 	pauseLeft time.Duration
--- a/instance/relay/serve.go
+++ b/instance/relay/serve.go
@@ -310,8 +310,12 @@
 		if a.usedToken {
 			s.cfg.Limits.ReturnToken(a.up.incarnation)
 		}
+		s.fleet.returnPermit(a.up, a.permitUntil)
 		if a.conn == nil && s.blames(a) {
 			ejection = a.up.failed(true)
+			if errors.Is(a.err, syscall.ECONNREFUSED) {
+				s.fleet.presumeCold(a.up)
+			}
 			if indicatesPartition(a.err) {
 				s.fleet.unreachable(a.up)
 			}
--- a/instance/relay/service.go
+++ b/instance/relay/service.go
@@ -30,6 +30,7 @@
 	maxConns int
 	// healthPath is where an upstream tells whether it is well, empty if that is not known.
 	healthPath string
+	warmUp     warmUp
 	prompts    balance.PromptIndex[*upstream]
 	pools      *balance.Pools
 	// hasEngines is set once any instance has received a request with a prompt.
--- a/instance/relay/upstream.go
+++ b/instance/relay/upstream.go
@@ -9,6 +9,7 @@
 	"github.com/comfreyladder/comfreyladder/core/backpressure"
 	"github.com/comfreyladder/comfreyladder/core/balance"
 	"github.com/comfreyladder/comfreyladder/core/control/serving"
+	"github.com/comfreyladder/comfreyladder/core/warmup"
 	servingsvc "github.com/comfreyladder/comfreyladder/instance/serving"
 )
 
@@ -41,6 +42,9 @@
 	chosenIn    uint64
 	candidateAt int
 
+	// cold is how long it stays cold.
+	cold warmup.Cold
+
 	// peers sums up the observations of all upstreams of its service; nil until it was ready.
 	peers atomic.Pointer[peerObserver]
 
--- /dev/null
+++ b/instance/relay/warmup.go
@@ -0,0 +1,108 @@
+package relay
+
+import (
+	"time"
+
+	"github.com/comfreyladder/comfreyladder/core/fault"
+	"github.com/comfreyladder/comfreyladder/instance/clock"
+	"github.com/comfreyladder/comfreyladder/instance/follow"
+)
+
+// Permits are the permits of this instance to send requests to cold upstreams, see core/warmup. Times
+// are those of clock.Now.
+type Permits interface {
+	// Available reports whether there is a permit, and AddDemand requests one.
+	Available(upstream uint64) bool
+	AddDemand(upstream uint64, urgency int)
+	// UseUntil uses a permit and returns until when the request may be sent, or false if there is
+	// none. ReturnUntil returns one that was not used.
+	UseUntil(upstream uint64, urgency int) (until time.Time, ok bool)
+	ReturnUntil(upstream uint64, until time.Time)
+}
+
+// warmUp is the warm-up rate of a service, zero for none, and how long an upstream is cold after a
+// start.
+type warmUp struct {
+	perSecond float64
+	time      time.Duration
+}
+
+// warmUpOf returns the warm-up of a service.
+func warmUpOf(v *follow.View, service string) warmUp {
+	if v.Routes == nil {
+		return warmUp{}
+	}
+	s := v.Routes.Service(service)
+	if s == nil {
+		return warmUp{}
+	}
+	return warmUp{s.WarmUpPerSecond, s.WarmUpTime}
+}
+
+// cold reports whether an upstream is cold and its service has a warm-up rate. The caller holds mu.
+func (f *fleet) cold(u *upstream) bool {
+	return f.permits != nil && u.service != nil && u.service.warmUp.perSecond > 0 && u.cold.Left(clock.Now()) > 0
+}
+
+// usePermit uses a permit for the chosen upstream if it is cold, and reports false if there is none. The
+// caller holds mu.
+func (f *fleet) usePermit(r *request, u *upstream) (ok bool) {
+	if !f.cold(u) {
+		return true
+	}
+	r.permitUntil, ok = f.permits.UseUntil(u.incarnation, r.urgency)
+	return ok
+}
+
+// returnPermit returns a permit that was not used. It does nothing if none was taken.
+func (f *fleet) returnPermit(u *upstream, until time.Time) {
+	if !until.IsZero() {
+		f.permits.ReturnUntil(u.incarnation, until)
+	}
+}
+
+// errNoPermit means that the upstream turned out to be cold after it had been chosen, or that the permit
+// has expired.
+var errNoPermit = fault.New(fault.Unavailable, "the upstream is cold and there is no permit")
+
+// permitted reports whether a request may be sent now as far as warm-up limits are concerned: connecting
+// takes time, and the process may have been suspended since the upstream was chosen. The new incarnation
+// of an upstream that was replaced since then is cold.
+func (f *fleet) permitted(a *attempt, now time.Time) bool {
+	if !f.warming.Load() {
+		return true
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	switch {
+	case f.service(a.r.service).warmUp.perSecond <= 0:
+		return true
+	case f.upstreams[a.up.id] != a.up:
+		return false
+	case !a.permitUntil.IsZero():
+		return now.Before(a.permitUntil)
+	}
+	return !f.cold(a.up)
+}
+
+// noticedRestart is the age of the serving state up to which this instance would know that an upstream
+// has started again: an upstream reports that at once.
+const noticedRestart = time.Second
+
+// presumeCold records that an upstream has ended, so that whichever process answers next at its address
+// is cold.
+func (f *fleet) presumeCold(u *upstream) {
+	if !f.warming.Load() {
+		return
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if u.service == nil || u.service.warmUp.perSecond <= 0 {
+		return
+	}
+	was := f.cold(u)
+	u.cold.Presume(clock.Now(), u.service.warmUp.time)
+	if !was && f.cold(u) {
+		f.log.Event("upstream_cold").Str("upstream", u.id).Str("reason", "ended").MS("left", u.service.warmUp.time).End()
+	}
+}
--- a/instance/roles/config.go
+++ b/instance/roles/config.go
@@ -46,6 +46,8 @@
 	// CallsLag is the maximum age of the list by which callers of Control choose an instance.
 	CallsLag time.Duration
 	Budget   relay.Budget
+	// WarmUp bounds the requests to cold upstreams.
+	WarmUp   WarmUp
 	MemoryMB int
 	// Dial opens connections to upstreams, as in relay.Config; nil selects the default.
 	Dial func(ctx context.Context, address string) (net.Conn, error)
@@ -53,6 +55,9 @@
 	Duties *Duties
 }
 
+// WarmUp bounds the requests that a cold upstream receives in a second, see warmup.Bound.
+type WarmUp struct{ Overrun, Slack float64 }
+
 // Duties configures the calls to a provider that only one instance at a time makes.
 type Duties struct {
 	// Provider is the "ip:port" of the provider.
--- a/instance/roles/core.go
+++ b/instance/roles/core.go
@@ -7,6 +7,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"github.com/comfreyladder/comfreyladder/core/warmup"
 	"github.com/comfreyladder/comfreyladder/instance/consensus"
 	"github.com/comfreyladder/comfreyladder/instance/control"
 	"github.com/comfreyladder/comfreyladder/instance/kernel"
@@ -125,6 +126,25 @@
 	}}
 }
 
+// warmUpAllocator allocates the permits for cold upstreams.
+func (p *Process) warmUpAllocator() kernel.Module {
+	return kernel.Module{Name: nameWarmUp, Needs: []string{nameLinks, nameServing}, New: func(k *kernel.Kernel) (kernel.Service, error) {
+		links, err := kernel.Lookup[*link.Service](k, nameLinks)
+		if err != nil {
+			return nil, err
+		}
+		state, err := kernel.Lookup[*servingService](k, nameServing)
+		if err != nil {
+			return nil, err
+		}
+		budget := warmup.Budget{Bound: func(upstream uint64) (warmup.Bound, bool) {
+			perSecond, ok := state.WarmUpRate(upstream)
+			return warmup.Bound{PerSecond: perSecond, Overrun: p.cfg.WarmUp.Overrun, Slack: p.cfg.WarmUp.Slack}, ok
+		}}
+		return ratelimit.New(ratelimit.Config{Replica: state.replica, Links: links, Limits: budget, Channel: ratelimit.ChannelWarmUp}), nil
+	}}
+}
+
 func (p *Process) origins() kernel.Module {
 	return kernel.Module{Name: nameOrigins, Needs: []string{nameLinks, nameServing}, New: func(k *kernel.Kernel) (kernel.Service, error) {
 		links, err := kernel.Lookup[*link.Service](k, nameLinks)
--- a/instance/roles/edge.go
+++ b/instance/roles/edge.go
@@ -5,7 +5,9 @@
 	"net"
 	"time"
 
+	core "github.com/comfreyladder/comfreyladder/core/ratelimit"
 	"github.com/comfreyladder/comfreyladder/core/reach"
+	"github.com/comfreyladder/comfreyladder/core/warmup"
 	"github.com/comfreyladder/comfreyladder/instance/follow"
 	"github.com/comfreyladder/comfreyladder/instance/kernel"
 	"github.com/comfreyladder/comfreyladder/instance/link"
@@ -64,7 +66,15 @@
 }
 
 func (p *Process) limitClient() kernel.Module {
-	return kernel.Module{Name: nameLimits, Needs: []string{nameLinks, nameFollow}, New: func(k *kernel.Kernel) (kernel.Service, error) {
+	return p.tokenClient(nameLimits, ratelimit.ChannelTokens, core.TokenLifetime)
+}
+
+func (p *Process) warmUpClient() kernel.Module {
+	return p.tokenClient(nameWarmUp, ratelimit.ChannelWarmUp, warmup.PermitLifetime)
+}
+
+func (p *Process) tokenClient(name, channel string, lifetime time.Duration) kernel.Module {
+	return kernel.Module{Name: name, Needs: []string{nameLinks, nameFollow}, New: func(k *kernel.Kernel) (kernel.Service, error) {
 		links, err := kernel.Lookup[*link.Service](k, nameLinks)
 		if err != nil {
 			return nil, err
@@ -75,6 +85,7 @@
 		}
 		return ratelimit.NewClient(ratelimit.ClientConfig{
 			Links: links, Members: state.Members, Forwarders: func() int { return state.View().Forwarders }, UpstreamExists: func(upstream uint64) bool { return state.View().Knows(upstream) }, Log: p.events,
+			Channel: channel, Lifetime: lifetime,
 		}), nil
 	}}
 }
@@ -122,7 +133,7 @@
 }
 
 func (p *Process) relay() kernel.Module {
-	needs := []string{nameFollow, nameTelemetry, nameQuarantine, nameLimits, nameOrigins, nameTunnels}
+	needs := []string{nameFollow, nameTelemetry, nameQuarantine, nameLimits, nameWarmUp, nameOrigins, nameTunnels}
 	return kernel.Module{Name: nameRelay, Needs: needs, New: func(k *kernel.Kernel) (kernel.Service, error) {
 		state, err := kernel.Lookup[*follow.Follower](k, nameFollow)
 		if err != nil {
@@ -140,6 +151,10 @@
 		if err != nil {
 			return nil, err
 		}
+		permits, err := kernel.Lookup[*ratelimit.Client](k, nameWarmUp)
+		if err != nil {
+			return nil, err
+		}
 		origins, err := kernel.Lookup[*origin.Recorder](k, nameOrigins)
 		if err != nil {
 			return nil, err
@@ -151,7 +166,7 @@
 		cfg := relay.Config{
 			Listen: p.cfg.Callers, Domain: p.cfg.Domain, Headers: p.dialect.Headers, State: state, FailClosed: p.cfg.FailClosed,
 			Budget: p.cfg.Budget, Announce: p.cfg.Announce, DrainTimeout: p.cfg.Grace - 2*stopMargin, Log: p.events,
-			Quarantine: recorder, Limits: limits, Origins: origins, Dial: p.cfg.Dial, Tunnels: tunnels, OnDrain: tunnels.Retire, OnLoadChange: state.PushLoads,
+			Quarantine: recorder, Limits: limits, Permits: permits, Origins: origins, Dial: p.cfg.Dial, Tunnels: tunnels, OnDrain: tunnels.Retire, OnLoadChange: state.PushLoads,
 			BodyBytes: p.memoryShare(bodyMemoryShare), AnswerBytes: p.memoryShare(answerMemoryShare),
 		}
 		if p.meter != nil {
--- a/instance/roles/process.go
+++ b/instance/roles/process.go
@@ -31,6 +31,7 @@
 	nameDuties          = "duties"
 	nameQuarantine      = "quarantine"
 	nameLimits          = "limits"
+	nameWarmUp          = "warmup"
 	nameOrigins         = "origins"
 	nameFollow          = "follow"
 	nameRelay           = "relay"
@@ -65,12 +66,12 @@
 	}
 	modules := []kernel.Module{p.telemetry(), p.links()}
 	if cfg.Control != "" {
-		modules = append(modules, p.control(), p.serving(), p.quarantine(), p.limitAllocator(), p.origins(), p.controlListener())
+		modules = append(modules, p.control(), p.serving(), p.quarantine(), p.limitAllocator(), p.warmUpAllocator(), p.origins(), p.controlListener())
 		if p.hasDuties() {
 			modules = append(modules, p.duties())
 		}
 	} else {
-		modules = append(modules, p.follow(), p.recorder(), p.limitClient(), p.originRecorder(), p.tunnels(), p.relay(), p.ready())
+		modules = append(modules, p.follow(), p.recorder(), p.limitClient(), p.warmUpClient(), p.originRecorder(), p.tunnels(), p.relay(), p.ready())
 	}
 	if cfg.Metrics != "" {
 		modules = append(modules, p.metrics())
--- a/instance/serving/limits.go
+++ b/instance/serving/limits.go
@@ -36,6 +36,14 @@
 	return s.limits.Limit(upstream)
 }
 
+// WarmUpRate returns the rate at which an upstream may receive requests while it is cold, if it has one.
+func (s *Service) WarmUpRate(upstream uint64) (perSecond float64, ok bool) {
+	if g := s.cfg.Replica(); g != nil {
+		viewServing(g, func(m *serving.Machine) { perSecond, ok = m.WarmUpRate(upstream) })
+	}
+	return perSecond, ok
+}
+
 // pruneLimits removes the limits of upstreams that are gone.
 func (s *Service) pruneLimits(g *consensus.Service, now time.Time) {
 	s.mu.Lock()
--- a/instance/serving/serving.go
+++ b/instance/serving/serving.go
@@ -216,6 +216,9 @@
 	if err != nil {
 		return err
 	}
+	for _, field := range t.Ignored {
+		s.cfg.Log.Warn().Str("event", "table_field_ignored").Uint64("version", t.Version).Str("field", field).Msg("invalid value in a routing table, treated as absent")
+	}
 	err = s.propose(ctx, &serving.Command{Put: &serving.Put{Version: t.Version, Table: encoded, Source: source}})
 	s.cfg.Log.Info().Str("event", "table_put").Uint64("version", t.Version).Int("bytes", len(source)).
 		Int("routes", len(t.Routes)).Str("outcome", outcome(err)).Err(err).Msg("routing table from an operator")
@@ -287,7 +290,7 @@
 		err = fault.New(fault.Overloaded, "upstream %s was not recorded: there are %d others already", u.ID, serving.MaxUpstreams)
 	}
 	s.cfg.Log.Info().Str("event", "upstream_announced").Str("upstream", u.ID).Str("service", u.Service).Str("address", u.Address).
-		Str("state", u.State.String()).Int64("born", u.StartedAt).Uint64("sequence", u.Sequence).Str("before", known.State.String()).Bool("was_silent", known.Silent).Bool("preemptible", u.Preemptible).Int64("leaves_ms", u.LeavesMS).
+		Str("state", u.State.String()).Int64("born", u.StartedAt).Uint64("sequence", u.Sequence).Str("before", known.State.String()).Bool("was_silent", known.Silent).Bool("preemptible", u.Preemptible).Int64("leaves_ms", u.LeavesMS).Int64("warm_ms", u.WarmMS).
 		Str("outcome", outcome(err)).Err(err).Msg("heartbeat of an upstream")
 	return err
 }
@@ -299,8 +302,11 @@
 // compareState returns what a replica knows of an upstream, and whether a heartbeat changes it.
 func compareState(g *consensus.Service, u *serving.Upstream) (known serving.Upstream, changes bool) {
 	var ok bool
-	viewServing(g, func(m *serving.Machine) { known, ok = m.Upstream(u.ID) })
-	return known, !ok || serving.ChangesState(&known, u)
+	viewServing(g, func(m *serving.Machine) {
+		known, ok = m.Upstream(u.ID)
+		changes = !ok || serving.ChangesState(&known, u) || m.ChangesWarmUp(&known, u, time.Now())
+	})
+	return known, changes
 }
 
 // isRecorded reports whether this member's state contains an upstream.
