Warm-up limit: health answers, upstreams that ended, metrics

An instance that is cut off from the cores, or has not heard yet, does not know that an upstream started again under its ID.

A refused connection makes the upstream cold for warmup-s, and for as long as it is silent. The Warmup-Ms field of a health answer is read where a link check asks for one. Buckets of permits without demand are dropped. Gauge relay_cold_upstreams, counters relay_requests_to_cold_upstreams_total and relay_permits_expired_total, event upstream_cold.

--- a/core/ratelimit/allocator.go
+++ b/core/ratelimit/allocator.go
@@ -54,6 +54,8 @@
 type bucket struct {
 	perSecond, tokens float64
 	filledAt          time.Time
+	// demandedAt is when a token was last demanded.
+	demandedAt time.Time
 }
 
 // burst returns the capacity of a bucket. With TokenLifetime, an upstream receives in any four
@@ -78,11 +80,20 @@
 	Limit(upstream uint64) (perSecond float64, limited bool)
 }
 
-// Bursts is implemented by Limits that set the capacity of the buckets themselves.
+// Bursts is implemented by Limits that set the capacity of the buckets themselves. They may have a limit
+// for each upstream that exists, so buckets without demand for bucketRetention are dropped.
 type Bursts interface {
 	Burst(upstream uint64) float64
 }
 
+const bucketRetention = 10 * time.Second
+
+// unused reports whether the bucket is to be dropped. The next one of the upstream starts empty.
+func (b *bucket) unused(now time.Time, limits Limits) bool {
+	_, ok := limits.(Bursts)
+	return ok && now.Sub(b.demandedAt) > bucketRetention
+}
+
 // capacity returns the capacity of the bucket of an upstream.
 func capacity(limits Limits, upstream uint64, perSecond float64) float64 {
 	if b, ok := limits.(Bursts); ok {
@@ -95,7 +106,7 @@
 // that are demanded for the first time.
 func (h *Allocator) fill(now time.Time, limits Limits, requests []*TokenRequest) {
 	for upstream, b := range h.buckets {
-		if perSecond, limited := limits.Limit(upstream); limited {
+		if perSecond, limited := limits.Limit(upstream); limited && !b.unused(now, limits) {
 			b.fill(now, perSecond, capacity(limits, upstream, perSecond))
 			continue
 		}
@@ -108,6 +119,9 @@
 			if limited && h.buckets[upstream] == nil {
 				h.buckets[upstream] = &bucket{perSecond: perSecond, filledAt: now}
 			}
+			if b := h.buckets[upstream]; b != nil {
+				b.demandedAt = now
+			}
 		}
 	}
 }
--- a/core/warmup/cold.go
+++ b/core/warmup/cold.go
@@ -10,6 +10,8 @@
 // is a warm upstream. It is not safe for concurrent use.
 type Cold struct {
 	reported, presumed time.Time
+	// ended is set once a process has ended at its address.
+	ended bool
 	// sequence is that of the latest report; applied is set once there was one.
 	sequence uint64
 	applied  bool
@@ -18,24 +20,33 @@
 // Report applies the time that a liveness report with a sequence number states, in milliseconds from
 // now. The report may have been made earlier, so the upstream counts as cold for longer rather than
 // for shorter. A report that was applied before changes nothing: the replicated state repeats it with
-// each other change.
-func (c *Cold) Report(now time.Time, sequence uint64, leftMS int64) {
+// each other change, and Report returns false.
+func (c *Cold) Report(now time.Time, sequence uint64, leftMS int64) (changed bool) {
 	if c.applied && c.sequence == sequence {
-		return
+		return false
 	}
 	left := min(max(0, leftMS), maxCold.Milliseconds())
 	c.applied, c.sequence, c.reported = true, sequence, now.Add(time.Duration(left)*time.Millisecond)
+	return true
 }
 
-// Presume records that the upstream is, or may be, cold for a time: nothing listened at its address,
-// so that whichever process answers next has just started. A report of the incarnation that ended does
-// not revoke this.
+// Presume records that the upstream is cold for a time. A report does not revoke this.
 func (c *Cold) Presume(now time.Time, left time.Duration) {
 	if until := now.Add(min(left, maxCold)); until.After(c.presumed) {
 		c.presumed = until
 	}
 }
 
+// Ended records that nothing listens at the address of the upstream: whichever process answers next has
+// just started and is cold for a time. That may be long after, but then it is silent before.
+func (c *Cold) Ended(now time.Time, left time.Duration) {
+	c.ended = true
+	c.Presume(now, left)
+}
+
+// Is reports whether the upstream counts as cold. silent is set if it sends no liveness reports.
+func (c *Cold) Is(now time.Time, silent bool) bool { return c.Left(now) > 0 || c.ended && silent }
+
 // Left returns how much longer the upstream counts as cold, zero if it is warm.
 func (c *Cold) Left(now time.Time) time.Duration {
 	return max(0, c.reported.Sub(now), c.presumed.Sub(now))
--- a/core/warmup/warmup_test.go
+++ b/core/warmup/warmup_test.go
@@ -82,48 +82,72 @@
 }
 
 // permits is the way that is used: permits of one allocator.
+type permits struct {
+	*world
+	budget    warmup.Budget
+	allocator *ratelimit.Allocator
+	// second is set once a second leader allocates.
+	second  bool
+	stores  []*ratelimit.TokenStore
+	next    []time.Duration
+	pending []*reply
+	last    time.Duration
+}
+
+// reply is the request of an instance, which was asked and is answered at a time.
+type reply struct {
+	at, asked time.Duration
+	request   *ratelimit.TokenRequest
+}
+
 func (w *world) permits(bound warmup.Bound) way {
-	type reply struct {
-		at, asked time.Duration
-		request   *ratelimit.TokenRequest
-	}
-	budget := warmup.Budget{Bound: func(uint64) (warmup.Bound, bool) { return bound, true }}
-	allocator, first := ratelimit.NewAllocator(), true
-	stores, next, pending := make([]*ratelimit.TokenStore, w.instances), make([]time.Duration, w.instances), make([]*reply, w.instances)
-	for i := range stores {
-		stores[i] = ratelimit.NewTokenStoreFor(warmup.PermitLifetime)
-	}
-	last := time.Duration(-1)
-	exchange := func(now time.Duration) {
-		if first && w.lostAt > 0 && now >= w.lostAt+successorWait {
-			allocator, first = ratelimit.NewAllocator(), false
+	p := &permits{
+		world: w, budget: warmup.Budget{Bound: func(uint64) (warmup.Bound, bool) { return bound, true }}, allocator: ratelimit.NewAllocator(),
+		next: make([]time.Duration, w.instances), pending: make([]*reply, w.instances), last: -1,
+	}
+	for range w.instances {
+		p.stores = append(p.stores, ratelimit.NewTokenStoreFor(warmup.PermitLifetime))
+	}
+	return func(now time.Duration, i, e int) bool {
+		if now != p.last {
+			p.last = now
+			p.exchange(now)
 		}
-		var open []*ratelimit.TokenRequest
-		for i, p := range pending {
-			if p != nil && !w.isSuspended(now, i) && now >= p.at {
-				stores[i].Add(epoch.Add(p.asked), p.request.Grants)
-				pending[i], p = nil, nil
-			}
-			if p == nil && i >= w.cutOff && now >= next[i] && stores[i].HasDemand() && !w.isSuspended(now, i) {
-				next[i] = now + 50*time.Millisecond + time.Duration(w.instances)*2*time.Millisecond
-				pending[i] = &reply{now + 20*time.Millisecond + time.Duration(w.rng.Int64N(int64(150*time.Millisecond))), now, &ratelimit.TokenRequest{Demands: stores[i].DrainDemands()}}
-			}
-			if pending[i] != nil && now < pending[i].at {
-				open = append(open, pending[i].request)
-			}
+		p.stores[i].AddDemand(uint64(e), 0)
+		return p.stores[i].Use(epoch.Add(now), uint64(e))
+	}
+}
+
+// exchange lets each instance take its reply and ask, and the leader allocate.
+func (p *permits) exchange(now time.Duration) {
+	var open []*ratelimit.TokenRequest
+	for i := range p.pending {
+		if !p.isSuspended(now, i) {
+			p.ask(now, i)
 		}
-		if !first || w.lostAt == 0 || now < w.lostAt {
-			allocator.Allocate(epoch.Add(now), budget, open)
+		if r := p.pending[i]; r != nil && now < r.at {
+			open = append(open, r.request)
 		}
 	}
-	return func(now time.Duration, i, e int) bool {
-		if now != last {
-			last = now
-			exchange(now)
-		}
-		stores[i].AddDemand(uint64(e), 0)
-		return stores[i].Use(epoch.Add(now), uint64(e))
+	if !p.second && p.lostAt > 0 && now >= p.lostAt+successorWait {
+		p.allocator, p.second = ratelimit.NewAllocator(), true
+	}
+	if p.second || p.lostAt == 0 || now < p.lostAt {
+		p.allocator.Allocate(epoch.Add(now), p.budget, open)
+	}
+}
+
+func (p *permits) ask(now time.Duration, i int) {
+	if r := p.pending[i]; r != nil && now >= r.at {
+		p.stores[i].Add(epoch.Add(r.asked), r.request.Grants)
+		p.pending[i] = nil
+	}
+	if p.pending[i] != nil || i < p.cutOff || now < p.next[i] || !p.stores[i].HasDemand() {
+		return
 	}
+	p.next[i] = now + 50*time.Millisecond + time.Duration(p.instances)*2*time.Millisecond
+	delay := 20*time.Millisecond + time.Duration(p.rng.Int64N(int64(150*time.Millisecond)))
+	p.pending[i] = &reply{now + delay, now, &ratelimit.TokenRequest{Demands: p.stores[i].DrainDemands()}}
 }
 
 // shares is the alternative without messages: each instance has an equal part of the rate and may
--- a/instance/relay/attempt.go
+++ b/instance/relay/attempt.go
@@ -87,32 +87,9 @@
 	if !r.attach(func() { _ = a.conn.nc.Close() }) {
 		return a, callerGone
 	}
-	// The key, the lease and the remaining time are checked directly before the write: a process that
-	// was suspended after it accepted the request must not send it late.
 	now := clock.Now()
 	left := r.left(now)
-	if left <= deadlineMargin {
-		a.err = fault.New(fault.DeadlineExceeded, "the deadline has passed")
-		return a, notSent
-	}
-	if !s.reauthorise(r) {
-		a.err = errBarred
-		return a, notSent
-	}
-	if s.conditionOf(r).quarantined && !r.trial {
-		a.err = errQuarantinedNow
-		return a, notSent
-	}
-	if a.closedFor = up.gate.Left(now); a.closedFor > 0 {
-		a.err = errUnwanted
-		return a, notSent
-	}
-	if !s.fleet.permitted(a, now) {
-		a.err = errNoPermit
-		return a, notSent
-	}
-	if r.sent > 0 && !s.spendRepeat(r.service) {
-		a.err = errOverBudget
+	if a.err = a.check(now, left); a.err != nil {
 		return a, notSent
 	}
 	until := time.Now().Add(left)
@@ -136,6 +113,36 @@
 	return a, a.classify()
 }
 
+// check returns why the request must not be sent any more. The key, the lease and the remaining time are
+// checked directly before the write: a process that was suspended after it accepted the request must not
+// send it late.
+func (a *attempt) check(now time.Time, left time.Duration) error {
+	s, r := a.s, a.r
+	if left <= deadlineMargin {
+		return fault.New(fault.DeadlineExceeded, "the deadline has passed")
+	}
+	if !s.reauthorise(r) {
+		return errBarred
+	}
+	if s.conditionOf(r).quarantined && !r.trial {
+		return errQuarantinedNow
+	}
+	if a.closedFor = a.up.gate.Left(now); a.closedFor > 0 {
+		return errUnwanted
+	}
+	if !s.fleet.permitted(a, now) {
+		s.set.GetOrCreateCounter("relay_permits_expired_total").Inc()
+		return errNoPermit
+	}
+	if r.sent > 0 && !s.spendRepeat(r.service) {
+		return errOverBudget
+	}
+	if !a.permitUntil.IsZero() {
+		s.set.GetOrCreateCounter("relay_requests_to_cold_upstreams_total").Inc()
+	}
+	return nil
+}
+
 // errQuarantinedNow means that a request was quarantined after it had been admitted.
 var errQuarantinedNow = fault.New(fault.Forbidden, "the request is quarantined")
 
--- a/instance/relay/config.go
+++ b/instance/relay/config.go
@@ -50,6 +50,8 @@
 	// Brittle, in a response, is how many rejections per second the upstream bears. One that must
 	// reject more fails.
 	Brittle string
+	// WarmUp, in the answer of a health path, is how long the upstream stays cold, in milliseconds.
+	WarmUp string
 	// FetchFrom names the upstream from which another one can fetch a cached prompt.
 	FetchFrom string
 	// Reserved fields are set by this system only: those that callers send are dropped.
--- a/instance/relay/fleet.go
+++ b/instance/relay/fleet.go
@@ -158,7 +158,7 @@
 		u.service.remove(u)
 	}
 	u.state, u.silent, u.slots, u.domain, u.software = info.State, info.Silent, max(1, info.Slots), info.Domain, info.Software
-	u.cold.Report(clock.Now(), info.Sequence, info.WarmMS)
+	f.reportCold(u, info)
 	if u.state == serving.Ready {
 		f.service(info.Service).add(u)
 	} else {
@@ -197,12 +197,13 @@
 	f.domains.reached(u.domain)
 }
 
-// hasOther reports whether another upstream than the one given may take a request.
+// hasOther reports whether another upstream than the one given may take a request. A cold one may lack
+// a permit.
 func (f *fleet) hasOther(r *request, than *upstream) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, u := range f.service(r.service).ready.list {
-		if u != than && !r.otherVersion(u) && !u.gate.Closed(clock.Now) {
+		if u != than && !r.otherVersion(u) && !u.gate.Closed(clock.Now) && !f.cold(u) {
 			return true
 		}
 	}
--- a/instance/relay/links.go
+++ b/instance/relay/links.go
@@ -34,6 +34,7 @@
 
 func (f *fleet) newLinks(cfg *Config) *uplink.Service {
 	return uplink.New(uplink.Config{
+		HealthField: cfg.Headers.WarmUp, OnHealthField: f.healthSaysCold,
 		Direct: cfg.Dial, Timeout: dialTimeout, Tunnels: cfg.Tunnels, Sample: f.sample,
 		OnChange: func(c uplink.Change) {
 			f.log.Event("links_changed").Bool("cut_off", c.CutOff).Int("reached", int64(c.Found.Reached)).Int("failed", int64(c.Found.Failed)).End()
--- a/instance/relay/report.go
+++ b/instance/relay/report.go
@@ -101,6 +101,7 @@
 		}
 		return 0
 	})
+	s.set.NewGauge("relay_cold_upstreams", func() float64 { return float64(s.fleet.coldUpstreams()) })
 	s.set.NewGauge("relay_forwarders", func() float64 { return float64(s.cfg.State.View().Forwarders) })
 	s.set.NewGauge("relay_upstreams", func() float64 { return float64(s.cfg.State.View().Upstreams.Len()) })
 	s.set.NewGauge("relay_table_version", func() float64 {
--- a/instance/relay/suite_test.go
+++ b/instance/relay/suite_test.go
@@ -28,7 +28,7 @@
 
 var headers = relay.Headers{
 	RequestID: "X-Id", Deadline: "X-Left", Key: "X-Key", Organisation: "X-Org", ExpectInstance: "X-Expect", Urgency: "X-Urgency",
-	NotRun: "X-Not-Run", Seal: "X-Seal", LastEvent: "X-Last", Resumes: "X-Resumes", PromptSegments: "X-Parts", TokenCounts: "X-Tokens", FetchFrom: "X-Fetch", Limit: "X-Limit", Leaving: "X-Leaving", Brittle: "X-Brittle",
+	WarmUp: "X-Warm", NotRun: "X-Not-Run", Seal: "X-Seal", LastEvent: "X-Last", Resumes: "X-Resumes", PromptSegments: "X-Parts", TokenCounts: "X-Tokens", FetchFrom: "X-Fetch", Limit: "X-Limit", Leaving: "X-Leaving", Brittle: "X-Brittle",
 	Reserved: []string{"X-Org", "X-Expect", "X-Urgency", "X-Hold", "X-Fetch"}, EndToEnd: []string{"X-Id"},
 }
 
@@ -259,6 +259,7 @@
 	// fakeList is the fake quarantine of the instance.
 	fakeList *fakeQuarantine
 	limits   *fakeLimits
+	permits  *fakePermits
 	origins  *fakeOrigins
 	// links are the ways to the upstreams.
 	links *fakeLinks
@@ -306,12 +307,12 @@
 		list = append(list, &serving.Upstream{ID: u.id, Service: "s", Address: u.listener.Addr().String(), State: serving.Ready, Slots: 8, FirstIndex: u.begun()})
 	}
 	v.Upstreams = follow.NewUpstreams(list...)
-	b := &relayTest{t: t, state: &state{view: v, lease: time.Minute}, fakeList: &fakeQuarantine{}, limits: &fakeLimits{}, origins: &fakeOrigins{known: map[string]origin.Origin{}}, links: &fakeLinks{}, set: metrics.NewSet()}
+	b := &relayTest{t: t, state: &state{view: v, lease: time.Minute}, fakeList: &fakeQuarantine{}, limits: &fakeLimits{}, permits: &fakePermits{}, origins: &fakeOrigins{known: map[string]origin.Origin{}}, links: &fakeLinks{}, set: metrics.NewSet()}
 	b.service = relay.New(relay.Config{
 		Listen: "127.0.0.1:0", Headers: headers, State: b.state, FailClosed: true,
 		Budget:   relay.Budget{Ratio: 0.2, Window: 10 * time.Second, Slack: 20, CountedSince: clock.Now().Add(-time.Hour)},
 		Announce: 200 * time.Millisecond, DrainTimeout: 2 * time.Second, BodyBytes: bodyLimit, AnswerBytes: answerLimit, OnRequestBegun: b.count,
-		Quarantine: b.fakeList, Limits: b.limits, Origins: b.origins, Dial: b.links.direct, Tunnels: b.links, Log: eventlog.New(&b.log, nil),
+		Quarantine: b.fakeList, Limits: b.limits, Permits: b.permits, Origins: b.origins, Dial: b.links.direct, Tunnels: b.links, Log: eventlog.New(&b.log, nil),
 	}, b.set)
 	b.service.Update(v)
 	if err := b.service.Start(context.Background()); err != nil {
--- a/instance/relay/warmup.go
+++ b/instance/relay/warmup.go
@@ -1,9 +1,12 @@
 package relay
 
 import (
+	"strconv"
 	"time"
 
+	"github.com/comfreyladder/comfreyladder/core/control/serving"
 	"github.com/comfreyladder/comfreyladder/core/fault"
+	"github.com/comfreyladder/comfreyladder/core/reach"
 	"github.com/comfreyladder/comfreyladder/instance/clock"
 	"github.com/comfreyladder/comfreyladder/instance/follow"
 )
@@ -41,7 +44,7 @@
 
 // cold reports whether an upstream is cold and its service has a warm-up rate. The caller holds mu.
 func (f *fleet) cold(u *upstream) bool {
-	return f.permits != nil && u.service != nil && u.service.warmUp.perSecond > 0 && u.cold.Left(clock.Now()) > 0
+	return f.permits != nil && u.service != nil && u.service.warmUp.perSecond > 0 && u.cold.Is(clock.Now(), u.silent)
 }
 
 // usePermit uses a permit for the chosen upstream if it is cold, and reports false if there is none. The
@@ -85,6 +88,47 @@
 	return !f.cold(a.up)
 }
 
+// reportCold records for how long an upstream of a view is cold.
+func (f *fleet) reportCold(u *upstream, info *serving.Upstream) {
+	if u.cold.Report(clock.Now(), info.Sequence, info.WarmMS) && info.WarmMS > 0 && f.warming.Load() {
+		f.log.Event("upstream_cold").Str("upstream", u.id).Str("reason", "reported").Int("left", info.WarmMS).End()
+	}
+}
+
+// healthSaysCold records how long an upstream stays cold according to its health answer.
+func (f *fleet) healthSaysCold(t reach.Target, value string) {
+	ms, err := strconv.ParseFloat(value, 64)
+	index, invalid := strconv.ParseUint(t.Name, 10, 64)
+	if err != nil || invalid != nil || !(ms > 0) || !f.warming.Load() {
+		return
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if u := f.byIncarnation[index]; u != nil {
+		left := time.Duration(min(ms, maxStatedCold)) * time.Millisecond
+		u.cold.Presume(clock.Now(), left)
+		f.log.Event("upstream_cold").Str("upstream", u.id).Str("reason", "health").MS("left", left).End()
+	}
+}
+
+// maxStatedCold bounds the value of a health answer, in milliseconds.
+const maxStatedCold = 3.6e6
+
+// coldUpstreams returns the number of ready upstreams that are cold.
+func (f *fleet) coldUpstreams() (n int) {
+	if !f.warming.Load() {
+		return 0
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, u := range f.upstreams {
+		if f.cold(u) {
+			n++
+		}
+	}
+	return n
+}
+
 // noticedRestart is the age of the serving state up to which this instance would know that an upstream
 // has started again: an upstream reports that at once.
 const noticedRestart = time.Second
@@ -101,7 +145,7 @@
 		return
 	}
 	was := f.cold(u)
-	u.cold.Presume(clock.Now(), u.service.warmUp.time)
+	u.cold.Ended(clock.Now(), u.service.warmUp.time)
 	if !was && f.cold(u) {
 		f.log.Event("upstream_cold").Str("upstream", u.id).Str("reason", "ended").MS("left", u.service.warmUp.time).End()
 	}
--- a/instance/uplink/examine.go
+++ b/instance/uplink/examine.go
@@ -228,6 +228,6 @@
 		_ = nc.Close()
 		return false
 	}
-	s.running.Go(func() { discard(nc) })
+	s.running.Go(func() { s.finish(nc, first, c) })
 	return true
 }
--- a/instance/uplink/health.go
+++ b/instance/uplink/health.go
@@ -1,11 +1,15 @@
 package uplink
 
 import (
+	"bufio"
+	"bytes"
 	"io"
 	"net"
 	"strings"
 	"sync/atomic"
 	"time"
+
+	"github.com/comfreyladder/comfreyladder/instance/http1"
 )
 
 const (
@@ -34,6 +38,25 @@
 	return strings.HasPrefix(path, "/")
 }
 
+// finish reads the rest of an answer, of which the first byte was read, and closes the connection.
+func (s *Service) finish(nc net.Conn, first [1]byte, c Candidate) {
+	if s.cfg.OnHealthField == nil || !validPath(c.HealthPath) {
+		discard(nc)
+		return
+	}
+	defer func() { _ = nc.Close() }()
+	_ = nc.SetReadDeadline(time.Now().Add(discardTimeout))
+	in := bufio.NewReader(io.MultiReader(bytes.NewReader(first[:]), io.LimitReader(nc, maxDiscarded)))
+	var head http1.Head
+	if head.ReadResponse(in, maxDiscarded, "GET") != nil {
+		return
+	}
+	if value := head.Get(s.cfg.HealthField); len(value) > 0 {
+		s.cfg.OnHealthField(c.Target, string(value))
+	}
+	_, _ = io.Copy(io.Discard, in)
+}
+
 // discard reads the rest of an answer and closes the connection.
 func discard(nc net.Conn) {
 	_ = nc.SetReadDeadline(time.Now().Add(discardTimeout))
--- a/instance/uplink/uplink.go
+++ b/instance/uplink/uplink.go
@@ -53,6 +53,10 @@
 	// upstreams. Both may be nil.
 	OnCheck   func(reason string)
 	Instances func() int
+	// OnHealthField is called with the value of the field HealthField of the answer of a health path
+	// that has one. It is nil if no field matters.
+	HealthField   string
+	OnHealthField func(t reach.Target, value string)
 }
 
 // Conn is a connection to an upstream. Detour is set if it leads through another instance.
--- a/instance/uplink/uplink_test.go
+++ b/instance/uplink/uplink_test.go
@@ -403,6 +403,23 @@
 	Expect(req.Header).To(BeEmpty())
 }
 
+// Guards against a field of a health answer that is not heard.
+func TestFieldOfAHealthAnswerIsHeard(t *testing.T) {
+	RegisterTestingT(t)
+	w := newWorld("a")
+	w.answer = "HTTP/1.1 200 OK\r\nwarm: 1500\r\nContent-Length: 2\r\n\r\nok"
+	heard := make(chan string, 1)
+	s := uplink.New(uplink.Config{
+		Direct: w.dial, Timeout: time.Second, Sample: w.sample, HealthField: "Warm",
+		OnHealthField: func(t reach.Target, value string) { heard <- t.Name + " " + value },
+	})
+	t.Cleanup(s.Stop)
+	for range 6 {
+		w.lose(s)
+	}
+	Eventually(heard, time.Second).Should(Receive(Equal(w.targets[0].Name + " 1500")))
+}
+
 // Guards against a path that begins another request.
 func TestPathOfNoSenseIsNotSent(t *testing.T) {
 	RegisterTestingT(t)
--- a/proof/deployed/warmup_test.go
+++ b/proof/deployed/warmup_test.go
@@ -9,6 +9,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -23,7 +24,9 @@
 	warmUpBound    = warmUpPerSecond*1.5 + 5
 	warmUpSettings = ", warmup-overrun: 1.5, warmup-slack: 5"
 	warmUpEdges    = 12
-	warmUpLoad     = 240
+	// coldKnown is the time until all instances know that an upstream became cold again.
+	coldKnown  = 300 * time.Millisecond
+	warmUpLoad = 240
 )
 
 // coldRunner is a runner that records when requests arrive.
@@ -73,7 +76,7 @@
 // expectBound checks the arrivals at a runner that became cold at a time.
 func (r *coldRunner) expectBound(t *testing.T, what string, since time.Time) {
 	t.Helper()
-	worst, all := r.worstSecond(since, since.Add(warmUpTime))
+	worst, all := r.worstSecond(since, time.Unix(0, r.warmAt.Load()))
 	t.Logf("%s: %d requests in the worst second, %d in %v, bound %.1f", what, worst, all, warmUpTime, warmUpBound)
 	r.s.g.Expect(float64(worst)).To(BeNumerically("<=", warmUpBound), what)
 }
@@ -136,13 +139,27 @@
 	warm, _ := a.worstSecond(begun.Add(warmUpTime), time.Now())
 	q.g.Expect(float64(warm)).To(BeNumerically(">", warmUpBound), "a warm upstream is not limited")
 
-	// Two start at once, and the leader of the control group ends.
+	// It becomes cold again, which it reports at once.
+	a.warmAt.Store(time.Now().Add(warmUpTime).UnixNano())
+	a.report(q.cores[1], "ready")
+	begun = time.Now().Add(coldKnown)
+	time.Sleep(warmUpTime)
+	a.expectBound(t, "cold again", begun)
+
+	// Two start at once, some instances are suspended with permits, and the leader ends.
 	begun = time.Now()
 	b, c := q.startCold("c-2", "", warmUpTime, q.cores), q.startCold("c-3", "", warmUpTime, q.cores)
 	time.Sleep(time.Second)
+	for _, e := range q.edges[:3] {
+		e.signal(syscall.SIGSTOP)
+	}
 	leader := q.leader()
 	leader.kill()
-	time.Sleep(warmUpTime)
+	time.Sleep(warmUpTime / 2)
+	for _, e := range q.edges[:3] {
+		e.signal(syscall.SIGCONT)
+	}
+	time.Sleep(warmUpTime / 2)
 	leader.start(false)
 	b.expectBound(t, "two started, the leader was lost", begun)
 	c.expectBound(t, "two started, the leader was lost", begun)
