--- a/core/ratelimit/allocator.go
+++ b/core/ratelimit/allocator.go
@@ -54,16 +54,18 @@
 type bucket struct {
 	perSecond, tokens float64
 	filledAt          time.Time
+	// demandedAt is when a token was last demanded.
+	demandedAt time.Time
 }
 
 // burst returns the capacity of a bucket. With TokenLifetime, an upstream receives in any four
 // seconds at most the requests of five and a half seconds, plus one.
 func burst(perSecond float64) float64 { return 1 + perSecond/2 }
 
-func (b *bucket) fill(now time.Time, perSecond float64) {
+func (b *bucket) fill(now time.Time, perSecond, capacity float64) {
 	b.tokens += b.perSecond * now.Sub(b.filledAt).Seconds()
 	b.perSecond, b.filledAt = perSecond, now
-	b.tokens = min(b.tokens, burst(perSecond))
+	b.tokens = min(b.tokens, capacity)
 }
 
 // Allocator allocates the tokens of all instances. Only one may be active at a time, and a successor
@@ -78,12 +80,34 @@
 	Limit(upstream uint64) (perSecond float64, limited bool)
 }
 
+// Bursts is implemented by Limits that set the capacity of the buckets themselves. They may have a limit
+// for each upstream that exists, so buckets without demand for bucketRetention are dropped.
+type Bursts interface {
+	Burst(upstream uint64) float64
+}
+
+const bucketRetention = 10 * time.Second
+
+// unused reports whether the bucket is to be dropped. The next one of the upstream starts empty.
+func (b *bucket) unused(now time.Time, limits Limits) bool {
+	_, ok := limits.(Bursts)
+	return ok && now.Sub(b.demandedAt) > bucketRetention
+}
+
+// capacity returns the capacity of the bucket of an upstream.
+func capacity(limits Limits, upstream uint64, perSecond float64) float64 {
+	if b, ok := limits.(Bursts); ok {
+		return b.Burst(upstream)
+	}
+	return burst(perSecond)
+}
+
 // fill refills the buckets, removes those of upstreams without a limit and adds those of upstreams
 // that are demanded for the first time.
 func (h *Allocator) fill(now time.Time, limits Limits, requests []*TokenRequest) {
 	for upstream, b := range h.buckets {
-		if perSecond, limited := limits.Limit(upstream); limited {
-			b.fill(now, perSecond)
+		if perSecond, limited := limits.Limit(upstream); limited && !b.unused(now, limits) {
+			b.fill(now, perSecond, capacity(limits, upstream, perSecond))
 			continue
 		}
 		delete(h.buckets, upstream)
@@ -95,6 +119,9 @@
 			if limited && h.buckets[upstream] == nil {
 				h.buckets[upstream] = &bucket{perSecond: perSecond, filledAt: now}
 			}
+			if b := h.buckets[upstream]; b != nil {
+				b.demandedAt = now
+			}
 		}
 	}
 }
--- a/instance/relay/config.go
+++ b/instance/relay/config.go
@@ -50,6 +50,8 @@
 	// Brittle, in a response, is how many rejections per second the upstream bears. One that must
 	// reject more fails.
 	Brittle string
+	// WarmUp, in the answer of a health path, is how long the upstream stays cold, in milliseconds.
+	WarmUp string
 	// FetchFrom names the upstream from which another one can fetch a cached prompt.
 	FetchFrom string
 	// Reserved fields are set by this system only: those that callers send are dropped.
@@ -102,6 +104,9 @@
 	Quarantine Quarantine
 	// Limits enforces the rate limits that upstreams announce; nil if they announce none.
 	Limits Limits
+	// Permits are the permits of this instance to send requests to cold upstreams; nil if there is no
+	// warm-up limit.
+	Permits Permits
 	// Origins tells where streams of other instances began; nil if streams go on anywhere.
 	Origins Origins
 	// Tunnels opens connections through other instances while this one is cut off from all upstreams;
--- a/instance/relay/links.go
+++ b/instance/relay/links.go
@@ -34,6 +34,7 @@
 
 func (f *fleet) newLinks(cfg *Config) *uplink.Service {
 	return uplink.New(uplink.Config{
+		HealthField: cfg.Headers.WarmUp, OnHealthField: f.healthSaysCold,
 		Direct: cfg.Dial, Timeout: dialTimeout, Tunnels: cfg.Tunnels, Sample: f.sample,
 		OnChange: func(c uplink.Change) {
 			f.log.Event("links_changed").Bool("cut_off", c.CutOff).Int("reached", int64(c.Found.Reached)).Int("failed", int64(c.Found.Failed)).End()
@@ -98,16 +99,10 @@
 	return list
 }
 
-// strained reports whether an upstream names a limit or is brittle.
+// strained reports whether an upstream names a limit, is cold or is brittle.
 func (f *fleet) strained(u *upstream) bool {
-	if u.isBrittle() {
-		return true
-	}
-	if !f.limiting() {
-		return false
-	}
-	_, limited := f.limits.Limit(u.incarnation)
-	return limited
+	_, limited := f.limitOf(u)
+	return limited || u.isBrittle()
 }
 
 // linksChanged forgets what this instance believes of upstreams because of its own links, and closes
