Tests of answers without end, with real processes

An upstream that never ends an answer keeps an instance busy or holds its requests. The tests play interim responses, one event, comments, and a chunk extension, trailers and an event byte by byte, at one of four upstreams and at all, and bound what an upstream may send, for how long, and what callers are told.

--- /dev/null
+++ b/proof/deployed/endless_test.go
@@ -0,0 +1,313 @@
+package deployed_test
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+)
+
+// endless is what an upstream sends without end.
+type endless string
+
+const (
+	endlessNone      endless = ""
+	endlessInterim   endless = "interim responses"
+	endlessEvent     endless = "one event"
+	endlessComments  endless = "comments"
+	drippedExtension endless = "a chunk extension byte by byte"
+	drippedTrailers  endless = "trailers byte by byte"
+	drippedEvent     endless = "an event byte by byte"
+)
+
+const (
+	// endlessSpan is for how long an upstream sends what has no end, unless the connection is closed before.
+	endlessSpan = 5 * time.Second
+	// dripInterval is the time between two bytes of what is sent byte by byte.
+	dripInterval = 100 * time.Millisecond
+	// mostEndlessBytes bounds what an upstream can write to one connection: the limits of a response are below
+	// one megabyte, and the buffers of the system hold up to ten.
+	mostEndlessBytes = 12 << 20
+	// wholeEvents is the number of events of a stream, as streamer.take expects it.
+	wholeEvents = versionEvents
+)
+
+// endlessUpstream is an upstream that answers, or begins an answer that has no end.
+type endlessUpstream struct {
+	how atomic.Value
+	mu  sync.Mutex
+	// ran counts the runs of each attempt; longest and most are the longest endless answer and the most bytes of one.
+	ran     map[string]int
+	begun   int
+	served  int
+	longest time.Duration
+	most    int64
+}
+
+func newEndlessUpstream() *endlessUpstream {
+	u := &endlessUpstream{ran: map[string]int{}}
+	u.how.Store(endlessNone)
+	return u
+}
+
+func (u *endlessUpstream) serve(out http.ResponseWriter, req *http.Request) {
+	_, _ = io.Copy(io.Discard, req.Body)
+	id, how := req.Header.Get("Attempt-Id"), u.how.Load().(endless)
+	if req.URL.Path == healthPath {
+		out.Header().Set("Attempt-Id", id)
+		return
+	}
+	c, to, err := out.(http.Hijacker).Hijack()
+	if err != nil {
+		return
+	}
+	defer func() { _ = c.Close() }()
+	u.mu.Lock()
+	u.ran[id]++
+	u.mu.Unlock()
+	head := fmt.Sprintf("HTTP/1.1 200 OK\r\nAttempt-Id: %s\r\nRunner-Seal: s\r\nConnection: close\r\nTransfer-Encoding: chunked\r\n", id)
+	if strings.HasPrefix(req.URL.Path, "/a/stream") {
+		u.stream(to, head, req.Header.Get("Last-Event-Id"), how)
+		return
+	}
+	body := fmt.Sprintf("%x\r\n%s\r\n", len(wholeAnswer), wholeAnswer)
+	switch how {
+	case endlessInterim:
+		u.flood(to, "HTTP/1.1 103 Early Hints\r\nLink: </style.css>; rel=preload\r\n\r\n")
+	case drippedExtension:
+		u.drip(to, head+"\r\n5;")
+	case drippedTrailers:
+		u.drip(to, head+"\r\n"+body+"0\r\n")
+	default:
+		u.whole(to, head+"\r\n"+body+"0\r\n\r\n")
+	}
+}
+
+// stream writes the events after the last one that the caller has, the first of them before what has no end.
+func (u *endlessUpstream) stream(to *bufio.ReadWriter, head, last string, how endless) {
+	first := 0
+	if _, err := fmt.Sscan(last, &first); err == nil {
+		first++
+	}
+	b := head + "Content-Type: text/event-stream\r\n\r\n"
+	for i := first; i < wholeEvents; i++ {
+		if i == breaksAfter && how != endlessNone {
+			break
+		}
+		event := fmt.Sprintf("id: %d\ndata: v\n\n", i)
+		b += fmt.Sprintf("%x\r\n%s\r\n", len(event), event)
+	}
+	piece := func(s string) string { return fmt.Sprintf("%x\r\n%s\r\n", len(s), s) }
+	switch how {
+	case endlessEvent:
+		_, _ = to.WriteString(b)
+		u.flood(to, piece("data: "+strings.Repeat("x", 4000)+"\n"))
+	case endlessComments:
+		_, _ = to.WriteString(b)
+		u.flood(to, piece(strings.Repeat(": c\n\n\n", 600)))
+	case drippedEvent:
+		u.drip(to, b+piece("data: "), piece("x"))
+	default:
+		u.whole(to, b+"0\r\n\r\n")
+	}
+}
+
+func (u *endlessUpstream) whole(to *bufio.ReadWriter, text string) {
+	_, _ = to.WriteString(text)
+	_ = to.Flush()
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.served++
+}
+
+// flood writes a text again and again.
+func (u *endlessUpstream) flood(to *bufio.ReadWriter, text string) { u.write(to, "", text, 0) }
+
+// drip writes the text and then a byte, or the given bytes, at each interval.
+func (u *endlessUpstream) drip(to *bufio.ReadWriter, text string, one ...string) {
+	u.write(to, text, strings.Join(append(one, "x")[:1], ""), dripInterval)
+}
+
+func (u *endlessUpstream) write(to *bufio.ReadWriter, first, again string, pause time.Duration) {
+	begun, sent := time.Now(), int64(0)
+	_, _ = to.WriteString(first)
+	for time.Since(begun) < endlessSpan {
+		n, err := to.WriteString(again)
+		sent += int64(n)
+		if pause > 0 {
+			err = to.Flush()
+			time.Sleep(pause)
+		}
+		if err != nil {
+			break
+		}
+	}
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.begun, u.longest, u.most = u.begun+1, max(u.longest, time.Since(begun)), max(u.most, sent)
+}
+
+// take returns and forgets what was seen of endless answers.
+func (u *endlessUpstream) take() (begun int, longest time.Duration, most int64) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	begun, longest, most = u.begun, u.longest, u.most
+	u.begun, u.longest, u.most = 0, 0, 0
+	return begun, longest, most
+}
+
+// endlessSite is three cores, four edges and four upstreams, of which the first send what has no end.
+type endlessSite struct {
+	*quartet
+	ups []*endlessUpstream
+}
+
+func newEndlessSite(t *testing.T, streams bool) *endlessSite {
+	s := watchedSite(t)
+	quickBudget(s)
+	e := &endlessSite{quartet: newQuartetAt(s)}
+	for i := range 4 {
+		u := newEndlessUpstream()
+		e.ups = append(e.ups, u)
+		e.handled(fmt.Sprint("endless-", i), u.serve, e.cores...)
+	}
+	e.awaitReady()
+	if streams {
+		e.within(patience, func() bool { return e.cores[0].putStreams(2, "k") == 200 }, "the route of streams")
+		time.Sleep(time.Second)
+	}
+	e.awaitBudget()
+	return e
+}
+
+// expected is what must hold while some of the upstreams send what has no end.
+type expected struct {
+	how endless
+	// sick is how many of the four upstreams do, longest for how long at most over one connection, and unserved
+	// how many callers may be told of a failure.
+	sick     int
+	longest  time.Duration
+	unserved int
+}
+
+const (
+	endlessRequests = 160
+	endlessPause    = 12 * time.Millisecond
+)
+
+// answer is what a caller was told: whether it was served, and what is wrong with that.
+type answer struct {
+	served bool
+	wrong  string
+}
+
+// play sends requests while some upstreams send what has no end, and checks what became of them.
+func (e *endlessSite) play(t *testing.T, x expected, ask func(i int) answer) {
+	t.Run(fmt.Sprintf("%s, %d of 4", x.how, x.sick), func(t *testing.T) {
+		g := NewWithT(t)
+		for _, u := range e.ups[:x.sick] {
+			u.how.Store(x.how)
+		}
+		var all sync.WaitGroup
+		var unserved atomic.Int64
+		for i := range endlessRequests {
+			all.Go(func() {
+				a := ask(i)
+				if !a.served {
+					unserved.Add(1)
+				}
+				if a.wrong != "" {
+					t.Error(a.wrong)
+				}
+			})
+			time.Sleep(endlessPause)
+		}
+		all.Wait()
+		// An upstream that is still sending is counted once its connection ends.
+		time.Sleep(x.longest)
+		total, longest, most := 0, time.Duration(0), int64(0)
+		for _, u := range e.ups[:x.sick] {
+			n, span, bytes := u.take()
+			total, longest, most = total+n, max(longest, span), max(most, bytes)
+			u.how.Store(endlessNone)
+		}
+		t.Logf("%d begun, longest %s, most bytes %d, %d of %d not served", total, longest, most, unserved.Load(), endlessRequests)
+		g.Expect(total).To(BeNumerically(">", 0), "the failure was played")
+		for _, u := range e.ups[:x.sick] {
+			before := u.servedNow()
+			g.Eventually(func() int { ask(0); return u.servedNow() }, patience, poll).Should(BeNumerically(">", before), "an upstream that is well again is used")
+		}
+		e.awaitBudget()
+		g.Expect(unserved.Load()).To(BeNumerically("<=", x.unserved))
+		g.Expect(longest).To(BeNumerically("<", x.longest))
+		g.Expect(most).To(BeNumerically("<", mostEndlessBytes))
+	})
+}
+
+func (u *endlessUpstream) servedNow() int {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.served
+}
+
+func (e *endlessSite) runs(id string) (n int) {
+	for _, u := range e.ups {
+		u.mu.Lock()
+		n += u.ran[id]
+		u.mu.Unlock()
+	}
+	return n
+}
+
+// Guards against an upstream that keeps an instance busy with interim responses, or holds requests with bytes
+// that are no part of their answers.
+func TestEndlessAnswersAreCutShort(t *testing.T) {
+	t.Parallel()
+	e := newEndlessSite(t, false)
+	ask := func(i int) (a answer) {
+		id := fmt.Sprintf("endless%d", attempts.Add(1))
+		status, body := call(http.MethodPost, "http://"+e.edges[i%len(e.edges)].at(portFrontend)+"/a/x", "x", "Host", "h.example", "Attempt-Id", id, "Key", "k", "Deadline-Ms", "1500")
+		switch a.served = status == http.StatusOK; {
+		case a.served && body != wholeAnswer:
+			a.wrong = "an answer that is not whole was told as whole"
+		case status == http.StatusServiceUnavailable && e.runs(id) > 0:
+			a.wrong = "what ran was told as not run"
+		}
+		return a
+	}
+	e.play(t, expected{endlessInterim, 1, time.Second, 2}, ask)
+	// Repeated once the route's 0.8 s without progress are over.
+	e.play(t, expected{drippedExtension, 1, 1300 * time.Millisecond, 2}, ask)
+	e.play(t, expected{drippedTrailers, 1, time.Second, 2}, ask)
+	e.play(t, expected{endlessInterim, 4, time.Second, endlessRequests}, ask)
+}
+
+// Guards against a stream that is held, or forwarded without end, because one of its events does not end.
+func TestEndlessEventsAreCutShort(t *testing.T) {
+	t.Parallel()
+	e := newEndlessSite(t, true)
+	s := &streamer{streams: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}}
+	ask := func(i int) (a answer) {
+		one := &taken{last: -1, path: "/a/stream"}
+		s.take(one, e.edges[i%len(e.edges)])
+		switch a.served = one.whole; {
+		case one.gaps > 0:
+			a.wrong = "an event is missing or came twice"
+		case one.ended && !one.whole && one.status == http.StatusOK:
+			a.wrong = "a stream that is not whole was told as whole"
+		}
+		return a
+	}
+	e.play(t, expected{endlessEvent, 1, time.Second, 2}, ask)
+	e.play(t, expected{endlessComments, 1, time.Second, 2}, ask)
+	// Resumed after three times the target gap of the route.
+	e.play(t, expected{drippedEvent, 1, 3800 * time.Millisecond, 2}, ask)
+	e.play(t, expected{endlessEvent, 4, 1500 * time.Millisecond, endlessRequests}, ask)
+}
