Responses without end are cut off by limits, and bytes without progress do not count

Cause: interim responses, late responses and empty lines before a head had no limit; an event beyond 512 KiB was forwarded as it arrived for as long as the upstream sent; bytes of an event renewed the wait for the next one, and a plain request waited until its deadline for a chunk's size line or trailers.

Change: heads before a response are limited to 32 and 64 KiB, the bytes between chunks to 16 KiB beyond what chunks need. instance/sse finds the ends of events and looks at each byte once; an event is limited to max-event-bytes (default 2 MiB), comments and empty lines between two events to 32 KiB. A stream that exceeds a limit is broken and goes on elsewhere. An event is held up to the limit if the stream can go on elsewhere, otherwise up to 512 KiB as before; only when that, or the budget of responses, is exceeded is it forwarded as it arrives, and then up to the limit as well. The silence rule counts from the last whole event or comment; a chunk's size line that has begun gets the route's patience, once. A response is whole with its last chunk, its trailers get 200 ms. The body of a response that is discarded gets 200 ms, too. Small chunks that have arrived are read together.

--- a/instance/cmd/comfreyladderd/platform.go
+++ b/instance/cmd/comfreyladderd/platform.go
@@ -29,7 +29,7 @@
 
 // maxLinesPerSecond limits, by kind, the log lines that are written with each request.
 // Failures may write more than successes.
-var maxLinesPerSecond = map[string]int{"request_done": 10, "request_failed": 40, "attempt": 40}
+var maxLinesPerSecond = map[string]int{"request_done": 10, "request_failed": 40, "attempt": 40, "answer_without_end": 10}
 
 // runOnPlatform runs the process that the platform's settings file describes.
 func runOnPlatform(opts options) error {
--- a/instance/http1/body.go
+++ b/instance/http1/body.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"io"
 
 	"github.com/pkg/errors"
@@ -12,10 +13,26 @@
 // ErrBodyTooLarge is returned for a body that exceeds the limit.
 var ErrBodyTooLarge = fault.New(fault.TooLarge, "the message body exceeds the limit")
 
-// maxChunkLine limits the size line of a chunk in bytes, and maxTrailer all trailer lines.
+// maxChunkLine limits the size line of a chunk in bytes, and maxTrailer all trailer lines. maxOverhead
+// limits the bytes of all size lines beyond what chunks need: lineOverhead bytes for each chunk and
+// as many bytes as it holds. Otherwise extensions could fill hundreds of bytes for each byte of the body.
 const (
 	maxChunkLine = 256
 	maxTrailer   = 4096
+	maxOverhead  = 16 << 10
+	lineOverhead = 16
+)
+
+// Wait is what a Body waits for.
+type Wait uint8
+
+const (
+	// ForData means the next bytes of the body, or of a chunk's size line that has not begun.
+	ForData Wait = iota
+	// ForFraming means the rest of a chunk's size line, or of the line end before it.
+	ForFraming
+	// ForTrailers means the trailers of a body whose last chunk has arrived.
+	ForTrailers
 )
 
 // Body reads the body of one message. Read returns io.EOF only after the complete body; it fails
@@ -28,6 +45,14 @@
 	// started is set once a chunk was read, whose line end precedes the next chunk.
 	started  bool
 	complete bool
+	// overhead counts the bytes of size lines beyond what chunks need.
+	overhead int64
+	// waiting is what the body waits for, of which onWait is told if it is set.
+	waiting Wait
+	onWait  func(Wait)
+	tainted bool
+	// failed is the error of what was read ahead.
+	failed error
 }
 
 // Reset makes b read the body that follows h.
@@ -35,6 +60,26 @@
 	*b = Body{r: r, framing: h.Framing, remaining: h.Length, complete: h.Framing == NoBody}
 }
 
+// OnWait makes the body call f when what it waits for changes, so that the caller can limit the time
+// for bytes that are no part of the body. The body is then complete with its last chunk: if the
+// trailers are cut off, invalid or too long, it is tainted. It is meant for responses; in a request
+// an invalid trailer could hide another request.
+func (b *Body) OnWait(f func(Wait)) { b.onWait = f }
+
+// Waiting returns what the body waits for.
+func (b *Body) Waiting() Wait { return b.waiting }
+
+// Tainted reports whether the trailers of a complete body did not end. The connection must not be
+// used again.
+func (b *Body) Tainted() bool { return b.tainted }
+
+func (b *Body) wait(w Wait) {
+	if b.onWait != nil && w != b.waiting {
+		b.waiting = w
+		b.onWait(w)
+	}
+}
+
 // Complete reports whether the body was read to its end.
 func (b *Body) Complete() bool { return b.complete }
 
@@ -67,6 +112,9 @@
 }
 
 func (b *Body) readChunked(p []byte) (int, error) {
+	if b.failed != nil {
+		return 0, b.failed
+	}
 	if b.remaining == 0 {
 		if err := b.readChunkSize(); err != nil || b.complete {
 			if err == nil {
@@ -77,9 +125,34 @@
 	}
 	n, err := b.r.Read(p[:min(int64(len(p)), b.remaining)])
 	b.remaining -= int64(n)
+	if n > 0 {
+		b.wait(ForData)
+	}
+	// Chunks of a few bytes are read together as far as they have arrived: one Read for each would
+	// cost a hundred times more.
+	for err == nil && n < len(p) && b.remaining == 0 && b.chunkBuffered() {
+		if b.failed = b.readChunkSize(); b.failed != nil {
+			break
+		}
+		var more int
+		more, err = b.r.Read(p[n:min(int64(len(p)), int64(n)+b.remaining)])
+		n, b.remaining = n+more, b.remaining-int64(more)
+	}
 	return n, eofToUnexpected(err)
 }
 
+// chunkBuffered reports whether the end of a chunk and the beginning of the next one, which is not the
+// last one, are in the read buffer.
+func (b *Body) chunkBuffered() bool {
+	buffered, _ := b.r.Peek(b.r.Buffered())
+	next, ok := bytes.CutPrefix(buffered, []byte("\r\n"))
+	if !ok || len(next) == 0 || next[0] == '0' {
+		return false
+	}
+	i := bytes.IndexByte(next, '\n')
+	return i >= 0 && i+1 < len(next)
+}
+
 func (b *Body) readChunkSize() error {
 	if b.started {
 		if err := b.readChunkEnd(); err != nil {
@@ -97,12 +170,24 @@
 	}
 	if size > 0 {
 		b.remaining = size
+		b.overhead = max(0, b.overhead+int64(len(line))-lineOverhead-size)
+		if b.overhead > maxOverhead {
+			return malformed("too many bytes between chunks")
+		}
+		return nil
+	}
+	err = b.readTrailer()
+	if err != nil && b.onWait != nil {
+		b.complete, b.tainted = true, true
 		return nil
 	}
-	return b.readTrailer()
+	return err
 }
 
 func (b *Body) readTrailer() error {
+	if !b.lineBuffered([]byte("\r\n")) {
+		b.wait(ForTrailers)
+	}
 	for total := 0; total < maxTrailer; {
 		line, err := b.readLine(maxTrailer)
 		if err != nil {
@@ -126,6 +211,9 @@
 }
 
 func (b *Body) readLine(limit int) ([]byte, error) {
+	if err := b.awaitLine(); err != nil {
+		return nil, err
+	}
 	line, err := b.r.ReadSlice('\n')
 	if err != nil {
 		if errors.Is(err, bufio.ErrBufferFull) {
@@ -139,6 +227,27 @@
 	return line[:len(line)-2], nil
 }
 
+// awaitLine waits for the first byte of a line, and tells if the rest of it has not arrived.
+func (b *Body) awaitLine() error {
+	if b.onWait == nil || b.waiting != ForData {
+		return nil
+	}
+	if _, err := b.r.Peek(1); err != nil {
+		return eofToUnexpected(err)
+	}
+	buffered, _ := b.r.Peek(b.r.Buffered())
+	if bytes.IndexByte(buffered, '\n') < 0 {
+		b.wait(ForFraming)
+	}
+	return nil
+}
+
+// lineBuffered reports whether the read buffer begins with the given line.
+func (b *Body) lineBuffered(line []byte) bool {
+	buffered, _ := b.r.Peek(b.r.Buffered())
+	return bytes.HasPrefix(buffered, line)
+}
+
 // maxChunkDigits keeps the chunk size below 2^60.
 const maxChunkDigits = 15
 
--- a/instance/http1/head.go
+++ b/instance/http1/head.go
@@ -52,8 +52,13 @@
 	Close bool
 
 	raw []byte
+	// skipped counts the bytes of empty lines before the head.
+	skipped int
 }
 
+// Size returns the size of the head in bytes, with the empty lines before it.
+func (h *Head) Size() int { return len(h.raw) + h.skipped }
+
 // Get returns the value of the first field with the name, or nil.
 func (h *Head) Get(name string) []byte {
 	for i := range h.Fields {
@@ -86,11 +91,11 @@
 // readRaw reads up to and including the empty line that ends a head. It returns io.EOF only if the
 // connection ended before the first byte.
 func (h *Head) readRaw(r *bufio.Reader, limit int) error {
-	h.raw = h.raw[:0]
+	h.raw, h.skipped = h.raw[:0], 0
 	for {
 		line, err := r.ReadSlice('\n')
 		h.raw = append(h.raw, line...)
-		if len(h.raw) > limit {
+		if h.Size() > limit {
 			return ErrHeadTooLarge
 		}
 		if err != nil {
@@ -106,8 +111,9 @@
 			return nil
 		}
 		if len(h.raw) == 2 && h.raw[0] == '\r' {
-			// An empty line before a request line is permitted and skipped.
-			h.raw = h.raw[:0]
+			// An empty line before a request line is permitted and skipped. It counts: a peer may send
+			// such lines without end.
+			h.raw, h.skipped = h.raw[:0], h.skipped+len(h.raw)
 		}
 	}
 }
--- a/instance/relay/attempt.go
+++ b/instance/relay/attempt.go
@@ -66,7 +66,10 @@
 	released    bool
 	// awaiting is set while a response is awaited on a direct connection.
 	awaiting bool
-	err      error
+	// until is the read deadline while the body makes progress, and waitSince when a wait for bytes that
+	// are no part of it began.
+	until, waitSince time.Time
+	err              error
 	// asked is what the response asks of this instance. closedFor is how long the upstream's gate was
 	// to remain closed when the request was not sent for that reason.
 	asked     backpressure.Ask
@@ -194,8 +197,14 @@
 // readHead reads response heads until one bears the ID of the request. A late response to an
 // earlier request may precede it and is discarded.
 func (a *attempt) readHead() error {
-	for {
-		if err := a.head.ReadResponse(a.conn.in, maxAnswerHeadBytes, string(a.r.head.Method)); err != nil {
+	size, discarded := 0, 0
+	for range maxAnswerHeads {
+		err := a.head.ReadResponse(a.conn.in, maxAnswerHeadBytes-size, string(a.r.head.Method))
+		size += a.head.Size()
+		if fault.CodeOf(err) == fault.TooLarge {
+			a.s.recordCut(a, "head", size)
+		}
+		if err != nil {
 			return err
 		}
 		a.heard()
@@ -213,10 +222,14 @@
 		if len(id) == 0 || a.head.Close {
 			return fault.New(fault.Corrupt, "response with status %d has a different request ID or none", a.head.Status)
 		}
-		if _, err := a.body.ReadAll(nil, maxBufferedBody); err != nil {
+		late, err := a.body.ReadAll(nil, int64(maxBufferedBody-discarded))
+		discarded += len(late)
+		if err != nil {
 			return err
 		}
 	}
+	a.s.recordCut(a, "interim", size+discarded)
+	return fault.New(fault.TooLarge, "%d responses of %d bytes before the one to the request", maxAnswerHeads, size+discarded)
 }
 
 const statusMisdirected = 421
@@ -239,6 +252,7 @@
 // discardBody reads the rest of a response that is not forwarded, so that the connection can be
 // reused.
 func (a *attempt) discardBody() {
+	_ = a.conn.nc.SetReadDeadline(time.Now().Add(min(discardTimeout, a.r.left(clock.Now()))))
 	if _, err := a.body.ReadAll(nil, maxBufferedBody); err != nil {
 		a.notReusable = true
 	}
@@ -257,7 +271,7 @@
 	if a.conn == nil {
 		return
 	}
-	if a.notReusable || !a.written() || !a.body.Complete() || a.r.isGone() {
+	if a.notReusable || a.body.Tainted() || !a.written() || !a.body.Complete() || a.r.isGone() {
 		_ = a.conn.nc.Close()
 		return
 	}
--- a/instance/relay/config.go
+++ b/instance/relay/config.go
@@ -95,6 +95,9 @@
 	// BodyBytes bounds the total size of request bodies held at the same time, AnswerBytes that of
 	// responses that their callers have not read yet; zero means no bound.
 	BodyBytes, AnswerBytes int64
+	// EventBytes bounds one event of a stream, with the comments before it; zero selects
+	// sse.DefaultMaxEvent. A stream that exceeds it counts as broken.
+	EventBytes int
 	// OnRequestBegun, if set, is called once for each request of an organisation that began to run,
 	// with the time since it began.
 	OnRequestBegun func(organisation string, ago time.Duration)
--- a/instance/relay/plain.go
+++ b/instance/relay/plain.go
@@ -28,7 +28,8 @@
 	if r.route.Kind != route.Streaming {
 		a.countBegun()
 	}
-	_ = a.conn.nc.SetReadDeadline(time.Now().Add(r.left(clock.Now())))
+	a.readUntil(time.Now().Add(r.left(clock.Now())))
+	a.limitWaits(func() time.Duration { return s.answerTimeout(r, a.up) })
 	buf := buffers.Get().(*[]byte)
 	defer putBuffer(buf)
 	body, reserved, err := s.answers.readAnswer(&a.body, &a.head, (*buf)[:0])
@@ -37,6 +38,9 @@
 	tooLong := errors.Is(err, http1.ErrBodyTooLarge)
 	if err != nil && !tooLong {
 		a.err = err
+		if a.body.Waiting() == http1.ForFraming {
+			a.err = a.stalled(err, a.waitSince, "chunk", len(body))
+		}
 		return true, false
 	}
 	if !tooLong {
@@ -49,7 +53,7 @@
 			return true, false
 		}
 	} else {
-		a.up.succeeded()
+		s.rateWhole(a)
 	}
 	if r.route.Kind != route.Idempotent && promisesNotRun(a.head.Status) {
 		// The upstream did not declare that the request was not run, which its status would promise.
@@ -94,6 +98,8 @@
 // connection is reset so that the response does not look complete.
 func (s *Service) forwardChunked(c *conn, a *attempt, begun []byte) bool {
 	closing := c.closing(a.r)
+	// A part of the response will have been sent: it can't be had from another upstream any more.
+	a.limitWaits(nil)
 	b := append(appendAnswerHead(c.out[:0], a, closing), "Transfer-Encoding: chunked\r\n\r\n"...)
 	piece := begun
 	var next [ioBufferSize]byte
@@ -106,6 +112,9 @@
 		b, piece = c.out[:0], next[:n]
 		if a.body.Complete() {
 			s.recordCompletion(a)
+			if a.body.Tainted() {
+				s.rateWhole(a)
+			}
 			break
 		}
 		if err != nil {
--- a/instance/relay/pool.go
+++ b/instance/relay/pool.go
@@ -20,7 +20,9 @@
 // upstreamConn is one connection to an upstream. It carries one request at a time.
 type upstreamConn struct {
 	nc net.Conn
-	in *bufio.Reader
+	// in reads from arrivals, which reads from nc.
+	in       *bufio.Reader
+	arrivals *arrivals
 	// expiresAt is when the upstream may close the connection as idle.
 	expiresAt time.Time
 	used      bool
@@ -194,7 +196,8 @@
 }
 
 func newUpstreamConn(c uplink.Conn) *upstreamConn {
-	return &upstreamConn{nc: c.Conn, in: bufio.NewReaderSize(c.Conn, ioBufferSize), detour: c.Detour}
+	from := &arrivals{nc: c.Conn}
+	return &upstreamConn{nc: c.Conn, in: bufio.NewReaderSize(from, ioBufferSize), arrivals: from, detour: c.Detour}
 }
 
 // setUnsentLimit bounds how many unsent bytes of a connection the kernel holds. A write to a peer
--- a/instance/relay/relay.go
+++ b/instance/relay/relay.go
@@ -16,6 +16,7 @@
 	"github.com/comfreyladder/comfreyladder/instance/clock"
 	"github.com/comfreyladder/comfreyladder/instance/follow"
 	"github.com/comfreyladder/comfreyladder/instance/serving"
+	"github.com/comfreyladder/comfreyladder/instance/sse"
 	"github.com/comfreyladder/comfreyladder/instance/tcpconn"
 )
 
@@ -53,6 +54,9 @@
 	if cfg.Dial == nil {
 		cfg.Dial = dialTCP
 	}
+	if cfg.EventBytes <= 0 {
+		cfg.EventBytes = sse.DefaultMaxEvent
+	}
 	if cfg.Budget.CountedSince.IsZero() {
 		cfg.Budget.CountedSince = clock.Now()
 	}
--- a/instance/relay/stream.go
+++ b/instance/relay/stream.go
@@ -8,6 +8,7 @@
 	"github.com/comfreyladder/comfreyladder/core/fault"
 	"github.com/comfreyladder/comfreyladder/instance/clock"
 	"github.com/comfreyladder/comfreyladder/instance/http1"
+	"github.com/comfreyladder/comfreyladder/instance/sse"
 )
 
 // stream forwards a response of server-sent events. Only complete events are forwarded, so that one
@@ -25,14 +26,17 @@
 	lastNumber int64
 	events     int
 	// pending holds bytes that do not form a complete event yet, of which reserved are in the
-	// budget of responses. The first searched ones hold no end of an event.
+	// budget of responses. The first complete ones are complete events.
 	pending  []byte
 	reserved int64
-	searched int
-	// raw is set once an event was too long to be held. From then on the stream is forwarded as it
-	// arrives, and cannot be resumed. tail holds its last bytes.
-	raw  bool
-	tail []byte
+	complete int
+	// scanner finds the ends of the events of the current attempt. progressAt is when one was last
+	// forwarded, or the attempt began.
+	scanner    sse.Scanner
+	progressAt time.Time
+	// raw is set once an event could not be held. From then on the stream is forwarded as it arrives,
+	// and cannot be resumed.
+	raw bool
 	// elsewhere is whether, at checkedAt, another upstream could go on with the stream.
 	elsewhere bool
 	checkedAt time.Time
@@ -79,30 +83,53 @@
 func (st *stream) forwardEvents(a *attempt) error {
 	var piece [ioBufferSize]byte
 	st.discardPending(len(st.pending))
+	st.scanner, st.progressAt = sse.NewScanner(st.s.cfg.EventBytes), time.Now()
+	a.limitWaits(nil)
 	for {
-		a.setStreamDeadline(!st.raw && st.mayGoOnElsewhere(a))
+		st.setDeadline(a)
 		n, err := a.body.Read(piece[:])
 		a.heard()
-		st.hold(piece[:n])
-		whole := a.body.Complete()
+		blocks := st.scanner.Blocks()
+		tooLong := st.hold(piece[:n])
+		whole := a.body.Complete() && tooLong == nil
+		if whole && st.scanner.Unfinished() == 0 {
+			// Empty lines after the last event.
+			st.complete = len(st.pending)
+		}
 		if werr := st.send(a, whole); werr != nil {
 			return werr
 		}
 		st.s.recordAnswering(a)
+		if st.scanner.Blocks() > blocks {
+			// The time that the caller takes to read is not the upstream's.
+			st.progressAt = time.Now()
+		}
 		if whole {
-			a.up.succeeded()
+			st.s.rateWhole(a)
 			st.s.recordCompletion(a)
 			return nil
 		}
-		if err != nil {
+		if err = st.broken(a, err, tooLong); err != nil {
 			a.err = err
 			return fault.Wrap(err, fault.StreamBroken, "stream from %s broke after %d events", a.up.id, st.events)
 		}
 	}
 }
 
-// A resumable stream counts as broken after a pause of minStallTimeout, or of stallPauses times the
-// maximum pause of its route if that is longer. A stream whose prompt shares maxResumeShared tokens
+// broken returns why a stream can't be read any further, nil if it can.
+func (st *stream) broken(a *attempt, err, tooLong error) error {
+	if tooLong != nil {
+		st.s.recordCut(a, "event", st.scanner.Size())
+		return tooLong
+	}
+	if err != nil && (st.scanner.Unfinished() > 0 || a.body.Waiting() == http1.ForFraming) {
+		return a.stalled(err, st.progressAt, "event", st.scanner.Unfinished())
+	}
+	return err
+}
+
+// A resumable stream counts as broken if no event ends for minStallTimeout, or for stallPauses times the
+// maximum pause of its route if that is longer. Bytes of an event that does not end do not count. A stream whose prompt shares maxResumeShared tokens
 // or more with others continues elsewhere only if its connection is lost: prefilling that prompt
 // again costs more than the late response is worth.
 const (
@@ -111,12 +138,13 @@
 	maxResumeShared = 3000
 )
 
-func (a *attempt) setStreamDeadline(resumable bool) {
-	left := a.r.left(clock.Now())
-	if resumable && a.r.route.Resumable && a.r.sent+1 < a.r.route.MaxAttempts && a.firstEventSeen && a.r.sharedTokens < maxResumeShared {
-		left = min(left, max(minStallTimeout, stallPauses*a.r.route.MaxPause))
+func (st *stream) setDeadline(a *attempt) {
+	r := a.r
+	until := time.Now().Add(r.left(clock.Now()))
+	if !st.raw && st.mayGoOnElsewhere(a) && r.sent+1 < r.route.MaxAttempts && a.firstEventSeen && r.sharedTokens < maxResumeShared {
+		until = earlier(until, st.progressAt.Add(max(minStallTimeout, stallPauses*r.route.MaxPause)))
 	}
-	_ = a.conn.nc.SetReadDeadline(time.Now().Add(left))
+	a.readUntil(until)
 }
 
 // checkInterval is the time between two checks whether another upstream could go on with a stream.
@@ -133,13 +161,23 @@
 	return st.elsewhere
 }
 
-// hold appends to the pending bytes.
-func (st *stream) hold(piece []byte) {
+// hold appends to the pending bytes. It fails with fault.TooLarge if an event exceeds the limit, of which
+// nothing more may be forwarded then.
+func (st *stream) hold(piece []byte) error {
+	held := len(st.pending)
 	st.pending = append(st.pending, piece...)
+	end, err := st.scanner.Scan(piece)
+	if end > 0 {
+		st.complete = held + end
+	}
+	if err != nil {
+		return err
+	}
 	st.reserve()
 	if st.raw {
-		st.keepTail()
+		st.complete = len(st.pending)
 	}
+	return nil
 }
 
 // reserve reserves more for the pending bytes if they need it, or makes the stream raw.
@@ -147,23 +185,29 @@
 	if st.raw || int64(len(st.pending)) <= ioBufferSize+st.reserved {
 		return
 	}
-	if st.reserved >= maxBufferedBody || !st.s.answers.reserve(bodyReservation) {
+	if st.reserved >= st.holdable() || !st.s.answers.reserve(bodyReservation) {
 		st.raw = true
 		return
 	}
 	st.reserved += bodyReservation
 }
 
+// holdable is how many bytes of an event may be held: all of the longest one if the stream can go on
+// elsewhere, as it can't once a part of an event was forwarded.
+func (st *stream) holdable() int64 {
+	if st.elsewhere {
+		return int64(st.s.cfg.EventBytes) + bodyReservation
+	}
+	return maxBufferedBody
+}
+
 // send forwards the complete events in pending.
 func (st *stream) send(a *attempt, last bool) error {
-	end := st.findEventEnd()
-	if st.raw {
-		end = len(st.pending)
-	}
+	end := st.complete
 	if end == 0 && !last {
 		return nil
 	}
-	if last && !st.endsWithEvent(end) {
+	if last && st.scanner.Unfinished() > 0 {
 		return fault.New(fault.StreamBroken, "stream from %s ends in the middle of an event", a.up.id)
 	}
 	events := st.pending[:end]
@@ -192,24 +236,6 @@
 	return err
 }
 
-// maxEventEnd is the length of the longest end of an event, in bytes.
-const maxEventEnd = 4
-
-// endsWithEvent reports whether a stream that is over, and whose complete events end at the given
-// offset of the pending bytes, ends with a complete event.
-func (st *stream) endsWithEvent(end int) bool {
-	if !st.raw {
-		return end == len(st.pending)
-	}
-	return lastEventEnd(st.tail) == len(st.tail)
-}
-
-// keepTail updates the last bytes of a raw stream.
-func (st *stream) keepTail() {
-	tail := append(st.tail, st.pending[max(0, len(st.pending)-maxEventEnd):]...)
-	st.tail = append(st.tail[:0], tail[max(0, len(tail)-maxEventEnd):]...)
-}
-
 // recordPause updates the longest pause between forwarded events.
 func (r *request) recordPause(now time.Time) {
 	if !r.lastEventAt.IsZero() {
@@ -220,30 +246,7 @@
 
 func (st *stream) discardPending(from int) {
 	n := copy(st.pending, st.pending[from:])
-	st.pending, st.searched = st.pending[:n], n
-}
-
-// findEventEnd returns the offset after the last complete event in the pending bytes.
-func (st *stream) findEventEnd() int {
-	// An end may begin in the bytes that were searched before.
-	from := max(0, st.searched-maxEventEnd+1)
-	st.searched = len(st.pending)
-	if end := lastEventEnd(st.pending[from:]); end > 0 {
-		return from + end
-	}
-	return 0
-}
-
-// lastEventEnd returns the offset after the last complete event in b.
-func lastEventEnd(b []byte) int {
-	end := 0
-	if i := bytes.LastIndex(b, []byte("\n\n")); i >= 0 {
-		end = i + 2
-	}
-	if i := bytes.LastIndex(b, []byte("\r\n\r\n")); i >= 0 {
-		end = max(end, i+4)
-	}
-	return end
+	st.pending, st.complete = st.pending[:n], 0
 }
 
 // dropDuplicates records the IDs of the events and cuts off those that were forwarded before: a
@@ -251,7 +254,7 @@
 func (st *stream) dropDuplicates(events []byte) []byte {
 	from := 0
 	for at := 0; at < len(events); {
-		size := eventSize(events[at:])
+		size := sse.First(events[at:])
 		id, n, ok := eventID(events[at : at+size])
 		switch {
 		case ok && n <= st.lastNumber:
@@ -265,18 +268,6 @@
 	return events[from:]
 }
 
-func eventSize(b []byte) int {
-	i := bytes.Index(b, []byte("\n\n"))
-	j := bytes.Index(b, []byte("\r\n\r\n"))
-	switch {
-	case i < 0 && j < 0:
-		return len(b)
-	case j < 0 || i >= 0 && i < j:
-		return i + 2
-	}
-	return j + 4
-}
-
 func eventID(event []byte) (id []byte, n int64, ok bool) {
 	for len(event) > 0 {
 		var line []byte
--- a/instance/roles/config.go
+++ b/instance/roles/config.go
@@ -47,6 +47,8 @@
 	CallsLag time.Duration
 	Budget   relay.Budget
 	MemoryMB int
+	// EventBytes bounds one event of a stream, as in relay.Config.
+	EventBytes int
 	// Dial opens connections to upstreams, as in relay.Config; nil selects the default.
 	Dial func(ctx context.Context, address string) (net.Conn, error)
 	// Duties are calls that only one instance at a time makes; nil for none.
@@ -75,6 +77,9 @@
 	return d.Usage.Span
 }
 
+// minEventBytes is the smallest limit of an event: many engines send some hundred bytes with each token.
+const minEventBytes = 1024
+
 // Validate returns the first error in the configuration, as fault.Invalid.
 func (c *Config) Validate() error {
 	switch {
@@ -88,6 +93,8 @@
 		return fault.New(fault.Invalid, "settings: at least one seed is needed")
 	case c.Grace <= 0:
 		return fault.New(fault.Invalid, "settings: the time for a stop must be greater than zero")
+	case c.EventBytes != 0 && c.EventBytes < minEventBytes:
+		return fault.New(fault.Invalid, "settings: the largest event must have %d bytes or more", minEventBytes)
 	case c.FailClosed && c.Lease <= 0:
 		return fault.New(fault.Invalid, "settings: the time until a removed key is refused must be greater than zero")
 	}
--- a/instance/roles/edge.go
+++ b/instance/roles/edge.go
@@ -153,6 +153,7 @@
 			Budget: p.cfg.Budget, Announce: p.cfg.Announce, DrainTimeout: p.cfg.Grace - 2*stopMargin, Log: p.events,
 			Quarantine: recorder, Limits: limits, Origins: origins, Dial: p.cfg.Dial, Tunnels: tunnels, OnDrain: tunnels.Retire, OnLoadChange: state.PushLoads,
 			BodyBytes: p.memoryShare(bodyMemoryShare), AnswerBytes: p.memoryShare(answerMemoryShare),
+			EventBytes: p.cfg.EventBytes,
 		}
 		if p.meter != nil {
 			cfg.OnRequestBegun = p.meter.RecordStart
