--- a/instance/daemon/base.go
+++ b/instance/daemon/base.go
@@ -96,6 +96,7 @@
 			DialTimeout:  u.ConnectTimeout,
 			FirstByte:    u.FirstByteTimeout,
 			ReadTimeout:  u.Silence,
+			MaxEvent:     u.MaxEvent,
 			MaxIdle:      u.IdleAge,
 			InstanceName: d.cfg.Instance.Name,
 			Links:        links.Service,
--- a/instance/http1/body.go
+++ b/instance/http1/body.go
@@ -80,6 +80,9 @@
 	}
 }
 
+// Announced returns how many more bytes the current chunk, or the message's length, announces.
+func (b *Body) Announced() int64 { return b.remaining }
+
 // Complete reports whether the body was read to its end.
 func (b *Body) Complete() bool { return b.complete }
 
--- a/instance/settings/settings.go
+++ b/instance/settings/settings.go
@@ -102,6 +102,8 @@
 	FirstByteTimeout time.Duration `ini:"first_byte_timeout" default:"60s" allow:"1ms..1h"`
 	// Silence limits the time between two events of a stream.
 	Silence time.Duration `ini:"stream_silence" default:"5s" allow:"1ms..1h"`
+	// MaxEvent limits one event of a stream, in bytes. A stream with a larger one counts as broken.
+	MaxEvent int `ini:"max_event_bytes" default:"2097152" allow:"1024..268435456"`
 	// IdleAge is how long a pooled connection may be idle before it is closed.
 	IdleAge time.Duration `ini:"idle_age" default:"10s" allow:"0s..10m"`
 	// Attempts limits the attempts of a request.
--- a/instance/upstream/attempt.go
+++ b/instance/upstream/attempt.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
 
 	"github.com/comfreyladder/comfreyladder/core/fault"
+	"github.com/comfreyladder/comfreyladder/instance/http1"
 	"github.com/comfreyladder/comfreyladder/instance/uplink"
 )
 
@@ -32,6 +34,10 @@
 	// maxErrorBody bounds the body of an answer that is read only to report it, in bytes.
 	maxErrorBody = 64 << 10
 	maxIDLen     = 128
+	// minRead is the least space for a read of a body in chunks, in bytes.
+	minRead = 512
+	// trailerTimeout is how long the trailers of a whole answer are awaited, which nobody reads.
+	trailerTimeout = 200 * time.Millisecond
 )
 
 // attempt is one request on one connection.
@@ -48,6 +54,8 @@
 	// none.
 	allowNoID bool
 	missingID bool
+	// tainted is set if the trailers of a whole answer did not end.
+	tainted bool
 	// incarnation is the upstream's when the request was sent.
 	incarnation uint64
 }
@@ -164,10 +172,7 @@
 	if length < -1 {
 		return unknown(a.target, fault.New(fault.OutcomeUnknown, "the answer has neither a length nor chunks: truncation cannot be detected"))
 	}
-	err := r.ReadBody(a.conn.br, limit)
-	if err == nil && length == -1 {
-		err = r.Header.ReadTrailer(a.conn.br)
-	}
+	err := a.readInto(r, length, limit)
 	if errors.Is(err, fasthttp.ErrBodyTooLarge) {
 		return unknown(a.target, fault.New(fault.TooLarge, "the answer is larger than %d bytes", limit))
 	}
@@ -177,6 +182,42 @@
 	return nil
 }
 
+// readInto reads a body of the given length, or in chunks if that is -1.
+func (a *attempt) readInto(r *fasthttp.Response, length, limit int) error {
+	if length >= 0 {
+		return r.ReadBody(a.conn.br, limit)
+	}
+	body := a.chunks()
+	body.OnWait(func(w http1.Wait) {
+		a.conn.roll(w == http1.ForData)
+		if w == http1.ForTrailers {
+			a.conn.readDeadline = time.Now().Add(trailerTimeout)
+		}
+	})
+	var b []byte
+	for !body.Complete() {
+		b = slices.Grow(b, minRead)
+		n, err := body.Read(b[len(b):cap(b)])
+		b = b[:len(b)+n]
+		if int64(len(b))+body.Announced() > int64(limit) {
+			return fasthttp.ErrBodyTooLarge
+		}
+		if err != nil && !body.Complete() {
+			return err
+		}
+	}
+	r.SetBodyRaw(b)
+	a.tainted = body.Tainted()
+	return nil
+}
+
+// chunks returns the body of an answer in chunks.
+func (a *attempt) chunks() *http1.Body {
+	body := &http1.Body{}
+	body.Reset(a.conn.br, &http1.Head{Framing: http1.ByChunks})
+	return body
+}
+
 func hasNoBody(status int) bool {
 	return status == fasthttp.StatusNoContent || status == fasthttp.StatusNotModified
 }
@@ -222,7 +263,7 @@
 func (a *attempt) finish() {
 	alive := a.detach()
 	a.conn.restoreLinger()
-	if alive && !a.conn.detour && !a.missingID && a.conn.notAfter.IsZero() && !a.resp.Header.ConnectionClose() && a.conn.br.Buffered() == 0 {
+	if alive && !a.conn.detour && !a.missingID && !a.tainted && a.conn.notAfter.IsZero() && !a.resp.Header.ConnectionClose() && a.conn.br.Buffered() == 0 {
 		a.conn.keep()
 		return
 	}
--- a/instance/upstream/client.go
+++ b/instance/upstream/client.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/comfreyladder/comfreyladder/core/reach"
+	"github.com/comfreyladder/comfreyladder/instance/sse"
 	"github.com/comfreyladder/comfreyladder/instance/uplink"
 )
 
@@ -36,6 +37,7 @@
 	DefaultMaxIdle     = 15 * time.Second
 	DefaultMaxConns    = 512
 	DefaultMaxAnswer   = 8 << 20
+	DefaultMaxEvent    = sse.DefaultMaxEvent
 )
 
 // Config holds the limits of a Client. Zero values select the defaults.
@@ -45,7 +47,8 @@
 	// FirstByte bounds the time from the first byte sent to the end of the answer's
 	// header.
 	FirstByte time.Duration
-	// ReadTimeout bounds the time between two reads that return data.
+	// ReadTimeout bounds the time without progress: that between two reads that return data of a body,
+	// or between two events of a stream.
 	ReadTimeout time.Duration
 	// MaxIdle is the maximum idle time of a pooled connection. A device on the network path
 	// may drop the state of a connection that is idle for long.
@@ -54,6 +57,9 @@
 	MaxConns int
 	// MaxAnswer bounds the body of one answer or stream, in bytes.
 	MaxAnswer int
+	// MaxEvent bounds one event of a stream with the comments before it, in bytes. A stream that exceeds
+	// it is broken.
+	MaxEvent int
 	// TLS, if set, is used for every upstream.
 	TLS *tls.Config
 	// InstanceName is sent as User-Agent.
@@ -87,6 +93,7 @@
 	setDefault(&c.MaxIdle, DefaultMaxIdle)
 	setDefault(&c.MaxConns, DefaultMaxConns)
 	setDefault(&c.MaxAnswer, DefaultMaxAnswer)
+	setDefault(&c.MaxEvent, DefaultMaxEvent)
 	return c
 }
 
--- a/instance/upstream/conn.go
+++ b/instance/upstream/conn.go
@@ -37,9 +37,11 @@
 	// proven is set once something has come over the connection.
 	proven atomic.Bool
 
-	// readDeadline bounds all reads, readTimeout each single one.
+	// readDeadline bounds all reads, readTimeout the time without progress: each single read, or all
+	// reads since progressAt if that is set.
 	readDeadline time.Time
 	readTimeout  time.Duration
+	progressAt   time.Time
 	// notAfter is Call.NotAfter; see limitDelivery.
 	notAfter time.Time
 }
@@ -83,7 +85,11 @@
 func (c *conn) Read(b []byte) (int, error) {
 	limit := c.readDeadline
 	if c.readTimeout > 0 {
-		next := time.Now().Add(c.readTimeout)
+		from := c.progressAt
+		if from.IsZero() {
+			from = time.Now()
+		}
+		next := from.Add(c.readTimeout)
 		if limit.IsZero() || next.Before(limit) {
 			limit = next
 		}
@@ -98,6 +104,17 @@
 	return n, err
 }
 
+// progress records that the answer made progress: what arrives until the next call is no progress.
+func (c *conn) progress() { c.progressAt = time.Now() }
+
+// roll sets whether all bytes that arrive from now on are progress, or none.
+func (c *conn) roll(all bool) {
+	c.progressAt = time.Time{}
+	if !all {
+		c.progress()
+	}
+}
+
 // heard records that some of an answer arrived.
 func (c *conn) heard() {
 	first := !c.proven.Load()
@@ -182,7 +199,7 @@
 // otherwise reusable would treat the connection as broken once the deadline had passed.
 func (c *conn) keep() {
 	c.stopAwaiting()
-	c.readDeadline, c.readTimeout = time.Time{}, 0
+	c.readDeadline, c.readTimeout, c.progressAt = time.Time{}, 0, time.Time{}
 	_ = c.rw.SetReadDeadline(time.Time{})
 	c.pool.put(c)
 }
--- a/instance/upstream/errors.go
+++ b/instance/upstream/errors.go
@@ -129,8 +129,11 @@
 	var f *fault.Error
 	var n net.Error
 	switch {
-	case errors.As(err, &f):
+	case errors.As(err, &f) && f.Code != fault.Invalid:
 		return f
+	case f != nil:
+		// The upstream's message is invalid, not the request.
+		return fault.Wrap(f, code, "%s", doing)
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		return fault.Wrap(ctx.Err(), fault.DeadlineExceeded, "%s: the request's deadline passed", doing)
 	case ctx.Err() != nil:
--- a/instance/upstream/sse.go
+++ b/instance/upstream/sse.go
@@ -19,24 +19,30 @@
 	data  []byte
 }
 
-// eventReader splits a body into server-sent events and limits the size of the whole body, in
-// bytes.
+// eventReader splits a body into server-sent events and limits the size of the whole body, and of one
+// event with the comments before it, in bytes.
 type eventReader struct {
 	br        *bufio.Reader
 	remaining int
 	limit     int
-	data      []byte
+	// size counts the bytes since the last event, of which maxEvent are permitted.
+	size, maxEvent int
+	// progress, if set, is called when an event or a comment has ended. Other bytes are no progress.
+	progress func()
+	data     []byte
 }
 
-func newEventReader(r io.Reader, limit int) *eventReader {
-	return &eventReader{br: bufio.NewReader(r), remaining: limit, limit: limit}
+func newEventReader(r io.Reader, limit, maxEvent int, progress func()) *eventReader {
+	return &eventReader{br: bufio.NewReader(r), remaining: limit, limit: limit, maxEvent: maxEvent, progress: progress}
 }
 
 // next returns the next event with data. The end of the body is always an error here, because
 // only the caller knows the end marker.
 func (e *eventReader) next() (rawEvent, error) {
 	ev := rawEvent{data: e.data[:0]}
-	hasData := false
+	hasData, hasLine := false, false
+	e.size = 0
+	e.progress()
 	for {
 		line, err := e.line()
 		if err != nil {
@@ -46,9 +52,13 @@
 			if hasData {
 				return ev, nil
 			}
-			ev = rawEvent{data: e.data[:0]}
+			if hasLine {
+				e.progress()
+			}
+			ev, hasLine = rawEvent{data: e.data[:0]}, false
 			continue
 		}
+		hasLine = true
 		name, value, _ := bytes.Cut(line, []byte(":"))
 		value = bytes.TrimPrefix(value, []byte(" "))
 		switch string(name) {
@@ -85,7 +95,10 @@
 	var long []byte
 	for {
 		part, err := e.br.ReadSlice('\n')
-		e.remaining -= len(part)
+		e.remaining, e.size = e.remaining-len(part), e.size+len(part)
+		if e.size > e.maxEvent {
+			return nil, fault.New(fault.StreamBroken, "%d bytes of an event without its end, the limit is %d", e.size, e.maxEvent)
+		}
 		if e.remaining < 0 {
 			return nil, fault.New(fault.TooLarge, "the stream is larger than %d bytes", e.limit)
 		}
--- a/instance/upstream/stream.go
+++ b/instance/upstream/stream.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"io"
-	"net/http/httputil"
 	"slices"
 	"strconv"
 	"time"
@@ -143,14 +142,14 @@
 		a.abandon()
 		return nil, unknown(t, fault.New(fault.OutcomeUnknown, "the answer has the content type %q, not an event stream", a.resp.Header.ContentType()))
 	}
-	return &Stream{a: a, last: after, events: newEventReader(a.body(), c.cfg.MaxAnswer)}, nil
+	return &Stream{a: a, last: after, events: newEventReader(a.body(), c.cfg.MaxAnswer, c.cfg.MaxEvent, a.conn.progress)}, nil
 }
 
 // body returns the body without its transfer coding.
 func (a *attempt) body() io.Reader {
 	switch n := a.resp.Header.ContentLength(); {
 	case n == -1:
-		return httputil.NewChunkedReader(a.conn.br)
+		return a.chunks()
 	case n >= 0:
 		return io.LimitReader(a.conn.br, int64(n))
 	}
@@ -261,11 +260,5 @@
 		s.a.abandon()
 		return
 	}
-	if s.a.resp.Header.ContentLength() == -1 {
-		if err := s.a.resp.Header.ReadTrailer(s.a.conn.br); err != nil {
-			s.a.abandon()
-			return
-		}
-	}
 	s.a.finish()
 }
