Process test of 500 events without end at one instance

Cause: nothing showed that the memory limit of an instance holds while many events, each within its limit, do not end.

Change: the test holds 500 streams at one instance with events of 300 KiB that stop, at a memory limit of 184 MB; the harness lets a test set that limit.

--- a/proof/deployed/endless_test.go
+++ b/proof/deployed/endless_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"os"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -25,6 +26,7 @@
 	drippedExtension endless = "a chunk extension byte by byte"
 	drippedTrailers  endless = "trailers byte by byte"
 	drippedEvent     endless = "an event byte by byte"
+	heldEvent        endless = "an event that stops"
 )
 
 const (
@@ -35,6 +37,9 @@
 	// mostEndlessBytes bounds what an upstream can write to one connection: the limits of a response are below
 	// one megabyte, and the buffers of the system hold up to ten.
 	mostEndlessBytes = 12 << 20
+	// edgeMB is the memory limit of an instance. heldConns is how many connections to it are held at once by events
+	// of heldBytes that do not end, leastHeld how many of them at least while the requests are under way.
+	edgeMB, heldConns, leastHeld, heldBytes = 184, 500, 300, 300 << 10
 	// wholeEvents is the number of events of a stream, as streamer.take expects it.
 	wholeEvents = versionEvents
 )
@@ -112,6 +117,8 @@
 	case endlessComments:
 		_, _ = to.WriteString(b)
 		u.flood(to, piece(strings.Repeat(": c\n\n\n", 600)))
+	case heldEvent:
+		u.drip(to, b+piece("data: "+strings.Repeat("x", heldBytes)), piece("x"))
 	case drippedEvent:
 		u.drip(to, b+piece("data: "), piece("x"))
 	default:
@@ -169,11 +176,12 @@
 	ups []*endlessUpstream
 }
 
-func newEndlessSite(t *testing.T, streams bool) *endlessSite {
+func newEndlessSite(t *testing.T, upstreams int, streams bool) *endlessSite {
 	s := watchedSite(t)
 	quickBudget(s)
+	s.memoryMB = edgeMB
 	e := &endlessSite{quartet: newQuartetAt(s)}
-	for i := range 4 {
+	for i := range upstreams {
 		u := newEndlessUpstream()
 		e.ups = append(e.ups, u)
 		e.handled(fmt.Sprint("endless-", i), u.serve, e.cores...)
@@ -270,7 +278,7 @@
 // that are no part of their answers.
 func TestEndlessAnswersAreCutShort(t *testing.T) {
 	t.Parallel()
-	e := newEndlessSite(t, false)
+	e := newEndlessSite(t, 4, false)
 	ask := func(i int) (a answer) {
 		id := fmt.Sprintf("endless%d", attempts.Add(1))
 		status, body := call(http.MethodPost, "http://"+e.edges[i%len(e.edges)].at(portFrontend)+"/a/x", "x", "Host", "h.example", "Attempt-Id", id, "Key", "k", "Deadline-Ms", "1500")
@@ -292,7 +300,7 @@
 // Guards against a stream that is held, or forwarded without end, because one of its events does not end.
 func TestEndlessEventsAreCutShort(t *testing.T) {
 	t.Parallel()
-	e := newEndlessSite(t, true)
+	e := newEndlessSite(t, 4, true)
 	s := &streamer{streams: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}}
 	ask := func(i int) (a answer) {
 		one := &taken{last: -1, path: "/a/stream"}
@@ -311,3 +319,55 @@
 	e.play(t, expected{drippedEvent, 1, 3800 * time.Millisecond, 2}, ask)
 	e.play(t, expected{endlessEvent, 4, 1500 * time.Millisecond, endlessRequests}, ask)
 }
+
+// Guards against an instance that is killed for its memory use because many events, each within its limit, do
+// not end. What is not held is forwarded as it arrives.
+func TestManyEndlessEventsAreHeldInBounds(t *testing.T) {
+	t.Parallel()
+	e := newEndlessSite(t, 12, true)
+	for _, u := range e.ups {
+		u.how.Store(heldEvent)
+	}
+	edge := e.edges[0]
+	before := edge.peakMB()
+	var all sync.WaitGroup
+	var under, most, whole atomic.Int64
+	streams := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: 5 * time.Second}
+	for range heldConns {
+		all.Go(func() {
+			req, _ := http.NewRequest(http.MethodPost, "http://"+edge.at(portFrontend)+"/a/stream", strings.NewReader("x"))
+			req.Host = "h.example"
+			for name, value := range map[string]string{"Attempt-Id": fmt.Sprintf("held%d", attempts.Add(1)), "Key": "k", "Deadline-Ms": "5000"} {
+				req.Header.Set(name, value)
+			}
+			resp, err := streams.Do(req)
+			if err != nil {
+				return
+			}
+			defer func() { _ = resp.Body.Close() }()
+			most.Store(max(most.Load(), under.Add(1)))
+			defer under.Add(-1)
+			if _, err = io.Copy(io.Discard, resp.Body); err == nil && resp.StatusCode == http.StatusOK {
+				whole.Add(1)
+			}
+		})
+	}
+	all.Wait()
+	after := edge.peakMB()
+	t.Logf("%d held at once, at most %d MB, %d MB before", most.Load(), after, before)
+	e.g.Expect(most.Load()).To(BeNumerically(">=", leastHeld), "the failure was played")
+	e.g.Expect(whole.Load()).To(BeZero(), "no stream is whole")
+	e.g.Expect(after).To(BeNumerically("<", edgeMB))
+}
+
+// peakMB returns the most memory that the process has used, in MB.
+func (n *node) peakMB() (mb int) {
+	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", n.process.Process.Pid))
+	n.s.g.Expect(err).NotTo(HaveOccurred())
+	for line := range strings.Lines(string(status)) {
+		if _, err := fmt.Sscanf(line, "VmHWM: %d kB", &mb); err == nil {
+			return mb / 1000
+		}
+	}
+	return 0
+}
--- a/proof/deployed/harness_test.go
+++ b/proof/deployed/harness_test.go
@@ -49,6 +49,8 @@
 	// settings are lines that all machines' settings files have besides, bounds those of
 	// their bounds.
 	settings, bounds string
+	// memoryMB is the memory limit of each process.
+	memoryMB int
 	// retryWindow is the window of the retry budget.
 	retryWindow time.Duration
 	// watch notes when this machine or its disk hangs.
@@ -86,7 +88,7 @@
 
 // openSite makes a site of a test that may run beside others.
 func openSite(t *testing.T) *site {
-	s := &site{g: NewWithT(t), t: t, dir: t.TempDir(), retryWindow: 10 * time.Second, net: nets.Add(1) + int64(os.Getpid()%netShares)*netShare, nodes: map[string]*node{}}
+	s := &site{g: NewWithT(t), t: t, dir: t.TempDir(), retryWindow: 10 * time.Second, memoryMB: 284, net: nets.Add(1) + int64(os.Getpid()%netShares)*netShare, nodes: map[string]*node{}}
 	t.Cleanup(func() {
 		if t.Failed() {
 			t.Logf("logs until %s in %s", time.Now().Format(time.StampMilli), s.keepLogs(""))
@@ -145,10 +147,10 @@
 seeds: %s
 bootstrap: %t
 data-dir: %s
-limits: {memory-mb: 284}
+limits: {memory-mb: %d}
 heartbeat-ms: 1200
 bounds: {fail-closed: true, revoke-ms: 3000, grace-s: 8, seed-lag-s: 3, retry-budget-ratio: 0.2, retry-window-s: %d, retry-slack: 58%s}
-%s`, n.name, role, n.ip, listen, portPeer, portPeer+15, seeds, bootstrap, data, n.s.retryWindow/time.Second, n.s.bounds, n.s.settings)
+%s`, n.name, role, n.ip, listen, portPeer, portPeer+15, seeds, bootstrap, data, n.s.memoryMB, n.s.retryWindow/time.Second, n.s.bounds, n.s.settings)
 }
 
 // start writes the settings and runs the process.
