Tests known to fail: wait for the retry budget; a port that stays refused

TestIdenticalRequestsAreServedThroughCrashes judged processes younger than the window of the retry budget, which have no share of its slack yet.

TestUpstreamThatWantsNothingIsNoLastResort failed 2 of 2,500 runs with 401 where 503 is wanted: the upstream that is gone had closed its listener before the relay under test opened its own, and the system gave the relay the port that had become free, so the relay sent the request to itself.

--- a/instance/relay/backpressure_test.go
+++ b/instance/relay/backpressure_test.go
@@ -156,9 +156,7 @@
 // against a caller who is told to come back too early or much too late.
 func TestUpstreamThatWantsNothingIsNoLastResort(t *testing.T) {
 	eachAsk(t, func(t *testing.T, asking *fakeUpstream) {
-		gone := startUpstream(t, "gone", echo)
-		_ = gone.listener.Close()
-		b := start(t, asking, gone)
+		b := start(t, asking, startGone(t, "gone"))
 		b.awaitAsk(asking)
 		for i := range 5 {
 			r := b.caller().call("GET", "/idem/", fmt.Sprint(i), "")
--- a/instance/relay/limit_test.go
+++ b/instance/relay/limit_test.go
@@ -174,8 +174,7 @@
 
 // Guards against losing a token when the connection could not be made.
 func TestTokenOfUnsentRequestIsReturned(t *testing.T) {
-	a := startUpstream(t, "a", echo)
-	_ = a.listener.Close()
+	a := startGone(t, "a")
 	b := start(t, a)
 	b.limits.limit(a, 1)
 	Expect(b.caller().call("POST", "/idem/x", "r1", "x").status).To(Equal(503))
--- a/instance/relay/quarantine_test.go
+++ b/instance/relay/quarantine_test.go
@@ -230,8 +230,7 @@
 
 // Guards against losing a trial because no upstream could be reached.
 func TestTrialThatReachesNoUpstreamIsGivenBack(t *testing.T) {
-	a := startUpstream(t, "a", echo)
-	_ = a.listener.Close()
+	a := startGone(t, "a")
 	b := start(t, a)
 	b.fakeList.trials = 1
 	b.quarantine([]listed.EntryStatus{{Fingerprint: fingerprintOf("/idem/x", "poison"), Trial: true}})
--- a/instance/relay/relay_test.go
+++ b/instance/relay/relay_test.go
@@ -293,8 +293,7 @@
 // Guards against failing requests because one upstream cannot be reached: nothing was sent, so
 // another one gets the request, whatever its kind.
 func TestUnreachableUpstreamIsPassedOver(t *testing.T) {
-	dead := startUpstream(t, "a", echo)
-	_ = dead.listener.Close()
+	dead := startGone(t, "a")
 	alive := startUpstream(t, "b", echo)
 	b := start(t, dead, alive)
 	for i := range 8 {
--- a/instance/relay/suite_test.go
+++ b/instance/relay/suite_test.go
@@ -11,6 +11,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -144,6 +145,34 @@
 	return u
 }
 
+// startGone returns an upstream that refuses connections. Its port stays taken: one that is free could be
+// given to the next listener, also that of the relay under test.
+func startGone(t *testing.T, id string) *fakeUpstream {
+	t.Helper()
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = syscall.Close(fd) })
+	if err := syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}); err != nil {
+		t.Fatal(err)
+	}
+	name, err := syscall.Getsockname(fd)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return &fakeUpstream{id: id, listener: bound{port: name.(*syscall.SockaddrInet4).Port}}
+}
+
+// bound is an address that nobody listens at.
+type bound struct {
+	net.Listener
+	port int
+}
+
+// Addr implements net.Listener.
+func (b bound) Addr() net.Addr { return &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1), Port: b.port} }
+
 func (u *fakeUpstream) accept(l net.Listener) {
 	for {
 		c, err := l.Accept()
--- a/proof/deployed/quarantine_test.go
+++ b/proof/deployed/quarantine_test.go
@@ -401,7 +401,8 @@
 // Guards against harmless requests that are taken for the cause of crashes since their like
 // is under way at each of them.
 func TestIdenticalRequestsAreServedThroughCrashes(t *testing.T) {
-	q := newQuartet(t)
+	q := newQuartet(t, quickBudget)
+	q.awaitBudget()
 	q.upstreams.work.Store(int64(150 * time.Millisecond))
 	ended := make(chan struct{})
 	var answers tally
