--- a/proof/deployed/quarantine_test.go
+++ b/proof/deployed/quarantine_test.go
@@ -53,8 +53,11 @@
 	crashes  []time.Time
 }
 
-func (s *site) fragile(count int, cores ...*node) *fragile {
-	f := &fragile{s: s, cores: cores, current: map[string]*runner{}, named: map[string]*named{}, asks: map[string]*asking{}}
+func (s *site) fragile(count int, cores ...*node) *fragile { return s.fragileOf(nil, count, cores...) }
+
+// fragileOf are fragile upstreams that are brittle unless frail is nil.
+func (s *site) fragileOf(frail *frail, count int, cores ...*node) *fragile {
+	f := &fragile{s: s, cores: cores, frail: frail, current: map[string]*runner{}, named: map[string]*named{}, asks: map[string]*asking{}}
 	f.work.Store(int64(harmlessWork))
 	for i := range count {
 		f.start(fmt.Sprintf("%s:%d", s.ip(200+i), 18000))
