The soak plays upstreams that send answers without end

Cause: no soak had such an upstream beside other faults.

Comments are no events: the callers skip them.

--- a/proof/deployed/soak_callers_test.go
+++ b/proof/deployed/soak_callers_test.go
@@ -321,7 +321,7 @@
 	l.served.Add(1)
 	want := "done " + s.id
 	if s.kind == streamed {
-		want = wholeStream(s.id)
+		want, body = wholeStream(s.id), strings.ReplaceAll(body, soakComment, "")
 	}
 	if body != want {
 		l.fail("%s at %s looks whole and is %q", s.id, c.edge.name, body)
@@ -341,7 +341,7 @@
 func (c *soakCaller) judgeBroken(s sent, body string, err error) {
 	l := c.w.ledger
 	now := time.Now()
-	events := strings.SplitAfter(body, "\n\n")
+	events := strings.SplitAfter(strings.ReplaceAll(body, soakComment, ""), "\n\n")
 	whole := slices.Collect(func(yield func(string) bool) {
 		for _, e := range events {
 			if strings.HasSuffix(e, "\n\n") && !yield(e) {
--- a/proof/deployed/soak_plan_test.go
+++ b/proof/deployed/soak_plan_test.go
@@ -72,6 +72,16 @@
 
 // drawSteps draws the steps of a run; the same seed gives the same.
 func drawSteps(seed int64, span time.Duration, shape soakShape) []soakStep {
+	steps := drawOthers(seed, span, shape)
+	if seed >= firstEndless {
+		steps = append(steps, drawEndless(seed, span, shape)...)
+		slices.SortStableFunc(steps, func(a, b soakStep) int { return cmp.Compare(a.at, b.at) })
+	}
+	return steps
+}
+
+// drawOthers draws all steps but those of stepEndless.
+func drawOthers(seed int64, span time.Duration, shape soakShape) []soakStep {
 	wiped := false
 	steps := drawBase(seed, span, shape, &wiped)
 	if seed >= firstReturning {
--- a/proof/deployed/soak_runner_test.go
+++ b/proof/deployed/soak_runner_test.go
@@ -52,6 +52,8 @@
 	limit atomic.Pointer[limitNamed]
 	// ask is what it asks for, nil for nothing.
 	ask atomic.Pointer[ask]
+	// endless is which of soakEndless it sends, nil for none.
+	endless atomic.Pointer[int]
 }
 
 func (r *soakRunner) start() {
@@ -93,6 +95,9 @@
 		l.r.crashAndReturn(rand.N(longestDown))
 		return
 	}
+	if l.answerEndless(out, req, attempt) {
+		return
+	}
 	l.limit.Load().arrived(out, l.r.w.ledger.edgeOf(attempt))
 	out.Header().Set("Attempt-Id", attempt)
 	out.Header().Set("Runner-Seal", "seal "+attempt)
--- a/proof/deployed/soak_world_test.go
+++ b/proof/deployed/soak_world_test.go
@@ -194,6 +194,8 @@
 		r.name(s)
 	case stepPause, stepLeave:
 		r.asks(s)
+	case stepEndless:
+		r.sendEndless(s)
 	}
 }
 
