A command reads no more of an answer than its limit

Cause: interim answers and chunk extensions of an instance, or of what stands at its address, had no limit but the 15 s of a command.

Change: a connection of a command gives at most 65 MiB, the largest answer and 1 MiB.

--- a/operator/client/client.go
+++ b/operator/client/client.go
@@ -5,6 +5,7 @@
 import (
 	"crypto/tls"
 	"encoding/json"
+	"net"
 	"net/url"
 	"strings"
 	"time"
@@ -22,8 +23,35 @@
 const (
 	requestTimeout = 15 * time.Second
 	maxResponse    = 64 << 20
+	// maxOverhead bounds the bytes of an answer beside its body: interim answers and chunk extensions
+	// have no other limit.
+	maxOverhead = 1 << 20
 )
 
+// boundedConn is a connection from which no more is read than an answer may have.
+type boundedConn struct {
+	net.Conn
+	left int
+}
+
+func dialBounded(address string) (net.Conn, error) {
+	c, err := fasthttp.Dial(address)
+	if err != nil {
+		return nil, fault.Wrap(err, fault.Unavailable, "connect to %s", address)
+	}
+	return &boundedConn{c, maxResponse + maxOverhead}, nil
+}
+
+// Read implements net.Conn.
+func (c *boundedConn) Read(p []byte) (int, error) {
+	if c.left <= 0 {
+		return 0, fault.New(fault.TooLarge, "the answer is larger than %d bytes", maxResponse+maxOverhead)
+	}
+	n, err := c.Conn.Read(p[:min(len(p), c.left)])
+	c.left -= n
+	return n, err
+}
+
 // Client calls one instance. It never retries a request. An operator whose confirm got no
 // answer repeats it with the same number, and gets the answer to the first one.
 type Client struct {
@@ -135,7 +163,7 @@
 		req.SetBodyRaw(data)
 	}
 	httpClient := fasthttp.Client{
-		MaxIdemponentCallAttempts: 1, MaxResponseBodySize: maxResponse, ReadTimeout: requestTimeout, WriteTimeout: requestTimeout, TLSConfig: c.TLS,
+		Dial: dialBounded, MaxIdemponentCallAttempts: 1, MaxResponseBodySize: maxResponse, ReadTimeout: requestTimeout, WriteTimeout: requestTimeout, TLSConfig: c.TLS,
 	}
 	defer httpClient.CloseIdleConnections()
 	if err := httpClient.DoTimeout(&req, &resp, requestTimeout); err != nil {
