Virtual-time comparison of choices by old loads

Requests queue at busy upstreams of a plain service while others have free slots. The comparison plays the four loads of the specification on balance.Choose as instances describe the upstreams to it, beside least loaded, two choices and random with exact counts, and removes one cause at a time.

--- /dev/null
+++ b/core/balance/even_test.go
@@ -0,0 +1,381 @@
+package balance_test
+
+import (
+	"container/heap"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/comfreyladder/comfreyladder/core/balance"
+)
+
+// These tests simulate, in virtual time and without a network, several instances that choose among
+// the upstreams of a plain service. Each knows its own requests exactly and those of the others as
+// of its last load report. An upstream runs as many requests at once as it has slots and queues the
+// rest. The tests measure the share of requests that find all slots taken.
+
+const (
+	// evenSlots and evenWorkMS describe an upstream, and evenDomains is the number of failure domains.
+	evenSlots, evenWorkMS = 4, 40.0
+	evenDomains           = 3
+	// evenWarmUpMS is the time before requests are counted, and evenIdleMS the time after which an
+	// idle connection is closed.
+	evenWarmUpMS, evenIdleMS = 2000.0, 3200.0
+)
+
+// evenCase is one load. rate returns the load at a time, as a share of what the upstreams that are
+// present can serve.
+type evenCase struct {
+	name      string
+	rate      func(ms float64) float64
+	slow      int
+	joinAtMS  float64
+	joining   int
+	seconds   float64
+	upstreams int
+}
+
+func steady(load float64) func(float64) float64 { return func(float64) float64 { return load } }
+
+// evenCases are the loads of docs/design/two-customers.md, part 2.
+func evenCases() []evenCase {
+	bursts := func(ms float64) float64 {
+		if math.Mod(ms, 1000) < 150 {
+			return 1
+		}
+		return 0.4
+	}
+	return []evenCase{
+		{name: "0.6 steady", rate: steady(0.6), upstreams: 24, seconds: 12},
+		{name: "0.6, a third slow", rate: steady(0.6), upstreams: 24, slow: 8, seconds: 12},
+		{name: "0.4 with bursts", rate: bursts, upstreams: 24, seconds: 12},
+		{name: "0.7, a third joins", rate: steady(0.7), upstreams: 24, joining: 8, joinAtMS: 6000, seconds: 12},
+	}
+}
+
+// evenUpstream is an upstream of the simulation.
+type evenUpstream struct {
+	active     int
+	workMS     float64
+	slotFreeAt [evenSlots]float64
+	ready      bool
+}
+
+// evenChooser is one instance. others are the requests of the other instances as of takenAt, and
+// pending a report that is on its way. seen holds its observations by upstream and othersSeen those
+// of the others. idleUntil holds the ends of its idle connections by upstream.
+type evenChooser struct {
+	domain            string
+	own               []int
+	others, pending   []int
+	takenAt, nextAt   float64
+	pendingAt         float64
+	seen              []balance.Observer
+	othersSeen        []balance.Observed
+	observationsAfter float64
+	cutOff            bool
+	idleUntil         [][]float64
+}
+
+// evenEnd is the end of a request that was sent at the given time.
+type evenEnd struct {
+	sent, at          float64
+	chooser, upstream int
+}
+
+type evenEnds []evenEnd
+
+func (h evenEnds) Len() int           { return len(h) }
+func (h evenEnds) Less(i, j int) bool { return h[i].at < h[j].at }
+func (h evenEnds) Swap(i, j int)      { h[i], h[j] = h[j], h[i] }
+func (h *evenEnds) Push(x any)        { *h = append(*h, x.(evenEnd)) }
+func (h *evenEnds) Pop() any {
+	old := *h
+	e := old[len(old)-1]
+	*h = old[:len(old)-1]
+	return e
+}
+
+// evenWorld is one run.
+type evenWorld struct {
+	evenCase
+	rng  *rand.Rand
+	ups  []evenUpstream
+	all  []evenChooser
+	ends evenEnds
+	evenOptions
+	choose func(w *evenWorld, c int, now float64) int
+	// seen holds the observations of all choosers by upstream; nil if slowness is not observed.
+	seen     []balance.Observer
+	states   []balance.Upstream
+	observed []balance.Observed
+
+	asked, waited, opened, most int
+}
+
+// evenOptions are the conditions of a run. ageMS is the time between the load reports of an instance,
+// which are delayMS old when they arrive; zero stands for exact counts.
+type evenOptions struct {
+	choosers, domains int
+	ageMS, delayMS    float64
+	observes          bool
+	// inPhase lets all choosers get their reports at the same time.
+	inPhase bool
+}
+
+const (
+	// observationMS is the time between
+	// two reports of observations.
+	observationMS = 1000.0
+)
+
+// runEven plays a case and returns the world with its counts.
+func runEven(k evenCase, o evenOptions, choose func(*evenWorld, int, float64) int) *evenWorld {
+	w := &evenWorld{evenCase: k, rng: rand.New(rand.NewPCG(7, 11)), evenOptions: o, choose: choose}
+	for i := range k.upstreams {
+		u := evenUpstream{workMS: evenWorkMS, ready: i < k.upstreams-k.joining}
+		if i%3 == 0 && i/3 < k.slow {
+			u.workMS *= 3
+		}
+		w.ups = append(w.ups, u)
+	}
+	if o.observes {
+		w.seen = make([]balance.Observer, k.upstreams)
+	}
+	for i := range o.choosers {
+		w.all = append(w.all, evenChooser{
+			domain: fmt.Sprint("d", i%o.domains), own: make([]int, k.upstreams), others: make([]int, k.upstreams), pending: make([]int, k.upstreams),
+			idleUntil: make([][]float64, k.upstreams), seen: make([]balance.Observer, k.upstreams), othersSeen: make([]balance.Observed, k.upstreams),
+			nextAt: o.ageMS * float64(i) / float64(o.choosers), pendingAt: -1,
+		})
+		if o.inPhase {
+			w.all[i].nextAt = 0
+		}
+	}
+	w.play()
+	return w
+}
+
+// play lets requests arrive as a Poisson process at the highest rate, thinned out to the present one.
+func (w *evenWorld) play() {
+	const peak, reportStep = 1.5, 5.0
+	nextStep := 0.0
+	for now := 0.0; now < 1000*w.seconds; {
+		capacity := 0.0
+		for i := range w.ups {
+			if w.ups[i].ready = w.ups[i].ready || now >= w.joinAtMS; w.ups[i].ready {
+				capacity += evenSlots / w.ups[i].workMS
+			}
+		}
+		now += w.rng.ExpFloat64() / (peak * capacity)
+		for len(w.ends) > 0 && w.ends[0].at <= now {
+			w.end(heap.Pop(&w.ends).(evenEnd))
+		}
+		for ; w.ageMS > 0 && nextStep <= now; nextStep += reportStep {
+			for i := range w.all {
+				w.exchange(&w.all[i], nextStep)
+			}
+		}
+		if w.rng.Float64()*peak < w.rate(now) {
+			w.send(w.rng.IntN(len(w.all)), now)
+		}
+	}
+}
+
+// exchange lets a report arrive at a chooser or takes the next one.
+func (w *evenWorld) exchange(c *evenChooser, now float64) {
+	if c.cutOff {
+		return
+	}
+	if c.pendingAt >= 0 && now >= c.pendingAt+w.delayMS {
+		c.others, c.pending, c.takenAt, c.pendingAt = c.pending, c.others, c.pendingAt, -1
+	}
+	if now < c.nextAt || c.pendingAt >= 0 {
+		return
+	}
+	c.nextAt += max(w.ageMS, w.delayMS)
+	w.count(c, c.pending)
+	c.pendingAt = now
+	if w.seen != nil && now >= c.observationsAfter {
+		c.observationsAfter = now + observationMS
+		for i := range w.ups {
+			c.othersSeen[i] = w.seen[i].Sums(virtualTime(now))
+			c.othersSeen[i].Subtract(c.seen[i].Sums(virtualTime(now)))
+		}
+	}
+}
+
+// count determines the requests of all other choosers.
+func (w *evenWorld) count(c *evenChooser, others []int) {
+	for i := range w.ups {
+		others[i] = w.ups[i].active - c.own[i]
+	}
+}
+
+func virtualTime(ms float64) time.Time {
+	return time.Unix(1, 0).Add(time.Duration(ms * float64(time.Millisecond)))
+}
+
+// latencyFloorMS is the same as in instance/relay.
+const latencyFloorMS = 40.0
+
+func (w *evenWorld) end(e evenEnd) {
+	w.ups[e.upstream].active--
+	c := &w.all[e.chooser]
+	c.own[e.upstream]--
+	c.idleUntil[e.upstream] = append(c.idleUntil[e.upstream], e.at+evenIdleMS)
+	if w.seen != nil {
+		for _, o := range []*balance.Observer{&w.seen[e.upstream], &c.seen[e.upstream]} {
+			o.FirstEvent(virtualTime(e.at), latencyFloorMS, latencyFloorMS+e.at-e.sent)
+		}
+	}
+}
+
+func (w *evenWorld) send(chooser int, now float64) {
+	c := &w.all[chooser]
+	if w.ageMS == 0 {
+		w.count(c, c.others)
+		c.takenAt = now
+	}
+	at := w.choose(w, chooser, now)
+	u := &w.ups[at]
+	if now > evenWarmUpMS {
+		w.asked++
+		if u.active >= evenSlots {
+			w.waited++
+		}
+	}
+	u.active++
+	w.most = max(w.most, u.active)
+	c.own[at]++
+	w.connect(c, at, now)
+	slot := 0
+	for i := range u.slotFreeAt {
+		if u.slotFreeAt[i] < u.slotFreeAt[slot] {
+			slot = i
+		}
+	}
+	u.slotFreeAt[slot] = max(now, u.slotFreeAt[slot]) + u.workMS
+	heap.Push(&w.ends, evenEnd{sent: now, at: u.slotFreeAt[slot], chooser: chooser, upstream: at})
+}
+
+// connect takes the most recently used idle connection, or opens one.
+func (w *evenWorld) connect(c *evenChooser, at int, now float64) {
+	idle := &c.idleUntil[at]
+	for len(*idle) > 0 {
+		last := (*idle)[len(*idle)-1]
+		*idle = (*idle)[:len(*idle)-1]
+		if now < last {
+			return
+		}
+	}
+	if now > evenWarmUpMS {
+		w.opened++
+	}
+}
+
+// openedShare is the number of new connections per request.
+func (w *evenWorld) openedShare() float64 { return float64(w.opened) / float64(max(1, w.asked)) }
+
+func (w *evenWorld) share() float64 { return float64(w.waited) / float64(max(1, w.asked)) }
+
+// leastLoaded, twoChoices and randomChoice choose with exact counts.
+func leastLoaded(w *evenWorld, _ int, _ float64) int {
+	best, from := -1, w.rng.IntN(len(w.ups))
+	for k := range w.ups {
+		i := (from + k) % len(w.ups)
+		if w.ups[i].ready && (best < 0 || w.ups[i].active < w.ups[best].active) {
+			best = i
+		}
+	}
+	return best
+}
+
+func randomChoice(w *evenWorld, _ int, _ float64) int {
+	for {
+		if i := w.rng.IntN(len(w.ups)); w.ups[i].ready {
+			return i
+		}
+	}
+}
+
+func twoChoices(w *evenWorld, c int, now float64) int {
+	a, b := randomChoice(w, c, now), randomChoice(w, c, now)
+	if w.ups[b].active < w.ups[a].active {
+		return b
+	}
+	return a
+}
+
+// chooseByLoads is the choice of an instance, as instance/relay describes it.
+func chooseByLoads(w *evenWorld, chooser int, now float64) int {
+	c := &w.all[chooser]
+	w.states, w.observed = w.states[:0], w.observed[:0]
+	for i := range w.ups {
+		u := balance.Upstream{ID: evenIDs[i], Domain: evenNames[i%w.domains], Active: c.own[i] + c.others[i], Slots: evenSlots, Slowness: 1, Excluded: !w.ups[i].ready}
+		w.states = append(w.states, u)
+		if w.seen != nil {
+			o := c.seen[i].Sums(virtualTime(now))
+			o.Add(c.othersSeen[i])
+			w.observed = append(w.observed, o)
+		}
+	}
+	if w.seen != nil {
+		balance.ScorePeers(w.states, w.observed, balance.SumObserved(w.observed))
+	}
+	r := &balance.Request{Domain: c.domain, Random: w.rng.Float64()}
+	return balance.Choose(w.states, r).Index
+}
+
+// evenIDs and evenNames are the IDs of upstreams and the names of failure domains.
+var evenIDs, evenNames = names("u", 64), names("d", 8)
+
+func names(prefix string, n int) (list []string) {
+	for i := range n {
+		list = append(list, fmt.Sprint(prefix, i))
+	}
+	return list
+}
+
+// evenConditions are the conditions of today's choice and those without one of the causes each.
+var evenConditions = []struct {
+	name string
+	o    evenOptions
+}{
+	{"as deployed", evenOptions{domains: 1, ageMS: 250, delayMS: 150, observes: true}},
+	{"loads 0 ms old", evenOptions{domains: 1, observes: true}},
+	{"loads 30 to 90 ms old", evenOptions{domains: 1, ageMS: 60, delayMS: 30, observes: true}},
+	{"loads 40 to 290 ms old", evenOptions{domains: 1, ageMS: 250, delayMS: 40, observes: true}},
+	{"loads 0.5 to 1 s old", evenOptions{domains: 1, ageMS: 500, delayMS: 500, observes: true}},
+	{"reports at the same time", evenOptions{domains: 1, ageMS: 250, delayMS: 150, observes: true, inPhase: true}},
+	{"three failure domains", evenOptions{domains: 3, ageMS: 250, delayMS: 150, observes: true}},
+	{"three failure domains, loads 0 ms old", evenOptions{domains: 3, observes: true}},
+	{"slowness not observed", evenOptions{domains: 1, ageMS: 250, delayMS: 150}},
+}
+
+// Measures what each cause contributes to the share of requests that find all slots taken, see
+// docs/design/even-load.md, and guards against a simulation in which exact counts would not help.
+func TestCausesOfUnevenLoad(t *testing.T) {
+	g := NewWithT(t)
+	for _, k := range evenCases() {
+		exact := func(choose func(*evenWorld, int, float64) int) float64 {
+			return runEven(k, evenOptions{choosers: 8, domains: 1}, choose).share()
+		}
+		least, two, random := exact(leastLoaded), exact(twoChoices), exact(randomChoice)
+		t.Logf("%s: least loaded %.3f, two choices %.3f, random %.3f", k.name, least, two, random)
+		g.Expect(least).To(BeNumerically("<", two))
+		g.Expect(two).To(BeNumerically("<", random))
+		for _, c := range evenConditions {
+			line := ""
+			for _, c.o.choosers = range []int{8, 80} {
+				w := runEven(k, c.o, chooseByLoads)
+				line += fmt.Sprintf(" %.3f (%.3f)", w.share(), w.openedShare())
+			}
+			t.Logf("  %s: waits and new connections at 8 and 80 choosers%s", c.name, line)
+		}
+	}
+}
