--- a/proof/deployed/harness_test.go
+++ b/proof/deployed/harness_test.go
@@ -320,6 +320,7 @@
 	id       string
 	service  string
 	version  string
+	slots    int
 	born     int64
 	listener net.Listener
 	sequence atomic.Int64
@@ -374,7 +375,7 @@
 func (s *site) newRunner(service, id string) *runner {
 	l, err := net.Listen("tcp4", s.ip(250)+":0")
 	s.g.Expect(err).NotTo(HaveOccurred())
-	return &runner{s: s, id: id, service: service, version: "v1", born: time.Now().UnixMilli(), listener: l, stop: make(chan struct{})}
+	return &runner{s: s, id: id, service: service, version: "v1", slots: 8, born: time.Now().UnixMilli(), listener: l, stop: make(chan struct{})}
 }
 
 // begin serves and sends heartbeats until the test ends or the runner crashes.
@@ -407,8 +408,8 @@
 }
 
 func (r *runner) report(to *node, state string) int {
-	body := fmt.Sprintf(`{"service":%q,"address":%q,"zone":"north","version":%q,"slots":8,"state":%q,"warmup-left-ms":0,"sequence":%d,"born":%d}`,
-		r.service, r.listener.Addr(), r.version, state, r.sequence.Add(1), r.born)
+	body := fmt.Sprintf(`{"service":%q,"address":%q,"zone":"north","version":%q,"slots":%d,"state":%q,"warmup-left-ms":0,"sequence":%d,"born":%d}`,
+		r.service, r.listener.Addr(), r.version, r.slots, state, r.sequence.Add(1), r.born)
 	status, _ := call("PUT", "http://"+to.at(portControl)+"/instances/"+r.id, body)
 	return status
 }
