Instances fill slots of plain services that are their own first

Loads of other instances are 150 to 400 ms old, several times the duration of a request to a plain service. All instances chose the upstreams that had the least load then, which got all requests of that time.

The slots of a plain service's upstreams are now shared among the instances (balance.Share): each fills its own first, whose use it knows exactly, and beyond them draws an upstream with weights by the expected load, where reports count the less the older they are. The slots of an upstream are early in the order of some owners and late in that of others. Upstreams with an idle connection are preferred. Members tell an instance its rank among all, ordered by failure domain and name, and omit what it has of the members, so that no message grows. Loads of zero age, large services (over 256 upstreams) and engines are chosen as before.

--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -17,6 +17,9 @@
 	// Active is the number of requests in flight there from all known instances, and Slots the
 	// number that it runs concurrently.
 	Active, Slots int
+	// Own is the part of Active that this instance sent, and NextSlot the position of the first free
+	// one of its own slots there, counted from one; zero if there is none. See Share.
+	Own, NextSlot int
 	// QueuedTokens is the number of prompt tokens waiting for prefill, and UsedTokens the number
 	// that its requests hold in KV memory, out of Capacity. All three are zero for upstreams that
 	// are not model engines.
@@ -97,6 +100,12 @@
 	// MaxQueueMS is the longest queueing time that the request tolerates, in milliseconds; zero
 	// means no limit.
 	MaxQueueMS float64
+	// LoadAgeMS is the age of the loads of other instances in milliseconds; zero if they are exact,
+	// infinite if none are known. HoldMS is the mean time for which a request is in flight at a
+	// plain service, in milliseconds; zero if unknown.
+	LoadAgeMS, HoldMS float64
+	// OwnSlots is the number of slots that the instance fills before it uses others.
+	OwnSlots int
 	// Partial says that the list holds only the upstreams to consider, as chosen by an Index, and
 	// not all of the service. PeerErrors is then the failure share of all of them together.
 	Partial    bool
@@ -161,6 +170,9 @@
 	} else {
 		c.rankAll(list, candidate)
 	}
+	if r.spreads(list) {
+		return Choice{Index: c.spread(list, candidate)}
+	}
 	at := c.cheapest(list, func(u *Upstream) bool { return candidate(u) && c.isCandidate(u) })
 	if r.MaxQueueMS > 0 && queueMS(&list[at], r) > r.MaxQueueMS {
 		at = c.cheapest(list, candidate)
@@ -333,24 +345,33 @@
 // estimate returns the cost of the request at an upstream, in milliseconds.
 func (c *costs) estimate(u *Upstream) float64 {
 	r := c.request
-	cost := 0.0
 	if u.Capacity == 0 || r.Rate <= 0 {
-		cost = fullOccupancyCostMS * float64(u.Active+1) / float64(max(1, u.Slots)) * u.Slowness
-	} else {
-		// Tokens that could be fetched from another engine cost as much as prefilled ones, since
-		// fetching uses memory and moves gigabytes. When they cost only the fetch itself, prompts
-		// went wherever the queue was shortest: 1,112 GB were moved in a minute of high load to save
-		// 0.3 of 13 million prefilled tokens.
-		cost = queueMS(u, r) + uncachedWithoutFetch(u, r)/r.Rate*u.Slowness + duplicatePrefillWeight*(1-u.CachedShare)*float64(r.Shared)/r.Rate
-		if u.CachedShare == 0 && r.Affinity != 0 && !c.isHome(u) {
-			cost += nonHomeWeight * float64(r.Shared) / r.Rate
-		}
-		if float64(u.UsedTokens+r.Shared+r.Unshared) > memoryHighWater*float64(u.Capacity) {
-			cost *= fullMemoryFactor
-		}
+		return c.plainCost(u, float64(u.Active), u.Slots)
+	}
+	// Tokens that could be fetched from another engine cost as much as prefilled ones, since
+	// fetching uses memory and moves gigabytes. When they cost only the fetch itself, prompts
+	// went wherever the queue was shortest: 1,112 GB were moved in a minute of high load to save
+	// 0.3 of 13 million prefilled tokens.
+	cost := queueMS(u, r) + uncachedWithoutFetch(u, r)/r.Rate*u.Slowness + duplicatePrefillWeight*(1-u.CachedShare)*float64(r.Shared)/r.Rate
+	if u.CachedShare == 0 && r.Affinity != 0 && !c.isHome(u) {
+		cost += nonHomeWeight * float64(r.Shared) / r.Rate
 	}
+	if float64(u.UsedTokens+r.Shared+r.Unshared) > memoryHighWater*float64(u.Capacity) {
+		cost *= fullMemoryFactor
+	}
+	return c.withPenalties(u, cost)
+}
+
+// plainCost returns the cost of a request at an upstream of a plain service with the given number of
+// requests in flight on its slots.
+func (c *costs) plainCost(u *Upstream, active float64, slots int) float64 {
+	return c.withPenalties(u, fullOccupancyCostMS*(active+1)/float64(max(1, slots))*u.Slowness)
+}
+
+// withPenalties adds to a cost what failures and another failure domain cost.
+func (c *costs) withPenalties(u *Upstream, cost float64) float64 {
 	cost *= 1 + failureWeight*max(0, u.Errors-c.baselineErrors-failureTolerance)
-	if u.Domain != r.Domain {
+	if u.Domain != c.request.Domain {
 		cost += crossDomainCostMS
 	}
 	return cost
--- a/instance/follow/follow.go
+++ b/instance/follow/follow.go
@@ -14,6 +14,7 @@
 package follow
 
 import (
+	"cmp"
 	"context"
 	"math"
 	"math/rand/v2"
@@ -94,6 +95,8 @@
 	Changed   []Change
 	// Forwarders is the number of instances that forward requests, at least one.
 	Forwarders int
+	// Rank is the position of this instance among them, counted from one; zero if it is not known.
+	Rank int
 	// Quarantine lists the quarantined and suspected requests; nil for none.
 	Quarantine *Quarantine
 
@@ -336,6 +339,9 @@
 		q.NextPlacement = f.workSeen
 	}
 	f.addTunnels(&q)
+	if !q.MembersOnly {
+		q.WantsRank, q.Domain = true, f.cfg.Domain
+	}
 	revision := f.addUsage(&q, name)
 	ctx, cancel := context.WithTimeout(ctx, hold+f.cfg.Slack)
 	defer cancel()
@@ -457,15 +463,17 @@
 		return true
 	}
 	forwarders := max(1, a.Forwarders)
+	rank := cmp.Or(a.Rank, old.Rank)
 	if a.Starting || !a.Confirmed {
-		forwarders = max(old.Forwarders, forwarders)
+		// The member may not know all instances.
+		forwarders, rank = max(old.Forwarders, forwarders), old.Rank
 	}
-	if a.Changes.Index == old.Index && forwarders == old.Forwarders && a.Quarantine == nil {
+	if a.Changes.Index == old.Index && forwarders == old.Forwarders && rank == old.Rank && a.Quarantine == nil {
 		f.setPages(&a.Changes)
 		return true
 	}
 	next := &View{
-		Index: a.Changes.Index, Routes: old.Routes, Upstreams: old.Upstreams, Forwarders: forwarders,
+		Index: a.Changes.Index, Routes: old.Routes, Upstreams: old.Upstreams, Forwarders: forwarders, Rank: rank,
 		Quarantine: old.Quarantine.Merge(a.Quarantine), leaseUntil: &atomic.Int64{},
 	}
 	// A lease of the older state holds for the newer one too, which has all changes of the older.
@@ -523,6 +531,10 @@
 
 // recordMembers records what an answer says about the members.
 func (f *Follower) recordMembers(name string, a *servingsvc.WatchResponse) {
+	if a.MembersSum == 0 && a.Rank > 0 {
+		// What is known holds.
+		return
+	}
 	f.domains[name], f.membersSum = a.Domain, a.MembersSum
 	if len(a.Members) == 0 {
 		return
--- a/instance/follow/follow_test.go
+++ b/instance/follow/follow_test.go
@@ -302,6 +302,21 @@
 	g.Expect(version(f)()).To(Equal(uint64(3)))
 }
 
+// Guards against slots of plain services that several instances take for their own: a member that
+// does not know all instances yet cannot tell the rank of one among them.
+func TestRankOfAStartingMemberIsNotUsed(t *testing.T) {
+	g := NewWithT(t)
+	grp := &group{members: map[string]*member{}}
+	known, starting := answer(1, 1, true, "a"), answer(2, 1, true, "a")
+	known.Forwarders, known.Rank, starting.Forwarders, starting.Rank, starting.Starting = 9, 7, 2, 1, true
+	grp.set("a", known)
+	f := start(t, grp, "a")
+	g.Eventually(func() int { return f.View().Rank }).Should(Equal(7))
+	grp.set("a", starting)
+	g.Eventually(func() uint64 { return f.View().Index }).Should(Equal(uint64(2)))
+	g.Expect(f.View().Rank).To(Equal(7))
+}
+
 // Guards against an instance that takes a larger share of the common budgets than its own: a member that
 // has just started knows only those instances that have asked it since.
 func TestStartingMemberDoesNotLowerTheNumberOfInstances(t *testing.T) {
--- a/instance/relay/choose.go
+++ b/instance/relay/choose.go
@@ -34,6 +34,8 @@
 	partial bool
 	homes   int
 	round   uint64
+	// meanActive is the mean number of requests in flight at a candidate.
+	meanActive float64
 	// fetchSource has the prompt of the request cached; nil if no candidate has.
 	fetchSource *upstream
 }
@@ -64,10 +66,7 @@
 	r.pauseLeft = 0
 	sel := &selection{service: f.service(r.service), domain: domain, now: now, avoid: avoid, tokens: r.tokens, memory: r.capacity, fresh: now.Sub(f.remoteLoadsAt) < remoteLoadTTL}
 	f.assignPool(r, sel)
-	q := &balance.Request{Affinity: r.affinity, Shared: r.sharedTokens, Unshared: r.tokens - r.sharedTokens, Domain: domain, Random: rand.Float64(), FetchRate: r.fetchRate, MaxQueueMS: r.maxQueueMS}
-	if r.tokens > 0 {
-		q.Rate = sel.service.rates.rate.PerMS()
-	}
+	q := f.balanceRequest(r, sel)
 	c := f.pick(r, q, sel)
 	if c.Index == balance.None {
 		r.pauseLeft = f.pauseLeft()
@@ -105,6 +104,18 @@
 	return u, false
 }
 
+// balanceRequest describes a request to the choice.
+func (f *fleet) balanceRequest(r *request, sel *selection) *balance.Request {
+	q := &balance.Request{Affinity: r.affinity, Shared: r.sharedTokens, Unshared: r.tokens - r.sharedTokens, Domain: sel.domain, Random: rand.Float64(), FetchRate: r.fetchRate, MaxQueueMS: r.maxQueueMS}
+	if r.capacity == 0 {
+		q.LoadAgeMS, q.HoldMS = f.loadAgeMS(sel.now), sel.service.holdTime.MS()
+	}
+	if r.tokens > 0 {
+		q.Rate = sel.service.rates.rate.PerMS()
+	}
+	return q
+}
+
 // maxQuickQueueShare is the share of its objective that a quick request may queue in its own pool
 // before it may use any engine. The rest is needed for its own prompt and for load that has not
 // been reported yet.
@@ -114,6 +125,7 @@
 func (f *fleet) recordPrediction(r *request, q *balance.Request, c balance.Choice) {
 	state := &f.choice.states[c.Index]
 	r.predictedMS, r.upstream = c.FirstEventMS, f.choice.candidates[c.Index].id
+	r.taken, r.slots, r.meanTaken = state.Active, state.Slots, f.choice.meanActive
 	r.uncachedTokens, r.queuedTokens = int(balance.UncachedTokens(state, q)), state.QueuedTokens
 }
 
@@ -157,7 +169,7 @@
 
 func (f *fleet) describeAndChoose(r *request, q *balance.Request, sel *selection) balance.Choice {
 	peers := f.describe(r, sel)
-	q.Partial, q.PeerErrors = f.choice.partial, peers.ErrorShare()
+	q.Partial, q.PeerErrors, q.OwnSlots = f.choice.partial, peers.ErrorShare(), sel.service.ownSlots
 	return f.chooseWithinLimits(r, q)
 }
 
@@ -260,6 +272,11 @@
 func (f *fleet) describe(r *request, sel *selection) (peers balance.Observed) {
 	c, s := &f.choice, sel.service
 	c.states, c.observed = c.states[:0], c.observed[:0]
+	spreads := r.capacity == 0 && !c.partial && f.forwarders > 1
+	if spreads {
+		f.shareSlots(s)
+	}
+	active := 0
 	for i, u := range c.candidates {
 		b, observed := u.describe(sel.now)
 		if others := f.remoteLoads[u.incarnation]; sel.fresh {
@@ -268,8 +285,12 @@
 			b.UsedTokens += others.UsedTokens
 			observed.Add(f.remoteObserved[u.incarnation])
 		}
-		// In a small service an instance has connections to all upstreams, and uses them in turn.
-		b.Connected = c.partial && r.affinity == 0 && u.pool.hasIdle()
+		if b.Own = u.active; spreads {
+			b.NextSlot = u.nextSlot()
+		}
+		// A single instance has connections to all upstreams of a small service, and uses them in turn.
+		b.Connected = (c.partial || spreads) && r.affinity == 0 && u.pool.hasIdle()
+		active += b.Active
 		b.Capacity = r.capacity
 		if !u.gate.Closed(clock.Now) {
 			b.LimitShare = f.limitShare(r, u)
@@ -285,6 +306,7 @@
 		peers = balance.SumObserved(c.observed)
 	}
 	balance.ScorePeers(c.states, c.observed, peers)
+	c.meanActive = float64(active) / float64(max(1, len(c.candidates)))
 	c.fetchSource = nil
 	if r.affinity != 0 {
 		f.describeCached(r, sel)
--- a/instance/relay/fleet.go
+++ b/instance/relay/fleet.go
@@ -27,7 +27,9 @@
 	applied   bool
 	// forwarders is the number of instances that forward requests.
 	forwarders int
-	upstreams  map[string]*upstream
+	// rank is the position of this instance among them, counted from one; zero if it is not known.
+	rank      int
+	upstreams map[string]*upstream
 	// byIncarnation holds the upstreams by the log index at which they registered, which identifies
 	// them in messages.
 	byIncarnation map[uint64]*upstream
@@ -79,8 +81,10 @@
 		}
 	}
 	log.end()
-	f.viewIndex, f.applied, f.forwarders = v.Index, true, v.Forwarders
+	shared := f.forwarders == v.Forwarders && f.rank == v.Rank
+	f.viewIndex, f.applied, f.forwarders, f.rank = v.Index, true, v.Forwarders, v.Rank
 	for name, s := range f.services {
+		s.shared = s.shared && shared
 		s.maxConns, s.healthPath = connectionShare(v, name), healthPath(v, name)
 	}
 	return crashed
--- a/instance/relay/relay.go
+++ b/instance/relay/relay.go
@@ -13,6 +13,7 @@
 
 	"github.com/comfreyladder/comfreyladder/core/budget"
 	"github.com/comfreyladder/comfreyladder/core/drain"
+	"github.com/comfreyladder/comfreyladder/core/route"
 	"github.com/comfreyladder/comfreyladder/instance/clock"
 	"github.com/comfreyladder/comfreyladder/instance/follow"
 	"github.com/comfreyladder/comfreyladder/instance/serving"
@@ -40,6 +41,8 @@
 	// lastTrialRequest is when the trial of a quarantined request was last requested, in
 	// nanoseconds of clock.Now.
 	lastTrialRequest atomic.Int64
+	// routes is the table whose services have gauges.
+	routes atomic.Pointer[route.Index]
 	// drain is the schedule of the drain, nil before a drain begins.
 	drain atomic.Pointer[drain.Schedule]
 
@@ -84,6 +87,11 @@
 
 // Update applies a new view of the serving state.
 func (s *Service) Update(v *follow.View) {
+	if v.Routes != nil && s.routes.Swap(v.Routes) != v.Routes {
+		for i := range v.Routes.Table.Services {
+			s.slotGauges(v.Routes.Table.Services[i].Name)
+		}
+	}
 	for _, up := range s.fleet.update(v) {
 		up.losses.superseded()
 		s.reportCrash(up)
--- a/instance/relay/report.go
+++ b/instance/relay/report.go
@@ -31,6 +31,9 @@
 		l.Int("tokens", int64(r.tokens)).Int("unread", int64(r.uncachedTokens)).Int("ahead", int64(r.queuedTokens)).
 			Int("predicted", int64(r.predictedMS)).Int("max_ahead", int64(r.maxQueueMS)).MS("first_event", r.firstEventAfter).MS("pause", r.longestPause)
 	}
+	if r.slots > 0 {
+		l.Int("taken", int64(r.taken)).Int("slots", int64(r.slots)).Int("taken_mean_percent", int64(percent*r.meanTaken))
+	}
 	if r.shed {
 		l.Int("admitted_percent", int64(percent*r.admission.share)).Int("engines_able", int64(r.admission.availableEngines)).
 			Int("engines_asked", int64(r.admission.requiredEngines)).Bool("cached", r.admission.cached)
@@ -88,6 +91,14 @@
 	return head
 }
 
+// slotGauges registers the gauges that show how evenly a service's upstreams are loaded.
+func (s *Service) slotGauges(service string) {
+	label := `service="` + service + `"`
+	s.set.GetOrCreateGauge(`relay_slots_taken{`+label+`,of="mean"}`, func() float64 { return s.fleet.evenness(service).mean })
+	s.set.GetOrCreateGauge(`relay_slots_taken{`+label+`,of="busiest"}`, func() float64 { return float64(s.fleet.evenness(service).busiest) })
+	s.set.GetOrCreateGauge(`relay_slots_waiting{`+label+`}`, func() float64 { return float64(s.fleet.evenness(service).waiting) })
+}
+
 // gauges registers the gauges for the state of this instance.
 func (s *Service) gauges() {
 	s.set.NewGauge("relay_view_age_seconds", func() float64 { return s.cfg.State.Age().Seconds() })
--- a/instance/relay/request.go
+++ b/instance/relay/request.go
@@ -78,6 +78,10 @@
 	// uncachedTokens is the part of the prompt that the latest choice has to prefill, and
 	// queuedTokens what was queued there before it.
 	uncachedTokens, queuedTokens int
+	// taken is the number of requests that were known to be in flight at the upstream of the latest
+	// choice, out of slots, and meanTaken the mean at all that were considered.
+	taken, slots int
+	meanTaken    float64
 	// rank is the relative urgency of the route. quick is set if the request goes to the pool for
 	// quick requests, recorded once it was recorded in the load statistics, and shed if it is
 	// refused for lack of capacity.
--- a/instance/relay/service.go
+++ b/instance/relay/service.go
@@ -26,6 +26,11 @@
 	versions map[string]int
 	// slots is the sum of the slots of the ready upstreams.
 	slots int
+	// ownSlots is the number of slots that this instance fills first, and shared is set while they are
+	// up to date. holdTime is the mean time for which requests without a prompt are in flight.
+	ownSlots int
+	shared   bool
+	holdTime balance.SlotTime
 	// maxConns is how many connections this instance may open to one upstream.
 	maxConns int
 	// healthPath is where an upstream tells whether it is well, empty if that is not known.
@@ -109,6 +114,7 @@
 	s.ready.add(u)
 	s.inDomain(u.domain).add(u)
 	s.slots += u.slots
+	s.shared = false
 	s.versions[u.software]++
 	u.place = s.index.Add(u.id, u)
 }
@@ -119,6 +125,7 @@
 	s.ready.remove(u)
 	s.inDomain(u.domain).remove(u)
 	s.slots -= u.slots
+	s.shared = false
 	if s.versions[u.software]--; s.versions[u.software] == 0 {
 		delete(s.versions, u.software)
 	}
--- a/instance/relay/upstream.go
+++ b/instance/relay/upstream.go
@@ -22,6 +22,8 @@
 	state       serving.State
 	silent      bool
 	slots       int
+	// ownSlots holds the positions of this instance's own slots here, see fleet.shareSlots.
+	ownSlots []int
 	// software is the version of the upstream's software; empty if it is unknown.
 	software string
 
@@ -122,6 +124,9 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.recordChange(a.up)
+	if a.r.capacity == 0 {
+		f.service(a.r.service).holdTime.Observe(time.Since(a.startedAt))
+	}
 	a.up.active--
 	a.up.usedTokens -= a.r.tokens
 	if !a.firstEventSeen {
--- a/instance/serving/digest.go
+++ b/instance/serving/digest.go
@@ -47,6 +47,9 @@
 	// them. Watchers lists instances that forward requests.
 	Heard    []string `codec:"h"`
 	Watchers []string `codec:"w"`
+	// Domains maps those of the watchers to their failure domains that are in another one than the
+	// sender.
+	Domains map[string]string `codec:"d,omitempty"`
 	// Clocks are the clocks of the member if the agreed time is used.
 	Clocks *clocks `codec:"c,omitempty"`
 	// Starting asks for all instances that follow the recipient: the sender has just started, or missed
@@ -98,6 +101,7 @@
 		if starting[m.Name] {
 			d.Watchers = s.ownWatchers()
 		}
+		d.Domains = s.otherDomains(d.Watchers)
 		if m.ID == st.ID || d.empty() {
 			continue
 		}
@@ -178,6 +182,7 @@
 	}
 	s.metering.observe(clock.Now(), from, d.Clocks)
 	s.tunnels.learn(from, clock.Now(), d.Tunnels)
+	domain := s.memberDomain(from)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if d.Starting {
@@ -189,15 +194,55 @@
 	}
 	for _, name := range d.Watchers {
 		s.watchers[name] = now
+		if other := d.Domains[name]; other != "" {
+			s.ranks.set(name, other)
+		} else {
+			s.ranks.set(name, domain)
+		}
 	}
 	return nil, nil
 }
 
-func (s *Service) recordWatcher(name string) {
+// memberDomain returns the failure domain of a member; empty if it is not known.
+func (s *Service) memberDomain(name string) string {
+	g := s.cfg.Replica()
+	if g == nil {
+		return ""
+	}
+	for _, m := range g.Status().Members {
+		if m.Name == name {
+			return m.Domain
+		}
+	}
+	return ""
+}
+
+// otherDomains returns the failure domains of the instances that are in another one than this member.
+func (s *Service) otherDomains(names []string) (other map[string]string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, name := range names {
+		if domain := s.ranks.domains[name]; domain != s.cfg.Domain {
+			if other == nil {
+				other = map[string]string{}
+			}
+			other[name] = domain
+		}
+	}
+	return other
+}
+
+// recordWatcher records a request of an instance. The failure domain of one of an older build is
+// not known; most instances ask a member of their own.
+func (s *Service) recordWatcher(name, domain string) {
+	if domain == "" {
+		domain = s.cfg.Domain
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.watchers[name] = clock.Now()
 	s.unsentWatchers[name] = true
+	s.ranks.set(name, domain)
 }
 
 // forwarders returns the number of instances that forward requests. Those that have stopped asking
@@ -216,6 +261,7 @@
 		if now.Sub(at) > watcherRetention(s.cfg.BudgetWindow) {
 			delete(s.watchers, name)
 			delete(s.watcherSentAt, name)
+			s.ranks.remove(name)
 		}
 	}
 }
--- a/instance/serving/serving.go
+++ b/instance/serving/serving.go
@@ -78,6 +78,7 @@
 	unsentWatchers map[string]bool
 	watcherSentAt  map[string]time.Time
 	starting       map[string]bool
+	ranks          ranks
 	startedAt      time.Time
 	// missedDigestsAt is until when digests of other members may be missing.
 	missedDigestsAt time.Time
@@ -120,7 +121,7 @@
 	}
 	s := &Service{
 		cfg: cfg, changed: make(chan struct{}), lastHeard: map[string]time.Time{}, unsentHeard: map[string]bool{},
-		watchers: map[string]time.Time{}, unsentWatchers: map[string]bool{}, watcherSentAt: map[string]time.Time{}, starting: map[string]bool{}, startedAt: clock.Now(), missedDigestsAt: clock.Now(), loads: newLoadReports(), observed: newObservedReports(), limits: newLimitTracker(), tunnels: newTunnelServers(),
+		watchers: map[string]time.Time{}, ranks: ranks{domains: map[string]string{}}, unsentWatchers: map[string]bool{}, watcherSentAt: map[string]time.Time{}, starting: map[string]bool{}, startedAt: clock.Now(), missedDigestsAt: clock.Now(), loads: newLoadReports(), observed: newObservedReports(), limits: newLimitTracker(), tunnels: newTunnelServers(),
 	}
 	if cfg.Usage {
 		s.metering = newMetering()
--- a/instance/serving/watch.go
+++ b/instance/serving/watch.go
@@ -63,6 +63,10 @@
 	// asks for instances through which it may.
 	Tunnels    bool `codec:"o,omitempty"`
 	WantsPeers bool `codec:"p,omitempty"`
+	// WantsRank asks for the rank of the instance. What the response says of the members is then
+	// omitted if the instance has it. Domain is the failure domain of the instance.
+	WantsRank bool   `codec:"a,omitempty"`
+	Domain    string `codec:"d,omitempty"`
 }
 
 // WatchResponse holds what a member knows.
@@ -82,12 +86,15 @@
 	// Domain is the failure domain of the member. Members are the names of all members and Domains
 	// their failure domains, as far as they are known; both are omitted if the instance has the list
 	// with MembersSum.
-	Domain     string   `codec:"d"`
-	Members    []string `codec:"m"`
+	Domain     string   `codec:"d,omitempty"`
+	Members    []string `codec:"m,omitempty"`
 	Domains    []string `codec:"y,omitempty"`
 	MembersSum uint64   `codec:"x,omitempty"`
 	// Forwarders is the known number of instances that forward requests.
 	Forwarders int `codec:"f"`
+	// Rank is the position of the instance among them, counted from one, if it was asked for. They
+	// are ordered by failure domain and name.
+	Rank int `codec:"k,omitempty"`
 	// Starting means that there may be more of them: the member has just started or missed digests.
 	Starting bool `codec:"j,omitempty"`
 	// Summary is the work of all instances. NextPlacement is the number of the placement to
@@ -117,7 +124,7 @@
 		return nil, err
 	}
 	if q.Forwards {
-		s.recordWatcher(from)
+		s.recordWatcher(from, q.Domain)
 		s.tunnels.record(from, arrived, q.Tunnels)
 		s.recordReport(from, &q.Report)
 		s.metering.record(from, arrived, &q)
@@ -140,6 +147,10 @@
 	a.Confirmed = a.Confirmed && !a.More
 	viewQuarantine(g, func(m *quarantine.Machine) { a.Quarantine = m.Since(q.Quarantine) })
 	a.Forwarders, a.Starting = s.forwarders(), s.isStarting(clock.Now())
+	if q.WantsRank {
+		a.Rank = s.rank(from)
+		a.omitMembers(q.MembersSum)
+	}
 	if q.WantsPeers {
 		a.Peers = s.tunnels.peers(from, clock.Now())
 	}
@@ -168,6 +179,13 @@
 	}
 }
 
+// omitMembers omits what is known to an instance that has the list of members with the given sum.
+func (a *WatchResponse) omitMembers(known uint64) {
+	if a.MembersSum == known {
+		a.MembersSum, a.Domain = 0, ""
+	}
+}
+
 func (s *Service) awaitChange(ctx context.Context, g *consensus.Service, q *WatchRequest) {
 	s.mu.Lock()
 	changed := s.changed
