--- a/instance/relay/fleet.go
+++ b/instance/relay/fleet.go
@@ -28,7 +28,9 @@
 	applied   bool
 	// forwarders is the number of instances that forward requests.
 	forwarders int
-	upstreams  map[string]*upstream
+	// rank is the position of this instance among them, counted from one; zero if it is not known.
+	rank      int
+	upstreams map[string]*upstream
 	// byIncarnation holds the upstreams by the log index at which they registered, which identifies
 	// them in messages.
 	byIncarnation map[uint64]*upstream
@@ -84,9 +86,11 @@
 		}
 	}
 	log.end()
-	f.viewIndex, f.applied, f.forwarders = v.Index, true, v.Forwarders
+	shared := f.forwarders == v.Forwarders && f.rank == v.Rank
+	f.viewIndex, f.applied, f.forwarders, f.rank = v.Index, true, v.Forwarders, v.Rank
 	warming := false
 	for name, s := range f.services {
+		s.shared = s.shared && shared
 		s.maxConns, s.healthPath, s.warmUp = connectionShare(v, name), healthPath(v, name), warmUpOf(v, name)
 		warming = warming || s.warmUp.perSecond > 0
 	}
