--- a/core/warmup/cold.go
+++ b/core/warmup/cold.go
@@ -12,11 +12,17 @@
 	reported, presumed time.Time
 	// ended is set once a process has ended at its address.
 	ended bool
+	// doubted is when a connection was lost, and doubtedUntil for how long that counts at most.
+	doubted, doubtedUntil time.Time
 	// sequence is that of the latest report; applied is set once there was one.
 	sequence uint64
 	applied  bool
 }
 
+// settleTime is how long after a lost connection the replicated state shows a process that has started
+// again at once: it reports itself as soon as it runs.
+const settleTime = 500 * time.Millisecond
+
 // Report applies the time that a liveness report with a sequence number states, in milliseconds from
 // now. The report may have been made earlier, so the upstream counts as cold for longer rather than
 // for shorter. A report that was applied before changes nothing: the replicated state repeats it with
@@ -44,8 +50,21 @@
 	c.Presume(now, left)
 }
 
-// Is reports whether the upstream counts as cold. silent is set if it sends no liveness reports.
-func (c *Cold) Is(now time.Time, silent bool) bool { return c.Left(now) > 0 || c.ended && silent }
+// Doubt records that a connection was lost, so that another process may run at the address. If so, the
+// state shows that soon, provided that this instance is in contact; if not, the upstream counts as cold
+// for a time.
+func (c *Cold) Doubt(now time.Time, left time.Duration) {
+	c.doubted, c.doubtedUntil = now, now.Add(min(left, maxCold)+settleTime)
+}
+
+// Is reports whether the upstream counts as cold. silent is set if it sends no liveness reports, and
+// confirmed returns when the state was last confirmed.
+func (c *Cold) Is(now time.Time, silent bool, confirmed func() time.Time) bool {
+	if c.Left(now) > 0 || c.ended && silent {
+		return true
+	}
+	return now.Before(c.doubtedUntil) && confirmed().Before(c.doubted.Add(settleTime))
+}
 
 // Left returns how much longer the upstream counts as cold, zero if it is warm.
 func (c *Cold) Left(now time.Time) time.Duration {
--- a/core/warmup/warmup_test.go
+++ b/core/warmup/warmup_test.go
@@ -252,4 +252,14 @@
 	c.Report(epoch.Add(20*time.Second), 13, math.MaxInt64)
 	g.Expect(c.Left(epoch.Add(20 * time.Second))).To(Equal(time.Hour))
 	g.Expect(c.Left(epoch.Add(2 * time.Hour))).To(BeZero())
+
+	lost := epoch.Add(3 * time.Hour)
+	confirmed := func(at time.Time) func() time.Time { return func() time.Time { return at } }
+	g.Expect(c.Is(lost, false, confirmed(lost))).To(BeFalse())
+	c.Doubt(lost, 4*time.Second)
+	g.Expect(c.Is(lost.Add(time.Second), false, confirmed(lost))).To(BeTrue(), "no contact since a connection was lost")
+	g.Expect(c.Is(lost.Add(time.Second), false, confirmed(lost.Add(time.Second)))).To(BeFalse(), "the state shows no other process")
+	g.Expect(c.Is(lost.Add(5*time.Second), false, confirmed(lost))).To(BeFalse())
+	c.Ended(lost, time.Second)
+	g.Expect(c.Is(lost.Add(time.Minute), true, confirmed(lost))).To(BeTrue(), "it has not started again")
 }
--- a/instance/relay/attempt.go
+++ b/instance/relay/attempt.go
@@ -157,7 +157,12 @@
 
 // connect takes an idle connection from the pool or dials a new one.
 func (a *attempt) connect() outcome {
-	if a.conn = a.up.pool.take(time.Now()); a.conn != nil {
+	var closed bool
+	a.conn, closed = a.up.pool.take(time.Now())
+	if closed {
+		a.s.fleet.doubt(a.up)
+	}
+	if a.conn != nil {
 		return answered
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), a.r.left(clock.Now()))
--- a/instance/relay/crash.go
+++ b/instance/relay/crash.go
@@ -137,8 +137,8 @@
 		s.cfg.Quarantine.TrackLarge()
 	}
 	up, now := a.up, time.Now()
-	if lost && s.cfg.State.Age() > noticedRestart {
-		s.fleet.presumeCold(up)
+	if lost {
+		s.fleet.doubt(up)
 	}
 	organisation := ""
 	if a.r.organisation != nil {
--- a/instance/relay/fleet.go
+++ b/instance/relay/fleet.go
@@ -59,11 +59,12 @@
 	// warm-up rate.
 	permits Permits
 	warming atomic.Bool
+	state   State
 }
 
 func newFleet(cfg *Config) *fleet {
 	f := &fleet{
-		log: cfg.Log, limits: cfg.Limits, permits: cfg.Permits, queue: queue{}, upstreams: map[string]*upstream{}, byIncarnation: map[uint64]*upstream{}, services: map[string]*service{},
+		log: cfg.Log, limits: cfg.Limits, permits: cfg.Permits, state: cfg.State, queue: queue{}, upstreams: map[string]*upstream{}, byIncarnation: map[uint64]*upstream{}, services: map[string]*service{},
 		used: map[*upstream]struct{}{}, changed: map[*upstream]struct{}{}, domains: domains{}, remoteLoads: map[uint64]servingsvc.Load{}, remoteObserved: map[uint64]balance.Observed{},
 		reportedObserved: map[uint64]balance.Observed{},
 	}
--- a/instance/relay/pool.go
+++ b/instance/relay/pool.go
@@ -48,17 +48,20 @@
 	minKeepAlive     = 200 * time.Millisecond
 )
 
-// take returns a usable idle connection, or nil.
-func (p *pool) take(now time.Time) *upstreamConn {
+// take returns a usable idle connection, or nil. closed is set if the upstream closed one earlier than
+// expected, which its process may have done by ending.
+func (p *pool) take(now time.Time) (taken *upstreamConn, closed bool) {
 	for {
 		c := p.pop(now)
 		if c == nil {
-			return nil
+			return nil, closed
 		}
-		if c.detour == p.links.CutOff() && c.isUsable() {
+		usable := c.isUsable()
+		if c.detour == p.links.CutOff() && usable {
 			c.used = true
-			return c
+			return c, closed
 		}
+		closed = closed || !usable && !c.detour
 		_ = c.nc.Close()
 	}
 }
--- a/instance/relay/warmup.go
+++ b/instance/relay/warmup.go
@@ -7,6 +7,7 @@
 	"github.com/comfreyladder/comfreyladder/core/control/serving"
 	"github.com/comfreyladder/comfreyladder/core/fault"
 	"github.com/comfreyladder/comfreyladder/core/reach"
+	"github.com/comfreyladder/comfreyladder/core/warmup"
 	"github.com/comfreyladder/comfreyladder/instance/clock"
 	"github.com/comfreyladder/comfreyladder/instance/follow"
 )
@@ -44,9 +45,12 @@
 
 // cold reports whether an upstream is cold and its service has a warm-up rate. The caller holds mu.
 func (f *fleet) cold(u *upstream) bool {
-	return f.permits != nil && u.service != nil && u.service.warmUp.perSecond > 0 && u.cold.Is(clock.Now(), u.silent)
+	return f.permits != nil && u.service != nil && u.service.warmUp.perSecond > 0 && u.cold.Is(clock.Now(), u.silent, f.confirmed)
 }
 
+// confirmed returns when the serving state was last confirmed, by clock.Now.
+func (f *fleet) confirmed() time.Time { return clock.Now().Add(-f.state.Age()) }
+
 // usePermit uses a permit for the chosen upstream if it is cold, and reports false if there is none. The
 // caller holds mu.
 func (f *fleet) usePermit(r *request, u *upstream) (ok bool) {
@@ -129,13 +133,14 @@
 	return n
 }
 
-// noticedRestart is the age of the serving state up to which this instance would know that an upstream
-// has started again: an upstream reports that at once.
-const noticedRestart = time.Second
-
 // presumeCold records that an upstream has ended, so that whichever process answers next at its address
 // is cold.
-func (f *fleet) presumeCold(u *upstream) {
+func (f *fleet) presumeCold(u *upstream) { f.suspectCold(u, "ended", (*warmup.Cold).Ended) }
+
+// doubt records that a connection to an upstream was lost: another process may run at its address.
+func (f *fleet) doubt(u *upstream) { f.suspectCold(u, "connection lost", (*warmup.Cold).Doubt) }
+
+func (f *fleet) suspectCold(u *upstream, reason string, record func(c *warmup.Cold, now time.Time, left time.Duration)) {
 	if !f.warming.Load() {
 		return
 	}
@@ -145,8 +150,8 @@
 		return
 	}
 	was := f.cold(u)
-	u.cold.Ended(clock.Now(), u.service.warmUp.time)
+	record(&u.cold, clock.Now(), u.service.warmUp.time)
 	if !was && f.cold(u) {
-		f.log.Event("upstream_cold").Str("upstream", u.id).Str("reason", "ended").MS("left", u.service.warmUp.time).End()
+		f.log.Event("upstream_cold").Str("upstream", u.id).Str("reason", reason).MS("left", u.service.warmUp.time).End()
 	}
 }
