Link checks cost brittle upstreams nothing; a quick refusal is no cut

Waves of rejections that came back together made the first upstream exit, an upstream that was back got the load of all instances at once, and health requests of checks came to full upstreams. Beside that, upstreams that come back between a refused connect and another instance's success looked like a cut, and a cut dropped the failure of a quarantine trial.

Change: a connect that was refused within 0.1 s counts only if it is refused again after the other instance's success (core/reach). Before each health request a check asks whether the upstream takes it: brittle ones by their free slots, limited ones with a token, paused and leaving ones not at all; else the connection alone is made. A pause after a rejection keeps to what the upstream bears in any second and is spread. New brittle upstreams get the share of the slots alone for a second. Losses of trials outlive a cut and a probe. A sound check holds for 1 s x instances / upstreams after failed connects and for tunnels (at most 2 s if nothing was heard for a second).

--- a/core/backpressure/brittle.go
+++ b/core/backpressure/brittle.go
@@ -25,9 +25,15 @@
 }
 
 // RejectionPause returns for how long one of several instances sends nothing to a brittle upstream that
-// has rejected a request of it: together they are rejected no more often than the upstream bears.
+// has rejected a request of it: together they are rejected no more often than the upstream bears, in any
+// second and not only in the mean. Pauses of 0.8 s of four instances that were rejected at the same time
+// brought eight rejections in a second where five were allowed.
 func RejectionPause(perSecond, instances int) time.Duration {
-	pause := time.Duration(max(1, instances)) * time.Second / time.Duration(max(1, perSecond))
+	instances, perSecond = max(1, instances), max(1, perSecond)
+	pause := time.Duration(instances) * time.Second / time.Duration(perSecond)
+	if each := perSecond / instances; each > 0 {
+		pause = time.Second / time.Duration(each)
+	}
 	return min(maxRejectionPause, max(minRejectionPause, pause))
 }
 
@@ -68,13 +74,16 @@
 	// Tokens is what all instances hold of the Memory of an engine, and Need what the request adds, in
 	// tokens; Memory is zero if the upstream is none.
 	Tokens, Need, Memory int
+	// Unknown is set while the upstream has just become known, so that the work of other instances there is not:
+	// to each of them it looks empty.
+	Unknown bool
 	// Lot is uniform in [0,1) over the instances and upstreams, and the same for each pair.
 	Lot float64
 }
 
 // Free reports whether a request finds room without doubt: if it fits into the memory, and this instance
 // is within its share of the slots, or half of them are free even though what is known of the others is
-// not new. With fewer slots than instances, as many instances as there are slots have a share of one.
+// not new, unless it is unknown. With fewer slots than instances, as many instances as there are slots have a share of one.
 func (r Room) Free() bool {
 	if r.Memory > 0 && r.Tokens+r.Need > r.Memory {
 		return false
@@ -83,5 +92,5 @@
 	if share == 0 && r.Lot*float64(r.Instances) < float64(r.Slots) {
 		share = 1
 	}
-	return r.Own < share || 2*r.All < r.Slots
+	return r.Own < share || !r.Unknown && 2*r.All < r.Slots
 }
--- a/core/reach/check.go
+++ b/core/reach/check.go
@@ -12,6 +12,9 @@
 	// maxRetries is how often an upstream is asked again once another instance got an answer: an
 	// overloaded upstream may drop any connection, and one that ended may have started again.
 	maxRetries = 2
+	// quickly is within what time a connect is refused if nobody listens there, far below the time after
+	// which one that nothing answers is given up.
+	quickly = 100 * time.Millisecond
 )
 
 // Outcome is what became of a try to get an answer from an upstream.
@@ -24,6 +27,9 @@
 	Unconnected
 	// Lost means that the connection was made and ended before any answer.
 	Lost
+	// Withheld means that the connection was made, and that nothing was sent as the upstream has no room.
+	// It proves neither the links nor a cut.
+	Withheld
 	// Answered means that bytes of an answer came back, whichever they are.
 	Answered
 )
@@ -88,7 +94,7 @@
 // Retry reports whether this instance must ask an upstream again, and records that it does.
 func (c *Check) Retry(i int, now time.Time) bool {
 	t := &c.tries[i]
-	if t.byOther.IsZero() && !t.outdated() || !t.mayRetry() {
+	if t.byOther.IsZero() && !t.unproven() || !t.mayRetry() {
 		return false
 	}
 	t.outcome, t.begun = Pending, now
@@ -100,10 +106,17 @@
 	return (t.outcome == Lost || t.outcome == Unconnected) && t.retries < maxRetries
 }
 
-// outdated reports whether another instance could connect so long after this one could not that the
-// upstream may have started in between.
-func (t *try) outdated() bool {
-	return t.outcome == Unconnected && !t.acceptedAt.IsZero() && t.acceptedAt.Sub(t.endedAt) > Grace
+// unproven reports whether the upstream may have started between the failed connect of this instance and
+// the success of another one. A quick refusal lasts for no time, so any start of the upstream falls between
+// the two unless this instance has tried again since.
+func (t *try) unproven() bool {
+	if t.outcome != Unconnected || t.acceptedAt.IsZero() {
+		return false
+	}
+	if t.endedAt.Sub(t.begun) < quickly {
+		return t.begun.Before(t.acceptedAt)
+	}
+	return t.acceptedAt.Sub(t.endedAt) > Grace
 }
 
 // unconnected reports whether this instance can connect to no upstream though another one can.
@@ -113,7 +126,7 @@
 		if c.tries[i].outcome != Unconnected {
 			return false
 		}
-		byOther = byOther || !c.tries[i].acceptedAt.IsZero() && !c.tries[i].outdated()
+		byOther = byOther || !c.tries[i].acceptedAt.IsZero() && !c.tries[i].unproven()
 	}
 	return byOther
 }
@@ -129,7 +142,7 @@
 		if t.outcome == Answered {
 			return Sound, 0
 		}
-		if t.byOther.IsZero() || t.mayRetry() {
+		if t.byOther.IsZero() || t.mayRetry() || t.outcome == Withheld {
 			continue
 		}
 		wait := t.graceLeft(now)
@@ -158,6 +171,22 @@
 	return Grace - now.Sub(from)
 }
 
+// Futile reports whether further tries can't show a cut: this instance could connect, and what it did not
+// send would have gone to upstreams without room.
+func (c *Check) Futile() bool {
+	withheld := false
+	for i := range c.tries {
+		switch c.tries[i].outcome {
+		case Withheld:
+			withheld = true
+		case Unconnected:
+		default:
+			return false
+		}
+	}
+	return withheld
+}
+
 // Open returns how many tries have not ended.
 func (c *Check) Open() (n int) {
 	for i := range c.tries {
@@ -173,13 +202,16 @@
 	r.Strained = true
 	for i := range c.tries {
 		t := &c.tries[i]
-		if t.outcome != Answered {
+		switch t.outcome {
+		case Answered:
+			r.Reached++
+			r.Strained = r.Strained && t.strained
+		case Withheld:
+			r.Withheld++
+		default:
 			r.Failed++
-			continue
 		}
-		r.Reached++
-		r.Strained = r.Strained && t.strained
 	}
-	r.Strained = r.Strained && r.Reached > 0
+	r.Strained = r.Strained && r.Reached+r.Withheld > 0
 	return r
 }
--- a/core/reach/check_test.go
+++ b/core/reach/check_test.go
@@ -129,6 +129,41 @@
 	Expect(check.Result().Strained).To(BeFalse())
 }
 
+// Guards against instances that call themselves cut off because upstreams come back between a refused connect
+// here and the success of another instance, however short that time is; and against a cut that is not found as
+// a refusal is never taken for one.
+func TestQuickRefusalCountsOnceTriedAgain(t *testing.T) {
+	RegisterTestingT(t)
+	check := &Check{}
+	i := check.Begin(start, false)
+	check.Ended(i, Unconnected, start.Add(time.Millisecond))
+	later := start.Add(2 * time.Millisecond)
+	check.AcceptedOther(i, later)
+	v, _ := check.Verdict(later)
+	Expect(v).To(Equal(Undecided))
+	Expect(check.Retry(i, later)).To(BeTrue())
+	check.Ended(i, Unconnected, later.Add(time.Millisecond))
+	v, _ = check.Verdict(later.Add(time.Millisecond))
+	Expect(v).To(Equal(CutOff))
+}
+
+// Guards against a cut that is found, or sought any further, since nothing was sent to an upstream without
+// room.
+func TestWithheldRequestProvesNothing(t *testing.T) {
+	RegisterTestingT(t)
+	check := &Check{}
+	gone, full := check.Begin(start, false), check.Begin(start, true)
+	check.Ended(gone, Unconnected, start)
+	Expect(check.Futile()).To(BeFalse())
+	check.Ended(full, Withheld, start)
+	check.AnsweredOther(full, start)
+	Expect(check.Retry(full, start)).To(BeFalse())
+	v, _ := check.Verdict(start.Add(2 * Grace))
+	Expect(v).To(Equal(Undecided))
+	Expect(check.Futile()).To(BeTrue())
+	Expect(check.Result()).To(Equal(Result{Failed: 1, Withheld: 1, Strained: true}))
+}
+
 // Guards against instances that call themselves cut off because all upstreams had ended and one has started
 // again, where another instance connects first.
 func TestUpstreamThatHasStartedSinceIsTriedAgain(t *testing.T) {
--- a/core/reach/reach.go
+++ b/core/reach/reach.go
@@ -47,7 +47,9 @@
 type Result struct {
 	// Reached and Failed count the upstreams that answered this instance and those that did not.
 	Reached, Failed int
-	// Strained is set if only upstreams that are short of room answered.
+	// Withheld counts those that accepted a connection and were sent nothing as they have no room.
+	Withheld int
+	// Strained is set if only upstreams that are short of room answered or have accepted a connection.
 	Strained bool
 }
 
@@ -62,6 +64,9 @@
 	// waiting counts the awaited responses. heardAt is when something last arrived, and awaitedAt when a
 	// response began to be awaited while no other was, in nanoseconds of the Unix time.
 	waiting, heardAt, awaitedAt atomic.Int64
+	// provedAt is when the latest new connection on which an answer came was opened, in nanoseconds of the
+	// Unix time.
+	provedAt atomic.Int64
 	// proofs counts the new connections on which an answer came.
 	proofs atomic.Int64
 	// asking is set while a check asks other instances.
@@ -114,8 +119,9 @@
 	return now.UnixNano()-m.heardAt.Load() < int64(span)
 }
 
-// Prove records that an answer came on a new connection.
-func (m *Monitor) Prove() {
+// Prove records that an answer came on a new connection, which was opened at a given time.
+func (m *Monitor) Prove(opened time.Time) {
+	m.provedAt.Store(opened.UnixNano())
 	m.proofs.Add(1)
 	if !m.troubled.Load() {
 		return
@@ -172,12 +178,34 @@
 	return max(0, time.Duration(from-now.UnixNano())+tolerated), true
 }
 
-// Spares reports whether a check that strained upstreams alone have answered was not longer ago than a
-// span.
-func (m *Monitor) Spares(now time.Time, span time.Duration) bool {
+// strainedSpan is for how long the answer of upstreams that are short of room holds, for each instance that
+// may check them, and checkSpan the same for others, for each instance and by upstream: all instances together
+// stay under one check a second for an upstream.
+const strainedSpan, checkSpan = 2 * time.Second, time.Second
+
+// An instance that has heard nothing from any upstream for unheard makes a check after maxUnheardSpan in any
+// case: behind a cut that refuses connections nothing else would show it.
+const unheard, maxUnheardSpan = time.Second, 2 * time.Second
+
+// Spares reports whether a check after a failed connect or for a tunnel is left out, as the last one that
+// reached an upstream was not long ago, given how many instances check how many upstreams.
+func (m *Monitor) Spares(now time.Time, instances, upstreams int) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.last.Strained && m.last.Reached > 0 && now.Sub(m.checkedAt) < span
+	span := checkSpan * time.Duration(instances) / time.Duration(max(1, upstreams))
+	switch {
+	case m.last.Strained:
+		span = strainedSpan * time.Duration(instances)
+	case !m.HeardWithin(now, unheard):
+		span = min(span, maxUnheardSpan)
+	}
+	return m.last.Reached > 0 && !m.checkedAt.IsZero() && now.Sub(m.checkedAt) < span
+}
+
+// Proved reports whether an answer came on a connection that was opened after a given time. That is as good as
+// a check for a connect that failed then; an older connection says nothing of a cut since.
+func (m *Monitor) Proved(since time.Time) bool {
+	return !m.CutOff() && m.provedAt.Load() > since.UnixNano()
 }
 
 // Fresh returns the result of the last check if it still holds.
--- a/instance/relay/backpressure.go
+++ b/instance/relay/backpressure.go
@@ -22,7 +22,7 @@
 	tolerated, isBrittle := backpressure.ParseBrittle(string(brittle))
 	a.hearBrittle(isBrittle, tolerated)
 	if isBrittle && a.rejectedForRoom() {
-		ask.Pause = max(ask.Pause, backpressure.RejectionPause(tolerated, a.s.cfg.State.View().Forwarders))
+		ask.Pause = max(ask.Pause, spreadRejectionPause(tolerated, a.s.cfg.State.View().Forwarders))
 	}
 	if ask == (backpressure.Ask{}) {
 		return
@@ -51,6 +51,16 @@
 	}
 }
 
+// spreadRejectionPause returns a pause after a rejection. Instances that were rejected at the same time must not
+// come back at the same time.
+func spreadRejectionPause(tolerated, instances int) time.Duration {
+	pause := backpressure.RejectionPause(tolerated, instances)
+	if instances <= 1 {
+		return pause
+	}
+	return pause + time.Duration(rand.Float64()*float64(pause)/2)
+}
+
 // rejectedForRoom reports whether the response says that the upstream had no room for its request.
 func (a *attempt) rejectedForRoom() bool {
 	return a.head.Status == statusUnavailable && a.head.Has(a.s.cfg.Headers.NotRun)
@@ -64,13 +74,18 @@
 	return peers != nil && peers.brittle.Active()
 }
 
+// loadsKnownAfter is after what time the work of other instances at a new upstream is known: some loads are
+// exchanged within it.
+const loadsKnownAfter = time.Second
+
 // lacksRoom reports whether an upstream is brittle and may have to reject a request. The caller holds mu.
 func (f *fleet) lacksRoom(sel *selection, u *upstream) bool {
 	if !u.isBrittle() {
 		return false
 	}
 	room := backpressure.Room{
-		Slots: u.slots, Instances: f.forwarders, Own: u.active, All: u.active * f.forwarders, Lot: u.lot,
+		Unknown: sel.now.Sub(u.knownAt) < loadsKnownAfter,
+		Slots:   u.slots, Instances: f.forwarders, Own: u.active, All: u.active * f.forwarders, Lot: u.lot,
 		Tokens: u.usedTokens * f.forwarders, Need: sel.tokens, Memory: sel.memory,
 	}
 	if sel.fresh {
--- a/instance/relay/crash.go
+++ b/instance/relay/crash.go
@@ -35,6 +35,8 @@
 type loss struct {
 	quarantine.Attempt
 	at time.Time
+	// trial is set if the attempt was the trial of a quarantined request.
+	trial bool
 }
 
 // losses holds the lost attempts of one incarnation of an upstream.
@@ -82,10 +84,17 @@
 	case probeRefused:
 		l.crashedAt = time.Now()
 	case probeListens:
-		l.list = nil
+		l.keepTrials()
 	}
 }
 
+// keepTrials drops all losses but those of trials. What listens may have started since, and a cut may be a
+// false verdict: a trial whose failure is never told is made again. It counts only if the upstream turns out
+// to have ended. The caller holds mu.
+func (l *losses) keepTrials() {
+	l.list = slices.DeleteFunc(l.list, func(x loss) bool { return !x.trial })
+}
+
 // takeCrashed returns the attempts that were lost to a crash, each once.
 func (l *losses) takeCrashed(now time.Time) []loss {
 	l.mu.Lock()
@@ -141,7 +150,7 @@
 	if a.r.organisation != nil {
 		organisation = a.r.organisation.Name
 	}
-	x := loss{quarantine.NewAttempt(a.r.fingerprint(), now.Sub(a.startedAt), organisation, string(a.r.head.Target)), now}
+	x := loss{quarantine.NewAttempt(a.r.fingerprint(), now.Sub(a.startedAt), organisation, string(a.r.head.Target)), now, a.r.trial}
 	if !a.answersSince(now.Add(-quarantine.AnsweringTime)) {
 		x.Parts = a.r.sharedParts()
 	}
--- a/instance/relay/links.go
+++ b/instance/relay/links.go
@@ -41,6 +41,7 @@
 		},
 		OnCheck:     func(reason string) { f.log.Event("links_checked").Str("reason", reason).End() },
 		Instances:   cfg.instances,
+		Upstreams:   f.upstreamCount,
 		OnUnreached: func(r reach.Result) { f.log.Event("no_upstream_reached").Int("failed", int64(r.Failed)).End() },
 	})
 }
@@ -93,11 +94,46 @@
 		chosen = append(chosen[:min(len(chosen), n-1)], strained)
 	}
 	for _, u := range chosen {
-		list = append(list, uplink.Candidate{Target: u.pool.target, HealthPath: u.service.healthPath, Strained: u == strained})
+		c := uplink.Candidate{Target: u.pool.target, HealthPath: u.service.healthPath, Strained: u == strained}
+		c.Admit = func() bool { return f.admitCheck(u) }
+		list = append(list, c)
 	}
 	return list
 }
 
+// upstreamCount returns how many upstreams checks may ask.
+func (f *fleet) upstreamCount() (n int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, s := range f.services {
+		n += len(s.ready.list)
+	}
+	return n
+}
+
+// checkUrgency is the urgency of the requests of checks, after all others.
+const checkUrgency = urgencyLevels - 1
+
+// admitCheck reports whether an upstream takes the request of a check: not while it wants nothing or is full,
+// and with a token if it names a limit.
+func (f *fleet) admitCheck(u *upstream) bool {
+	if u.gate.Closed(clock.Now) {
+		return false
+	}
+	f.mu.Lock()
+	now := time.Now()
+	full := f.lacksRoom(&selection{now: now, fresh: now.Sub(f.remoteLoadsAt) < remoteLoadTTL}, u)
+	f.mu.Unlock()
+	if full {
+		return false
+	}
+	if !f.limiting() {
+		return true
+	}
+	_, limited := f.limits.Limit(u.incarnation)
+	return !limited || f.limits.Use(u.incarnation, checkUrgency)
+}
+
 // strained reports whether an upstream names a limit or is brittle.
 func (f *fleet) strained(u *upstream) bool {
 	if u.isBrittle() {
@@ -148,7 +184,7 @@
 func (l *losses) forget() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.list = nil
+	l.keepTrials()
 }
 
 // blames reports whether the failure of an attempt says something about its upstream. It does not if
@@ -176,7 +212,7 @@
 	a.s.fleet.links.Heard()
 	if !a.conn.proven {
 		a.conn.proven = true
-		a.s.fleet.links.Proven()
+		a.s.fleet.links.Proven(a.conn.openedAt)
 	}
 }
 
--- a/instance/relay/pool.go
+++ b/instance/relay/pool.go
@@ -21,6 +21,8 @@
 type upstreamConn struct {
 	nc net.Conn
 	in *bufio.Reader
+	// openedAt is when the connection was opened.
+	openedAt time.Time
 	// expiresAt is when the upstream may close the connection as idle.
 	expiresAt time.Time
 	used      bool
@@ -194,7 +196,7 @@
 }
 
 func newUpstreamConn(c uplink.Conn) *upstreamConn {
-	return &upstreamConn{nc: c.Conn, in: bufio.NewReaderSize(c.Conn, ioBufferSize), detour: c.Detour}
+	return &upstreamConn{nc: c.Conn, in: bufio.NewReaderSize(c.Conn, ioBufferSize), detour: c.Detour, openedAt: time.Now()}
 }
 
 // setUnsentLimit bounds how many unsent bytes of a connection the kernel holds. A write to a peer
--- a/instance/relay/upstream.go
+++ b/instance/relay/upstream.go
@@ -22,6 +22,8 @@
 	state       serving.State
 	silent      bool
 	slots       int
+	// knownAt is when this instance learned of the incarnation.
+	knownAt time.Time
 	// software is the version of the upstream's software; empty if it is unknown.
 	software string
 
@@ -63,7 +65,7 @@
 }
 
 func (f *fleet) newUpstream(info *serving.Upstream) *upstream {
-	u := &upstream{id: info.ID, address: info.Address, incarnation: info.FirstIndex, lot: rand.Float64()}
+	u := &upstream{id: info.ID, address: info.Address, incarnation: info.FirstIndex, lot: rand.Float64(), knownAt: time.Now()}
 	u.pool.target, u.pool.links = targetOf(info), f.links
 	return u
 }
--- a/instance/uplink/check.go
+++ b/instance/uplink/check.go
@@ -27,9 +27,6 @@
 	proofHolds = 3 * time.Second
 	// suspectTimeout bounds the wait for a check after a lost connection.
 	suspectTimeout = time.Second
-	// strainedSpan is for how long the answer of upstreams that are short of room holds, for each instance
-	// that may check them: all instances together stay under one check a second.
-	strainedSpan = 2 * time.Second
 )
 
 // check is one check, which all that need its result share.
@@ -71,32 +68,32 @@
 func (r reason) maySpare() bool { return r == connectFailed || r == tunnelNeedsProof }
 
 // startCheck returns the running check, or starts one unless the last one was a moment ago; then it
-// returns nil.
-func (s *Service) startCheck(why reason) *check {
+// returns no check, but what is known.
+func (s *Service) startCheck(why reason) (*check, reach.Result) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Now()
-	if _, fresh := s.monitor.Fresh(now); fresh || s.stopped {
-		return nil
+	known, fresh := s.monitor.Fresh(now)
+	if fresh || s.stopped {
+		return nil, known
 	}
-	if s.check == nil && why.maySpare() && s.monitor.Spares(now, strainedSpan*time.Duration(s.cfg.Instances())) {
-		return nil
+	if s.check == nil && why.maySpare() && s.monitor.Spares(now, s.cfg.Instances(), s.cfg.Upstreams()) {
+		return nil, known
 	}
 	if s.check == nil {
 		c := newCheck()
 		s.check = c
 		s.cfg.OnCheck(string(why))
-		s.running.Go(func() { s.runCheck(c) })
+		s.running.Go(func() { s.runCheck(c, why) })
 	}
-	return s.check
+	return s.check, reach.Result{}
 }
 
 // checkLinks checks the links, unless that was done a moment ago, and returns what was found.
 func (s *Service) checkLinks(ctx context.Context, why reason) reach.Result {
-	c := s.startCheck(why)
+	c, known := s.startCheck(why)
 	if c == nil {
-		r, _ := s.monitor.Fresh(time.Now())
-		return r
+		return known
 	}
 	select {
 	case <-c.done:
@@ -106,13 +103,15 @@
 	}
 }
 
-// connects reports after a failed connect whether others succeed. It waits for no answer of an
-// upstream, which may be busy.
-func (s *Service) connects(ctx context.Context) bool {
-	c := s.startCheck(connectFailed)
+// connects reports after a failed connect, which began at a given time, whether others succeed. It waits for
+// no answer of an upstream, which may be busy.
+func (s *Service) connects(ctx context.Context, begun time.Time) bool {
+	if s.monitor.Proved(begun) {
+		return true
+	}
+	c, known := s.startCheck(connectFailed)
 	if c == nil {
-		r, _ := s.monitor.Fresh(time.Now())
-		return r.Reached > 0
+		return known.Reached > 0
 	}
 	select {
 	case <-c.connects:
@@ -122,8 +121,14 @@
 	}
 }
 
-func (s *Service) runCheck(c *check) {
+func (s *Service) runCheck(c *check, why reason) {
 	v, found := s.examine(func() { c.tellConnects(true) })
+	if found.Withheld > 0 && (why == connectFailed || s.monitor.HeardWithin(time.Now(), reach.Quiet)) {
+		// A connect that succeeds is all that a failed one calls for, and old connections with answers are
+		// a proof beside a new one.
+		found.Reached += found.Withheld
+		v = reach.Sound
+	}
 	c.found = found
 	s.monitor.Checked(time.Now(), found)
 	cutOff := v == reach.CutOff && s.monitor.ReachedByOther()
--- a/instance/uplink/examine.go
+++ b/instance/uplink/examine.go
@@ -110,7 +110,7 @@
 
 // over reports whether nothing can change any more.
 func (x *examination) over() bool {
-	return x.begun == len(x.list) && x.check.Open() == 0 && x.asking == 0 && !x.mayAskOther()
+	return x.begun == len(x.list) && x.check.Open() == 0 && (x.check.Futile() || x.asking == 0 && !x.mayAskOther())
 }
 
 // askNext asks the next upstream directly, and reports false if there is none.
@@ -189,6 +189,12 @@
 	}
 	t.conn.Store(&nc)
 	tell(accepted)
+	if !c.admits() {
+		t.ended.Store(true)
+		_ = nc.Close()
+		tell(failed)
+		return
+	}
 	if x.s.answers(x.ctx, nc, c) {
 		t.ended.Store(true)
 		tell(answered)
@@ -208,6 +214,10 @@
 		return reach.Unconnected
 	}
 	accepted()
+	if !c.admits() {
+		_ = nc.Close()
+		return reach.Withheld
+	}
 	if s.answers(ctx, nc, c) {
 		return reach.Answered
 	}
--- a/instance/uplink/uplink.go
+++ b/instance/uplink/uplink.go
@@ -27,8 +27,13 @@
 	HealthPath string
 	// Strained is set if the upstream is short of room: it is asked last, and seldom.
 	Strained bool
+	// Admit reports before each request whether the upstream takes one now, and counts it. It is nil if the
+	// upstream has room.
+	Admit func() bool
 }
 
+func (c *Candidate) admits() bool { return c.Admit == nil || c.Admit() }
+
 // Change tells that this instance lost or regained its links, and what the check found.
 type Change struct {
 	CutOff bool
@@ -50,9 +55,9 @@
 	OnChange    func(Change)
 	OnUnreached func(reach.Result)
 	// OnCheck is called at the start of each check with its reason, Instances returns how many instances check the same
-	// upstreams. Both may be nil.
-	OnCheck   func(reason string)
-	Instances func() int
+	// upstreams, and Upstreams how many these are. All may be nil.
+	OnCheck              func(reason string)
+	Instances, Upstreams func() int
 }
 
 // Conn is a connection to an upstream. Detour is set if it leads through another instance.
@@ -91,6 +96,9 @@
 	if cfg.Instances == nil {
 		cfg.Instances = func() int { return 1 }
 	}
+	if cfg.Upstreams == nil {
+		cfg.Upstreams = func() int { return checkSize }
+	}
 	s := &Service{cfg: cfg}
 	s.ctx, s.cancel = context.WithCancel(context.Background())
 	return s
@@ -116,13 +124,14 @@
 	if s.CutOff() {
 		return s.detour(ctx, t, nil)
 	}
+	begun := time.Now()
 	c, err := s.Direct(ctx, t)
 	switch {
 	case err == nil:
 		return Conn{Conn: c}, nil
 	case ctx.Err() != nil:
 		return Conn{}, fault.Wrap(err, fault.NotRun, "the request ended before the connection was open")
-	case s.connects(ctx) || !s.tunnels():
+	case s.connects(ctx, begun) || !s.tunnels():
 		return Conn{}, err
 	}
 	return s.detour(ctx, t, err)
@@ -146,8 +155,8 @@
 	}
 }
 
-// Proven records that an answer came on a new direct connection.
-func (s *Service) Proven() { s.monitor.Prove() }
+// Proven records that an answer came on a new direct connection, which was opened at a given time.
+func (s *Service) Proven(opened time.Time) { s.monitor.Prove(opened) }
 
 // Direct opens a direct connection.
 func (s *Service) Direct(ctx context.Context, t reach.Target) (net.Conn, error) {
@@ -166,8 +175,9 @@
 	if s.CutOff() || !s.provesLinks(ctx) {
 		return nil, errCutOff
 	}
+	begun := time.Now()
 	c, err := s.Direct(ctx, t)
-	if err != nil && !s.connects(ctx) {
+	if err != nil && !s.connects(ctx, begun) {
 		return nil, errCutOff
 	}
 	if err != nil {
--- a/instance/upstream/conn.go
+++ b/instance/upstream/conn.go
@@ -24,7 +24,7 @@
 	pool    *pool
 	address string
 
-	idleSince time.Time
+	idleSince, openedAt time.Time
 	// reused means that the connection has carried an earlier request. sentAt is when the
 	// latest request was sent.
 	reused  bool
@@ -59,7 +59,7 @@
 
 func newConn(raw net.Conn, p *pool, address string) *conn {
 	counted := &countedConn{Conn: raw}
-	c := &conn{raw: counted, rw: counted, pool: p, address: address}
+	c := &conn{raw: counted, rw: counted, pool: p, address: address, openedAt: time.Now()}
 	c.br = bufio.NewReaderSize(c, readBuffer)
 	return c
 }
@@ -109,7 +109,7 @@
 	}
 	c.pool.cfg.Links.Heard()
 	if first {
-		c.pool.cfg.Links.Proven()
+		c.pool.cfg.Links.Proven(c.openedAt)
 	}
 }
 
