Brittle upstreams: the half that seems free is used once the work of others is known

Change: an instance keeps to its share of the slots for the first second of its own work at an upstream, not only of the upstream's life.

--- a/core/backpressure/brittle.go
+++ b/core/backpressure/brittle.go
@@ -74,8 +74,8 @@
 	// Tokens is what all instances hold of the Memory of an engine, and Need what the request adds, in
 	// tokens; Memory is zero if the upstream is none.
 	Tokens, Need, Memory int
-	// Unknown is set while the upstream has just become known, so that the work of other instances there is not:
-	// to each of them it looks empty.
+	// Unknown is set while the work of other instances there is not known, as it may have begun a moment ago: to each of
+	// them the upstream looks empty.
 	Unknown bool
 	// Lot is uniform in [0,1) over the instances and upstreams, and the same for each pair.
 	Lot float64
--- a/instance/relay/backpressure.go
+++ b/instance/relay/backpressure.go
@@ -74,8 +74,9 @@
 	return peers != nil && peers.brittle.Active()
 }
 
-// loadsKnownAfter is after what time the work of other instances at a new upstream is known: some loads are
-// exchanged within it.
+// loadsKnownAfter is after what time the work of other instances is known at an upstream that is new or had no work
+// of this one: loads are exchanged several times within it. When load begins everywhere at once, each instance
+// would else use the half of the slots that seems free.
 const loadsKnownAfter = time.Second
 
 // lacksRoom reports whether an upstream is brittle and may have to reject a request. The caller holds mu.
@@ -84,7 +85,7 @@
 		return false
 	}
 	room := backpressure.Room{
-		Unknown: sel.now.Sub(u.knownAt) < loadsKnownAfter,
+		Unknown: sel.now.Sub(u.busySince) < loadsKnownAfter || sel.now.Sub(u.takenAt) > loadsKnownAfter,
 		Slots:   u.slots, Instances: f.forwarders, Own: u.active, All: u.active * f.forwarders, Lot: u.lot,
 		Tokens: u.usedTokens * f.forwarders, Need: sel.tokens, Memory: sel.memory,
 	}
--- a/instance/relay/choose.go
+++ b/instance/relay/choose.go
@@ -121,7 +121,7 @@
 func (f *fleet) reserve(u *upstream, r *request, now time.Time) {
 	f.used[u] = struct{}{}
 	f.recordChange(u)
-	u.active++
+	u.take(now)
 	u.queuedTokens += r.uncachedTokens
 	u.usedTokens += r.tokens
 	if r.affinity == 0 {
--- a/instance/relay/upstream.go
+++ b/instance/relay/upstream.go
@@ -22,8 +22,9 @@
 	state       serving.State
 	silent      bool
 	slots       int
-	// knownAt is when this instance learned of the incarnation.
-	knownAt time.Time
+	// takenAt is when it was chosen last, and busySince when it was after a pause in which the work of other
+	// instances there may have changed; at first when this instance learned of it.
+	takenAt, busySince time.Time
 	// software is the version of the upstream's software; empty if it is unknown.
 	software string
 
@@ -65,11 +66,20 @@
 }
 
 func (f *fleet) newUpstream(info *serving.Upstream) *upstream {
-	u := &upstream{id: info.ID, address: info.Address, incarnation: info.FirstIndex, lot: rand.Float64(), knownAt: time.Now()}
+	u := &upstream{id: info.ID, address: info.Address, incarnation: info.FirstIndex, lot: rand.Float64(), busySince: time.Now()}
 	u.pool.target, u.pool.links = targetOf(info), f.links
 	return u
 }
 
+// take counts another request in flight. The caller holds the fleet's mutex.
+func (u *upstream) take(now time.Time) {
+	if now.Sub(u.takenAt) > loadsKnownAfter {
+		u.busySince = now
+	}
+	u.takenAt = now
+	u.active++
+}
+
 // endIsCrash reports whether the upstream has announced neither a drain nor a leave, so that its end
 // is a crash. The caller holds the fleet's mutex.
 func (u *upstream) endIsCrash() bool { return u.state == serving.Ready && !u.gate.Leaving() }
--- a/proof/deployed/brittle_test.go
+++ b/proof/deployed/brittle_test.go
@@ -148,7 +148,10 @@
 // serve: since instances return together after a rejection, or since link checks come to upstreams that are
 // full when another one has ended.
 func TestBrittleUpstreamsWithFewSlotsDoNotFallOver(t *testing.T) {
-	for name, ends := range map[string]int{"load alone": 0, "one ends under load": 1} {
+	for name, c := range map[string]struct {
+		calm time.Duration
+		ends int
+	}{"load alone": {0, 0}, "load after a calm": {inContact, 0}, "one ends under load": {0, 1}} {
 		t.Run(name, func(t *testing.T) {
 			q := newQuartetWithout(t)
 			f := newFrail()
@@ -156,10 +159,11 @@
 			q.upstreams = q.fragileOf(f, 3, q.cores...)
 			q.upstreams.work.Store(int64(narrowWork))
 			q.awaitReady()
+			time.Sleep(c.calm)
 			ended := make(chan struct{})
 			answers, wait := q.steady(narrowLoad, ended, func(string) {})
 			time.Sleep(narrowFor / 4)
-			for range ends {
+			for range c.ends {
 				q.upstreams.endOne()
 			}
 			time.Sleep(narrowFor * 3 / 4)
@@ -168,9 +172,9 @@
 			falls := q.falls()
 			t.Logf("%d falls, %d turned away, %d of %d served; %d health requests, %d turned away, checks by reason %v",
 				falls, f.turned, answers.served.Load(), answers.all.Load(), f.checks, f.turnedChecks, q.checks())
-			q.g.Expect(falls).To(Equal(ends))
+			q.g.Expect(falls).To(Equal(c.ends))
 			// An upstream that ended is gone for a while and has to be found again.
-			lost := float64(ends) * (downFor + time.Second).Seconds() * narrowSlots / narrowWork.Seconds()
+			lost := float64(c.ends) * (downFor + time.Second).Seconds() * narrowSlots / narrowWork.Seconds()
 			q.g.Expect(float64(answers.served.Load())).To(BeNumerically(">=", leastNarrow-lost), "slots are used")
 		})
 	}
