--- a/instance/relay/pool.go
+++ b/instance/relay/pool.go
@@ -23,6 +23,8 @@
 	// in reads from arrivals, which reads from nc.
 	in       *bufio.Reader
 	arrivals *arrivals
+	// openedAt is when the connection was opened.
+	openedAt time.Time
 	// expiresAt is when the upstream may close the connection as idle.
 	expiresAt time.Time
 	used      bool
@@ -200,7 +202,7 @@
 
 func newUpstreamConn(c uplink.Conn) *upstreamConn {
 	from := &arrivals{nc: c.Conn}
-	return &upstreamConn{nc: c.Conn, in: bufio.NewReaderSize(from, ioBufferSize), arrivals: from, detour: c.Detour}
+	return &upstreamConn{nc: c.Conn, in: bufio.NewReaderSize(from, ioBufferSize), arrivals: from, detour: c.Detour, openedAt: time.Now()}
 }
 
 // setUnsentLimit bounds how many unsent bytes of a connection the kernel holds. A write to a peer
