relay: rejections for lack of capacity name a time that holds

A request that was shed, or had too much before it at its engine, was told to come back within a quarter of its objective, and drawn again.

Shedding now asks core/admit: a window over the contents of requests (organisation, target, prompt segments, body) that moves with the time of day. A request rejected for its engine's queue is told its turn, spread over 0.35 of its objective after the time at which the queue is expected to be within the limit. A request that may be a retry in its turn tolerates a queue of 1.25 times the limit.

--- a/core/admit/admit.go
+++ b/core/admit/admit.go
@@ -21,11 +21,9 @@
 	periodFactor = 2
 	minPeriod    = 2 * time.Second
 	// maxWaitShare is the longest useful wait as a share of the objective, which is counted from the
-	// first try: the rest is for the queue and the prefill of the retry.
-	maxWaitShare = 0.5
-	// maxPromisedShare bounds the share of the admitted requests that is kept for retries. The rest
-	// is for new requests, so the window never closes.
-	maxPromisedShare = 0.5
+	// first try: the rest is for the queue and the prefill of the retry. With 0.5, a burst of reports
+	// that are queued for up to 0.35 has 0.65 in time instead of 0.68.
+	maxWaitShare = 0.35
 	// clockTolerance is how far the clocks of two instances may be apart. A retry is asked for that
 	// much later, so that it does not arrive before the window of an instance whose clock is slow.
 	clockTolerance = 50 * time.Millisecond
@@ -37,20 +35,21 @@
 // Position is the place of a request's content on the circle.
 type Position uint64
 
-// PositionOf returns the position of a request by its organisation, target and body. Identical
+// PositionOf returns the position of a request by its organisation and the parts of its content. Identical
 // requests have the same position at every instance.
-func PositionOf(organisation string, target, body []byte) Position {
+func PositionOf(organisation string, parts ...[]byte) Position {
 	var d xxhash.Digest
 	d.Reset()
-	var n [8]byte
-	// The length prefixes make the boundaries between the parts unambiguous.
-	binary.BigEndian.PutUint64(n[:], uint64(len(organisation)))
-	_, _ = d.Write(n[:])
+	var length [8]byte
+	binary.BigEndian.PutUint64(length[:], uint64(len(organisation)))
+	_, _ = d.Write(length[:])
 	_, _ = d.WriteString(organisation)
-	binary.BigEndian.PutUint64(n[:], uint64(len(target)))
-	_, _ = d.Write(n[:])
-	_, _ = d.Write(target)
-	_, _ = d.Write(body)
+	for _, part := range parts {
+		// The lengths make the boundaries between the parts unambiguous.
+		binary.BigEndian.PutUint64(length[:], uint64(len(part)))
+		_, _ = d.Write(length[:])
+		_, _ = d.Write(part)
+	}
 	return Position(d.Sum64())
 }
 
@@ -105,7 +104,9 @@
 	// For each new request there are promised retries, so share is of 1+promised.
 	d := Decision{Width: max(share*(1+promised)-promised, float64(turnLength)/float64(w.period))}
 	wait := ahead(now, p.inWindow(), w.period)
-	if behind := w.period - wait; behind < time.Duration(d.Width*float64(w.period)) {
+	behind, width := w.period-wait, time.Duration(d.Width*float64(w.period))
+	// A request that was in the window and rejected for its upstream's queue has its turn later.
+	if behind < width || behind < width+w.useful+clockTolerance && w.inTurn(now, p) {
 		d.Admitted = true
 		return d
 	}
@@ -119,9 +120,10 @@
 	return d
 }
 
-// promised returns how many retries are promised for each new request.
+// promised returns how many retries are promised for each new request. A deep shortage rarely ends within the
+// objective, so that a retry only takes the place of a new request, which has more time left.
 func (w Window) promised(share float64) float64 {
-	return min(float64(w.useful)/float64(w.period), maxPromisedShare*share)
+	return float64(w.useful) / float64(w.period) * share * share
 }
 
 // A request may also be rejected because too much waits before it at the upstream that suits it. Then there is
@@ -138,8 +140,12 @@
 	return wait + clockTolerance
 }
 
-// InTurn reports whether a request may be a retry in its turn. Such requests may find somewhat more in the
-// queue than others, or new requests would take the room for which the retry waited.
-func (w Window) InTurn(now time.Time, p Position) bool {
+func (w Window) inTurn(now time.Time, p Position) bool {
 	return w.useful-ahead(now, p.inTurn(), w.useful) < turnLength
 }
+
+// MayBeRetry reports whether a request may be a retry that comes when it was asked for. Such requests may find
+// somewhat more in the queue than others, or new requests would take the room for which the retry waited.
+func (w Window) MayBeRetry(now time.Time, p Position) bool {
+	return w.inTurn(now, p) || w.period-ahead(now, p.inWindow(), w.period) < turnLength
+}
--- a/instance/relay/admit.go
+++ b/instance/relay/admit.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/comfreyladder/comfreyladder/core/admit"
 	"github.com/comfreyladder/comfreyladder/core/route"
 )
 
@@ -23,6 +24,8 @@
 	maxHoldShare = 0.125
 	// holdPollInterval is the time between two checks for free capacity.
 	holdPollInterval = 25 * time.Millisecond
+	// turnQueueFactor is how much more may be queued before a request that may be a retry in its turn.
+	turnQueueFactor = 1.25
 )
 
 // queueLimitMS returns how much may be queued before a request of a route, in milliseconds.
@@ -80,10 +83,24 @@
 	return &refusal{503, "not run: too much waits before it", busyRetryAfter(r)}
 }
 
-// busyRetryAfter is when a request that found too long a queue may be retried: when the queue is
-// expected to be processed, and early enough to be answered in time.
+// busyRetryAfter is when a request that found too much work before it is to be sent again: when the window of
+// its route reaches it, or in its turn once the queue of its engine is expected to be within the limit.
 func busyRetryAfter(r *request) time.Duration {
-	const shortest = 100 * time.Millisecond
-	wait := time.Duration((r.predictedMS - r.maxQueueMS) * float64(time.Millisecond))
-	return min(max(wait, shortest), max(shortest, r.route.Target/4))
+	if r.shed {
+		return r.admission.decision.Retry
+	}
+	excess := max(0, time.Duration((r.queueMS-r.maxQueueMS)*float64(time.Millisecond)))
+	return admit.For(r.route.Target).NextTurn(time.Now(), r.position(), excess)
+}
+
+// toleratesQueue reports whether the queue predicted before a request is within its limit. One that may be a
+// retry in its turn tolerates somewhat more, or others would take the room for which it waited.
+func (r *request) toleratesQueue(now time.Time) bool {
+	switch {
+	case r.queueMS <= r.maxQueueMS:
+		return true
+	case r.queueMS > turnQueueFactor*r.maxQueueMS:
+		return false
+	}
+	return admit.For(r.route.Target).MayBeRetry(now, r.position())
 }
--- a/instance/relay/pools.go
+++ b/instance/relay/pools.go
@@ -1,8 +1,7 @@
 package relay
 
 import (
-	"math/rand/v2"
-
+	"github.com/comfreyladder/comfreyladder/core/admit"
 	"github.com/comfreyladder/comfreyladder/core/balance"
 )
 
@@ -77,9 +76,12 @@
 	}
 	available := f.availableEngines(sel)
 	share := s.pools.AdmittedShare(sel.now, &o, available)
-	r.shed = share < 1 && rand.Float64() > share
-	if r.shed {
-		r.admission = admission{share: share, availableEngines: available, requiredEngines: s.pools.RequiredEngines(sel.now), cached: o.Cached}
+	if share >= 1 {
+		return
+	}
+	d := admit.For(r.route.Target).Decide(sel.now, r.position(), share)
+	if r.shed = !d.Admitted; r.shed {
+		r.admission = admission{share: share, availableEngines: available, requiredEngines: s.pools.RequiredEngines(sel.now), cached: o.Cached, decision: d}
 	}
 }
 
--- a/instance/relay/request.go
+++ b/instance/relay/request.go
@@ -9,6 +9,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/comfreyladder/comfreyladder/core/admit"
 	"github.com/comfreyladder/comfreyladder/core/fault"
 	"github.com/comfreyladder/comfreyladder/core/origin"
 	"github.com/comfreyladder/comfreyladder/core/quarantine"
@@ -85,8 +86,12 @@
 	quick, recorded, shed bool
 	// admission holds the figures behind the decision to shed it.
 	admission admission
-	// maxQueueMS bounds the queue before the request at an engine, in milliseconds.
-	maxQueueMS float64
+	// maxQueueMS bounds the queue before the request at an engine, and queueMS is that predicted at the latest
+	// choice, in milliseconds.
+	maxQueueMS, queueMS float64
+	// cachedPosition is the position of its content, by which it is admitted under overload; zero until it
+	// is first needed.
+	cachedPosition admit.Position
 	// firstEventAfter is the time from the latest send to the first event.
 	firstEventAfter time.Duration
 	// longestPause is the longest time between two forwarded events, and lastEventAt when the
@@ -129,11 +134,12 @@
 var requests = sync.Pool{New: func() any { return &request{} }}
 
 // admission holds the figures by which a request was shed: the admitted share of similar requests,
-// the available and the required number of upstreams, and whether the shared prompt segments were
-// cached.
+// the available and the required number of upstreams, whether the shared prompt segments were cached, and
+// the decision.
 type admission struct {
 	share, availableEngines, requiredEngines float64
 	cached                                   bool
+	decision                                 admit.Decision
 }
 
 // maxPooledBody bounds the body buffers that are reused, in bytes.
@@ -353,6 +359,18 @@
 	return r.cachedFingerprint
 }
 
+// position returns the position of the request's content, by which all instances admit it alike.
+func (r *request) position() admit.Position {
+	if r.cachedPosition == 0 {
+		organisation := ""
+		if r.organisation != nil {
+			organisation = r.organisation.Name
+		}
+		r.cachedPosition = admit.PositionOf(organisation, r.head.Target, r.promptSegments, r.body)
+	}
+	return r.cachedPosition
+}
+
 // maxParts bounds the parts of a prompt that are looked at; further ones are ignored.
 const maxParts = 32
 
