Fair shares by organisation under overload

A shortage was shed at random over all organisations: one that sends many times its usual rate had as many requests of the others refused as of its own.

core/fairshare divides the admitted capacity of a route by max-min fairness over the demand of all instances; the share of an organisation is the width of its admission window. While a route is short of capacity, instances report the demand of its 32 largest organisations with their loads, and members pass on the 128 largest. Without a shortage no byte is added.

--- a/core/balance/admission.go
+++ b/core/balance/admission.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"github.com/comfreyladder/comfreyladder/core/fairshare"
 )
 
 // An engine that spends all its time on prefill decodes so slowly that streams miss their deadlines
@@ -32,6 +34,7 @@
 		}
 		admitted := min(1, max(minAdmittedShare, remaining/demand))
 		if l.name == o.Route {
+			admitted = p.organisationShare(now, o, l.load.Recent, admitted)
 			return p.engine.admittedByCacheState(&l.load, admitted, o.Cached)
 		}
 		remaining = max(0, remaining-admitted*demand)
@@ -39,6 +42,56 @@
 	return 1
 }
 
+const (
+	// shortageMemory is how long after a shortage the demand by organisation is reported.
+	shortageMemory = 1500 * time.Millisecond
+	// maxReported bounds the organisations whose demand on a route is reported to other instances.
+	maxReported = 32
+)
+
+// organisationShare returns the admitted share of the requests of an organisation, of those of a route of
+// which the given share is admitted.
+func (p *Pools) organisationShare(now time.Time, o *Offer, demand, admitted float64) float64 {
+	if admitted >= 1 {
+		return 1
+	}
+	p.shortAt[o.Route] = now
+	return p.routeShares(o.Route).Admitted(now, o.Organisation, demand, admitted)
+}
+
+func (p *Pools) routeShares(route string) *fairshare.Shares {
+	s := p.shares[route]
+	if s == nil {
+		s = fairshare.New()
+		p.shares[route] = s
+	}
+	return s
+}
+
+// OrganisationDemand returns the local demand by organisation of the routes that are, or were a moment ago, short of
+// capacity, for the other instances.
+func (p *Pools) OrganisationDemand(now time.Time) map[string]fairshare.Demand {
+	var out map[string]fairshare.Demand
+	for route, at := range p.shortAt {
+		if now.Sub(at) > shortageMemory {
+			delete(p.shortAt, route)
+			continue
+		}
+		if out == nil {
+			out = map[string]fairshare.Demand{}
+		}
+		out[route] = p.routeShares(route).Largest(maxReported)
+	}
+	return out
+}
+
+// SetRemoteDemand sets the demand by organisation that all other instances report.
+func (p *Pools) SetRemoteDemand(now time.Time, demand map[string]fairshare.Demand) {
+	for route, d := range demand {
+		p.routeShares(route).SetRemote(now, d)
+	}
+}
+
 // RequiredEngines returns how many upstreams the current load of all routes with long prompts
 // requires.
 func (p *Pools) RequiredEngines(now time.Time) (sum float64) {
--- a/core/balance/pools.go
+++ b/core/balance/pools.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"time"
+
+	"github.com/comfreyladder/comfreyladder/core/fairshare"
 )
 
 // Engines interleave prefill with decoding, so each long prompt lengthens the pauses between tokens
@@ -19,6 +21,10 @@
 	// local holds the loads that this instance sees, remote those of all other instances.
 	local  map[string]*RouteLoad
 	remote map[string]RouteLoad
+	// shares divides the capacity for a route among organisations. shortAt is when a route was last short
+	// of capacity.
+	shares  map[string]*fairshare.Shares
+	shortAt map[string]time.Time
 	// decayedAt is the time to which the local loads were last decayed.
 	decayedAt time.Time
 	// engine is the capacity of one upstream.
@@ -117,7 +123,9 @@
 )
 
 // NewPools returns pools without any recorded load.
-func NewPools() *Pools { return &Pools{local: map[string]*RouteLoad{}, share: minQuickShare} }
+func NewPools() *Pools {
+	return &Pools{local: map[string]*RouteLoad{}, shares: map[string]*fairshare.Shares{}, shortAt: map[string]time.Time{}, share: minQuickShare}
+}
 
 // SetEngine sets the capacity of one upstream.
 func (p *Pools) SetEngine(e Engine) { p.engine = e }
@@ -125,6 +133,8 @@
 // Offer is an incoming request, whether or not it is admitted.
 type Offer struct {
 	Route string
+	// Organisation is who asks, empty if that is not known.
+	Organisation string
 	// Tokens is the length of its prompt, and UncachedTokens the number of those tokens that need
 	// prefill.
 	Tokens, UncachedTokens int
@@ -150,15 +160,19 @@
 	l.UncachedTokens += float64(o.UncachedTokens)
 	l.Requests++
 	l.SlotTime += o.SlotTime.Seconds()
-	l.Recent += float64(o.UncachedTokens) + decodeCostTokens
+	l.Recent += o.work()
+	p.routeShares(o.Route).Add(o.Organisation, o.work())
 	l.RecentSlots += o.SlotTime.Seconds()
 	if o.Cached {
-		l.RecentCached += float64(o.UncachedTokens) + decodeCostTokens
+		l.RecentCached += o.work()
 	}
 	l.MaxPause, l.Rank = o.MaxPause, o.Rank
 	p.updateShare()
 }
 
+// work returns the work of a request, in prompt tokens.
+func (o *Offer) work() float64 { return float64(o.UncachedTokens) + decodeCostTokens }
+
 func (p *Pools) decay(now time.Time) {
 	if p.decayedAt.IsZero() {
 		p.decayedAt = now
@@ -178,6 +192,9 @@
 			delete(p.local, name)
 		}
 	}
+	for _, s := range p.shares {
+		s.Decay(fast)
+	}
 }
 
 // LocalLoads returns the loads that this instance sees, by route.
--- a/core/balance/pools_test.go
+++ b/core/balance/pools_test.go
@@ -265,3 +265,28 @@
 	}
 	g.Expect(p.QuickCount(now, upstreams)).To(BeNumerically("<", 100), "a load that needs the engines gets them")
 }
+
+// Guards against demand by organisation that is reported without a shortage, and against a shortage that takes from
+// organisations that ask no more than their fair share.
+func TestShortageIsDividedAmongOrganisations(t *testing.T) {
+	g := NewWithT(t)
+	p, now := balance.NewPools(), time.Unix(100, 0)
+	p.SetEngine(balance.Engine{PerMS: 60, Slots: 64, Count: 10})
+	small, large := report, report
+	small.Organisation, large.Organisation = "small", "large"
+	for range 10 {
+		p.Record(now, &small)
+	}
+	for range 90 {
+		p.Record(now, &large)
+	}
+	needed := p.RequiredEngines(now)
+	g.Expect(p.AdmittedShare(now, &small, 2*needed)).To(Equal(1.0))
+	g.Expect(p.OrganisationDemand(now)).To(BeNil())
+	g.Expect(p.AdmittedShare(now, &small, needed/2)).To(Equal(1.0))
+	g.Expect(p.AdmittedShare(now, &large, needed/2)).To(BeNumerically("~", 0.4/0.9, 0.01))
+	demand := p.OrganisationDemand(now)["report"]
+	g.Expect(demand).To(HaveLen(2))
+	g.Expect(demand["large"]).To(BeNumerically("~", 9*demand["small"], 1))
+	g.Expect(p.OrganisationDemand(now.Add(3 * time.Second))).To(BeNil())
+}
--- /dev/null
+++ b/core/fairshare/fairshare_test.go
@@ -0,0 +1,137 @@
+package fairshare
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+)
+
+// Guards against capacity that small organisations leave and nobody gets, and against levels above the capacity.
+func TestLevelLendsWhatIsLeft(t *testing.T) {
+	g := NewWithT(t)
+	g.Expect(Level(10, []float64{1, 2, 20})).To(Equal(7.0))
+	g.Expect(Level(10, []float64{20, 20})).To(Equal(5.0))
+	g.Expect(math.IsInf(Level(10, []float64{4, 6}), 1)).To(BeTrue())
+	g.Expect(math.IsInf(Level(0, nil), 1)).To(BeTrue())
+}
+
+// Guards against a deployment with one organisation, or none, that is treated otherwise than before.
+func TestOneOrganisationGetsTheShareOfAll(t *testing.T) {
+	g := NewWithT(t)
+	s, now := New(), time.Unix(100, 0)
+	s.Add("", 10)
+	g.Expect(s.Admitted(now, "", 40, 0.6)).To(Equal(0.6))
+	s.SetRemote(now, Demand{"": 30})
+	g.Expect(s.Admitted(now.Add(time.Second), "", 40, 0.6)).To(Equal(0.6))
+}
+
+// fleet plays instances that admit the requests of 24 organisations (Zipf, exponent 1.2) for 10 s, one of which asks 7.5
+// times its usual from 2.0 to 8.5 s. The demand is then 1.3 times the capacity. Reports are 0.36 s old. It
+// returns the share that is served during the flood, by organisation and of the capacity, and the organisations that
+// then ask for no more than their fair share.
+func fleet(instances, flooding int, flood, fair, reports bool) (served []float64, used float64, within []int) {
+	const (
+		organisations, capacity, tau = 24, 2000.0, 0.75
+		step                         = 10 * time.Millisecond
+		reportEvery, reportAge       = 6, 6 // steps between two reports, and reports
+	)
+	rng := rand.New(rand.NewPCG(1, uint64(flooding)))
+	rate := make([]float64, organisations)
+	sum := 0.0
+	for i := range rate {
+		rate[i] = math.Pow(float64(i+1), -1.2)
+		sum += rate[i]
+	}
+	sum += 6.5 * rate[flooding]
+	shares := make([]*Shares, instances)
+	for i := range shares {
+		shares[i] = New()
+	}
+	asked, admitted := make([]float64, organisations), make([]float64, organisations)
+	total, history, start := 0.0, []Demand{}, time.Unix(100, 0)
+	for at := range int(10 * time.Second / step) {
+		now := start.Add(time.Duration(at) * step)
+		flooded := at >= 200 && at < 850
+		decay := math.Exp(-step.Seconds() / tau)
+		total *= decay
+		for _, s := range shares {
+			s.Decay(decay)
+		}
+		if reports && at%reportEvery == 0 {
+			all := Demand{}
+			for _, s := range shares {
+				for name, work := range s.Largest(16) {
+					all[name] += work
+				}
+			}
+			history = append(history, all)
+			for _, s := range shares {
+				others := Demand{}
+				for name, work := range history[max(0, len(history)-1-reportAge)] {
+					others[name] = max(0, work-s.local[name]*s.scale)
+				}
+				s.SetRemote(now, others)
+			}
+		}
+		for i, r := range rate {
+			if flood && flooded && i == flooding {
+				r *= 7.5
+			}
+			name := fmt.Sprint("o", i)
+			for n := 1.3 * capacity * r / sum * step.Seconds(); rng.Float64() < n; n-- {
+				s := shares[rng.IntN(instances)]
+				s.Add(name, 1)
+				total++
+				share := min(1, capacity*tau/total)
+				if fair {
+					share = s.Admitted(now, name, total, share)
+				}
+				if flooded {
+					asked[i]++
+				}
+				if flooded && rng.Float64() < share {
+					admitted[i]++
+				}
+			}
+		}
+	}
+	for i := range asked {
+		served = append(served, admitted[i]/max(1, asked[i]))
+		used += admitted[i] / (capacity * 6.5)
+	}
+	level := Level(capacity*6.5, slices.Clone(asked))
+	for i := range asked {
+		if asked[i] <= level {
+			within = append(within, i)
+		}
+	}
+	return served, used, within
+}
+
+// Guards against an organisation whose flood takes from those that ask no more than their fair share. Which
+// one floods decides how many are beyond their share without it.
+func TestFloodTakesOnlyFromTheFlooding(t *testing.T) {
+	for _, instances := range []int{2, 88} {
+		for _, flooding := range []int{0, 9} {
+			g := NewWithT(t)
+			before, _, _ := fleet(instances, flooding, false, true, true)
+			today, usedToday, _ := fleet(instances, flooding, true, false, true)
+			served, used, within := fleet(instances, flooding, true, true, true)
+			alone, usedAlone, _ := fleet(instances, flooding, true, true, false)
+			least, leastToday, leastAlone := 1.0, 1.0, 1.0
+			for _, i := range within {
+				least, leastToday = min(least, served[i]/before[i]), min(leastToday, today[i]/before[i])
+				leastAlone = min(leastAlone, alone[i]/before[i])
+			}
+			t.Logf("%2d instances, number %d floods: least served %.3f (by own demand %.3f, today %.3f), flooding %.3f (%.3f, %.3f), used %.3f (%.3f, %.3f); %d within their share",
+				instances, flooding, least, leastAlone, leastToday, served[flooding], alone[flooding], today[flooding], used, usedAlone, usedToday, len(within))
+			g.Expect(least).To(BeNumerically(">=", 0.95))
+			g.Expect(used).To(BeNumerically(">=", 0.95*usedToday))
+		}
+	}
+}
--- a/instance/relay/exchange.go
+++ b/instance/relay/exchange.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/comfreyladder/comfreyladder/core/balance"
+	"github.com/comfreyladder/comfreyladder/core/fairshare"
 	servingsvc "github.com/comfreyladder/comfreyladder/instance/serving"
 )
 
@@ -48,12 +49,30 @@
 	for service := range routes {
 		f.service(service).hasEngines = true
 	}
+	demand := organisationDemand(r.Work.Organisations)
 	for name, s := range f.services {
 		s.pools.SetRemoteLoads(routes[name])
+		s.pools.SetRemoteDemand(f.remoteLoadsAt, demand[name])
 	}
 	f.sumRemoteQueues()
 }
 
+// organisationDemand returns demand by service, route and organisation.
+func organisationDemand(loads []servingsvc.OrganisationLoad) map[string]map[string]fairshare.Demand {
+	out := map[string]map[string]fairshare.Demand{}
+	for i := range loads {
+		l := &loads[i]
+		if out[l.Service] == nil {
+			out[l.Service] = map[string]fairshare.Demand{}
+		}
+		if out[l.Service][l.Route] == nil {
+			out[l.Service][l.Route] = fairshare.Demand{}
+		}
+		out[l.Service][l.Route][l.Organisation] += float64(l.Recent)
+	}
+	return out
+}
+
 // sumRemoteQueues sums up the prompt tokens that others have queued, by service. The caller holds mu.
 func (f *fleet) sumRemoteQueues() {
 	for _, s := range f.services {
@@ -146,6 +165,11 @@
 		for name, l := range s.pools.LocalLoads(now) {
 			r.Work.Routes = append(r.Work.Routes, servingsvc.RouteLoadOf(service, name, l, s.rates.rate.PerMS()))
 		}
+		for name, demand := range s.pools.OrganisationDemand(now) {
+			for organisation, recent := range demand {
+				r.Work.Organisations = append(r.Work.Organisations, servingsvc.OrganisationLoad{Service: service, Route: name, Organisation: organisation, Recent: int(recent)})
+			}
+		}
 	}
 	r.Busy = f.busy(now)
 	if f.limiting() {
--- a/instance/relay/load_test.go
+++ b/instance/relay/load_test.go
@@ -32,6 +32,22 @@
 	perSecond           float64
 	shared, own, topics int
 	generates           time.Duration
+	// organisations are the shares of the requests by organisation; none for anonymous callers.
+	organisations []float64
+}
+
+// draw returns a random organisation, or nil.
+func (k *kind) draw(rng *rand.Rand) *route.Organisation {
+	if len(k.organisations) == 0 {
+		return nil
+	}
+	at := rng.Float64()
+	for i, share := range k.organisations {
+		if at -= share; at < 0 {
+			return &route.Organisation{Name: fmt.Sprint("o", i)}
+		}
+	}
+	return nil
 }
 
 // results counts the results of the requests of one kind. tries counts the retries as well, and admitted those
@@ -44,10 +60,11 @@
 
 // call is a request that is to be sent at some time, for the first time at asked.
 type call struct {
-	kind      *kind
-	topic     uint64
-	body      []byte
-	at, asked time.Time
+	kind         *kind
+	organisation *route.Organisation
+	topic        uint64
+	body         []byte
+	at, asked    time.Time
 	// final is set if the caller does not try again.
 	final bool
 }
@@ -173,6 +190,7 @@
 	}
 	result = map[string]*results{}
 	var retries []call
+	calls := uint64(0)
 	rng := rand.New(rand.NewPCG(1, 2))
 	for at := time.Duration(0); at < time.Duration(seconds*float64(time.Second)); at += step {
 		time.Sleep(step)
@@ -186,7 +204,8 @@
 		for i := range kinds {
 			k := &kinds[i]
 			for range poisson(rng, k.perSecond*step.Seconds()) {
-				c := call{kind: k, topic: uint64(1 + rng.IntN(k.topics)), body: binary.BigEndian.AppendUint64(nil, rng.Uint64()), at: now, asked: now, final: !retry}
+				calls++
+				c := call{kind: k, organisation: k.draw(rng), topic: uint64(1 + rng.IntN(k.topics)), body: binary.BigEndian.AppendUint64(nil, calls), at: now, asked: now, final: !retry}
 				retries = sendRequest(services[rng.IntN(instances)], sim, &c, result, now, retries)
 			}
 		}
@@ -202,31 +221,39 @@
 		for _, e := range sim {
 			e.step(now, func(j *job) {
 				j.a.s.fleet.release(j.a)
-				result[j.kind.route.Name].count(j, j.first)
+				resultOf(result, j.kind, j.a.r.organisation).count(j, j.first)
 			})
 		}
 	}
 	for _, e := range sim {
 		busiest = max(busiest, e.most)
 		for _, j := range e.running {
-			result[j.kind.route.Name].count(j, j.first)
+			resultOf(result, j.kind, j.a.r.organisation).count(j, j.first)
 		}
 		for _, j := range e.waiting {
-			result[j.kind.route.Name].count(j, time.Now())
+			resultOf(result, j.kind, j.a.r.organisation).count(j, time.Now())
 		}
 	}
 	return result, busiest
 }
 
+// resultOf returns the results of one kind, or of one kind and organisation.
+func resultOf(result map[string]*results, k *kind, o *route.Organisation) *results {
+	name := k.route.Name
+	if o != nil {
+		name += "/" + o.Name
+	}
+	if result[name] == nil {
+		result[name] = &results{}
+	}
+	return result[name]
+}
+
 // sendRequest sends one request through an instance. If it is rejected and its caller tries again, it is added to
 // retries.
 func sendRequest(s *Service, sim map[string]*simEngine, c *call, result map[string]*results, now time.Time, retries []call) []call {
 	k := c.kind
-	g := result[k.route.Name]
-	if g == nil {
-		g = &results{}
-		result[k.route.Name] = g
-	}
+	g := resultOf(result, k, c.organisation)
 	again := c.asked.Before(c.at)
 	c.final = c.final || again
 	g.tries++
@@ -237,6 +264,7 @@
 	}
 	r := newRequest()
 	r.service, r.route, r.tokens, r.sharedTokens, r.capacity, r.body = "s", &k.route, k.shared+k.own, k.shared, 1<<20, c.body
+	r.organisation = c.organisation
 	r.affinity, r.rank, r.maxQueueMS, r.fetchRate = c.topic<<8|uint64(len(k.route.Name)), k.rank, queueLimitMS(&k.route, k.rank), 100
 	up, busy := s.fleet.choose(r, "d", nil)
 	if busy || up == nil {
@@ -245,7 +273,7 @@
 			g.refused++
 			return retries
 		}
-		return append(retries, call{kind: k, topic: c.topic, body: c.body, at: now.Add(retry), asked: c.asked})
+		return append(retries, call{kind: k, organisation: c.organisation, topic: c.topic, body: c.body, at: now.Add(retry), asked: c.asked})
 	}
 	if again {
 		g.admitted++
@@ -293,6 +321,17 @@
 			sum.RecentCached += l.RecentCached
 		}
 	}
+	organisations := map[servingsvc.OrganisationLoad]int{}
+	for i, s := range services {
+		if i == to {
+			continue
+		}
+		for route, demand := range s.fleet.service("s").pools.OrganisationDemand(time.Now()) {
+			for name, recent := range demand {
+				organisations[servingsvc.OrganisationLoad{Service: "s", Route: route, Organisation: name}] += int(recent)
+			}
+		}
+	}
 	out := servingsvc.Report{Placements: services[to].fleet.newPlacements, HasObserved: true}
 	for _, o := range observed {
 		out.Observed = append(out.Observed, *o)
@@ -308,6 +347,10 @@
 	for _, l := range routes {
 		out.Work.Routes = append(out.Work.Routes, *l)
 	}
+	for l, recent := range organisations {
+		l.Recent = recent
+		out.Work.Organisations = append(out.Work.Organisations, l)
+	}
 	services[to].fleet.mergeReport(&out)
 	services[to].fleet.newPlacements = services[to].fleet.newPlacements[:0]
 }
@@ -416,3 +459,20 @@
 		})
 	}
 }
+
+// Guards against reports of small organisations that are refused because a large one sends too many: o0 sends six in
+// ten of a burst that is 1.5 times what there are slots for.
+func TestFloodOfAnOrganisationIsShedAlone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		kinds := threeKinds(40)
+		kinds[0].perSecond *= 3
+		kinds[0].organisations = []float64{0.6, 0.1, 0.1, 0.1, 0.1}
+		result, busiest := simulateCalls(40, 0, 12, 24, kinds, 9, true)
+		logResults(t, result, busiest)
+		for i := range 4 {
+			r := result[fmt.Sprint("report/o", i+1)]
+			g.Expect(float64(r.refused) / float64(r.asked)).To(BeNumerically("<", 0.12))
+		}
+	})
+}
--- a/instance/relay/pools.go
+++ b/instance/relay/pools.go
@@ -55,7 +55,7 @@
 
 // offer describes the request to the pools.
 func (r *request) offer() balance.Offer {
-	return balance.Offer{Route: r.route.Name, Tokens: r.tokens, MaxPause: r.route.MaxPause, Rank: r.rank}
+	return balance.Offer{Route: r.route.Name, Organisation: r.organisationName(), Tokens: r.tokens, MaxPause: r.route.MaxPause, Rank: r.rank}
 }
 
 // recordAndShed records a request in the load statistics, once, and decides whether it is shed.
--- a/instance/relay/request.go
+++ b/instance/relay/request.go
@@ -350,23 +350,23 @@
 // fingerprint returns the fingerprint of a request whose route is known.
 func (r *request) fingerprint() quarantine.Fingerprint {
 	if r.cachedFingerprint == (quarantine.Fingerprint{}) {
-		organisation := ""
-		if r.organisation != nil {
-			organisation = r.organisation.Name
-		}
-		r.cachedFingerprint = quarantine.FingerprintOf(r.route.Host, string(r.head.Target), organisation, r.body)
+		r.cachedFingerprint = quarantine.FingerprintOf(r.route.Host, string(r.head.Target), r.organisationName(), r.body)
 	}
 	return r.cachedFingerprint
 }
 
+// organisationName returns the name of the organisation; empty for an anonymous caller.
+func (r *request) organisationName() string {
+	if r.organisation == nil {
+		return ""
+	}
+	return r.organisation.Name
+}
+
 // position returns the position of the request's content, by which all instances admit it alike.
 func (r *request) position() admit.Position {
 	if r.cachedPosition == 0 {
-		organisation := ""
-		if r.organisation != nil {
-			organisation = r.organisation.Name
-		}
-		r.cachedPosition = admit.PositionOf(organisation, r.head.Target, r.promptSegments, r.body)
+		r.cachedPosition = admit.PositionOf(r.organisationName(), r.head.Target, r.promptSegments, r.body)
 	}
 	return r.cachedPosition
 }
--- a/instance/serving/loads_test.go
+++ b/instance/serving/loads_test.go
@@ -1,6 +1,7 @@
 package serving
 
 import (
+	"fmt"
 	"testing"
 
 	. "github.com/onsi/gomega"
@@ -90,3 +91,40 @@
 	g.Expect(told).To(Equal(held))
 	g.Expect(next).To(Equal(l.next))
 }
+
+// Guards against demand by organisation that is counted twice, that an instance of an older build cannot read past,
+// or that takes bytes without a shortage.
+func TestDemandByOrganisationIsSummedAndOptional(t *testing.T) {
+	g := NewWithT(t)
+	s := New(Config{Links: noLinks{}})
+	now, own := clock.Now(), work(1)
+	own.Organisations = []OrganisationLoad{{Service: "s", Route: "r", Organisation: "o", Recent: 100}}
+	s.loads.watchers["a"] = loadReport{at: now, work: own}
+	s.loads.members["m"] = loadReport{at: now, work: own}
+	told, _ := s.summaryFor("a", 0, false)
+	others, err := told.Others(&own)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(others.Work).To(Equal(own))
+
+	var older struct {
+		Loads  []Load      `codec:"l,omitempty"`
+		Routes []RouteLoad `codec:"r,omitempty"`
+	}
+	g.Expect(link.Decode(told.Total, &older)).To(Succeed())
+	g.Expect(older.Routes).To(HaveLen(1))
+	older.Loads, older.Routes = work(1).Loads, work(1).Routes
+	before, err := link.Encode(&older)
+	g.Expect(err).NotTo(HaveOccurred())
+	calm := work(1)
+	after, err := link.Encode(&calm)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(after).To(HaveLen(len(before)))
+
+	var many Work
+	for i := range 2 * maxOrganisations {
+		many.Organisations = append(many.Organisations, OrganisationLoad{Organisation: fmt.Sprint(i), Recent: i + 1})
+	}
+	many.subtract(&Work{})
+	g.Expect(many.Organisations).To(HaveLen(maxOrganisations))
+	g.Expect(many.Organisations[0].Recent).To(Equal(2 * maxOrganisations))
+}
--- a/instance/serving/work.go
+++ b/instance/serving/work.go
@@ -1,6 +1,8 @@
 package serving
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"github.com/comfreyladder/comfreyladder/core/balance"
@@ -87,12 +89,25 @@
 	l.MaxPause, l.Rank = o.MaxPause, o.Rank
 }
 
+// OrganisationLoad is what an organisation recently asked of a route, in prompt tokens, as seen by one or several
+// instances. It is included only for the largest organisations of a route that is short of capacity.
+type OrganisationLoad struct {
+	wire.Array
+	Service, Route, Organisation string
+	Recent                       int
+}
+
 // Work is the current and expected work of one or several instances.
 type Work struct {
 	Loads  []Load      `codec:"l,omitempty"`
 	Routes []RouteLoad `codec:"r,omitempty"`
+	// Organisations is unknown to instances of an older build, which ignore it.
+	Organisations []OrganisationLoad `codec:"o,omitempty"`
 }
 
+// maxOrganisations bounds the organisations in a sum, for all routes together: the largest ones are kept.
+const maxOrganisations = 128
+
 func (w *Work) empty() bool { return len(w.Loads)+len(w.Routes) == 0 }
 
 // subtract removes the work of one instance. A sum that was computed before the instance's
@@ -104,15 +119,25 @@
 	*w = s.work()
 }
 
-type routeKey struct{ service, route string }
+type (
+	routeKey        struct{ service, route string }
+	organisationKey struct {
+		routeKey
+		organisation string
+	}
+)
 
 // sum accumulates work.
 type sum struct {
 	loads  map[uint64]*Load
 	routes map[routeKey]*RouteLoad
+	// organisations holds recent work in prompt tokens.
+	organisations map[organisationKey]int
 }
 
-func newSum() sum { return sum{map[uint64]*Load{}, map[routeKey]*RouteLoad{}} }
+func newSum() sum {
+	return sum{map[uint64]*Load{}, map[routeKey]*RouteLoad{}, map[organisationKey]int{}}
+}
 
 // add adds work, or subtracts it if sign is -1.
 func (s sum) add(w *Work, sign int) {
@@ -131,6 +156,11 @@
 		}
 		s.routes[key].add(l, sign)
 	}
+	for i := range w.Organisations {
+		l := &w.Organisations[i]
+		key := organisationKey{routeKey{l.Service, l.Route}, l.Organisation}
+		s.organisations[key] = max(0, s.organisations[key]+sign*l.Recent)
+	}
 }
 
 // addAll adds the reports that are at most maxLoadAge old and deletes the others.
@@ -156,5 +186,14 @@
 			w.Routes = append(w.Routes, *l)
 		}
 	}
+	for key, recent := range s.organisations {
+		if recent > 0 {
+			w.Organisations = append(w.Organisations, OrganisationLoad{Service: key.service, Route: key.route, Organisation: key.organisation, Recent: recent})
+		}
+	}
+	if len(w.Organisations) > maxOrganisations {
+		slices.SortFunc(w.Organisations, func(a, b OrganisationLoad) int { return cmp.Compare(b.Recent, a.Recent) })
+		w.Organisations = w.Organisations[:maxOrganisations]
+	}
 	return w
 }
