--- a/core/admit/admit.go
+++ b/core/admit/admit.go
@@ -21,8 +21,7 @@
 	periodFactor = 2
 	minPeriod    = 2 * time.Second
 	// maxWaitShare is the longest useful wait as a share of the objective, which is counted from the
-	// first try: the rest is for the queue and the prefill of the retry. With 0.5, a burst of reports
-	// that are queued for up to 0.35 has 0.65 in time instead of 0.68.
+	// first try: the rest is for the queue, of up to 0.35 as well, and the prefill of the retry.
 	maxWaitShare = 0.35
 	// clockTolerance is how far the clocks of two instances may be apart. A retry is asked for that
 	// much later, so that it does not arrive before the window of an instance whose clock is slow.
--- a/core/balance/pools.go
+++ b/core/balance/pools.go
@@ -160,18 +160,18 @@
 	l.UncachedTokens += float64(o.UncachedTokens)
 	l.Requests++
 	l.SlotTime += o.SlotTime.Seconds()
-	l.Recent += o.work()
-	p.routeShares(o.Route).Add(o.Organisation, o.work())
+	l.Recent += o.Work()
+	p.routeShares(o.Route).Add(o.Organisation, o.Work())
 	l.RecentSlots += o.SlotTime.Seconds()
 	if o.Cached {
-		l.RecentCached += o.work()
+		l.RecentCached += o.Work()
 	}
 	l.MaxPause, l.Rank = o.MaxPause, o.Rank
 	p.updateShare()
 }
 
-// work returns the work of a request, in prompt tokens.
-func (o *Offer) work() float64 { return float64(o.UncachedTokens) + decodeCostTokens }
+// Work returns the work of a request, in prompt tokens.
+func (o *Offer) Work() float64 { return float64(o.UncachedTokens) + decodeCostTokens }
 
 func (p *Pools) decay(now time.Time) {
 	if p.decayedAt.IsZero() {
--- a/core/fairshare/fairshare_test.go
+++ b/core/fairshare/fairshare_test.go
@@ -41,13 +41,12 @@
 		reportEvery, reportAge       = 6, 6 // steps between two reports, and reports
 	)
 	rng := rand.New(rand.NewPCG(1, uint64(flooding)))
-	rate := make([]float64, organisations)
-	sum := 0.0
-	for i := range rate {
-		rate[i] = math.Pow(float64(i+1), -1.2)
-		sum += rate[i]
-	}
+	rate, sum := zipf(organisations)
 	sum += 6.5 * rate[flooding]
+	rates := map[bool][]float64{false: rate, true: slices.Clone(rate)}
+	if flood {
+		rates[true][flooding] *= 7.5
+	}
 	shares := make([]*Shares, instances)
 	for i := range shares {
 		shares[i] = New()
@@ -63,25 +62,10 @@
 			s.Decay(decay)
 		}
 		if reports && at%reportEvery == 0 {
-			all := Demand{}
-			for _, s := range shares {
-				for name, work := range s.Largest(16) {
-					all[name] += work
-				}
-			}
-			history = append(history, all)
-			for _, s := range shares {
-				others := Demand{}
-				for name, work := range history[max(0, len(history)-1-reportAge)] {
-					others[name] = max(0, work-s.local[name]*s.scale)
-				}
-				s.SetRemote(now, others)
-			}
+			history = append(history, sumOf(shares))
+			spread(shares, now, history[max(0, len(history)-1-reportAge)])
 		}
-		for i, r := range rate {
-			if flood && flooded && i == flooding {
-				r *= 7.5
-			}
+		for i, r := range rates[flooded] {
 			name := fmt.Sprint("o", i)
 			for n := 1.3 * capacity * r / sum * step.Seconds(); rng.Float64() < n; n-- {
 				s := shares[rng.IntN(instances)]
@@ -91,10 +75,11 @@
 				if fair {
 					share = s.Admitted(now, name, total, share)
 				}
-				if flooded {
-					asked[i]++
+				if !flooded {
+					continue
 				}
-				if flooded && rng.Float64() < share {
+				asked[i]++
+				if rng.Float64() < share {
 					admitted[i]++
 				}
 			}
@@ -104,13 +89,49 @@
 		served = append(served, admitted[i]/max(1, asked[i]))
 		used += admitted[i] / (capacity * 6.5)
 	}
-	level := Level(capacity*6.5, slices.Clone(asked))
+	return served, used, withinShare(capacity*6.5, asked)
+}
+
+// zipf returns the rates of organisations and their sum.
+func zipf(organisations int) (rate []float64, sum float64) {
+	for i := range organisations {
+		rate = append(rate, math.Pow(float64(i+1), -1.2))
+		sum += rate[i]
+	}
+	return rate, sum
+}
+
+// sumOf returns the demand that all instances report.
+func sumOf(shares []*Shares) Demand {
+	all := Demand{}
+	for _, s := range shares {
+		for name, work := range s.Largest(16) {
+			all[name] += work
+		}
+	}
+	return all
+}
+
+// spread tells all instances an earlier sum, without their own part.
+func spread(shares []*Shares, now time.Time, sum Demand) {
+	for _, s := range shares {
+		others := Demand{}
+		for name, work := range sum {
+			others[name] = max(0, work-s.local[name]*s.scale)
+		}
+		s.SetRemote(now, others)
+	}
+}
+
+// withinShare returns the organisations that ask for no more than their fair share of a capacity.
+func withinShare(capacity float64, asked []float64) (within []int) {
+	level := Level(capacity, slices.Clone(asked))
 	for i := range asked {
 		if asked[i] <= level {
 			within = append(within, i)
 		}
 	}
-	return served, used, within
+	return within
 }
 
 // Guards against an organisation whose flood takes from those that ask no more than their fair share. Which
--- a/instance/relay/admit.go
+++ b/instance/relay/admit.go
@@ -102,5 +102,6 @@
 	case r.queueMS > turnQueueFactor*r.maxQueueMS:
 		return false
 	}
-	return admit.For(r.route.Target).MayBeRetry(now, r.position())
+	r.due = admit.For(r.route.Target).MayBeRetry(now, r.position())
+	return r.due
 }
--- a/instance/relay/load_test.go
+++ b/instance/relay/load_test.go
@@ -321,17 +321,6 @@
 			sum.RecentCached += l.RecentCached
 		}
 	}
-	organisations := map[servingsvc.OrganisationLoad]int{}
-	for i, s := range services {
-		if i == to {
-			continue
-		}
-		for route, demand := range s.fleet.service("s").pools.OrganisationDemand(time.Now()) {
-			for name, recent := range demand {
-				organisations[servingsvc.OrganisationLoad{Service: "s", Route: route, Organisation: name}] += int(recent)
-			}
-		}
-	}
 	out := servingsvc.Report{Placements: services[to].fleet.newPlacements, HasObserved: true}
 	for _, o := range observed {
 		out.Observed = append(out.Observed, *o)
@@ -347,12 +336,29 @@
 	for _, l := range routes {
 		out.Work.Routes = append(out.Work.Routes, *l)
 	}
+	out.Work.Organisations = demandOfOthers(services, to)
+	services[to].fleet.mergeReport(&out)
+	services[to].fleet.newPlacements = services[to].fleet.newPlacements[:0]
+}
+
+// demandOfOthers returns the demand by organisation at all instances but one.
+func demandOfOthers(services []*Service, to int) (list []servingsvc.OrganisationLoad) {
+	organisations := map[servingsvc.OrganisationLoad]int{}
+	for i, s := range services {
+		if i == to {
+			continue
+		}
+		for route, demand := range s.fleet.service("s").pools.OrganisationDemand(time.Now()) {
+			for name, recent := range demand {
+				organisations[servingsvc.OrganisationLoad{Service: "s", Route: route, Organisation: name}] += int(recent)
+			}
+		}
+	}
 	for l, recent := range organisations {
 		l.Recent = recent
-		out.Work.Organisations = append(out.Work.Organisations, l)
+		list = append(list, l)
 	}
-	services[to].fleet.mergeReport(&out)
-	services[to].fleet.newPlacements = services[to].fleet.newPlacements[:0]
+	return list
 }
 
 func poisson(rng *rand.Rand, mean float64) int {
--- a/instance/relay/pools.go
+++ b/instance/relay/pools.go
@@ -79,9 +79,11 @@
 	if share >= 1 {
 		return
 	}
-	d := admit.For(r.route.Target).Decide(sel.now, r.position(), share)
-	if r.shed = !d.Admitted; r.shed {
-		r.admission = admission{share: share, availableEngines: available, requiredEngines: s.pools.RequiredEngines(sel.now), cached: o.Cached, decision: d}
+	window := admit.For(r.route.Target)
+	d := window.Decide(sel.now, r.position(), share)
+	r.shed, r.due = !d.Admitted, window.MayBeRetry(sel.now, r.position())
+	r.admission = admission{
+		share: share, availableEngines: available, requiredEngines: s.pools.RequiredEngines(sel.now), cached: o.Cached, decision: d, work: int(o.Work()),
 	}
 }
 
--- a/instance/relay/report.go
+++ b/instance/relay/report.go
@@ -21,6 +21,7 @@
 	}
 	took := clock.Since(r.arrived)
 	s.count(r, kind, status, reason, took)
+	s.countAdmission(r, status)
 	event := "request_done"
 	if reason != "" || status >= statusServerError {
 		event = "request_failed"
@@ -31,9 +32,12 @@
 		l.Int("tokens", int64(r.tokens)).Int("unread", int64(r.uncachedTokens)).Int("ahead", int64(r.queuedTokens)).
 			Int("predicted", int64(r.predictedMS)).Int("max_ahead", int64(r.maxQueueMS)).MS("first_event", r.firstEventAfter).MS("pause", r.longestPause)
 	}
+	if a := &r.admission; a.share > 0 && reason != "" {
+		l.Int("admitted_percent", int64(percent*a.share)).Int("window_percent", int64(percent*a.decision.Width)).Int("engines_able", int64(a.availableEngines)).
+			Int("engines_asked", int64(a.requiredEngines)).Bool("cached", a.cached).Bool("due", r.due)
+	}
 	if r.shed {
-		l.Int("admitted_percent", int64(percent*r.admission.share)).Int("engines_able", int64(r.admission.availableEngines)).
-			Int("engines_asked", int64(r.admission.requiredEngines)).Bool("cached", r.admission.cached)
+		l.MS("retry_after", r.admission.decision.Retry).Bool("promised", r.admission.decision.Promised)
 	}
 	if r.fetchFrom != "" {
 		l.Str("fetch_from", r.fetchFrom)
@@ -79,6 +83,24 @@
 	}
 }
 
+// countAdmission counts the work that was decided on while there was not enough capacity, in prompt tokens by
+// organisation, and the requests that came when a retry with their content was asked for.
+func (s *Service) countAdmission(r *request, status int) {
+	if a := &r.admission; a.share > 0 {
+		result := "admitted"
+		if r.shed {
+			result = "shed"
+		}
+		for _, result := range [...]string{"offered", result} {
+			s.set.GetOrCreateCounter(`relay_short_capacity_tokens_total{organisation="` + r.organisationName() + `",result="` + result + `"}`).Add(a.work)
+		}
+	}
+	if r.due {
+		admitted := r.sent > 0 || status != 503
+		s.set.GetOrCreateCounter(`relay_due_requests_total{admitted="` + strconv.FormatBool(admitted) + `"}`).Inc()
+	}
+}
+
 // metricReason is the part of a reason that does not depend on the request.
 func metricReason(reason string) string {
 	head, _, _ := strings.Cut(reason, ":")
--- a/instance/relay/request.go
+++ b/instance/relay/request.go
@@ -84,8 +84,10 @@
 	// refused for lack of capacity.
 	rank                  float64
 	quick, recorded, shed bool
-	// admission holds the figures behind the decision to shed it.
+	// admission holds the figures behind the decision to shed it or not; zero if there is enough capacity. due is
+	// set if it came when a retry with its content was asked for.
 	admission admission
+	due       bool
 	// maxQueueMS bounds the queue before the request at an engine, and queueMS is that predicted at the latest
 	// choice, in milliseconds.
 	maxQueueMS, queueMS float64
@@ -133,13 +135,14 @@
 
 var requests = sync.Pool{New: func() any { return &request{} }}
 
-// admission holds the figures by which a request was shed: the admitted share of similar requests,
-// the available and the required number of upstreams, whether the shared prompt segments were cached, and
-// the decision.
+// admission holds the figures by which a request was admitted or shed: the admitted share of similar requests,
+// the available and the required number of upstreams, whether the shared prompt segments were cached, the
+// decision, and the work of the request in prompt tokens.
 type admission struct {
 	share, availableEngines, requiredEngines float64
 	cached                                   bool
 	decision                                 admit.Decision
+	work                                     int
 }
 
 // maxPooledBody bounds the body buffers that are reused, in bytes.
