Admission: short objectives and requests without prompts

With an objective below 0.86 s most positions have their turn at any time, so all requests would tolerate a longer queue: a turn then gives no preference. Requests without a prompt are often identical and would all have been told the same time; they are told 0.1 s, as before.

--- a/core/admit/admit.go
+++ b/core/admit/admit.go
@@ -139,8 +139,10 @@
 	return wait + clockTolerance
 }
 
+// inTurn reports whether a position has its turn. With a short objective most positions have theirs at any time, which
+// no longer tells retries from new requests: then no position has.
 func (w Window) inTurn(now time.Time, p Position) bool {
-	return w.useful-ahead(now, p.inTurn(), w.useful) < turnLength
+	return w.useful >= 2*turnLength && w.useful-ahead(now, p.inTurn(), w.useful) < turnLength
 }
 
 // MayBeRetry reports whether a request may be a retry that comes when it was asked for. Such requests may find
--- a/instance/relay/admit.go
+++ b/instance/relay/admit.go
@@ -26,6 +26,8 @@
 	holdPollInterval = 25 * time.Millisecond
 	// turnQueueFactor is how much more may be queued before a request that may be a retry in its turn.
 	turnQueueFactor = 1.25
+	// plainRetryAfter is when a request without a prompt that found no room is to be sent again.
+	plainRetryAfter = 100 * time.Millisecond
 )
 
 // queueLimitMS returns how much may be queued before a request of a route, in milliseconds.
@@ -86,8 +88,12 @@
 // busyRetryAfter is when a request that found too much work before it is to be sent again: when the window of
 // its route reaches it, or in its turn once the queue of its engine is expected to be within the limit.
 func busyRetryAfter(r *request) time.Duration {
-	if r.shed {
+	switch {
+	case r.shed:
 		return r.admission.decision.Retry
+	case r.tokens == 0:
+		// Requests without a prompt are often identical: with turns, all would come at the same time.
+		return plainRetryAfter
 	}
 	excess := max(0, time.Duration((r.queueMS-r.maxQueueMS)*float64(time.Millisecond)))
 	return admit.For(r.route.Target).NextTurn(time.Now(), r.position(), excess)
