--- a/instance/relay/pools.go
+++ b/instance/relay/pools.go
@@ -1,8 +1,7 @@
 package relay
 
 import (
-	"math/rand/v2"
-
+	"github.com/comfreyladder/comfreyladder/core/admit"
 	"github.com/comfreyladder/comfreyladder/core/balance"
 )
 
@@ -56,7 +55,7 @@
 
 // offer describes the request to the pools.
 func (r *request) offer() balance.Offer {
-	return balance.Offer{Route: r.route.Name, Tokens: r.tokens, MaxPause: r.route.MaxPause, Rank: r.rank}
+	return balance.Offer{Route: r.route.Name, Organisation: r.organisationName(), Tokens: r.tokens, MaxPause: r.route.MaxPause, Rank: r.rank}
 }
 
 // recordAndShed records a request in the load statistics, once, and decides whether it is shed.
@@ -77,9 +76,14 @@
 	}
 	available := f.availableEngines(sel)
 	share := s.pools.AdmittedShare(sel.now, &o, available)
-	r.shed = share < 1 && rand.Float64() > share
-	if r.shed {
-		r.admission = admission{share: share, availableEngines: available, requiredEngines: s.pools.RequiredEngines(sel.now), cached: o.Cached}
+	if share >= 1 {
+		return
+	}
+	window := admit.For(r.route.Target)
+	d := window.Decide(sel.now, r.position(), share)
+	r.shed, r.due = !d.Admitted, window.MayBeRetry(sel.now, r.position())
+	r.admission = admission{
+		share: share, availableEngines: available, requiredEngines: s.pools.RequiredEngines(sel.now), cached: o.Cached, decision: d, work: int(o.Work()),
 	}
 }
 
