Admission draws again; the window over contents is not kept

Change: core/admit and its wiring are taken out, with their tests; fair shares by organisation stay and are drawn. TestUpstreamThatWantsNothingAddsNoCapacity sends identical requests as before.

--- a/instance/relay/admit.go
+++ b/instance/relay/admit.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"github.com/comfreyladder/comfreyladder/core/admit"
 	"github.com/comfreyladder/comfreyladder/core/route"
 )
 
@@ -24,10 +23,6 @@
 	maxHoldShare = 0.125
 	// holdPollInterval is the time between two checks for free capacity.
 	holdPollInterval = 25 * time.Millisecond
-	// turnQueueFactor is how much more may be queued before a request that may be a retry in its turn.
-	turnQueueFactor = 1.25
-	// plainRetryAfter is when a request without a prompt that found no room is to be sent again.
-	plainRetryAfter = 100 * time.Millisecond
 )
 
 // queueLimitMS returns how much may be queued before a request of a route, in milliseconds.
@@ -85,29 +80,10 @@
 	return &refusal{503, "not run: too much waits before it", busyRetryAfter(r)}
 }
 
-// busyRetryAfter is when a request that found too much work before it is to be sent again: when the window of
-// its route reaches it, or in its turn once the queue of its engine is expected to be within the limit.
+// busyRetryAfter is when a request that found too long a queue may be retried: when the queue is
+// expected to be processed, and early enough to be answered in time.
 func busyRetryAfter(r *request) time.Duration {
-	switch {
-	case r.shed:
-		return r.admission.decision.Retry
-	case r.tokens == 0:
-		// Requests without a prompt are often identical: with turns, all would come at the same time.
-		return plainRetryAfter
-	}
-	excess := max(0, time.Duration((r.queueMS-r.maxQueueMS)*float64(time.Millisecond)))
-	return admit.For(r.route.Target).NextTurn(time.Now(), r.position(), excess)
-}
-
-// toleratesQueue reports whether the queue predicted before a request is within its limit. One that may be a
-// retry in its turn tolerates somewhat more, or others would take the room for which it waited.
-func (r *request) toleratesQueue(now time.Time) bool {
-	switch {
-	case r.queueMS <= r.maxQueueMS:
-		return true
-	case r.queueMS > turnQueueFactor*r.maxQueueMS:
-		return false
-	}
-	r.due = admit.For(r.route.Target).MayBeRetry(now, r.position())
-	return r.due
+	const shortest = 100 * time.Millisecond
+	wait := time.Duration((r.predictedMS - r.maxQueueMS) * float64(time.Millisecond))
+	return min(max(wait, shortest), max(shortest, r.route.Target/4))
 }
--- a/instance/relay/choose.go
+++ b/instance/relay/choose.go
@@ -86,9 +86,8 @@
 		if c = f.pick(r, q, sel); c.Index == balance.None {
 			return nil, r.allLimited || f.noRoom(sel)
 		}
-		r.queueMS = c.QueueMS
 	}
-	if r.tokens > 0 && !r.toleratesQueue(now) {
+	if c.QueueMS > r.maxQueueMS && r.tokens > 0 {
 		return nil, true
 	}
 	u = f.choice.candidates[c.Index]
@@ -125,7 +124,7 @@
 // recordPrediction records what is predicted for a request at a candidate.
 func (f *fleet) recordPrediction(r *request, q *balance.Request, c balance.Choice) {
 	state := &f.choice.states[c.Index]
-	r.predictedMS, r.queueMS, r.upstream = c.FirstEventMS, c.QueueMS, f.choice.candidates[c.Index].id
+	r.predictedMS, r.upstream = c.FirstEventMS, f.choice.candidates[c.Index].id
 	r.taken, r.slots, r.meanTaken = state.Active, state.Slots, f.choice.meanActive
 	r.uncachedTokens, r.queuedTokens = int(balance.UncachedTokens(state, q)), state.QueuedTokens
 }
--- a/instance/relay/pools.go
+++ b/instance/relay/pools.go
@@ -1,7 +1,8 @@
 package relay
 
 import (
-	"github.com/comfreyladder/comfreyladder/core/admit"
+	"math/rand/v2"
+
 	"github.com/comfreyladder/comfreyladder/core/balance"
 )
 
@@ -79,12 +80,8 @@
 	if share >= 1 {
 		return
 	}
-	window := admit.For(r.route.Target)
-	d := window.Decide(sel.now, r.position(), share)
-	r.shed, r.due = !d.Admitted, window.MayBeRetry(sel.now, r.position())
-	r.admission = admission{
-		share: share, availableEngines: available, requiredEngines: s.pools.RequiredEngines(sel.now), cached: o.Cached, decision: d, work: int(o.Work()),
-	}
+	r.shed = rand.Float64() > share
+	r.admission = admission{share: share, availableEngines: available, requiredEngines: s.pools.RequiredEngines(sel.now), cached: o.Cached, work: int(o.Work())}
 }
 
 // availableEngines returns how many engines outside the quick pool can take requests, in engines of
--- a/instance/relay/report.go
+++ b/instance/relay/report.go
@@ -21,7 +21,7 @@
 	}
 	took := clock.Since(r.arrived)
 	s.count(r, kind, status, reason, took)
-	s.countAdmission(r, status)
+	s.countAdmission(r)
 	event := "request_done"
 	if reason != "" || status >= statusServerError {
 		event = "request_failed"
@@ -36,11 +36,8 @@
 		l.Int("taken", int64(r.taken)).Int("slots", int64(r.slots)).Int("taken_mean_percent", int64(percent*r.meanTaken))
 	}
 	if a := &r.admission; a.share > 0 && reason != "" {
-		l.Int("admitted_percent", int64(percent*a.share)).Int("window_percent", int64(percent*a.decision.Width)).Int("engines_able", int64(a.availableEngines)).
-			Int("engines_asked", int64(a.requiredEngines)).Bool("cached", a.cached).Bool("due", r.due)
-	}
-	if r.shed {
-		l.MS("retry_after", r.admission.decision.Retry).Bool("promised", r.admission.decision.Promised)
+		l.Int("admitted_percent", int64(percent*a.share)).Int("engines_able", int64(a.availableEngines)).
+			Int("engines_asked", int64(a.requiredEngines)).Bool("cached", a.cached)
 	}
 	if r.fetchFrom != "" {
 		l.Str("fetch_from", r.fetchFrom)
@@ -87,8 +84,8 @@
 }
 
 // countAdmission counts the work that was decided on while there was not enough capacity, in prompt tokens by
-// organisation, and the requests that came when a retry with their content was asked for.
-func (s *Service) countAdmission(r *request, status int) {
+// organisation.
+func (s *Service) countAdmission(r *request) {
 	if a := &r.admission; a.share > 0 {
 		result := "admitted"
 		if r.shed {
@@ -98,10 +95,6 @@
 			s.set.GetOrCreateCounter(`relay_short_capacity_tokens_total{organisation="` + r.organisationName() + `",result="` + result + `"}`).Add(a.work)
 		}
 	}
-	if r.due {
-		admitted := r.sent > 0 || status != 503
-		s.set.GetOrCreateCounter(`relay_due_requests_total{admitted="` + strconv.FormatBool(admitted) + `"}`).Inc()
-	}
 }
 
 // metricReason is the part of a reason that does not depend on the request.
--- a/instance/relay/request.go
+++ b/instance/relay/request.go
@@ -9,7 +9,6 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"github.com/comfreyladder/comfreyladder/core/admit"
 	"github.com/comfreyladder/comfreyladder/core/fault"
 	"github.com/comfreyladder/comfreyladder/core/origin"
 	"github.com/comfreyladder/comfreyladder/core/quarantine"
@@ -88,16 +87,10 @@
 	// refused for lack of capacity.
 	rank                  float64
 	quick, recorded, shed bool
-	// admission holds the figures behind the decision to shed it or not; zero if there is enough capacity. due is
-	// set if it came when a retry with its content was asked for.
+	// admission holds the figures behind the decision to shed it or not; zero if there is enough capacity.
 	admission admission
-	due       bool
-	// maxQueueMS bounds the queue before the request at an engine, and queueMS is that predicted at the latest
-	// choice, in milliseconds.
-	maxQueueMS, queueMS float64
-	// cachedPosition is the position of its content, by which it is admitted under overload; zero until it
-	// is first needed.
-	cachedPosition admit.Position
+	// maxQueueMS bounds the queue before the request at an engine, in milliseconds.
+	maxQueueMS float64
 	// firstEventAfter is the time from the latest send to the first event.
 	firstEventAfter time.Duration
 	// longestPause is the longest time between two forwarded events, and lastEventAt when the
@@ -143,12 +136,11 @@
 var requests = sync.Pool{New: func() any { return &request{} }}
 
 // admission holds the figures by which a request was admitted or shed: the admitted share of similar requests,
-// the available and the required number of upstreams, whether the shared prompt segments were cached, the
-// decision, and the work of the request in prompt tokens.
+// the available and the required number of upstreams, whether the shared prompt segments were cached, and the
+// work of the request in prompt tokens.
 type admission struct {
 	share, availableEngines, requiredEngines float64
 	cached                                   bool
-	decision                                 admit.Decision
 	work                                     int
 }
 
@@ -373,14 +365,6 @@
 	return r.organisation.Name
 }
 
-// position returns the position of the request's content, by which all instances admit it alike.
-func (r *request) position() admit.Position {
-	if r.cachedPosition == 0 {
-		r.cachedPosition = admit.PositionOf(r.organisationName(), r.head.Target, r.promptSegments, r.body)
-	}
-	return r.cachedPosition
-}
-
 // maxParts bounds the parts of a prompt that are looked at; further ones are ignored.
 const maxParts = 32
 
