--- a/core/balance/spread.go
+++ b/core/balance/spread.go
@@ -9,10 +9,6 @@
 // weights by the expected load.
 
 const (
-	// weightExponent is the power of the cost by which an upstream beyond the own slots becomes less
-	// likely. Powers from 2 to 16 gave the same shares of waiting requests, within 0.02; higher ones
-	// send fewer requests to slow upstreams.
-	weightExponent = 4
 	// connectedWeight is how much more likely an upstream with an idle connection is. With 80
 	// instances and a load of 0.6 it reduces new connections from 0.15 per request to 0.07.
 	connectedWeight = 8.0
@@ -61,7 +57,10 @@
 			return 0
 		}
 		others := trust*float64(u.Active-u.Own) + (1-trust)*mean*float64(u.Slots)
-		w := math.Pow(c.plainCost(u, float64(u.Own)+others, u.Slots), -weightExponent)
+		// Powers of the cost from 2 to 16 gave the same shares of waiting requests, within 0.02; higher
+		// ones send fewer requests to slow upstreams.
+		cost := c.plainCost(u, float64(u.Own)+others, u.Slots)
+		w := 1 / (cost * cost * cost * cost)
 		if u.Connected {
 			w *= connectedWeight
 		}
--- a/instance/relay/choose.go
+++ b/instance/relay/choose.go
@@ -66,7 +66,8 @@
 	r.pauseLeft = 0
 	sel := &selection{service: f.service(r.service), domain: domain, now: now, avoid: avoid, tokens: r.tokens, memory: r.capacity, fresh: now.Sub(f.remoteLoadsAt) < remoteLoadTTL}
 	f.assignPool(r, sel)
-	q := f.balanceRequest(r, sel)
+	request := f.balanceRequest(r, sel)
+	q := &request
 	c := f.pick(r, q, sel)
 	if c.Index == balance.None {
 		r.pauseLeft = f.pauseLeft()
@@ -105,8 +106,8 @@
 }
 
 // balanceRequest describes a request to the choice.
-func (f *fleet) balanceRequest(r *request, sel *selection) *balance.Request {
-	q := &balance.Request{Affinity: r.affinity, Shared: r.sharedTokens, Unshared: r.tokens - r.sharedTokens, Domain: sel.domain, Random: rand.Float64(), FetchRate: r.fetchRate, MaxQueueMS: r.maxQueueMS}
+func (f *fleet) balanceRequest(r *request, sel *selection) balance.Request {
+	q := balance.Request{Affinity: r.affinity, Shared: r.sharedTokens, Unshared: r.tokens - r.sharedTokens, Domain: sel.domain, Random: rand.Float64(), FetchRate: r.fetchRate, MaxQueueMS: r.maxQueueMS}
 	if r.capacity == 0 {
 		q.LoadAgeMS, q.HoldMS = f.loadAgeMS(sel.now), sel.service.holdTime.MS()
 	}
