The handshake with a member is limited to 64 KiB

Cause: the status line and header lines of the answer to a WebSocket handshake had no limit but time.

Change: a dialled connection gives at most 64 KiB until the handshake is over, for links and for byte streams through other instances.

--- a/instance/link/peer.go
+++ b/instance/link/peer.go
@@ -155,7 +155,7 @@
 			instanceHeader: []string{p.service.cfg.Self},
 		}),
 	}
-	conn, buffered, _, err := dialer.Dial(ctx, scheme+addr+Path)
+	conn, buffered, err := dialWebSocket(ctx, dialer, scheme+addr+Path)
 	if err != nil {
 		return nil, fault.Wrap(err, fault.Unavailable, "dial %s at %s", p.name, addr)
 	}
--- a/instance/link/stream.go
+++ b/instance/link/stream.go
@@ -77,7 +77,7 @@
 			authHeader: []string{bearer + s.cfg.Credential}, instanceHeader: []string{s.cfg.Self},
 		}),
 	}
-	conn, buffered, _, err = dialer.Dial(ctx, scheme+address+StreamPath+"?"+targetField+"="+url.QueryEscape(target))
+	conn, buffered, err = dialWebSocket(ctx, dialer, scheme+address+StreamPath+"?"+targetField+"="+url.QueryEscape(target))
 	if err != nil {
 		return nil, nil, fault.Wrap(err, fault.Unavailable, "open a stream through %s", to)
 	}
