--- a/Makefile
+++ b/Makefile
@@ -24,8 +24,8 @@
 	bin/comfreyladder demo
 
 # soak plays seeds of the soak of real processes, 12 s of faults each, and keeps the logs
-# of a run that fails: make soak SEED=5000 SEEDS=50. Seeds from 5000 on play all kinds of steps
-SEED  := 5000
+# of a run that fails: make soak SEED=6000 SEEDS=50. Seeds from 6000 on play all kinds of steps
+SEED  := 6000
 SEEDS := 50
 soak: build
 	cd proof && go test -race -count=1 -run 'TestSoak$$' -v -timeout 60m ./deployed -soak.seed=$(SEED) -soak.seeds=$(SEEDS)
--- a/proof/deployed/soak_plan_test.go
+++ b/proof/deployed/soak_plan_test.go
@@ -76,6 +76,9 @@
 	steps := drawBase(seed, span, shape, &wiped)
 	if seed >= firstReturning {
 		steps = append(steps, drawReturns(seed, span, shape, wiped)...)
+		if seed >= firstBrittle {
+			steps = append(steps, drawBrittle(seed, span, shape)...)
+		}
 		slices.SortStableFunc(steps, func(a, b soakStep) int { return cmp.Compare(a.at, b.at) })
 	}
 	return steps
--- a/proof/deployed/soak_runner_test.go
+++ b/proof/deployed/soak_runner_test.go
@@ -52,6 +52,8 @@
 	limit atomic.Pointer[limitNamed]
 	// ask is what it asks for, nil for nothing.
 	ask atomic.Pointer[ask]
+	// brittle is set while it is brittle.
+	brittle atomic.Pointer[brittleness]
 }
 
 func (r *soakRunner) start() {
@@ -82,6 +84,11 @@
 	if l.ask.Load().arrived(out, attempt, l.r.w.ledger.edgeOf(attempt)) {
 		return
 	}
+	done, taken := l.brittle.Load().admit(l.r, out, attempt)
+	if !taken {
+		return
+	}
+	defer done()
 	l.r.w.ledger.ran(attempt)
 	l.r.w.judgeKey(l.r.id, attempt)
 	body, err := io.ReadAll(req.Body)
--- a/proof/deployed/soak_world_test.go
+++ b/proof/deployed/soak_world_test.go
@@ -192,6 +192,8 @@
 		r.w.foreignReport(r)
 	case stepLimit:
 		r.name(s)
+	case stepBrittle:
+		r.turnsBrittle(s)
 	case stepPause, stepLeave:
 		r.asks(s)
 	}
