--- a/proof/deployed/soak_runner_test.go
+++ b/proof/deployed/soak_runner_test.go
@@ -54,6 +54,8 @@
 	ask atomic.Pointer[ask]
 	// endless is which of soakEndless it sends, nil for none.
 	endless atomic.Pointer[int]
+	// brittle is set while it is brittle.
+	brittle atomic.Pointer[brittleness]
 }
 
 func (r *soakRunner) start() {
@@ -84,6 +86,11 @@
 	if l.ask.Load().arrived(out, attempt, l.r.w.ledger.edgeOf(attempt)) {
 		return
 	}
+	done, taken := l.brittle.Load().admit(l.r, out, attempt)
+	if !taken {
+		return
+	}
+	defer done()
 	l.r.w.ledger.ran(attempt)
 	l.r.w.judgeKey(l.r.id, attempt)
 	body, err := io.ReadAll(req.Body)
