Upstreams of process tests announce eight slots unless told otherwise

The field for the number of slots was zero for upstreams that are not made by newRunner, so that their registration was refused and quartets of the tests never served: TestBrittleUpstreamsDoNotFallOver, TestUpstreamThatAsksForAPauseGetsIt and TestPauseHoldsWhenAllUpstreamsAskForOne failed at their start.

--- a/proof/deployed/harness_test.go
+++ b/proof/deployed/harness_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -314,13 +315,16 @@
 // healthPath is where upstreams tell whether they are well; it is no request of a caller.
 const healthPath = "/h"
 
+// defaultSlots is how many requests at once an upstream announces.
+const defaultSlots = 8
+
 // runner is an upstream that announces itself to the cores in turn.
 type runner struct {
 	s        *site
 	id       string
 	service  string
 	version  string
-	slots    int
+	slots    int // defaultSlots if zero
 	born     int64
 	listener net.Listener
 	sequence atomic.Int64
@@ -375,7 +379,7 @@
 func (s *site) newRunner(service, id string) *runner {
 	l, err := net.Listen("tcp4", s.ip(250)+":0")
 	s.g.Expect(err).NotTo(HaveOccurred())
-	return &runner{s: s, id: id, service: service, version: "v1", slots: 8, born: time.Now().UnixMilli(), listener: l, stop: make(chan struct{})}
+	return &runner{s: s, id: id, service: service, version: "v1", born: time.Now().UnixMilli(), listener: l, stop: make(chan struct{})}
 }
 
 // begin serves and sends heartbeats until the test ends or the runner crashes.
@@ -409,7 +413,7 @@
 
 func (r *runner) report(to *node, state string) int {
 	body := fmt.Sprintf(`{"service":%q,"address":%q,"zone":"north","version":%q,"slots":%d,"state":%q,"warmup-left-ms":0,"sequence":%d,"born":%d}`,
-		r.service, r.listener.Addr(), r.version, r.slots, state, r.sequence.Add(1), r.born)
+		r.service, r.listener.Addr(), r.version, cmp.Or(r.slots, defaultSlots), state, r.sequence.Add(1), r.born)
 	status, _ := call("PUT", "http://"+to.at(portControl)+"/instances/"+r.id, body)
 	return status
 }
