Lightly loaded plain services are spread over all upstreams

Cause: an instance filled its own slots in order at any load, so one with a few requests in flight sent them all to its first one or two upstreams.

Change: own slots are filled first from a mean load of 0.2 requests per slot, as reported or at the own slots; below it an upstream is drawn by the expected cost, which finds a free slot nearly always.

--- a/core/balance/spread.go
+++ b/core/balance/spread.go
@@ -12,6 +12,10 @@
 	// connectedWeight is how much more likely an upstream with an idle connection is. With 80
 	// instances and a load of 0.6 it reduces new connections from 0.15 per request to 0.07.
 	connectedWeight = 8.0
+	// minSharedLoad is the mean number of requests per slot from which own slots are filled first. Below
+	// it a random choice finds a free slot nearly always, and the first own slots alone would get all
+	// requests of an instance: its other upstreams would not be known, nor used again after a failure.
+	minSharedLoad = 0.2
 	// maxOwnSlowness is the slowness up to which own slots are filled first. A slower upstream gets
 	// only what the weights leave for it.
 	maxOwnSlowness = 3.0
@@ -25,12 +29,28 @@
 
 // spread chooses among upstreams whose loads are partly old.
 func (c *costs) spread(list []Upstream, may func(*Upstream) bool) int {
-	if at := c.ownSlot(list, may); at != None {
-		return at
+	if c.loadPerSlot(list, may) >= minSharedLoad {
+		if at := c.ownSlot(list, may); at != None {
+			return at
+		}
 	}
 	return c.draw(list, may)
 }
 
+// loadPerSlot returns the mean number of requests per slot, as reported or at the own slots, whichever is
+// higher. A mean of many upstreams changes less than the load of one, so old reports tell it well enough.
+func (c *costs) loadPerSlot(list []Upstream, may func(*Upstream) bool) float64 {
+	active, own, slots := 0, 0, 0
+	for i := range list {
+		if u := &list[i]; may(u) {
+			active += u.Active
+			own += u.Own
+			slots += u.Slots
+		}
+	}
+	return max(float64(active)/float64(max(1, slots)), float64(own)/float64(max(1, c.request.OwnSlots)))
+}
+
 // ownSlot returns the upstream with the free slot of this instance that costs least, where the
 // position of the slot counts as load; None if no slot is free.
 func (c *costs) ownSlot(list []Upstream, may func(*Upstream) bool) int {
