Ranks of instances are kept sorted

Cause: each instance that became known made the next request for a rank sort all instances anew, under the lock of the service. After a start of all instances each of them does both.

Change: the order is kept sorted, an instance is inserted and found by binary search.

--- a/instance/serving/rank.go
+++ b/instance/serving/rank.go
@@ -2,41 +2,55 @@
 
 import (
 	"cmp"
-	"maps"
 	"slices"
 )
 
 // ranks orders the instances that forward requests by failure domain and name, so that each can tell
-// which slots of plain services are its own. The mutex of the service guards it.
+// which slots of plain services are its own. The order is kept sorted: after a start of all instances
+// each of them is new and asks for its rank. The mutex of the service guards it.
 type ranks struct {
-	// domains maps the instances to their failure domains, and order maps them to their positions,
-	// counted from one; nil if it has to be computed again.
+	// domains maps the instances to their failure domains.
 	domains map[string]string
-	order   map[string]int
+	order   []rankedInstance
 }
 
+type rankedInstance struct{ domain, name string }
+
+func newRanks() ranks { return ranks{domains: map[string]string{}} }
+
 func (r *ranks) set(name, domain string) {
-	if old, known := r.domains[name]; !known || old != domain {
-		r.domains[name], r.order = domain, nil
+	if old, known := r.domains[name]; known {
+		if old == domain {
+			return
+		}
+		r.remove(name)
 	}
+	r.domains[name] = domain
+	at, _ := r.find(name)
+	r.order = slices.Insert(r.order, at, rankedInstance{domain, name})
 }
 
 func (r *ranks) remove(name string) {
+	if at, found := r.find(name); found {
+		r.order = slices.Delete(r.order, at, at+1)
+	}
 	delete(r.domains, name)
-	r.order = nil
 }
 
+// find returns the position of an instance in the order, or where it would be.
+func (r *ranks) find(name string) (at int, found bool) {
+	return slices.BinarySearchFunc(r.order, rankedInstance{r.domains[name], name}, func(a, b rankedInstance) int {
+		return cmp.Or(cmp.Compare(a.domain, b.domain), cmp.Compare(a.name, b.name))
+	})
+}
+
+// of returns the position of an instance, counted from one; zero if it is not known.
 func (r *ranks) of(name string) int {
-	if r.order == nil {
-		names := slices.SortedFunc(maps.Keys(r.domains), func(a, b string) int {
-			return cmp.Or(cmp.Compare(r.domains[a], r.domains[b]), cmp.Compare(a, b))
-		})
-		r.order = make(map[string]int, len(names))
-		for i, n := range names {
-			r.order[n] = i + 1
-		}
+	at, found := r.find(name)
+	if !found {
+		return 0
 	}
-	return r.order[name]
+	return at + 1
 }
 
 // rank returns the position of an instance among those that forward requests, counted from one.
--- a/instance/serving/serving.go
+++ b/instance/serving/serving.go
@@ -121,7 +121,7 @@
 	}
 	s := &Service{
 		cfg: cfg, changed: make(chan struct{}), lastHeard: map[string]time.Time{}, unsentHeard: map[string]bool{},
-		watchers: map[string]time.Time{}, ranks: ranks{domains: map[string]string{}}, unsentWatchers: map[string]bool{}, watcherSentAt: map[string]time.Time{}, starting: map[string]bool{}, startedAt: clock.Now(), missedDigestsAt: clock.Now(), loads: newLoadReports(), observed: newObservedReports(), limits: newLimitTracker(), tunnels: newTunnelServers(),
+		watchers: map[string]time.Time{}, ranks: newRanks(), unsentWatchers: map[string]bool{}, watcherSentAt: map[string]time.Time{}, starting: map[string]bool{}, startedAt: clock.Now(), missedDigestsAt: clock.Now(), loads: newLoadReports(), observed: newObservedReports(), limits: newLimitTracker(), tunnels: newTunnelServers(),
 	}
 	if cfg.Usage {
 		s.metering = newMetering()
