--- a/core/fairshare/fairshare_test.go
+++ b/core/fairshare/fairshare_test.go
@@ -30,6 +30,31 @@
 	g.Expect(s.Admitted(now.Add(time.Second), "", 0, 40, 0.6)).To(Equal(0.6))
 }
 
+// Guards against an organisation that is starved since it asks for many times the level.
+func TestNoOrganisationIsStarved(t *testing.T) {
+	g := NewWithT(t)
+	s, now := New(), time.Unix(100, 0)
+	s.Add("large", 1000)
+	for i := range 9 {
+		s.Add(fmt.Sprint("small", i), 11)
+	}
+	g.Expect(s.Admitted(now, "small1", 1, 1099, 0.1)).To(Equal(1.0))
+	g.Expect(s.Admitted(now, "large", 1, 1099, 0.1)).To(BeNumerically("~", MinShare*0.1, 1e-9))
+}
+
+// Guards against levels by reports of long ago, after this instance has lost contact.
+func TestOldReportsAreNotUsed(t *testing.T) {
+	g := NewWithT(t)
+	s, now := New(), time.Unix(100, 0)
+	s.Add("a", 10)
+	s.Add("b", 10)
+	s.SetRemote(now, Demand{"a": 980})
+	g.Expect(s.Admitted(now, "a", 0, 1000, 0.5)).To(BeNumerically("<", 0.6))
+	g.Expect(s.Admitted(now, "b", 0, 1000, 0.5)).To(Equal(1.0))
+	later := now.Add(maxRemoteAge + time.Millisecond)
+	g.Expect(s.Admitted(later, "a", 0, 1000, 0.5)).To(BeNumerically("~", s.Admitted(later, "b", 0, 1000, 0.5), 1e-9), "by the own demand")
+}
+
 // Guards against capacity that is left unused since a request counts against itself: work is heavy-tailed (log-normal,
 // sigma 1.1), demand 1.3 times the capacity, and 78 instances have reports that are 0.25 to 0.5 s old.
 func TestWorkOfVaryingSizeUsesTheCapacity(t *testing.T) {
