Even load: an upstream that comes back is used again

Cause: at light loads the draw prefers upstreams with an idle connection eight times.

Change: at a light load an upstream to which an instance opened no connection for 3 s counts as connected. TestRepeatCountsWhenItIsSent holds the connect until it has looked, in place of a race of 100 ms against 200.

--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -36,6 +36,8 @@
 	SlotTimeMS float64
 	// Connected says that the instance has an idle connection to the upstream.
 	Connected bool
+	// ReconnectDue says that the instance has opened no connection to the upstream for ReconnectInterval.
+	ReconnectDue bool
 	// LimitShare is the share of its peers' request rate that the upstream accepts under the rate
 	// limit it announced; zero if it announced none.
 	LimitShare float64
--- a/core/balance/even_test.go
+++ b/core/balance/even_test.go
@@ -1,10 +1,12 @@
 package balance_test
 
 import (
+	"cmp"
 	"container/heap"
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -30,8 +32,10 @@
 // evenCase is one load. rate returns the load at a time, as a share of what the upstreams that are
 // present can serve.
 type evenCase struct {
-	name      string
-	rate      func(ms float64) float64
+	name string
+	rate func(ms float64) float64
+	// workMS is the duration of a request's work, evenWorkMS if it is zero.
+	workMS    float64
 	slow      int
 	joinAtMS  float64
 	joining   int
@@ -41,7 +45,8 @@
 
 func steady(load float64) func(float64) float64 { return func(float64) float64 { return load } }
 
-// evenCases are the loads of docs/design/two-customers.md, part 2.
+// evenCases are the loads of docs/design/two-customers.md, part 2. In 32 s the shares at 80 instances differ by
+// less than 0.004 between runs, in 8 s by 0.01.
 func evenCases() []evenCase {
 	bursts := func(ms float64) float64 {
 		if math.Mod(ms, 1000) < 150 {
@@ -50,9 +55,9 @@
 		return 0.4
 	}
 	return []evenCase{
-		{name: "0.6 steady", rate: steady(0.6), upstreams: 24, seconds: 8},
-		{name: "0.6, a third slow", rate: steady(0.6), upstreams: 24, slow: 8, seconds: 8},
-		{name: "0.4 with bursts", rate: bursts, upstreams: 24, seconds: 8},
+		{name: "0.6 steady", rate: steady(0.6), upstreams: 24, seconds: 32},
+		{name: "0.6, a third slow", rate: steady(0.6), upstreams: 24, slow: 8, seconds: 32},
+		{name: "0.4 with bursts", rate: bursts, upstreams: 24, seconds: 32},
 		{name: "0.7, a third joins", rate: steady(0.7), upstreams: 24, joining: 8, joinAtMS: 4000, seconds: 8},
 	}
 }
@@ -67,7 +72,8 @@
 
 // evenChooser is one instance. others are the requests of the other instances as of takenAt, and
 // pending a report that is on its way. seen holds its observations by upstream and othersSeen those
-// of the others. idleUntil holds the ends of its idle connections by upstream.
+// of the others. idleUntil holds the ends of its idle connections by upstream,
+// openedAt when it last opened one.
 type evenChooser struct {
 	domain            string
 	own               []int
@@ -80,6 +86,7 @@
 	observationsAfter float64
 	losesReports      bool
 	idleUntil         [][]float64
+	openedAt          []float64
 }
 
 // evenEnd is the end of a request that was sent at the given time.
@@ -119,6 +126,9 @@
 	ownedReady int
 
 	asked, waited, opened, most int
+	// firstSecond and toJoined count the requests in the second after some upstreams joined, and those
+	// of them that these got.
+	firstSecond, toJoined int
 }
 
 // evenOptions are the conditions of a run. ageMS is the time between the load reports of an instance,
@@ -146,7 +156,7 @@
 func runEven(k evenCase, o evenOptions, choose func(*evenWorld, int, float64) int) *evenWorld {
 	w := &evenWorld{evenCase: k, rng: rand.New(rand.NewPCG(7, 11)), evenOptions: o, choose: choose}
 	for i := range k.upstreams {
-		u := evenUpstream{workMS: evenWorkMS, ready: i < k.upstreams-k.joining}
+		u := evenUpstream{workMS: cmp.Or(k.workMS, evenWorkMS), ready: i < k.upstreams-k.joining}
 		if i%3 == 0 && i/3 < k.slow {
 			u.workMS *= 3
 		}
@@ -158,7 +168,7 @@
 	for i := range o.choosers {
 		w.all = append(w.all, evenChooser{
 			domain: fmt.Sprint("d", i%o.domains), own: make([]int, k.upstreams), others: make([]int, k.upstreams), pending: make([]int, k.upstreams),
-			idleUntil: make([][]float64, k.upstreams), seen: make([]balance.Observer, k.upstreams), othersSeen: make([]balance.Observed, k.upstreams),
+			idleUntil: make([][]float64, k.upstreams), openedAt: slices.Repeat([]float64{math.Inf(-1)}, k.upstreams), seen: make([]balance.Observer, k.upstreams), othersSeen: make([]balance.Observed, k.upstreams),
 			nextAt: o.ageMS * float64(i) / float64(o.choosers), pendingAt: -1,
 		})
 		w.all[i].losesReports = i == 0 && o.cutOffAtMS > 0
@@ -259,6 +269,12 @@
 			w.waited++
 		}
 	}
+	if w.joining > 0 && now >= w.joinAtMS && now < w.joinAtMS+1000 {
+		w.firstSecond++
+		if at >= w.upstreams-w.joining {
+			w.toJoined++
+		}
+	}
 	u.active++
 	w.most = max(w.most, u.active)
 	c.own[at]++
@@ -283,6 +299,7 @@
 			return
 		}
 	}
+	c.openedAt[at] = now
 	if now > evenWarmUpMS {
 		w.opened++
 	}
@@ -332,7 +349,7 @@
 	c := &w.all[chooser]
 	w.states, w.observed = w.states[:0], w.observed[:0]
 	for i := range w.ups {
-		u := balance.Upstream{ID: evenIDs[i], Domain: evenNames[i%w.domains], Active: c.own[i] + c.others[i], Own: c.own[i], NextSlot: w.nextSlot(chooser, i), Slots: evenSlots, Slowness: 1, Connected: !w.greedy && c.hasIdle(i, now), Excluded: !w.ups[i].ready}
+		u := balance.Upstream{ID: evenIDs[i], Domain: evenNames[i%w.domains], Active: c.own[i] + c.others[i], Own: c.own[i], NextSlot: w.nextSlot(chooser, i), Slots: evenSlots, Slowness: 1, Connected: !w.greedy && c.hasIdle(i, now), ReconnectDue: now-c.openedAt[i] >= float64(balance.ReconnectInterval.Milliseconds()), Excluded: !w.ups[i].ready}
 		w.states = append(w.states, u)
 		if w.seen != nil {
 			o := c.seen[i].Sums(virtualTime(now))
@@ -498,3 +515,23 @@
 	t.Logf("rank not known: %.3f wait", w.share())
 	g.Expect(w.share()).To(BeNumerically("<=", random))
 }
+
+// Guards against an upstream that is hardly used once it can be used again, because no instance has a
+// connection to it: it should get its part of the requests within a second, at light loads too.
+func TestReturningUpstreamIsUsedAgain(t *testing.T) {
+	g := NewWithT(t)
+	for _, c := range []struct{ workMS, load float64 }{{5, 0.02}, {5, 0.1}, {evenWorkMS, 0.13}, {evenWorkMS, 0.4}} {
+		for _, choosers := range []int{2, 4, 8, 40} {
+			k := evenCase{rate: steady(c.load), workMS: c.workMS, upstreams: 6, joining: 1, joinAtMS: 6000, seconds: 32}
+			o := evenOptions{choosers: choosers, domains: 1, ageMS: 250, delayMS: 150, observes: true, holdMS: c.workMS}
+			o.greedy = true
+			before := runEven(k, o, chooseByLoads)
+			o.greedy, o.ranked = false, true
+			w := runEven(k, o, chooseByLoads)
+			part := float64(w.firstSecond) / float64(k.upstreams)
+			t.Logf("work %.0f ms, load %.2f, %d choosers: %d of %d requests (%d by reports), %.1f are its part; new connections %.3f (%.3f by reports)",
+				c.workMS, c.load, choosers, w.toJoined, w.firstSecond, before.toJoined, part, w.openedShare(), before.openedShare())
+			g.Expect(w.toJoined).To(BeNumerically(">=", part/2), "work %.0f ms, load %.2f, %d choosers", c.workMS, c.load, choosers)
+		}
+	}
+}
--- a/core/balance/spread.go
+++ b/core/balance/spread.go
@@ -1,6 +1,9 @@
 package balance
 
-import "math"
+import (
+	"math"
+	"time"
+)
 
 // The loads of other instances are some hundred milliseconds old, several times the duration of a
 // request to a plain service. If all instances send their requests to the upstream that had the
@@ -8,6 +11,13 @@
 // which it fills first: its own requests are known exactly. Beyond them it chooses at random, with
 // weights by the expected load.
 
+// ReconnectInterval is the time without a new connection after which an instance with a light load chooses
+// an upstream of a plain service as if it had an idle one. Otherwise an upstream that can be used again is
+// hardly chosen, as no instance has a connection to it. It is a little shorter than an idle connection is
+// kept by default, so that an upstream whose connection has expired is due. Under load own slots bring
+// requests there, and this rule would open a fifth more connections at 80 instances.
+const ReconnectInterval = 3 * time.Second
+
 const (
 	// connectedWeight is how much more likely an upstream with an idle connection is. With 80
 	// instances and a load of 0.6 it reduces new connections from 0.15 per request to 0.07.
@@ -29,12 +39,13 @@
 
 // spread chooses among upstreams whose loads are partly old.
 func (c *costs) spread(list []Upstream, may func(*Upstream) bool) int {
-	if c.loadPerSlot(list, may) >= minSharedLoad {
+	light := c.loadPerSlot(list, may) < minSharedLoad
+	if !light {
 		if at := c.ownSlot(list, may); at != None {
 			return at
 		}
 	}
-	return c.draw(list, may)
+	return c.draw(list, may, light)
 }
 
 // loadPerSlot returns the mean number of requests per slot, as reported or at the own slots, whichever is
@@ -69,8 +80,8 @@
 }
 
 // draw draws an upstream at random, the more likely the less it costs at the load that it is
-// expected to have.
-func (c *costs) draw(list []Upstream, may func(*Upstream) bool) int {
+// expected to have. light says that few slots are taken.
+func (c *costs) draw(list []Upstream, may func(*Upstream) bool, light bool) int {
 	mean, trust := c.othersPerSlot(list, may), c.trust()
 	weight := func(u *Upstream) float64 {
 		if !may(u) {
@@ -81,7 +92,7 @@
 		// ones send fewer requests to slow upstreams.
 		cost := c.plainCost(u, float64(u.Own)+others, u.Slots)
 		w := 1 / (cost * cost * cost * cost)
-		if u.Connected {
+		if u.Connected || light && u.ReconnectDue {
 			w *= connectedWeight
 		}
 		return w
--- a/instance/relay/choose.go
+++ b/instance/relay/choose.go
@@ -287,7 +287,7 @@
 			observed.Add(f.remoteObserved[u.incarnation])
 		}
 		if b.Own = u.active; spreads {
-			b.NextSlot = u.nextSlot()
+			b.NextSlot, b.ReconnectDue = u.nextSlot(), u.pool.reconnectDue(sel.now)
 		}
 		// A single instance has connections to all upstreams of a small service, and uses them in turn.
 		b.Connected = (c.partial || spreads) && r.affinity == 0 && u.pool.hasIdle()
--- a/instance/relay/links_test.go
+++ b/instance/relay/links_test.go
@@ -26,15 +26,17 @@
 	// late is set while its own connections are reset once they are made.
 	late    atomic.Bool
 	detours atomic.Int64
-	// connectTime is for how long a connect lasts, in nanoseconds.
-	connectTime atomic.Int64
+	// beforeConnect is a func() that runs before each connect, if one is set.
+	beforeConnect atomic.Value
 }
 
 func (l *fakeLinks) direct(ctx context.Context, address string) (net.Conn, error) {
 	if l.cut.Load() {
 		return nil, os.NewSyscallError("connect", syscall.ECONNREFUSED)
 	}
-	time.Sleep(time.Duration(l.connectTime.Load()))
+	if wait, ok := l.beforeConnect.Load().(func()); ok {
+		wait()
+	}
 	c, err := tcpconn.Dial(ctx, "tcp4", address)
 	if err == nil && l.late.Load() {
 		return resetConn{c}, nil
--- a/instance/relay/pool.go
+++ b/instance/relay/pool.go
@@ -11,6 +11,7 @@
 
 	"golang.org/x/sys/unix"
 
+	"github.com/comfreyladder/comfreyladder/core/balance"
 	"github.com/comfreyladder/comfreyladder/core/reach"
 	"github.com/comfreyladder/comfreyladder/instance/http1"
 	"github.com/comfreyladder/comfreyladder/instance/tcpconn"
@@ -41,6 +42,8 @@
 	mu     sync.Mutex
 	idle   []*upstreamConn
 	closed bool
+	// dialledAt is when a connection was last opened.
+	dialledAt time.Time
 }
 
 const (
@@ -91,6 +94,13 @@
 	return len(p.idle) > 0
 }
 
+// reconnectDue reports whether no connection was opened for balance.ReconnectInterval.
+func (p *pool) reconnectDue(now time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return now.Sub(p.dialledAt) >= balance.ReconnectInterval
+}
+
 // put returns a connection to the pool after a complete response, whose head is given.
 func (p *pool) put(c *upstreamConn, head *http1.Head, now time.Time) {
 	keep := keepAlive(head)
@@ -193,6 +203,9 @@
 
 // dial opens a new connection. An error with fault.NotRun says nothing about the upstream.
 func (p *pool) dial(ctx context.Context) (*upstreamConn, error) {
+	p.mu.Lock()
+	p.dialledAt = time.Now()
+	p.mu.Unlock()
 	c, err := p.links.Dial(ctx, p.target)
 	if err != nil {
 		return nil, err
--- a/instance/relay/repeats_test.go
+++ b/instance/relay/repeats_test.go
@@ -11,11 +11,17 @@
 // Guards against repeats beyond the retry budget of a window because they were counted in an earlier one:
 // between the decision and the send may lie a wait for an upstream or a connect.
 func TestRepeatCountsWhenItIsSent(t *testing.T) {
-	const connectTime = 200 * time.Millisecond
 	g := NewWithT(t)
+	connecting, connect := make(chan struct{}, 1), make(chan struct{})
 	var links *fakeLinks
 	lose := func(int, *received, net.Conn) bool {
-		links.connectTime.Store(int64(connectTime))
+		links.beforeConnect.Store(func() {
+			select {
+			case connecting <- struct{}{}:
+			default:
+			}
+			<-connect
+		})
 		return false
 	}
 	a, b := startUpstream(t, "a", lose), startUpstream(t, "b", lose)
@@ -24,8 +30,9 @@
 	granted := s.set.GetOrCreateCounter(`relay_repeats_total{granted="true"}`)
 	done := make(chan int, 1)
 	go func() { done <- s.caller().call("GET", "/idem/", "1", "").status }()
-	g.Eventually(func() int { return len(a.requests()) + len(b.requests()) }).Should(Equal(1))
-	g.Consistently(granted.Get, connectTime/2, 10*time.Millisecond).Should(BeZero(), "the repeat still connects")
+	g.Eventually(connecting, requestTimeout).Should(Receive(), "the repeat connects")
+	g.Consistently(granted.Get, 100*time.Millisecond, 10*time.Millisecond).Should(BeZero(), "the repeat still connects")
+	close(connect)
 	g.Eventually(done, 3*time.Second).Should(Receive(Equal(502)))
 	g.Expect(granted.Get()).To(BeEquivalentTo(1))
 	g.Expect(len(a.requests()) + len(b.requests())).To(Equal(2))
--- a/instance/relay/silence_test.go
+++ b/instance/relay/silence_test.go
@@ -33,8 +33,12 @@
 	set(func(fd int) error {
 		return unix.SetsockoptSockFprog(fd, unix.SOL_SOCKET, unix.SO_ATTACH_FILTER, &unix.SockFprog{Len: 1, Filter: &drop})
 	})
+	begun := time.Now()
 	time.Sleep(span)
 	set(func(fd int) error { return unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_DETACH_FILTER, 0) })
+	if lasted := time.Since(begun); lasted > span+100*time.Millisecond {
+		t.Logf("silent for %s, %s wanted", lasted, span)
+	}
 }
 
 // Guards against a stream that is cut off because its upstream does not answer keep-alive probes for a
