--- a/proof/deployed/harness_test.go
+++ b/proof/deployed/harness_test.go
@@ -94,13 +94,17 @@
 		if t.Failed() {
 			t.Logf("logs until %s in %s", time.Now().Format(time.StampMilli), s.keepLogs(""))
 		}
-		for _, n := range s.nodes {
-			n.kill()
-		}
+		s.killAll()
 	})
 	return s
 }
 
+func (s *site) killAll() {
+	for _, n := range s.nodes {
+		n.kill()
+	}
+}
+
 // keepLogs writes what all processes printed into a folder, a new one if it is given none,
 // and returns the folder.
 func (s *site) keepLogs(dir string) string {
