--- a/proof/system/control_test.go
+++ b/proof/system/control_test.go
@@ -103,7 +103,8 @@
 			Expect(err).NotTo(HaveOccurred())
 			Expect(done.Revision).To(Equal(base + 1))
 			for _, other := range s.instances {
-				Expect(other.floor()).To(Equal(0.2+float64(n)/100), other.name)
+				floor, lease := other.floor(), other.status().LeaseValid
+				Expect(floor).To(Equal(0.2+float64(n)/100), "%s, lease valid afterwards: %v", other.name, lease)
 			}
 		}
 	})
