Fair shares: demand that is not reported is divided as the known demand

Cause: instances that see no shortage, or of an older build, report no demand by organisation. The rest of a route's demand counted as one more organisation, or was divided among local ones that no report named. Change: the known demand is scaled up to that of all; reports sum up the organisations they do not list.

--- a/core/fairshare/fairshare.go
+++ b/core/fairshare/fairshare.go
@@ -44,6 +44,10 @@
 // Demand is the recent work that organisations asked for.
 type Demand map[string]float64
 
+// Smaller is the name under which a report sums up the demand of the organisations that it does not list. An
+// organisation of that name would be counted among them.
+const Smaller = "\x00smaller"
+
 // Shares decides which share of the requests of an organisation is admitted on one route. It counts the
 // demand at this instance and adds what the others report. It is not safe for concurrent use.
 type Shares struct {
@@ -83,7 +87,8 @@
 // Add counts work that an organisation asks for, whether or not it is admitted.
 func (s *Shares) Add(organisation string, work float64) { s.local[organisation] += work / s.scale }
 
-// Largest returns the local demand of up to n organisations that may be limited, for the other instances.
+// Largest returns the local demand of up to n organisations that may be limited, for the other instances, and the
+// sum of the rest under Smaller.
 func (s *Shares) Largest(n int) Demand {
 	total := 0.0
 	for _, work := range s.local {
@@ -96,9 +101,13 @@
 		}
 	}
 	slices.SortFunc(names, func(a, b string) int { return cmp.Compare(s.local[b], s.local[a]) })
-	out := Demand{}
+	out, rest := Demand{}, total
 	for _, name := range names[:min(n, len(names))] {
 		out[name] = s.local[name] * s.scale
+		rest -= s.local[name]
+	}
+	if rest *= s.scale; rest > minListedShare*total*s.scale {
+		out[Smaller] = rest
 	}
 	return out
 }
@@ -135,39 +144,33 @@
 	return s.remote
 }
 
-// refresh computes the level. Without reports, the organisations of all instances are taken to be as those of this
-// one. With them, demand that no report names is that of one more organisation: that of instances of an older build,
-// and of organisations too small to be named.
+// refresh computes the level. Demand that is not reported by organisation, as that of instances that see no shortage
+// or of an older build, is taken to be divided as the known demand is. Were it one more organisation, or were it
+// none, capacity would be left unused or admitted twice.
 func (s *Shares) refresh(now time.Time, total, admitted float64) {
 	s.refreshedAt, s.scaled = now, 1
-	remote := s.remoteOf(now)
-	known := maps.Clone(remote)
+	known := maps.Clone(s.remoteOf(now))
 	if known == nil {
 		known = Demand{}
 	}
-	unnamed := 0
 	for name, work := range s.local {
-		if _, named := remote[name]; !named {
-			unnamed++
-		}
 		known[name] += work * s.scale
 	}
-	sum, demands := 0.0, make([]float64, 0, len(known)+1)
+	sum := 0.0
 	for _, work := range known {
 		sum += work
-		demands = append(demands, work)
 	}
-	switch rest := total - sum; {
-	case len(remote) == 0 && sum > 0:
-		s.scaled = total / sum
-		for i := range demands {
-			demands[i] *= s.scaled
-		}
-	case rest > minListedShare*total:
-		for range max(1, unnamed) {
-			demands = append(demands, rest/float64(max(1, unnamed)))
-		}
+	if sum > 0 {
+		// Reports may exceed the present total, as they are of demand a moment ago.
+		s.scaled = max(1, total/sum)
+	}
+	// Organisations that are not listed ask for less than any level that binds, and get it.
+	smaller := s.scaled * known[Smaller]
+	delete(known, Smaller)
+	demands := make([]float64, 0, len(known))
+	for _, work := range known {
+		demands = append(demands, s.scaled*work)
 	}
-	s.multiple = len(demands) > 1
-	s.level = Level(admitted*total, demands)
+	s.multiple = len(demands) > 1 || smaller > 0
+	s.level = Level(max(0, admitted*total-smaller), demands)
 }
--- a/core/fairshare/fairshare_test.go
+++ b/core/fairshare/fairshare_test.go
@@ -97,10 +97,11 @@
 }
 
 // fleet plays instances that admit the requests of 24 organisations (Zipf, exponent 1.2) for 10 s, one of which asks 7.5
-// times its usual from 2.0 to 8.5 s. The demand is then 1.3 times the capacity. Reports are 0.36 s old. It
+// times its usual from 2.0 to 8.5 s. The demand is then 1.3 times the capacity. The given number of instances report
+// their demand; reports are 0.36 s old. It
 // returns the share that is served during the flood, by organisation and of the capacity, and the organisations that
 // then ask for no more than their fair share.
-func fleet(instances, flooding int, flood, fair, reports bool) (served []float64, used float64, within []int) {
+func fleet(instances, flooding int, flood, fair bool, reporting int) (served []float64, used float64, within []int) {
 	const (
 		organisations, capacity, tau = 24, 2000.0, 0.75
 		step                         = 10 * time.Millisecond
@@ -127,8 +128,8 @@
 		for _, s := range shares {
 			s.Decay(decay)
 		}
-		if reports && at%reportEvery == 0 {
-			history = append(history, sumOf(shares))
+		if reporting > 0 && at%reportEvery == 0 {
+			history = append(history, sumOf(shares[:reporting]))
 			spread(shares, now, history[max(0, len(history)-1-reportAge)])
 		}
 		for i, r := range rates[flooded] {
@@ -206,10 +207,10 @@
 	for _, instances := range []int{2, 88} {
 		for _, flooding := range []int{0, 9} {
 			g := NewWithT(t)
-			before, _, _ := fleet(instances, flooding, false, true, true)
-			today, usedToday, _ := fleet(instances, flooding, true, false, true)
-			served, used, within := fleet(instances, flooding, true, true, true)
-			alone, usedAlone, _ := fleet(instances, flooding, true, true, false)
+			before, _, _ := fleet(instances, flooding, false, true, instances)
+			today, usedToday, _ := fleet(instances, flooding, true, false, instances)
+			served, used, within := fleet(instances, flooding, true, true, instances)
+			alone, usedAlone, _ := fleet(instances, flooding, true, true, 0)
 			least, leastToday, leastAlone := 1.0, 1.0, 1.0
 			for _, i := range within {
 				least, leastToday = min(least, served[i]/before[i]), min(leastToday, today[i]/before[i])
@@ -223,6 +224,26 @@
 	}
 }
 
+// Guards against capacity that is left unused since instances that see no shortage, or of an older build, do not
+// report their demand by organisation.
+func TestDemandThatIsNotReportedLeavesNoCapacityUnused(t *testing.T) {
+	for _, reporting := range []int{8, 29, 60} {
+		for _, flooding := range []int{0, 9} {
+			g := NewWithT(t)
+			before, _, _ := fleet(88, flooding, false, true, reporting)
+			_, usedByAll, _ := fleet(88, flooding, true, false, reporting)
+			served, used, within := fleet(88, flooding, true, true, reporting)
+			least := 1.0
+			for _, i := range within {
+				least = min(least, served[i]/before[i])
+			}
+			t.Logf("%d of 88 instances report, number %d floods: used %.3f (%.3f by the share of all), least served %.3f", reporting, flooding, used, usedByAll, least)
+			g.Expect(used).To(BeNumerically(">=", 0.95*usedByAll))
+			g.Expect(least).To(BeNumerically(">=", 0.95))
+		}
+	}
+}
+
 // BenchmarkAdmitted measures a decision under overload right after a report, by the number of organisations: all
 // decisions of the following refreshInterval cost a map look-up.
 func BenchmarkAdmitted(b *testing.B) {
