Intent: warm-up limit of an upstream rule

Cause: the own daemon's configuration has no field for the warm-up limit that edges have. Change: warmup, warmup_per_s, warmup_overrun and warmup_slack of an upstream rule, with checks (typed errors), warnings and effects. A document without them is encoded as before. Nothing uses the fields yet.

--- a/core/intent/intent.go
+++ b/core/intent/intent.go
@@ -4,7 +4,11 @@
 // intent is left to other packages.
 package intent
 
-import "time"
+import (
+	"time"
+
+	"github.com/comfreyladder/comfreyladder/core/warmup"
+)
 
 // Document is one complete configuration. Lists are kept sorted by name (see Normalize),
 // so that equal documents have equal encodings.
@@ -91,6 +95,26 @@
 	// Role is the role that the engine is ordered to take; if it is empty, the engine
 	// keeps its role.
 	Role string `json:"role" codec:"role"`
+	// WarmUp is how long an engine counts as cold after it has started, unless it states that itself.
+	// While it is cold, it receives from all instances together at most WarmUpPerSecond x WarmUpOverrun
+	// + WarmUpSlack requests in any one second. WarmUpPerSecond 0 means no limit, WarmUpOverrun 0 means
+	// 1. Documents without these fields are encoded as before the fields existed.
+	WarmUp          time.Duration `json:"warmup" codec:"warmup,omitempty"`
+	WarmUpPerSecond float64       `json:"warmup_per_s" codec:"warmup_per_s,omitempty"`
+	WarmUpOverrun   float64       `json:"warmup_overrun" codec:"warmup_overrun,omitempty"`
+	WarmUpSlack     float64       `json:"warmup_slack" codec:"warmup_slack,omitempty"`
+}
+
+// WarmUpBound returns the bound of the requests to a cold engine of the rule, and false if there is none.
+func (u *Upstream) WarmUpBound() (warmup.Bound, bool) {
+	if u.Kind != KindEngine || u.WarmUpPerSecond <= 0 {
+		return warmup.Bound{}, false
+	}
+	overrun := u.WarmUpOverrun
+	if overrun == 0 {
+		overrun = 1
+	}
+	return warmup.Bound{PerSecond: u.WarmUpPerSecond, Overrun: overrun, Slack: u.WarmUpSlack}, true
 }
 
 // Model is a model that engines should hold.
--- a/core/intent/intent_test.go
+++ b/core/intent/intent_test.go
@@ -1,6 +1,7 @@
 package intent_test
 
 import (
+	"math"
 	"strings"
 	"testing"
 	"time"
@@ -8,7 +9,9 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/comfreyladder/comfreyladder/core/fault"
 	"github.com/comfreyladder/comfreyladder/core/intent"
+	"github.com/comfreyladder/comfreyladder/core/warmup"
 )
 
 func TestIntent(t *testing.T) {
@@ -76,6 +79,26 @@
 			"upstream.e-*.max_models", "upstream.e-*.role", "weights.rate_mb", "weights.loads"))
 	})
 
+	// Guards against a warm-up limit that is accepted and then means none.
+	It("refuses invalid warm-up fields", func() {
+		d := valid()
+		rule := intent.Upstream{Name: "e-*", Kind: intent.KindEngine, KeyHash: strings.Repeat("ab", 32)}
+		rule.WarmUp, rule.WarmUpPerSecond, rule.WarmUpOverrun, rule.WarmUpSlack = -1, math.NaN(), -0.5, math.Inf(1)
+		d.Upstreams = []intent.Upstream{rule}
+		Expect(problems(d)).To(ConsistOf("upstream.e-*.warmup", "upstream.e-*.warmup_per_s", "upstream.e-*.warmup_overrun", "upstream.e-*.warmup_slack"))
+		Expect(fault.CodeOf(d.Validate().(*intent.ProblemsError).Fault())).To(Equal(fault.Invalid))
+	})
+
+	It("bounds the requests to cold engines only with a rate", func() {
+		rule := intent.Upstream{Kind: intent.KindEngine, WarmUp: time.Second, WarmUpPerSecond: 8.6, WarmUpSlack: 5}
+		bound, limited := rule.WarmUpBound()
+		Expect(limited).To(BeTrue())
+		Expect(bound).To(Equal(warmup.Bound{PerSecond: 8.6, Overrun: 1, Slack: 5}))
+		rule.WarmUpPerSecond = 0
+		_, limited = rule.WarmUpBound()
+		Expect(limited).To(BeFalse())
+	})
+
 	It("names entries and fields that differ", func() {
 		from, to := valid(), valid()
 		to.Classes[1].Floor = 0.2
--- a/core/intent/lint.go
+++ b/core/intent/lint.go
@@ -89,11 +89,12 @@
 
 func (l *linter) lintUpstreams() {
 	for _, u := range l.doc.Upstreams {
+		path := "upstream." + u.Name
+		l.lintWarmUp(path, u)
 		if u.Kind != KindService {
 			continue
 		}
-		path := "upstream." + u.Name
-		for field, set := range map[string]bool{"models": len(u.Models) > 0, "max_models": u.MaxModels > 0, "role": u.Role != "", "checks_fence": u.ChecksFence} {
+		for field, set := range map[string]bool{"models": len(u.Models) > 0, "max_models": u.MaxModels > 0, "role": u.Role != "", "checks_fence": u.ChecksFence, "warmup_per_s": u.WarmUpPerSecond > 0} {
 			if set {
 				l.add(path+"."+field, "the field applies to engines alone and is ignored for a service")
 			}
@@ -101,6 +102,17 @@
 	}
 }
 
+// lintWarmUp finds warm-up fields that have no effect for lack of a rate, and a bound below one request
+// in a second: a cold engine would receive nothing, however long it stays cold.
+func (l *linter) lintWarmUp(path string, u Upstream) {
+	if u.WarmUpPerSecond == 0 && (u.WarmUp > 0 || u.WarmUpOverrun > 0 || u.WarmUpSlack > 0) {
+		l.add(path+".warmup_per_s", "without a rate, the other warm-up fields have no effect")
+	}
+	if b, ok := u.WarmUpBound(); ok && b.Requests() < 1 {
+		l.add(path+".warmup_per_s", "less than one request in a second is allowed, so cold engines receive none")
+	}
+}
+
 func (l *linter) lintModels() {
 	for _, m := range l.doc.Models {
 		allowed := slices.ContainsFunc(l.doc.Upstreams, func(u Upstream) bool {
--- a/core/intent/lint_test.go
+++ b/core/intent/lint_test.go
@@ -37,11 +37,15 @@
 		"key twice": {func(d *Document) {
 			d.Organisations[0].KeyHashes = append(d.Organisations[0].KeyHashes, d.Organisations[0].KeyHashes[0])
 		}, []string{"organisation.o.key_hashes"}},
-		"no engine":        {func(d *Document) { d.Upstreams = d.Upstreams[1:] }, []string{"model.m", "upstream"}},
-		"field of engines": {func(d *Document) { d.Upstreams[1].Role = "x" }, []string{"upstream.p.role"}},
-		"model not held":   {func(d *Document) { d.Upstreams[0].Models = []string{"other"} }, []string{"model.m"}},
-		"service unused":   {func(d *Document) { d.Organisations[0].Services = nil }, []string{"service.s"}},
-		"key without use":  {func(d *Document) { d.Services[0].AtMostOnce = false }, []string{"service.s.query_path", "service.s.require_key"}},
+		"no engine":              {func(d *Document) { d.Upstreams = d.Upstreams[1:] }, []string{"model.m", "upstream"}},
+		"field of engines":       {func(d *Document) { d.Upstreams[1].Role = "x" }, []string{"upstream.p.role"}},
+		"warm-up of a service":   {func(d *Document) { d.Upstreams[1].WarmUpPerSecond = 5 }, []string{"upstream.p.warmup_per_s"}},
+		"warm-up without a rate": {func(d *Document) { d.Upstreams[0].WarmUp = time.Second }, []string{"upstream.e*.warmup_per_s"}},
+		"warm-up below one":      {func(d *Document) { d.Upstreams[0].WarmUpPerSecond = 0.5 }, []string{"upstream.e*.warmup_per_s"}},
+		"warm-up in force":       {func(d *Document) { d.Upstreams[0].WarmUpPerSecond, d.Upstreams[0].WarmUp = 5, time.Second }, nil},
+		"model not held":         {func(d *Document) { d.Upstreams[0].Models = []string{"other"} }, []string{"model.m"}},
+		"service unused":         {func(d *Document) { d.Organisations[0].Services = nil }, []string{"service.s"}},
+		"key without use":        {func(d *Document) { d.Services[0].AtMostOnce = false }, []string{"service.s.query_path", "service.s.require_key"}},
 		"same operator": {func(d *Document) {
 			d.Operators = append(d.Operators, Operator{Name: "b", KeyHash: d.Operators[0].KeyHash})
 		}, []string{"operator.a.key_hash"}},
--- a/core/intent/validate.go
+++ b/core/intent/validate.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/comfreyladder/comfreyladder/core/fault"
+	"github.com/comfreyladder/comfreyladder/core/warmup"
 )
 
 // Limits of a document. They bound the memory that one configuration takes on every
@@ -26,6 +27,7 @@
 	MaxSizeMB        = 10_000_000
 	MaxRateMB        = 1_000_000
 	MaxLoads         = 1_000
+	MaxWarmUp        = 1_000_000
 	maxNameLen       = 64
 )
 
@@ -230,6 +232,7 @@
 		c.checkKeyHash(path+".key_hash", u.KeyHash)
 		c.checkRange(path+".max_models", u.MaxModels, MaxModels)
 		c.checkLabel(path+".role", u.Role)
+		c.checkWarmUp(path, u)
 		for _, m := range u.Models {
 			if c.doc.Model(m) == nil {
 				c.add(path+".models", "model %q is not declared", m)
@@ -238,6 +241,21 @@
 	}
 }
 
+func (c *validator) checkWarmUp(path string, u Upstream) {
+	if u.WarmUp < 0 || u.WarmUp > warmup.MaxCold {
+		c.add(path+".warmup", "%v is not within 0 to %v", u.WarmUp, warmup.MaxCold)
+	}
+	c.checkWarmUpNumber(path+".warmup_per_s", u.WarmUpPerSecond)
+	c.checkWarmUpNumber(path+".warmup_overrun", u.WarmUpOverrun)
+	c.checkWarmUpNumber(path+".warmup_slack", u.WarmUpSlack)
+}
+
+func (c *validator) checkWarmUpNumber(path string, v float64) {
+	if !inRange(v, 0, MaxWarmUp) {
+		c.add(path, "%v is not within 0 to %d", v, MaxWarmUp)
+	}
+}
+
 func (c *validator) checkModels() {
 	for _, m := range c.doc.Models {
 		path := "model." + m.Name
--- a/core/warmup/cold.go
+++ b/core/warmup/cold.go
@@ -2,9 +2,9 @@
 
 import "time"
 
-// maxCold bounds for how long an upstream counts as cold by one statement. A larger value is an error
+// MaxCold bounds for how long an upstream counts as cold by one statement. A larger value is an error
 // of the sender.
-const maxCold = time.Hour
+const MaxCold = time.Hour
 
 // Cold is what an instance knows of how long an incarnation of an upstream stays cold. The zero value
 // is a warm upstream. It is not safe for concurrent use.
@@ -31,14 +31,14 @@
 	if c.applied && c.sequence == sequence {
 		return false
 	}
-	left := min(max(0, leftMS), maxCold.Milliseconds())
+	left := min(max(0, leftMS), MaxCold.Milliseconds())
 	c.applied, c.sequence, c.reported = true, sequence, now.Add(time.Duration(left)*time.Millisecond)
 	return true
 }
 
 // Presume records that the upstream is cold for a time. A report does not revoke this.
 func (c *Cold) Presume(now time.Time, left time.Duration) {
-	if until := now.Add(min(left, maxCold)); until.After(c.presumed) {
+	if until := now.Add(min(left, MaxCold)); until.After(c.presumed) {
 		c.presumed = until
 	}
 }
@@ -54,7 +54,7 @@
 // state shows that soon, provided that this instance is in contact; if not, the upstream counts as cold
 // for a time.
 func (c *Cold) Doubt(now time.Time, left time.Duration) {
-	c.doubted, c.doubtedUntil = now, now.Add(min(left, maxCold)+settleTime)
+	c.doubted, c.doubtedUntil = now, now.Add(min(left, MaxCold)+settleTime)
 }
 
 // Is reports whether the upstream counts as cold. silent is set if it sends no liveness reports, and
