Heartbeats say for how long an engine stays cold

Cause: nothing tells the own daemon that an engine is cold again, and a new incarnation reached most instances up to 0.4 s late, as it did not count as a change that is relayed at once. Change: warmup_left_ms of a heartbeat; relayed in full while it is above zero, otherwise as before.

--- a/core/announce/announce.go
+++ b/core/announce/announce.go
@@ -46,6 +46,9 @@
 	// Leave means that the upstream should get no new work.
 	Leave bool  `json:"leave,omitempty" codec:"leave"`
 	Load  *Load `json:"load,omitempty" codec:"load"`
+	// WarmupLeftMillis is for how long the engine stays cold, in milliseconds; 0 says that it is warm.
+	// Without it, the engine counts as cold for the time in its rule since it was first heard of.
+	WarmupLeftMillis *int64 `json:"warmup_left_ms,omitempty" codec:"warmup_left_ms,omitempty"`
 	// Cache lists the changes of the prefix cache since the last heartbeat.
 	Cache []CacheEvent `json:"cache,omitempty" codec:"cache"`
 }
@@ -101,6 +104,8 @@
 		return fault.New(fault.Invalid, "models: %d entries, at most %d are allowed", len(b.Models), MaxModels)
 	case len(b.Cache) > MaxCacheEvents:
 		return fault.New(fault.Invalid, "cache: %d events, at most %d are allowed", len(b.Cache), MaxCacheEvents)
+	case b.WarmupLeftMillis != nil && *b.WarmupLeftMillis < 0:
+		return fault.New(fault.Invalid, "warmup_left_ms: %d is negative", *b.WarmupLeftMillis)
 	case b.TTL() <= 0 || b.TTL() > MaxTTL:
 		return fault.New(fault.Invalid, "ttl_ms: %d is not within 1 to %d", b.TTLMillis, MaxTTL.Milliseconds())
 	}
--- a/core/registry/brief.go
+++ b/core/registry/brief.go
@@ -42,9 +42,10 @@
 const perMille = 1000
 
 // Compact returns the compact form of a beat. It returns false for a leave, which must be
-// understood even by an instance that does not know the upstream yet.
+// understood even by an instance that does not know the upstream yet, and for the beat of an
+// engine that states that it is cold, since that time changes with each beat.
 func Compact(m RelayedBeat) (CompactBeat, bool) {
-	if m.Beat.Leave {
+	if m.Beat.Leave || statesCold(&m.Beat) {
 		return CompactBeat{}, false
 	}
 	b := CompactBeat{
@@ -86,9 +87,20 @@
 	for _, m := range b.Models {
 		write(m)
 	}
+	switch {
+	case statesCold(&b):
+		write("cold")
+	case b.WarmupLeftMillis != nil:
+		write("warm")
+	}
 	return d.Sum64()
 }
 
+// statesCold reports whether an engine says of itself that it is cold.
+func statesCold(b *announce.Heartbeat) bool {
+	return b.WarmupLeftMillis != nil && *b.WarmupLeftMillis > 0
+}
+
 // ApplyCompact processes a relayed beat in its compact form. It returns Unknown if the
 // omitted fields are not known here; the sender is then to be asked for the FullBeat.
 func (r *Registry) ApplyCompact(now time.Time, b CompactBeat) Outcome {
--- a/core/registry/registry.go
+++ b/core/registry/registry.go
@@ -150,7 +150,12 @@
 
 func (r *Registry) accept(now time.Time, e *entry, m RelayedBeat, remaining time.Duration) {
 	beat := m.Beat
-	if beat.Incarnation != e.upstream.Incarnation {
+	restarted := beat.Incarnation != e.upstream.Incarnation
+	becameCold := statesCold(&beat) && !statesCold(&e.upstream.Heartbeat)
+	if e.ref == 0 || e.inactive != beat.Leave || restarted || becameCold {
+		r.membershipChanges++
+	}
+	if restarted {
 		// A restarted process has an empty cache and no load report.
 		e.cache = cache{}
 		e.upstream.Load = nil
@@ -165,9 +170,6 @@
 	e.upstream.Heartbeat = beat
 	e.upstream.HeardAt = heardAt
 	e.upstream.Cache = e.cache.view()
-	if e.inactive != beat.Leave || e.ref == 0 {
-		r.membershipChanges++
-	}
 	e.left = beat.Leave
 	e.inactive = beat.Leave
 	r.setRef(e, refOf(beat))
@@ -214,7 +216,7 @@
 	return m, m.Remaining > 0 || m.Beat.Leave
 }
 
-// MembershipChanges counts how often an upstream appeared or disappeared. A View should be
+// MembershipChanges counts how often an upstream appeared, disappeared, started again or became cold. A View should be
 // published at once after such a change, while changes of load can be batched.
 func (r *Registry) MembershipChanges() uint64 { return r.membershipChanges }
 
--- a/core/registry/registry_test.go
+++ b/core/registry/registry_test.go
@@ -243,3 +243,32 @@
 	b.Incarnation, b.Models = 2, []string{"m1"}
 	g.Expect(two.ApplyCompact(now, relayed(b))).To(Equal(registry.Unknown), "a new incarnation may differ in every field")
 }
+
+// Guards against a statement of how long an engine stays cold that is lost or outlives its end when beats
+// are relayed in compact form, and against one that is relayed late.
+func TestStatedWarmUpIsRelayed(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Unix(1_790_000_000, 0)
+	left := func(ms int64) *int64 { return &ms }
+	near, far := registry.New("hall"), registry.New("hall")
+	for n, stated := range []*int64{nil, left(0), left(2000), left(1000), left(0), nil} {
+		b := beat(1, uint64(n+1))
+		b.WarmupLeftMillis = stated
+		before := near.MembershipChanges()
+		g.Expect(near.Apply(now, b)).To(Equal(registry.Accepted))
+		m := registry.RelayedBeat{Beat: b, Remaining: time.Second}
+		if n == 2 {
+			g.Expect(near.MembershipChanges()).To(Equal(before+1), "cold again")
+		}
+		c, compact := registry.Compact(m)
+		g.Expect(compact).To(Equal(stated == nil || *stated == 0))
+		if !compact || far.ApplyCompact(now, c) == registry.Unknown {
+			g.Expect(far.ApplyRelayed(now, m)).To(Equal(registry.Accepted))
+		}
+		g.Expect(far.View().Find("e1").WarmupLeftMillis).To(Equal(stated))
+		g.Expect(far.View().Find("e1").Sequence).To(Equal(b.Sequence))
+	}
+	before := near.MembershipChanges()
+	g.Expect(near.Apply(now, beat(2, 1))).To(Equal(registry.Accepted))
+	g.Expect(near.MembershipChanges()).To(Equal(before+1), "a new incarnation")
+}
