Own daemon: cold engines receive no more than their warm-up bound

Change: each instance decides which engines are cold (instance/warmup), leaves out those for which it has no permit, and checks the permit again directly before the request is written. The leader of the control group grants permits on the channel that edges and cores use. A grant of an engine without a permit is returned; if all engines of a model are cold, a request waits for an eighth of its objective at most. Without a rate in the intent nothing changes.

--- a/core/announce/announce.go
+++ b/core/announce/announce.go
@@ -104,10 +104,9 @@
 		return fault.New(fault.Invalid, "models: %d entries, at most %d are allowed", len(b.Models), MaxModels)
 	case len(b.Cache) > MaxCacheEvents:
 		return fault.New(fault.Invalid, "cache: %d events, at most %d are allowed", len(b.Cache), MaxCacheEvents)
-	case b.WarmupLeftMillis != nil && *b.WarmupLeftMillis < 0:
-		return fault.New(fault.Invalid, "warmup_left_ms: %d is negative", *b.WarmupLeftMillis)
-	case b.TTL() <= 0 || b.TTL() > MaxTTL:
-		return fault.New(fault.Invalid, "ttl_ms: %d is not within 1 to %d", b.TTLMillis, MaxTTL.Milliseconds())
+	}
+	if err := b.validateTimes(); err != nil {
+		return err
 	}
 	host, _, err := net.SplitHostPort(b.Address)
 	if err != nil || net.ParseIP(host) == nil {
@@ -115,3 +114,13 @@
 	}
 	return nil
 }
+
+func (b *Heartbeat) validateTimes() error {
+	switch {
+	case b.TTL() <= 0 || b.TTL() > MaxTTL:
+		return fault.New(fault.Invalid, "ttl_ms: %d is not within 1 to %d", b.TTLMillis, MaxTTL.Milliseconds())
+	case b.WarmupLeftMillis != nil && *b.WarmupLeftMillis < 0:
+		return fault.New(fault.Invalid, "warmup_left_ms: %d is negative", *b.WarmupLeftMillis)
+	}
+	return nil
+}
--- a/instance/daemon/base.go
+++ b/instance/daemon/base.go
@@ -82,12 +82,13 @@
 func (c *clientService) Stop(ctx context.Context) error { return c.Close(ctx) }
 
 func (d *Daemon) client() kernel.Module {
-	return kernel.Module{Name: nameClient, Needs: []string{nameConfig, nameRegistry, nameMembers, nameUplinks}, New: func(k *kernel.Kernel) (kernel.Service, error) {
+	return kernel.Module{Name: nameClient, Needs: []string{nameConfig, nameRegistry, nameMembers, nameUplinks, nameWarmUp}, New: func(k *kernel.Kernel) (kernel.Service, error) {
 		var conf *config.Service
 		var upstreams *registry.Service
 		var members *member.Service
 		var links *uplinkService
-		err := runLookups(lookupInto(k, nameConfig, &conf), lookupInto(k, nameRegistry, &upstreams), lookupInto(k, nameMembers, &members), lookupInto(k, nameUplinks, &links))
+		var cold *warmUpService
+		err := runLookups(lookupInto(k, nameConfig, &conf), lookupInto(k, nameRegistry, &upstreams), lookupInto(k, nameMembers, &members), lookupInto(k, nameUplinks, &links), lookupInto(k, nameWarmUp, &cold))
 		if err != nil {
 			return nil, err
 		}
@@ -100,6 +101,7 @@
 			MaxIdle:      u.IdleAge,
 			InstanceName: d.cfg.Instance.Name,
 			Links:        links.Service,
+			OnIdleLost:   cold.Lost,
 			Instances:    func() int { return 1 + len(d.livePeers(members)) },
 			Trusted:      func(name string) bool { return trusts(conf, upstreams, name) },
 			Incarnation: func(name string) (uint64, bool) {
--- a/instance/daemon/daemon.go
+++ b/instance/daemon/daemon.go
@@ -33,6 +33,7 @@
 	namePlain     = "plain"
 	nameOrders    = "orders"
 	nameGuard     = "quarantine.guard"
+	nameWarmUp    = "warmup"
 
 	nameQuarantineList = "quarantine.list"
 
@@ -64,7 +65,7 @@
 	d := &Daemon{cfg: cfg, log: log, kernel: kernel.New(), fatal: make(chan error, 1), drain: make(chan struct{}, 1)}
 	d.book = d.addresses()
 	err := d.kernel.Register(
-		d.telemetry(), d.trace(), d.config(), d.links(), d.members(), d.spread(), d.quarantineList(), d.control(), d.registry(),
+		d.telemetry(), d.trace(), d.config(), d.links(), d.members(), d.spread(), d.quarantineList(), d.control(), d.warmUp(), d.registry(),
 		d.schedule(), d.tunnels(), d.uplinks(), d.client(), d.plain(), d.orders(), d.guard(), d.gateway(), d.callers(), d.operators(),
 	)
 	return d, err
--- a/instance/daemon/http.go
+++ b/instance/daemon/http.go
@@ -45,10 +45,11 @@
 	orders    *order.Service
 	guard     *guardService
 	list      *quarantine.Service
+	warmUp    *warmUpService
 }
 
 var serviceNames = []string{
-	nameConfig, nameTelemetry, nameTrace, nameClient, nameRegistry, nameSchedule, namePlain, nameMembers, nameSpread, nameControl, nameLinks, nameOrders, nameGuard, nameQuarantineList,
+	nameConfig, nameTelemetry, nameTrace, nameClient, nameRegistry, nameSchedule, namePlain, nameMembers, nameSpread, nameControl, nameLinks, nameOrders, nameGuard, nameQuarantineList, nameWarmUp,
 }
 
 // lookupServices fills in all fields of services; serviceNames lists the same ones.
@@ -59,7 +60,7 @@
 		lookupInto(k, nameClient, &p.client), lookupInto(k, nameRegistry, &p.registry), lookupInto(k, nameSchedule, &p.queue),
 		lookupInto(k, namePlain, &p.plain), lookupInto(k, nameMembers, &p.members), lookupInto(k, nameSpread, &p.spread),
 		lookupInto(k, nameControl, &p.control), lookupInto(k, nameLinks, &p.links), lookupInto(k, nameOrders, &p.orders),
-		lookupInto(k, nameGuard, &p.guard), lookupInto(k, nameQuarantineList, &p.list),
+		lookupInto(k, nameGuard, &p.guard), lookupInto(k, nameQuarantineList, &p.list), lookupInto(k, nameWarmUp, &p.warmUp),
 	)
 }
 
@@ -74,6 +75,7 @@
 			Config:   p.config,
 			Dispatcher: dispatch.New(dispatch.Config{
 				Queue: p.queue, Client: p.client.Client, Telemetry: p.telemetry, Trace: p.trace.Log, Attempts: d.cfg.Upstream.Attempts,
+				WarmUp: p.warmUp.Guard,
 			}),
 			Registry: p.registry,
 			Plain:    p.plain,
--- a/instance/daemon/uplinks.go
+++ b/instance/daemon/uplinks.go
@@ -71,16 +71,18 @@
 }
 
 func (d *Daemon) uplinks() kernel.Module {
-	return kernel.Module{Name: nameUplinks, Needs: []string{nameTunnels, nameRegistry}, New: func(k *kernel.Kernel) (kernel.Service, error) {
+	return kernel.Module{Name: nameUplinks, Needs: []string{nameTunnels, nameRegistry, nameWarmUp}, New: func(k *kernel.Kernel) (kernel.Service, error) {
 		var tunnels *tunnel.Service
 		var upstreams *registry.Service
-		if err := runLookups(lookupInto(k, nameTunnels, &tunnels), lookupInto(k, nameRegistry, &upstreams)); err != nil {
+		var cold *warmUpService
+		if err := runLookups(lookupInto(k, nameTunnels, &tunnels), lookupInto(k, nameRegistry, &upstreams), lookupInto(k, nameWarmUp, &cold)); err != nil {
 			return nil, err
 		}
 		s := uplink.New(uplink.Config{
 			Direct:  d.dialUpstream,
 			Timeout: d.cfg.Upstream.ConnectTimeout, Tunnels: tunnels,
-			Sample: func(n int) []uplink.Candidate { return sampleUpstreams(upstreams, n) },
+			Sample:      func(n int) []uplink.Candidate { return sampleUpstreams(upstreams, n) },
+			HealthField: headerWarmUp, OnHealthField: cold.health,
 			OnChange: func(c uplink.Change) {
 				d.log.Warn().Str("event", "links_changed").Bool("cut_off", c.CutOff).Int("reached", c.Found.Reached).Int("failed", c.Found.Failed).
 					Msg("links to the upstreams were lost or are back")
--- a/instance/daemon/work.go
+++ b/instance/daemon/work.go
@@ -26,17 +26,21 @@
 type scheduleHandler = schedule.Handler
 
 func (d *Daemon) registry() kernel.Module {
-	needs := []string{nameLinks, nameMembers, nameConfig, nameSchedule}
+	needs := []string{nameLinks, nameMembers, nameConfig, nameSchedule, nameWarmUp}
 	return kernel.Module{Name: nameRegistry, Needs: needs, New: func(k *kernel.Kernel) (kernel.Service, error) {
 		var links *link.Service
 		var members *member.Service
 		var conf *config.Service
 		var queue *queueService
-		err := runLookups(lookupInto(k, nameLinks, &links), lookupInto(k, nameMembers, &members), lookupInto(k, nameConfig, &conf), lookupInto(k, nameSchedule, &queue))
+		var cold *warmUpService
+		err := runLookups(lookupInto(k, nameLinks, &links), lookupInto(k, nameMembers, &members), lookupInto(k, nameConfig, &conf), lookupInto(k, nameSchedule, &queue), lookupInto(k, nameWarmUp, &cold))
 		if err != nil {
 			return nil, err
 		}
-		updateScheduler := func(v *registry.View) { queue.SetUpstreams(trustedEngines(conf, v)) }
+		updateScheduler := func(v *registry.View) {
+			cold.update(conf, v)
+			queue.SetUpstreams(trustedEngines(conf, v))
+		}
 		peers := &schedulePeers{Service: links, d: d, members: members}
 		r := instregistry.New(instregistry.Config{
 			Self: d.cfg.Instance.Name, Domain: d.cfg.Instance.FailureDomain, Links: links, Peers: func() []string { return d.livePeers(members) }, Log: d.log, OnChange: updateScheduler,
--- a/instance/dispatch/attempt.go
+++ b/instance/dispatch/attempt.go
@@ -11,6 +11,7 @@
 	"github.com/comfreyladder/comfreyladder/core/sched"
 	"github.com/comfreyladder/comfreyladder/instance/telemetry"
 	"github.com/comfreyladder/comfreyladder/instance/upstream"
+	"github.com/comfreyladder/comfreyladder/instance/warmup"
 )
 
 // attempt is one attempt to run a request on one upstream, with its own request ID.
@@ -31,6 +32,10 @@
 
 	lease  Lease
 	stream *upstream.Stream
+	// permit permits the request to the engine while that is cold.
+	permit warmup.Permit
+	// passed is set once permit was checked.
+	passed bool
 	// sentAt is when the request was sent, firstEventAt when the first event came, zero before it.
 	sentAt, firstEventAt time.Time
 	// incarnation is that of the upstream, as Watch numbers it.
@@ -77,12 +82,12 @@
 	t := a.job.Ticket
 	unwanted := a.d.cfg.Client.Unwanted()
 	t.ID, t.Excluded = a.id, slices.Concat(a.excluded, unwanted)
-	lease, err := a.d.cfg.Queue.Acquire(a.ctx, t)
+	lease, err := a.acquirePermitted(t)
 	if err != nil && a.reused && !a.hedge && fault.CodeOf(err) == fault.Overloaded {
 		// The last failure was on a reused connection and no other upstream is available.
 		// The same upstream may work over a new connection, so it is no longer excluded.
 		t.Excluded = slices.Concat(a.excluded[:len(a.excluded)-1], unwanted)
-		lease, err = a.d.cfg.Queue.Acquire(a.ctx, t)
+		lease, err = a.acquirePermitted(t)
 	}
 	if err != nil {
 		return err
@@ -117,7 +122,7 @@
 	if a.job.Watch != nil {
 		a.incarnation = a.job.Watch.Sending(g.Upstream)
 	}
-	opts := []upstream.Option{upstream.Permit(a.job.Permit)}
+	opts := []upstream.Option{upstream.Permit(a.permitted)}
 	if a.number > 1 {
 		opts = append(opts, upstream.Fresh())
 	}
@@ -182,6 +187,7 @@
 	if a.job.Watch != nil && upstream.EvidenceOf(err) == upstream.Unknown && !upstream.PartitionedIn(err) {
 		a.job.Watch.Lost(a.incarnation, a.lease.Grant().Address, a.sentAt, a.isAnswering())
 	}
+	a.recordCold(err)
 	unmade := upstream.UnwantedIn(err) || upstream.WithheldIn(err)
 	blamed := (a.events > 0 || !upstream.ReusedIn(err) && !unmade) && !upstream.PartitionedIn(err)
 	a.end(sched.Outcome{Tokens: a.tokens, Failed: blamed, Unused: upstream.EvidenceOf(err) == upstream.NotSent})
--- a/instance/dispatch/dispatch.go
+++ b/instance/dispatch/dispatch.go
@@ -17,6 +17,7 @@
 	"github.com/comfreyladder/comfreyladder/instance/telemetry"
 	"github.com/comfreyladder/comfreyladder/instance/trace"
 	"github.com/comfreyladder/comfreyladder/instance/upstream"
+	"github.com/comfreyladder/comfreyladder/instance/warmup"
 )
 
 // Lease permits running one attempt on one upstream.
@@ -49,6 +50,8 @@
 	Retries budget.Config
 	// Hedge determines when a hedge is sent.
 	Hedge HedgeConfig
+	// WarmUp limits the requests to cold engines; nil limits none.
+	WarmUp *warmup.Guard
 }
 
 // Dispatcher starts runs. It is safe for concurrent use.
--- a/instance/dispatch/run.go
+++ b/instance/dispatch/run.go
@@ -11,6 +11,7 @@
 	"github.com/comfreyladder/comfreyladder/core/sched"
 	"github.com/comfreyladder/comfreyladder/instance/telemetry"
 	"github.com/comfreyladder/comfreyladder/instance/upstream"
+	"github.com/comfreyladder/comfreyladder/instance/warmup"
 )
 
 // Run is the execution of one request. It must be used by one goroutine. Close must be called.
@@ -148,7 +149,7 @@
 	if denied := r.denied(err); denied != nil {
 		return r.grantError(denied)
 	}
-	if !r.mayRetry(evidence) {
+	if !r.mayRetry(evidence, err) {
 		return r.finalError(err)
 	}
 	r.excluded = append(r.excluded, a.upstream())
@@ -159,7 +160,7 @@
 // before a repeat spends budget and waits for a grant.
 func (r *Run) denied(err error) error {
 	switch {
-	case upstream.WithheldIn(err):
+	case upstream.WithheldIn(err) && !warmup.IsNoPermit(err):
 		return err
 	case r.job.Permit != nil:
 		return r.job.Permit()
@@ -176,14 +177,16 @@
 	return err
 }
 
-func (r *Run) mayRetry(evidence upstream.Evidence) bool {
+// mayRetry reports whether another attempt may follow one that failed with err. One that was not made for
+// lack of a permit costs no budget.
+func (r *Run) mayRetry(evidence upstream.Evidence, err error) bool {
 	if r.attempts >= r.d.cfg.Attempts || r.job.AtMostOnce && evidence == upstream.Unknown {
 		return false
 	}
 	if evidence == upstream.Unknown && r.job.Watch != nil && !r.job.Watch.MayRunAgain() {
 		return false
 	}
-	if r.d.spend(r.job.Class.Name) {
+	if warmup.IsNoPermit(err) || r.d.spend(r.job.Class.Name) {
 		return true
 	}
 	r.trace("the retry budget of class %s is exhausted", r.job.Class.Name)
--- a/instance/ratelimit/service.go
+++ b/instance/ratelimit/service.go
@@ -82,6 +82,11 @@
 	if err := msg.Decode(&q); err != nil {
 		return nil, err
 	}
+	return s.Ask(ctx, &q)
+}
+
+// Ask serves a request of this instance itself or of another one. It returns no tokens with an error.
+func (s *Service) Ask(ctx context.Context, q *Request) (*Response, error) {
 	g := s.cfg.Replica()
 	if g == nil {
 		return nil, errNoMember
@@ -91,7 +96,7 @@
 		if err := s.leadership.confirm(ctx, g, st.Term); err != nil {
 			return nil, err
 		}
-		return s.serve(ctx, &st, &q), nil
+		return s.serve(ctx, &st, q), nil
 	}
 	leader := slices.IndexFunc(st.Members, func(m raft.Member) bool { return m.ID == st.Leader })
 	if leader < 0 || q.Forwarded {
@@ -101,7 +106,7 @@
 	ctx, cancel := context.WithTimeout(ctx, leaderTimeout)
 	defer cancel()
 	var a Response
-	return &a, s.cfg.Links.Call(ctx, st.Members[leader].Name, s.cfg.Channel, &q, &a)
+	return &a, s.cfg.Links.Call(ctx, st.Members[leader].Name, s.cfg.Channel, q, &a)
 }
 
 var errNoLeader = fault.New(fault.Unavailable, "this member knows no leader of the control group").WithRetryAfter(time.Second)
--- a/instance/upstream/client.go
+++ b/instance/upstream/client.go
@@ -70,6 +70,9 @@
 	// Trusted reports whether requests may be sent to an upstream. It is asked right before each one is
 	// written. Nil if to all.
 	Trusted func(upstream string) bool
+	// OnIdleLost is called when an idle connection to an upstream was found closed by it or unusable,
+	// before a request is sent over another one. Nil if that does not matter.
+	OnIdleLost func(upstream string)
 	// Links opens the connections, through another instance while the links of this one are cut. Nil if
 	// all are direct.
 	Links *uplink.Service
--- a/instance/upstream/pool.go
+++ b/instance/upstream/pool.go
@@ -35,7 +35,7 @@
 		return nil, notSent(t, err, "the request ended before it was sent")
 	}
 	if !fresh {
-		if c := p.takeIdle(t.Address); c != nil {
+		if c := p.takeIdle(t); c != nil {
 			return c, nil
 		}
 	}
@@ -86,17 +86,21 @@
 
 // takeIdle returns the most recently used idle connection. It closes those that have been
 // idle too long, were closed by the upstream, or hold unexpected data.
-func (p *pool) takeIdle(address string) *conn {
+func (p *pool) takeIdle(t Target) *conn {
 	for {
-		c := p.popIdle(address)
+		c := p.popIdle(t.Address)
 		if c == nil {
 			return nil
 		}
-		if time.Since(c.idleSince) < p.cfg.MaxIdle && !p.cutOff() && c.reusable() {
+		usable := time.Since(c.idleSince) < p.cfg.MaxIdle && !p.cutOff()
+		if usable && c.reusable() {
 			c.reused = true
 			return c
 		}
 		c.drop()
+		if usable && p.cfg.OnIdleLost != nil {
+			p.cfg.OnIdleLost(t.Name)
+		}
 	}
 }
 
