--- a/instance/daemon/warmup.go
+++ b/instance/daemon/warmup.go
@@ -2,12 +2,15 @@
 
 import (
 	"context"
+	"io"
 	"math/rand/v2"
 	"slices"
 	"strconv"
 	"sync/atomic"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
+
 	"github.com/comfreyladder/comfreyladder/core/intent"
 	coremember "github.com/comfreyladder/comfreyladder/core/member"
 	"github.com/comfreyladder/comfreyladder/core/reach"
@@ -75,8 +78,10 @@
 			},
 		})
 		tel.Set().NewGauge("cold_upstreams", func() float64 { return float64(guard.Cold()) })
-		tel.Set().NewGauge("requests_to_cold_upstreams_total", func() float64 { return float64(guard.Sent()) })
-		tel.Set().NewGauge("permits_expired_total", func() float64 { return float64(guard.Expired()) })
+		tel.Set().RegisterMetricsWriter(func(w io.Writer) {
+			metrics.WriteCounterUint64(w, "requests_to_cold_upstreams_total", guard.Sent())
+			metrics.WriteCounterUint64(w, "permits_expired_total", guard.Expired())
+		})
 		return &warmUpService{Guard: guard, client: client}, nil
 	}}
 }
--- a/proof/system/warmup_test.go
+++ b/proof/system/warmup_test.go
@@ -257,4 +257,31 @@
 		AddReportEntry("requests", fmt.Sprintf("%d served, %d not", served, not), ReportEntryVisibilityAlways)
 		Expect(not).To(BeNumerically("<", served/20))
 	})
+
+	// Guards against an instance that cannot ask itself for permits while it leads, and against requests that fail
+	// while a permit is under way.
+	It("serves with permits of the same instance while it is the only engine", func() {
+		s := newSite(1, "north")
+		s.write("intent.ini", strings.Replace(s.intent, "kind = engine\n", warmUpRule, 1))
+		s.startAll()
+		begun := time.Now()
+		e := s.startCold("e-cold", "", 2*warmUpTime, true)
+		s.see("north", 1)
+		north := s.instances["north-1"]
+		time.Sleep(1200 * time.Millisecond)
+		var served, refused int
+		for time.Now().UnixNano() < e.warmAt.Load() {
+			switch r := north.chat("urgent", "question", 1, false); r.status {
+			case http.StatusOK:
+				served++
+			default:
+				Expect(r.status).To(Equal(http.StatusTooManyRequests), r.body)
+				Expect(r.header.Get("Retry-After")).NotTo(BeEmpty())
+				refused++
+			}
+		}
+		all := e.expectBound("all cold", begun)
+		AddReportEntry("requests", fmt.Sprintf("%d served, %d refused, %d at the engine", served, refused, all), ReportEntryVisibilityAlways)
+		Expect(served).To(BeNumerically(">", warmUpRate*warmUpTime.Seconds()/2))
+	})
 })
