--- a/instance/dispatch/suite_test.go
+++ b/instance/dispatch/suite_test.go
@@ -38,15 +38,15 @@
 type behaviour int
 
 const (
-	answers behaviour = iota // sends three events and the end marker
-	hangs                    // sends the header and nothing else
-	cuts                     // closes the connection before the header
-	breaks                   // sends one event, then closes the connection; the stream is not kept
-	refuses                  // answers 503 with X-Not-Run
-	waits                    // answers after release is closed
-	pauses                   // refuses and asks for a long pause
-	leaves                   // answers, and says that it leaves
-	misdirects               // answers 421
+	answers    behaviour = iota // sends three events and the end marker
+	hangs                       // sends the header and nothing else
+	cuts                        // closes the connection before the header
+	breaks                      // sends one event, then closes the connection; the stream is not kept
+	refuses                     // answers 503 with X-Not-Run
+	waits                       // answers after release is closed
+	pauses                      // refuses and asks for a long pause
+	leaves                      // answers, and says that it leaves
+	misdirects                  // answers 421
 )
 
 // fakeEngine implements the protocol of the engines with the selected behaviour.
