--- a/core/announce/announce.go
+++ b/core/announce/announce.go
@@ -46,6 +46,9 @@
 	// Leave means that the upstream should get no new work.
 	Leave bool  `json:"leave,omitempty" codec:"leave"`
 	Load  *Load `json:"load,omitempty" codec:"load"`
+	// WarmupLeftMillis is for how long the engine stays cold, in milliseconds; 0 says that it is warm.
+	// Without it, the engine counts as cold for the time in its rule since it was first heard of.
+	WarmupLeftMillis *int64 `json:"warmup_left_ms,omitempty" codec:"warmup_left_ms,omitempty"`
 	// Cache lists the changes of the prefix cache since the last heartbeat.
 	Cache []CacheEvent `json:"cache,omitempty" codec:"cache"`
 }
@@ -101,8 +104,9 @@
 		return fault.New(fault.Invalid, "models: %d entries, at most %d are allowed", len(b.Models), MaxModels)
 	case len(b.Cache) > MaxCacheEvents:
 		return fault.New(fault.Invalid, "cache: %d events, at most %d are allowed", len(b.Cache), MaxCacheEvents)
-	case b.TTL() <= 0 || b.TTL() > MaxTTL:
-		return fault.New(fault.Invalid, "ttl_ms: %d is not within 1 to %d", b.TTLMillis, MaxTTL.Milliseconds())
+	}
+	if err := b.validateTimes(); err != nil {
+		return err
 	}
 	host, _, err := net.SplitHostPort(b.Address)
 	if err != nil || net.ParseIP(host) == nil {
@@ -110,3 +114,13 @@
 	}
 	return nil
 }
+
+func (b *Heartbeat) validateTimes() error {
+	switch {
+	case b.TTL() <= 0 || b.TTL() > MaxTTL:
+		return fault.New(fault.Invalid, "ttl_ms: %d is not within 1 to %d", b.TTLMillis, MaxTTL.Milliseconds())
+	case b.WarmupLeftMillis != nil && *b.WarmupLeftMillis < 0:
+		return fault.New(fault.Invalid, "warmup_left_ms: %d is negative", *b.WarmupLeftMillis)
+	}
+	return nil
+}
