Test in virtual time: members that grant slots keep many instances even

Members of the control group choose with balance.Choose for the instances that follow them, by a share of the slots for each member.

--- a/core/balance/even_test.go
+++ b/core/balance/even_test.go
@@ -89,10 +89,12 @@
 	openedAt          []float64
 }
 
-// evenEnd is the end of a request that was sent at the given time.
+// evenEnd is the end of a request that was sent at the given time. If learns is not zero, it is the moment at
+// which a granter learns of so many more requests of its followers at the upstream, and nothing ends.
 type evenEnd struct {
 	sent, at          float64
 	chooser, upstream int
+	learns            int
 }
 
 type evenEnds []evenEnd
@@ -121,9 +123,10 @@
 	seen     []balance.Observer
 	states   []balance.Upstream
 	observed []balance.Observed
-	// owned holds the positions of the slots of each chooser by upstream, when ownedReady upstreams were ready.
-	owned      [][][]int
-	ownedReady int
+	// shares are the slots of the choosers, granterShares those of the granters.
+	shares, granterShares slotShares
+	// granters are the members of the control group that grant slots, nil if there are none.
+	granters []evenChooser
 
 	asked, waited, opened, most int
 	// firstSecond and toJoined count the requests in the second after some upstreams joined, and those
@@ -131,6 +134,12 @@
 	firstSecond, toJoined int
 }
 
+// slotShares holds the positions of the slots of each chooser by upstream, as of a number of ready upstreams.
+type slotShares struct {
+	owned [][][]int
+	ready int
+}
+
 // evenOptions are the conditions of a run. ageMS is the time between the load reports of an instance,
 // which are delayMS old when they arrive; zero stands for exact counts.
 type evenOptions struct {
@@ -144,12 +153,22 @@
 	holdMS float64
 	// cutOffAtMS is when the first chooser stops to get reports, zero for never.
 	cutOffAtMS float64
+	// granters is the number of members that grant slots, which learn of what their followers do lagMS later.
+	granters int
+	lagMS    float64
+	// lostGrants is the share of requests whose instance gets no grant in time, and unusedGrants the share
+	// whose instance uses another upstream than the granted one.
+	lostGrants, unusedGrants float64
+	// restartAtMS is when the first granter starts again and has forgotten its followers' loads, until they
+	// report them 250 ms later; zero for never.
+	restartAtMS float64
 }
 
 const (
-	// observationMS is the time between
-	// two reports of observations.
+	// observationMS is the time between two reports of observations.
 	observationMS = 1000.0
+	// granterAgeMS is the time between two reports among members.
+	granterAgeMS = 20.0
 )
 
 // runEven plays a case and returns the world with its counts.
@@ -166,20 +185,28 @@
 		w.seen = make([]balance.Observer, k.upstreams)
 	}
 	for i := range o.choosers {
-		w.all = append(w.all, evenChooser{
-			domain: fmt.Sprint("d", i%o.domains), own: make([]int, k.upstreams), others: make([]int, k.upstreams), pending: make([]int, k.upstreams),
-			idleUntil: make([][]float64, k.upstreams), openedAt: slices.Repeat([]float64{math.Inf(-1)}, k.upstreams), seen: make([]balance.Observer, k.upstreams), othersSeen: make([]balance.Observed, k.upstreams),
-			nextAt: o.ageMS * float64(i) / float64(o.choosers), pendingAt: -1,
-		})
+		w.all = append(w.all, newEvenChooser(i, &w.evenOptions, k.upstreams, float64(i)/float64(o.choosers)))
 		w.all[i].losesReports = i == 0 && o.cutOffAtMS > 0
 		if o.inPhase {
 			w.all[i].nextAt = 0
 		}
 	}
+	for i := range o.granters {
+		w.granters = append(w.granters, newEvenChooser(i, &w.evenOptions, k.upstreams, float64(i)/float64(o.granters)))
+	}
 	w.play()
 	return w
 }
 
+// newEvenChooser returns a chooser whose first report comes after a part of the time between two.
+func newEvenChooser(i int, o *evenOptions, upstreams int, part float64) evenChooser {
+	return evenChooser{
+		domain: fmt.Sprint("d", i%o.domains), own: make([]int, upstreams), others: make([]int, upstreams), pending: make([]int, upstreams),
+		idleUntil: make([][]float64, upstreams), openedAt: slices.Repeat([]float64{math.Inf(-1)}, upstreams), seen: make([]balance.Observer, upstreams), othersSeen: make([]balance.Observed, upstreams),
+		nextAt: o.ageMS * part, pendingAt: -1,
+	}
+}
+
 // play lets requests arrive as a Poisson process at the highest rate, thinned out to the present one.
 func (w *evenWorld) play() {
 	const peak, reportStep = 1.5, 5.0
@@ -197,7 +224,10 @@
 		}
 		for ; w.ageMS > 0 && nextStep <= now; nextStep += reportStep {
 			for i := range w.all {
-				w.exchange(&w.all[i], nextStep)
+				w.exchange(&w.all[i], nextStep, w.ageMS, w.delayMS)
+			}
+			for i := range w.granters {
+				w.exchange(&w.granters[i], nextStep, granterAgeMS, granterAgeMS)
 			}
 		}
 		if w.rng.Float64()*peak < w.rate(now) {
@@ -207,17 +237,17 @@
 }
 
 // exchange lets a report arrive at a chooser or takes the next one.
-func (w *evenWorld) exchange(c *evenChooser, now float64) {
+func (w *evenWorld) exchange(c *evenChooser, now, ageMS, delayMS float64) {
 	if c.losesReports && now >= w.cutOffAtMS {
 		return
 	}
-	if c.pendingAt >= 0 && now >= c.pendingAt+w.delayMS {
+	if c.pendingAt >= 0 && now >= c.pendingAt+delayMS {
 		c.others, c.pending, c.takenAt, c.pendingAt = c.pending, c.others, c.pendingAt, -1
 	}
 	if now < c.nextAt || c.pendingAt >= 0 {
 		return
 	}
-	c.nextAt += max(w.ageMS, w.delayMS)
+	c.nextAt += max(ageMS, delayMS)
 	w.count(c, c.pending)
 	c.pendingAt = now
 	if w.seen != nil && now >= c.observationsAfter {
@@ -240,11 +270,23 @@
 	return time.Unix(1, 0).Add(time.Duration(ms * float64(time.Millisecond)))
 }
 
+// tell lets the granter of a chooser learn of a change of its requests at an upstream.
+func (w *evenWorld) tell(chooser, upstream, more int, now float64) {
+	if len(w.granters) > 0 {
+		heap.Push(&w.ends, evenEnd{at: now + w.lagMS, chooser: chooser % len(w.granters), upstream: upstream, learns: more})
+	}
+}
+
 // latencyFloorMS is the same as in instance/relay.
 const latencyFloorMS = 40.0
 
 func (w *evenWorld) end(e evenEnd) {
+	if e.learns != 0 {
+		w.granters[e.chooser].own[e.upstream] += e.learns
+		return
+	}
 	w.ups[e.upstream].active--
+	w.tell(e.chooser, e.upstream, -1, e.at)
 	c := &w.all[e.chooser]
 	c.own[e.upstream]--
 	c.idleUntil[e.upstream] = append(c.idleUntil[e.upstream], e.at+evenIdleMS)
@@ -261,7 +303,17 @@
 		w.count(c, c.others)
 		c.takenAt = now
 	}
-	at := w.choose(w, chooser, now)
+	granted := w.grant(chooser, now)
+	at := granted
+	if granted < 0 || w.rng.Float64() < w.unusedGrants {
+		at = w.choose(w, chooser, now)
+	}
+	if at != granted {
+		w.tell(chooser, at, 1, now)
+		if granted >= 0 {
+			w.tell(chooser, granted, -1, now)
+		}
+	}
 	u := &w.ups[at]
 	if now > evenWarmUpMS {
 		w.asked++
@@ -289,6 +341,26 @@
 	heap.Push(&w.ends, evenEnd{sent: now, at: u.slotFreeAt[slot], chooser: chooser, upstream: at})
 }
 
+// granterRestartMS is for how long a granter that starts again grants nothing: until all its followers
+// have reported their loads.
+const granterRestartMS = 300.0
+
+// grant returns the upstream at which the granter of a chooser grants a slot, and counts the slot as taken;
+// none if it grants nothing.
+func (w *evenWorld) grant(chooser int, now float64) int {
+	if len(w.granters) == 0 || w.rng.Float64() < w.lostGrants {
+		return balance.None
+	}
+	at := chooser % len(w.granters)
+	if at == 0 && w.restartAtMS > 0 && now >= w.restartAtMS && now < w.restartAtMS+granterRestartMS {
+		return balance.None
+	}
+	g := &w.granters[at]
+	upstream := w.chooseAs(g, w.positions(&w.granterShares, w.granters)[at], now, func(int) bool { return false })
+	g.own[upstream]++
+	return upstream
+}
+
 // connect takes the most recently used idle connection, or opens one.
 func (w *evenWorld) connect(c *evenChooser, at int, now float64) {
 	idle := &c.idleUntil[at]
@@ -347,9 +419,22 @@
 // chooseByLoads is the choice of an instance, as instance/relay describes it.
 func chooseByLoads(w *evenWorld, chooser int, now float64) int {
 	c := &w.all[chooser]
+	var own [][]int
+	if w.ranked {
+		own = w.positions(&w.shares, w.all)[chooser]
+	}
+	return w.chooseAs(c, own, now, func(at int) bool { return !w.greedy && c.hasIdle(at, now) })
+}
+
+// chooseAs is the choice of an instance, or of a member for it, that has the own slots with the given
+// positions by upstream.
+func (w *evenWorld) chooseAs(c *evenChooser, own [][]int, now float64, connected func(at int) bool) int {
 	w.states, w.observed = w.states[:0], w.observed[:0]
 	for i := range w.ups {
-		u := balance.Upstream{ID: evenIDs[i], Domain: evenNames[i%w.domains], Active: c.own[i] + c.others[i], Own: c.own[i], NextSlot: w.nextSlot(chooser, i), Slots: evenSlots, Slowness: 1, Connected: !w.greedy && c.hasIdle(i, now), ReconnectDue: now-c.openedAt[i] >= float64(balance.ReconnectInterval.Milliseconds()), Excluded: !w.ups[i].ready}
+		u := balance.Upstream{ID: evenIDs[i], Domain: evenNames[i%w.domains], Active: max(0, c.own[i]+c.others[i]), Own: max(0, c.own[i]), Slots: evenSlots, Slowness: 1, Connected: connected(i), ReconnectDue: now-c.openedAt[i] >= float64(balance.ReconnectInterval.Milliseconds()), Excluded: !w.ups[i].ready}
+		if own != nil && u.Own < len(own[i]) {
+			u.NextSlot = own[i][u.Own]
+		}
 		w.states = append(w.states, u)
 		if w.seen != nil {
 			o := c.seen[i].Sums(virtualTime(now))
@@ -367,21 +452,6 @@
 	return balance.Choose(w.states, r).Index
 }
 
-// nextSlot returns the position of the first free own slot of a chooser, which knows its share if
-// w.ranked. Choosers and upstreams are ordered by failure domain.
-func (w *evenWorld) nextSlot(chooser, at int) int {
-	if !w.ranked {
-		return 0
-	}
-	if w.owned == nil || w.ownedReady != w.ready() {
-		w.assignSlots()
-	}
-	if own, slots := w.all[chooser].own[at], w.owned[chooser][at]; own < len(slots) {
-		return slots[own]
-	}
-	return 0
-}
-
 func (w *evenWorld) ready() (n int) {
 	for i := range w.ups {
 		if w.ups[i].ready {
@@ -391,8 +461,13 @@
 	return n
 }
 
-func (w *evenWorld) assignSlots() {
-	w.owned, w.ownedReady = make([][][]int, len(w.all)), w.ready()
+// positions returns the positions of the own slots of each chooser by upstream. Choosers and upstreams are
+// ordered by failure domain.
+func (w *evenWorld) positions(s *slotShares, all []evenChooser) [][][]int {
+	if s.owned != nil && s.ready == w.ready() {
+		return s.owned
+	}
+	s.owned, s.ready = make([][][]int, len(all)), w.ready()
 	var order []int
 	var list []balance.Shared
 	for d := range w.domains {
@@ -404,16 +479,17 @@
 	}
 	rank := 0
 	for d := range w.domains {
-		for c := d; c < len(w.all); c += w.domains {
-			w.owned[c] = make([][]int, len(w.ups))
-			positions, total := (balance.Share{Rank: rank, Count: len(w.all)}).Positions(list)
-			w.all[c].ownSlots = total
+		for c := d; c < len(all); c += w.domains {
+			s.owned[c] = make([][]int, len(w.ups))
+			positions, total := (balance.Share{Rank: rank, Count: len(all)}).Positions(list)
+			all[c].ownSlots = total
 			for at, own := range positions {
-				w.owned[c][order[at]] = own
+				s.owned[c][order[at]] = own
 			}
 			rank++
 		}
 	}
+	return s.owned
 }
 
 // evenIDs and evenNames are the IDs of upstreams and the names of failure domains.
@@ -535,3 +611,26 @@
 		}
 	}
 }
+
+// Guards against requests that wait because no instance of many has slots of its own to speak of: members of
+// the control group that grant slots choose for all, so that the number of instances does not matter. At most
+// twice as many requests may wait as with two choices by exact counts, also if grants are lost or not used, or
+// a member starts again.
+func TestGrantedSlotsKeepManyInstancesEven(t *testing.T) {
+	for _, k := range evenCases() {
+		g := NewWithT(t)
+		bound := 2 * runEven(k, evenOptions{choosers: 8, domains: 1}, twoChoices).share()
+		for _, o := range []evenOptions{
+			{choosers: 80, granters: 3, lagMS: 3}, {choosers: 80, granters: 6, lagMS: 3}, {choosers: 80, granters: 8, lagMS: 3}, {choosers: 80, granters: 8, lagMS: 8},
+			{choosers: 300, granters: 6, lagMS: 3}, {choosers: 1000, granters: 8, lagMS: 3},
+			{choosers: 80, granters: 6, lagMS: 3, lostGrants: 0.05}, {choosers: 80, granters: 6, lagMS: 3, unusedGrants: 0.05},
+			{choosers: 80, granters: 6, lagMS: 3, restartAtMS: 5000},
+		} {
+			o.domains, o.ageMS, o.delayMS, o.observes, o.holdMS, o.ranked = evenDomains, 250, 150, true, evenWorkMS, true
+			w := runEven(k, o, chooseByLoads)
+			t.Logf("%s: %d choosers, %d granters that learn %.0f ms late, %.2f lost, %.2f unused, restart at %.0f: %.3f wait (%.3f allowed), at most %d, new connections %.3f",
+				k.name, o.choosers, o.granters, o.lagMS, o.lostGrants, o.unusedGrants, o.restartAtMS, w.share(), bound, w.most, w.openedShare())
+			g.Expect(w.share()).To(BeNumerically("<=", bound), "%s, %+v", k.name, o)
+		}
+	}
+}
