Grants of slots: the decision of a member and the check of an instance

With 80 instances an instance has 1.2 slots of its own and nothing that it knows tells the state of the others (docs/design/even-load.md).

--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -20,6 +20,8 @@
 	// Own is the part of Active that this instance sent, and NextSlot the position of the first free
 	// one of its own slots there, counted from one; zero if there is none. See Share.
 	Own, NextSlot int
+	// Granted says that a member of the control group granted a slot there for this request.
+	Granted bool
 	// QueuedTokens is the number of prompt tokens waiting for prefill, and UsedTokens the number
 	// that its requests hold in KV memory, out of Capacity. All three are zero for upstreams that
 	// are not model engines.
--- a/core/balance/spread.go
+++ b/core/balance/spread.go
@@ -39,6 +39,9 @@
 
 // spread chooses among upstreams whose loads are partly old.
 func (c *costs) spread(list []Upstream, may func(*Upstream) bool) int {
+	if at := c.granted(list, may); at != None {
+		return at
+	}
 	light := c.loadPerSlot(list, may) < minSharedLoad
 	if !light {
 		if at := c.ownSlot(list, may); at != None {
@@ -48,6 +51,23 @@
 	return c.draw(list, may, light)
 }
 
+// granted returns the upstream at which a slot was granted, unless this instance knows it to be slow or
+// to fail; None if there is no such grant.
+func (c *costs) granted(list []Upstream, may func(*Upstream) bool) int {
+	for i := range list {
+		if u := &list[i]; u.Granted {
+			if may(u) && !c.isPoor(u) {
+				return i
+			}
+			break
+		}
+	}
+	return None
+}
+
+// isPoor reports whether an upstream is too slow, or fails too often, for slots to be filled there first.
+func (c *costs) isPoor(u *Upstream) bool { return u.Slowness > maxOwnSlowness || c.fails(u) }
+
 // loadPerSlot returns the mean number of requests per slot, as reported or at the own slots, whichever is
 // higher. A mean of many upstreams changes less than the load of one, so old reports tell it well enough.
 func (c *costs) loadPerSlot(list []Upstream, may func(*Upstream) bool) float64 {
@@ -68,7 +88,7 @@
 	best, lowest := None, math.Inf(1)
 	for i := range list {
 		u := &list[i]
-		if u.NextSlot == 0 || !may(u) || u.Slowness > maxOwnSlowness || c.fails(u) {
+		if u.NextSlot == 0 || !may(u) || c.isPoor(u) {
 			continue
 		}
 		cost := c.plainCost(u, float64(u.NextSlot-1), c.request.OwnSlots)
