Members grant slots of plain services to the instances that follow them

The channel serving.slot takes the hash of a service, the mean time of a request and incarnations to avoid, and answers with the incarnation at which a slot is granted. The member chooses by the loads of its followers and of the other members' followers, which it sums up at most once a millisecond, and by its rank among the members, ordered by failure domain and name. A grant counts as a load of its instance at once, until that updates or reports the load. Nothing is granted for 300 ms after the first report that follows 1.5 s without any (start, suspension), to an instance whose loads are older than 1.5 s, or if the replicated state was not confirmed for 1.5 s.

--- a/instance/serving/confirm.go
+++ b/instance/serving/confirm.go
@@ -78,6 +78,13 @@
 	}
 }
 
+// confirmedAt returns the time as of which the state was confirmed last, zero before the first time.
+func (c *confirmations) confirmedAt() time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.latest
+}
+
 // join returns the read to wait for, or nil and the time of one that has ended and will do.
 func (c *confirmations) join(notBefore time.Time) (*confirmation, time.Time) {
 	c.mu.Lock()
--- a/instance/serving/loads.go
+++ b/instance/serving/loads.go
@@ -289,6 +289,7 @@
 func (s *Service) recordReport(from string, r *Report) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.slots.heard(clock.Now())
 	if r.Sequence >= s.loads.watchers[from].sequence || r.Sequence == 0 {
 		s.loads.watchers[from] = loadReport{at: clock.Now(), work: r.Work, busy: r.Busy, sequence: r.Sequence}
 	}
--- a/instance/serving/serving.go
+++ b/instance/serving/serving.go
@@ -97,6 +97,7 @@
 	encodedObserved                   []byte
 	encodedObservedAt, observedSentAt time.Time
 	limits                            limitTracker
+	slots                             slotGrants
 	// unsentPlacements were not sent to the other members yet.
 	unsentPlacements []PromptPlacement
 	// table caches the routing table in force.
@@ -131,6 +132,7 @@
 	cfg.Links.Handle(channelLoads, s.receiveLoads, link.Lossy())
 	cfg.Links.Handle(ChannelLoadUpdate, s.receiveUpdate, link.Lossy())
 	cfg.Links.Handle(channelChanges, s.receiveChanges, link.Lossy())
+	cfg.Links.Handle(ChannelSlots, s.receiveSlotRequest)
 	return s
 }
 
