--- a/instance/follow/follow.go
+++ b/instance/follow/follow.go
@@ -150,6 +150,8 @@
 	// peers lists instances through which upstreams can be reached.
 	peers atomic.Pointer[[]string]
 
+	slots slotCalls
+
 	// The fields below belong to the goroutine.
 
 	// received is the state as received so far, which is not published before it is whole and
