Instances use granted slots for requests to plain services

A granted upstream is used unless it may not be used for the request, or the instance has observed that it fails or is slow; otherwise the request is placed as before. The member counts a grant as a load at once, so no load update is sent for that start; ends, unused and late grants are told at once.

--- a/instance/follow/slots.go
+++ b/instance/follow/slots.go
@@ -132,16 +132,22 @@
 			late(r.grant.FirstIndex)
 		}
 	}()
+	begun := clock.Now()
 	t := time.NewTimer(slotWait)
 	defer t.Stop()
 	select {
-	case r := <-response:
-		return r.grant.FirstIndex, r.err
 	case <-t.C:
 		if ended.CompareAndSwap(false, true) {
 			return 0, errSlotLate
 		}
-		r := <-response
-		return r.grant.FirstIndex, r.err
+	case r := <-response:
+		response <- r
+	}
+	r := <-response
+	if at := r.grant.FirstIndex; r.err == nil && at != 0 && clock.Since(begun) > lateSlotWait {
+		// The process was suspended: the member does not count the grant any more.
+		late(at)
+		return 0, errSlotLate
 	}
+	return r.grant.FirstIndex, r.err
 }
--- a/instance/relay/admit.go
+++ b/instance/relay/admit.go
@@ -43,8 +43,13 @@
 			s.fleet.enqueue(r, -1)
 		}
 	}()
+	if len(avoid) == 0 {
+		s.requestSlot(r)
+	}
 	for {
+		hadGrant := r.granted != 0
 		up, busy = s.fleet.choose(r, s.cfg.Domain, avoid)
+		s.recordSlot(r, hadGrant, up)
 		if up != nil {
 			s.loadChanged(r)
 			return up, false
--- a/instance/relay/attempt.go
+++ b/instance/relay/attempt.go
@@ -286,6 +286,7 @@
 	a.stopAwaiting()
 	a.r.detach()
 	a.s.fleet.release(a)
+	a.s.plainLoadChanged(a.r)
 	if a.conn == nil {
 		return
 	}
--- a/instance/relay/choose.go
+++ b/instance/relay/choose.go
@@ -62,6 +62,7 @@
 func (f *fleet) choose(r *request, domain string, avoid []*upstream) (u *upstream, busy bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	defer func() { f.settleGrant(r, u) }()
 	now := time.Now()
 	r.pauseLeft = 0
 	sel := &selection{service: f.service(r.service), domain: domain, now: now, avoid: avoid, tokens: r.tokens, memory: r.capacity, fresh: now.Sub(f.remoteLoadsAt) < remoteLoadTTL}
@@ -292,7 +293,7 @@
 		// A single instance has connections to all upstreams of a small service, and uses them in turn.
 		b.Connected = (c.partial || spreads) && r.affinity == 0 && u.pool.hasIdle()
 		active += b.Active
-		b.Capacity = r.capacity
+		b.Capacity, b.Granted = r.capacity, r.granted != 0 && u.incarnation == r.granted
 		if !u.gate.Closed(clock.Now) {
 			b.LimitShare = f.limitShare(r, u)
 		}
--- a/instance/relay/config.go
+++ b/instance/relay/config.go
@@ -122,7 +122,9 @@
 	// OnLoadChange, if set, is called when the load of an engine has changed and the other
 	// instances should know soon. It must not block.
 	OnLoadChange func()
-	Log          *eventlog.Sink
+	// Slots grants slots of plain services; nil if nobody does.
+	Slots Slots
+	Log   *eventlog.Sink
 }
 
 const (
--- a/instance/relay/exchange.go
+++ b/instance/relay/exchange.go
@@ -73,14 +73,15 @@
 	return out
 }
 
-// sumRemoteQueues sums up the prompt tokens that others have queued, by service. The caller holds mu.
+// sumRemoteQueues sums up the requests of others and the prompt tokens that they have queued, by service. The caller holds mu.
 func (f *fleet) sumRemoteQueues() {
 	for _, s := range f.services {
-		s.remoteQueued = 0
+		s.remoteQueued, s.remoteActive = 0, 0
 	}
 	for incarnation, l := range f.remoteLoads {
 		if u := f.byIncarnation[incarnation]; u != nil && u.service != nil {
 			u.service.remoteQueued += l.QueuedTokens
+			u.service.remoteActive += l.Active
 		}
 	}
 }
--- a/instance/relay/fleet.go
+++ b/instance/relay/fleet.go
@@ -162,7 +162,7 @@
 	if u.service != nil {
 		u.service.remove(u)
 	}
-	u.state, u.silent, u.slots, u.domain, u.software = info.State, info.Silent, max(1, info.Slots), info.Domain, info.Software
+	u.state, u.silent, u.slots, u.slotsKnown, u.domain, u.software = info.State, info.Silent, max(1, info.Slots), info.Slots > 0, info.Domain, info.Software
 	f.reportCold(u, info)
 	if u.state == serving.Ready {
 		f.service(info.Service).add(u)
--- a/instance/relay/report.go
+++ b/instance/relay/report.go
@@ -35,6 +35,9 @@
 	if r.slots > 0 {
 		l.Int("taken", int64(r.taken)).Int("slots", int64(r.slots)).Int("taken_mean_percent", int64(percent*r.meanTaken))
 	}
+	if r.slotResult != "" {
+		l.Str("slot", r.slotResult)
+	}
 	if a := &r.admission; a.share > 0 && reason != "" {
 		l.Int("admitted_percent", int64(percent*a.share)).Int("engines_able", int64(a.availableEngines)).
 			Int("engines_asked", int64(a.requiredEngines)).Bool("cached", a.cached)
--- a/instance/relay/request.go
+++ b/instance/relay/request.go
@@ -125,6 +125,12 @@
 	// pauseLeft is when the first of the upstreams that asked for a pause takes requests again; zero if
 	// the latest choice found another reason, or an upstream.
 	pauseLeft time.Duration
+	// tellsLoad is set if the request was to get a granted slot, so that the member is told of its start and
+	// end. granted is the incarnation at which a slot is granted until the next choice, startTold is set if
+	// the member knows of the latest choice by its grant, and slotResult is what became of the grant.
+	tellsLoad, startTold bool
+	granted              uint64
+	slotResult           string
 	// trial is set if the request is quarantined and may be tried once, as the trial of the entry trialOf.
 	trial   bool
 	trialOf quarantine.Fingerprint
--- a/instance/relay/service.go
+++ b/instance/relay/service.go
@@ -31,6 +31,10 @@
 	ownSlots int
 	shared   bool
 	holdTime balance.SlotTime
+	// remoteActive is the number of requests of other instances, and avoided holds the upstreams that this
+	// instance could not use when a slot was granted there.
+	remoteActive int
+	avoided      []avoidedUpstream
 	// maxConns is how many connections this instance may open to one upstream.
 	maxConns int
 	// healthPath is where an upstream tells whether it is well, empty if that is not known.
--- a/instance/relay/suite_test.go
+++ b/instance/relay/suite_test.go
@@ -290,6 +290,9 @@
 	limits   *fakeLimits
 	permits  *fakePermits
 	origins  *fakeOrigins
+	slots    *fakeSlots
+	// loadChanges counts how often a changed load was reported.
+	loadChanges atomic.Int64
 	// links are the ways to the upstreams.
 	links *fakeLinks
 }
@@ -342,12 +345,12 @@
 		list = append(list, &serving.Upstream{ID: u.id, Service: "s", Address: u.listener.Addr().String(), State: serving.Ready, Slots: 8, FirstIndex: u.begun()})
 	}
 	v.Upstreams = follow.NewUpstreams(list...)
-	b := &relayTest{t: t, state: &state{view: v, lease: time.Minute}, fakeList: &fakeQuarantine{}, limits: &fakeLimits{}, permits: &fakePermits{}, origins: &fakeOrigins{known: map[string]origin.Origin{}}, links: &fakeLinks{}, set: metrics.NewSet()}
+	b := &relayTest{t: t, state: &state{view: v, lease: time.Minute}, fakeList: &fakeQuarantine{}, limits: &fakeLimits{}, permits: &fakePermits{}, slots: &fakeSlots{}, origins: &fakeOrigins{known: map[string]origin.Origin{}}, links: &fakeLinks{}, set: metrics.NewSet()}
 	b.service = relay.New(relay.Config{
 		Listen: "127.0.0.1:0", Headers: headers, State: b.state, FailClosed: true,
 		Budget:   relay.Budget{Ratio: 0.2, Window: 10 * time.Second, Slack: 20, CountedSince: clock.Now().Add(-time.Hour)},
 		Announce: 200 * time.Millisecond, DrainTimeout: 2 * time.Second, BodyBytes: bodyLimit, AnswerBytes: answerLimit, EventBytes: eventBytes, OnRequestBegun: b.count,
-		Quarantine: b.fakeList, Limits: b.limits, Permits: b.permits, Origins: b.origins, Dial: b.links.direct, Tunnels: b.links, Log: eventlog.New(&b.log, nil),
+		Quarantine: b.fakeList, Limits: b.limits, Permits: b.permits, Origins: b.origins, Slots: b.slots, OnLoadChange: func() { b.loadChanges.Add(1) }, Dial: b.links.direct, Tunnels: b.links, Log: eventlog.New(&b.log, nil),
 	}, b.set)
 	b.service.Update(v)
 	if err := b.service.Start(context.Background()); err != nil {
--- a/instance/relay/upstream.go
+++ b/instance/relay/upstream.go
@@ -23,6 +23,8 @@
 	state       serving.State
 	silent      bool
 	slots       int
+	// slotsKnown is set if the upstream declared its slots.
+	slotsKnown bool
 	// ownSlots holds the positions of this instance's own slots here, see fleet.shareSlots.
 	ownSlots []int
 	// takenAt is when it was chosen last, and busySince when it was after a pause in which the work of other
--- a/instance/serving/grants_test.go
+++ b/instance/serving/grants_test.go
@@ -62,3 +62,42 @@
 		return g.slotAt("m0", "m1")
 	}).WithTimeout(5 * time.Second).WithPolling(50 * time.Millisecond).Should(BeZero())
 }
+
+// maxGrantBytes bounds what a granted request adds to the traffic between processes, in bytes: the request for a
+// slot, the grant, and the load update for the end. A load update for the start, which it saves where one is sent,
+// has as many bytes as that for the end. Nothing is sent for requests to plain services without grants.
+const maxGrantBytes = 200
+
+// Guards against messages that grow with the number of upstreams or carry names: there are some of them for each
+// request.
+func TestBytesPerGrantedRequest(t *testing.T) {
+	t.Parallel()
+	g := newGroup(t, 3)
+	u := state.Upstream{ID: "a-long-name-of-an-upstream", Service: "s", Address: "x:1", Slots: 4, Sequence: 1, State: state.Ready}
+	g.Expect(g.instances["m0"].serving.Announce(t.Context(), u)).To(Succeed())
+	links := g.instances["m0"].links
+	bytes := func(channel string) (sent, received uint64) {
+		for _, c := range links.Stats() {
+			if c.Channel == channel {
+				return c.SentBytes, c.RecvBytes
+			}
+		}
+		return 0, 0
+	}
+	var at uint64
+	g.Eventually(func() uint64 {
+		var a serving.WatchResponse
+		_ = g.watch("m0", "m1", serving.WatchRequest{Forwards: true}, &a)
+		at = g.slotAt("m0", "m1")
+		return at
+	}).WithPolling(20 * time.Millisecond).ShouldNot(BeZero())
+	sentBefore, receivedBefore := bytes(serving.ChannelSlots)
+	g.Expect(g.slotAt("m0", "m1")).To(Equal(at))
+	sent, received := bytes(serving.ChannelSlots)
+	g.Expect(links.Send("m1", serving.ChannelLoadUpdate, serving.LoadUpdate{Sequence: 1 << 20, Loads: []serving.Load{{FirstIndex: at}}})).To(Succeed())
+	var end uint64
+	g.Eventually(func() uint64 { end, _ = bytes(serving.ChannelLoadUpdate); return end }).ShouldNot(BeZero())
+	request, grant := sent-sentBefore, received-receivedBefore
+	t.Logf("request %d bytes, grant %d, load update for the end %d: %d for each granted request, none without grants", request, grant, end, request+grant+end)
+	g.Expect(request + grant + end).To(BeNumerically("<=", maxGrantBytes))
+}
