Setting slot-grants, off by default; test with real processes

Grants need messages for each request to a plain service, where none are sent without them (116 bytes each), so edges ask for slots only if the settings say so (bounds.slot-grants).

--- a/instance/roles/config.go
+++ b/instance/roles/config.go
@@ -47,8 +47,10 @@
 	CallsLag time.Duration
 	Budget   relay.Budget
 	// WarmUp bounds the requests to cold upstreams.
-	WarmUp   WarmUp
-	MemoryMB int
+	WarmUp WarmUp
+	// SlotGrants makes an instance with few slots of its own ask the control group for slots of plain services.
+	SlotGrants bool
+	MemoryMB   int
 	// EventBytes bounds one event of a stream, as in relay.Config.
 	EventBytes int
 	// Dial opens connections to upstreams, as in relay.Config; nil selects the default.
--- a/instance/roles/edge.go
+++ b/instance/roles/edge.go
@@ -166,10 +166,13 @@
 		cfg := relay.Config{
 			Listen: p.cfg.Callers, Domain: p.cfg.Domain, Headers: p.dialect.Headers, State: state, FailClosed: p.cfg.FailClosed,
 			Budget: p.cfg.Budget, Announce: p.cfg.Announce, DrainTimeout: p.cfg.Grace - 2*stopMargin, Log: p.events,
-			Quarantine: recorder, Limits: limits, Permits: permits, Origins: origins, Dial: p.cfg.Dial, Tunnels: tunnels, OnDrain: tunnels.Retire, OnLoadChange: state.PushLoads, Slots: state,
+			Quarantine: recorder, Limits: limits, Permits: permits, Origins: origins, Dial: p.cfg.Dial, Tunnels: tunnels, OnDrain: tunnels.Retire, OnLoadChange: state.PushLoads,
 			BodyBytes: p.memoryShare(bodyMemoryShare), AnswerBytes: p.memoryShare(answerMemoryShare),
 			EventBytes: p.cfg.EventBytes,
 		}
+		if p.cfg.SlotGrants {
+			cfg.Slots = state
+		}
 		if p.meter != nil {
 			cfg.OnRequestBegun = p.meter.RecordStart
 		}
--- /dev/null
+++ b/proof/deployed/granted_test.go
@@ -0,0 +1,81 @@
+package deployed_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"regexp"
+	"strconv"
+	"testing"
+	"time"
+)
+
+const (
+	// grantedUpstreams gives each of evenEdges 3 slots of its own: they ask for slots.
+	grantedUpstreams = 6
+	grantedSettings  = ", slot-grants: true"
+	// minGrantedShare is the share of the requests that get a granted slot, at least.
+	minGrantedShare = 0.5
+)
+
+// Guards against slots that are granted in package tests only: edges with few slots of their own must get most of
+// them from the cores, and only if the settings say so. Shares of requests that wait are logged, not tested: at so
+// few edges own slots do nearly as well.
+func TestEdgesWithFewSlotsGetGrants(t *testing.T) {
+	for _, settings := range []string{"", grantedSettings} {
+		t.Run("settings"+settings, func(t *testing.T) {
+			newSite(t).steadily(func() error {
+				s := watchedSite(t)
+				defer s.killAll()
+				s.bounds = settings
+				return s.playGranted(settings != "")
+			})
+		})
+	}
+}
+
+// playGranted plays a steady load, and returns an error if the edges got too few grants, or some though none are due.
+func (s *site) playGranted(grants bool) error {
+	var cores, edges []*node
+	for i := range 3 {
+		n := s.add(fmt.Sprint("core-", i+1), 1+i, true)
+		cores = append(cores, n)
+		s.seeds = append(s.seeds, n.at(portControl))
+	}
+	for i := range evenEdges {
+		edges = append(edges, s.add(fmt.Sprint("edge-", i+1), 101+i, false))
+	}
+	for _, n := range append(append([]*node(nil), cores...), edges...) {
+		n.start(true)
+	}
+	s.within(patience, func() bool { return cores[0].put(1, "k") == 200 }, "the first configuration")
+	e, k, rng := &evenRun{}, &evenCases[0], rand.New(rand.NewPCG(3, 5))
+	e.start(s, k, cores, 0, grantedUpstreams, 0)
+	for _, edge := range edges {
+		s.within(patience, func() bool { return edge.ask("k") == 200 }, edge.name, "serves")
+	}
+	time.Sleep(evenKnown)
+	e.begun = time.Now()
+	timer := time.AfterFunc(evenSettle, func() { e.counting.Store(true) })
+	defer timer.Stop()
+	e.send(k, edges, rng, 0, evenSettle+evenCounted)
+	results := map[string]int{}
+	for _, edge := range edges {
+		_, series := call("GET", "http://"+edge.at(portMetrics)+"/metrics", "")
+		for _, m := range slotSeries.FindAllStringSubmatch(series, -1) {
+			n, _ := strconv.Atoi(m[2])
+			results[m[1]] += n
+		}
+	}
+	s.t.Logf("%v; %.3f of %d requests waited; %d not served", results, float64(e.waited.Load())/float64(e.arrived.Load()), e.arrived.Load(), e.failed.Load())
+	switch share := float64(results["granted"]) / float64(e.arrived.Load()); {
+	case e.failed.Load() >= e.arrived.Load()/100:
+		return fmt.Errorf("%d of %d requests not served", e.failed.Load(), e.arrived.Load())
+	case !grants && len(results) > 0:
+		return fmt.Errorf("edges asked for slots: %v", results)
+	case grants && share < minGrantedShare:
+		return fmt.Errorf("%.2f of the requests got a slot, %v wanted", share, minGrantedShare)
+	}
+	return nil
+}
+
+var slotSeries = regexp.MustCompile(`relay_slot_requests_total\{result="(\w+)"\} (\d+)`)
