--- a/instance/follow/slots.go
+++ b/instance/follow/slots.go
@@ -25,6 +25,10 @@
 	// minSlotPause and maxSlotPause bound how long a member is not asked after a failure. The pause doubles
 	// with each failure, as a member of an older build does not know the channel at all.
 	minSlotPause, maxSlotPause = time.Second, 30 * time.Second
+	// minLatePause and maxLatePause bound it after late responses. With the bounds of a failure, half of the
+	// requests got no slot on a machine that was busy with other work, whose responses are late for some
+	// 10 ms at a time.
+	minLatePause, maxLatePause = 100 * time.Millisecond, time.Second
 )
 
 // slotCalls holds what is known of the member as a granter of slots. It is safe for concurrent use.
@@ -68,6 +72,7 @@
 	if c.member != member || now.Before(c.pausedUntil) {
 		return 0
 	}
+	shortest, longest := minSlotPause, maxSlotPause
 	switch {
 	case err == nil:
 		c.pause, c.late = 0, 0
@@ -76,9 +81,10 @@
 		if c.late++; c.late <= toleratedLateSlots {
 			return 0
 		}
+		shortest, longest = minLatePause, maxLatePause
 	}
 	c.late = 0
-	c.pause = min(maxSlotPause, max(minSlotPause, 2*c.pause))
+	c.pause = min(longest, max(shortest, 2*c.pause))
 	c.pausedUntil = now.Add(c.pause)
 	return c.pause
 }
