An instance that does not know its rank asks for no slots

Without a rank it counts no own slots, so some seconds after a start of all members instances of any number asked for slots, also 8 of them with 12 own slots each, where nothing may change. The case 'rank is not known' of TestSlotsAreNotRequestedWithoutNeed fails without the check.

--- a/instance/relay/grant.go
+++ b/instance/relay/grant.go
@@ -97,12 +97,13 @@
 }
 
 // slotRequest returns the request for a slot, or false if none is needed: the service has engines, is large or
-// lightly loaded, does not declare its slots, or this instance has enough slots of its own.
+// lightly loaded, does not declare its slots, or this instance has enough slots of its own, or does not know which
+// ones these are.
 func (f *fleet) slotRequest(r *request, now time.Time) (q servingsvc.SlotRequest, ok bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	s := f.service(r.service)
-	if r.capacity > 0 || r.affinity != 0 || f.forwarders <= 1 || s.len() > min(scanLimit, servingsvc.MaxGrantedUpstreams) {
+	if r.capacity > 0 || r.affinity != 0 || f.forwarders <= 1 || f.rank == 0 || s.len() > min(scanLimit, servingsvc.MaxGrantedUpstreams) {
 		return q, false
 	}
 	f.shareSlots(s)
--- a/instance/relay/grant_test.go
+++ b/instance/relay/grant_test.go
@@ -190,6 +190,7 @@
 	for name, change := range map[string]func(*relayTest, *fakeUpstream){
 		"own slots suffice":     func(b *relayTest, u *fakeUpstream) { b.among(2, 6, u) },
 		"a single instance":     func(b *relayTest, u *fakeUpstream) { b.among(1, 6, u) },
+		"rank is not known":     func(b *relayTest, _ *fakeUpstream) { b.forgetRank() },
 		"light load":            func(b *relayTest, u *fakeUpstream) { b.among(manyInstances, 3, u) },
 		"nobody grants":         func(b *relayTest, _ *fakeUpstream) { b.slots.set(nil) },
 		"engines":               func(b *relayTest, _ *fakeUpstream) { b.engines() },
@@ -219,6 +220,16 @@
 	}
 }
 
+// forgetRank makes the instance one of many whose rank is not known.
+func (b *relayTest) forgetRank() {
+	b.state.mu.Lock()
+	v := *b.state.view
+	v.Rank = 0
+	b.state.view = &v
+	b.state.mu.Unlock()
+	b.service.Update(&v)
+}
+
 // declareNoSlots lets an upstream register again without slots, beside one that has some.
 func (b *relayTest) declareNoSlots(u *fakeUpstream) {
 	b.state.mu.Lock()
