--- a/instance/roles/edge.go
+++ b/instance/roles/edge.go
@@ -170,6 +170,9 @@
 			BodyBytes: p.memoryShare(bodyMemoryShare), AnswerBytes: p.memoryShare(answerMemoryShare),
 			EventBytes: p.cfg.EventBytes,
 		}
+		if p.cfg.SlotGrants {
+			cfg.Slots = state
+		}
 		if p.meter != nil {
 			cfg.OnRequestBegun = p.meter.RecordStart
 		}
