--- a/instance/dispatch/suite_test.go
+++ b/instance/dispatch/suite_test.go
@@ -38,14 +38,15 @@
 type behaviour int
 
 const (
-	answers behaviour = iota // sends three events and the end marker
-	hangs                    // sends the header and nothing else
-	cuts                     // closes the connection before the header
-	breaks                   // sends one event, then closes the connection; the stream is not kept
-	refuses                  // answers 503 with X-Not-Run
-	waits                    // answers after release is closed
-	pauses                   // refuses and asks for a long pause
-	leaves                   // answers, and says that it leaves
+	answers    behaviour = iota // sends three events and the end marker
+	hangs                       // sends the header and nothing else
+	cuts                        // closes the connection before the header
+	breaks                      // sends one event, then closes the connection; the stream is not kept
+	refuses                     // answers 503 with X-Not-Run
+	waits                       // answers after release is closed
+	pauses                      // refuses and asks for a long pause
+	leaves                      // answers, and says that it leaves
+	misdirects                  // answers 421
 )
 
 // fakeEngine implements the protocol of the engines with the selected behaviour.
@@ -104,6 +105,9 @@
 	case refuses:
 		fmt.Fprintf(c, "HTTP/1.1 503 x\r\nX-Request-Id: %s\r\nX-Not-Run: true\r\nContent-Length: 0\r\n\r\n", id)
 		return true
+	case misdirects:
+		fmt.Fprintf(c, "HTTP/1.1 421 x\r\nX-Request-Id: %s\r\nContent-Length: 0\r\n\r\n", id)
+		return true
 	case pauses:
 		fmt.Fprintf(c, "HTTP/1.1 503 x\r\nX-Request-Id: %s\r\nX-Not-Run: true\r\nRetry-After: 60\r\nContent-Length: 0\r\n\r\n", id)
 		return true
--- a/instance/dispatch/warmup_test.go
+++ b/instance/dispatch/warmup_test.go
@@ -141,6 +141,17 @@
 		Expect(b.q.ended).To(HaveExactElements(And(HaveField("Failed", false), HaveField("Unused", true)), HaveField("Complete", true)))
 	})
 
+	// Guards against a permit that is used up by a request which the engine did not take.
+	It("keeps its permit if the engine answers 421", func() {
+		cold := newEngine("cold", misdirects)
+		b := newHarness(dispatch.Config{WarmUp: guard, Attempts: 1}, cold)
+		know(cold)
+		permits.grant(time.Minute)
+		_, err := b.run(ctx, b.job(class, job))
+		Expect(err).To(HaveOccurred())
+		Expect(permits.returned).To(Equal(1))
+	})
+
 	// Guards against an engine that ended and counts as warm when it starts again.
 	It("makes an engine whose connections are lost or refused count as cold", func() {
 		cut, gone, other := newEngine("cut", cuts), newEngine("gone", answers), newEngine("warm", answers)
