Own daemon: lost connections to engines are known at once

Cause: a lost or refused connection made an engine doubtful only after the links had been checked and the stream could not be resumed; meanwhile other requests went to whichever process had replaced it. A loss while the links were suspected did not count at all. Change: the client of upstreams reports losses as they happen; dispatch only returns permits.

--- a/instance/daemon/base.go
+++ b/instance/daemon/base.go
@@ -101,7 +101,7 @@
 			MaxIdle:      u.IdleAge,
 			InstanceName: d.cfg.Instance.Name,
 			Links:        links.Service,
-			OnIdleLost:   cold.Lost,
+			OnLost:       cold.lost,
 			Instances:    func() int { return 1 + len(d.livePeers(members)) },
 			Trusted:      func(name string) bool { return trusts(conf, upstreams, name) },
 			Incarnation: func(name string) (uint64, bool) {
--- a/instance/daemon/warmup.go
+++ b/instance/daemon/warmup.go
@@ -161,6 +161,15 @@
 	s.Update(list, limits)
 }
 
+// lost records that a connection to an engine was lost or refused.
+func (s *warmUpService) lost(upstream string, refused bool) {
+	if refused {
+		s.Refused(upstream)
+		return
+	}
+	s.Lost(upstream)
+}
+
 // health records for how long an engine stays cold by an answer to a check of the links.
 func (s *warmUpService) health(t reach.Target, value string) {
 	if ms, err := strconv.ParseFloat(value, 64); err == nil && ms > 0 {
--- a/instance/dispatch/attempt.go
+++ b/instance/dispatch/attempt.go
@@ -187,7 +187,7 @@
 	if a.job.Watch != nil && upstream.EvidenceOf(err) == upstream.Unknown && !upstream.PartitionedIn(err) {
 		a.job.Watch.Lost(a.incarnation, a.lease.Grant().Address, a.sentAt, a.isAnswering())
 	}
-	a.recordCold(err)
+	a.returnPermit(err)
 	unmade := upstream.UnwantedIn(err) || upstream.WithheldIn(err)
 	blamed := (a.events > 0 || !upstream.ReusedIn(err) && !unmade) && !upstream.PartitionedIn(err)
 	a.end(sched.Outcome{Tokens: a.tokens, Failed: blamed, Unused: upstream.EvidenceOf(err) == upstream.NotSent})
--- a/instance/dispatch/warmup.go
+++ b/instance/dispatch/warmup.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"slices"
-	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -94,25 +93,10 @@
 // count as a request to a cold engine.
 const statusMisdirected = 421
 
-// recordCold draws conclusions from a failed attempt: whether its permit was used, and whether another
-// process may run at the engine's address.
-func (a *attempt) recordCold(err error) {
-	w := a.d.cfg.WarmUp
-	if !w.Limits() {
-		return
-	}
+// returnPermit returns the permit of a failed attempt if the engine did not take the request.
+func (a *attempt) returnPermit(err error) {
 	var failed *upstream.AttemptError
-	if !errors.As(err, &failed) {
-		return
-	}
-	if failed.Evidence == upstream.NotSent || failed.Status == statusMisdirected {
+	if errors.As(err, &failed) && (failed.Evidence == upstream.NotSent || failed.Status == statusMisdirected) {
 		a.permit.Return()
 	}
-	switch {
-	case failed.Partitioned || failed.Unwanted || failed.Withheld:
-	case errors.Is(err, syscall.ECONNREFUSED):
-		w.Refused(a.upstream())
-	case failed.Evidence == upstream.Unknown && failed.Status == 0:
-		w.Lost(a.upstream())
-	}
 }
--- a/instance/upstream/attempt.go
+++ b/instance/upstream/attempt.go
@@ -288,6 +288,9 @@
 func (a *attempt) abandonFailed(failed *AttemptError) {
 	failed.Reused = a.conn.reused
 	a.abandon()
+	if a.ctx.Err() == nil {
+		a.client.cfg.lost(a.target.Name, false)
+	}
 	if a.conn.detour && !a.conn.proven.Load() && a.ctx.Err() == nil {
 		uplink.Distrust(a.conn.raw.Conn)
 	}
--- a/instance/upstream/client.go
+++ b/instance/upstream/client.go
@@ -70,9 +70,10 @@
 	// Trusted reports whether requests may be sent to an upstream. It is asked right before each one is
 	// written. Nil if to all.
 	Trusted func(upstream string) bool
-	// OnIdleLost is called when an idle connection to an upstream was found closed by it or unusable,
-	// before a request is sent over another one. Nil if that does not matter.
-	OnIdleLost func(upstream string)
+	// OnLost is called at once when a connection to an upstream has failed during a request, an idle one was
+	// found closed by it or unusable, or a new one was refused (refused is set): another process may run at its
+	// address. It is called before a request is sent over another connection. Nil if that does not matter.
+	OnLost func(upstream string, refused bool)
 	// Links opens the connections, through another instance while the links of this one are cut. Nil if
 	// all are direct.
 	Links *uplink.Service
@@ -89,6 +90,13 @@
 	return c.Instances()
 }
 
+// lost reports the loss of a connection, or one that was refused.
+func (c Config) lost(upstream string, refused bool) {
+	if c.OnLost != nil {
+		c.OnLost(upstream, refused)
+	}
+}
+
 func (c Config) withDefaults() Config {
 	setDefault(&c.DialTimeout, DefaultDialTimeout)
 	setDefault(&c.FirstByte, DefaultFirstByte)
--- a/instance/upstream/pool.go
+++ b/instance/upstream/pool.go
@@ -3,8 +3,11 @@
 import (
 	"context"
 	"sync"
+	"syscall"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/comfreyladder/comfreyladder/core/fault"
 	"github.com/comfreyladder/comfreyladder/instance/tcpconn"
 	"github.com/comfreyladder/comfreyladder/instance/uplink"
@@ -45,6 +48,9 @@
 	c, err := p.dial(ctx, t, direct)
 	if err != nil {
 		p.release(t.Address)
+		if errors.Is(err, syscall.ECONNREFUSED) {
+			p.cfg.lost(t.Name, true)
+		}
 		failed := notSent(t, err, "connection failed")
 		failed.Partitioned = p.cfg.Links != nil && fault.CodeOf(err) == fault.NotRun
 		return nil, failed
@@ -98,8 +104,8 @@
 			return c
 		}
 		c.drop()
-		if usable && p.cfg.OnIdleLost != nil {
-			p.cfg.OnIdleLost(t.Name)
+		if usable {
+			p.cfg.lost(t.Name, false)
 		}
 	}
 }
