Tests: endless answers to calls sent once, to health checks, of upstreams that were well, and 500 at once

Cause: these cases of the specification had no test with real processes. The tests that exist send the same as before; play takes a number of requests before the failure, and a sick upstream no longer ends streams early where only plain answers are endless.

--- a/proof/deployed/endless_test.go
+++ b/proof/deployed/endless_test.go
@@ -27,6 +27,14 @@
 	drippedTrailers  endless = "trailers byte by byte"
 	drippedEvent     endless = "an event byte by byte"
 	heldEvent        endless = "an event that stops"
+	heldHead         endless = "a head of 60 KiB that goes on byte by byte"
+	floodedStatus    endless = "a status line"
+	floodedHeader    endless = "one header"
+	floodedHeaders   endless = "headers"
+	floodedExtension endless = "a chunk extension"
+	floodedTrailers  endless = "trailers"
+	floodedSurplus   endless = "bytes after a whole answer"
+	floodedGarbage   endless = "garbage"
 )
 
 const (
@@ -47,7 +55,11 @@
 // endlessUpstream is an upstream that answers, or begins an answer that has no end.
 type endlessUpstream struct {
 	how atomic.Value
-	mu  sync.Mutex
+	// health is what answers to health checks are, how what other answers are.
+	health atomic.Value
+	// keeps is set if connections are kept open after answers that end.
+	keeps bool
+	mu    sync.Mutex
 	// ran counts the runs of each attempt; longest and most are the longest endless answer and the most bytes of one.
 	ran     map[string]int
 	begun   int
@@ -72,6 +84,12 @@
 	return g.most
 }
 
+func (g *gauge) now() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.n
+}
+
 func (g *gauge) add(n int) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -82,29 +100,45 @@
 func newEndlessUpstream(open *gauge) *endlessUpstream {
 	u := &endlessUpstream{ran: map[string]int{}, open: open, span: endlessSpan}
 	u.how.Store(endlessNone)
+	u.health.Store(endlessNone)
 	return u
 }
 
 func (u *endlessUpstream) serve(out http.ResponseWriter, req *http.Request) {
 	_, _ = io.Copy(io.Discard, req.Body)
 	id, how := req.Header.Get("Attempt-Id"), u.how.Load().(endless)
-	if req.URL.Path == healthPath {
+	checked := req.URL.Path == healthPath
+	if checked {
+		how = u.health.Load().(endless)
+	}
+	if checked && how == endlessNone {
 		out.Header().Set("Attempt-Id", id)
 		return
 	}
+	if !checked {
+		u.mu.Lock()
+		u.ran[id]++
+		u.mu.Unlock()
+	}
+	if u.keeps && how == endlessNone {
+		u.keep(out, id)
+		return
+	}
 	c, to, err := out.(http.Hijacker).Hijack()
 	if err != nil {
 		return
 	}
 	defer func() { _ = c.Close() }()
-	u.mu.Lock()
-	u.ran[id]++
-	u.mu.Unlock()
 	head := fmt.Sprintf("HTTP/1.1 200 OK\r\nAttempt-Id: %s\r\nRunner-Seal: s\r\nConnection: close\r\nTransfer-Encoding: chunked\r\n", id)
 	if strings.HasPrefix(req.URL.Path, "/a/stream") {
 		u.stream(to, head, req.Header.Get("Last-Event-Id"), how)
 		return
 	}
+	u.plain(to, head, how)
+}
+
+// plain writes the answer to a request that is no stream.
+func (u *endlessUpstream) plain(to *bufio.ReadWriter, head string, how endless) {
 	body := fmt.Sprintf("%x\r\n%s\r\n", len(wholeAnswer), wholeAnswer)
 	switch how {
 	case endlessInterim:
@@ -113,13 +147,43 @@
 		u.drip(to, head+"\r\n5;")
 	case drippedTrailers:
 		u.drip(to, head+"\r\n"+body+"0\r\n")
+	case heldHead:
+		u.drip(to, head+"A: "+strings.Repeat("x", heldHeadBytes))
+	case floodedStatus:
+		u.flood(to, "HTTP/1.1 200 "+strings.Repeat("x", 1000))
+	case floodedHeader:
+		u.floodAfter(to, head+"A: ", strings.Repeat("x", 1000))
+	case floodedHeaders:
+		u.floodAfter(to, head, strings.Repeat("A: b\r\n", 100))
+	case floodedExtension:
+		u.floodAfter(to, head+"\r\n5;", strings.Repeat("x", 1000))
+	case floodedTrailers:
+		u.floodAfter(to, head+"\r\n"+body+"0\r\n", strings.Repeat("A: b\r\n", 100))
+	case floodedSurplus:
+		u.floodAfter(to, head+"\r\n"+body+"0\r\n\r\n", strings.Repeat("x", 1000))
+	case floodedGarbage:
+		u.flood(to, strings.Repeat("\x00\xff", 500))
 	default:
 		u.whole(to, head+"\r\n"+body+"0\r\n\r\n")
 	}
 }
 
+// keep answers a plain request and keeps its connection open.
+func (u *endlessUpstream) keep(out http.ResponseWriter, id string) {
+	out.Header().Set("Attempt-Id", id)
+	out.Header().Set("Runner-Seal", "s")
+	_, _ = io.WriteString(out, wholeAnswer)
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.served++
+}
+
 // stream writes the events after the last one that the caller has, the first of them before what has no end.
+// What is no part of a stream is sent to plain requests alone.
 func (u *endlessUpstream) stream(to *bufio.ReadWriter, head, last string, how endless) {
+	if how != endlessEvent && how != endlessComments && how != heldEvent && how != drippedEvent {
+		how = endlessNone
+	}
 	first := 0
 	if _, err := fmt.Sscan(last, &first); err == nil {
 		first++
@@ -160,6 +224,11 @@
 // flood writes a text again and again.
 func (u *endlessUpstream) flood(to *bufio.ReadWriter, text string) { u.write(to, "", text, 0) }
 
+// floodAfter writes the first text once, and then the other again and again.
+func (u *endlessUpstream) floodAfter(to *bufio.ReadWriter, first, again string) {
+	u.write(to, first, again, 0)
+}
+
 // drip writes the text and then a byte, or the given bytes, at each interval.
 func (u *endlessUpstream) drip(to *bufio.ReadWriter, text string, one ...string) {
 	u.write(to, text, strings.Join(append(one, "x")[:1], ""), dripInterval)
@@ -200,13 +269,20 @@
 	*quartet
 	ups  []*endlessUpstream
 	open gauge
+	// after is how many requests are sent before upstreams begin to send what has no end.
+	after int
 }
 
 func newEndlessSite(t *testing.T, upstreams int, streams bool) *endlessSite {
+	return newEndlessGroup(t, 4, upstreams, streams)
+}
+
+// newEndlessGroup is the same with another number of edges.
+func newEndlessGroup(t *testing.T, edges, upstreams int, streams bool) *endlessSite {
 	s := watchedSite(t)
 	quickBudget(s)
 	s.memoryMB = edgeMB
-	e := &endlessSite{quartet: newQuartetAt(s)}
+	e := &endlessSite{quartet: newGroupAt(s, edges)}
 	for i := range upstreams {
 		u := newEndlessUpstream(&e.open)
 		e.ups = append(e.ups, u)
@@ -233,7 +309,9 @@
 
 const (
 	endlessRequests = 160
-	endlessPause    = 12 * time.Millisecond
+	// heldHeadBytes is below the limit of a head, 64 KiB.
+	heldHeadBytes = 60 << 10
+	endlessPause  = 12 * time.Millisecond
 	// holdFor is for how long a stream is held at most, holdWithin within what time all are begun, and holdRetry the pause
 	// of a caller that was refused.
 	holdFor, holdWithin, holdRetry = 10 * time.Second, 8 * time.Second, 50 * time.Millisecond
@@ -249,12 +327,12 @@
 func (e *endlessSite) play(t *testing.T, x expected, ask func(i int) answer) {
 	t.Run(fmt.Sprintf("%s, %d of 4", x.how, x.sick), func(t *testing.T) {
 		g := NewWithT(t)
-		for _, u := range e.ups[:x.sick] {
-			u.how.Store(x.how)
-		}
 		var all sync.WaitGroup
 		var unserved atomic.Int64
 		for i := range endlessRequests {
+			if i == e.after {
+				e.begin(x)
+			}
 			all.Go(func() {
 				a := ask(i)
 				if !a.served {
@@ -288,6 +366,13 @@
 	})
 }
 
+// begin lets the first upstreams send what has no end.
+func (e *endlessSite) begin(x expected) {
+	for _, u := range e.ups[:x.sick] {
+		u.how.Store(x.how)
+	}
+}
+
 func (u *endlessUpstream) servedNow() int {
 	u.mu.Lock()
 	defer u.mu.Unlock()
--- a/proof/deployed/quarantine_test.go
+++ b/proof/deployed/quarantine_test.go
@@ -205,14 +205,17 @@
 }
 
 // newQuartetAt is a quartet at a site, without upstreams.
-func newQuartetAt(s *site) *quartet {
+func newQuartetAt(s *site) *quartet { return newGroupAt(s, 4) }
+
+// newGroupAt is three cores and some edges at a site, without upstreams.
+func newGroupAt(s *site, edges int) *quartet {
 	q := &quartet{site: s}
 	for i := range 3 {
 		n := q.add(fmt.Sprint("core-", i+1), 1+i, true)
 		q.cores = append(q.cores, n)
 		q.seeds = append(q.seeds, n.at(portControl))
 	}
-	for i := range 4 {
+	for i := range edges {
 		q.edges = append(q.edges, q.add(fmt.Sprint("edge-", i+1), 101+i, false))
 	}
 	for _, n := range q.nodes {
