Relay: own connection limit is no fault of the upstreams

Cause: with real processes, four edges of a tenth of a CPU core and 24 idle upstreams, an edge with most of the connections told 501 to 522 of some 5,100 requests "not run: no upstream took the request". Its log: took=0, sent=0, no upstream and no attempt. The choice leaves out an upstream at which the instance uses its share of the connections; it counts requests in flight, which here wait for the instance's own CPU time, in the hundreds.

Change: such a request waits for a connection as it does for other limits, at most an eighth of its objective, and is refused with a reason that names the instance.

--- a/instance/relay/admit.go
+++ b/instance/relay/admit.go
@@ -74,6 +74,8 @@
 		return &refusal{503, "not run: all upstreams are at the limits that they name", s.fleet.limitRetryAfter(r, s.cfg.State.View().Forwarders)}
 	case r.pauseLeft > 0:
 		return &refusal{503, "not run: all upstreams ask for a pause", pauseRetryAfter(r)}
+	case r.allConnected:
+		return &refusal{503, "not run: this instance uses all its connections to the upstreams", busyRetryAfter(r)}
 	case r.shed:
 		return &refusal{503, "not run: more is asked than the engines can read", busyRetryAfter(r)}
 	}
--- a/instance/relay/choose.go
+++ b/instance/relay/choose.go
@@ -63,15 +63,15 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := time.Now()
-	r.pauseLeft = 0
+	r.pauseLeft, r.allConnected = 0, false
 	sel := &selection{service: f.service(r.service), domain: domain, now: now, avoid: avoid, tokens: r.tokens, memory: r.capacity, fresh: now.Sub(f.remoteLoadsAt) < remoteLoadTTL}
 	f.assignPool(r, sel)
 	request := f.balanceRequest(r, sel)
 	q := &request
 	c := f.pick(r, q, sel)
 	if c.Index == balance.None {
-		r.pauseLeft = f.pauseLeft()
-		return nil, r.allLimited || r.pauseLeft > 0 || f.noRoom(sel)
+		r.pauseLeft, r.allConnected = f.pauseLeft(), f.allConnected(r, sel)
+		return nil, r.allLimited || r.pauseLeft > 0 || r.allConnected || f.noRoom(sel)
 	}
 	f.recordPrediction(r, q, c)
 	if r.tokens > 0 && len(avoid) == 0 {
@@ -261,7 +261,24 @@
 }
 
 func (f *fleet) excluded(r *request, sel *selection, u *upstream) bool {
-	return r.otherVersion(u) || u.active >= sel.service.maxConns || slices.Contains(sel.avoid, u) || u.gate.Closed(clock.Now) || f.lacksRoom(sel, u)
+	return u.active >= sel.service.maxConns || f.unsuitable(r, sel, u)
+}
+
+// unsuitable reports whether an upstream may not get a request, however few this instance has sent there.
+func (f *fleet) unsuitable(r *request, sel *selection, u *upstream) bool {
+	return r.otherVersion(u) || slices.Contains(sel.avoid, u) || u.gate.Closed(clock.Now) || f.lacksRoom(sel, u)
+}
+
+// allConnected reports whether a candidate of the latest choice was left out only because this instance uses
+// all connections that it may open to it. That says nothing about the upstream: the requests may wait in this
+// instance for CPU time. The caller holds mu.
+func (f *fleet) allConnected(r *request, sel *selection) bool {
+	for _, u := range f.choice.candidates {
+		if u.active >= sel.service.maxConns && !f.unsuitable(r, sel, u) {
+			return true
+		}
+	}
+	return false
 }
 
 func (f *fleet) suspect(sel *selection, u *upstream) bool {
--- a/instance/relay/request.go
+++ b/instance/relay/request.go
@@ -122,6 +122,9 @@
 	// permitUntil is until when the request may be sent to the chosen cold upstream, by clock.Now;
 	// zero if that is warm.
 	permitUntil time.Time
+	// allConnected is set if no upstream was left because this instance uses all connections that it may
+	// open to them.
+	allConnected bool
 	// pauseLeft is when the first of the upstreams that asked for a pause takes requests again; zero if
 	// the latest choice found another reason, or an upstream.
 	pauseLeft time.Duration
