--- a/core/route/index.go
+++ b/core/route/index.go
@@ -76,6 +76,9 @@
 	return rank * levels / pairs
 }
 
+// Priorities returns how many different priorities the routes have.
+func (x *Index) Priorities() int { return len(x.routeRanks) }
+
 // Rank returns the relative rank of a route's priority within the table: 0 for the most urgent
 // routes, 1 for the least urgent ones.
 func (x *Index) Rank(r *Route) float64 {
