Relay: connections beyond the CPU share are left unread

Cause: an edge with most of the connections reads more than its CPU share serves, and all its requests become late together.

Change: during an overload (package overload) new connections with a lag are reset before anything is read, urgent routes at four times the limit. If most instances are overloaded, as load reports tell (Work.Overloaded), requests are rejected as not run. Open connections are never closed; none is closed in the first 2 s after a start or a suspension, or in a drain.

--- a/instance/follow/follow.go
+++ b/instance/follow/follow.go
@@ -426,7 +426,7 @@
 	if f.cfg.OnReport == nil {
 		return
 	}
-	told := servingsvc.Work{Loads: own.Loads, Routes: own.Routes, Organisations: own.Organisations}
+	told := servingsvc.Work{Loads: own.Loads, Routes: own.Routes, Organisations: own.Organisations, Overloaded: own.Overloaded}
 	if f.cfg.ToldLoads != nil {
 		// Updates since the request are in the sum as well.
 		told.Loads = f.cfg.ToldLoads()
--- a/instance/relay/attempt.go
+++ b/instance/relay/attempt.go
@@ -11,6 +11,7 @@
 	"github.com/comfreyladder/comfreyladder/core/fault"
 	"github.com/comfreyladder/comfreyladder/instance/clock"
 	"github.com/comfreyladder/comfreyladder/instance/http1"
+	"github.com/comfreyladder/comfreyladder/instance/tcpconn"
 )
 
 // outcome is what is known of an attempt once the head of the response was received or the attempt
@@ -226,6 +227,9 @@
 			return err
 		}
 		a.heard()
+		if lag, ok := tcpconn.SinceArrival(a.conn.nc); ok {
+			a.s.observeLag(lag)
+		}
 		if a.head.Status/100 == 1 {
 			continue
 		}
--- a/instance/relay/conn.go
+++ b/instance/relay/conn.go
@@ -29,6 +29,9 @@
 	// finished is closed when no further request will be answered.
 	finished chan struct{}
 	out      []byte
+	// rejectsNext is set if the next request is rejected because of an overload. It is used by the reader
+	// before the first request, and by the writer from then on.
+	rejectsNext bool
 
 	mu sync.Mutex
 	// lifecycle decides when the connection ends. Read deadlines are set under the same lock, so
@@ -49,6 +52,10 @@
 	defer c.s.removeConn(c)
 	tcpconn.SetUserTimeout(c.nc, writeTimeout)
 	setUnsentLimit(c.nc, maxUnsentBytes)
+	c.awaitRequest()
+	if c.leftUnread() {
+		return
+	}
 	go c.answerAll()
 	c.readAll()
 	<-c.finished
@@ -58,7 +65,6 @@
 // readAll reads requests until the connection ends.
 func (c *conn) readAll() {
 	defer close(c.requests)
-	c.awaitRequest()
 	for {
 		if _, err := c.in.Peek(1); err != nil {
 			c.logDrainEnd(err)
@@ -284,27 +290,31 @@
 
 // reply sends a response that this instance generates itself.
 func (c *conn) reply(r *request, status int, reason string, retry time.Duration) bool {
-	body := `{"error":` + strconv.Quote(reason) + `}`
-	b := c.out[:0]
+	closing := c.closing(r)
+	c.out = c.s.appendRefusal(c.out[:0], r.id, &refusal{status, reason, retry}, closing)
+	return c.write(c.out) == nil && !closing
+}
+
+// appendRefusal appends a response that this instance generates itself to b. id is that of the request, and
+// closing says that the connection ends with the response.
+func (s *Service) appendRefusal(b, id []byte, v *refusal, closing bool) []byte {
+	body := `{"error":` + strconv.Quote(v.reason) + `}`
 	b = append(b, "HTTP/1.1 "...)
-	b = strconv.AppendInt(b, int64(status), 10)
-	b = append(append(b, ' '), statusText(status)...)
+	b = strconv.AppendInt(b, int64(v.status), 10)
+	b = append(append(b, ' '), statusText(v.status)...)
 	b = append(b, "\r\nContent-Type: application/json\r\nContent-Length: "...)
 	b = strconv.AppendInt(b, int64(len(body)), 10)
-	if len(r.id) > 0 {
-		b = append(append(append(append(b, "\r\n"...), c.s.cfg.Headers.RequestID...), ": "...), r.id...)
+	if len(id) > 0 {
+		b = append(append(append(append(b, "\r\n"...), s.cfg.Headers.RequestID...), ": "...), id...)
 	}
-	if retry > 0 {
+	if v.retry > 0 {
 		b = append(b, "\r\nRetry-After: "...)
-		b = strconv.AppendFloat(b, retry.Seconds(), 'f', 3, 64)
+		b = strconv.AppendFloat(b, v.retry.Seconds(), 'f', 3, 64)
 	}
-	closing := c.closing(r)
 	if closing {
 		b = append(b, "\r\nConnection: close"...)
 	}
-	b = append(append(b, "\r\n\r\n"...), body...)
-	c.out = b
-	return c.write(b) == nil && !closing
+	return append(append(b, "\r\n\r\n"...), body...)
 }
 
 func statusText(status int) string {
--- a/instance/relay/exchange.go
+++ b/instance/relay/exchange.go
@@ -33,7 +33,7 @@
 		}
 		routes[l.Service][l.Route] = l.Load()
 	}
-	f.remoteLoadsAt = time.Now()
+	f.remoteLoadsAt, f.remoteOverloaded = time.Now(), r.Work.Overloaded
 	if f.limits != nil {
 		f.limits.Merge(r.Limits)
 	}
@@ -57,6 +57,16 @@
 	f.sumRemoteQueues()
 }
 
+// othersOverloaded returns how many other instances are overloaded, as far as is known.
+func (f *fleet) othersOverloaded(now time.Time) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if now.Sub(f.remoteLoadsAt) >= remoteLoadTTL {
+		return 0
+	}
+	return f.remoteOverloaded
+}
+
 // organisationDemand returns demand by service, route and organisation.
 func organisationDemand(loads []servingsvc.OrganisationLoad) map[string]map[string]fairshare.Demand {
 	out := map[string]map[string]fairshare.Demand{}
--- a/instance/relay/fleet.go
+++ b/instance/relay/fleet.go
@@ -47,6 +47,8 @@
 	// incarnation.
 	remoteLoads   map[uint64]servingsvc.Load
 	remoteLoadsAt time.Time
+	// remoteOverloaded is how many other instances were overloaded then.
+	remoteOverloaded int
 	// remoteObserved is what other instances observed of upstreams, by incarnation.
 	// reportedObserved is what this instance last reported, at observedReportedAt.
 	remoteObserved, reportedObserved map[uint64]balance.Observed
--- a/instance/relay/relay.go
+++ b/instance/relay/relay.go
@@ -13,6 +13,7 @@
 
 	"github.com/comfreyladder/comfreyladder/core/budget"
 	"github.com/comfreyladder/comfreyladder/core/drain"
+	"github.com/comfreyladder/comfreyladder/core/overload"
 	"github.com/comfreyladder/comfreyladder/core/route"
 	"github.com/comfreyladder/comfreyladder/instance/clock"
 	"github.com/comfreyladder/comfreyladder/instance/follow"
@@ -45,7 +46,8 @@
 	// routes is the table whose services have gauges.
 	routes atomic.Pointer[route.Index]
 	// drain is the schedule of the drain, nil before a drain begins.
-	drain atomic.Pointer[drain.Schedule]
+	drain    atomic.Pointer[drain.Schedule]
+	overload overloadGuard
 
 	mu      sync.Mutex
 	conns   map[*conn]struct{}
@@ -71,7 +73,13 @@
 }
 
 // Report returns the load and observations of this instance for the other instances.
-func (s *Service) Report() serving.Report { return s.fleet.report() }
+func (s *Service) Report() serving.Report {
+	r := s.fleet.report()
+	if s.overload.full.Load() {
+		r.Work.Overloaded = 1
+	}
+	return r
+}
 
 // LoadUpdate returns the loads that changed since the last report or update.
 func (s *Service) LoadUpdate() serving.LoadUpdate { return s.fleet.loadUpdate() }
@@ -109,8 +117,10 @@
 		return err
 	}
 	s.listener, s.started = l, time.Now()
+	s.overload.controller = overload.New(s.started, cpuTime())
 	s.listening.Store(true)
 	s.running.Go(s.accept)
+	s.running.Go(s.watchOverload)
 	s.running.Go(s.housekeep)
 	return nil
 }
@@ -129,7 +139,7 @@
 func (s *Service) accept() {
 	defer s.listening.Store(false)
 	for {
-		nc, err := s.listener.Accept()
+		nc, err := s.acceptConn()
 		if errors.Is(err, net.ErrClosed) {
 			return
 		}
--- a/instance/relay/serve.go
+++ b/instance/relay/serve.go
@@ -36,6 +36,10 @@
 	if r.readErr != nil {
 		return s.refuseMessage(c, r)
 	}
+	if c.rejectsNext {
+		c.rejectsNext = false
+		return s.refuse(c, r, errOverloaded)
+	}
 	if v := s.admit(r); v != nil {
 		return s.refuse(c, r, v)
 	}
--- a/instance/serving/work.go
+++ b/instance/serving/work.go
@@ -103,12 +103,15 @@
 	Routes []RouteLoad `codec:"r,omitempty"`
 	// Organisations is unknown to instances of an older build, which ignore it.
 	Organisations []OrganisationLoad `codec:"o,omitempty"`
+	// Overloaded counts the instances that have too little CPU time for many of their requests. Instances of an
+	// older build ignore it.
+	Overloaded int `codec:"c,omitempty"`
 }
 
 // maxOrganisations bounds the organisations in a sum, for all routes together: the largest ones are kept.
 const maxOrganisations = 128
 
-func (w *Work) empty() bool { return len(w.Loads)+len(w.Routes) == 0 }
+func (w *Work) empty() bool { return len(w.Loads)+len(w.Routes)+w.Overloaded == 0 }
 
 // subtract removes the work of one instance. A sum that was computed before the instance's
 // latest report may lack some of it, so no value falls below zero.
@@ -133,14 +136,16 @@
 	routes map[routeKey]*RouteLoad
 	// organisations holds recent work in prompt tokens.
 	organisations map[organisationKey]int
+	overloaded    int
 }
 
-func newSum() sum {
-	return sum{map[uint64]*Load{}, map[routeKey]*RouteLoad{}, map[organisationKey]int{}}
+func newSum() *sum {
+	return &sum{loads: map[uint64]*Load{}, routes: map[routeKey]*RouteLoad{}, organisations: map[organisationKey]int{}}
 }
 
 // add adds work, or subtracts it if sign is -1.
-func (s sum) add(w *Work, sign int) {
+func (s *sum) add(w *Work, sign int) {
+	s.overloaded = max(0, s.overloaded+sign*w.Overloaded)
 	for i := range w.Loads {
 		l := &w.Loads[i]
 		if s.loads[l.FirstIndex] == nil {
@@ -164,7 +169,7 @@
 }
 
 // addAll adds the reports that are at most maxLoadAge old and deletes the others.
-func (s sum) addAll(now time.Time, reports map[string]loadReport) {
+func (s *sum) addAll(now time.Time, reports map[string]loadReport) {
 	for name, r := range reports {
 		if now.Sub(r.at) > maxLoadAge {
 			delete(reports, name)
@@ -175,7 +180,8 @@
 }
 
 // work returns the sum without empty entries.
-func (s sum) work() (w Work) {
+func (s *sum) work() (w Work) {
+	w.Overloaded = s.overloaded
 	for _, l := range s.loads {
 		if l.Active+l.QueuedTokens+l.UsedTokens > 0 {
 			w.Loads = append(w.Loads, *l)
