--- a/instance/relay/attempt.go
+++ b/instance/relay/attempt.go
@@ -11,7 +11,6 @@
 	"github.com/comfreyladder/comfreyladder/core/fault"
 	"github.com/comfreyladder/comfreyladder/instance/clock"
 	"github.com/comfreyladder/comfreyladder/instance/http1"
-	"github.com/comfreyladder/comfreyladder/instance/tcpconn"
 )
 
 // outcome is what is known of an attempt once the head of the response was received or the attempt
@@ -227,9 +226,7 @@
 			return err
 		}
 		a.heard()
-		if lag, ok := tcpconn.SinceArrival(a.conn.nc); ok {
-			a.s.observeLag(lag)
-		}
+		a.s.observeResponse(a.conn.nc)
 		if a.head.Status/100 == 1 {
 			continue
 		}
--- a/instance/relay/config.go
+++ b/instance/relay/config.go
@@ -124,7 +124,9 @@
 	OnLoadChange func()
 	// Slots grants slots of plain services; nil if nobody does.
 	Slots Slots
-	Log   *eventlog.Sink
+	// ShedOverload leaves new connections unread while this instance has too little CPU time.
+	ShedOverload bool
+	Log          *eventlog.Sink
 }
 
 const (
--- a/instance/relay/overload.go
+++ b/instance/relay/overload.go
@@ -22,7 +22,8 @@
 // maxPeekedHead is how much of a request is looked at to find its route before it is read, in bytes.
 const maxPeekedHead = 1 << 10
 
-// overloadGuard leaves connections unread while this instance has too little CPU time.
+// overloadGuard leaves connections unread while this instance has too little CPU time. It is idle unless
+// Config.ShedOverload is set.
 type overloadGuard struct {
 	mu         sync.Mutex
 	controller *overload.Controller
@@ -104,6 +105,16 @@
 	g.mu.Unlock()
 }
 
+// observeResponse records the lag of a response on a connection to an upstream.
+func (s *Service) observeResponse(nc net.Conn) {
+	if !s.cfg.ShedOverload {
+		return
+	}
+	if lag, ok := tcpconn.SinceArrival(nc); ok {
+		s.observeLag(lag)
+	}
+}
+
 // acceptConn accepts a connection. While this instance is overloaded, it leaves others unread or rejects
 // their requests.
 func (s *Service) acceptConn() (net.Conn, error) {
@@ -200,6 +211,9 @@
 
 // leftUnread waits for the first bytes on a new connection and reports whether it was closed unread.
 func (c *conn) leftUnread() bool {
+	if !c.s.cfg.ShedOverload {
+		return false
+	}
 	lag, err := tcpconn.AwaitArrival(c.nc)
 	if err != nil {
 		return false
--- a/instance/relay/relay.go
+++ b/instance/relay/relay.go
@@ -117,10 +117,12 @@
 		return err
 	}
 	s.listener, s.started = l, time.Now()
-	s.overload.controller = overload.New(s.started, cpuTime())
 	s.listening.Store(true)
+	if s.cfg.ShedOverload {
+		s.overload.controller = overload.New(s.started, cpuTime())
+		s.running.Go(s.watchOverload)
+	}
 	s.running.Go(s.accept)
-	s.running.Go(s.watchOverload)
 	s.running.Go(s.housekeep)
 	return nil
 }
--- a/instance/roles/config.go
+++ b/instance/roles/config.go
@@ -50,7 +50,9 @@
 	WarmUp WarmUp
 	// SlotGrants makes an instance with few slots of its own ask the control group for slots of plain services.
 	SlotGrants bool
-	MemoryMB   int
+	// ShedOverload makes an instance with too little CPU time leave new connections unread, as in relay.Config.
+	ShedOverload bool
+	MemoryMB     int
 	// EventBytes bounds one event of a stream, as in relay.Config.
 	EventBytes int
 	// Dial opens connections to upstreams, as in relay.Config; nil selects the default.
--- a/instance/roles/edge.go
+++ b/instance/roles/edge.go
@@ -168,7 +168,7 @@
 			Budget: p.cfg.Budget, Announce: p.cfg.Announce, DrainTimeout: p.cfg.Grace - 2*stopMargin, Log: p.events,
 			Quarantine: recorder, Limits: limits, Permits: permits, Origins: origins, Dial: p.cfg.Dial, Tunnels: tunnels, OnDrain: tunnels.Retire, OnLoadChange: state.PushLoads,
 			BodyBytes: p.memoryShare(bodyMemoryShare), AnswerBytes: p.memoryShare(answerMemoryShare),
-			EventBytes: p.cfg.EventBytes,
+			EventBytes: p.cfg.EventBytes, ShedOverload: p.cfg.ShedOverload,
 		}
 		if p.cfg.SlotGrants {
 			cfg.Slots = state
--- a/proof/deployed/crowding_test.go
+++ b/proof/deployed/crowding_test.go
@@ -80,6 +80,7 @@
 // newCrowd starts a deployment whose edges may use a share of a CPU core each, zero for no limit.
 func newCrowd(t *testing.T, cpu float64) *crowd {
 	s := &crowd{site: newSite(t), rng: rand.New(rand.NewPCG(5, 8))}
+	s.bounds = ", shed-overload: true"
 	for i := range 3 {
 		n := s.add(fmt.Sprint("core-", i+1), 1+i, true)
 		s.cores = append(s.cores, n)
