--- a/proof/deployed/soak_endless_test.go
+++ b/proof/deployed/soak_endless_test.go
@@ -73,6 +73,7 @@
 		return true
 	}
 	defer func() { _ = c.Close() }()
+	l.r.w.ledger.endless.Store(attempt, true)
 	what, begun, sent := soakEndless[*kind], time.Now(), 0
 	if rest, ok := strings.CutPrefix(what.first, "head"); ok {
 		head := "HTTP/1.1 200 OK\r\nAttempt-Id: %s\r\nRunner-Seal: seal %s\r\nTransfer-Encoding: chunked\r\n\r\n%s"
--- a/proof/deployed/soak_ledger_test.go
+++ b/proof/deployed/soak_ledger_test.go
@@ -62,6 +62,8 @@
 	promised map[string]int // attempts that were told not to have run, by status
 	arrivals []arrival
 	failures []string
+	// endless holds the attempts to which a runner sent what has no end.
+	endless sync.Map
 	// failed counts all failures of each kind, of which some are kept.
 	failed map[string]int
 
