--- /dev/null
+++ b/review/harness/restarted.go
@@ -0,0 +1,66 @@
+package main
+
+import (
+	"fmt"
+	"time"
+)
+
+const (
+	// restartGap is the time between two restarts, restartDown how long a runner is away, and reportLate how
+	// long the reports of a restarted runner are under way.
+	restartGap  = time.Second
+	restartDown = 200 * time.Millisecond
+	reportLate  = 2 * time.Second
+	// toleratedMixed is how many streams may hold events of two software versions.
+	toleratedMixed = 2
+)
+
+// restartedVersion restarts the runners of a service under their ids with another version of their software.
+func restartedVersion(rec *record, trouble bool) bool {
+	s := newSite(rec, 3, 3)
+	cleanup = s.close
+	s.startAll()
+	s.put(streamsConfig(1))
+	var runners []*runner
+	for i := range 6 {
+		r := s.newRunner(fmt.Sprintf("i-%08x", 0x7f3a9100+i), "sleep-llm", zones[i%3], 201+i, 64)
+		r.serve = serveStream
+		r.start("v1", 0)
+		runners = append(runners, r)
+	}
+	for _, e := range s.edges {
+		await("an edge is not ready", 20*time.Second, e.isReady)
+	}
+	time.Sleep(3 * time.Second)
+	stop := make(chan struct{})
+	ended := make(chan []*stream)
+	go func() { ended <- s.load(9, stop) }()
+	time.Sleep(6 * time.Second)
+	for _, r := range runners[:4] {
+		if trouble {
+			rec.line("crash     %s", r.id)
+			r.crash()
+			time.Sleep(restartDown)
+			rec.line("start     %s under the same id, software v2, its reports come %v late", r.id, reportLate)
+			r.start("v2", reportLate)
+		} else {
+			time.Sleep(restartDown)
+		}
+		time.Sleep(restartGap - restartDown)
+	}
+	time.Sleep(5 * time.Second)
+	close(stop)
+	streams := <-ended
+	mixed, whole := 0, 0
+	for _, t := range streams {
+		if len(t.versions) > 1 {
+			mixed++
+			rec.line("mixed     the stream that attempt %s began: events by software %v", t.first, names(t.versions))
+		}
+		if t.complete {
+			whole++
+		}
+	}
+	rec.say("%d streams, %d complete, %d hold events of two software versions (%d allowed)", len(streams), whole, mixed, toleratedMixed)
+	return mixed > toleratedMixed
+}
