--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -12,6 +12,7 @@
 var cases = map[string]func(rec *record, trouble bool) (broken bool){
 	"restarted-version": restartedVersion,
 	"forgotten-version": forgottenVersion,
+	"truncated-answer":  truncatedAnswer,
 }
 
 func main() {
