review: keep the truncated answers inside the doses of the site

Tried: two of four runners reset 5 in 100 of their answers for 5 s, six times, answers of 40 to 240 KB at 60 a second. Now 90 requests a second and answers of 90 KB or more.

--- a/review/harness/truncated.go
+++ b/review/harness/truncated.go
@@ -18,12 +18,14 @@
 const (
 	// faultyRunners of the runners reset faultyShare of their answers on the way.
 	answerRunners, faultyRunners = 4, 2
-	faultyShare                  = 0.03
+	faultyShare                  = 0.05
+	// They do so for faultyFor, again and again after calmFor.
+	faultyFor, calmFor = 5 * time.Second, 5 * time.Second
 	// answersPerSecond are asked for answersFor.
-	answersPerSecond = 60
-	answersFor       = 45 * time.Second
+	answersPerSecond = 90
+	answersFor       = 60 * time.Second
 	// minAnswer and maxAnswer bound the size of an answer.
-	minAnswer, maxAnswer = 40 << 10, 240 << 10
+	minAnswer, maxAnswer = 90 << 10, 240 << 10
 	answerLimit          = 4 * time.Second
 )
 
@@ -43,7 +45,7 @@
 }
 
 // serveAnswer answers without a length: the answer ends with its channel. A faulty runner resets some on the way.
-func serveAnswer(faulty bool, resets *atomic.Int64) func(l *life, w http.ResponseWriter, q *http.Request) {
+func serveAnswer(faulty bool, span *atomic.Bool, resets *atomic.Int64) func(l *life, w http.ResponseWriter, q *http.Request) {
 	return func(l *life, w http.ResponseWriter, q *http.Request) {
 		id := q.Header.Get("Attempt-Id")
 		_, _ = io.Copy(io.Discard, q.Body)
@@ -55,7 +57,7 @@
 		body := answerOf(id)
 		time.Sleep(time.Duration(20+rand.IntN(40)) * time.Millisecond)
 		head := fmt.Sprintf("HTTP/1.1 200 OK\r\nAttempt-Id: %s\r\nRunner-Seal: %s.%d.%s\r\nContent-Type: application/json\r\nConnection: close\r\n\r\n", id, l.id, l.born, id)
-		if !faulty || rand.Float64() >= faultyShare {
+		if !faulty || !span.Load() || rand.Float64() >= faultyShare {
 			l.s.record.line("run       attempt %s at %s, answers %d bytes and closes", id, l.id, len(body))
 			_, _ = io.WriteString(c, head+body)
 			return
@@ -75,9 +77,10 @@
 	s.startAll()
 	s.put(answersConfig())
 	var resets atomic.Int64
+	var span atomic.Bool
 	for i := range answerRunners {
 		r := s.newRunner(fmt.Sprintf("i-%08x", 0x7f3a9200+i), "band-gateway", zones[i%3], 201+i, 6)
-		r.serve = serveAnswer(trouble && i < faultyRunners, &resets)
+		r.serve = serveAnswer(i < faultyRunners, &span, &resets)
 		r.start("v1", 0)
 	}
 	for _, e := range s.edges {
@@ -88,8 +91,10 @@
 	var sent, served, cut atomic.Int64
 	ticker := time.NewTicker(time.Second / answersPerSecond)
 	defer ticker.Stop()
-	for until := time.Now().Add(answersFor); time.Now().Before(until); {
+	begun := time.Now()
+	for time.Since(begun) < answersFor {
 		<-ticker.C
+		span.Store(trouble && time.Since(begun)%(faultyFor+calmFor) < faultyFor)
 		n := int(sent.Add(1))
 		all.Go(func() {
 			switch s.ask(n) {
