--- a/review/harness/runner.go
+++ b/review/harness/runner.go
@@ -27,7 +27,7 @@
 	version  string
 	born     int64
 	sequence atomic.Int64
-	// late is how long its liveness reports are under way.
+	// late is how long its first liveness report is under way.
 	late   time.Duration
 	server *http.Server
 	conns  sync.Map
@@ -110,7 +110,9 @@
 func (l *life) report(state string, first int) {
 	body := fmt.Sprintf(`{"service":%q,"address":%q,"zone":%q,"version":%q,"slots":%d,"state":%q,"warmup-left-ms":0,"phase":"both","model-list":[{"name":"m","version":1,"adapter-list":[]}],"sequence":%d,"born":%d}`,
 		l.service, l.address, l.zone, l.version, l.slots, state, l.sequence.Add(1), l.born)
-	time.Sleep(l.late)
+	if first == 0 {
+		time.Sleep(l.late)
+	}
 	for i := range l.s.cores {
 		core := l.s.cores[(first+i)%len(l.s.cores)]
 		status, _ := call("PUT", "http://"+core.at(l.s.control)+"/instances/"+l.id, body)
