Responses: a status below 100 is no answer

Callers got answers with the status 000, 001 or 099 of an upstream in trouble, plain ones and those of streams, with the upstream's fields and body. The upstream counted as sound and kept being chosen.

Cause: the reader of responses took any three digits for a status. What follows treats everything below 500 as a success of the upstream, and needs the seal only of what begins with 2.

The head is now malformed, as with any other line that is no status line (RFC 9110, section 15). The existing way for such heads does the rest: the outcome is unknown, the request is repeated elsewhere only if it may run again, the upstream counts as failed, its connection is closed. All of the relay and the health checks read heads there. A late response to another request before the one that is awaited is covered too, as is a claim that the request was not run.

--- a/instance/http1/head.go
+++ b/instance/http1/head.go
@@ -166,30 +166,45 @@
 	return nil
 }
 
-// ReadResponse reads the head of the response to a request with the given method.
+// ReadResponse reads the head of the response to a request with the given method, of at most limit bytes.
+// It fails with io.EOF if the connection ended before, with ErrHeadTooLarge, or with fault.Invalid.
 func (h *Head) ReadResponse(r *bufio.Reader, limit int, method string) error {
 	if err := h.readRaw(r, limit); err != nil {
 		return err
 	}
+	rest, err := h.parseStatusLine()
+	if err != nil {
+		return err
+	}
+	if err := h.parseFields(rest); err != nil {
+		return err
+	}
+	return h.parseResponseFraming(method)
+}
+
+// minStatus is the lowest status code of a response; see RFC 9110, section 15.
+const minStatus = 100
+
+func (h *Head) parseStatusLine() ([]byte, error) {
 	line, rest, ok := cutLine(h.raw)
 	if !ok || len(line) < len("HTTP/1.1 200") || line[8] != ' ' {
-		return malformed("status line")
+		return nil, malformed("status line")
 	}
 	if err := h.parseVersion(line[:8]); err != nil {
-		return err
+		return nil, err
 	}
 	h.Status = 0
 	for _, c := range line[9:12] {
 		if c < '0' || c > '9' {
-			return malformed("status")
+			return nil, malformed("status")
 		}
 		h.Status = h.Status*10 + int(c-'0')
 	}
-	h.Reason = bytes.TrimSpace(line[12:])
-	if err := h.parseFields(rest); err != nil {
-		return err
+	if h.Status < minStatus {
+		return nil, malformed("status")
 	}
-	return h.parseResponseFraming(method)
+	h.Reason = bytes.TrimSpace(line[12:])
+	return rest, nil
 }
 
 func cutLine(b []byte) (line, rest []byte, ok bool) {
