Own daemon: heads of answers are read as strictly as elsewhere

The own daemon took answers for whole that were none: with the status 000, which its parser tells as 200; with 001 and 099, which it took for interim ones; with blanks in and after the names of fields, of which it passed the line on or used it, also as the request's ID or as the proof that the request had not run; with folded lines. Engines' streams, plain services, orders to engines and calls to the provider read answers so.

Cause: two parsers of responses. instance/http1 is strict, but instance/upstream read heads with fasthttp, which is lenient on purpose.

instance/upstream reads heads and bodies by http1 now. A malformed head is an outcome that is not known, its connection is not used again. What was bounded stays so: 8 KiB for a head, the limits of bodies, the time for trailers.

--- a/instance/upstream/attempt.go
+++ b/instance/upstream/attempt.go
@@ -47,7 +47,11 @@
 	target Target
 	id     string
 	conn   *conn
-	resp   *fasthttp.Response
+	method string
+	// head is that of the answer, body its body, of which content has been read by readBody.
+	head    http1.Head
+	body    http1.Body
+	content []byte
 	// detach stops the watch on ctx. It returns false if ctx ended first.
 	detach func() bool
 	// allowNoID accepts an answer without a request ID. missingID means that the answer has
@@ -90,7 +94,7 @@
 		}
 	}
 	cn.notAfter = opt.notAfter
-	a := &attempt{client: c, ctx: ctx, target: t, id: id, conn: cn, allowNoID: opt.allowNoID, resp: &fasthttp.Response{}, incarnation: c.gates.incarnationOf(t.Name)}
+	a := &attempt{client: c, ctx: ctx, target: t, id: id, conn: cn, method: string(req.Header.Method()), allowNoID: opt.allowNoID, incarnation: c.gates.incarnationOf(t.Name)}
 	// Closing the connection interrupts a pending read or write when ctx ends.
 	a.detach = context.AfterFunc(ctx, func() { _ = cn.raw.Close() })
 	if failed := a.exchange(req, opt.firstByte(c.cfg, cn.reused)); failed != nil {
@@ -136,10 +140,15 @@
 
 func (a *attempt) readHeader() error {
 	for range maxInterim {
-		if err := a.resp.Header.Read(a.conn.br); err != nil {
+		err := a.head.ReadResponse(a.conn.br, readBuffer, a.method)
+		if errors.Is(err, http1.ErrHeadTooLarge) {
+			return fault.Wrap(err, fault.OutcomeUnknown, "the head of the answer")
+		}
+		if err != nil {
 			return err
 		}
-		if a.resp.StatusCode() >= fasthttp.StatusOK {
+		if a.head.Status >= fasthttp.StatusOK {
+			a.body.Reset(a.conn.br, &a.head)
 			return nil
 		}
 	}
@@ -150,7 +159,7 @@
 // reach the wrong caller. The ID that the upstream repeats reveals this, whether the
 // connection or the upstream mixed the answers up.
 func (a *attempt) checkID() *AttemptError {
-	got := string(a.resp.Header.Peek(HeaderRequestID))
+	got := string(a.head.Get(HeaderRequestID))
 	if got == a.id {
 		return nil
 	}
@@ -164,16 +173,11 @@
 // readBody reads the whole body. Truncation of an answer without a stated length cannot be
 // detected, so such an answer counts as broken.
 func (a *attempt) readBody(limit int) *AttemptError {
-	r := a.resp
-	if hasNoBody(r.StatusCode()) || r.SkipBody {
-		return nil
-	}
-	length := r.Header.ContentLength()
-	if length < -1 {
+	if a.head.Framing == http1.ByClose {
 		return unknown(a.target, fault.New(fault.OutcomeUnknown, "the answer has neither a length nor chunks: truncation cannot be detected"))
 	}
-	err := a.readInto(r, length, limit)
-	if errors.Is(err, fasthttp.ErrBodyTooLarge) {
+	err := a.readContent(limit)
+	if errors.Is(err, http1.ErrBodyTooLarge) {
 		return unknown(a.target, fault.New(fault.TooLarge, "the answer is larger than %d bytes", limit))
 	}
 	if err != nil {
@@ -182,60 +186,49 @@
 	return nil
 }
 
-// readInto reads a body of the given length, or in chunks if that is -1.
-func (a *attempt) readInto(r *fasthttp.Response, length, limit int) error {
-	if length >= 0 {
-		return r.ReadBody(a.conn.br, limit)
+// readContent reads a body that has a length or is in chunks.
+func (a *attempt) readContent(limit int) error {
+	if a.head.Framing == http1.ByChunks {
+		a.body.OnWait(func(w http1.Wait) {
+			a.conn.roll(w == http1.ForData)
+			if w == http1.ForTrailers {
+				a.conn.readDeadline = time.Now().Add(trailerTimeout)
+			}
+		})
+	}
+	if a.body.Announced() > int64(limit) {
+		return http1.ErrBodyTooLarge
 	}
-	body := a.chunks()
-	body.OnWait(func(w http1.Wait) {
-		a.conn.roll(w == http1.ForData)
-		if w == http1.ForTrailers {
-			a.conn.readDeadline = time.Now().Add(trailerTimeout)
-		}
-	})
 	var b []byte
-	for !body.Complete() {
+	for !a.body.Complete() {
 		b = slices.Grow(b, minRead)
-		n, err := body.Read(b[len(b):cap(b)])
+		n, err := a.body.Read(b[len(b):cap(b)])
 		b = b[:len(b)+n]
-		if int64(len(b))+body.Announced() > int64(limit) {
-			return fasthttp.ErrBodyTooLarge
+		if int64(len(b))+a.body.Announced() > int64(limit) {
+			return http1.ErrBodyTooLarge
 		}
-		if err != nil && !body.Complete() {
+		if err != nil && !a.body.Complete() {
 			return err
 		}
 	}
-	r.SetBodyRaw(b)
-	a.tainted = body.Tainted()
+	a.content, a.tainted = b, a.body.Tainted()
 	return nil
 }
 
-// chunks returns the body of an answer in chunks.
-func (a *attempt) chunks() *http1.Body {
-	body := &http1.Body{}
-	body.Reset(a.conn.br, &http1.Head{Framing: http1.ByChunks})
-	return body
-}
-
-func hasNoBody(status int) bool {
-	return status == fasthttp.StatusNoContent || status == fasthttp.StatusNotModified
-}
-
 // refusal reads an unsuccessful answer and returns it as an error.
 func (a *attempt) refusal() *AttemptError {
 	if failed := a.readBody(maxErrorBody); failed != nil {
 		a.abandonFailed(failed)
 		return failed
 	}
-	status := a.resp.StatusCode()
+	status := a.head.Status
 	out := unknown(a.target, fault.New(codeOfStatus(status), "the upstream answered %d", status))
 	if a.reportsNotRun() {
 		out.Evidence = Refused
 		out.fault = fault.New(fault.NotRun, "the upstream answered %d and reported that it did not run the request", status)
 	}
 	out.Reused = a.conn.reused
-	out.Status, out.Body = status, append([]byte(nil), a.resp.Body()...)
+	out.Status, out.Body = status, a.content
 	a.finish()
 	return out
 }
@@ -243,8 +236,8 @@
 // reportsNotRun accepts as proof only an answer with the request's own ID: the refusal of
 // another request proves nothing about this one.
 func (a *attempt) reportsNotRun() bool {
-	return a.resp.StatusCode() == fasthttp.StatusServiceUnavailable && !a.missingID &&
-		string(a.resp.Header.Peek(HeaderNotRun)) == "true"
+	return a.head.Status == fasthttp.StatusServiceUnavailable && !a.missingID &&
+		string(a.head.Get(HeaderNotRun)) == "true"
 }
 
 func codeOfStatus(status int) fault.Code {
@@ -263,7 +256,7 @@
 func (a *attempt) finish() {
 	alive := a.detach()
 	a.conn.restoreLinger()
-	if alive && !a.conn.detour && !a.missingID && !a.tainted && a.conn.notAfter.IsZero() && !a.resp.Header.ConnectionClose() && a.conn.br.Buffered() == 0 {
+	if alive && !a.conn.detour && !a.missingID && !a.tainted && a.conn.notAfter.IsZero() && !a.head.Close && a.conn.br.Buffered() == 0 {
 		a.conn.keep()
 		return
 	}
--- a/instance/upstream/call.go
+++ b/instance/upstream/call.go
@@ -108,7 +108,6 @@
 	if failed != nil {
 		return nil, failed
 	}
-	a.resp.SkipBody = call.Method == fasthttp.MethodHead
 	if a.reportsNotRun() {
 		return nil, a.refusal()
 	}
@@ -122,10 +121,11 @@
 }
 
 func (a *attempt) answer() *Answer {
-	out := &Answer{Status: a.resp.StatusCode(), Body: append([]byte(nil), a.resp.Body()...)}
-	for k, v := range a.resp.Header.All() {
-		if name := string(k); !hopHeaders[name] {
-			out.Headers = append(out.Headers, Header{Name: name, Value: string(v)})
+	out := &Answer{Status: a.head.Status, Body: a.content}
+	for i := range a.head.Fields {
+		f := &a.head.Fields[i]
+		if name := canonical(string(f.Name)); !hopHeaders[name] {
+			out.Headers = append(out.Headers, Header{Name: name, Value: string(f.Value)})
 		}
 	}
 	return out
--- a/instance/upstream/gates.go
+++ b/instance/upstream/gates.go
@@ -144,9 +144,9 @@
 	if a.client.cfg.IgnoreAsks {
 		return
 	}
-	h := &a.resp.Header
-	ask := backpressure.Parse(a.resp.StatusCode(), string(h.Peek(headerRetryAfter)), string(h.Peek(HeaderLeaving)), time.Now())
-	if tolerated, brittle := backpressure.ParseBrittle(string(h.Peek(HeaderBrittle))); brittle && a.reportsNotRun() {
+	h := &a.head
+	ask := backpressure.Parse(h.Status, string(h.Get(headerRetryAfter)), string(h.Get(HeaderLeaving)), time.Now())
+	if tolerated, brittle := backpressure.ParseBrittle(string(h.Get(HeaderBrittle))); brittle && a.reportsNotRun() {
 		ask.Pause = max(ask.Pause, backpressure.RejectionPause(tolerated, a.client.cfg.instances()))
 	}
 	if ask != (backpressure.Ask{}) {
--- a/instance/upstream/stream.go
+++ b/instance/upstream/stream.go
@@ -13,6 +13,7 @@
 
 	"github.com/comfreyladder/comfreyladder/core/fault"
 	"github.com/comfreyladder/comfreyladder/instance/chat"
+	"github.com/comfreyladder/comfreyladder/instance/http1"
 )
 
 const (
@@ -135,25 +136,14 @@
 	if failed != nil {
 		return nil, failed
 	}
-	if a.resp.StatusCode() != fasthttp.StatusOK {
+	if a.head.Status != fasthttp.StatusOK {
 		return nil, a.refusal()
 	}
-	if !bytes.HasPrefix(a.resp.Header.ContentType(), []byte("text/event-stream")) {
+	if !bytes.HasPrefix(a.head.Get(fasthttp.HeaderContentType), []byte("text/event-stream")) {
 		a.abandon()
-		return nil, unknown(t, fault.New(fault.OutcomeUnknown, "the answer has the content type %q, not an event stream", a.resp.Header.ContentType()))
+		return nil, unknown(t, fault.New(fault.OutcomeUnknown, "the answer has the content type %q, not an event stream", a.head.Get(fasthttp.HeaderContentType)))
 	}
-	return &Stream{a: a, last: after, events: newEventReader(a.body(), c.cfg.MaxAnswer, c.cfg.MaxEvent, a.conn.progress)}, nil
-}
-
-// body returns the body without its transfer coding.
-func (a *attempt) body() io.Reader {
-	switch n := a.resp.Header.ContentLength(); {
-	case n == -1:
-		return a.chunks()
-	case n >= 0:
-		return io.LimitReader(a.conn.br, int64(n))
-	}
-	return a.conn.br
+	return &Stream{a: a, last: after, events: newEventReader(&a.body, c.cfg.MaxAnswer, c.cfg.MaxEvent, a.conn.progress)}, nil
 }
 
 // Next returns the next event, and io.EOF only after the end marker. A stream that ends before
@@ -256,7 +246,7 @@
 // finish keeps the connection if the body ends right after the end marker.
 func (s *Stream) finish() {
 	s.a.conn.readDeadline = time.Now().Add(bodyEndTimeout)
-	if s.a.resp.Header.ContentLength() < -1 || s.events.drain() != nil {
+	if s.a.head.Framing == http1.ByClose || s.events.drain() != nil {
 		s.a.abandon()
 		return
 	}
