Responses without a length: a reset is not lost between two limits

Cause: Body.ReadAll told that the limit was exceeded instead of the error of the same read, where a pooled buffer had taken more than the limit by then. Whoever reads step by step raised the limit and read on. The kernel reports a reset once; what follows is the end of the input, by which a body without a length is complete. A response that is forwarded in chunks lost the error in the same way.

An error goes before the limit now, and a body that has failed stays so, whoever reads it next and whatever its framing.

--- a/instance/http1/body.go
+++ b/instance/http1/body.go
@@ -36,7 +36,7 @@
 )
 
 // Body reads the body of one message. Read returns io.EOF only after the complete body; it fails
-// with io.ErrUnexpectedEOF if the connection ends before.
+// with io.ErrUnexpectedEOF if the connection ends before. A body that has failed stays so.
 type Body struct {
 	r       *bufio.Reader
 	framing Framing
@@ -51,7 +51,8 @@
 	waiting Wait
 	onWait  func(Wait)
 	tainted bool
-	// failed is the error of what was read ahead.
+	// failed is the error that ended the body, also if it was met while reading ahead. A connection tells
+	// some errors only once, and the end of its input after them.
 	failed error
 }
 
@@ -88,9 +89,20 @@
 
 // Read implements io.Reader.
 func (b *Body) Read(p []byte) (int, error) {
-	if b.complete {
+	switch {
+	case b.complete:
 		return 0, io.EOF
+	case b.failed != nil:
+		return 0, b.failed
+	}
+	n, err := b.read(p)
+	if err != nil && !b.complete {
+		b.failed = err
 	}
+	return n, err
+}
+
+func (b *Body) read(p []byte) (int, error) {
 	switch b.framing {
 	case ByLength:
 		return b.readFixedLength(p)
@@ -115,9 +127,6 @@
 }
 
 func (b *Body) readChunked(p []byte) (int, error) {
-	if b.failed != nil {
-		return 0, b.failed
-	}
 	if b.remaining == 0 {
 		if err := b.readChunkSize(); err != nil || b.complete {
 			if err == nil {
@@ -286,7 +295,7 @@
 }
 
 // ReadAll appends the whole body to buf and returns it. It fails with ErrBodyTooLarge if the
-// result exceeds limit bytes.
+// result exceeds limit bytes; reading may go on with a larger limit.
 func (b *Body) ReadAll(buf []byte, limit int64) ([]byte, error) {
 	if b.framing == ByLength {
 		if b.remaining > limit {
@@ -303,12 +312,12 @@
 		}
 		n, err := b.Read(buf[len(buf):cap(buf)])
 		buf = buf[:len(buf)+n]
-		if int64(len(buf)) > limit {
-			return buf, ErrBodyTooLarge
-		}
 		if err != nil && !b.complete {
 			return buf, err
 		}
+		if int64(len(buf)) > limit {
+			return buf, ErrBodyTooLarge
+		}
 	}
 	return buf, nil
 }
