Dialled connections: a reset that a writer met is reported to the reader

A caller with a long upload got a part of a response as a complete 200. Where the upstream has stopped reading, it did not show.

Cause: a long request is written by another goroutine than the one that reads the response, and the kernel reports a reset once, to whichever comes first. If that is the writer, the reader meets the end of the input, by which a response without a length is complete.

A connection that this process has dialled keeps the reset that a writer met. At the end of the input the reader ends a write that is still under way and learns of it, so that the order of the two does not matter. An orderly end stays one, also if a reset comes after it, as after a close with unread input: the kernel reports that as EPIPE. Upstreams, tunnels and links are dialled here. The own daemon takes no plain answer without a length, and streams of engines need their end marker.

--- a/instance/tcpconn/arrival.go
+++ b/instance/tcpconn/arrival.go
@@ -89,7 +89,7 @@
 
 // Reset closes a connection such that its peer learns that nothing was read.
 func Reset(nc net.Conn) {
-	if tcp, ok := nc.(*Conn); ok {
+	if tcp, ok := nc.(interface{ SetLinger(seconds int) error }); ok {
 		_ = tcp.SetLinger(0)
 	}
 	_ = nc.Close()
--- a/instance/tcpconn/silence.go
+++ b/instance/tcpconn/silence.go
@@ -22,12 +22,15 @@
 var dialer = net.Dialer{KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveProbes}}
 
 // Dial opens a TCP connection that notices within some four seconds that its peer is gone, and bears one
-// that is silent for less than two.
+// that is silent for less than two. Its reads fail with io.EOF only after the peer has closed its side in order.
 func Dial(ctx context.Context, network, address string) (net.Conn, error) {
 	c, err := dialer.DialContext(ctx, network, address)
 	if err != nil {
 		return nil, err
 	}
 	SetUserTimeout(c, silenceTimeout)
-	return Wrap(c), nil
+	if tcp, ok := c.(*net.TCPConn); ok {
+		return &dialled{Conn: Conn{tcp}}, nil
+	}
+	return c, nil
 }
--- a/instance/tunnel/tunnel_test.go
+++ b/instance/tunnel/tunnel_test.go
@@ -17,6 +17,7 @@
 	"github.com/comfreyladder/comfreyladder/core/fault"
 	"github.com/comfreyladder/comfreyladder/core/reach"
 	"github.com/comfreyladder/comfreyladder/instance/link"
+	"github.com/comfreyladder/comfreyladder/instance/tcpconn"
 	"github.com/comfreyladder/comfreyladder/instance/tunnel"
 )
 
@@ -47,8 +48,7 @@
 }
 
 func directly(ctx context.Context, t reach.Target) (net.Conn, error) {
-	var d net.Dialer
-	c, err := d.DialContext(ctx, "tcp4", t.Address)
+	c, err := tcpconn.Dial(ctx, "tcp4", t.Address)
 	if err != nil {
 		return nil, fault.Wrap(err, fault.Unavailable, "connect")
 	}
@@ -165,6 +165,27 @@
 	}
 }
 
+// Guards against an answer without a length that looks complete because the instance between met the reset of
+// the upstream while it still wrote the request.
+func TestResetDuringTheRequestIsNoOrderlyEnd(t *testing.T) {
+	RegisterTestingT(t)
+	const part, request = 64 << 10, 4 << 20
+	to := listen(t, func(up *net.TCPConn) {
+		_, _ = io.WriteString(up, strings.Repeat("a", part))
+		_, _ = io.CopyN(io.Discard, up, request/2)
+		_ = up.SetLinger(0)
+		_ = up.Close()
+	})
+	i := newInstance(t, newInstance(t))
+	for range 60 {
+		c := open(t, i, to)
+		go func() { _, _ = c.Write(make([]byte, request)) }()
+		_, err := io.ReadAll(c)
+		Expect(err).To(HaveOccurred())
+		_ = c.Close()
+	}
+}
+
 // Guards against an upstream that works on for a caller who has left.
 func TestUpstreamSeesThatTheTunnelIsClosed(t *testing.T) {
 	RegisterTestingT(t)
