Tests: malformed fields and trailers do not reach callers

Reported from other systems: the name of a field in a response holds a blank or a control byte, and its client gets the line, or a body that is not the upstream's. The relay rejects such heads already: names are tokens, values hold no control bytes, lines end in CR LF and are not folded. Trailers are never forwarded and do not change the body.

21 kinds of lines, each in plain and streamed responses on five routes, in interim and late responses, beside the proof that the request was not run, in trailers, and in the response with which a stream goes on.

--- a/instance/relay/malformed_test.go
+++ b/instance/relay/malformed_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"net"
 	"testing"
 
@@ -57,3 +58,72 @@
 		expectNotForwarded(t, "HTTP/1.1 "+status+" X\r\nX-Id: other\r\nContent-Length: 0\r\n\r\nHTTP/1.1 200 OK\r\nX-Id: %[1]s\r\nX-Seal: s\r\nContent-Length: 4\r\n\r\nsick")
 	}
 }
+
+// invalidFields are header lines that no recipient may take for fields.
+var invalidFields = []string{
+	"A B: c", "A : c", " A: c", "A\tB: c", "A\t: c", "\tA: c", "A\x01B: c", "A\x00: c", "A\x7f: c", "A\u00e9: c", "A: b\r\n c", "A: b\r\n\tc",
+	": c", "A", "A: b\rC: d", "A: b\x00", "A: b\nC: d", "Content-Length : 2", "Transfer-Encoding : chunked", "X-Seal : s", "Content-Length\x01: 2",
+}
+
+// Guards against a response that reaches the caller with a line that is no field, or with another body than the
+// upstream's as such a line was taken for one; also if the line stands in an interim response, or in a late
+// response to another request.
+func TestInvalidFieldIsNoAnswer(t *testing.T) {
+	const id, body = "X-Id: %[1]s\r\nX-Seal: s\r\n", "Content-Length: 4\r\n\r\nsick"
+	for _, line := range invalidFields {
+		expectNotForwarded(t, "HTTP/1.1 200 OK\r\n"+line+"\r\n"+id+body)
+		expectNotForwarded(t, "HTTP/1.1 200 OK\r\n"+id+line+"\r\n"+body)
+		expectNotForwarded(t, "HTTP/1.1 103 X\r\n"+line+"\r\n\r\nHTTP/1.1 200 OK\r\n"+id+body)
+		expectNotForwarded(t, "HTTP/1.1 503 X\r\n"+id+"X-Not-Run: 1\r\n"+line+"\r\n"+body)
+		expectNotForwarded(t, "HTTP/1.1 200 OK\r\nX-Id: other\r\n"+line+"\r\n"+body+"HTTP/1.1 200 OK\r\n"+id+body)
+	}
+}
+
+// Guards against trailers that reach the caller, or change the body, of a response that is whole.
+func TestInvalidTrailerIsNotForwarded(t *testing.T) {
+	for _, line := range invalidFields {
+		t.Run(fmt.Sprintf("%q", line), func(t *testing.T) {
+			trailers := "0\r\n" + line + "\r\n\r\n"
+			up := startUpstream(t, "u", func(_ int, r *received, c net.Conn) bool {
+				text := streamHead(r) + chunk(event(1)) + trailers
+				if r.method == "GET" {
+					text = answerHead(r) + chunk("whole") + trailers
+				}
+				_, err := io.WriteString(c, text)
+				return err == nil
+			})
+			b := start(t, up)
+			for range 3 {
+				plain, streamed := b.caller().call("GET", "/open/", "1", ""), b.caller().call("POST", "/stream/", "2", "x")
+				for _, r := range []reply{plain, streamed} {
+					Expect(r.err).NotTo(HaveOccurred())
+					Expect(r.status).To(Equal(200))
+					Expect(r.header).To(HaveLen(3), "the ID, the seal, and what frames or describes the body")
+				}
+				Expect(plain.body).To(Equal("whole"))
+				Expect(streamed.body).To(Equal(event(1)))
+			}
+		})
+	}
+}
+
+// Guards against a stream that goes on with a malformed response, after the upstream that began it broke off.
+func TestStreamDoesNotGoOnWithAMalformedResponse(t *testing.T) {
+	for _, head := range []string{"HTTP/1.1 000 X\r\n", "HTTP/1.1 200 OK\r\nA B: c\r\n", "HTTP/1.1 200 OK\r\nA\x01: c\r\n"} {
+		t.Run(fmt.Sprintf("%q", head), func(t *testing.T) {
+			script := func(_ int, r *received, c net.Conn) bool {
+				if r.header.Get("X-Last") == "" {
+					return events(c, r, 1, 2, false)
+				}
+				text := head + streamHead(r)[len("HTTP/1.1 200 OK\r\n"):] + chunk(event(3)) + "0\r\n\r\n"
+				_, err := io.WriteString(c, text)
+				return err == nil
+			}
+			one, other := startUpstream(t, "one", script), startUpstream(t, "other", script)
+			r := start(t, one, other).caller().call("POST", "/stream/", "1", "x")
+			Expect(r.err).To(HaveOccurred(), "the stream looks broken")
+			Expect(r.body).To(Equal(event(1) + event(2)))
+			Expect(len(one.requests()) + len(other.requests())).To(Equal(2))
+		})
+	}
+}
