Responses: the whole status line is checked

Found beside the status 000: a response reached the caller as a 200 when its status line went on with a fourth digit, with a tab or directly with the reason, and control bytes of the reason were passed on.

Cause: the reader looked at the first twelve bytes of the line and took all that followed for the reason. A blank is required after the status now (the line may end there), and no control byte may be in the reason (RFC 9112, section 4; RFC 9110, section 5.5).

http1.TestInvalidStatusIsRejected (six more lines) and TestInvalidStatusLineIsNoAnswer (five lines, five routes) fail without the change, each of them.

--- a/instance/http1/head.go
+++ b/instance/http1/head.go
@@ -203,7 +203,11 @@
 	if h.Status < minStatus {
 		return nil, malformed("status")
 	}
-	h.Reason = bytes.TrimSpace(line[12:])
+	reason := line[12:]
+	if len(reason) > 0 && reason[0] != ' ' || !isFieldValue(reason) {
+		return nil, malformed("reason of the status")
+	}
+	h.Reason = bytes.TrimSpace(reason)
 	return rest, nil
 }
 
--- a/instance/http1/malformed_test.go
+++ b/instance/http1/malformed_test.go
@@ -21,13 +21,13 @@
 
 // Guards against a response that is forwarded although its status line is none.
 func TestInvalidStatusIsRejected(t *testing.T) {
-	for _, line := range []string{"HTTP/1.1 000 X", "HTTP/1.1 001 X", "HTTP/1.1 099 X", "HTTP/1.1 000", "HTTP/1.0 000 X", "HTTP/1.1 -10 X", "HTTP/1.1 20 OK"} {
+	for _, line := range []string{"HTTP/1.1 000 X", "HTTP/1.1 001 X", "HTTP/1.1 099 X", "HTTP/1.1 000", "HTTP/1.0 000 X", "HTTP/1.1 -10 X", "HTTP/1.1 20 OK", "HTTP/1.1 2000 OK", "HTTP/1.1 200OK", "HTTP/1.1 200\tOK", "HTTP/1.1 200 O\x00K", "HTTP/1.1 200 O\rK", "HTTP/1.1 200 \x1b[1m"} {
 		_, err := readResponse(line + "\r\nContent-Length: 0\r\n\r\n")
 		if fault.CodeOf(err) != fault.Invalid {
 			t.Errorf("%q: %v", line, err)
 		}
 	}
-	for line, status := range map[string]int{"HTTP/1.1 100 X": 100, "HTTP/1.1 200": 200, "HTTP/1.1 200 ": 200, "HTTP/1.1 599 X": 599} {
+	for line, status := range map[string]int{"HTTP/1.1 100 X": 100, "HTTP/1.1 200": 200, "HTTP/1.1 200 ": 200, "HTTP/1.1 200 O\tK \u00e9": 200, "HTTP/1.1 599 X": 599} {
 		h, err := readResponse(line + "\r\nContent-Length: 0\r\n\r\n")
 		NewWithT(t).Expect(err).NotTo(HaveOccurred(), line)
 		NewWithT(t).Expect(h.Status).To(Equal(status))
--- a/instance/relay/malformed_test.go
+++ b/instance/relay/malformed_test.go
@@ -59,6 +59,14 @@
 	}
 }
 
+// Guards against a status line that is more, or something else, than a status and a reason, and against control
+// bytes that reach the caller in the reason.
+func TestInvalidStatusLineIsNoAnswer(t *testing.T) {
+	for _, line := range []string{"HTTP/1.1 2000 OK", "HTTP/1.1 200OK", "HTTP/1.1 200\tOK", "HTTP/1.1 200 O\x00K", "HTTP/1.1 200 O\rK"} {
+		expectNotForwarded(t, line+"\r\nX-Id: %[1]s\r\nX-Seal: s\r\nContent-Length: 4\r\n\r\nsick")
+	}
+}
+
 // invalidFields are header lines that no recipient may take for fields.
 var invalidFields = []string{
 	"A B: c", "A : c", " A: c", "A\tB: c", "A\t: c", "\tA: c", "A\x01B: c", "A\x00: c", "A\x7f: c", "A\u00e9: c", "A: b\r\n c", "A: b\r\n\tc",
