Tests: streams taken up after all instances were killed at once

Reported from another system: after a kill of all instances, with two software versions in service or the upstreams of the old one just gone, streams that were taken up again held text of both.

An instance that does not know the origin asks the members, and these answer for a service only if all its upstreams, and those that ended within ten minutes, ran one version.

--- a/proof/deployed/versions_test.go
+++ b/proof/deployed/versions_test.go
@@ -148,11 +148,18 @@
 
 // newStreamer is three cores, four edges and upstreams of one service at three versions of its software.
 func newStreamer(t *testing.T) (*quartet, *streamer) {
+	q, s, _ := newStreamerAt(t, "v1.0", "v1.1", "v1.2")
+	return q, s
+}
+
+// newStreamerAt is newStreamer at the given versions. It returns the upstreams as well.
+func newStreamerAt(t *testing.T, versions ...string) (*quartet, *streamer, []*runner) {
 	q := newQuartetWithout(t, quickBudget)
 	s := &streamer{streams: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}}
+	var upstreams []*runner
 	for i := range 6 {
-		version := fmt.Sprint("v1.", i%3)
-		q.versioned(fmt.Sprint("streamer-", i), version, s.serve(version), q.cores...)
+		version := versions[i%len(versions)]
+		upstreams = append(upstreams, q.versioned(fmt.Sprint("streamer-", i), version, s.serve(version), q.cores...))
 	}
 	q.within(patience, func() bool { return q.cores[0].putStreams(2, "k") == 200 }, "the route of streams")
 	for _, e := range q.edges {
@@ -164,7 +171,7 @@
 		}, patience, poll).Should(BeTrue())
 	}
 	q.awaitBudget()
-	return q, s
+	return q, s, upstreams
 }
 
 // Guards against an answer that holds events of two versions of an upstream's software, after the
