Tests: bodies without end do not end the instance that gets them

Reported from another system: an upstream's bytes without end, in a head or in a body, were kept until the machine that had called it ran out of memory. Heads, interim responses and events without end have tests of their own here; bodies had none.

TestManyEndlessBodiesAreHeldInBounds plays 500 callers at one edge that read for 2 s while all 12 upstreams send without end: bodies in chunks and without a length, of rejections, of failures, of late responses to other requests, one header, and garbage.

--- a/proof/deployed/endless_cases_test.go
+++ b/proof/deployed/endless_cases_test.go
@@ -218,3 +218,57 @@
 	g.Expect(after).To(BeNumerically("<", edgeMB))
 	e.awaitBudget()
 }
+
+// Guards against an instance that is killed for its memory use as it keeps what upstreams send without end in a body
+// or in a head, of answers that are passed on and of others.
+func TestManyEndlessBodiesAreHeldInBounds(t *testing.T) {
+	kinds := []endless{floodedBody, floodedOpenBody, floodedRejection, floodedFailure, floodedLate, floodedHeader, floodedGarbage}
+	e := newEndlessGroup(t, len(kinds), 12, false)
+	for _, u := range e.ups {
+		u.span = holdFor
+	}
+	e.putNonIdempotent(2, 15_000)
+	for n, how := range kinds {
+		t.Run(string(how), func(t *testing.T) { e.floodMany(t, e.edges[n], how) })
+	}
+}
+
+// floodedFor is for how long the callers of endless bodies read.
+const floodedFor = 2 * time.Second
+
+// floodMany sends many requests at once to an edge whose answers have no end, reads what comes for a while, and
+// checks the edge's memory use.
+func (e *endlessSite) floodMany(t *testing.T, edge *node, how endless) {
+	g := NewWithT(t)
+	for _, u := range e.ups {
+		u.how.Store(how)
+		u.take()
+	}
+	c := &http.Client{Timeout: floodedFor, Transport: &http.Transport{DisableKeepAlives: true}}
+	before, process := edge.peakMB(), edge.process
+	var all sync.WaitGroup
+	for range floodedConns {
+		all.Go(func() {
+			for begun := time.Now(); time.Since(begun) < floodedFor; time.Sleep(holdRetry) {
+				_, _ = edge.openStreamAt(c, "/a/x")
+			}
+		})
+	}
+	all.Wait()
+	after := edge.peakMB()
+	for _, u := range e.ups {
+		u.how.Store(endlessNone)
+	}
+	time.Sleep(time.Second)
+	total := 0
+	for _, u := range e.ups {
+		n, _, _ := u.take()
+		total += n
+	}
+	t.Logf("%s: %d begun, %d open at once at all instances, at most %d MB, %d MB before", how, total, e.open.peak(), after, before)
+	g.Expect(total).To(BeNumerically(">=", leastFlooded), "the failure was played")
+	g.Expect(after).To(BeNumerically("<", edgeMB))
+	g.Expect(edge.process).To(BeIdenticalTo(process))
+	g.Expect(edge.exited).NotTo(BeClosed())
+	g.Eventually(func() int { return edge.ask("k") }, patience, poll).Should(Equal(http.StatusOK), "others are served")
+}
--- a/proof/deployed/endless_test.go
+++ b/proof/deployed/endless_test.go
@@ -35,6 +35,11 @@
 	floodedTrailers  endless = "trailers"
 	floodedSurplus   endless = "bytes after a whole answer"
 	floodedGarbage   endless = "garbage"
+	floodedBody      endless = "a body in chunks"
+	floodedOpenBody  endless = "a body without a length"
+	floodedRejection endless = "the body of a rejection"
+	floodedFailure   endless = "the body of a failure"
+	floodedLate      endless = "the body of a response to another request"
 )
 
 const (
@@ -72,6 +77,9 @@
 	span time.Duration
 }
 
+// endlessChunk is a piece of a body that has no end.
+var endlessChunk = fmt.Sprintf("%x\r\n%s\r\n", 16<<10, strings.Repeat("x", 16<<10))
+
 // gauge counts what is under way, and the most at once.
 type gauge struct {
 	mu      sync.Mutex
@@ -161,6 +169,8 @@
 		u.floodAfter(to, head+"\r\n"+body+"0\r\n", strings.Repeat("A: b\r\n", 100))
 	case floodedSurplus:
 		u.floodAfter(to, head+"\r\n"+body+"0\r\n\r\n", strings.Repeat("x", 1000))
+	case floodedBody, floodedOpenBody, floodedRejection, floodedFailure, floodedLate:
+		u.floodBody(to, head, how)
 	case floodedGarbage:
 		u.flood(to, strings.Repeat("\x00\xff", 500))
 	default:
@@ -168,6 +178,17 @@
 	}
 }
 
+// floodBody writes a body without end, after a head that is changed as told.
+func (u *endlessUpstream) floodBody(to *bufio.ReadWriter, head string, how endless) {
+	changes := map[endless][]string{
+		floodedOpenBody:  {"Transfer-Encoding: chunked\r\n", ""},
+		floodedRejection: {"200 OK", "503 X\r\nNot-Executed: 1"},
+		floodedFailure:   {"200 OK", "500 X"},
+		floodedLate:      {"Attempt-Id: ", "Attempt-Id: late-", "Connection: close\r\n", ""},
+	}
+	u.floodAfter(to, strings.NewReplacer(changes[how]...).Replace(head)+"\r\n", endlessChunk)
+}
+
 // keep answers a plain request and keeps its connection open.
 func (u *endlessUpstream) keep(out http.ResponseWriter, id string) {
 	out.Header().Set("Attempt-Id", id)
@@ -482,7 +503,12 @@
 
 // openStream sends a request for a stream, and reads it to its end.
 func (n *node) openStream(c *http.Client) (status int, err error) {
-	req, _ := http.NewRequest(http.MethodPost, "http://"+n.at(portFrontend)+"/a/stream", strings.NewReader("x"))
+	return n.openStreamAt(c, "/a/stream")
+}
+
+// openStreamAt sends a request to a path, and reads the answer to its end without keeping it.
+func (n *node) openStreamAt(c *http.Client, path string) (status int, err error) {
+	req, _ := http.NewRequest(http.MethodPost, "http://"+n.at(portFrontend)+path, strings.NewReader("x"))
 	req.Host = "h.example"
 	for name, value := range map[string]string{"Attempt-Id": fmt.Sprintf("held%d", attempts.Add(1)), "Key": "k", "Deadline-Ms": "12000"} {
 		req.Header.Set(name, value)
