Own daemon: a drain refuses what may not end before it

Requests that came late in a drain were passed on and cut with no answer when drain_timeout, and the five seconds after it, were over: 23 streams and a booking that may not be repeated, of requests sent every 25 ms to an instance with a drain_timeout of 4 s.

Cause: the gateway served whatever came until nothing was in flight, and callers that the balancer still sends keep it from getting there. The edges on the platform have a schedule for it (core/drain); the gateway had none.

The gateway uses the same schedule. After the drain delay it refuses, as not run and with a short Retry-After, model requests whose class has a deadline after the end of the drain or none, and calls of services whose timeout reaches beyond it. What it accepts has an answer before the end. The process ends as soon as it has no work, as before.

--- a/instance/daemon/http.go
+++ b/instance/daemon/http.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/comfreyladder/comfreyladder/core/backpressure"
+	"github.com/comfreyladder/comfreyladder/core/drain"
 	"github.com/comfreyladder/comfreyladder/core/fault"
 	"github.com/comfreyladder/comfreyladder/core/intent"
 	"github.com/comfreyladder/comfreyladder/instance/admin"
@@ -138,9 +139,10 @@
 const drainQuietPeriod = 300 * time.Millisecond
 
 // Drain reports "not ready", keeps serving for the drain delay, then waits until
-// nothing is in flight, including queued requests and streams.
+// nothing is in flight, including queued requests and streams. Meanwhile it refuses
+// requests that may not end before the drain does.
 func (g *gatewayService) Drain(ctx context.Context) error {
-	g.SetReady(false)
+	g.BeginDrain(drain.NewSchedule(time.Now(), g.d.cfg.Instance.DrainDelay, g.d.cfg.Instance.DrainTimeout))
 	if tunnels, err := kernel.Lookup[*tunnel.Service](g.kernel, nameTunnels); err == nil {
 		tunnels.Retire()
 	}
--- a/instance/gateway/chat.go
+++ b/instance/gateway/chat.go
@@ -58,6 +58,9 @@
 		return false, err
 	}
 	x := &exchange{g: g, id: id, org: c.org, class: class, req: req, start: start}
+	if err := g.checkDrain(x.deadline()); err != nil {
+		return false, err
+	}
 	x.startRun(ctx.Conn(), g.permit(c, x.admits), g.watch(x, ctx.PostBody()))
 	if req.Stream {
 		return x.serveStream(ctx)
@@ -101,13 +104,20 @@
 	return admitsModel(c, x.req.Model)
 }
 
+// deadline returns when the request ends at the latest, zero if its class has no deadline.
+func (x *exchange) deadline() time.Time {
+	if x.class.Deadline <= 0 {
+		return time.Time{}
+	}
+	return x.start.Add(x.class.Deadline)
+}
+
 // startRun starts the run under a context that ends at the class's deadline or when the
 // caller disconnects, so that engines do not work on answers that nobody reads.
 func (x *exchange) startRun(conn net.Conn, p *permit, w *quarantine.Watch) {
 	ctx, cancel := context.WithCancel(context.Background())
-	var deadline time.Time
-	if x.class.Deadline > 0 {
-		deadline = x.start.Add(x.class.Deadline)
+	deadline := x.deadline()
+	if !deadline.IsZero() {
 		ctx, cancel = context.WithDeadline(ctx, deadline)
 	}
 	x.cancel = cancel
--- a/instance/gateway/gateway.go
+++ b/instance/gateway/gateway.go
@@ -9,11 +9,13 @@
 	"slices"
 	"strings"
 	"sync/atomic"
+	"time"
 
 	"github.com/rs/zerolog"
 	"github.com/valyala/fasthttp"
 
 	"github.com/comfreyladder/comfreyladder/core/announce"
+	"github.com/comfreyladder/comfreyladder/core/drain"
 	"github.com/comfreyladder/comfreyladder/core/fault"
 	"github.com/comfreyladder/comfreyladder/core/intent"
 	"github.com/comfreyladder/comfreyladder/core/registry"
@@ -68,6 +70,8 @@
 type Gateway struct {
 	cfg      Config
 	notReady atomic.Bool
+	// drain is the schedule of the drain that has begun, nil before.
+	drain    atomic.Pointer[drain.Schedule]
 	inFlight atomic.Int64
 	failures failureLog
 }
@@ -79,6 +83,26 @@
 // ready still serves requests, because the load balancer notices the change late.
 func (g *Gateway) SetReady(ready bool) { g.notReady.Store(!ready) }
 
+// BeginDrain makes the gateway not ready. From the last phase of the schedule on it refuses requests that may not end
+// within it.
+func (g *Gateway) BeginDrain(s drain.Schedule) {
+	g.SetReady(false)
+	g.drain.Store(&s)
+}
+
+// drainRetryAfter is the retry hint for a request that is refused during a drain: other instances take it at once.
+const drainRetryAfter = 20 * time.Millisecond
+
+// checkDrain fails with fault.Draining if a request that may run until the given time, zero for no limit, could be cut
+// off by the end of the process.
+func (g *Gateway) checkDrain(until time.Time) error {
+	s := g.drain.Load()
+	if s == nil || s.Accepts(time.Now(), until.IsZero(), until) {
+		return nil
+	}
+	return fault.New(fault.Draining, "the instance shuts down before the request may end").WithRetryAfter(drainRetryAfter)
+}
+
 // InFlight returns how many requests are being served, including queued ones.
 func (g *Gateway) InFlight() int64 { return g.inFlight.Load() }
 
--- a/instance/gateway/plain.go
+++ b/instance/gateway/plain.go
@@ -40,6 +40,9 @@
 	if err != nil {
 		return err
 	}
+	if err := g.checkDrain(time.Now().Add(service.Timeout)); err != nil {
+		return err
+	}
 	target, err := g.cfg.Targets(from.view, name)
 	if err != nil {
 		return err
--- a/proof/system/harness_test.go
+++ b/proof/system/harness_test.go
@@ -159,6 +159,8 @@
 type siteOptions struct {
 	// drainDelay is the instances' drain_delay; empty means 0s.
 	drainDelay string
+	// drainTimeout is the instances' drain_timeout; empty means its default.
+	drainTimeout string
 	// settings stands at the end of each instance's settings.
 	settings string
 	// classes replaces the classes of the founding intent.
@@ -301,6 +303,9 @@
 	}
 	b := &strings.Builder{}
 	fmt.Fprintf(b, "[instance]\nname = %s\nfailure_domain = %s\ndrain_delay = %s\n", in.name, in.domain, s.opts.drainDelay)
+	if s.opts.drainTimeout != "" {
+		fmt.Fprintf(b, "drain_timeout = %s\n", s.opts.drainTimeout)
+	}
 	if in.disk {
 		fmt.Fprintf(b, "data_folder = data-%s\n", in.name)
 	}
