Load tool: an answer with a malformed head is no success

The load and experiment tool read answers with fasthttp as well: a status 000 counted as a complete answer or a call that was done, as did heads with blanks in the names of fields.

It reads heads and bodies by instance/http1 now, as the product does.

The operator's command still reads the answers of daemons with fasthttp's client.

--- a/operator/load/caller/call.go
+++ b/operator/load/caller/call.go
@@ -73,21 +73,21 @@
 	address := m.Addresses[int(m.next.Add(1))%len(m.Addresses)]
 	ctx, cancel := context.WithTimeout(ctx, c.Timeout)
 	defer cancel()
-	resp, err := m.exchange(ctx, address, c)
+	resp, content, err := m.exchange(ctx, address, c)
 	if err != nil {
 		if fault.CodeOf(err) == fault.NotRun {
 			return load.CallOutcome{Verdict: load.CallNotRun, Detail: err.Error()}
 		}
 		return load.CallOutcome{Verdict: load.CallUnknown, Detail: err.Error()}
 	}
-	return judge(resp)
+	return judge(resp, content)
 }
 
-func (m *Remote) exchange(ctx context.Context, address string, c *load.Call) (*fasthttp.Response, error) {
+func (m *Remote) exchange(ctx context.Context, address string, c *load.Call) (*response, []byte, error) {
 	var d net.Dialer
 	conn, err := d.DialContext(ctx, "tcp", address)
 	if err != nil {
-		return nil, fault.Wrap(err, fault.NotRun, "no connection")
+		return nil, nil, fault.Wrap(err, fault.NotRun, "no connection")
 	}
 	defer func() { _ = conn.Close() }()
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
@@ -102,34 +102,35 @@
 	req.SetBodyString(fmt.Sprintf(`{"visit":%d}`, c.Sequence))
 	w := bufio.NewWriter(conn)
 	if err := req.Write(w); err != nil {
-		return nil, fault.Wrap(err, fault.OutcomeUnknown, "send")
+		return nil, nil, fault.Wrap(err, fault.OutcomeUnknown, "send")
 	}
 	if err := w.Flush(); err != nil {
-		return nil, fault.Wrap(err, fault.OutcomeUnknown, "send")
+		return nil, nil, fault.Wrap(err, fault.OutcomeUnknown, "send")
 	}
-	resp := &fasthttp.Response{}
-	if err := resp.Read(bufio.NewReader(conn)); err != nil {
-		return nil, fault.Wrap(err, fault.OutcomeUnknown, "no answer")
+	resp, err := receive(bufio.NewReader(conn))
+	if err != nil {
+		return nil, nil, err
 	}
-	return resp, nil
+	content, err := resp.content()
+	return resp, content, err
 }
 
 // judge reads the outcome from an answer.
-func judge(resp *fasthttp.Response) load.CallOutcome {
+func judge(resp *response, content []byte) load.CallOutcome {
 	var body struct {
 		Error struct {
 			Code fault.Code `json:"code"`
 		} `json:"error"`
 	}
-	_ = json.Unmarshal(bytes.TrimSpace(resp.Body()), &body)
-	o := load.CallOutcome{Detail: fmt.Sprintf("status %d %s", resp.StatusCode(), body.Error.Code)}
+	_ = json.Unmarshal(bytes.TrimSpace(content), &body)
+	o := load.CallOutcome{Detail: fmt.Sprintf("status %d %s", resp.head.Status, body.Error.Code)}
 	code := body.Error.Code
 	switch {
-	case resp.StatusCode()/100 == 2 && resp.StatusCode() != fasthttp.StatusAccepted:
+	case resp.head.Status/100 == 2 && resp.head.Status != fasthttp.StatusAccepted:
 		o.Verdict = load.CallDone
-	case string(resp.Header.Peek("X-Not-Run")) == "true" || code == fault.NotRun || code == fault.Overloaded || code == fault.Draining:
+	case resp.notRun() || code == fault.NotRun || code == fault.Overloaded || code == fault.Draining:
 		o.Verdict = load.CallNotRun
-	case code == fault.OutcomeUnknown || code == fault.InProgress || resp.StatusCode() >= 500 || resp.StatusCode() == fasthttp.StatusAccepted:
+	case code == fault.OutcomeUnknown || code == fault.InProgress || resp.head.Status >= 500 || resp.head.Status == fasthttp.StatusAccepted:
 		o.Verdict = load.CallUnknown
 	default:
 		o.Verdict = load.CallRejected
--- a/operator/load/caller/caller.go
+++ b/operator/load/caller/caller.go
@@ -12,13 +12,13 @@
 	"errors"
 	"io"
 	"net"
-	"net/http/httputil"
 	"strings"
 	"time"
 
 	"github.com/valyala/fasthttp"
 
 	"github.com/comfreyladder/comfreyladder/core/fault"
+	"github.com/comfreyladder/comfreyladder/instance/httpapi"
 	"github.com/comfreyladder/comfreyladder/operator/load"
 	"github.com/comfreyladder/comfreyladder/operator/standin/engine"
 )
@@ -86,19 +86,15 @@
 		return err
 	}
 	r := bufio.NewReader(conn)
-	var resp fasthttp.Response
-	if err := resp.Header.Read(r); err != nil {
-		return fault.Wrap(err, fault.OutcomeUnknown, "no answer")
-	}
-	a.id = string(resp.Header.Peek("X-Request-Id"))
-	if resp.StatusCode() != fasthttp.StatusOK {
-		return refusal(&resp, r)
+	resp, err := receive(r)
+	if err != nil {
+		return err
 	}
-	var in io.Reader = r
-	if resp.Header.ContentLength() == -1 {
-		in = httputil.NewChunkedReader(r)
+	a.id = string(resp.head.Get(httpapi.HeaderRequestID))
+	if resp.head.Status != fasthttp.StatusOK {
+		return refusal(resp)
 	}
-	return a.events(bufio.NewReader(in))
+	return a.events(bufio.NewReader(&resp.body))
 }
 
 func (a *answer) send(conn net.Conn) error {
@@ -126,9 +122,10 @@
 
 // refusal turns an answer without a stream into a failure. Only the statuses by
 // which router and engines say that nothing ran count as not run.
-func refusal(resp *fasthttp.Response, r *bufio.Reader) error {
-	if err := resp.ReadBody(r, 1<<20); err != nil {
-		return fault.Wrap(err, fault.OutcomeUnknown, "status %d without its body", resp.StatusCode())
+func refusal(resp *response) error {
+	content, err := resp.content()
+	if err != nil {
+		return err
 	}
 	var body struct {
 		Error struct {
@@ -136,19 +133,19 @@
 			Message string     `json:"message"`
 		} `json:"error"`
 	}
-	_ = json.Unmarshal(resp.Body(), &body)
+	_ = json.Unmarshal(content, &body)
 	code := body.Error.Code
 	switch code {
 	case fault.NotRun, fault.Overloaded, fault.Draining:
 		code = fault.NotRun
 	}
-	if string(resp.Header.Peek("X-Not-Run")) == "true" {
+	if resp.notRun() {
 		code = fault.NotRun
 	}
 	if code == "" {
 		code = fault.OutcomeUnknown
 	}
-	return fault.New(code, "status %d: %s: %s", resp.StatusCode(), body.Error.Code, body.Error.Message)
+	return fault.New(code, "status %d: %s: %s", resp.head.Status, body.Error.Code, body.Error.Message)
 }
 
 // chunk is what the caller reads of an event.
