--- a/proof/deployed/deployed_test.go
+++ b/proof/deployed/deployed_test.go
@@ -213,15 +213,15 @@
 func TestRunnerThatStartsAgainUnderItsID(t *testing.T) {
 	s := newTrio(t)
 	s.runner.sequence.Store(10_000)
-	Expect(s.runner.report(s.cores[0], "draining")).To(Equal(200))
+	Expect(s.runner.reports(s.cores[0], "draining")).To(Succeed(), s.logs)
 	s.runner.crash()
 	time.Sleep(10 * time.Millisecond)
 	again := s.site.runner(s.runner.id, s.cores...)
 	for _, e := range s.edges {
 		Eventually(func() int { return e.ask("k") }, 3*time.Second, poll).Should(Equal(200), s.logs)
 	}
-	Expect(s.runner.report(s.cores[1], "ready")).To(Equal(200))
-	Expect(s.runner.report(s.cores[2], "draining")).To(Equal(200))
+	Expect(s.runner.reports(s.cores[1], "ready")).To(Succeed(), s.logs)
+	Expect(s.runner.reports(s.cores[2], "draining")).To(Succeed(), s.logs)
 	served := again.served.Load()
 	for range 5 {
 		for _, e := range s.edges {
--- a/proof/deployed/harness_test.go
+++ b/proof/deployed/harness_test.go
@@ -420,10 +420,24 @@
 }
 
 func (r *runner) report(to *node, state string) int {
+	status, _ := r.send(to, state)
+	return status
+}
+
+// reports sends a report to a core and fails unless it is acknowledged.
+func (r *runner) reports(to *node, state string) error {
+	begun := time.Now()
+	if status, told := r.send(to, state); status != http.StatusOK {
+		return fmt.Errorf("%s answered %d after %v (hung: %t): %s", to.name, status, time.Since(begun), r.s.watch.hung(begun, time.Now()), told)
+	}
+	return nil
+}
+
+// send sends a report to a core, and returns the answer, or the client's error with status 0.
+func (r *runner) send(to *node, state string) (status int, told string) {
 	body := fmt.Sprintf(`{"service":%q,"address":%q,"zone":"north","version":%q,"slots":%d,"state":%q,"warmup-left-ms":%d,"sequence":%d,"born":%d}`,
 		r.service, r.listener.Addr(), r.version, cmp.Or(r.slots, defaultSlots), state, max(0, time.Until(time.Unix(0, r.warmAt.Load())).Milliseconds()), r.sequence.Add(1), r.born)
-	status, _ := call("PUT", "http://"+to.at(portControl)+"/instances/"+r.id, body)
-	return status
+	return call("PUT", "http://"+to.at(portControl)+"/instances/"+r.id, body)
 }
 
 // trio is three cores, two edges and a runner that serve a configuration.
