Operator's command: an answer with a malformed head is no answer

Operators' commands took answers for whole that were none: a status 000 was told as success, as were heads with a blank in or after the name of a field, with folded lines, and with such a line in an interim answer; 001 and 099 were told as the instance's refusal, with the next answer as its text.

Cause: the client of the commands read answers with fasthttp, which is lenient, as the own daemon and the load tool did. It was the last reader of that kind.

The client now makes one exchange on a connection of its own and reads it by instance/http1, whose ReadFinalResponse skips interim responses; the load tool uses it too.

TestAnswersOverTLS covers the connection that is now made here; it was not covered.

--- a/instance/http1/head.go
+++ b/instance/http1/head.go
@@ -182,9 +182,26 @@
 	return h.parseResponseFraming(method)
 }
 
+// maxInterim bounds the interim responses before a final one.
+const maxInterim = 4
+
+// ReadFinalResponse is ReadResponse of the first response that is not an interim one. It fails with
+// fault.Invalid if there are more than four before it.
+func (h *Head) ReadFinalResponse(r *bufio.Reader, limit int, method string) error {
+	for range maxInterim + 1 {
+		if err := h.ReadResponse(r, limit, method); err != nil || h.Status >= minFinalStatus {
+			return err
+		}
+	}
+	return malformed("interim responses without a final one")
+}
+
 // minStatus is the lowest status code of a response; see RFC 9110, section 15.
 const minStatus = 100
 
+// minFinalStatus is the lowest status code of a response that is not an interim one.
+const minFinalStatus = 200
+
 func (h *Head) parseStatusLine() ([]byte, error) {
 	line, rest, ok := cutLine(h.raw)
 	if !ok || len(line) < len("HTTP/1.1 200") || line[8] != ' ' {
--- a/operator/client/client.go
+++ b/operator/client/client.go
@@ -5,10 +5,8 @@
 import (
 	"crypto/tls"
 	"encoding/json"
-	"net"
 	"net/url"
 	"strings"
-	"time"
 
 	"github.com/valyala/fasthttp"
 
@@ -20,38 +18,6 @@
 	"github.com/comfreyladder/comfreyladder/instance/quarantine"
 )
 
-const (
-	requestTimeout = 15 * time.Second
-	maxResponse    = 64 << 20
-	// maxOverhead bounds the bytes of an answer beside its body: interim answers and chunk extensions
-	// have no other limit.
-	maxOverhead = 1 << 20
-)
-
-// boundedConn is a connection from which no more is read than an answer may have.
-type boundedConn struct {
-	net.Conn
-	left int
-}
-
-func dialBounded(address string) (net.Conn, error) {
-	c, err := fasthttp.Dial(address)
-	if err != nil {
-		return nil, fault.Wrap(err, fault.Unavailable, "connect to %s", address)
-	}
-	return &boundedConn{c, maxResponse + maxOverhead}, nil
-}
-
-// Read implements net.Conn.
-func (c *boundedConn) Read(p []byte) (int, error) {
-	if c.left <= 0 {
-		return 0, fault.New(fault.TooLarge, "the answer is larger than %d bytes", maxResponse+maxOverhead)
-	}
-	n, err := c.Conn.Read(p[:min(len(p), c.left)])
-	c.left -= n
-	return n, err
-}
-
 // Client calls one instance. It never retries a request. An operator whose confirm got no
 // answer repeats it with the same number, and gets the answer to the first one.
 type Client struct {
@@ -146,7 +112,6 @@
 
 func (c *Client) do(method, path string, body, into any) error {
 	var req fasthttp.Request
-	var resp fasthttp.Response
 	base := c.Address
 	if !strings.Contains(base, "://") {
 		base = "http://" + base
@@ -162,21 +127,18 @@
 		req.Header.SetContentType("application/json")
 		req.SetBodyRaw(data)
 	}
-	httpClient := fasthttp.Client{
-		Dial: dialBounded, MaxIdemponentCallAttempts: 1, MaxResponseBodySize: maxResponse, ReadTimeout: requestTimeout, WriteTimeout: requestTimeout, TLSConfig: c.TLS,
-	}
-	defer httpClient.CloseIdleConnections()
-	if err := httpClient.DoTimeout(&req, &resp, requestTimeout); err != nil {
+	status, content, err := c.exchange(&req)
+	if err != nil {
 		return fault.Wrap(err, fault.Unavailable, "no answer from %s", base)
 	}
-	return decodeResponse(&resp, into)
+	return decodeResponse(status, content, into)
 }
 
-func decodeResponse(resp *fasthttp.Response, into any) error {
-	if resp.StatusCode() != fasthttp.StatusOK {
+func decodeResponse(status int, content []byte, into any) error {
+	if status != fasthttp.StatusOK {
 		var e httpapi.ErrorBody
-		if json.Unmarshal(resp.Body(), &e) != nil || e.Error.Code == "" {
-			return fault.New(fault.Internal, "answer %d: %.200s", resp.StatusCode(), resp.Body())
+		if json.Unmarshal(content, &e) != nil || e.Error.Code == "" {
+			return fault.New(fault.Internal, "answer %d: %.200s", status, content)
 		}
 		detail := e.Error.Message
 		if len(e.Error.Problems) > 0 {
@@ -184,7 +146,7 @@
 		}
 		return fault.New(fault.Code(e.Error.Code), "%s", detail)
 	}
-	if err := json.Unmarshal(resp.Body(), into); err != nil {
+	if err := json.Unmarshal(content, into); err != nil {
 		return fault.Wrap(err, fault.Corrupt, "the answer is not what is expected")
 	}
 	return nil
--- a/operator/load/caller/response.go
+++ b/operator/load/caller/response.go
@@ -10,12 +10,8 @@
 	"github.com/comfreyladder/comfreyladder/instance/httpapi"
 )
 
-const (
-	// maxHead and maxContent limit the head of an answer, and the body of one that is no stream, in bytes.
-	maxHead, maxContent = 64 << 10, 1 << 20
-	// maxInterim bounds the interim answers before the final one.
-	maxInterim = 4
-)
+// maxHead and maxContent limit the head of an answer, and the body of one that is no stream, in bytes.
+const maxHead, maxContent = 64 << 10, 1 << 20
 
 // response is an answer whose body was not read yet.
 type response struct {
@@ -23,19 +19,14 @@
 	body http1.Body
 }
 
-// receive reads the head of the answer to a POST. It fails with fault.OutcomeUnknown.
+// receive reads the head of the final answer to a POST. It fails with fault.OutcomeUnknown.
 func receive(r *bufio.Reader) (*response, error) {
 	resp := &response{}
-	for range maxInterim {
-		if err := resp.head.ReadResponse(r, maxHead, fasthttp.MethodPost); err != nil {
-			return nil, fault.Wrap(err, fault.OutcomeUnknown, "no answer")
-		}
-		if resp.head.Status >= fasthttp.StatusOK {
-			resp.body.Reset(r, &resp.head)
-			return resp, nil
-		}
+	if err := resp.head.ReadFinalResponse(r, maxHead, fasthttp.MethodPost); err != nil {
+		return nil, fault.Wrap(err, fault.OutcomeUnknown, "no answer")
 	}
-	return nil, fault.New(fault.OutcomeUnknown, "%d interim answers and no final one", maxInterim)
+	resp.body.Reset(r, &resp.head)
+	return resp, nil
 }
 
 // content reads the whole body. It fails with fault.OutcomeUnknown.
