Review case 7: streams go on at another software version after an upgrade in place

Tried: streams begin at runners of v1; all processes of the core are killed at once and are back after 0.5 s; the runners are replaced in place, under their IDs, by ones of v2; requesters take the broken streams up elsewhere.

--- a/review/cases-2/runner.go
+++ b/review/cases-2/runner.go
@@ -21,46 +21,67 @@
 	stop                          chan struct{}
 	stopped                       sync.WaitGroup
 
-	mu   sync.Mutex
-	runs []string
+	mu       sync.Mutex
+	draining bool
+	sequence int
+	born     int64
 }
 
 // startRunner starts a runner at a machine of its own, and its liveness reports.
 func (s *site) startRunner(id, service, version, zone string, host, events int, gap time.Duration) *runner {
-	u := &runner{s: s, id: id, service: service, version: version, zone: zone, events: events, gap: gap, stop: make(chan struct{})}
-	l, err := net.Listen("tcp4", fmt.Sprintf("%s.%d:0", s.net, host))
-	must(err, "runner")
-	u.address = l.Addr().String()
-	u.server = &http.Server{Handler: u}
-	go func() { _ = u.server.Serve(l) }()
-	u.stopped.Add(1)
-	go u.report()
-	s.printf("runner %s (%s, %s) at %s", id, service, version, u.address)
+	u := &runner{s: s, id: id, service: service, zone: zone, events: events, gap: gap}
+	u.begin(version, fmt.Sprintf("%s.%d:0", s.net, host))
 	return u
 }
 
+// begin starts a lifetime of the runner.
+func (u *runner) begin(version, address string) {
+	l, err := net.Listen("tcp4", address)
+	must(err, "runner")
+	u.mu.Lock()
+	u.address, u.version, u.draining, u.sequence, u.born = l.Addr().String(), version, false, 0, time.Now().UnixMilli()
+	u.server, u.stop = &http.Server{Handler: u}, make(chan struct{})
+	server := u.server
+	u.mu.Unlock()
+	go func() { _ = server.Serve(l) }()
+	u.stopped.Go(u.report)
+	u.s.printf("runner %s (%s, %s) starts at %s", u.id, u.service, version, u.address)
+}
+
 func (u *runner) close() {
 	close(u.stop)
 	u.stopped.Wait()
 	_ = u.server.Close()
 }
 
-// report sends liveness reports, each to the next machine that acknowledges it.
-func (u *runner) report() {
-	defer u.stopped.Done()
-	born := time.Now().UnixMilli()
-	for sequence, next := 1, 0; ; sequence++ {
-		for range u.s.cores() {
-			n := u.s.cores()[next%len(u.s.cores())]
-			status, _ := call(http.MethodPut, "http://"+n.at(u.s.control)+"/instances/"+u.id, map[string]any{
-				"service": u.service, "address": u.address, "zone": u.zone, "version": u.version, "slots": 64, "state": "ready", "warmup-left-ms": 0,
-				"phase": "both", "model-list": []any{map[string]any{"name": "m", "version": 1, "adapter-list": []any{}}}, "born": born, "sequence": sequence,
-			}, time.Second)
-			if status == http.StatusOK {
-				break
-			}
-			next++
+// upgrade replaces the runner in place by one of another version: it says that it drains, serves for drain-ms and a
+// little longer, says that it leaves, ends, and starts again under its ID at its address.
+func (u *runner) upgrade(version string) {
+	u.mu.Lock()
+	u.draining = true
+	u.mu.Unlock()
+	u.beat()
+	time.Sleep(drainMS + 200*time.Millisecond)
+	for _, n := range u.s.cores() {
+		status, _ := call(http.MethodDelete, "http://"+n.at(u.s.control)+"/instances/"+u.id, map[string]any{"born": u.born}, time.Second)
+		u.s.printf("runner %s: DELETE at %s: %d", u.id, n.name, status)
+		if status == http.StatusOK {
+			break
 		}
+	}
+	u.close()
+	u.s.printf("runner %s (%s) has ended", u.id, u.version)
+	time.Sleep(300 * time.Millisecond)
+	u.begin(version, u.address)
+}
+
+// drainMS is how long a runner serves on after its report that it drains.
+const drainMS = 2 * time.Second
+
+// report sends liveness reports until the lifetime ends.
+func (u *runner) report() {
+	for {
+		u.beat()
 		select {
 		case <-time.After(1200 * time.Millisecond):
 		case <-u.stop:
@@ -69,6 +90,28 @@
 	}
 }
 
+// beat sends one liveness report, to the next machine until one acknowledges it.
+func (u *runner) beat() {
+	u.mu.Lock()
+	u.sequence++
+	state := map[bool]string{false: "ready", true: "draining"}[u.draining]
+	body := map[string]any{
+		"service": u.service, "address": u.address, "zone": u.zone, "version": u.version, "slots": 64, "state": state, "warmup-left-ms": 0,
+		"phase": "both", "model-list": []any{map[string]any{"name": "m", "version": 1, "adapter-list": []any{}}}, "born": u.born, "sequence": u.sequence,
+	}
+	first := u.sequence == 1
+	u.mu.Unlock()
+	for _, n := range u.s.cores() {
+		status, _ := call(http.MethodPut, "http://"+n.at(u.s.control)+"/instances/"+u.id, body, time.Second)
+		if first || state == "draining" {
+			u.s.printf("runner %s: PUT %s, %s, at %s: %d", u.id, state, body["version"], n.name, status)
+		}
+		if status == http.StatusOK {
+			return
+		}
+	}
+}
+
 // ServeHTTP runs a request, or says that it does not.
 func (u *runner) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if r.URL.Path == "/healthz" {
@@ -91,16 +134,16 @@
 		first, _ = strconv.Atoi(last)
 	}
 	u.mu.Lock()
-	u.runs = append(u.runs, id)
+	version := u.version
 	u.mu.Unlock()
-	u.s.printf("runner %s (%s) runs %s from event %d on", u.id, u.version, id, first+1)
+	u.s.printf("runner %s (%s) runs %s from event %d on", u.id, version, id, first+1)
 	w.Header().Set("Runner-Seal", "3e1b.07."+strings.TrimPrefix(u.id, "i-")+".600.0.c9f2a4d1")
 	w.Header().Set("Weight-Versions", "1")
 	w.Header().Set("Content-Type", "text/event-stream")
 	w.WriteHeader(http.StatusOK)
 	flush := w.(http.Flusher)
 	for n := first + 1; n <= u.events; n++ {
-		if _, err := fmt.Fprintf(w, "id: %d\ndata: %s %s %d\n\n", n, u.version, id, n); err != nil {
+		if _, err := fmt.Fprintf(w, "id: %d\ndata: %s %s %d\n\n", n, version, id, n); err != nil {
 			return
 		}
 		flush.Flush()
