--- a/review/cases-2/case7.go
+++ b/review/cases-2/case7.go
@@ -1,93 +1,117 @@
 package main
 
 import (
-	"context"
-	"fmt"
-	"sync"
+	"net/http"
 	"time"
 )
 
-func init() { cases["7"] = versionsMixed }
+func init() { cases["7"] = twoDisksOneAfterTheOther }
 
-// versionsMixed lets streams begin at two runners of one version, kills all processes of the core at once, and replaces
-// the runners in place by ones of another version, one after the other. The requesters take up the streams that break, at
-// another edge.
-func versionsMixed(r *record, trouble bool) bool {
+// desired returns a small desired state.
+func desired(version int) map[string]any {
+	return map[string]any{
+		"version": version,
+		"routes": []any{map[string]any{
+			"name": "r-1", "host": "ficu95.example", "path-prefix": "/lohu930/", "route-type": "idempotent", "timeout-ms": 4000,
+			"target-latency-ms": 300, "priority": 2, "service": "wuno96b", "max-attempts": 2, "anonymous": false, "sticky": false, "resumable": false,
+		}},
+		"services": []any{map[string]any{"name": "wuno96b", "health-path": "/healthz", "max-connections": 110, "protocol": "h1", "tls": false}},
+		"limits":   map[string]any{"max-header-bytes": 16384, "max-body-bytes": 4194304, "header-timeout-ms": 3000, "idle-timeout-ms": 15000},
+		"tenants":  []any{map[string]any{"name": "hule930", "api-keys": []string{"n2ctnfzs989anu6wsjnb"}, "priority": 1}},
+	}
+}
+
+// twoDisksOneAfterTheOther loses the disks of two core machines, the second one when the first machine has been back
+// for longer than catch-up-s, and reads the desired state back.
+func twoDisksOneAfterTheOther(r *record, trouble bool) bool {
 	const (
-		streams   = 24
-		events    = 34
-		gap       = 280 * time.Millisecond
-		down      = 500 * time.Millisecond
-		stagger   = time.Second
-		backOff   = 1500 * time.Millisecond
-		tolerated = 2
+		down     = 100 * time.Millisecond
+		margin   = 20 * time.Millisecond
+		readBack = 30 * time.Second
 	)
 	s := newSite(r)
 	defer s.close()
-	zones := []string{"lalitpur-hall", "teku-hall", "bhaktapur-hall"}
-	for i, zone := range zones {
+	for i, zone := range []string{"lalitpur-hall", "teku-hall", "bhaktapur-hall"} {
 		s.add("core-"+zone+"-1", zone, i+1, true)
 	}
-	first, second := s.add("edge-lalitpur-hall-1", zones[0], 11, false), s.add("edge-teku-hall-1", zones[1], 12, false)
-	for _, n := range s.nodes {
+	for _, n := range s.cores() {
 		n.start(true)
 	}
-	if s.putAnywhere(llmState(1), 20*time.Second) == nil {
+	version := 1
+	if s.putAnywhere(desired(version), 20*time.Second) == nil {
 		panic(unable("the first desired state was not acknowledged"))
 	}
-	var runners []*runner
-	for i := range 2 {
-		u := s.startRunner(fmt.Sprintf("i-7f3a91c%d", i), "huvo11a", "v1", zones[i], 21+i, events, gap)
-		defer u.close()
-		runners = append(runners, u)
-	}
-	for _, n := range []*node{first, second} {
-		s.awaitReady(n)
-	}
 	time.Sleep(10 * time.Second)
-	var running, upgrades sync.WaitGroup
-	list := make([]*stream, streams)
-	for i := range list {
-		t := &stream{s: s, number: i, until: time.Now().Add(llmLimit)}
-		list[i] = t
-		running.Go(func() {
-			// The sheet allows one retry, which is at another edge.
-			t.attempt(context.Background(), first, events)
-			time.Sleep(backOff)
-			if t.last > 0 && t.last < events && time.Now().Before(t.until) {
-				t.attempt(context.Background(), second, events)
-			}
-		})
+	change := func() bool {
+		version++
+		if s.putAnywhere(desired(version), 4*time.Second) != nil {
+			return true
+		}
+		version--
+		return false
+	}
+	first := s.leader(s.cores())
+	r.printf("%s leads the control group", first.name)
+	if !change() {
+		panic(unable("a desired state was not acknowledged before any disturbance"))
 	}
-	time.Sleep(1200 * time.Millisecond)
 	if trouble {
-		for _, n := range s.cores() {
-			n.signal(9)
+		first.kill()
+		first.loseDisk()
+		time.Sleep(down)
+		first.start(false)
+	}
+	back := time.Now()
+	// Changes are acknowledged meanwhile.
+	for time.Since(back) < catchUp-500*time.Millisecond {
+		change()
+		time.Sleep(300 * time.Millisecond)
+	}
+	var others []*node
+	for _, n := range s.cores() {
+		if n != first {
+			others = append(others, n)
 		}
-		for _, n := range s.cores() {
-			<-n.exited
+	}
+	second := others[0]
+	for _, n := range others {
+		if n.leads() {
+			second = n
 		}
 	}
-	time.Sleep(down)
+	if !change() {
+		panic(unable("a desired state was not acknowledged after the first loss"))
+	}
+	time.Sleep(catchUp + margin - time.Since(back))
+	r.printf("%s has been back for %.3f s", first.name, time.Since(back).Seconds())
 	if trouble {
+		second.kill()
+		second.loseDisk()
+		time.Sleep(down)
+		second.start(false)
+	}
+	acked := version
+	r.printf("version %d was acknowledged last", acked)
+	until := time.Now().Add(readBack)
+	for time.Now().Before(until) {
 		for _, n := range s.cores() {
-			n.start(false)
+			status, got := n.read(time.Second)
+			r.printf("operator: GET /config from %s: %d, version %d", n.name, status, got)
+			if status == http.StatusOK && got < acked {
+				r.printf("an older version than the one that was acknowledged")
+				return false
+			}
+			if status == http.StatusOK {
+				return true
+			}
 		}
+		time.Sleep(500 * time.Millisecond)
 	}
-	time.Sleep(time.Second)
-	for _, u := range runners {
-		upgrades.Go(func() { u.upgrade("v2") })
-		time.Sleep(stagger)
-	}
-	upgrades.Wait()
-	running.Wait()
-	mixed := 0
-	for _, t := range list {
-		r.printf("stream %d: %d events, versions %v", t.number, t.last, t.versions)
-		if len(t.versions) > 1 {
-			mixed++
-		}
+	r.printf("no machine has handed out the desired state for %v; all three run", readBack)
+	for _, n := range s.cores() {
+		r.printf("%s runs: %v", n.name, n.running())
 	}
-	r.printf("%d of %d streams hold events of runners of two versions", mixed, streams)
-	return mixed <= tolerated
+	n := s.putAnywhere(desired(version+1), 5*time.Second)
+	r.printf("a further change was acknowledged: %v", n != nil)
+	return false
 }
--- a/review/cases-2/case8.go
+++ b/review/cases-2/case8.go
@@ -1,33 +1,67 @@
 package main
 
 import (
+	"bytes"
+	"encoding/json"
+	"fmt"
 	"net/http"
+	"slices"
 	"time"
 )
 
-func init() { cases["8"] = twoDisksOneAfterTheOther }
+func init() { cases["8"] = manyRoutes }
 
-// desired returns a small desired state.
-func desired(version int) map[string]any {
+// routes returns the routes from one number to another one, each with a comma before it.
+func routes(from, to int) []byte {
+	var b bytes.Buffer
+	for i := from; i < to; i++ {
+		fmt.Fprintf(&b, `,{"name":"r-%07d","host":"ficu95.example","path-prefix":"/lohu930/x%07d/","route-type":"idempotent","timeout-ms":4000,`+
+			`"target-latency-ms":300,"priority":2,"service":"wuno96b","max-attempts":2,"anonymous":false,"sticky":false,"resumable":false}`, i, i)
+	}
+	return b.Bytes()
+}
+
+// withRoutes returns a desired state with further routes.
+func withRoutes(version int, further []byte) []byte {
+	state := desired(version)
+	first, err := json.Marshal(state["routes"].([]any)[0])
+	must(err, "encode")
+	delete(state, "routes")
+	rest, err := json.Marshal(state)
+	must(err, "encode")
+	return slices.Concat([]byte(`{"routes":[`), first, further, []byte("],"), rest[1:])
+}
+
+// beat is a liveness report of a runner.
+func beat(address, state string, sequence int) map[string]any {
 	return map[string]any{
-		"version": version,
-		"routes": []any{map[string]any{
-			"name": "r-1", "host": "ficu95.example", "path-prefix": "/lohu930/", "route-type": "idempotent", "timeout-ms": 4000,
-			"target-latency-ms": 300, "priority": 2, "service": "wuno96b", "max-attempts": 2, "anonymous": false, "sticky": false, "resumable": false,
-		}},
-		"services": []any{map[string]any{"name": "wuno96b", "health-path": "/healthz", "max-connections": 110, "protocol": "h1", "tls": false}},
-		"limits":   map[string]any{"max-header-bytes": 16384, "max-body-bytes": 4194304, "header-timeout-ms": 3000, "idle-timeout-ms": 15000},
-		"tenants":  []any{map[string]any{"name": "hule930", "api-keys": []string{"n2ctnfzs989anu6wsjnb"}, "priority": 1}},
+		"service": "wuno96b", "address": address, "zone": "teku-hall", "version": "v1", "slots": 6, "state": state, "warmup-left-ms": 0,
+		"phase": "both", "model-list": []any{}, "born": 1780000000000, "sequence": sequence,
+	}
+}
+
+// acknowledged sends one call to one machine after the other until one acknowledges it.
+func (s *site) acknowledged(what string, within time.Duration, send func(n *node) (int, []byte)) bool {
+	until := time.Now().Add(within)
+	for time.Now().Before(until) {
+		for _, n := range s.cores() {
+			status, answer := send(n)
+			s.printf("%s to %s: %d %.100s", what, n.name, status, answer)
+			if status == http.StatusOK {
+				return true
+			}
+		}
+		time.Sleep(300 * time.Millisecond)
 	}
+	return false
 }
 
-// twoDisksOneAfterTheOther loses the disks of two core machines, the second one when the first machine has been back
-// for longer than catch-up-s, and reads the desired state back.
-func twoDisksOneAfterTheOther(r *record, trouble bool) bool {
+// manyRoutes lets the desired state grow by 350 routes at a time, and then sends a small one, and a runner's leave.
+func manyRoutes(r *record, trouble bool) bool {
 	const (
-		down     = 100 * time.Millisecond
-		margin   = 20 * time.Millisecond
-		readBack = 30 * time.Second
+		step, steps = 350, 80
+		ack         = 4 * time.Second
+		largeBody   = 5 * time.Second
 	)
 	s := newSite(r)
 	defer s.close()
@@ -41,77 +75,46 @@
 	if s.putAnywhere(desired(version), 20*time.Second) == nil {
 		panic(unable("the first desired state was not acknowledged"))
 	}
-	time.Sleep(10 * time.Second)
-	change := func() bool {
-		version++
-		if s.putAnywhere(desired(version), 4*time.Second) != nil {
-			return true
+	runner := s.net + ".9:8120"
+	sendBeat := func(state string, sequence int) func(n *node) (int, []byte) {
+		return func(n *node) (int, []byte) {
+			return call(http.MethodPut, "http://"+n.at(s.control)+"/instances/i-7f3a91c2", beat(runner, state, sequence), time.Second)
 		}
-		version--
-		return false
-	}
-	first := s.leader(s.cores())
-	r.printf("%s leads the control group", first.name)
-	if !change() {
-		panic(unable("a desired state was not acknowledged before any disturbance"))
 	}
-	if trouble {
-		first.kill()
-		first.loseDisk()
-		time.Sleep(down)
-		first.start(false)
-	}
-	back := time.Now()
-	// Changes are acknowledged meanwhile.
-	for time.Since(back) < catchUp-500*time.Millisecond {
-		change()
-		time.Sleep(300 * time.Millisecond)
+	if !s.acknowledged("runner: ready", ack, sendBeat("ready", 1)) {
+		panic(unable("the runner was not acknowledged"))
 	}
-	var others []*node
-	for _, n := range s.cores() {
-		if n != first {
-			others = append(others, n)
+	var further []byte
+	count := 0
+	for range steps {
+		version++
+		if trouble {
+			further = append(further, routes(count, count+step)...)
+			count += step
 		}
-	}
-	second := others[0]
-	for _, n := range others {
-		if n.leads() {
-			second = n
+		state := withRoutes(version, further)
+		if !s.acknowledged(fmt.Sprintf("operator: version %d with %d routes, %d bytes", version, count+1, len(state)), ack, func(n *node) (int, []byte) {
+			return call(http.MethodPut, "http://"+n.at(s.control)+"/config", state, largeBody)
+		}) {
+			r.printf("version %d is left without a clear answer", version)
+			break
 		}
 	}
-	if !change() {
-		panic(unable("a desired state was not acknowledged after the first loss"))
-	}
-	time.Sleep(catchUp + margin - time.Since(back))
-	r.printf("%s has been back for %.3f s", first.name, time.Since(back).Seconds())
-	if trouble {
-		second.kill()
-		second.loseDisk()
-		time.Sleep(down)
-		second.start(false)
+	held := true
+	version++
+	if !s.acknowledged("operator: small desired state", 2*ack, func(n *node) (int, []byte) {
+		return call(http.MethodPut, "http://"+n.at(s.control)+"/config", desired(version), time.Second)
+	}) {
+		r.printf("a desired state of one route got no acknowledgement in %v; no process was disturbed", 2*ack)
+		held = false
 	}
-	acked := version
-	r.printf("version %d was acknowledged last", acked)
-	until := time.Now().Add(readBack)
-	for time.Now().Before(until) {
-		for _, n := range s.cores() {
-			status, got := n.read(time.Second)
-			r.printf("operator: GET /config from %s: %d, version %d", n.name, status, got)
-			if status == http.StatusOK && got < acked {
-				r.printf("an older version than the one that was acknowledged")
-				return false
-			}
-			if status == http.StatusOK {
-				return true
-			}
-		}
-		time.Sleep(500 * time.Millisecond)
+	if !s.acknowledged("runner: draining", 2*ack, sendBeat("draining", 2)) {
+		r.printf("a runner that leaves got no acknowledgement in %v; no process was disturbed", 2*ack)
+		held = false
 	}
-	r.printf("no machine has handed out the desired state for %v; all three run", readBack)
 	for _, n := range s.cores() {
-		r.printf("%s runs: %v", n.name, n.running())
+		status, got := n.read(3 * time.Second)
+		r.printf("%s runs: %v; GET /config: %d, version %d; leads: %v", n.name, n.running(), status, got, n.leads())
 	}
-	n := s.putAnywhere(desired(version+1), 5*time.Second)
-	r.printf("a further change was acknowledged: %v", n != nil)
-	return false
+	return held
 }
--- a/review/cases-2/runner.go
+++ b/review/cases-2/runner.go
@@ -21,8 +21,6 @@
 	stop                          chan struct{}
 	stopped                       sync.WaitGroup
 
-	mu       sync.Mutex
-	draining bool
 	sequence int
 	born     int64
 }
@@ -38,12 +36,9 @@
 func (u *runner) begin(version, address string) {
 	l, err := net.Listen("tcp4", address)
 	must(err, "runner")
-	u.mu.Lock()
-	u.address, u.version, u.draining, u.sequence, u.born = l.Addr().String(), version, false, 0, time.Now().UnixMilli()
+	u.address, u.version, u.born = l.Addr().String(), version, time.Now().UnixMilli()
 	u.server, u.stop = &http.Server{Handler: u}, make(chan struct{})
-	server := u.server
-	u.mu.Unlock()
-	go func() { _ = server.Serve(l) }()
+	go func() { _ = u.server.Serve(l) }()
 	u.stopped.Go(u.report)
 	u.s.printf("runner %s (%s, %s) starts at %s", u.id, u.service, version, u.address)
 }
@@ -54,30 +49,6 @@
 	_ = u.server.Close()
 }
 
-// upgrade replaces the runner in place by one of another version: it says that it drains, serves for drain-ms and a
-// little longer, says that it leaves, ends, and starts again under its ID at its address.
-func (u *runner) upgrade(version string) {
-	u.mu.Lock()
-	u.draining = true
-	u.mu.Unlock()
-	u.beat()
-	time.Sleep(drainMS + 200*time.Millisecond)
-	for _, n := range u.s.cores() {
-		status, _ := call(http.MethodDelete, "http://"+n.at(u.s.control)+"/instances/"+u.id, map[string]any{"born": u.born}, time.Second)
-		u.s.printf("runner %s: DELETE at %s: %d", u.id, n.name, status)
-		if status == http.StatusOK {
-			break
-		}
-	}
-	u.close()
-	u.s.printf("runner %s (%s) has ended", u.id, u.version)
-	time.Sleep(300 * time.Millisecond)
-	u.begin(version, u.address)
-}
-
-// drainMS is how long a runner serves on after its report that it drains.
-const drainMS = 2 * time.Second
-
 // report sends liveness reports until the lifetime ends.
 func (u *runner) report() {
 	for {
@@ -92,20 +63,13 @@
 
 // beat sends one liveness report, to the next machine until one acknowledges it.
 func (u *runner) beat() {
-	u.mu.Lock()
 	u.sequence++
-	state := map[bool]string{false: "ready", true: "draining"}[u.draining]
 	body := map[string]any{
-		"service": u.service, "address": u.address, "zone": u.zone, "version": u.version, "slots": 64, "state": state, "warmup-left-ms": 0,
+		"service": u.service, "address": u.address, "zone": u.zone, "version": u.version, "slots": 64, "state": "ready", "warmup-left-ms": 0,
 		"phase": "both", "model-list": []any{map[string]any{"name": "m", "version": 1, "adapter-list": []any{}}}, "born": u.born, "sequence": u.sequence,
 	}
-	first := u.sequence == 1
-	u.mu.Unlock()
 	for _, n := range u.s.cores() {
 		status, _ := call(http.MethodPut, "http://"+n.at(u.s.control)+"/instances/"+u.id, body, time.Second)
-		if first || state == "draining" {
-			u.s.printf("runner %s: PUT %s, %s, at %s: %d", u.id, state, body["version"], n.name, status)
-		}
 		if status == http.StatusOK {
 			return
 		}
@@ -133,17 +97,14 @@
 	if last := r.Header.Get("Last-Event-Id"); last != "" {
 		first, _ = strconv.Atoi(last)
 	}
-	u.mu.Lock()
-	version := u.version
-	u.mu.Unlock()
-	u.s.printf("runner %s (%s) runs %s from event %d on", u.id, version, id, first+1)
+	u.s.printf("runner %s (%s) runs %s from event %d on", u.id, u.version, id, first+1)
 	w.Header().Set("Runner-Seal", "3e1b.07."+strings.TrimPrefix(u.id, "i-")+".600.0.c9f2a4d1")
 	w.Header().Set("Weight-Versions", "1")
 	w.Header().Set("Content-Type", "text/event-stream")
 	w.WriteHeader(http.StatusOK)
 	flush := w.(http.Flusher)
 	for n := first + 1; n <= u.events; n++ {
-		if _, err := fmt.Fprintf(w, "id: %d\ndata: %s %s %d\n\n", n, version, id, n); err != nil {
+		if _, err := fmt.Fprintf(w, "id: %d\ndata: %s %s %d\n\n", n, u.version, id, n); err != nil {
 			return
 		}
 		flush.Flush()
