--- a/core/raft/members.go
+++ b/core/raft/members.go
@@ -133,6 +133,25 @@
 	return n.proposeMembers(now, n.members().with(m))
 }
 
+// Demote proposes to make a voter a learner. The last voter cannot be demoted.
+func (n *Node) Demote(now time.Time, id MemberID) (uint64, error) {
+	if err := n.checkChangeAllowed(); err != nil {
+		return 0, err
+	}
+	m, known := n.members().Get(id)
+	if !known {
+		return 0, fault.New(fault.NotFound, "no member %x", id)
+	}
+	if !m.Voter {
+		return 0, fault.New(fault.Conflict, "member %x is already a learner", id)
+	}
+	if len(n.members().Voters()) == 1 {
+		return 0, fault.New(fault.Invalid, "member %x is the last voter", id)
+	}
+	m.Voter = false
+	return n.proposeMembers(now, n.members().with(m))
+}
+
 // SetDomain proposes to record the failure domain of a member. It fails with fault.Conflict if
 // it is recorded already.
 func (n *Node) SetDomain(now time.Time, id MemberID, domain string) (uint64, error) {
--- a/instance/consensus/calls.go
+++ b/instance/consensus/calls.go
@@ -103,6 +103,11 @@
 	return s.change(ctx, func(n *raft.Node, now time.Time) (uint64, error) { return n.Promote(now, id) })
 }
 
+// Demote makes a voter a learner.
+func (s *Service) Demote(ctx context.Context, id raft.MemberID) error {
+	return s.change(ctx, func(n *raft.Node, now time.Time) (uint64, error) { return n.Demote(now, id) })
+}
+
 // Remove removes a member from the group.
 func (s *Service) Remove(ctx context.Context, id raft.MemberID) error {
 	return s.change(ctx, func(n *raft.Node, now time.Time) (uint64, error) { return n.Remove(now, id) })
--- a/instance/control/control.go
+++ b/instance/control/control.go
@@ -39,6 +39,7 @@
 	channelRaft     = "control.raft"
 	channelFounding = "control.founding"
 	channelJoin     = "control.join"
+	channelLeave    = "control.leave"
 	channelPropose  = "control.propose"
 	channelRead     = "control.read"
 	channelInForce  = "control.force"
@@ -97,6 +98,9 @@
 	// RepairMembers lets the leader replace members that fell silent, and lets a
 	// replaced member join again, without an operator; see core/raft/roster.
 	RepairMembers bool
+	// Faults is the number of members that may be lost at the same time; zero means one. A
+	// group that repairs its membership keeps voters enough for it.
+	Faults int
 	// RetryDisk keeps the process running when its disk refuses writes: the member
 	// stops voting and tries to restart from the disk every diskRetry.
 	RetryDisk bool
@@ -133,6 +137,9 @@
 	ledTerm atomic.Uint64
 	// unpublished is the last revision that could not be published; only leadLoop uses it.
 	unpublished uint64
+	// maintaining is held while the leader changes the membership.
+	maintaining sync.Mutex
+	leaving     leavingMembers
 }
 
 // New returns a service that has not been started; it registers its channels.
@@ -146,6 +153,7 @@
 	cfg.Links.Handle(channelRaft, s.receiveRaft, link.Lossy())
 	cfg.Links.Handle(channelFounding, s.receiveFounding, link.Lossy())
 	cfg.Links.Handle(channelJoin, s.receiveJoin)
+	cfg.Links.Handle(channelLeave, s.receiveLeave)
 	cfg.Links.Handle(channelPropose, s.receivePropose)
 	cfg.Links.Handle(channelRead, s.receiveRead)
 	cfg.Links.Handle(channelInForce, s.receiveInForce)
@@ -189,11 +197,13 @@
 	return nil
 }
 
-// drainTimeout bounds the leadership transfer. Stopping without a transfer is safe, but
-// costs the group an election timeout.
+// drainTimeout bounds the leadership transfer and the announcement of the stop. Stopping
+// without them is safe, but costs the group an election timeout, and a voter until it is
+// found silent.
 const drainTimeout = 2 * time.Second
 
-// Drain implements kernel.Drainer: a leader transfers its leadership before it stops.
+// Drain implements kernel.Drainer: before it stops, a leader transfers its leadership, and a
+// voter its vote if another member can take it.
 func (s *Service) Drain(ctx context.Context) error {
 	g := s.group.Load()
 	if g == nil {
@@ -203,6 +213,10 @@
 	defer cancel()
 	if err := g.Drain(ctx); err != nil {
 		s.cfg.Log.Warn().Err(err).Msg("control leadership not transferred")
+		return nil
+	}
+	if err := s.announceLeave(ctx, g); err != nil {
+		s.cfg.Log.Warn().Err(err).Msg("leader not told that this member stops")
 	}
 	return nil
 }
--- a/instance/control/group.go
+++ b/instance/control/group.go
@@ -13,8 +13,11 @@
 )
 
 const (
-	// joinEvery is the interval of attempts to join and of membership maintenance.
+	// joinEvery is the interval of attempts to join.
 	joinEvery = 500 * time.Millisecond
+	// joinHedge is how long a joining instance waits for one member before it asks the next
+	// one as well.
+	joinHedge = 300 * time.Millisecond
 	// callTimeout bounds one call to another member.
 	callTimeout = 2 * time.Second
 )
@@ -181,25 +184,67 @@
 	}
 }
 
-// tryJoin asks the members in turn to add this disk, and starts the member when one of
-// them has done so.
+// tryJoin asks the members to add this disk, and starts the member when one of them has done
+// so.
 func (s *Service) tryJoin(id consensus.Identity) bool {
-	for _, name := range s.cfg.Members() {
-		ctx, cancel := context.WithTimeout(s.ctx, callTimeout)
-		var a joinAnswer
-		err := s.cfg.Links.Call(ctx, name, channelJoin, joinRequest{ID: id.ID, Name: id.Name, Domain: s.cfg.Domain}, &a)
-		cancel()
-		if err != nil {
-			continue
+	cluster, ok := s.askToJoin(id)
+	if !ok {
+		return false
+	}
+	if err := consensus.Join(s.cfg.Disk, s.cfg.DataFolder, &id, cluster); err != nil {
+		s.memberFailed(err)
+		return true
+	}
+	s.startOrFail(id)
+	return true
+}
+
+// askToJoin asks one member after the other to add this disk, until one has done so. It asks
+// the next one without the answer of the last when that takes long: a member that is cut off
+// does not answer, and until this disk has joined, the group may bear no other loss.
+func (s *Service) askToJoin(id consensus.Identity) (raft.ClusterID, bool) {
+	ctx, cancel := context.WithTimeout(s.ctx, callTimeout)
+	defer cancel()
+	q := joinRequest{ID: id.ID, Name: id.Name, Domain: s.cfg.Domain}
+	names := s.cfg.Members()
+	answers := make(chan *joinAnswer, len(names))
+	pending := 0
+	for i, name := range names {
+		go func() {
+			a := &joinAnswer{}
+			if err := s.cfg.Links.Call(ctx, name, channelJoin, q, a); err != nil {
+				a = nil
+			}
+			answers <- a
+		}()
+		pending++
+		wait := joinHedge
+		if i == len(names)-1 {
+			wait = callTimeout
 		}
-		if err := consensus.Join(s.cfg.Disk, s.cfg.DataFolder, &id, a.Cluster); err != nil {
-			s.memberFailed(err)
-			return true
+		if a := awaitJoin(answers, &pending, wait); a != nil {
+			return a.Cluster, true
 		}
-		s.startOrFail(id)
-		return true
 	}
-	return false
+	return "", false
+}
+
+// awaitJoin waits for an answer that is not nil, until none is pending or the time has passed.
+func awaitJoin(answers <-chan *joinAnswer, pending *int, wait time.Duration) *joinAnswer {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for *pending > 0 {
+		select {
+		case a := <-answers:
+			*pending--
+			if a != nil {
+				return a
+			}
+		case <-timer.C:
+			return nil
+		}
+	}
+	return nil
 }
 
 // receiveJoin adds a disk as a learner, on the leader. Any other member forwards the
--- a/instance/control/lead.go
+++ b/instance/control/lead.go
@@ -19,7 +19,6 @@
 // configuration lease, proposes the founding intent and maintains the membership. While
 // it does not lead, it calls rejoin.
 func (s *Service) leadLoop() {
-	maintainedAt := time.Time{}
 	leaderlessSince := time.Time{}
 	for s.sleep(renewEvery) {
 		s.refreshNames()
@@ -35,11 +34,8 @@
 			s.renew(g)
 			s.proposeFoundingIntent(g)
 		}
-		if time.Since(maintainedAt) >= joinEvery {
-			maintainedAt = time.Now()
-			s.recordOwnDomain(g, st)
-			s.maintainMembers(g, st)
-		}
+		s.recordOwnDomain(g, st)
+		s.maintainMembers(g)
 	}
 }
 
@@ -107,13 +103,23 @@
 		Msg("the newest revision of the control group conflicts with what this instance had applied")
 }
 
-// maintainMembers promotes a learner that has caught up, and then removes the member that
-// it replaces: the one with the same name, whose disk is lost.
-func (s *Service) maintainMembers(g *consensus.Service, st consensus.Status) {
+// maintainMembers restores the membership of the group. Without automatic repair, it removes a
+// member whose disk was replaced by another one of the same name, and promotes learners that
+// have caught up.
+func (s *Service) maintainMembers(g *consensus.Service) {
+	s.maintaining.Lock()
+	defer s.maintaining.Unlock()
 	ctx, cancel := context.WithTimeout(s.ctx, callTimeout)
 	defer cancel()
 	if s.cfg.RepairMembers {
-		s.repairMembership(ctx, g, &st.Status)
+		s.repairMembership(ctx, g)
+		return
+	}
+	st := g.Status()
+	if old := roster.ReplacedDisk(&st.Status); old != 0 {
+		if err := g.Remove(ctx, old); err == nil {
+			s.cfg.Log.Info().Uint64("member", uint64(old)).Msg("replaced member removed")
+		}
 		return
 	}
 	for _, m := range st.Members {
@@ -124,44 +130,45 @@
 			return
 		}
 	}
-	if old, ok := replaced(st); ok {
-		if err := g.Remove(ctx, old); err == nil {
-			s.cfg.Log.Info().Uint64("member", uint64(old)).Msg("replaced member removed")
+}
+
+// maxRepairs limits the membership changes in a row.
+const maxRepairs = 8
+
+// repairMembership performs the membership changes that restore the group, if any; see
+// core/raft/roster. Between two of them the group may bear no loss, so they follow one
+// another at once.
+func (s *Service) repairMembership(ctx context.Context, g *consensus.Service) {
+	for range maxRepairs {
+		st := g.Status()
+		if st.Leader != st.ID {
+			return
+		}
+		policy := roster.Policy{Faults: s.cfg.Faults, Leaving: s.leaving.members(clock.Now())}
+		change := policy.Next(&st.Status)
+		if change.Action == roster.None {
+			return
+		}
+		if err := s.changeMembership(ctx, g, &st.Status, change); err != nil && !clock.Sleep(ctx, admitRetryPause) {
+			return
 		}
 	}
 }
 
-// repairMembership performs the next membership change that restores the group, if any; see
-// core/raft/roster.
-func (s *Service) repairMembership(ctx context.Context, g *consensus.Service, st *raft.Status) {
-	change := roster.Next(st)
+// changeMembership performs and logs one membership change.
+func (s *Service) changeMembership(ctx context.Context, g *consensus.Service, st *raft.Status, change roster.Change) error {
 	m, _ := st.Members.Get(change.ID)
 	var err error
 	switch change.Action {
 	case roster.Promote:
 		err = g.Promote(ctx, change.ID)
+	case roster.Demote:
+		err = g.Demote(ctx, change.ID)
 	case roster.Remove:
 		err = g.Remove(ctx, change.ID)
-	default:
-		return
 	}
 	s.cfg.Log.Info().Err(err).Str("event", "member_change").Str("peer", m.Name).Uint64("member", uint64(m.ID)).
-		Bool("votes", change.Action == roster.Promote).Uint64("term", st.Term).Msg("automatic membership change in the control group")
-}
-
-// replaced returns a member that shares its name with another one and has been silent
-// for longer.
-func replaced(st consensus.Status) (raft.MemberID, bool) {
-	silent := map[raft.MemberID]time.Duration{}
-	for _, f := range st.Followers {
-		silent[f.ID] = f.Silent
-	}
-	for _, a := range st.Members {
-		for _, b := range st.Members {
-			if a.ID != b.ID && a.Name == b.Name && a.ID != st.ID && silent[a.ID] > silent[b.ID] {
-				return a.ID, true
-			}
-		}
-	}
-	return 0, false
+		Bool("votes", change.Action == roster.Promote).Bool("removed", change.Action == roster.Remove).
+		Int("voters", len(st.Members.Voters())).Uint64("term", st.Term).Msg("automatic membership change in the control group")
+	return err
 }
--- a/instance/control/recovery.go
+++ b/instance/control/recovery.go
@@ -1,7 +1,6 @@
 package control
 
 import (
-	"context"
 	"time"
 
 	"github.com/comfreyladder/comfreyladder/core/fault"
@@ -15,7 +14,7 @@
 	diskRetry = 500 * time.Millisecond
 	// leaderlessTimeout is how long a member may know no leader before it asks to join
 	// again: the group may have replaced it while it was cut off.
-	leaderlessTimeout = 3 * time.Second
+	leaderlessTimeout = 1500 * time.Millisecond
 )
 
 // memberFailed handles a fatal error of the member. With RetryDisk, a full or failing disk
@@ -90,14 +89,6 @@
 	if time.Since(since) < leaderlessTimeout {
 		return since
 	}
-	id := g.Identity()
-	for _, name := range s.cfg.Members() {
-		ctx, cancel := context.WithTimeout(s.ctx, callTimeout)
-		err := s.cfg.Links.Call(ctx, name, channelJoin, joinRequest{ID: id.ID, Name: id.Name, Domain: s.cfg.Domain}, &joinAnswer{})
-		cancel()
-		if err == nil {
-			break
-		}
-	}
+	s.askToJoin(g.Identity())
 	return time.Now()
 }
--- a/instance/roles/config.go
+++ b/instance/roles/config.go
@@ -32,7 +32,10 @@
 	// Metrics is the "ip:port" of the metrics listener; empty for none.
 	Metrics string
 	// Bootstrap lets the seeds found the control group.
-	Bootstrap  bool
+	Bootstrap bool
+	// Faults is the number of members of the control group that may be lost at the same time;
+	// zero means one.
+	Faults     int
 	DataFolder string
 	// FailClosed rejects requests with a key once the last contact with the control group is
 	// longer ago than Lease.
--- a/instance/roles/core.go
+++ b/instance/roles/core.go
@@ -50,7 +50,7 @@
 		s := control.New(control.Config{
 			Name: p.cfg.Peer, Domain: p.cfg.Domain, DataFolder: p.cfg.DataFolder, Founders: p.founders(), Bootstrap: p.cfg.Bootstrap,
 			Links: links, Members: func() []string { return p.otherSeeds() }, Log: p.log, OnFatal: p.reportFatal,
-			RepairMembers: true, RetryDisk: true, OnApplied: applied,
+			RepairMembers: true, Faults: p.cfg.Faults, RetryDisk: true, OnApplied: applied,
 			Heartbeat: heartbeat, ElectionTimeout: electionTimeout, RestartTimeout: restartTimeout,
 		})
 		state.control.Store(s)
