Origins of streams: members keep them, and are told again after a restart

Cause: where a stream began was known to its edge and, in memory, to two members, which were told once, without a confirmation. Members that had restarted, or had been down, were not told again, and an edge that is asked to go on with a stream of another one asks members only.

Edges tell with a confirmation that names the run of the member, ask each second, and tell all their streams again to a member that has restarted, has not confirmed, or is chosen anew.

--- a/core/origin/origin.go
+++ b/core/origin/origin.go
@@ -24,6 +24,8 @@
 	// lifetime is how long an origin is kept, at least, unless there are too many: longer than
 	// callers go on with a stream.
 	lifetime = time.Minute
+	// MaxLifetime is how long an origin is kept at most.
+	MaxLifetime = 2 * lifetime
 	// maxKeys bounds the origins of one lifetime.
 	maxKeys = 1 << 17
 )
@@ -63,6 +65,20 @@
 	return Origin{}, false
 }
 
+// Len returns the number of origins that are kept.
+func (s *Store) Len() int { return len(s.recent) + len(s.older) }
+
+// All calls f for each origin that is kept.
+func (s *Store) All(now time.Time, f func(Key, Origin)) {
+	s.rotate(now)
+	for k, o := range s.older {
+		f(k, *o)
+	}
+	for k, o := range s.recent {
+		f(k, *o)
+	}
+}
+
 // rotate drops what is too old or too much.
 func (s *Store) rotate(now time.Time) {
 	age := now.Sub(s.startedAt)
@@ -70,7 +86,7 @@
 		return
 	}
 	s.older = s.recent
-	if age >= 2*lifetime {
+	if age >= MaxLifetime {
 		s.older = nil
 	}
 	s.recent, s.startedAt, s.shared = map[Key]*Origin{}, now, map[Origin]*Origin{}
--- a/instance/origin/recorder.go
+++ b/instance/origin/recorder.go
@@ -1,6 +1,7 @@
 // Package origin shares among instances where streams began (core/origin). An instance tells two members of
 // the control group, so that its callers can go on elsewhere if it ends; an instance that is asked to go on
-// with a stream asks them.
+// with a stream asks them. Members keep what they are told on their disks, and instances tell it again to a
+// member that may have forgotten some of it.
 package origin
 
 import (
@@ -15,7 +16,7 @@
 )
 
 const (
-	// ChannelBegun carries a Begun to a member.
+	// ChannelBegun carries a Begun to a member, which answers with a BegunResponse.
 	ChannelBegun = "origin.begun"
 	// ChannelFind carries a FindRequest and its FindResponse.
 	ChannelFind = "origin.find"
@@ -33,6 +34,13 @@
 	Streams  []origin.Key `codec:"k"`
 }
 
+// BegunResponse confirms that a member keeps what it was told.
+type BegunResponse struct {
+	// Incarnation differs between any two runs of a member. What it was told in an earlier one may be
+	// lost.
+	Incarnation uint64 `codec:"i"`
+}
+
 // FindRequest asks where a stream began.
 type FindRequest struct {
 	Stream origin.Key `codec:"k"`
@@ -53,7 +61,6 @@
 
 // Links is the part of instance/link that a Recorder uses.
 type Links interface {
-	Send(to, channel string, msg any) error
 	Call(ctx context.Context, to, channel string, req, resp any) error
 }
 
@@ -72,8 +79,13 @@
 	// a service run several versions: a stream that its caller goes on with can be placed by its
 	// recorded origin only.
 	urgentInterval, interval = 20 * time.Millisecond, 250 * time.Millisecond
-	// maxPending bounds the streams of a message.
-	maxPending = 8192
+	// checkInterval is the time after which a member is asked whether it has restarted, if there is
+	// nothing to tell.
+	checkInterval = time.Second
+	// maxTold bounds the streams of a message, maxPending those that wait for one.
+	maxTold, maxPending = 8192, 1 << 16
+	// tellTimeout bounds the wait for a member's confirmation, retryPause is the pause after a failure.
+	tellTimeout, retryPause = 500 * time.Millisecond, 250 * time.Millisecond
 	// findTimeout bounds a question to a member: one that is cut off does not answer.
 	findTimeout = 250 * time.Millisecond
 )
@@ -88,15 +100,15 @@
 	done   sync.WaitGroup
 	urgent chan struct{}
 
-	mu      sync.Mutex
-	own     *origin.Store
-	pending map[origin.Origin][]origin.Key
-	count   int
+	mu  sync.Mutex
+	own *origin.Store
+	// targets are the members that are told.
+	targets map[string]*target
 }
 
 // NewRecorder returns a recorder that is not started.
 func NewRecorder(cfg RecorderConfig) *Recorder {
-	return &Recorder{cfg: cfg, urgent: make(chan struct{}, 1), own: origin.NewStore(), pending: map[origin.Origin][]origin.Key{}}
+	return &Recorder{cfg: cfg, urgent: make(chan struct{}, 1), own: origin.NewStore(), targets: map[string]*target{}}
 }
 
 // Start implements kernel.Service.
@@ -121,14 +133,16 @@
 	k := origin.KeyOf(id)
 	r.mu.Lock()
 	r.own.Add(clock.Now(), k, at)
-	if r.count < maxPending {
-		r.pending[at] = append(r.pending[at], k)
-		r.count++
+	for _, t := range r.targets {
+		t.add(k, at)
 	}
 	r.mu.Unlock()
-	if !urgent {
-		return
+	if urgent {
+		r.wake()
 	}
+}
+
+func (r *Recorder) wake() {
 	select {
 	case r.urgent <- struct{}{}:
 	default:
@@ -185,26 +199,62 @@
 		case <-ctx.Done():
 			return
 		}
-		r.flush()
+		r.tell(ctx)
 	}
 }
 
-// flush tells the members of the streams that began since the last call.
-func (r *Recorder) flush() {
+// tell tells each member that is due, without waiting for one that does not answer.
+func (r *Recorder) tell(ctx context.Context) {
+	now := clock.Now()
 	r.mu.Lock()
-	pending := r.pending
-	r.pending, r.count = map[origin.Origin][]origin.Key{}, 0
-	r.mu.Unlock()
-	if len(pending) == 0 {
-		return
-	}
-	var begun Begun
-	for at, streams := range pending {
-		begun.Groups = append(begun.Groups, Group{at.Service, at.Software, streams})
+	defer r.mu.Unlock()
+	r.chooseTargets()
+	for _, t := range r.targets {
+		if t.busy || now.Before(t.retryAt) || !t.due(now, r.own.Len()) {
+			continue
+		}
+		t.busy = true
+		r.done.Go(func() { r.deliver(ctx, t) })
 	}
+}
+
+// chooseTargets makes the first members those that are told.
+func (r *Recorder) chooseTargets() {
+	chosen := map[string]*target{}
 	for _, member := range r.members(copies) {
-		if err := r.cfg.Links.Send(member, ChannelBegun, &begun); err != nil {
-			r.cfg.Log.Event("origins_not_sent").Str("member", member).Int("groups", int64(len(begun.Groups))).Err(err).End()
+		t := r.targets[member]
+		if t == nil {
+			t = newTarget(member)
 		}
+		chosen[member] = t
 	}
+	r.targets = chosen
+}
+
+// deliver tells a member what it lacks.
+func (r *Recorder) deliver(ctx context.Context, t *target) {
+	for more := true; more; {
+		r.mu.Lock()
+		begun, streams := t.take(clock.Now(), r.own)
+		r.mu.Unlock()
+		response, err := r.send(ctx, t.member, begun)
+		r.mu.Lock()
+		more = t.delivered(clock.Now(), response, err)
+		t.busy = more
+		waiting := t.count > 0
+		r.mu.Unlock()
+		if waiting {
+			r.wake()
+		}
+		if err != nil && streams > 0 {
+			r.cfg.Log.Event("origins_not_sent").Str("member", t.member).Int("streams", int64(streams)).Err(err).End()
+		}
+	}
+}
+
+func (r *Recorder) send(ctx context.Context, member string, begun *Begun) (response BegunResponse, err error) {
+	ctx, cancel := context.WithTimeout(ctx, tellTimeout)
+	defer cancel()
+	err = r.cfg.Links.Call(ctx, member, ChannelBegun, begun, &response)
+	return response, err
 }
--- a/instance/origin/service.go
+++ b/instance/origin/service.go
@@ -2,12 +2,16 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"github.com/comfreyladder/comfreyladder/core/origin"
 	"github.com/comfreyladder/comfreyladder/instance/clock"
 	"github.com/comfreyladder/comfreyladder/instance/consensus"
+	"github.com/comfreyladder/comfreyladder/instance/disk"
 	"github.com/comfreyladder/comfreyladder/instance/link"
 )
 
@@ -25,6 +29,11 @@
 	// OnlySoftware returns the software version of a service if all its upstreams run, and ran for long,
 	// the same one. It fails unless a quorum confirms that.
 	OnlySoftware func(ctx context.Context, service string) (version string, only bool, err error)
+	// DataFolder is where origins are kept; empty keeps them in memory only. Disk holds it; nil means
+	// the operating system's filesystem.
+	DataFolder string
+	Disk       disk.FS
+	Log        zerolog.Logger
 }
 
 // peerTimeout bounds a question to another member.
@@ -32,7 +41,11 @@
 
 // Service answers on a member where streams began. It is safe for concurrent use.
 type Service struct {
-	cfg Config
+	cfg         Config
+	incarnation uint64
+	journal     *journal
+	cancel      context.CancelFunc
+	running     sync.WaitGroup
 
 	mu    sync.Mutex
 	store *origin.Store
@@ -40,23 +53,50 @@
 
 // New returns a service and registers its channels.
 func New(cfg Config) *Service {
-	s := &Service{cfg: cfg, store: origin.NewStore()}
-	cfg.Links.Handle(ChannelBegun, s.begun, link.Lossy())
+	s := &Service{cfg: cfg, incarnation: rand.Uint64() | 1, store: origin.NewStore()}
+	if cfg.DataFolder != "" {
+		if cfg.Disk == nil {
+			cfg.Disk = disk.OS{}
+		}
+		s.journal = newJournal(cfg.Disk, cfg.DataFolder, cfg.Log, s.remember)
+	}
+	cfg.Links.Handle(ChannelBegun, s.begun)
 	cfg.Links.Handle(ChannelFind, s.find)
 	return s
 }
 
-// Start implements kernel.Service.
-func (s *Service) Start(context.Context) error { return nil }
+// Start implements kernel.Service. It does not wait for the disk, which may hang.
+func (s *Service) Start(context.Context) error {
+	ctx, cancel := context.WithCancel(context.Background())
+	s.cancel = cancel
+	if s.journal != nil {
+		s.running.Go(func() { s.journal.run(ctx) })
+	}
+	return nil
+}
 
 // Stop implements kernel.Service.
-func (s *Service) Stop(context.Context) error { return nil }
+func (s *Service) Stop(context.Context) error {
+	if s.cancel != nil {
+		s.cancel()
+		s.running.Wait()
+	}
+	return nil
+}
 
 func (s *Service) begun(_ context.Context, _ string, msg link.Message) (any, error) {
 	var b Begun
 	if err := msg.Decode(&b); err != nil {
 		return nil, err
 	}
+	s.remember(&b)
+	if s.journal != nil && len(b.Groups) > 0 {
+		s.journal.add(&b)
+	}
+	return BegunResponse{Incarnation: s.incarnation}, nil
+}
+
+func (s *Service) remember(b *Begun) {
 	now := clock.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -66,7 +106,6 @@
 			s.store.Add(now, k, origin.Origin{Service: group.Service, Software: group.Software})
 		}
 	}
-	return nil, nil
 }
 
 func (s *Service) find(ctx context.Context, _ string, msg link.Message) (any, error) {
--- a/instance/roles/core.go
+++ b/instance/roles/core.go
@@ -138,7 +138,7 @@
 
 func (p *Process) origins() kernel.Module {
 	return besideServing(nameOrigins, func(links *link.Service, state *servingService) kernel.Service {
-		return origin.New(origin.Config{Replica: state.replica, Links: links, OnlySoftware: state.OnlySoftware})
+		return origin.New(origin.Config{Replica: state.replica, Links: links, OnlySoftware: state.OnlySoftware, DataFolder: p.cfg.DataFolder, Log: p.log})
 	})
 }
 
--- a/proof/deployed/versions_test.go
+++ b/proof/deployed/versions_test.go
@@ -73,6 +73,8 @@
 	path  string
 	gaps  int
 	ended bool
+	// hangsUpAfter is the number of events after which the caller breaks its connection, zero for never.
+	hangsUpAfter int
 }
 
 // take sends an attempt and reads its events. Each attempt after the first goes on after the last event.
@@ -109,6 +111,9 @@
 			}
 			t.last = n
 		}
+		if t.hangsUpAfter > 0 && t.last+1 >= t.hangsUpAfter {
+			return
+		}
 		if version, found := strings.CutPrefix(lines.Text(), "data: "); found && !slices.Contains(t.versions, version) {
 			t.versions = append(t.versions, version)
 		}
