Tests: a response whose head is cut is no answer, at each reader

Operators of systems like this one saw a 200 with an empty or short body, framed as whole, after an upstream had closed the connection inside the head of its response. Not seen here: all readers share instance/http1, which fails with io.ErrUnexpectedEOF at each cut. What was missing are tests: every prefix of four heads at the parser, 15 cuts by close and by reset at the edges on four kinds of route and in streams that go on, 9 at the own daemon, every prefix at the command, 5 at the load tool.

--- a/instance/http1/http1_test.go
+++ b/instance/http1/http1_test.go
@@ -128,3 +128,21 @@
 		_, _ = b.ReadAll(nil, limit)
 	})
 }
+
+// Guards against a head that is taken for whole because the upstream closed the connection inside it.
+func TestCutHeadIsNoResponse(t *testing.T) {
+	for _, head := range []string{
+		"HTTP/1.1 200 OK\r\nX-Id: a\r\nContent-Length: 0\r\n\r\n", "HTTP/1.0 200\r\n\r\n", "HTTP/1.1 204 X\r\nA:\r\n\r\n",
+		"HTTP/1.1 103 X\r\nA: b\r\n\r\nHTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+	} {
+		for n := range len(head) {
+			g := NewWithT(t)
+			h := &http1.Head{}
+			err := h.ReadFinalResponse(bufio.NewReader(strings.NewReader(head[:n])), limit, "POST")
+			g.Expect(err).To(Or(MatchError(io.ErrUnexpectedEOF), MatchError(io.EOF)), "%q", head[:n])
+		}
+		g := NewWithT(t)
+		h := &http1.Head{}
+		g.Expect(h.ReadFinalResponse(bufio.NewReader(strings.NewReader(head)), limit, "POST")).To(Succeed(), "%q", head)
+	}
+}
--- a/instance/relay/malformed_test.go
+++ b/instance/relay/malformed_test.go
@@ -135,3 +135,70 @@
 		})
 	}
 }
+
+// cutHeads are parts of a response's head, after which its upstream closes the connection. %[1]s is the request's ID.
+var cutHeads = []string{
+	"", "H", "HTTP/1.1 200", "HTTP/1.1 200 OK\r\n", "HTTP/1.1 200 OK\r\nX-Id: %[1]s\r\nX-Se", "HTTP/1.1 200 OK\r\nX-Id: %[1]s\r\nX-Seal: s",
+	"HTTP/1.1 200 OK\r\nX-Id: %[1]s\r\nX-Seal: s\r\n", "HTTP/1.1 200 OK\r\nX-Id: %[1]s\r\nX-Seal: s\r\n\r",
+	"HTTP/1.1 200 OK\r\nX-Id: %[1]s\r\nX-Seal: s\r\nContent-Length: 0\r\n", "HTTP/1.1 200 OK\r\nX-Id: %[1]s\r\nX-Seal: s\r\nContent-Length: 4\r\n",
+	"HTTP/1.1 200 OK\r\nX-Id: %[1]s\r\nX-Seal: s\r\nTransfer-Encoding: chunked\r\n",
+	"HTTP/1.1 200 OK\r\nX-Id: %[1]s\r\nX-Seal: s\r\nContent-Type: text/event-stream\r\n",
+	"HTTP/1.1 103 X\r\nA: b\r\n\r\n", "HTTP/1.1 103 X\r\n\r\nHTTP/1.1 200 OK\r\nX-Id: %[1]s\r\nX-Seal: s\r\n",
+	"HTTP/1.1 503 X\r\nX-Id: %[1]s\r\nX-Not-Run: 1\r\n",
+}
+
+// cuts returns an upstream that closes or resets the connection inside the head of each response.
+func cuts(t *testing.T, id, head string, reset bool) *fakeUpstream {
+	t.Helper()
+	return startUpstream(t, id, func(_ int, r *received, c net.Conn) bool {
+		_, _ = fmt.Fprintf(c, head+"%[2]s", r.header.Get("X-Id"), "")
+		if reset {
+			_ = c.(*net.TCPConn).SetLinger(0)
+		}
+		return false
+	})
+}
+
+// Guards against an answer that is framed as whole though its upstream closed the connection inside the head, on any
+// kind of route, and against a proof that the request did not run in such a head.
+func TestCutHeadIsNoAnswer(t *testing.T) {
+	for _, head := range cutHeads {
+		for _, reset := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%q, reset %v", head, reset), func(t *testing.T) {
+				for _, path := range []string{"/once/", "/stream/", "/open/", "/brief/"} {
+					sick := cuts(t, "sick", head, reset)
+					r := start(t, sick).caller().call("POST", path, "1", "x")
+					Expect(r.err).NotTo(HaveOccurred(), path)
+					Expect(r.status).To(BeElementOf(502, 503), path)
+					Expect(r.header).NotTo(HaveKey("X-Seal"), path)
+				}
+				sick, sound := cuts(t, "sick", head, reset), startUpstream(t, "sound", echo)
+				b := start(t, sick, sound)
+				for i := range 10 {
+					r := b.caller().call("GET", "/idem/", fmt.Sprint(i), "")
+					Expect(r.err).NotTo(HaveOccurred())
+					Expect([]any{r.status, r.body}).To(Equal([]any{200, "GET "}))
+				}
+			})
+		}
+	}
+}
+
+// Guards against a stream that ends properly, or goes on with the next response, after the upstream that was to go on
+// with it closed the connection inside the head.
+func TestStreamDoesNotEndWithACutHead(t *testing.T) {
+	for _, head := range cutHeads {
+		t.Run(fmt.Sprintf("%q", head), func(t *testing.T) {
+			script := func(_ int, r *received, c net.Conn) bool {
+				if r.header.Get("X-Last") == "" {
+					return events(c, r, 1, 2, false)
+				}
+				_, _ = fmt.Fprintf(c, head+"%[2]s", r.header.Get("X-Id"), "")
+				return false
+			}
+			r := start(t, startUpstream(t, "one", script), startUpstream(t, "other", script)).caller().call("POST", "/stream/", "1", "x")
+			Expect(r.err).To(HaveOccurred(), "the stream looks broken")
+			Expect(r.body).To(Equal(event(1) + event(2)))
+		})
+	}
+}
--- a/instance/upstream/malformed_test.go
+++ b/instance/upstream/malformed_test.go
@@ -31,6 +31,17 @@
 		DeferCleanup(f.close)
 		return f
 	}
+	// cut answers with the beginning of a head and closes the connection.
+	cut := func(head string) *fakeUpstream {
+		f := newFakeUpstream(func(f *fakeUpstream, _ int, c net.Conn, br *bufio.Reader) {
+			if f.next(br) != nil {
+				fmt.Fprint(c, head)
+			}
+			_ = c.Close()
+		})
+		DeferCleanup(f.close)
+		return f
+	}
 	newClient := func() *upstream.Client { return client(upstream.Config{FirstByte: time.Second}) }
 	heads := func(body func(response string)) {
 		DescribeTable("of which nothing is used", body,
@@ -54,6 +65,27 @@
 		)
 	}
 
+	Context("that are cut", func() {
+		DescribeTable("of which nothing is used", func(head string) {
+			_, err := do(newClient(), cut(head), post("a"))
+			expectFailure(err, upstream.Unknown, fault.OutcomeUnknown)
+			ctx, cancel := context.WithTimeout(context.Background(), limit)
+			defer cancel()
+			_, err = newClient().Generate(ctx, cut(head).target(), "a", []byte(`{"stream":true}`))
+			expectFailure(err, upstream.Unknown, fault.OutcomeUnknown)
+		},
+			Entry("in the status line", "HTTP/1.1 20"),
+			Entry("after the status line", "HTTP/1.1 200 OK\r\n"),
+			Entry("in a field", "HTTP/1.1 200 OK\r\n"+fields+"Content-Le"),
+			Entry("after a field", "HTTP/1.1 200 OK\r\n"+fields),
+			Entry("after the length", "HTTP/1.1 200 OK\r\n"+fields+"Content-Length: 0\r\n"),
+			Entry("after the type", "HTTP/1.1 200 OK\r\n"+fields+"Content-Type: text/event-stream\r\n"),
+			Entry("before its last byte", "HTTP/1.1 200 OK\r\n"+fields+"Content-Length: 0\r\n\r"),
+			Entry("after an interim response", "HTTP/1.1 103 X\r\n\r\n"),
+			Entry("after the proof of a refusal", "HTTP/1.1 503 X\r\n"+fields+"X-Not-Run: true\r\n"),
+		)
+	})
+
 	Context("of plain calls", func() {
 		heads(func(response string) {
 			f := serve(response)
--- a/operator/client/malformed_test.go
+++ b/operator/client/malformed_test.go
@@ -65,3 +65,15 @@
 		g.Expect(fault.CodeOf(statusOf(t, "HTTP/1.1 200 OK\r\n\r\n{}", true))).To(Equal(fault.Unavailable))
 	}
 }
+
+// Guards against a command that takes an answer for a success though the connection was closed inside its head.
+func TestCutHeadsAreRejected(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
+	for n := range len(head) {
+		for _, reset := range []bool{false, true} {
+			if err := statusOf(t, head[:n], reset); fault.CodeOf(err) != fault.Unavailable {
+				t.Errorf("%q: %v", head[:n], err)
+			}
+		}
+	}
+}
--- a/operator/load/caller/malformed_test.go
+++ b/operator/load/caller/malformed_test.go
@@ -41,6 +41,20 @@
 	return l.Addr().String()
 }
 
+// Guards against an experiment that counts an answer as a success though its connection was closed inside the head.
+func TestCutHeadIsNoSuccess(t *testing.T) {
+	RegisterTestingT(t)
+	request := &load.Request{ID: "r", Class: &intent.Class{Name: "c"}, Tokens: 1}
+	for _, head := range []string{"HTTP/1.1 200", "HTTP/1.1 200 OK\r\n", "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n", "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r", "HTTP/1.1 103 X\r\n\r\n"} {
+		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+		o := caller.Do(ctx, caller.Call{Address: answering(t, head), Request: request, Arrived: time.Now()})
+		c := caller.NewRemote([]string{answering(t, head)}).Call(ctx, &load.Call{Service: "s", Path: "/p", Key: "k", Timeout: time.Second}, time.Now())
+		cancel()
+		Expect(o.Verdict).To(Equal(load.Broken), head)
+		Expect(c.Verdict).To(Equal(load.CallUnknown), head)
+	}
+}
+
 // Guards against an experiment that counts an answer with a malformed head as a success.
 func TestMalformedAnswerIsNoSuccess(t *testing.T) {
 	RegisterTestingT(t)
