--- a/core/raft/roster/roster.go
+++ b/core/raft/roster/roster.go
@@ -13,7 +13,7 @@
 // it, so that a minority never takes the votes of the others away, one by one.
 //
 // Voters are spread over the failure domains: otherwise a small group could lose its quorum with
-// one domain. All members beyond MaxVoters stay learners, which serve reads as well; a change waits
+// one domain. All members beyond Voters stay learners, which serve reads as well; a change waits
 // for a majority of the voters, so its cost does not grow with the members.
 package roster
 
