Origins of streams: messages at the clock's pace, checked once a second

Messages are one-way again, every 250 ms, 20 ms while several versions serve, and numbered. One check a second asks a member up to which none is missing; if it lacks some, as it has restarted or messages were lost, all is told again, with a growing pause.

An old build beside this one: its messages carry no number and are kept as before; an old member ignores the numbers and rejects the check, so it is told once, as before.

--- a/core/raft/roster/roster_test.go
+++ b/core/raft/roster/roster_test.go
@@ -105,6 +105,35 @@
 	g.Expect(nextOf(roster.Policy{Faults: 2}, a, b, c, d, e)).To(Equal(roster.Change{}), "two of five may be lost, and return")
 }
 
+// Guards against an even group that gives up voters which may return, or that are alive, while it has no more
+// than it needs: two of five are expected to be lost at the same time.
+func TestEvenGroupDoesNotShrinkBelowWhatItNeeds(t *testing.T) {
+	g := NewWithT(t)
+	two := roster.Policy{Faults: 2}
+	a, b, c, d := member{1, "a", true, 0}, member{2, "b", true, 0}, member{3, "c", true, 0}, member{4, "d", true, long}
+	g.Expect(nextOf(two, a, b, c, d)).To(Equal(roster.Change{}))
+	st := &raft.Status{ID: 1}
+	for id, domain := range []string{"north", "north", "south", "west"} {
+		st.Members = append(st.Members, raft.Member{ID: raft.MemberID(id + 1), Name: fmt.Sprint(id), Domain: domain, Voter: true})
+		st.Followers = append(st.Followers, raft.FollowerStatus{ID: raft.MemberID(id + 1)})
+	}
+	st.Followers[3].Silent = long
+	g.Expect(two.Next(st)).To(Equal(roster.Change{}), "three of four are left, and all are needed")
+}
+
+// Guards against a lost disk that is removed before the new one of its instance has the log.
+func TestReplacedDiskIsRemovedOnceTheNewOneHasSynced(t *testing.T) {
+	g := NewWithT(t)
+	const commit = 1000
+	st := &raft.Status{ID: 1, Commit: commit, Members: raft.Members{{ID: 1, Name: "a", Voter: true}, {ID: 2, Name: "b", Voter: true}, {ID: 3, Name: "c", Voter: true}, {ID: 4, Name: "c"}},
+		Followers: []raft.FollowerStatus{{ID: 2, Match: commit}, {ID: 3, Silent: long}, {ID: 4}}}
+	g.Expect(roster.Policy{}.Next(st)).To(Equal(roster.Change{}))
+	g.Expect(roster.ReplacedDisk(st)).To(BeZero())
+	st.Followers[2].Match = commit
+	g.Expect(roster.Policy{}.Next(st)).To(Equal(roster.Change{Action: roster.Remove, ID: 3}))
+	g.Expect(roster.ReplacedDisk(st)).To(Equal(raft.MemberID(3)))
+}
+
 // Guards against a planned stop that costs a vote: the next loss may come right after it.
 func TestLeavingVoterIsReplacedAtOnce(t *testing.T) {
 	g := NewWithT(t)
--- a/instance/origin/journal.go
+++ b/instance/origin/journal.go
@@ -18,23 +18,20 @@
 
 const (
 	journalDir = "origins"
-	// journalInterval is the time between two syncs: what a member was told since the last one is lost
-	// if it is killed, unless the instance that told it goes on.
-	journalInterval = 20 * time.Millisecond
 	// journalRetry is the pause before a disk that refused a write is used again.
 	journalRetry = time.Second
 	// journalSegment is the size of a file, in bytes; markInterval is the time after which what has
 	// expired is removed.
 	journalSegment, markInterval = 256 << 10, 10 * time.Second
-	// maxUnwritten bounds the records that wait for the disk.
-	maxUnwritten = 4096
+	// maxUnwritten bounds the streams that wait for the disk.
+	maxUnwritten = 1 << 18
 )
 
-// record is one message of an instance, as it is kept on disk.
+// record lists streams that began, as they are kept on disk.
 type record struct {
-	// At is when the message came, in seconds since the Unix epoch.
-	At    int64 `codec:"a"`
-	Begun Begun `codec:"b"`
+	// At is when it was written, in seconds since the Unix epoch.
+	At     int64   `codec:"a"`
+	Groups []Group `codec:"g"`
 }
 
 // mark is the sequence number of the first record that was written after a time.
@@ -49,34 +46,40 @@
 	fs     disk.FS
 	dir    string
 	log    zerolog.Logger
-	replay func(*Begun)
-	wake   chan struct{}
+	replay func([]Group)
+	urgent chan struct{}
 
 	mu        sync.Mutex
-	unwritten [][]byte
+	unwritten map[origin.Origin][]origin.Key
+	count     int
 
 	// Only run uses these.
 	file  *wal.Log
 	marks []mark
 }
 
-func newJournal(fs disk.FS, folder string, log zerolog.Logger, replay func(*Begun)) *journal {
-	return &journal{fs: fs, dir: filepath.Join(folder, journalDir), log: log, replay: replay, wake: make(chan struct{}, 1)}
+func newJournal(fs disk.FS, folder string, log zerolog.Logger, replay func([]Group)) *journal {
+	return &journal{fs: fs, dir: filepath.Join(folder, journalDir), log: log, replay: replay, urgent: make(chan struct{}, 1), unwritten: map[origin.Origin][]origin.Key{}}
 }
 
-// add queues a message without waiting for the disk.
+// add queues streams without waiting for the disk. If too many wait, they are not kept.
 func (j *journal) add(b *Begun) {
-	data, err := control.Marshal(&record{At: time.Now().Unix(), Begun: *b})
-	if err != nil {
-		return
-	}
 	j.mu.Lock()
-	if len(j.unwritten) < maxUnwritten {
-		j.unwritten = append(j.unwritten, data)
+	for i := range b.Groups {
+		g := &b.Groups[i]
+		if j.count+len(g.Streams) > maxUnwritten {
+			break
+		}
+		at := origin.Origin{Service: g.Service, Software: g.Software}
+		j.unwritten[at] = append(j.unwritten[at], g.Streams...)
+		j.count += len(g.Streams)
 	}
 	j.mu.Unlock()
+	if !b.Urgent {
+		return
+	}
 	select {
-	case j.wake <- struct{}{}:
+	case j.urgent <- struct{}{}:
 	default:
 	}
 }
@@ -101,14 +104,18 @@
 	}
 }
 
-// await waits until there is something to write, and for the time between two syncs.
+// await waits for the next time to write: soon while upstreams of a service run several versions.
 func (j *journal) await(ctx context.Context) bool {
+	timer := time.NewTimer(interval)
+	defer timer.Stop()
 	select {
-	case <-j.wake:
+	case <-j.urgent:
+		return clock.Sleep(ctx, urgentInterval)
+	case <-timer.C:
+		return true
 	case <-ctx.Done():
 		return false
 	}
-	return clock.Sleep(ctx, journalInterval)
 }
 
 // open reads the journal. A damaged one is removed: instances that go on tell what was in it again.
@@ -147,7 +154,7 @@
 		return err
 	}
 	if time.Since(time.Unix(r.At, 0)) < origin.MaxLifetime {
-		j.replay(&r.Begun)
+		j.replay(r.Groups)
 	}
 	return nil
 }
@@ -155,12 +162,20 @@
 func (j *journal) flush(now time.Time) error {
 	j.mu.Lock()
 	unwritten := j.unwritten
-	j.unwritten = nil
+	j.unwritten, j.count = map[origin.Origin][]origin.Key{}, 0
 	j.mu.Unlock()
 	if len(unwritten) == 0 {
 		return nil
 	}
-	if _, err := j.file.Append(unwritten...); err != nil {
+	r := record{At: time.Now().Unix()}
+	for at, streams := range unwritten {
+		r.Groups = append(r.Groups, Group{at.Service, at.Software, streams})
+	}
+	data, err := control.Marshal(&r)
+	if err != nil {
+		return err
+	}
+	if _, err := j.file.Append(data); err != nil {
 		return err
 	}
 	return j.expire(now)
--- a/instance/origin/journal_test.go
+++ b/instance/origin/journal_test.go
@@ -31,7 +31,10 @@
 }
 
 // asker calls a member as an instance does.
-type asker struct{ links *link.Service }
+type asker struct {
+	links  *link.Service
+	number uint64
+}
 
 func (a *asker) call(channel string, req, resp any) {
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
@@ -39,10 +42,18 @@
 	Expect(a.links.Call(ctx, "member", channel, req, resp)).To(Succeed())
 }
 
-func (a *asker) tell(software string, streams ...core.Key) uint64 {
-	var resp origin.BegunResponse
-	a.call(origin.ChannelBegun, &origin.Begun{Groups: []origin.Group{{Service: "s", Software: software, Streams: streams}}}, &resp)
-	return resp.Incarnation
+func (a *asker) tell(software string, streams ...core.Key) {
+	a.number++
+	begun := &origin.Begun{Groups: []origin.Group{{Service: "s", Software: software, Streams: streams}}, Number: a.number, First: a.number == 1, Urgent: true}
+	Expect(a.links.Send("member", origin.ChannelBegun, begun)).To(Succeed())
+	Eventually(a.received).Should(Equal(a.number))
+}
+
+// received returns the number of the last message before which none is missing.
+func (a *asker) received() uint64 {
+	var resp origin.CheckResponse
+	a.call(origin.ChannelCheck, origin.CheckRequest{}, &resp)
+	return resp.Number
 }
 
 func (a *asker) find(k core.Key) (resp origin.FindResponse) {
@@ -75,21 +86,22 @@
 		}
 	})
 	t.Cleanup(stop)
-	return &asker{other}, stop
+	return &asker{links: other}, stop
 }
 
 // Guards against streams that are forgotten when all members are killed, with the instance that carried them.
 func TestOriginsOutliveTheProcess(t *testing.T) {
 	fs := disktest.NewMemory()
 	m, stop := startMember(t, fs)
-	first := m.tell("v1", 1, 2)
+	m.tell("v1", 1, 2)
 	m.tell("v2", 3)
 	stop()
 	m, stop = startMember(t, fs)
 	Eventually(func() string { return m.find(3).Software }).Should(Equal("v2"))
 	Expect(m.find(1).Software).To(Equal("v1"))
 	Expect(m.find(4).Known).To(BeFalse())
-	Expect(m.tell("v3", 4)).NotTo(Equal(first), "instances can tell that it has restarted")
+	Expect(m.received()).To(BeZero(), "instances can tell that it has restarted")
+	m.tell("v3", 4)
 	stop()
 	m, _ = startMember(t, fs)
 	Eventually(func() string { return m.find(4).Software }).Should(Equal("v3"))
@@ -144,3 +156,22 @@
 	}
 	return content
 }
+
+// Guards against a lost message that is not noticed.
+func TestMissingMessageIsNoticed(t *testing.T) {
+	m, _ := startMember(t, disktest.NewMemory())
+	send := func(number uint64, first bool) {
+		Expect(m.links.Send("member", origin.ChannelBegun, &origin.Begun{Number: number, First: first})).To(Succeed())
+	}
+	send(7, false)
+	send(8, false)
+	Consistently(m.received).WithTimeout(100*time.Millisecond).Should(BeZero(), "the first one is missing")
+	send(9, true)
+	send(10, false)
+	Eventually(m.received).Should(Equal(uint64(10)))
+	send(12, false)
+	send(13, false)
+	Consistently(m.received).WithTimeout(100*time.Millisecond).Should(Equal(uint64(10)), "11 is missing")
+	send(14, true)
+	Eventually(m.received).Should(Equal(uint64(14)))
+}
--- a/instance/origin/origin_test.go
+++ b/instance/origin/origin_test.go
@@ -22,34 +22,55 @@
 	down   map[string]bool
 	told   map[string][]core.Key
 	answer origin.FindResponse
-	// runs counts the runs of each member.
-	runs map[string]uint64
+	// received holds the number of the last message to a member before which none is missing.
+	received map[string]uint64
+	// sent counts the messages.
+	sent int
 }
 
-func (m *members) Call(_ context.Context, to, _ string, req, resp any) error {
+func (m *members) Send(to, _ string, msg any) error {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	m.sent++
 	if m.down[to] {
-		return fault.New(fault.Unavailable, "down")
+		return nil
+	}
+	b := msg.(*origin.Begun)
+	for _, group := range b.Groups {
+		m.told[to] = append(m.told[to], group.Streams...)
+	}
+	if b.First || m.received[to] > 0 && b.Number == m.received[to]+1 {
+		m.received[to] = b.Number
 	}
-	switch q := req.(type) {
-	case *origin.Begun:
-		for _, group := range q.Groups {
-			m.told[to] = append(m.told[to], group.Streams...)
-		}
-		resp.(*origin.BegunResponse).Incarnation = 1 + m.runs[to]
+	return nil
+}
+
+func (m *members) Call(_ context.Context, to, channel string, _, resp any) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	switch {
+	case m.down[to]:
+		return fault.New(fault.Unavailable, "down")
+	case channel == origin.ChannelCheck:
+		resp.(*origin.CheckResponse).Number = m.received[to]
 	default:
 		*resp.(*origin.FindResponse) = m.answer
 	}
 	return nil
 }
 
+// set makes a member reachable or not.
+func (m *members) set(member string, down bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.down[member] = down
+}
+
 // restart lets a member forget what it was told.
-func (m *members) restart(member string, down bool) {
+func (m *members) restart(member string) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.runs[member]++
-	m.told[member], m.down[member] = nil, down
+	m.told[member], m.received[member] = nil, 0
 }
 
 func (m *members) toldTo(member string) int {
@@ -59,7 +80,7 @@
 }
 
 func newMembers() *members {
-	return &members{told: map[string][]core.Key{}, down: map[string]bool{}, runs: map[string]uint64{}}
+	return &members{told: map[string][]core.Key{}, down: map[string]bool{}, received: map[string]uint64{}}
 }
 
 func recorder(t *testing.T, m *members) *origin.Recorder {
@@ -84,23 +105,26 @@
 	Eventually(func() int { return m.toldTo("m1") }).Should(Equal(2))
 }
 
-// Guards against streams that nobody but their instance knows of: a member has restarted, or was down when
-// they began.
-func TestRestartedMemberIsToldAgain(t *testing.T) {
+// Guards against streams that nobody but their instance knows of: a member has restarted, or messages to it
+// were lost.
+func TestMemberThatLacksStreamsIsToldAgain(t *testing.T) {
 	m := newMembers()
 	r := recorder(t, m)
 	for i := range 20 {
 		r.Began([]byte{byte(i)}, core.Origin{Service: "s", Software: fmt.Sprint("v", i%3)}, true)
 	}
-	Eventually(func() int { return m.toldTo("m0") }).Should(Equal(20))
-	Eventually(func() int { return m.toldTo("m1") }).Should(Equal(20))
-	m.restart("m0", false)
-	Eventually(func() int { return m.toldTo("m0") }).WithTimeout(3 * time.Second).Should(Equal(20))
-	m.restart("m1", true)
-	r.Began([]byte("later"), at, true)
-	Eventually(func() int { return m.toldTo("m0") }).Should(Equal(21))
-	m.restart("m1", false)
-	Eventually(func() int { return m.toldTo("m1") }).WithTimeout(3 * time.Second).Should(Equal(21))
+	told := func(member string, n int) {
+		Eventually(func() int { return m.toldTo(member) }).WithTimeout(4*time.Second).Should(Equal(n), member)
+	}
+	told("m0", 20)
+	told("m1", 20)
+	m.restart("m0")
+	told("m0", 20)
+	m.set("m1", true)
+	r.Began([]byte("lost"), at, true)
+	told("m0", 21)
+	m.set("m1", false)
+	told("m1", 20+21)
 	Expect(m.toldTo("m2")).To(BeZero())
 }
 
@@ -113,10 +137,26 @@
 		r.Began(fmt.Append(nil, i), at, false)
 	}
 	Eventually(func() int { return m.toldTo("m0") }).WithTimeout(5 * time.Second).Should(Equal(many))
-	m.restart("m0", false)
+	m.restart("m0")
 	Eventually(func() int { return m.toldTo("m0") }).WithTimeout(5 * time.Second).Should(Equal(many))
 }
 
+// Guards against messages whose number grows as members get slow: a loaded member would get more of them.
+func TestMessagesDoNotDependOnTheMembersSpeed(t *testing.T) {
+	m := newMembers()
+	m.set("m0", true)
+	m.set("m1", true)
+	r := recorder(t, m)
+	const span = 2 * time.Second
+	for i, begun := 0, time.Now(); time.Since(begun) < span; i++ {
+		r.Began(fmt.Append(nil, i), at, false)
+		time.Sleep(time.Millisecond)
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	Expect(m.sent).To(BeNumerically("<=", 2*(4*span/time.Second+1)), "four a second to each of two members")
+}
+
 func TestOriginIsFoundHereOrAtAMember(t *testing.T) {
 	m := newMembers()
 	r := recorder(t, m)
--- a/instance/origin/recorder.go
+++ b/instance/origin/recorder.go
@@ -16,8 +16,10 @@
 )
 
 const (
-	// ChannelBegun carries a Begun to a member, which answers with a BegunResponse.
+	// ChannelBegun carries a Begun to a member.
 	ChannelBegun = "origin.begun"
+	// ChannelCheck asks a member with a CheckRequest what it has received, for a CheckResponse.
+	ChannelCheck = "origin.check"
 	// ChannelFind carries a FindRequest and its FindResponse.
 	ChannelFind = "origin.find"
 )
@@ -25,6 +27,12 @@
 // Begun lists streams that began, by where they did.
 type Begun struct {
 	Groups []Group `codec:"g"`
+	// Number counts the messages of an instance to a member; zero from an instance of an older version.
+	// First marks the first message of those that tell all streams of the instance again.
+	Number uint64 `codec:"n,omitempty"`
+	First  bool   `codec:"f,omitempty"`
+	// Urgent is set if upstreams of a service ran several versions when a stream began.
+	Urgent bool `codec:"u,omitempty"`
 }
 
 // Group holds the streams that began at one service and software version.
@@ -34,11 +42,13 @@
 	Streams  []origin.Key `codec:"k"`
 }
 
-// BegunResponse confirms that a member keeps what it was told.
-type BegunResponse struct {
-	// Incarnation differs between any two runs of a member. What it was told in an earlier one may be
-	// lost.
-	Incarnation uint64 `codec:"i"`
+// CheckRequest asks a member which messages of the instance it has received.
+type CheckRequest struct{}
+
+// CheckResponse names the last message before which none is missing since the last First; zero if there is
+// none, or the member has restarted.
+type CheckResponse struct {
+	Number uint64 `codec:"n"`
 }
 
 // FindRequest asks where a stream began.
@@ -61,6 +71,7 @@
 
 // Links is the part of instance/link that a Recorder uses.
 type Links interface {
+	Send(to, channel string, msg any) error
 	Call(ctx context.Context, to, channel string, req, resp any) error
 }
 
@@ -79,13 +90,14 @@
 	// a service run several versions: a stream that its caller goes on with can be placed by its
 	// recorded origin only.
 	urgentInterval, interval = 20 * time.Millisecond, 250 * time.Millisecond
-	// checkInterval is the time after which a member is asked whether it has restarted, if there is
-	// nothing to tell.
-	checkInterval = time.Second
-	// maxTold bounds the streams of a message, maxPending those that wait for one.
-	maxTold, maxPending = 8192, 1 << 16
-	// tellTimeout bounds the wait for a member's confirmation, retryPause is the pause after a failure.
-	tellTimeout, retryPause = 500 * time.Millisecond, 250 * time.Millisecond
+	// checkInterval is the time between two checks of a member, checkTimeout bounds one.
+	checkInterval, checkTimeout = time.Second, 500 * time.Millisecond
+	// maxTold bounds the streams of a message, maxPending those that wait for one: all that an
+	// instance remembers.
+	maxTold, maxPending = 8192, 1 << 18
+	// minRetellPause and maxRetellPause bound the pause before all is told again to a member that still
+	// lacks some.
+	minRetellPause, maxRetellPause = time.Second, 16 * time.Second
 	// findTimeout bounds a question to a member: one that is cut off does not answer.
 	findTimeout = 250 * time.Millisecond
 )
@@ -134,15 +146,12 @@
 	r.mu.Lock()
 	r.own.Add(clock.Now(), k, at)
 	for _, t := range r.targets {
-		t.add(k, at)
+		t.add(k, at, urgent)
 	}
 	r.mu.Unlock()
-	if urgent {
-		r.wake()
+	if !urgent {
+		return
 	}
-}
-
-func (r *Recorder) wake() {
 	select {
 	case r.urgent <- struct{}{}:
 	default:
@@ -203,18 +212,35 @@
 	}
 }
 
-// tell tells each member that is due, without waiting for one that does not answer.
+// tell sends each member what it lacks, and checks those that are due.
 func (r *Recorder) tell(ctx context.Context) {
 	now := clock.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.chooseTargets()
 	for _, t := range r.targets {
-		if t.busy || now.Before(t.retryAt) || !t.due(now, r.own.Len()) {
-			continue
+		if begun := t.take(now, r.own); begun != nil {
+			if err := r.cfg.Links.Send(t.member, ChannelBegun, begun); err != nil {
+				r.cfg.Log.Event("origins_not_sent").Str("member", t.member).Int("groups", int64(len(begun.Groups))).Err(err).End()
+			}
 		}
-		t.busy = true
-		r.done.Go(func() { r.deliver(ctx, t) })
+		if expected, due := t.beginCheck(now); due {
+			r.done.Go(func() { r.check(ctx, t, expected) })
+		}
+	}
+}
+
+// check asks a member whether it has received the messages up to a number, and has all told again if it
+// has not.
+func (r *Recorder) check(ctx context.Context, t *target, expected uint64) {
+	ctx, cancel := context.WithTimeout(ctx, checkTimeout)
+	defer cancel()
+	var response CheckResponse
+	err := r.cfg.Links.Call(ctx, t.member, ChannelCheck, CheckRequest{}, &response)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if t.endCheck(clock.Now(), err == nil, response.Number >= expected) {
+		r.cfg.Log.Event("origins_told_again").Str("member", t.member).Int("streams", int64(r.own.Len())).End()
 	}
 }
 
@@ -230,31 +256,3 @@
 	}
 	r.targets = chosen
 }
-
-// deliver tells a member what it lacks.
-func (r *Recorder) deliver(ctx context.Context, t *target) {
-	for more := true; more; {
-		r.mu.Lock()
-		begun, streams := t.take(clock.Now(), r.own)
-		r.mu.Unlock()
-		response, err := r.send(ctx, t.member, begun)
-		r.mu.Lock()
-		more = t.delivered(clock.Now(), response, err)
-		t.busy = more
-		waiting := t.count > 0
-		r.mu.Unlock()
-		if waiting {
-			r.wake()
-		}
-		if err != nil && streams > 0 {
-			r.cfg.Log.Event("origins_not_sent").Str("member", t.member).Int("streams", int64(streams)).Err(err).End()
-		}
-	}
-}
-
-func (r *Recorder) send(ctx context.Context, member string, begun *Begun) (response BegunResponse, err error) {
-	ctx, cancel := context.WithTimeout(ctx, tellTimeout)
-	defer cancel()
-	err = r.cfg.Links.Call(ctx, member, ChannelBegun, begun, &response)
-	return response, err
-}
--- a/instance/origin/service.go
+++ b/instance/origin/service.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -41,26 +40,32 @@
 
 // Service answers on a member where streams began. It is safe for concurrent use.
 type Service struct {
-	cfg         Config
-	incarnation uint64
-	journal     *journal
-	cancel      context.CancelFunc
-	running     sync.WaitGroup
+	cfg     Config
+	journal *journal
+	cancel  context.CancelFunc
+	running sync.WaitGroup
 
 	mu    sync.Mutex
 	store *origin.Store
+	// received holds, by instance, the number of the last message before which none is missing.
+	received map[string]uint64
 }
 
+// maxSenders bounds the instances whose messages are counted. Beyond it all are forgotten, and tell their
+// streams again.
+const maxSenders = 1 << 14
+
 // New returns a service and registers its channels.
 func New(cfg Config) *Service {
-	s := &Service{cfg: cfg, incarnation: rand.Uint64() | 1, store: origin.NewStore()}
+	s := &Service{cfg: cfg, store: origin.NewStore(), received: map[string]uint64{}}
 	if cfg.DataFolder != "" {
 		if cfg.Disk == nil {
 			cfg.Disk = disk.OS{}
 		}
 		s.journal = newJournal(cfg.Disk, cfg.DataFolder, cfg.Log, s.remember)
 	}
-	cfg.Links.Handle(ChannelBegun, s.begun)
+	cfg.Links.Handle(ChannelBegun, s.begun, link.Lossy())
+	cfg.Links.Handle(ChannelCheck, s.check)
 	cfg.Links.Handle(ChannelFind, s.find)
 	return s
 }
@@ -84,24 +89,44 @@
 	return nil
 }
 
-func (s *Service) begun(_ context.Context, _ string, msg link.Message) (any, error) {
+func (s *Service) begun(_ context.Context, from string, msg link.Message) (any, error) {
 	var b Begun
 	if err := msg.Decode(&b); err != nil {
 		return nil, err
 	}
-	s.remember(&b)
-	if s.journal != nil && len(b.Groups) > 0 {
+	s.remember(b.Groups)
+	if s.journal != nil {
 		s.journal.add(&b)
 	}
-	return BegunResponse{Incarnation: s.incarnation}, nil
+	s.count(from, &b)
+	return nil, nil
+}
+
+// count notes that a message was received, unless one before it is missing.
+func (s *Service) count(from string, b *Begun) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.received) >= maxSenders {
+		clear(s.received)
+	}
+	last := s.received[from]
+	if b.First || last > 0 && b.Number == last+1 {
+		s.received[from] = b.Number
+	}
+}
+
+func (s *Service) check(_ context.Context, from string, _ link.Message) (any, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return CheckResponse{Number: s.received[from]}, nil
 }
 
-func (s *Service) remember(b *Begun) {
+func (s *Service) remember(groups []Group) {
 	now := clock.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for i := range b.Groups {
-		group := &b.Groups[i]
+	for i := range groups {
+		group := &groups[i]
 		for _, k := range group.Streams {
 			s.store.Add(now, k, origin.Origin{Service: group.Service, Software: group.Software})
 		}
--- a/instance/origin/target.go
+++ b/instance/origin/target.go
@@ -6,27 +6,31 @@
 	"github.com/comfreyladder/comfreyladder/core/origin"
 )
 
-// target is a member that is told where the streams of this instance began. It is told of all of them
-// first, and again after a failure, or if it has restarted.
+// target is a member that is told where the streams of this instance began: of all of them first, and
+// again if it turns out to lack some, as it has restarted or messages were lost.
 type target struct {
 	member string
-	// incarnation is that of the member's last confirmation, zero before the first and after a failure.
-	incarnation uint64
-	// all is set if the member may lack any stream of this instance.
-	all     bool
-	pending map[origin.Origin][]origin.Key
-	count   int
-	// busy is set while the member is being told. It was told last at toldAt, and is not told before
-	// retryAt.
-	busy            bool
-	toldAt, retryAt time.Time
+	// all is set if the member may lack any stream of this instance. first is set from then until the
+	// next message.
+	all, first bool
+	pending    map[origin.Origin][]origin.Key
+	count      int
+	urgent     bool
+	// number is that of the last message, checkedNumber its value at the last check.
+	number, checkedNumber uint64
+	checking              bool
+	checkedAt             time.Time
+	// retellAt is the earliest time to tell all again, retellPause the pause after that.
+	retellAt    time.Time
+	retellPause time.Duration
 }
 
 func newTarget(member string) *target {
-	return &target{member: member, all: true, pending: map[origin.Origin][]origin.Key{}}
+	return &target{member: member, all: true, first: true, pending: map[origin.Origin][]origin.Key{}, retellPause: minRetellPause}
 }
 
-func (t *target) add(k origin.Key, at origin.Origin) {
+func (t *target) add(k origin.Key, at origin.Origin, urgent bool) {
+	t.urgent = t.urgent || urgent
 	switch {
 	case t.all:
 		return
@@ -41,18 +45,11 @@
 // tellAll drops what is pending: it is told with all the rest.
 func (t *target) tellAll() {
 	clear(t.pending)
-	t.all, t.count = true, 0
+	t.all, t.first, t.count = true, true, 0
 }
 
-// due reports whether the member is to be told something, or asked whether it has restarted, by an
-// instance that remembers some streams.
-func (t *target) due(now time.Time, streams int) bool {
-	return t.count > 0 || streams > 0 && (t.all || now.Sub(t.toldAt) >= checkInterval)
-}
-
-// take returns the next message to the member, and the number of its streams.
-func (t *target) take(now time.Time, own *origin.Store) (*Begun, int) {
-	t.toldAt = now
+// take returns the next message to the member, or nil.
+func (t *target) take(now time.Time, own *origin.Store) *Begun {
 	if t.all {
 		t.all = false
 		own.All(now, func(k origin.Key, at origin.Origin) {
@@ -60,7 +57,12 @@
 			t.count++
 		})
 	}
-	begun := &Begun{}
+	if t.count == 0 {
+		return nil
+	}
+	t.number++
+	begun := &Begun{Number: t.number, First: t.first, Urgent: t.urgent}
+	t.first, t.urgent = false, false
 	left := maxTold
 	for at, streams := range t.pending {
 		n := min(left, len(streams))
@@ -75,21 +77,34 @@
 		left -= n
 	}
 	t.count -= maxTold - left
-	return begun, maxTold - left
+	return begun
 }
 
-// delivered records the outcome of a message, and reports whether the next one is to follow at once.
-func (t *target) delivered(now time.Time, response BegunResponse, err error) bool {
-	if err != nil {
-		t.tellAll()
-		t.incarnation = 0
-		t.retryAt = now.Add(retryPause)
-		return false
+// beginCheck reports whether the member is to be checked now, and which messages it should have received:
+// those that were sent before the last check.
+func (t *target) beginCheck(now time.Time) (expected uint64, due bool) {
+	if t.checking || t.number == 0 || now.Sub(t.checkedAt) < checkInterval {
+		return 0, false
 	}
-	restarted := t.incarnation != 0 && response.Incarnation != t.incarnation
-	t.incarnation = response.Incarnation
-	if restarted {
-		t.tellAll()
+	expected = t.checkedNumber
+	t.checking, t.checkedAt, t.checkedNumber = true, now, t.number
+	return expected, true
+}
+
+// endCheck records the result of a check, and reports whether all is told again.
+func (t *target) endCheck(now time.Time, answered, complete bool) bool {
+	t.checking = false
+	switch {
+	case !answered:
+		return false
+	case complete:
+		t.retellPause = minRetellPause
+		return false
+	case now.Before(t.retellAt):
+		return false
 	}
-	return restarted || t.count >= maxTold
+	t.tellAll()
+	t.retellAt = now.Add(t.retellPause)
+	t.retellPause = min(2*t.retellPause, maxRetellPause)
+	return true
 }
--- a/instance/roles/edge.go
+++ b/instance/roles/edge.go
@@ -100,6 +100,7 @@
 		if err != nil {
 			return nil, err
 		}
+		links.Handle(origin.ChannelBegun, nil, link.Lossy())
 		return origin.NewRecorder(origin.RecorderConfig{Links: links, Members: state.Members, Log: p.events}), nil
 	}}
 }
